--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,15 @@
+//! Magpiemoor serves long model generations on engines that fail without warning.
+//!
+//! The crate is a library with thin programs. [`node`] holds every decision of an entry box as a
+//! pure state machine; [`daemon`] is the shell around it that moves bytes; [`bundle`] and
+//! [`settings`] turn what operators write into checked types; [`schema`] holds the types that
+//! cross a process edge.
+
+pub mod bundle;
+pub mod clock;
+pub mod digest;
+pub mod node;
+pub mod rendezvous;
+pub mod schema;
+pub mod settings;
+pub mod timeline;
--- /dev/null
+++ b/src/node/calls.rs
@@ -0,0 +1,684 @@
+//! Calls of plain services, above all those that may run at most once.
+//!
+//! A call that may run once is started only by the home of its slice, and only after the intent is
+//! held by the successor, or by the platform where there is no successor. What is known of a call
+//! is kept for the callers' retry horizon, so that a repeated call gets the stored answer or is
+//! told that the outcome is unknown. "Not run" is said only where that is certain.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::bundle::Bundle;
+use crate::node::Node;
+use crate::node::action::{Action, Expect, PlatformOp, ServiceCall};
+use crate::node::admission::{Pool, Waiting};
+use crate::node::config::{INTENT_LIMIT, MAX_HOPS, RETRY_AFTER};
+use crate::node::event::{NotSent, PlatformAnswer, ServiceOutcome, Timer};
+use crate::node::generate::{key_reused, no_bundle, not_served};
+use crate::node::platform::Purpose;
+use crate::node::retries::backoff;
+use crate::node::roster::slice_of;
+use crate::node::routing::{self, Need};
+use crate::schema::{
+    Answered, Attempt, BoxId, CallRequest, CallSpec, Detach, EndpointId, Member, Micros, OnceAck,
+    OnceCopy, OnceRecord, OnceState, Reason, Refusal, Refused, Request, RequestKey, RequestKind,
+    ServiceAnswer, SliceId, Submit,
+};
+
+/// How many records of calls are kept for each request that may be held at once.
+const RECORDS_PER_REQUEST: usize = 16;
+/// Runs of one call before it is given up.
+const MAX_RUNS: u32 = 4;
+/// What a caller whose call can't be settled is told.
+const UNKNOWN_DETAIL: &str =
+    "the call may have run and will not be repeated; look at its effect before you send it under a new key";
+
+/// How far a call has got at this box.
+#[derive(Clone, Debug, PartialEq)]
+enum Phase {
+    /// Waits for an endpoint.
+    Queued,
+    /// The intent is on its way to whoever has to hold it.
+    Intent(EndpointId),
+    /// Waits for a backoff to end; the intent is held.
+    Backoff,
+    /// Was handed to an endpoint.
+    Sent(EndpointId),
+    /// Nothing more happens.
+    Settled,
+}
+
+/// A call that this box runs, or a record of one.
+#[derive(Debug)]
+struct Call {
+    record: OnceRecord,
+    request: Option<Request>,
+    bundle: Option<Arc<Bundle>>,
+    phase: Phase,
+    attempt: Attempt,
+    waiters: Vec<(Member, u64)>,
+    deadline: Option<Micros>,
+    touched: Micros,
+    may_have_run: bool,
+}
+
+impl Call {
+    fn repeatable(&self) -> bool {
+        self.request.as_ref().is_some_and(|r| !r.runs_once())
+    }
+
+    fn call(&self) -> Option<&CallRequest> {
+        match &self.request.as_ref()?.kind {
+            RequestKind::Call(call) => Some(call),
+            RequestKind::Generate(_) => None,
+        }
+    }
+}
+
+/// All calls that a node knows of.
+#[derive(Debug, Default)]
+pub struct Calls {
+    table: HashMap<RequestKey, Call>,
+    active: usize,
+}
+
+impl Calls {
+    /// How many calls are going on.
+    #[must_use]
+    pub fn active(&self) -> usize {
+        self.active
+    }
+
+    fn insert(&mut self, call: Call) {
+        self.active += usize::from(call.phase != Phase::Settled);
+        self.table.insert(call.record.key.clone(), call);
+    }
+
+    fn remove(&mut self, key: &RequestKey) -> Option<Call> {
+        let call = self.table.remove(key)?;
+        self.active -= usize::from(call.phase != Phase::Settled);
+        Some(call)
+    }
+
+    /// Ends a call and returns who waits for it.
+    fn settle(&mut self, key: &RequestKey) -> Vec<(Member, u64)> {
+        let Some(call) = self.table.get_mut(key) else {
+            return Vec::new();
+        };
+        self.active -= usize::from(call.phase != Phase::Settled);
+        call.phase = Phase::Settled;
+        std::mem::take(&mut call.waiters)
+    }
+
+    /// How many records are kept, of calls going on or settled.
+    #[must_use]
+    pub fn records(&self) -> usize {
+        self.table.len()
+    }
+
+    /// The records of a slice, as another box needs them. A call that is only queued has none.
+    #[must_use]
+    pub fn records_of(&self, slice: SliceId) -> Vec<OnceRecord> {
+        self.table
+            .values()
+            .filter(|c| !c.repeatable() && slice_of(&c.record.key) == slice)
+            .filter(|c| !matches!(c.phase, Phase::Queued | Phase::Intent(_)))
+            .map(|c| c.record.clone())
+            .collect()
+    }
+}
+
+impl Node {
+    /// Takes a call of a plain service.
+    pub(super) fn submit_call(&mut self, submit: Submit) {
+        let key = submit.request.key.clone();
+        if submit.request.runs_once()
+            && !self.membership.is_home(slice_of(&key))
+            && !self.calls.table.contains_key(&key)
+        {
+            return self.pass_call_on(submit);
+        }
+        if let Some(call) = self.calls.table.get_mut(&key) {
+            if call.record.body_hash != submit.request.body_hash {
+                return self.refuse_submit(&submit, key_reused());
+            }
+            if call.phase != Phase::Settled {
+                call.waiters.push((submit.receiver, submit.subscription));
+                return;
+            }
+            let state = call.record.state.clone();
+            return self.answer_known(&submit, state);
+        }
+        if let Err(refusal) = self.begin_call(&submit) {
+            self.refuse_submit(&submit, refusal);
+        }
+    }
+
+    /// Passes a call on to the home of its slice.
+    fn pass_call_on(&mut self, mut submit: Submit) {
+        let home = self.membership.call_home(&self.cfg.domain, &submit.request.key);
+        let home = home.filter(|h| h.id != self.cfg.me.id && submit.hops < MAX_HOPS);
+        if let Some(home) = home {
+            submit.hops += 1;
+            return self.out.send(&home, submit);
+        }
+        let refusal = self.closed(&submit);
+        self.refuse_submit(&submit, refusal);
+    }
+
+    /// Answers a call that was made before.
+    fn answer_known(&mut self, submit: &Submit, state: OnceState) {
+        match state {
+            OnceState::Answered(answer) => {
+                let answered = Answered { subscription: submit.subscription, answer };
+                self.out.send(&submit.receiver, answered);
+            }
+            OnceState::Intent | OnceState::NotRun | OnceState::Unknown => {
+                self.stats.calls_unknown += 1;
+                let refusal = Refusal::unknown(Reason::OutcomeUnknown, UNKNOWN_DETAIL);
+                self.refuse_submit(submit, refusal);
+            }
+        }
+    }
+
+    /// Refuses a call whose slice this box can't act for. Only a key that can't have been used
+    /// before is certain not to have run.
+    fn closed(&self, submit: &Submit) -> Refusal {
+        let detail = "the box in charge of this key is being replaced; come back with the same key";
+        let refusal = Refusal::not_run(Reason::SliceClosed, RETRY_AFTER, detail);
+        if submit.request.first && !submit.repeated {
+            return refusal;
+        }
+        Refusal { ran: crate::schema::Ran::Unknown, ..refusal }
+    }
+
+    fn begin_call(&mut self, submit: &Submit) -> Result<(), Refusal> {
+        let request = &submit.request;
+        let RequestKind::Call(call) = &request.kind else {
+            return Err(not_served(Reason::UnknownService, "not a call"));
+        };
+        let bundle = self.bundles.current().ok_or_else(no_bundle)?;
+        let spec = check_call(&bundle, request, call)?;
+        if !spec.repeatable {
+            self.check_slice(submit)?;
+        }
+        self.make_room()?;
+        if self.calls.table.len() >= self.cfg.max_requests * RECORDS_PER_REQUEST {
+            let detail = "this box keeps as many call records as it may; come back later";
+            return Err(Refusal::not_run(Reason::Overloaded, RETRY_AFTER, detail));
+        }
+        let pool = Pool::Service(call.service.clone());
+        let deadline = request.deadline.map(|d| self.now.after(d.into()));
+        let waiting = Waiting {
+            key: request.key.clone(),
+            organisation: request.organisation.clone(),
+            weight: bundle.organisation(&request.organisation).map_or(1, |o| o.weight),
+            priority: request.priority,
+            cost: 1.0,
+            deadline,
+        };
+        let entry = Call {
+            record: OnceRecord {
+                key: request.key.clone(),
+                body_hash: request.body_hash,
+                state: OnceState::NotRun,
+            },
+            request: Some(request.clone()),
+            bundle: Some(bundle),
+            phase: Phase::Queued,
+            attempt: Attempt(0),
+            waiters: vec![(submit.receiver.clone(), submit.subscription)],
+            deadline,
+            touched: self.now,
+            may_have_run: false,
+        };
+        self.admit(&pool, waiting)?;
+        self.calls.insert(entry);
+        self.dispatch(&pool);
+        Ok(())
+    }
+
+    /// Checks that this box may start calls of a request's slice, and that this one has not run.
+    fn check_slice(&self, submit: &Submit) -> Result<(), Refusal> {
+        let slice = slice_of(&submit.request.key);
+        let open = self.slices.is_open(slice);
+        if !open || self.membership.may_act_until(slice, self.now).is_none() {
+            return Err(self.closed(submit));
+        }
+        let certain = submit.request.first && !submit.repeated;
+        if !certain && self.slices.is_unknown(slice, self.now) {
+            return Err(Refusal::unknown(Reason::OutcomeUnknown, UNKNOWN_DETAIL));
+        }
+        Ok(())
+    }
+
+    /// Starts a waiting call; returns whether an endpoint takes it.
+    pub(super) fn start_call(&mut self, key: &RequestKey) -> bool {
+        let Some(call) = self.calls.table.get(key).filter(|c| c.phase == Phase::Queued) else {
+            return true;
+        };
+        let repeatable = call.repeatable();
+        let Some(endpoint) = self.choose_service(key) else {
+            return false;
+        };
+        if repeatable {
+            self.send_call(key, endpoint);
+        } else {
+            self.hold_intent(key, endpoint);
+        }
+        true
+    }
+
+    fn choose_service(&mut self, key: &RequestKey) -> Option<EndpointId> {
+        let call = self.calls.table.get(key)?;
+        let request = call.call()?;
+        let need = Need {
+            candidates: call.bundle.as_ref()?.endpoints_for(&request.service),
+            avoid: &[],
+            adapter: None,
+            blocks: &[],
+            bytes: 0,
+            domain: &self.cfg.domain,
+        };
+        routing::choose(self.cfg.routing, &self.endpoints, &need, self.now, &mut self.rng)
+    }
+
+    /// Has the intent held by the successor, or by the platform where there is none.
+    fn hold_intent(&mut self, key: &RequestKey, endpoint: EndpointId) {
+        self.endpoints.on_start(&endpoint, self.now);
+        let Some(call) = self.calls.table.get_mut(key) else {
+            return;
+        };
+        call.phase = Phase::Intent(endpoint);
+        let record = OnceRecord { state: OnceState::Intent, ..call.record.clone() };
+        self.out.timer(Timer::Intent(key.clone()), self.now.after(INTENT_LIMIT));
+        if let Some(successor) = self.membership.successor(slice_of(key)) {
+            let epoch = self.membership.epoch();
+            self.out.send(&successor, OnceCopy { record, epoch, batch: false });
+            return;
+        }
+        let op = PlatformOp::Put {
+            name: self.intent_name(key),
+            expect: Expect::Absent,
+            value: serde_json::to_string(&record).unwrap_or_default(),
+        };
+        self.call_platform(op, Purpose::Intent(key.clone()));
+    }
+
+    fn intent_name(&self, key: &RequestKey) -> String {
+        format!("intents/{}/{key}", self.cfg.domain)
+    }
+
+    /// The platform answered to an intent.
+    pub(super) fn on_intent_written(&mut self, key: &RequestKey, answer: &PlatformAnswer) {
+        match answer {
+            PlatformAnswer::Written(_) => self.intent_held(key),
+            PlatformAnswer::Conflict => {
+                let refusal = Refusal::unknown(Reason::OutcomeUnknown, UNKNOWN_DETAIL);
+                self.settle_unknown(key, refusal);
+            }
+            _ => self.intent_failed(key),
+        }
+    }
+
+    /// The successor answered to a record.
+    pub(super) fn on_once_ack(&mut self, from: &BoxId, ack: &OnceAck) {
+        let is_successor = self.membership.successor(slice_of(&ack.key)).is_some_and(|m| &m.id == from);
+        if ack.answered || !is_successor {
+            return;
+        }
+        if ack.accepted {
+            self.intent_held(&ack.key);
+        } else {
+            self.intent_failed(&ack.key);
+        }
+    }
+
+    fn intent_held(&mut self, key: &RequestKey) {
+        let Some(call) = self.calls.table.get_mut(key) else {
+            return;
+        };
+        let Phase::Intent(endpoint) = call.phase.clone() else {
+            return;
+        };
+        call.record.state = OnceState::Intent;
+        call.phase = Phase::Backoff;
+        self.endpoints.on_end(&endpoint);
+        self.send_call(key, endpoint);
+    }
+
+    /// The successor has not answered in time.
+    pub(super) fn on_intent_overdue(&mut self, key: &RequestKey) {
+        self.intent_failed(key);
+    }
+
+    fn intent_failed(&mut self, key: &RequestKey) {
+        let Some(call) = self.calls.table.get(key) else {
+            return;
+        };
+        if let Phase::Intent(endpoint) = call.phase.clone() {
+            self.endpoints.on_end(&endpoint);
+            let detail = "the call could not be made safe against a failure; come back with the same key";
+            self.refuse_call(key, Refusal::not_run(Reason::NotDurable, RETRY_AFTER, detail));
+        }
+    }
+
+    /// Hands a call to an endpoint.
+    fn send_call(&mut self, key: &RequestKey, endpoint: EndpointId) {
+        let slice = slice_of(key);
+        let until = self.membership.may_act_until(slice, self.now);
+        let may_start = self.slices.is_open(slice) && until.is_some();
+        let Some(call) = self.calls.table.get_mut(key) else {
+            return;
+        };
+        let repeatable = call.repeatable();
+        if !repeatable && !may_start {
+            return self.unstart_call(key);
+        }
+        let address = self.endpoints.get(&endpoint).map(|e| e.address.clone());
+        let (Some(request), Some(address)) = (call.call().cloned(), address) else {
+            return self.unstart_call(key);
+        };
+        call.attempt = Attempt(call.attempt.0 + 1);
+        call.phase = Phase::Sent(endpoint.clone());
+        let spec = call.bundle.as_ref().and_then(|b| b.call(&request.service, &request.call));
+        let limit = spec.map_or(RETRY_AFTER, |s| s.max_ms.into());
+        if call.attempt == Attempt(1)
+            && let (Some(request), Some(bundle)) = (&call.request, &call.bundle)
+        {
+            let percent = bundle.policy().retry_percent;
+            self.budgets.on_first_try(&request.organisation, &endpoint, percent);
+        }
+        let attempt = call.attempt;
+        self.endpoints.on_start(&endpoint, self.now);
+        self.stats.calls_sent += 1;
+        self.out.note("call_sent", key, &endpoint);
+        self.out.push(Action::CallService(Box::new(ServiceCall {
+            endpoint,
+            address,
+            service: request.service,
+            call: request.call,
+            key: key.clone(),
+            attempt,
+            body: request.body,
+            not_after: until.filter(|_| !repeatable),
+            give_up: self.now.after(limit),
+            epoch: self.membership.epoch(),
+        })));
+    }
+
+    /// Takes back a call whose intent is held but which was not sent.
+    fn unstart_call(&mut self, key: &RequestKey) {
+        self.copy_state(key, OnceState::NotRun);
+        let detail = "the lease ran out before the call was sent; come back with the same key";
+        self.refuse_call(key, Refusal::not_run(Reason::SliceClosed, RETRY_AFTER, detail));
+    }
+
+    /// Copies a new state of a call to whoever has to know it.
+    fn copy_state(&mut self, key: &RequestKey, state: OnceState) {
+        let Some(call) = self.calls.table.get_mut(key) else {
+            return;
+        };
+        if call.repeatable() {
+            return;
+        }
+        call.record.state = state;
+        call.touched = self.now;
+        let record = call.record.clone();
+        let slice = slice_of(key);
+        let epoch = self.membership.epoch();
+        let to = if self.membership.is_home(slice) {
+            self.membership.successor(slice)
+        } else {
+            self.membership.slice_home(&self.cfg.domain, slice)
+        };
+        if let Some(to) = to.filter(|m| m.id != self.cfg.me.id) {
+            self.out.send(&to, OnceCopy { record, epoch, batch: false });
+        }
+    }
+
+    /// A call of a plain service has ended.
+    pub(super) fn on_service(&mut self, key: &RequestKey, attempt: Attempt, outcome: ServiceOutcome) {
+        let Some(call) = self.calls.table.get_mut(key).filter(|c| c.attempt == attempt) else {
+            return;
+        };
+        let Phase::Sent(endpoint) = call.phase.clone() else {
+            return;
+        };
+        self.endpoints.on_end(&endpoint);
+        match outcome {
+            ServiceOutcome::Answered(answer) => {
+                self.endpoints.on_success(&endpoint);
+                self.settle_answered(key, answer);
+            }
+            ServiceOutcome::NotSent(reason) => self.on_not_sent(key, &endpoint, reason),
+            ServiceOutcome::Lost => {
+                self.endpoints.on_failure(&endpoint, self.now);
+                self.on_call_lost(key, &endpoint);
+            }
+        }
+        self.dispatch_all();
+    }
+
+    fn settle_answered(&mut self, key: &RequestKey, answer: ServiceAnswer) {
+        self.out.note("call_answered", key, answer.status);
+        for (to, subscription) in self.calls.settle(key) {
+            self.out.send(&to, Answered { subscription, answer: answer.clone() });
+        }
+        if self.calls.table.get(key).is_some_and(Call::repeatable) {
+            self.calls.remove(key);
+        } else {
+            self.copy_state(key, OnceState::Answered(answer));
+        }
+    }
+
+    fn on_not_sent(&mut self, key: &RequestKey, endpoint: &EndpointId, reason: NotSent) {
+        match reason {
+            NotSent::LeaseOver => self.unstart_call(key),
+            NotSent::Unreachable => {
+                self.endpoints.on_failure(endpoint, self.now);
+                self.run_again(key, endpoint);
+            }
+            NotSent::Busy => {
+                self.endpoints.on_busy(endpoint, self.now);
+                self.run_again(key, endpoint);
+            }
+        }
+    }
+
+    /// Tries a call again that is certain not to have run, or that may be repeated.
+    fn run_again(&mut self, key: &RequestKey, endpoint: &EndpointId) {
+        let Some(call) = self.calls.table.get_mut(key) else {
+            return;
+        };
+        let organisation = call.request.as_ref().map(|r| r.organisation.clone());
+        let in_time = call.deadline.is_none_or(|d| d > self.now);
+        let allowed = in_time && call.attempt.0 < MAX_RUNS;
+        if allowed && organisation.is_some_and(|o| self.budgets.take(&o, endpoint)) {
+            call.phase = Phase::Backoff;
+            let wait = backoff(call.attempt.0, &mut self.rng);
+            self.out.timer(Timer::Retry(key.clone()), self.now.after(wait));
+            return;
+        }
+        self.give_up_call(key);
+    }
+
+    /// Refuses a call that no endpoint took.
+    fn give_up_call(&mut self, key: &RequestKey) {
+        let may_have_run = self.calls.table.get(key).is_some_and(|c| c.may_have_run);
+        let detail = "no endpoint of the service took the call; come back later";
+        let refusal = Refusal::not_run(Reason::NoEndpoint, RETRY_AFTER, detail);
+        if may_have_run {
+            let refusal = Refusal { ran: crate::schema::Ran::Unknown, ..refusal };
+            return self.refuse_call(key, refusal);
+        }
+        self.copy_state(key, OnceState::NotRun);
+        self.refuse_call(key, refusal);
+    }
+
+    /// The backoff of a call is over.
+    pub(super) fn retry_call(&mut self, key: &RequestKey) {
+        let waits = self.calls.table.get(key).is_some_and(|c| c.phase == Phase::Backoff);
+        if !waits {
+            return;
+        }
+        match self.choose_service(key) {
+            Some(endpoint) => self.send_call(key, endpoint),
+            None => self.give_up_call(key),
+        }
+    }
+
+    /// A call was sent and no answer came.
+    fn on_call_lost(&mut self, key: &RequestKey, endpoint: &EndpointId) {
+        let Some(call) = self.calls.table.get_mut(key) else {
+            return;
+        };
+        if call.repeatable() {
+            call.may_have_run = true;
+            return self.run_again(key, endpoint);
+        }
+        let refusal = Refusal::unknown(Reason::OutcomeUnknown, UNKNOWN_DETAIL);
+        self.settle_unknown(key, refusal);
+    }
+
+    fn settle_unknown(&mut self, key: &RequestKey, refusal: Refusal) {
+        self.stats.calls_unknown += 1;
+        self.out.note("call_unknown", key, "");
+        if let Some(Phase::Intent(endpoint)) = self.calls.table.get(key).map(|c| &c.phase) {
+            self.endpoints.on_end(endpoint);
+        }
+        let waiters = self.calls.settle(key);
+        self.copy_state(key, OnceState::Unknown);
+        self.refuse_waiters(waiters, &refusal);
+    }
+
+    /// Refuses a call that did not run, and forgets it.
+    pub(super) fn refuse_call(&mut self, key: &RequestKey, refusal: Refusal) {
+        let Some(call) = self.calls.remove(key) else {
+            return;
+        };
+        self.out.note("call_refused", key, &refusal.detail);
+        self.refuse_waiters(call.waiters, &refusal);
+    }
+
+    fn refuse_waiters(&mut self, waiters: Vec<(Member, u64)>, refusal: &Refusal) {
+        for (to, subscription) in waiters {
+            self.out.send(&to, Refused { subscription, refusal: refusal.clone() });
+        }
+    }
+
+    /// Refuses the calls of a slice that have not been sent, as the slice is let go.
+    pub(super) fn refuse_queued_calls(&mut self, slice: SliceId) {
+        let waiting: Vec<(RequestKey, Pool, Phase)> = self
+            .calls
+            .table
+            .values()
+            .filter(|c| !c.repeatable() && slice_of(&c.record.key) == slice)
+            .filter(|c| matches!(c.phase, Phase::Queued | Phase::Intent(_) | Phase::Backoff))
+            .filter_map(|c| {
+                let pool = Pool::Service(c.call()?.service.clone());
+                Some((c.record.key.clone(), pool, c.phase.clone()))
+            })
+            .collect();
+        for (key, pool, phase) in waiting {
+            match phase {
+                Phase::Queued => {
+                    self.admission.remove(&pool, &key);
+                }
+                Phase::Intent(endpoint) => self.endpoints.on_end(&endpoint),
+                Phase::Backoff | Phase::Sent(_) | Phase::Settled => {}
+            }
+            self.unstart_call(&key);
+        }
+    }
+
+    /// Takes in a record of a call from the home of its slice, or from one who let it go.
+    pub(super) fn on_once_copy(&mut self, from: &BoxId, copy: OnceCopy) {
+        let key = copy.record.key.clone();
+        let slice = slice_of(&key);
+        let answered = matches!(copy.record.state, OnceState::Answered(_));
+        // An answer is a fact whoever reports it; an intent counts only from the present home.
+        let accepted = copy.batch || answered || self.accepts_copy(slice, from, copy.epoch);
+        if accepted {
+            if copy.batch {
+                self.note_batch_record(from, &key);
+            }
+            self.keep_record(copy.record);
+        }
+        if let Some(member) = self.member(from) {
+            self.out.send(&member, OnceAck { key, epoch: copy.epoch, answered, accepted });
+        }
+    }
+
+    /// Keeps a record; what is known of a call never gets less.
+    fn keep_record(&mut self, record: OnceRecord) {
+        let now = self.now;
+        if record.state == OnceState::NotRun {
+            let known = self.calls.table.get(&record.key);
+            if known.is_some_and(|c| c.record.state == OnceState::Intent && c.request.is_none()) {
+                self.calls.remove(&record.key);
+            }
+            return;
+        }
+        match self.calls.table.get_mut(&record.key) {
+            Some(call) if call.phase == Phase::Settled => {
+                if !matches!(call.record.state, OnceState::Answered(_)) {
+                    call.record = record;
+                }
+                call.touched = now;
+            }
+            Some(_) => {}
+            None => {
+                self.calls.insert(Call {
+                    record,
+                    request: None,
+                    bundle: None,
+                    phase: Phase::Settled,
+                    attempt: Attempt(0),
+                    waiters: Vec::new(),
+                    deadline: None,
+                    touched: now,
+                    may_have_run: false,
+                });
+            }
+        }
+    }
+
+    /// A caller of a call has gone; the call itself goes on.
+    pub(super) fn detach_call(&mut self, from: &BoxId, detach: &Detach) {
+        if let Some(call) = self.calls.table.get_mut(&detach.key) {
+            call.waiters.retain(|(m, s)| &m.id != from || *s != detach.subscription);
+        }
+    }
+
+    /// Forgets records whose callers no longer come back.
+    pub(super) fn sweep_calls(&mut self) {
+        let horizon = self.bundles.retry_horizon();
+        let now = self.now;
+        let old: Vec<RequestKey> = self
+            .calls
+            .table
+            .values()
+            .filter(|c| c.phase == Phase::Settled && now.since(c.touched) > horizon)
+            .map(|c| c.record.key.clone())
+            .collect();
+        for key in old {
+            self.calls.remove(&key);
+            if self.membership.is_home(slice_of(&key)) && self.membership.successor(slice_of(&key)).is_none() {
+                self.call_platform(PlatformOp::Delete(self.intent_name(&key)), Purpose::Forget);
+            }
+        }
+    }
+}
+
+fn check_call(bundle: &Bundle, request: &Request, call: &CallRequest) -> Result<CallSpec, Refusal> {
+    let refuse = |reason, detail: &str| Err(not_served(reason, detail));
+    let Some(organisation) = bundle.organisation(&request.organisation) else {
+        return refuse(Reason::UnknownOrganisation, "the bundle in force has no such organisation");
+    };
+    let spec = bundle.call(&call.service, &call.call);
+    let Some(spec) = spec.filter(|_| organisation.services.contains(&call.service)) else {
+        return refuse(Reason::UnknownService, "the organisation is not served by this service or call");
+    };
+    Ok(spec.clone())
+}
--- /dev/null
+++ b/src/node/heartbeats.rs
@@ -0,0 +1,189 @@
+//! Heartbeats: what boxes tell each other all the time, and what is looked after at each of them.
+
+use crate::node::Node;
+use crate::node::action::Action;
+use crate::node::config::{LOADS_PER_HEARTBEAT, REMOTE_HEARTBEATS};
+use crate::node::event::Timer;
+use crate::rendezvous;
+use crate::schema::{
+    BoxId, BundleVersion, EndpointId, Heartbeat, HybridTime, Incarnation, LoadReport,
+    PromiseGrant,
+};
+
+/// Heartbeats between two sweeps of finished answers and old call records.
+const SWEEP_HEARTBEATS: u64 = 10;
+/// Heartbeats between two readings of the other failure domains' rosters.
+const ROSTERS_HEARTBEATS: u64 = 300;
+
+/// What the next heartbeats carry.
+#[derive(Debug, Default)]
+pub struct Beats {
+    sequence: u64,
+    grants: Vec<PromiseGrant>,
+    loads: Vec<LoadReport>,
+    leaving: Vec<EndpointId>,
+    /// Boxes whose loss has been acted on.
+    silent: Vec<BoxId>,
+}
+
+impl Beats {
+    /// Lets the next heartbeats carry a load report.
+    pub fn add_load(&mut self, report: LoadReport) {
+        self.loads.retain(|l| l.endpoint != report.endpoint);
+        self.loads.push(report);
+    }
+
+    /// Lets all heartbeats from now on say that an endpoint is leaving.
+    pub fn add_leaving(&mut self, endpoint: &EndpointId) {
+        if !self.leaving.contains(endpoint) {
+            self.leaving.push(endpoint.clone());
+        }
+    }
+
+    /// Says no more that an endpoint is leaving.
+    pub fn remove_leaving(&mut self, endpoint: &EndpointId) {
+        self.leaving.retain(|e| e != endpoint);
+    }
+}
+
+impl Node {
+    /// Sends heartbeats and looks after what is overdue.
+    pub(super) fn beat(&mut self) {
+        self.out.timer(Timer::Heartbeat, self.now.after(self.cfg.heartbeat));
+        self.beats.sequence += 1;
+        self.send_heartbeats();
+        self.notice_silence();
+        self.tend_roster();
+        self.progress_slices();
+        self.expire_waiting();
+        self.dispatch_all();
+        self.tend_deferred();
+        self.tend_orders();
+        if self.beats.sequence % SWEEP_HEARTBEATS == 0 {
+            self.sweep_answers();
+            self.sweep_calls();
+        }
+        if self.beats.sequence % ROSTERS_HEARTBEATS == 0 {
+            self.read_other_rosters();
+        }
+        self.progress_stop();
+    }
+
+    fn send_heartbeats(&mut self) {
+        let mut near = Vec::new();
+        let mut far = Vec::new();
+        for peer in self.membership.peers() {
+            if peer.domain == self.cfg.domain {
+                near.push(peer.member.address.clone());
+            }
+        }
+        if self.beats.sequence % REMOTE_HEARTBEATS == 1 {
+            far = self.remote_contacts();
+        }
+        near.sort();
+        let ask = self.membership.promise_ask(self.now);
+        let kept = self.beats.loads.len().min(LOADS_PER_HEARTBEAT);
+        let heartbeat = Heartbeat {
+            from: self.cfg.me.id.clone(),
+            incarnation: self.cfg.me.incarnation,
+            domain: self.cfg.domain.clone(),
+            address: self.cfg.me.address.clone(),
+            sequence: self.beats.sequence,
+            epoch: self.membership.epoch(),
+            bundle: self.bundles.mark(),
+            stopping: self.stopping.is_begun(),
+            clock: HybridTime(0),
+            ask,
+            grants: std::mem::take(&mut self.beats.grants),
+            loads: self.beats.loads.drain(..kept).collect(),
+            leaving: self.beats.leaving.clone(),
+        };
+        self.stats.heartbeats += (near.len() + far.len()) as u64;
+        if !far.is_empty() {
+            // Other failure domains have their own views of their endpoints.
+            let mut short = heartbeat.clone();
+            short.grants.clear();
+            short.loads.clear();
+            short.ask = None;
+            self.out.push(Action::Beat { to: far, heartbeat: Box::new(short) });
+        }
+        if !near.is_empty() {
+            self.out.push(Action::Beat { to: near, heartbeat: Box::new(heartbeat) });
+        }
+    }
+
+    /// One box of each other failure domain, spread so that each box there hears some of ours.
+    fn remote_contacts(&self) -> Vec<String> {
+        let item = rendezvous::item(&self.cfg.me.id).wrapping_add(self.beats.sequence / REMOTE_HEARTBEATS);
+        let mut contacts = Vec::new();
+        for domain in self.cfg.domains.iter().filter(|d| *d != &self.cfg.domain) {
+            let mut names: Vec<&str> = self
+                .membership
+                .peers()
+                .filter(|p| &p.domain == domain)
+                .map(|p| p.member.id.as_str())
+                .collect();
+            names.sort_unstable();
+            let ranked = rendezvous::rank(&names, item);
+            let first = ranked.first().and_then(|name| name.parse::<BoxId>().ok());
+            contacts.extend(first.and_then(|id| self.member(&id)).map(|m| m.address));
+        }
+        contacts
+    }
+
+    /// A heartbeat came.
+    pub(super) fn on_heartbeat(&mut self, beat: &Heartbeat) {
+        let life = self.membership.peer(&beat.from).map(|p| p.member.incarnation);
+        if life.is_some_and(|l| l != Incarnation(0) && l < beat.incarnation) {
+            // The box was replaced: whatever its earlier life held is lost.
+            self.after_peer_lost(&beat.from);
+        }
+        if !self.membership.on_heartbeat(beat, self.now) {
+            return;
+        }
+        self.beats.silent.retain(|id| id != &beat.from);
+        for grant in &beat.grants {
+            self.membership.on_grant(&beat.from, grant);
+        }
+        if let Some(ask) = &beat.ask
+            && beat.domain == self.cfg.domain
+            && !self.slices.has_withdrawn(&beat.from, beat.incarnation, ask.epoch)
+        {
+            let grant = self.membership.grant(&beat.from, beat.incarnation, ask, self.now);
+            self.beats.grants.extend(grant);
+        }
+        for report in &beat.loads {
+            self.endpoints.on_report(report, self.now);
+        }
+        for endpoint in &beat.leaving {
+            if self.endpoints.on_leaving(endpoint) {
+                self.out.note("endpoint_leaving", endpoint, "heard from a peer");
+            }
+        }
+        if beat.domain == self.cfg.domain && beat.epoch > self.membership.epoch() {
+            self.read_roster_now();
+        }
+        let newest = self.bundles.version().unwrap_or(BundleVersion(0));
+        if let Some(mark) = beat.bundle.clone().filter(|m| m.version > newest) {
+            self.fetch_from_peer(&beat.from, &mark);
+        }
+    }
+
+    /// Acts on boxes that have fallen silent.
+    fn notice_silence(&mut self) {
+        let now = self.now;
+        let silent: Vec<BoxId> = self
+            .membership
+            .peers()
+            .filter(|p| p.domain == self.cfg.domain && p.heard.is_some())
+            .filter(|p| !self.membership.peer_is_live(p, now))
+            .map(|p| p.member.id.clone())
+            .filter(|id| !self.beats.silent.contains(id))
+            .collect();
+        for id in silent {
+            self.out.note("box_silent", &id, "");
+            self.beats.silent.push(id.clone());
+            self.after_peer_lost(&id);
+        }
+    }
+}
--- /dev/null
+++ b/src/node/loads.rs
@@ -0,0 +1,83 @@
+//! Asks endpoints for their load, and shares what they say.
+//!
+//! Each endpoint is asked by one box of its failure domain, which tells the others with its
+//! heartbeats; so the number of questions doesn't grow with the number of boxes.
+
+use crate::node::Node;
+use crate::node::action::Action;
+use crate::node::config::POLL_HEARTBEATS;
+use crate::node::event::{Load, Timer};
+use crate::rendezvous;
+use crate::schema::{EndpointId, LoadReport};
+
+impl Node {
+    /// Asks the endpoints that this box looks after.
+    pub(super) fn poll_loads(&mut self) {
+        let every = self.cfg.heartbeat * POLL_HEARTBEATS;
+        self.out.timer(Timer::Poll, self.now.after(every));
+        for (endpoint, address) in self.watched_endpoints() {
+            self.out.push(Action::PollLoad { endpoint, address });
+        }
+    }
+
+    /// The endpoints of the own failure domain that this box looks after, with their addresses.
+    pub(super) fn watched_endpoints(&self) -> Vec<(EndpointId, String)> {
+        let mut watched: Vec<(EndpointId, String)> = self
+            .endpoints
+            .iter()
+            .filter(|(_, state)| state.domain == self.cfg.domain)
+            .filter(|(id, _)| self.watches(id))
+            .map(|(id, state)| (id.clone(), state.address.clone()))
+            .collect();
+        watched.sort();
+        watched
+    }
+
+    /// Whether this box is the one that looks after an endpoint.
+    pub(super) fn watches(&self, endpoint: &EndpointId) -> bool {
+        let item = rendezvous::item(endpoint);
+        let ranked = self.membership.ranked_for(&self.cfg.domain, item, self.now);
+        ranked.first().is_some_and(|m| m.id == self.cfg.me.id)
+    }
+
+    /// An endpoint answered, or didn't.
+    pub(super) fn on_load(&mut self, endpoint: &EndpointId, load: Option<Load>) {
+        let Some(load) = load else {
+            return;
+        };
+        let report = &load.report;
+        for change in &load.cache {
+            if change.stored {
+                self.endpoints.prefixes.stored(endpoint, &[change.block]);
+            } else {
+                self.endpoints.prefixes.evicted(endpoint, change.block);
+            }
+        }
+        if report.leaving {
+            self.note_leaving(endpoint, "its own word");
+        } else {
+            self.beats.remove_leaving(endpoint);
+        }
+        let changed = self.report_changed(report);
+        self.endpoints.on_report(report, self.now);
+        if changed {
+            self.beats.add_load(report.clone());
+        }
+        self.dispatch_all();
+    }
+
+    fn report_changed(&self, report: &LoadReport) -> bool {
+        let known = self.endpoints.get(&report.endpoint).and_then(|e| e.report.as_ref());
+        known != Some(report)
+    }
+
+    /// An endpoint is leaving: it gets no new work from now on, and the peers hear of it.
+    pub(super) fn note_leaving(&mut self, endpoint: &EndpointId, source: &str) {
+        if self.endpoints.on_leaving(endpoint) {
+            self.out.note("endpoint_leaving", endpoint, source);
+        }
+        if self.endpoints.get(endpoint).is_some() {
+            self.beats.add_leaving(endpoint);
+        }
+    }
+}
--- /dev/null
+++ b/src/node/routing.rs
@@ -0,0 +1,98 @@
+//! Chooses the endpoint for a request.
+//!
+//! The cost of an endpoint is the seconds until the request's first token there: reading the part
+//! of the prompt that isn't cached, waiting behind its load, loading an adapter, and crossing to
+//! another failure domain. Only endpoints that take work now are weighed.
+
+use std::collections::HashMap;
+
+use rand::Rng;
+
+use crate::node::endpoints::{EndpointState, Endpoints};
+use crate::schema::{AdapterId, DomainId, EndpointId, Micros};
+use crate::settings::Routing;
+
+/// Seconds that crossing to another failure domain counts as.
+const REMOTE_SECONDS: f64 = 0.02;
+/// Seconds that loading an adapter counts as.
+const ADAPTER_SECONDS: f64 = 0.2;
+/// Seconds that one running request per slot adds.
+const CROWDING_SECONDS: f64 = 0.3;
+
+/// What a request needs of an endpoint.
+#[derive(Debug)]
+pub struct Need<'a> {
+    /// The endpoints that serve it.
+    pub candidates: &'a [EndpointId],
+    /// Endpoints that must not be chosen.
+    pub avoid: &'a [EndpointId],
+    /// The adapter, and the endpoints that have it loaded.
+    pub adapter: Option<(&'a AdapterId, &'a [EndpointId])>,
+    /// Chained hashes of the prompt's blocks.
+    pub blocks: &'a [u64],
+    /// Bytes to be read before the first token.
+    pub bytes: usize,
+    /// The failure domain of this box.
+    pub domain: &'a DomainId,
+}
+
+/// Chooses an endpoint, or none if no endpoint takes work now.
+pub fn choose(
+    routing: Routing,
+    endpoints: &Endpoints,
+    need: &Need<'_>,
+    now: Micros,
+    rng: &mut impl Rng,
+) -> Option<EndpointId> {
+    let able: Vec<(&EndpointId, &EndpointState)> = need
+        .candidates
+        .iter()
+        .filter(|id| !need.avoid.contains(id))
+        .filter_map(|id| endpoints.get(id).map(|state| (id, state)))
+        .filter(|(_, state)| state.takes_work(now))
+        .collect();
+    let chosen = match routing {
+        Routing::Random if able.is_empty() => None,
+        Routing::Random => Some(able[rng.random_range(0..able.len())]),
+        Routing::LeastLoaded => cheapest(&able, |(_, state)| crowding(state, now)),
+        Routing::Cost => {
+            let cached = endpoints.prefixes.cached(need.blocks);
+            cheapest(&able, |(id, state)| cost(id, state, need, &cached, now))
+        }
+    };
+    chosen.map(|(id, _)| id.clone())
+}
+
+type Candidate<'a> = (&'a EndpointId, &'a EndpointState);
+
+fn cheapest<'a>(
+    able: &[Candidate<'a>],
+    cost: impl Fn(&Candidate<'a>) -> f64,
+) -> Option<Candidate<'a>> {
+    able.iter()
+        .map(|candidate| (cost(candidate), candidate))
+        .min_by(|(a, x), (b, y)| a.total_cmp(b).then_with(|| x.0.cmp(y.0)))
+        .map(|(_, candidate)| *candidate)
+}
+
+fn crowding(state: &EndpointState, now: Micros) -> f64 {
+    state.load(now) / f64::from(state.slots.max(1))
+}
+
+fn cost(
+    id: &EndpointId,
+    state: &EndpointState,
+    need: &Need<'_>,
+    cached: &HashMap<&EndpointId, usize>,
+    now: Micros,
+) -> f64 {
+    let known = cached.get(id).copied().unwrap_or(0).min(need.bytes);
+    let prefill = state.prefill(need.bytes - known).as_secs_f64();
+    let crowd = crowding(state, now) * CROWDING_SECONDS;
+    let remote = if &state.domain == need.domain { 0.0 } else { REMOTE_SECONDS };
+    let adapter = match need.adapter {
+        Some((_, loaded)) if !loaded.contains(id) => ADAPTER_SECONDS,
+        _ => 0.0,
+    };
+    prefill + crowd + remote + adapter
+}
--- /dev/null
+++ b/src/node/slices.rs
@@ -0,0 +1,419 @@
+//! Which slices this box may act for, and how a slice passes from one home to the next.
+//!
+//! Calls that may run at most once start only at the home of their slice. When a roster gives a
+//! slice a new home, the new home opens it only after every former holder has been cleared: by
+//! its own release, or by its successor's withdrawal once the lease has run out, or because the
+//! platform's list says that both are gone. Whoever clears a holding sends the call records that
+//! it has. Where none could be had, calls that may have been made before count as unknown for the
+//! callers' retry horizon.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use crate::node::Node;
+use crate::node::roster::slice_of;
+use crate::schema::{
+    BoxId, Epoch, FleetState, Holding, Incarnation, Micros, OnceCopy, PeerMessage, RequestKey,
+    SliceAsk, SliceId, SliceNote,
+};
+
+/// How long the successor may take to confirm that it has a slice's records.
+const SYNC_AGAIN: Duration = Duration::from_millis(500);
+
+/// A former holding and whether it has been cleared.
+#[derive(Clone, Debug)]
+struct Former {
+    holding: Holding,
+    cleared: bool,
+}
+
+/// A slice of which this box is the home.
+#[derive(Clone, Debug)]
+struct Held {
+    seen: Micros,
+    term: u64,
+    open: bool,
+    lost: bool,
+    former: Vec<Former>,
+    synced_term: Option<u64>,
+    sync_sent: Option<Micros>,
+}
+
+/// What a node knows of the slices of its failure domain.
+#[derive(Debug, Default)]
+pub struct Slices {
+    held: HashMap<SliceId, Held>,
+    released: HashMap<SliceId, Epoch>,
+    withdrawn: HashMap<(SliceId, BoxId, Incarnation), Epoch>,
+    synced_from: HashMap<SliceId, (BoxId, Incarnation, u64)>,
+    unknown_until: HashMap<SliceId, Micros>,
+    received: HashMap<(SliceId, BoxId), HashSet<RequestKey>>,
+    settle_wanted: bool,
+    awaiting_release: HashSet<SliceId>,
+}
+
+impl Slices {
+    /// Whether no new home has yet to ask this box for a slice that it held.
+    #[must_use]
+    pub fn all_released(&self) -> bool {
+        self.awaiting_release.is_empty()
+    }
+
+    /// Whether this box is the home of a slice and all former holders have been cleared.
+    #[must_use]
+    pub fn is_open(&self, slice: SliceId) -> bool {
+        self.held.get(&slice).is_some_and(|h| h.open)
+    }
+
+    /// Whether calls of a slice that may have been made before count as unknown.
+    #[must_use]
+    pub fn is_unknown(&self, slice: SliceId, now: Micros) -> bool {
+        self.unknown_until.get(&slice).is_some_and(|until| *until > now)
+    }
+
+    fn unknown_for(&self, slice: SliceId, now: Micros) -> Duration {
+        self.unknown_until.get(&slice).map_or(Duration::ZERO, |until| until.since(now))
+    }
+
+    fn extend_unknown(&mut self, slice: SliceId, until: Micros) {
+        let entry = self.unknown_until.entry(slice).or_insert(until);
+        *entry = until.max(*entry);
+    }
+
+    /// Whether this box has withdrawn from a home of an older epoch.
+    #[must_use]
+    pub fn has_withdrawn(&self, home: &BoxId, life: Incarnation, epoch: Epoch) -> bool {
+        self.withdrawn
+            .iter()
+            .any(|((_, id, l), at)| id == home && *l == life && *at > epoch)
+    }
+
+    fn is_fenced(&self, slice: SliceId, home: &BoxId, life: Incarnation, epoch: Epoch) -> bool {
+        let key = (slice, home.clone(), life);
+        self.withdrawn.get(&key).is_some_and(|at| *at > epoch)
+    }
+
+    /// Whether this box is the home of a slice that it has not opened yet.
+    #[must_use]
+    pub fn any_closed(&self) -> bool {
+        self.held.values().any(|h| !h.open)
+    }
+
+    /// The slices that this box has opened.
+    #[must_use]
+    pub fn open(&self) -> Vec<SliceId> {
+        let mut open: Vec<SliceId> =
+            self.held.iter().filter(|(_, h)| h.open).map(|(id, _)| *id).collect();
+        open.sort();
+        open
+    }
+
+    /// Whether the roster still names former holders of slices that have been opened.
+    #[must_use]
+    pub fn settle_wanted(&self) -> bool {
+        self.settle_wanted
+    }
+}
+
+impl Node {
+    /// Takes in a new roster of this box's own failure domain.
+    pub(super) fn on_new_epoch(&mut self) {
+        let Some(view) = self.membership.own().cloned() else {
+            return;
+        };
+        let me = self.cfg.me.clone();
+        let listed = self.membership.is_listed();
+        self.slices.settle_wanted = false;
+        for (place, slice) in view.roster.slices.iter().enumerate() {
+            let id = SliceId(place as u16);
+            let let_go = self.slices.released.get(&id).is_some_and(|at| view.epoch < *at);
+            if slice.home != me.id || !listed || let_go {
+                if self.slices.held.remove(&id).is_some() && !let_go {
+                    self.slices.awaiting_release.insert(id);
+                }
+                continue;
+            }
+            let mut former: Vec<Former> = slice
+                .former
+                .iter()
+                .filter(|h| h.home != me.id || h.incarnation != me.incarnation)
+                .map(|h| Former { holding: h.clone(), cleared: false })
+                .collect();
+            let before = self.slices.held.remove(&id);
+            for f in &mut former {
+                f.cleared = before.as_ref().is_some_and(|b| b.has_cleared(&f.holding));
+            }
+            let held = match before {
+                Some(before) if former.is_empty() => Held { former, term: slice.term, ..before },
+                Some(before) => Held {
+                    open: before.open && former.iter().all(|f| f.cleared),
+                    term: slice.term,
+                    seen: if before.open { view.seen } else { before.seen },
+                    former,
+                    ..before
+                },
+                None => Held {
+                    seen: view.seen,
+                    term: slice.term,
+                    open: false,
+                    lost: false,
+                    former,
+                    synced_term: None,
+                    sync_sent: None,
+                },
+            };
+            self.slices.settle_wanted |= held.open && !slice.former.is_empty();
+            self.slices.held.insert(id, held);
+        }
+        self.progress_slices();
+    }
+
+    /// Asks former holders to let go, and opens what has been let go.
+    pub(super) fn progress_slices(&mut self) {
+        let closed: Vec<SliceId> =
+            self.slices.held.iter().filter(|(_, h)| !h.open).map(|(id, _)| *id).collect();
+        for id in closed {
+            let Some(held) = self.slices.held.get(&id).cloned() else {
+                continue;
+            };
+            for former in held.former.iter().filter(|f| !f.cleared) {
+                self.ask_former(id, &held, &former.holding);
+            }
+            self.try_open(id);
+        }
+        self.sync_successors();
+    }
+
+    fn ask_former(&mut self, slice: SliceId, held: &Held, holding: &Holding) {
+        let ask = SliceAsk {
+            slice,
+            epoch: self.membership.epoch(),
+            home: holding.home.clone(),
+            incarnation: holding.incarnation,
+            term: holding.term,
+        };
+        if let Some(home) = self.member(&holding.home)
+            && home.incarnation <= holding.incarnation
+        {
+            self.out.send(&home, PeerMessage::ReleaseAsk(ask.clone()));
+        }
+        let lease_over = held.seen.after(self.cfg.lease_and_bound());
+        if self.now < lease_over {
+            return;
+        }
+        if let Some(successor) = holding.successor.as_ref().and_then(|s| self.member(s)) {
+            self.out.send(&successor, PeerMessage::WithdrawAsk(ask));
+        }
+        if self.both_are_gone(holding) {
+            self.clear_former(slice, holding, false);
+        }
+    }
+
+    /// Whether the platform's list has said for a lease that a home and its successor are gone.
+    fn both_are_gone(&self, holding: &Holding) -> bool {
+        let Some(since) = self.membership.gone_since(&holding.home, holding.incarnation) else {
+            return false;
+        };
+        let successor_gone = holding.successor.as_ref().is_none_or(|s| {
+            s != &self.cfg.me.id && self.membership.listed_state(s) == Some(FleetState::Gone)
+        });
+        successor_gone && self.now >= since.after(self.cfg.lease_and_bound())
+    }
+
+    fn clear_former(&mut self, slice: SliceId, holding: &Holding, synced: bool) {
+        let Some(held) = self.slices.held.get_mut(&slice) else {
+            return;
+        };
+        let Some(former) = held.former.iter_mut().find(|f| &f.holding == holding) else {
+            return;
+        };
+        former.cleared = true;
+        held.lost |= !synced;
+    }
+
+    fn try_open(&mut self, slice: SliceId) {
+        let Some(held) = self.slices.held.get_mut(&slice) else {
+            return;
+        };
+        if held.open || held.former.iter().any(|f| !f.cleared) {
+            return;
+        }
+        held.open = true;
+        let lost = std::mem::replace(&mut held.lost, false);
+        self.slices.settle_wanted |= !held.former.is_empty();
+        if lost {
+            let horizon = self.bundles.retry_horizon();
+            self.slices.extend_unknown(slice, self.now.after(horizon));
+        }
+        let detail = if lost { "records lost" } else { "records known" };
+        self.out.note("slice_opened", slice, detail);
+    }
+
+    /// Sends the successor of each open slice the records that it doesn't have.
+    fn sync_successors(&mut self) {
+        let now = self.now;
+        let due: Vec<SliceId> = self
+            .slices
+            .held
+            .iter()
+            .filter(|(_, h)| h.open && h.synced_term != Some(h.term))
+            .filter(|(_, h)| h.sync_sent.is_none_or(|at| now.since(at) >= SYNC_AGAIN))
+            .map(|(id, _)| *id)
+            .collect();
+        for slice in due {
+            let Some(successor) = self.membership.successor(slice) else {
+                continue;
+            };
+            let Some(held) = self.slices.held.get_mut(&slice) else {
+                continue;
+            };
+            held.sync_sent = Some(now);
+            let term = held.term;
+            let me = self.cfg.me.clone();
+            let epoch = self.membership.epoch();
+            let ask = SliceAsk { slice, epoch, home: me.id, incarnation: me.incarnation, term };
+            let note = self.send_records(&successor.id, &ask, true);
+            self.out.send(&successor, PeerMessage::SliceSync(note));
+        }
+    }
+
+    /// Sends a box all call records of a slice, and returns the note that has to follow them.
+    fn send_records(&mut self, to: &BoxId, ask: &SliceAsk, synced: bool) -> SliceNote {
+        let epoch = self.membership.epoch().max(ask.epoch);
+        let records = self.calls.records_of(ask.slice);
+        let count = records.len() as u32;
+        if let Some(member) = self.member(to) {
+            for record in records {
+                self.out.send(&member, OnceCopy { record, epoch, batch: true });
+            }
+        }
+        SliceNote {
+            slice: ask.slice,
+            epoch,
+            home: ask.home.clone(),
+            incarnation: ask.incarnation,
+            term: ask.term,
+            records: count,
+            synced,
+            unknown_for: self.slices.unknown_for(ask.slice, self.now).into(),
+        }
+    }
+
+    /// A new home asks this box to let a slice go.
+    pub(super) fn on_release_ask(&mut self, from: &BoxId, ask: &SliceAsk) {
+        if ask.home != self.cfg.me.id || ask.incarnation != self.cfg.me.incarnation {
+            return;
+        }
+        let at = self.slices.released.entry(ask.slice).or_insert(ask.epoch);
+        *at = ask.epoch.max(*at);
+        self.slices.awaiting_release.remove(&ask.slice);
+        if self.membership.epoch() < ask.epoch {
+            self.slices.held.remove(&ask.slice);
+            self.read_roster_now();
+        }
+        if self.slices.held.contains_key(&ask.slice) {
+            // The asker's roster is the older one.
+            return;
+        }
+        self.refuse_queued_calls(ask.slice);
+        let note = self.send_records(from, ask, true);
+        if let Some(member) = self.member(from) {
+            self.out.send(&member, PeerMessage::Released(note));
+        }
+    }
+
+    /// A new home asks this box, as the successor of a former one, to stand by that one no more.
+    pub(super) fn on_withdraw_ask(&mut self, from: &BoxId, ask: &SliceAsk) {
+        let key = (ask.slice, ask.home.clone(), ask.incarnation);
+        let at = self.slices.withdrawn.entry(key).or_insert(ask.epoch);
+        *at = ask.epoch.max(*at);
+        if self.membership.is_bound_to(&ask.home, ask.incarnation, self.now) {
+            return;
+        }
+        let whole = (ask.home.clone(), ask.incarnation, ask.term);
+        let synced = self.slices.synced_from.get(&ask.slice) == Some(&whole);
+        let note = self.send_records(from, ask, synced);
+        if let Some(member) = self.member(from) {
+            self.out.send(&member, PeerMessage::Withdrawn(note));
+        }
+    }
+
+    /// A former holder, or its successor, has let a slice go.
+    pub(super) fn on_former_cleared(&mut self, from: &BoxId, note: &SliceNote, released: bool) {
+        let Some(held) = self.slices.held.get(&note.slice).filter(|h| !h.open) else {
+            return;
+        };
+        let holding = held.former.iter().map(|f| &f.holding).find(|h| {
+            let speaks = if released { &h.home == from } else { h.successor.as_ref() == Some(from) };
+            speaks && h.home == note.home && h.incarnation == note.incarnation && h.term == note.term
+        });
+        let Some(holding) = holding.cloned() else {
+            return;
+        };
+        if !self.has_received(note.slice, from, note.records) {
+            return;
+        }
+        let until = self.now.after(note.unknown_for.into());
+        self.slices.extend_unknown(note.slice, until);
+        self.clear_former(note.slice, &holding, note.synced);
+        self.try_open(note.slice);
+        self.sync_successors();
+    }
+
+    /// Whether all records of a batch came; what came is counted anew for the next batch.
+    fn has_received(&mut self, slice: SliceId, from: &BoxId, records: u32) -> bool {
+        if from == &self.cfg.me.id {
+            return true;
+        }
+        let received = self.slices.received.remove(&(slice, from.clone()));
+        received.map_or(0, |keys| keys.len()) >= records as usize
+    }
+
+    /// The home of a slice has sent all its records.
+    pub(super) fn on_slice_sync(&mut self, from: &BoxId, note: &SliceNote) {
+        let complete = self.has_received(note.slice, from, note.records);
+        if from != &note.home || !complete || !self.accepts_copy(note.slice, from, note.epoch) {
+            return;
+        }
+        let whole = (note.home.clone(), note.incarnation, note.term);
+        self.slices.synced_from.insert(note.slice, whole);
+        let until = self.now.after(note.unknown_for.into());
+        self.slices.extend_unknown(note.slice, until);
+        if let Some(member) = self.member(from) {
+            self.out.send(&member, PeerMessage::SliceSynced(note.clone()));
+        }
+    }
+
+    /// The successor has all records of a slice.
+    pub(super) fn on_slice_synced(&mut self, from: &BoxId, note: &SliceNote) {
+        let is_successor = self.membership.successor(note.slice).is_some_and(|m| &m.id == from);
+        if let Some(held) = self.slices.held.get_mut(&note.slice)
+            && is_successor
+            && held.term == note.term
+        {
+            held.synced_term = Some(note.term);
+        }
+    }
+
+    /// Whether a record may be taken from a box that says it is the home of its slice.
+    pub(super) fn accepts_copy(&self, slice: SliceId, from: &BoxId, epoch: Epoch) -> bool {
+        let life = self.membership.peer(from).map_or(Incarnation(0), |p| p.member.incarnation);
+        if self.slices.is_fenced(slice, from, life, epoch) {
+            return false;
+        }
+        let home = self.membership.slice_home(&self.cfg.domain, slice);
+        self.membership.epoch() <= epoch || home.is_none_or(|h| &h.id == from)
+    }
+
+    /// Counts a record of a batch.
+    pub(super) fn note_batch_record(&mut self, from: &BoxId, key: &RequestKey) {
+        let place = (slice_of(key), from.clone());
+        self.slices.received.entry(place).or_default().insert(key.clone());
+    }
+}
+
+impl Held {
+    fn has_cleared(&self, holding: &Holding) -> bool {
+        self.former.iter().any(|f| f.cleared && &f.holding == holding)
+    }
+}
--- /dev/null
+++ b/src/schema/generated.rs
@@ -0,0 +1,2650 @@
+// Generated from schema/*.schema.json by `magpiemoor-lab gen`; do not edit.
+
+///An adapter of a model.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct AdapterId(::std::string::String);
+impl ::std::ops::Deref for AdapterId {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<AdapterId> for ::std::string::String {
+    fn from(value: AdapterId) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for AdapterId {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        if value.chars().count() > 128usize {
+            return Err("longer than 128 characters".into());
+        }
+        if value.chars().count() < 1usize {
+            return Err("shorter than 1 characters".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for AdapterId {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for AdapterId {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for AdapterId {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///A chained hash of an answer's tokens up to an offset.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct AnswerDigest(pub u64);
+impl ::std::ops::Deref for AnswerDigest {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<AnswerDigest> for u64 {
+    fn from(value: AnswerDigest) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<u64> for AnswerDigest {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::fmt::Display for AnswerDigest {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+impl ::std::str::FromStr for AnswerDigest {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for AnswerDigest {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for AnswerDigest {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+///A service's answer on its way to the caller.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Answered {
+    pub answer: ServiceAnswer,
+    pub subscription: u64,
+}
+///One run of a request on an endpoint.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct Attempt(pub u32);
+impl ::std::ops::Deref for Attempt {
+    type Target = u32;
+    fn deref(&self) -> &u32 {
+        &self.0
+    }
+}
+impl ::std::convert::From<Attempt> for u32 {
+    fn from(value: Attempt) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<u32> for Attempt {
+    fn from(value: u32) -> Self {
+        Self(value)
+    }
+}
+impl ::std::fmt::Display for Attempt {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+impl ::std::str::FromStr for Attempt {
+    type Err = <u32 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for Attempt {
+    type Error = <u32 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for Attempt {
+    type Error = <u32 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+///Where an answer is being produced.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct AttemptMark {
+    pub attempt: Attempt,
+    pub endpoint: EndpointId,
+    pub stream: ::std::string::String,
+}
+///A group of deferrable requests that was written together.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct BatchId(::std::string::String);
+impl ::std::ops::Deref for BatchId {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<BatchId> for ::std::string::String {
+    fn from(value: BatchId) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for BatchId {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        if value.chars().count() > 128usize {
+            return Err("longer than 128 characters".into());
+        }
+        if value.chars().count() < 1usize {
+            return Err("shorter than 1 characters".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for BatchId {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for BatchId {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for BatchId {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///An entry box, unique within the fleet.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct BoxId(::std::string::String);
+impl ::std::ops::Deref for BoxId {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<BoxId> for ::std::string::String {
+    fn from(value: BoxId) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for BoxId {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        if value.chars().count() > 128usize {
+            return Err("longer than 128 characters".into());
+        }
+        if value.chars().count() < 1usize {
+            return Err("shorter than 1 characters".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for BoxId {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for BoxId {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for BoxId {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///Asks a peer for a bundle.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct BundleFetch {
+    ///parts that the asker holds already
+    pub have: ::std::vec::Vec<PartHash>,
+    pub version: BundleVersion,
+}
+///A bundle version with the hash of its manifest.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct BundleMark {
+    pub hash: PartHash,
+    pub version: BundleVersion,
+}
+///A part of a bundle.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct BundlePart {
+    pub body: ::std::string::String,
+    pub hash: PartHash,
+}
+///The object that names the accepted bundle.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct BundlePointer {
+    pub bundle: BundleMark,
+    pub mark: ::std::string::String,
+    pub rolled_by: KeyId,
+}
+///A peer's bundle: the manifest and its parts, as they were signed.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct BundleReply {
+    ///the signed manifest as JSON
+    pub manifest: ::std::string::String,
+    pub parts: ::std::vec::Vec<BundlePart>,
+    pub version: BundleVersion,
+}
+///A bundle as its operators write it.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct BundleSource {
+    pub endpoints: ::std::vec::Vec<EndpointSpec>,
+    pub models: ::std::vec::Vec<ModelSpec>,
+    pub organisations: ::std::vec::Vec<OrganisationSpec>,
+    pub policy: Policy,
+    pub services: ::std::vec::Vec<ServiceCalls>,
+    pub version: BundleVersion,
+}
+///The version of a bundle; only greater ones are accepted.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct BundleVersion(pub u64);
+impl ::std::ops::Deref for BundleVersion {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<BundleVersion> for u64 {
+    fn from(value: BundleVersion) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<u64> for BundleVersion {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::fmt::Display for BundleVersion {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+impl ::std::str::FromStr for BundleVersion {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for BundleVersion {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for BundleVersion {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+///A call of a plain service.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct CallName(::std::string::String);
+impl ::std::ops::Deref for CallName {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<CallName> for ::std::string::String {
+    fn from(value: CallName) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for CallName {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        if value.chars().count() > 128usize {
+            return Err("longer than 128 characters".into());
+        }
+        if value.chars().count() < 1usize {
+            return Err("shorter than 1 characters".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for CallName {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for CallName {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for CallName {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///A call of a plain service.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct CallRequest {
+    pub body: ::std::string::String,
+    pub call: CallName,
+    pub repeatable: bool,
+    pub service: ServiceId,
+}
+///A call of a plain service.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct CallSpec {
+    pub max_ms: Millis,
+    pub name: CallName,
+    pub repeatable: bool,
+}
+///A caller's place in an answer.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(deny_unknown_fields)]
+pub struct Cursor {
+    pub digest: AnswerDigest,
+    pub generation: Generation,
+    pub offset: TokenOffset,
+}
+///Asks the domain's scribe to keep a request.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Defer {
+    pub hops: u16,
+    pub receiver: Member,
+    pub request: Request,
+    pub subscription: u64,
+}
+///The scribe's word on a request it was asked to keep.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct DeferReply {
+    pub kept: Kept,
+    pub subscription: u64,
+}
+///The result of accepted work.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct DeferredDone {
+    pub key: RequestKey,
+    pub result: DeferredResult,
+}
+///The result of accepted work.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum DeferredResult {
+    Text(DeferredText),
+    Failed(Refusal),
+}
+impl ::std::convert::From<DeferredText> for DeferredResult {
+    fn from(value: DeferredText) -> Self {
+        Self::Text(value)
+    }
+}
+impl ::std::convert::From<Refusal> for DeferredResult {
+    fn from(value: Refusal) -> Self {
+        Self::Failed(value)
+    }
+}
+///How accepted work stands.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum DeferredStatus {
+    Missing,
+    Accepted,
+    Done(DeferredResult),
+}
+impl ::std::convert::From<DeferredResult> for DeferredStatus {
+    fn from(value: DeferredResult) -> Self {
+        Self::Done(value)
+    }
+}
+///A finished deferred answer.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct DeferredText {
+    pub digest: AnswerDigest,
+    pub text: ::std::string::String,
+    pub tokens: u32,
+}
+///The caller of a request has gone.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Detach {
+    pub key: RequestKey,
+    pub subscription: u64,
+}
+///A failure domain.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct DomainId(::std::string::String);
+impl ::std::ops::Deref for DomainId {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<DomainId> for ::std::string::String {
+    fn from(value: DomainId) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for DomainId {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        if value.chars().count() > 128usize {
+            return Err("longer than 128 characters".into());
+        }
+        if value.chars().count() < 1usize {
+            return Err("shorter than 1 characters".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for DomainId {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for DomainId {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for DomainId {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///An endpoint: a model engine or a plain service.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct EndpointId(::std::string::String);
+impl ::std::ops::Deref for EndpointId {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<EndpointId> for ::std::string::String {
+    fn from(value: EndpointId) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for EndpointId {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        if value.chars().count() > 128usize {
+            return Err("longer than 128 characters".into());
+        }
+        if value.chars().count() < 1usize {
+            return Err("shorter than 1 characters".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for EndpointId {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for EndpointId {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for EndpointId {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///What an endpoint serves.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum EndpointKind {
+    Engine(EngineSpec),
+    Service(ServiceSpec),
+}
+impl ::std::convert::From<EngineSpec> for EndpointKind {
+    fn from(value: EngineSpec) -> Self {
+        Self::Engine(value)
+    }
+}
+impl ::std::convert::From<ServiceSpec> for EndpointKind {
+    fn from(value: ServiceSpec) -> Self {
+        Self::Service(value)
+    }
+}
+///An endpoint of the fleet.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct EndpointSpec {
+    pub address: ::std::string::String,
+    pub checks_orders: bool,
+    pub domain: DomainId,
+    pub id: EndpointId,
+    pub serves: EndpointKind,
+}
+///A model engine.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct EngineSpec {
+    pub adapters: ::std::vec::Vec<AdapterId>,
+    pub models: ::std::vec::Vec<ModelId>,
+    pub slots: u32,
+}
+///A TCP message with its sender.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Envelope {
+    pub clock: HybridTime,
+    pub from: BoxId,
+    pub incarnation: Incarnation,
+    pub message: PeerMessage,
+}
+///The version of a roster, and the fence on orders.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct Epoch(pub u64);
+impl ::std::ops::Deref for Epoch {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<Epoch> for u64 {
+    fn from(value: Epoch) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<u64> for Epoch {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::fmt::Display for Epoch {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+impl ::std::str::FromStr for Epoch {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for Epoch {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for Epoch {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+///How an answer ended.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum Finish {
+    #[serde(rename = "stop")]
+    Stop,
+    #[serde(rename = "length")]
+    Length,
+}
+impl ::std::fmt::Display for Finish {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Stop => f.write_str("stop"),
+            Self::Length => f.write_str("length"),
+        }
+    }
+}
+impl ::std::str::FromStr for Finish {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "stop" => Ok(Self::Stop),
+            "length" => Ok(Self::Length),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for Finish {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Finish {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///A box in the platform's list.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FleetEntry {
+    pub id: ::std::string::String,
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub incarnation: ::std::option::Option<Incarnation>,
+    pub state: FleetState,
+}
+///The platform's lagging list of boxes and endpoints of a failure domain.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FleetList {
+    pub entries: ::std::vec::Vec<FleetEntry>,
+    pub version: u64,
+}
+///How the platform lists a box.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum FleetState {
+    #[serde(rename = "live")]
+    Live,
+    #[serde(rename = "leaving")]
+    Leaving,
+    #[serde(rename = "gone")]
+    Gone,
+}
+impl ::std::fmt::Display for FleetState {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Live => f.write_str("live"),
+            Self::Leaving => f.write_str("leaving"),
+            Self::Gone => f.write_str("gone"),
+        }
+    }
+}
+impl ::std::str::FromStr for FleetState {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "live" => Ok(Self::Live),
+            "leaving" => Ok(Self::Leaving),
+            "gone" => Ok(Self::Gone),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for FleetState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for FleetState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///A generation by a model.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct GenerateRequest {
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub adapter: ::std::option::Option<AdapterId>,
+    pub max_tokens: u32,
+    pub model: ModelId,
+    pub prompt: ::std::string::String,
+}
+///One producer's term for an answer; a takeover raises it.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct Generation(pub u32);
+impl ::std::ops::Deref for Generation {
+    type Target = u32;
+    fn deref(&self) -> &u32 {
+        &self.0
+    }
+}
+impl ::std::convert::From<Generation> for u32 {
+    fn from(value: Generation) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<u32> for Generation {
+    fn from(value: u32) -> Self {
+        Self(value)
+    }
+}
+impl ::std::fmt::Display for Generation {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+impl ::std::str::FromStr for Generation {
+    type Err = <u32 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for Generation {
+    type Error = <u32 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for Generation {
+    type Error = <u32 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+///A box's regular word to its peers over UDP.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Heartbeat {
+    pub address: ::std::string::String,
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub ask: ::std::option::Option<PromiseAsk>,
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub bundle: ::std::option::Option<BundleMark>,
+    pub clock: HybridTime,
+    pub domain: DomainId,
+    pub epoch: Epoch,
+    pub from: BoxId,
+    pub grants: ::std::vec::Vec<PromiseGrant>,
+    pub incarnation: Incarnation,
+    pub leaving: ::std::vec::Vec<EndpointId>,
+    pub loads: ::std::vec::Vec<LoadReport>,
+    pub sequence: u64,
+    pub stopping: bool,
+}
+///Asks another failure domain to hold a batch while the platform is out.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Hold {
+    pub batch: BatchId,
+    pub domain: DomainId,
+    pub items: ::std::vec::Vec<Request>,
+}
+///A held batch has reached the platform.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct HoldDone {
+    pub batch: BatchId,
+}
+///A batch is held.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct HoldReply {
+    pub batch: BatchId,
+}
+///Who held a slice before, and so must let it go.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Holding {
+    pub home: BoxId,
+    pub incarnation: Incarnation,
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub successor: ::std::option::Option<BoxId>,
+    pub term: u64,
+}
+///A hybrid logical clock reading: 48 bits of milliseconds, 16 bits of counter.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct HybridTime(pub u64);
+impl ::std::ops::Deref for HybridTime {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<HybridTime> for u64 {
+    fn from(value: HybridTime) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<u64> for HybridTime {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::fmt::Display for HybridTime {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+impl ::std::str::FromStr for HybridTime {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for HybridTime {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for HybridTime {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+///One life of a process; a restarted box has a greater one.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
+impl ::std::ops::Deref for Incarnation {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<Incarnation> for u64 {
+    fn from(value: Incarnation) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<u64> for Incarnation {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+impl ::std::str::FromStr for Incarnation {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for Incarnation {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for Incarnation {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+///Where accepted work is kept.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum Kept {
+    #[serde(rename = "platform")]
+    Platform,
+    #[serde(rename = "two_domains")]
+    TwoDomains,
+    #[serde(rename = "nowhere")]
+    Nowhere,
+    #[serde(rename = "unknown")]
+    Unknown,
+}
+impl ::std::fmt::Display for Kept {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Platform => f.write_str("platform"),
+            Self::TwoDomains => f.write_str("two_domains"),
+            Self::Nowhere => f.write_str("nowhere"),
+            Self::Unknown => f.write_str("unknown"),
+        }
+    }
+}
+impl ::std::str::FromStr for Kept {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "platform" => Ok(Self::Platform),
+            "two_domains" => Ok(Self::TwoDomains),
+            "nowhere" => Ok(Self::Nowhere),
+            "unknown" => Ok(Self::Unknown),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for Kept {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Kept {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///The name of an operator's signing key.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct KeyId(::std::string::String);
+impl ::std::ops::Deref for KeyId {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<KeyId> for ::std::string::String {
+    fn from(value: KeyId) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for KeyId {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        if value.chars().count() > 128usize {
+            return Err("longer than 128 characters".into());
+        }
+        if value.chars().count() < 1usize {
+            return Err("shorter than 1 characters".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for KeyId {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for KeyId {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for KeyId {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///An endpoint's load as one box read it.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct LoadReport {
+    pub endpoint: EndpointId,
+    pub leaving: bool,
+    pub model_version: u32,
+    pub queued: u32,
+    pub running: u32,
+}
+///Asks the scribe how accepted work stands.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Lookup {
+    pub hops: u16,
+    pub key: RequestKey,
+    pub receiver: Member,
+    pub subscription: u64,
+}
+///How accepted work stands.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct LookupReply {
+    pub status: DeferredStatus,
+    pub subscription: u64,
+}
+///The parts that make up a bundle version.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Manifest {
+    pub parts: ::std::vec::Vec<PartRef>,
+    pub version: BundleVersion,
+}
+///A box in a roster.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Member {
+    pub address: ::std::string::String,
+    pub id: BoxId,
+    pub incarnation: Incarnation,
+}
+///A point on a box's own monotonic clock, in microseconds.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct Micros(pub u64);
+impl ::std::ops::Deref for Micros {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<Micros> for u64 {
+    fn from(value: Micros) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<u64> for Micros {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::fmt::Display for Micros {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+impl ::std::str::FromStr for Micros {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for Micros {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for Micros {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+///A span of time in milliseconds.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct Millis(pub u64);
+impl ::std::ops::Deref for Millis {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<Millis> for u64 {
+    fn from(value: Millis) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<u64> for Millis {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::fmt::Display for Millis {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+impl ::std::str::FromStr for Millis {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for Millis {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for Millis {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+///A model.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct ModelId(::std::string::String);
+impl ::std::ops::Deref for ModelId {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<ModelId> for ::std::string::String {
+    fn from(value: ModelId) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for ModelId {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        if value.chars().count() > 128usize {
+            return Err("longer than 128 characters".into());
+        }
+        if value.chars().count() < 1usize {
+            return Err("shorter than 1 characters".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for ModelId {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ModelId {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for ModelId {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///A model.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ModelSpec {
+    pub adapters: ::std::vec::Vec<AdapterId>,
+    pub context: u32,
+    pub id: ModelId,
+    pub max_tokens: u32,
+    pub version: u32,
+}
+///A request is now served by another box.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Moved {
+    pub subscription: u64,
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub to: ::std::option::Option<BoxId>,
+}
+///The successor holds a call record.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct OnceAck {
+    pub accepted: bool,
+    pub answered: bool,
+    pub epoch: Epoch,
+    pub key: RequestKey,
+}
+///A call record copied to the successor.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct OnceCopy {
+    ///whether a note about the slice follows
+    pub batch: bool,
+    pub epoch: Epoch,
+    pub record: OnceRecord,
+}
+///What is known of a call that may not be repeated.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct OnceRecord {
+    pub body_hash: u64,
+    pub key: RequestKey,
+    pub state: OnceState,
+}
+///How far a call that may not be repeated has got.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum OnceState {
+    Intent,
+    NotRun,
+    Unknown,
+    Answered(ServiceAnswer),
+}
+impl ::std::convert::From<ServiceAnswer> for OnceState {
+    fn from(value: ServiceAnswer) -> Self {
+        Self::Answered(value)
+    }
+}
+///An organisation whose requests are served.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct OrganisationId(::std::string::String);
+impl ::std::ops::Deref for OrganisationId {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<OrganisationId> for ::std::string::String {
+    fn from(value: OrganisationId) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for OrganisationId {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        if value.chars().count() > 128usize {
+            return Err("longer than 128 characters".into());
+        }
+        if value.chars().count() < 1usize {
+            return Err("shorter than 1 characters".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for OrganisationId {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for OrganisationId {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for OrganisationId {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///An organisation, its share and its rights.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct OrganisationSpec {
+    pub id: OrganisationId,
+    pub models: ::std::vec::Vec<ModelId>,
+    pub priority: Priority,
+    pub services: ::std::vec::Vec<ServiceId>,
+    pub weight: u32,
+}
+///Tokens of an answer on their way to the caller.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Output {
+    pub digest: AnswerDigest,
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub finish: ::std::option::Option<Finish>,
+    pub generation: Generation,
+    pub offset: TokenOffset,
+    pub subscription: u64,
+    pub tokens: ::std::vec::Vec<Token>,
+}
+///SHA-256 of a bundle part, in hex.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct PartHash(::std::string::String);
+impl ::std::ops::Deref for PartHash {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<PartHash> for ::std::string::String {
+    fn from(value: PartHash) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for PartHash {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        if value.chars().count() > 64usize {
+            return Err("longer than 64 characters".into());
+        }
+        if value.chars().count() < 1usize {
+            return Err("shorter than 1 characters".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for PartHash {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for PartHash {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for PartHash {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///What a bundle part holds.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum PartKind {
+    #[serde(rename = "models")]
+    Models,
+    #[serde(rename = "services")]
+    Services,
+    #[serde(rename = "organisations")]
+    Organisations,
+    #[serde(rename = "endpoints")]
+    Endpoints,
+    #[serde(rename = "policy")]
+    Policy,
+}
+impl ::std::fmt::Display for PartKind {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Models => f.write_str("models"),
+            Self::Services => f.write_str("services"),
+            Self::Organisations => f.write_str("organisations"),
+            Self::Endpoints => f.write_str("endpoints"),
+            Self::Policy => f.write_str("policy"),
+        }
+    }
+}
+impl ::std::str::FromStr for PartKind {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "models" => Ok(Self::Models),
+            "services" => Ok(Self::Services),
+            "organisations" => Ok(Self::Organisations),
+            "endpoints" => Ok(Self::Endpoints),
+            "policy" => Ok(Self::Policy),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for PartKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for PartKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///A part of a bundle by its content.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PartRef {
+    pub bytes: u32,
+    pub hash: PartHash,
+    pub kind: PartKind,
+}
+///A message between boxes over TCP.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum PeerMessage {
+    Submit(Submit),
+    Output(Output),
+    Refused(Refused),
+    Answered(Answered),
+    Detach(Detach),
+    Moved(Moved),
+    TokenCopy(TokenCopy),
+    TokenAck(TokenAck),
+    TokenRefused(TokenRefused),
+    OnceCopy(OnceCopy),
+    OnceAck(OnceAck),
+    SliceSync(SliceNote),
+    SliceSynced(SliceNote),
+    ReleaseAsk(SliceAsk),
+    Released(SliceNote),
+    WithdrawAsk(SliceAsk),
+    Withdrawn(SliceNote),
+    Defer(Defer),
+    DeferReply(DeferReply),
+    Hold(Hold),
+    HoldReply(HoldReply),
+    HoldDone(HoldDone),
+    RunDeferred(RunDeferred),
+    DeferredDone(DeferredDone),
+    Lookup(Lookup),
+    LookupReply(LookupReply),
+    BundleFetch(BundleFetch),
+    BundleReply(BundleReply),
+}
+impl ::std::convert::From<Submit> for PeerMessage {
+    fn from(value: Submit) -> Self {
+        Self::Submit(value)
+    }
+}
+impl ::std::convert::From<Output> for PeerMessage {
+    fn from(value: Output) -> Self {
+        Self::Output(value)
+    }
+}
+impl ::std::convert::From<Refused> for PeerMessage {
+    fn from(value: Refused) -> Self {
+        Self::Refused(value)
+    }
+}
+impl ::std::convert::From<Answered> for PeerMessage {
+    fn from(value: Answered) -> Self {
+        Self::Answered(value)
+    }
+}
+impl ::std::convert::From<Detach> for PeerMessage {
+    fn from(value: Detach) -> Self {
+        Self::Detach(value)
+    }
+}
+impl ::std::convert::From<Moved> for PeerMessage {
+    fn from(value: Moved) -> Self {
+        Self::Moved(value)
+    }
+}
+impl ::std::convert::From<TokenCopy> for PeerMessage {
+    fn from(value: TokenCopy) -> Self {
+        Self::TokenCopy(value)
+    }
+}
+impl ::std::convert::From<TokenAck> for PeerMessage {
+    fn from(value: TokenAck) -> Self {
+        Self::TokenAck(value)
+    }
+}
+impl ::std::convert::From<TokenRefused> for PeerMessage {
+    fn from(value: TokenRefused) -> Self {
+        Self::TokenRefused(value)
+    }
+}
+impl ::std::convert::From<OnceCopy> for PeerMessage {
+    fn from(value: OnceCopy) -> Self {
+        Self::OnceCopy(value)
+    }
+}
+impl ::std::convert::From<OnceAck> for PeerMessage {
+    fn from(value: OnceAck) -> Self {
+        Self::OnceAck(value)
+    }
+}
+impl ::std::convert::From<Defer> for PeerMessage {
+    fn from(value: Defer) -> Self {
+        Self::Defer(value)
+    }
+}
+impl ::std::convert::From<DeferReply> for PeerMessage {
+    fn from(value: DeferReply) -> Self {
+        Self::DeferReply(value)
+    }
+}
+impl ::std::convert::From<Hold> for PeerMessage {
+    fn from(value: Hold) -> Self {
+        Self::Hold(value)
+    }
+}
+impl ::std::convert::From<HoldReply> for PeerMessage {
+    fn from(value: HoldReply) -> Self {
+        Self::HoldReply(value)
+    }
+}
+impl ::std::convert::From<HoldDone> for PeerMessage {
+    fn from(value: HoldDone) -> Self {
+        Self::HoldDone(value)
+    }
+}
+impl ::std::convert::From<RunDeferred> for PeerMessage {
+    fn from(value: RunDeferred) -> Self {
+        Self::RunDeferred(value)
+    }
+}
+impl ::std::convert::From<DeferredDone> for PeerMessage {
+    fn from(value: DeferredDone) -> Self {
+        Self::DeferredDone(value)
+    }
+}
+impl ::std::convert::From<Lookup> for PeerMessage {
+    fn from(value: Lookup) -> Self {
+        Self::Lookup(value)
+    }
+}
+impl ::std::convert::From<LookupReply> for PeerMessage {
+    fn from(value: LookupReply) -> Self {
+        Self::LookupReply(value)
+    }
+}
+impl ::std::convert::From<BundleFetch> for PeerMessage {
+    fn from(value: BundleFetch) -> Self {
+        Self::BundleFetch(value)
+    }
+}
+impl ::std::convert::From<BundleReply> for PeerMessage {
+    fn from(value: BundleReply) -> Self {
+        Self::BundleReply(value)
+    }
+}
+///A box of this or another failure domain to speak to first.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PeerSeed {
+    pub address: ::std::string::String,
+    pub domain: DomainId,
+    pub id: BoxId,
+}
+///How requests are served.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Policy {
+    pub queue_limit: u32,
+    pub retry_horizon: Millis,
+    pub retry_percent: u32,
+    pub weights: Weights,
+}
+///The class of a request.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum Priority {
+    #[serde(rename = "quick")]
+    Quick,
+    #[serde(rename = "interactive")]
+    Interactive,
+    #[serde(rename = "deferrable")]
+    Deferrable,
+}
+impl ::std::fmt::Display for Priority {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Quick => f.write_str("quick"),
+            Self::Interactive => f.write_str("interactive"),
+            Self::Deferrable => f.write_str("deferrable"),
+        }
+    }
+}
+impl ::std::str::FromStr for Priority {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "quick" => Ok(Self::Quick),
+            "interactive" => Ok(Self::Interactive),
+            "deferrable" => Ok(Self::Deferrable),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for Priority {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Priority {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///Asks the successor not to succeed the sender for a while.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PromiseAsk {
+    pub asked: Micros,
+    pub epoch: Epoch,
+}
+///A promise, counted from when it was asked for on the asker's clock.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PromiseGrant {
+    pub asked: Micros,
+    pub epoch: Epoch,
+    pub span: Millis,
+    pub to: BoxId,
+}
+///Whether a refused request ran.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum Ran {
+    #[serde(rename = "no")]
+    No,
+    #[serde(rename = "unknown")]
+    Unknown,
+}
+impl ::std::fmt::Display for Ran {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::No => f.write_str("no"),
+            Self::Unknown => f.write_str("unknown"),
+        }
+    }
+}
+impl ::std::str::FromStr for Ran {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "no" => Ok(Self::No),
+            "unknown" => Ok(Self::Unknown),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for Ran {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Ran {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///Why a request was refused.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum Reason {
+    #[serde(rename = "overloaded")]
+    Overloaded,
+    #[serde(rename = "deadline_unreachable")]
+    DeadlineUnreachable,
+    #[serde(rename = "no_endpoint")]
+    NoEndpoint,
+    #[serde(rename = "home_unreachable")]
+    HomeUnreachable,
+    #[serde(rename = "slice_closed")]
+    SliceClosed,
+    #[serde(rename = "outcome_unknown")]
+    OutcomeUnknown,
+    #[serde(rename = "not_durable")]
+    NotDurable,
+    #[serde(rename = "start_over")]
+    StartOver,
+    #[serde(rename = "key_reused")]
+    KeyReused,
+    #[serde(rename = "unknown_model")]
+    UnknownModel,
+    #[serde(rename = "unknown_service")]
+    UnknownService,
+    #[serde(rename = "unknown_organisation")]
+    UnknownOrganisation,
+    #[serde(rename = "unknown_request")]
+    UnknownRequest,
+    #[serde(rename = "stopping")]
+    Stopping,
+    #[serde(rename = "engine_failed")]
+    EngineFailed,
+}
+impl ::std::fmt::Display for Reason {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Overloaded => f.write_str("overloaded"),
+            Self::DeadlineUnreachable => f.write_str("deadline_unreachable"),
+            Self::NoEndpoint => f.write_str("no_endpoint"),
+            Self::HomeUnreachable => f.write_str("home_unreachable"),
+            Self::SliceClosed => f.write_str("slice_closed"),
+            Self::OutcomeUnknown => f.write_str("outcome_unknown"),
+            Self::NotDurable => f.write_str("not_durable"),
+            Self::StartOver => f.write_str("start_over"),
+            Self::KeyReused => f.write_str("key_reused"),
+            Self::UnknownModel => f.write_str("unknown_model"),
+            Self::UnknownService => f.write_str("unknown_service"),
+            Self::UnknownOrganisation => f.write_str("unknown_organisation"),
+            Self::UnknownRequest => f.write_str("unknown_request"),
+            Self::Stopping => f.write_str("stopping"),
+            Self::EngineFailed => f.write_str("engine_failed"),
+        }
+    }
+}
+impl ::std::str::FromStr for Reason {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "overloaded" => Ok(Self::Overloaded),
+            "deadline_unreachable" => Ok(Self::DeadlineUnreachable),
+            "no_endpoint" => Ok(Self::NoEndpoint),
+            "home_unreachable" => Ok(Self::HomeUnreachable),
+            "slice_closed" => Ok(Self::SliceClosed),
+            "outcome_unknown" => Ok(Self::OutcomeUnknown),
+            "not_durable" => Ok(Self::NotDurable),
+            "start_over" => Ok(Self::StartOver),
+            "key_reused" => Ok(Self::KeyReused),
+            "unknown_model" => Ok(Self::UnknownModel),
+            "unknown_service" => Ok(Self::UnknownService),
+            "unknown_organisation" => Ok(Self::UnknownOrganisation),
+            "unknown_request" => Ok(Self::UnknownRequest),
+            "stopping" => Ok(Self::Stopping),
+            "engine_failed" => Ok(Self::EngineFailed),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for Reason {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Reason {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///A final answer that is not a result.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Refusal {
+    pub detail: ::std::string::String,
+    pub ran: Ran,
+    pub reason: Reason,
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub retry_after: ::std::option::Option<Millis>,
+}
+///A refusal on its way to the caller.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Refused {
+    pub refusal: Refusal,
+    pub subscription: u64,
+}
+///A caller's request as it travels between boxes.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Request {
+    pub body_hash: u64,
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub deadline: ::std::option::Option<Millis>,
+    ///whether the key cannot have been used before: a box made it, or the caller says so
+    pub first: bool,
+    pub key: RequestKey,
+    pub kind: RequestKind,
+    pub organisation: OrganisationId,
+    pub priority: Priority,
+}
+///The idempotency key of a request.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct RequestKey(::std::string::String);
+impl ::std::ops::Deref for RequestKey {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<RequestKey> for ::std::string::String {
+    fn from(value: RequestKey) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for RequestKey {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        if value.chars().count() > 200usize {
+            return Err("longer than 200 characters".into());
+        }
+        if value.chars().count() < 1usize {
+            return Err("shorter than 1 characters".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for RequestKey {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for RequestKey {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for RequestKey {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///What a request asks for.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum RequestKind {
+    Generate(GenerateRequest),
+    Call(CallRequest),
+}
+impl ::std::convert::From<GenerateRequest> for RequestKind {
+    fn from(value: GenerateRequest) -> Self {
+        Self::Generate(value)
+    }
+}
+impl ::std::convert::From<CallRequest> for RequestKind {
+    fn from(value: CallRequest) -> Self {
+        Self::Call(value)
+    }
+}
+///The boxes of a failure domain and the slices they hold.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Roster {
+    pub domain: DomainId,
+    pub mark: u64,
+    pub members: ::std::vec::Vec<Member>,
+    pub slices: ::std::vec::Vec<Slice>,
+    pub writer: BoxId,
+}
+///Asks a home box to run accepted work.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RunDeferred {
+    pub request: Request,
+}
+///A plain service's answer.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceAnswer {
+    pub body: ::std::string::String,
+    pub status: u16,
+}
+///A plain service and its calls.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceCalls {
+    pub calls: ::std::vec::Vec<CallSpec>,
+    pub id: ServiceId,
+}
+///A plain service.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct ServiceId(::std::string::String);
+impl ::std::ops::Deref for ServiceId {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<ServiceId> for ::std::string::String {
+    fn from(value: ServiceId) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for ServiceId {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        if value.chars().count() > 128usize {
+            return Err("longer than 128 characters".into());
+        }
+        if value.chars().count() < 1usize {
+            return Err("shorter than 1 characters".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for ServiceId {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ServiceId {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for ServiceId {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///A plain service.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceSpec {
+    pub service: ServiceId,
+    pub slots: u32,
+}
+///The settings of an entry box.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SettingsFile {
+    ///The entry box's name, unique in the fleet.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub box_id: ::std::option::Option<::std::string::String>,
+    ///Address and port for callers, by IP number.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub callers: ::std::option::Option<::std::string::String>,
+    ///How far two clocks may drift apart over one lease, in milliseconds.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub clock_bound_ms: ::std::option::Option<u64>,
+    ///The failure domain that this box stands in.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub domain: ::std::option::Option<::std::string::String>,
+    ///All failure domains of the fleet.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub domains: ::std::vec::Vec<::std::string::String>,
+    ///Time between heartbeats, in milliseconds.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub heartbeat_ms: ::std::option::Option<u64>,
+    ///How long one read of the roster lets this box act, in milliseconds.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub lease_ms: ::std::option::Option<u64>,
+    ///File for logs; empty writes to standard error.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub log_file: ::std::option::Option<::std::string::String>,
+    ///off, error, warn, info, debug or trace.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub log_level: ::std::option::Option<::std::string::String>,
+    ///The greatest request body, in bytes.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub max_body_bytes: ::std::option::Option<u64>,
+    ///How many requests this box holds at once.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub max_requests: ::std::option::Option<u64>,
+    ///How many tokens of answers this box holds at once.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub max_tokens_held: ::std::option::Option<u64>,
+    ///Address and port for health, metrics and the time line.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub operators: ::std::option::Option<::std::string::String>,
+    ///Address and port for other boxes, TCP and UDP.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub peers_address: ::std::option::Option<::std::string::String>,
+    ///Address and port of the platform's object API.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub platform: ::std::option::Option<::std::string::String>,
+    ///resume, restart, timeout or hedge; all but resume are baselines for measuring.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub recovery: ::std::option::Option<::std::string::String>,
+    ///cost, random or least_loaded; all but cost are baselines for measuring.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub routing: ::std::option::Option<::std::string::String>,
+    ///Boxes to speak to before a roster has been read.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub seeds: ::std::vec::Vec<PeerSeed>,
+    ///How many trusted signatures a bundle needs.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub signatures_needed: ::std::option::Option<u64>,
+    ///How long a stop waits for streams to end, in milliseconds.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub stop_grace_ms: ::std::option::Option<u64>,
+    ///How many events the time line keeps.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub timeline_events: ::std::option::Option<u64>,
+    ///Threads that move bytes.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub traffic_threads: ::std::option::Option<u64>,
+    ///Keys whose signature makes a bundle acceptable.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub trusted_keys: ::std::vec::Vec<TrustedKey>,
+}
+///An operator's signature over a manifest.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Signature {
+    pub key: KeyId,
+    pub signature: ::std::string::String,
+}
+///A manifest, as the exact text that was signed, and its signatures.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SignedManifest {
+    pub manifest: ::std::string::String,
+    pub signatures: ::std::vec::Vec<Signature>,
+}
+///A slice with its present and, until it has opened, its former holders.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Slice {
+    pub former: ::std::vec::Vec<Holding>,
+    pub home: BoxId,
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub successor: ::std::option::Option<BoxId>,
+    ///grows whenever the home or the successor changes
+    pub term: u64,
+}
+///Asks a former holder to let a slice go.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SliceAsk {
+    pub epoch: Epoch,
+    pub home: BoxId,
+    pub incarnation: Incarnation,
+    pub slice: SliceId,
+    pub term: u64,
+}
+///A slice of a failure domain's key space.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct SliceId(pub u16);
+impl ::std::ops::Deref for SliceId {
+    type Target = u16;
+    fn deref(&self) -> &u16 {
+        &self.0
+    }
+}
+impl ::std::convert::From<SliceId> for u16 {
+    fn from(value: SliceId) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<u16> for SliceId {
+    fn from(value: u16) -> Self {
+        Self(value)
+    }
+}
+impl ::std::fmt::Display for SliceId {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+impl ::std::str::FromStr for SliceId {
+    type Err = <u16 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for SliceId {
+    type Error = <u16 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for SliceId {
+    type Error = <u16 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+///A statement about one holding of a slice.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SliceNote {
+    pub epoch: Epoch,
+    pub home: BoxId,
+    pub incarnation: Incarnation,
+    ///how many call records the sender sent for the slice
+    pub records: u32,
+    pub slice: SliceId,
+    ///whether the sender knows all calls of the slice
+    pub synced: bool,
+    pub term: u64,
+    pub unknown_for: Millis,
+}
+///A request handed to its home box.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Submit {
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub cursor: ::std::option::Option<Cursor>,
+    pub hops: u16,
+    pub receiver: Member,
+    ///whether the receiver sent this request before
+    pub repeated: bool,
+    pub request: Request,
+    ///chosen by the receiver, unique in its life
+    pub subscription: u64,
+}
+///One generated token.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Token {
+    pub id: u32,
+    pub text: ::std::string::String,
+}
+///The copy holder holds an answer up to an offset.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct TokenAck {
+    pub finished: bool,
+    pub generation: Generation,
+    pub held: TokenOffset,
+    pub key: RequestKey,
+}
+///Tokens copied to the copy holder before release.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct TokenCopy {
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub finish: ::std::option::Option<Finish>,
+    pub generation: Generation,
+    pub handover: bool,
+    pub key: RequestKey,
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub mark: ::std::option::Option<AttemptMark>,
+    pub offset: TokenOffset,
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub request: ::std::option::Option<Request>,
+    pub tokens: ::std::vec::Vec<Token>,
+}
+///A position in an answer, in tokens.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct TokenOffset(pub u32);
+impl ::std::ops::Deref for TokenOffset {
+    type Target = u32;
+    fn deref(&self) -> &u32 {
+        &self.0
+    }
+}
+impl ::std::convert::From<TokenOffset> for u32 {
+    fn from(value: TokenOffset) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<u32> for TokenOffset {
+    fn from(value: u32) -> Self {
+        Self(value)
+    }
+}
+impl ::std::fmt::Display for TokenOffset {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+impl ::std::str::FromStr for TokenOffset {
+    type Err = <u32 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for TokenOffset {
+    type Error = <u32 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for TokenOffset {
+    type Error = <u32 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+///The receiver of a copy lacks its start, or has moved on to a newer generation.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct TokenRefused {
+    pub generation: Generation,
+    pub held: TokenOffset,
+    pub key: RequestKey,
+}
+///A key whose signature makes a bundle acceptable.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct TrustedKey {
+    pub id: KeyId,
+    pub public: ::std::string::String,
+}
+///What a second of resume latency and a second of extra engine work cost.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Weights {
+    pub extra_second: f64,
+    pub resume_second: f64,
+}
+///A batch of accepted work as the platform keeps it.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct WorkBatch {
+    pub batch: BatchId,
+    pub items: ::std::vec::Vec<Request>,
+    pub results: ::std::collections::HashMap<::std::string::String, DeferredResult>,
+}
+/// Error types.
+pub mod error {
+    /// Error from a `TryFrom` or `FromStr` implementation.
+    pub struct ConversionError(::std::borrow::Cow<'static, str>);
+    impl ::std::error::Error for ConversionError {}
+    impl ::std::fmt::Display for ConversionError {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Display::fmt(&self.0, f)
+        }
+    }
+    impl ::std::fmt::Debug for ConversionError {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Debug::fmt(&self.0, f)
+        }
+    }
+    impl From<&'static str> for ConversionError {
+        fn from(value: &'static str) -> Self {
+            Self(value.into())
+        }
+    }
+    impl From<String> for ConversionError {
+        fn from(value: String) -> Self {
+            Self(value.into())
+        }
+    }
+}
--- /dev/null
+++ b/src/settings/file.rs
@@ -0,0 +1,69 @@
+//! Reads a settings file: JSON with comments, every wrong field reported at once.
+
+use std::path::Path;
+
+use serde_json::{Map, Value};
+
+use super::SettingsError;
+use crate::schema::SettingsFile;
+
+/// Reads the settings file at `path`.
+///
+/// # Errors
+///
+/// One error for each field that is unknown or has a value of the wrong type, or a single one if
+/// the file can't be read or isn't JSON with comments.
+pub fn read(path: &Path) -> Result<SettingsFile, Vec<SettingsError>> {
+    let text = std::fs::read_to_string(path).map_err(|e| {
+        vec![SettingsError::new(
+            "file",
+            &path.display().to_string(),
+            &format!("{e}; name a readable file with --settings"),
+        )]
+    })?;
+    parse(&text)
+}
+
+/// Parses the text of a settings file.
+///
+/// # Errors
+///
+/// As for [`read`].
+pub fn parse(text: &str) -> Result<SettingsFile, Vec<SettingsError>> {
+    let value = parse_object(text).map_err(|e| vec![e])?;
+    let mut errors = Vec::new();
+    for (name, field) in &value {
+        let alone = Value::Object(Map::from_iter([(name.clone(), field.clone())]));
+        if let Err(e) = serde_json::from_value::<SettingsFile>(alone) {
+            errors.push(SettingsError::new(name, &field.to_string(), &field_remedy(&e)));
+        }
+    }
+    if !errors.is_empty() {
+        return Err(errors);
+    }
+    serde_json::from_value(Value::Object(value))
+        .map_err(|e| vec![SettingsError::new("file", "", &e.to_string())])
+}
+
+fn parse_object(text: &str) -> Result<Map<String, Value>, SettingsError> {
+    let options = jsonc_parser::ParseOptions::default();
+    let value: Value = jsonc_parser::parse_to_serde_value(text, &options)
+        .map_err(|e| SettingsError::new("file", "", &format!("not JSON with comments: {e}")))?;
+    match value {
+        Value::Object(object) => Ok(object),
+        other => Err(SettingsError::new(
+            "file",
+            &other.to_string(),
+            "the file must hold one object in braces",
+        )),
+    }
+}
+
+fn field_remedy(e: &serde_json::Error) -> String {
+    let text = e.to_string();
+    if text.starts_with("unknown field") {
+        "no such setting; `magpiemoor config sample` lists them all".to_owned()
+    } else {
+        format!("{text}; give a value of that type")
+    }
+}
