--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,2 +1,117 @@
-mod r#gen;
-fn main() { let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join(".."); std::fs::write(root.join("src/schema/generated.rs"), r#gen::generate(&root).unwrap()).unwrap(); }
+//! The laboratory's command line.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use magpiemoor::settings::{Settings, file};
+use magpiemoor_lab::engine::{self, Engine};
+use magpiemoor_lab::platform::Platform;
+use magpiemoor_lab::service::{self, Service};
+use magpiemoor_lab::{demo, r#gen};
+use serde_json::json;
+use tokio::net::TcpListener;
+
+fn command() -> Command {
+    let listen = || Arg::new("listen").long("listen").value_name("IP:PORT").required(true).help("Where to listen");
+    let behaviour = || Arg::new("behaviour").long("behaviour").value_name("JSON").default_value("{}").help("How it behaves");
+    Command::new("magpiemoor-lab")
+        .about("Stand-ins, demonstration and measurements for magpiemoor; never shipped")
+        .version(clap::crate_version!())
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("demo")
+                .about("Kill an engine and an entry box in the middle of an answer, and check what comes of it")
+                .arg(Arg::new("json").long("json").action(ArgAction::SetTrue).help("Print the findings as JSON")),
+        )
+        .subcommand(Command::new("platform").about("Stand-in for the platform").arg(listen()))
+        .subcommand(Command::new("engine").about("Stand-in for a model engine").arg(listen()).arg(behaviour()))
+        .subcommand(Command::new("service").about("Stand-in for a plain service").arg(listen()).arg(behaviour()))
+        .subcommand(
+            Command::new("box")
+                .about("An entry box, as magpiemoord runs it")
+                .arg(Arg::new("settings").long("settings").required(true).value_parser(value_parser!(PathBuf)).help("Settings file")),
+        )
+        .subcommand(Command::new("gen").about("Generate src/schema/generated.rs from schema/"))
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let done = match matches.subcommand() {
+        Some(("demo", sub)) => run_demo(sub),
+        Some(("gen", _)) => write_generated(),
+        Some(("box", sub)) => run_box(sub),
+        Some((stand_in, sub)) => run_stand_in(stand_in, sub),
+        None => Err("no command; see --help".to_owned()),
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(e) => {
+            eprintln!("magpiemoor-lab: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn block_on<T>(future: impl Future<Output = Result<T, String>>) -> Result<T, String> {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .map_err(|e| e.to_string())?
+        .block_on(future)
+}
+
+fn run_demo(matches: &ArgMatches) -> Result<bool, String> {
+    let as_json = matches.get_flag("json");
+    let outcome = block_on(demo::run(as_json))?;
+    if as_json {
+        println!("{}", outcome.value);
+    } else {
+        println!("\n{}", if outcome.held { "all held" } else { "NOT all held" });
+    }
+    Ok(outcome.held)
+}
+
+fn write_generated() -> Result<bool, String> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let code = r#gen::generate(&root)?;
+    std::fs::write(root.join("src/schema/generated.rs"), code).map_err(|e| e.to_string())?;
+    Ok(true)
+}
+
+fn run_box(matches: &ArgMatches) -> Result<bool, String> {
+    let path = matches.get_one::<PathBuf>("settings").ok_or("no settings file")?;
+    let settings = file::read(path).and_then(Settings::try_from).map_err(|errors| {
+        let texts: Vec<String> = errors.iter().map(ToString::to_string).collect();
+        texts.join("; ")
+    })?;
+    magpiemoor::logs::start(settings.log_file.as_deref(), settings.log_level)?;
+    magpiemoor::daemon::run(settings).map_err(|e| e.to_string())?;
+    Ok(true)
+}
+
+fn run_stand_in(kind: &str, matches: &ArgMatches) -> Result<bool, String> {
+    let address = matches.get_one::<String>("listen").cloned().unwrap_or_default();
+    let text = |name: &str| matches.get_one::<String>(name).cloned().unwrap_or_default();
+    block_on(async {
+        let listener = TcpListener::bind(&address).await.map_err(|e| format!("{address}: {e}"))?;
+        match kind {
+            "platform" => Platform::default().serve(listener).await,
+            "engine" => {
+                let behaviour: engine::Behaviour =
+                    serde_json::from_str(&text("behaviour")).map_err(|e| e.to_string())?;
+                Engine::new(behaviour).serve(listener).await;
+            }
+            "service" => {
+                let behaviour: service::Behaviour =
+                    serde_json::from_str(&text("behaviour")).map_err(|e| e.to_string())?;
+                Service::new(behaviour).serve(listener).await;
+            }
+            other => return Err(json!({ "unknown": other }).to_string()),
+        }
+        Ok(true)
+    })
+}
--- /dev/null
+++ b/lab/src/process.rs
@@ -0,0 +1,103 @@
+//! Processes that the laboratory starts, and ends whatever happens.
+
+use std::net::TcpListener;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+
+/// A process that is killed when it is dropped.
+#[derive(Debug)]
+pub struct Process {
+    /// What it is called.
+    pub name: String,
+    child: Child,
+}
+
+impl Process {
+    /// Starts this program again with other arguments; its errors go to `log`.
+    ///
+    /// # Errors
+    ///
+    /// What the system says.
+    pub fn start(name: &str, args: &[&str], log: &Path) -> std::io::Result<Self> {
+        Self::start_program(&std::env::current_exe()?, name, args, log)
+    }
+
+    /// Starts a program; its errors go to `log`.
+    ///
+    /// # Errors
+    ///
+    /// What the system says.
+    pub fn start_program(program: &Path, name: &str, args: &[&str], log: &Path) -> std::io::Result<Self> {
+        let log = std::fs::File::create(log)?;
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()?;
+        Ok(Self { name: name.to_owned(), child })
+    }
+
+    /// The process's id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Ok(pid) = i32::try_from(self.child.id()) {
+            let _ = kill(Pid::from_raw(pid), signal);
+        }
+    }
+
+    /// Kills it at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Asks it to stop.
+    pub fn terminate(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Freezes it.
+    pub fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Lets it go on.
+    pub fn thaw(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    /// Waits until it has ended; returns its exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        self.child.wait().ok()?.code()
+    }
+
+    /// Its exit code, if it has ended.
+    pub fn ended(&mut self) -> Option<i32> {
+        self.child.try_wait().ok()??.code()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Finds ports of the loopback address that are free now.
+///
+/// # Errors
+///
+/// What the system says.
+pub fn free_ports(count: usize) -> std::io::Result<Vec<u16>> {
+    let listeners: Vec<TcpListener> =
+        (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
+    listeners.iter().map(|l| l.local_addr().map(|a| a.port())).collect()
+}
--- /dev/null
+++ b/src/bin/magpiemoor.rs
@@ -0,0 +1,7 @@
+//! The operators' command line.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    magpiemoor::cli::run(&magpiemoor::cli::args::command().get_matches())
+}
--- a/src/bundle.rs
+++ b/src/bundle.rs
@@ -10,6 +10,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 
+use serde::{Deserialize, Serialize};
+
 use crate::schema::{
     BundleMark, BundleSource, BundleVersion, CallName, CallSpec, DomainId, EndpointId,
     EndpointKind, EndpointSpec, ModelId, ModelSpec, OrganisationId, OrganisationSpec, PartHash,
@@ -50,7 +52,7 @@
 impl std::error::Error for BundleError {}
 
 /// A bundle as it was signed: the manifest and the texts of its parts.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct SignedBundle {
     /// The manifest with its signatures.
     pub manifest: SignedManifest,
--- a/src/bundle/sign.rs
+++ b/src/bundle/sign.rs
@@ -2,7 +2,9 @@
 
 use std::collections::HashSet;
 
-use ed25519_dalek::{Signer, SigningKey, Verifier, VerifyingKey};
+use ed25519_dalek::{Signer, Verifier, VerifyingKey};
+
+pub use ed25519_dalek::SigningKey;
 
 use crate::bundle::parts::Split;
 use crate::bundle::{BundleError, SignedBundle};
--- /dev/null
+++ b/src/cli/args.rs
@@ -0,0 +1,121 @@
+//! The commands and their options.
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap_complete::Shell;
+use serde_json::json;
+
+use crate::cli::Output;
+
+/// Builds the command line.
+#[must_use]
+pub fn command() -> Command {
+    Command::new("magpiemoor")
+        .about("Signs off and rolls bundles, checks settings, and shows what the boxes do")
+        .version(clap::crate_version!())
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .global(true)
+                .action(ArgAction::SetTrue)
+                .help("Print the result as JSON"),
+        )
+        .subcommand(bundle())
+        .subcommand(config())
+        .subcommand(
+            Command::new("timeline")
+                .about("Show the events of several boxes in one order")
+                .arg(boxes())
+                .arg(option("subject", "TEXT", "Only events about this request, box or endpoint")),
+        )
+        .subcommand(Command::new("status").about("Show how boxes stand").arg(boxes()))
+        .subcommand(
+            Command::new("completions")
+                .about("Print completions for a shell")
+                .arg(Arg::new("shell").required(true).value_parser(value_parser!(Shell))),
+        )
+}
+
+fn bundle() -> Command {
+    Command::new("bundle")
+        .about("Check, sign and roll bundles")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("check")
+                .about("Check a bundle source; all errors are shown at once")
+                .arg(file("source", "Bundle source, JSON with comments")),
+        )
+        .subcommand(
+            Command::new("keygen")
+                .about("Make a signing key; prints the public key for trusted_keys")
+                .arg(out("File for the private key")),
+        )
+        .subcommand(
+            Command::new("sign")
+                .about("Sign a bundle source, or add a signature to a signed bundle")
+                .arg(file("source", "Bundle source or signed bundle"))
+                .arg(option("key", "FILE", "File with the private key").required(true))
+                .arg(option("key-id", "NAME", "Name of the key in trusted_keys").required(true))
+                .arg(out("File for the signed bundle")),
+        )
+        .subcommand(
+            Command::new("roll")
+                .about("Put a signed bundle in force; it must have a greater version than the one before")
+                .arg(file("signed", "Signed bundle"))
+                .arg(platform())
+                .arg(option("key-id", "NAME", "Who rolls it").required(true)),
+        )
+        .subcommand(
+            Command::new("status")
+                .about("Show which bundle is accepted, and which one each box has in force")
+                .arg(platform())
+                .arg(boxes().required(false)),
+        )
+}
+
+fn config() -> Command {
+    Command::new("config")
+        .about("Check settings")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("check")
+                .about("Check a settings file; all errors are shown at once")
+                .arg(file("settings", "Settings file, JSON with comments")),
+        )
+        .subcommand(Command::new("sample").about("Print a commented sample, which equals the defaults"))
+}
+
+fn option(name: &'static str, value: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).value_name(value).help(help)
+}
+
+fn file(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).required(true).value_name("FILE").help(help)
+}
+
+fn out(help: &'static str) -> Arg {
+    option("out", "FILE", help).required(true)
+}
+
+fn platform() -> Arg {
+    option("platform", "IP:PORT", "Address of the platform's object API").required(true)
+}
+
+fn boxes() -> Arg {
+    option("boxes", "IP:PORT,...", "Operators' addresses of the boxes")
+        .value_delimiter(',')
+        .action(ArgAction::Append)
+        .required(true)
+}
+
+/// Prints completions for a shell.
+#[must_use]
+pub fn completions(matches: &ArgMatches) -> Output {
+    let mut buf = Vec::new();
+    if let Some(shell) = matches.get_one::<Shell>("shell") {
+        clap_complete::generate(*shell, &mut command(), "magpiemoor", &mut buf);
+    }
+    let text = String::from_utf8(buf).unwrap_or_default();
+    Output::new(text.clone(), json!({ "completions": text }))
+}
--- /dev/null
+++ b/src/cli/bundle.rs
@@ -0,0 +1,200 @@
+//! `magpiemoor bundle`: check, sign, roll and status.
+
+use std::path::Path;
+use std::time::Duration;
+
+use clap::ArgMatches;
+use serde_json::json;
+
+use crate::bundle::check::parse;
+use crate::bundle::parts::{content_hash, join, split};
+use crate::bundle::sign::{new_key, parse_signing_key, sign, unsigned};
+use crate::bundle::{BundleError, SignedBundle};
+use crate::cli::observe::{addresses, fetch_status};
+use crate::cli::platform::{Platform, Written};
+use crate::cli::{CliError, Output, block_on};
+use crate::daemon::fetch::{manifest_name, part_name};
+use crate::http::Client;
+use crate::node::action::Expect;
+use crate::schema::{BundleMark, BundlePointer, KeyId, Manifest};
+
+/// The name of the object that names the accepted bundle.
+const POINTER: &str = "bundle/current";
+/// How often a roll is tried.
+const ROLL_TRIES: u32 = 20;
+/// The wait between two tries.
+const ROLL_AGAIN: Duration = Duration::from_millis(200);
+
+/// Runs one of the bundle commands.
+///
+/// # Errors
+///
+/// Whatever the command says.
+pub fn run(matches: &ArgMatches) -> Result<Output, CliError> {
+    match matches.subcommand() {
+        Some(("check", sub)) => check(sub),
+        Some(("keygen", sub)) => keygen(sub),
+        Some(("sign", sub)) => sign_file(sub),
+        Some(("roll", sub)) => block_on(roll(sub)),
+        Some(("status", sub)) => block_on(status(sub)),
+        _ => Err(CliError::Invalid(vec!["no such command; see `magpiemoor bundle --help`".to_owned()])),
+    }
+}
+
+fn text<'a>(matches: &'a ArgMatches, name: &str) -> &'a str {
+    matches.get_one::<String>(name).map_or("", String::as_str)
+}
+
+fn read(path: &str) -> Result<String, CliError> {
+    std::fs::read_to_string(path)
+        .map_err(|e| CliError::File(format!("{path}: {e}; name a file that can be read")))
+}
+
+fn write(path: &str, content: &str) -> Result<(), CliError> {
+    std::fs::write(path, content)
+        .map_err(|e| CliError::File(format!("{path}: {e}; name a file that can be written")))
+}
+
+fn invalid(errors: &[BundleError]) -> CliError {
+    CliError::Invalid(errors.iter().map(ToString::to_string).collect())
+}
+
+fn check(matches: &ArgMatches) -> Result<Output, CliError> {
+    let source = parse(&read(text(matches, "source"))?).map_err(|e| invalid(&e))?;
+    let parts = split(&source).manifest.parts.len();
+    let line = format!(
+        "bundle {} is good: {} models, {} organisations, {} endpoints, {parts} parts",
+        source.version,
+        source.models.len(),
+        source.organisations.len(),
+        source.endpoints.len()
+    );
+    Ok(Output::new(line, json!({ "version": source.version, "parts": parts })))
+}
+
+fn keygen(matches: &ArgMatches) -> Result<Output, CliError> {
+    let path = text(matches, "out");
+    if Path::new(path).exists() {
+        return Err(CliError::File(format!("{path} exists; a key is never overwritten, name a new file")));
+    }
+    let key = new_key();
+    write(path, &hex::encode(key.to_bytes()))?;
+    let public = hex::encode(key.verifying_key().to_bytes());
+    Ok(Output::new(public.clone(), json!({ "public": public })))
+}
+
+fn sign_file(matches: &ArgMatches) -> Result<Output, CliError> {
+    let content = read(text(matches, "source"))?;
+    let mut signed = match serde_json::from_str::<SignedBundle>(&content) {
+        Ok(signed) => signed,
+        Err(_) => unsigned(split(&parse(&content).map_err(|e| invalid(&e))?)),
+    };
+    let bundle = join(&signed).map_err(|e| invalid(&e))?;
+    let id = key_id(matches)?;
+    let key = parse_signing_key(&read(text(matches, "key"))?)
+        .ok_or_else(|| CliError::Invalid(vec!["the key file must hold 64 hex digits, as `bundle keygen` writes it".to_owned()]))?;
+    sign(&mut signed.manifest, &id, &key);
+    let out = text(matches, "out");
+    write(out, &serde_json::to_string_pretty(&signed).unwrap_or_default())?;
+    let count = signed.manifest.signatures.len();
+    let line = format!("bundle {} has {count} signatures in {out}", bundle.version());
+    Ok(Output::new(line, json!({ "version": bundle.version(), "signatures": count })))
+}
+
+fn key_id(matches: &ArgMatches) -> Result<KeyId, CliError> {
+    text(matches, "key-id")
+        .parse()
+        .map_err(|e| CliError::Invalid(vec![format!("--key-id: {e}; give a name")]))
+}
+
+async fn roll(matches: &ArgMatches) -> Result<Output, CliError> {
+    let content = read(text(matches, "signed"))?;
+    let signed: SignedBundle = serde_json::from_str(&content)
+        .map_err(|e| CliError::Invalid(vec![format!("not a signed bundle: {e}; run `bundle sign` first")]))?;
+    join(&signed).map_err(|e| invalid(&e))?;
+    let platform = Platform::new(text(matches, "platform"));
+    let mark = roll_signed(&platform, &signed, &key_id(matches)?).await?;
+    let line = format!("bundle {} is accepted", mark.version);
+    Ok(Output::new(line, json!({ "version": mark.version, "hash": mark.hash })))
+}
+
+/// Stores a signed bundle and moves the pointer to it.
+///
+/// # Errors
+///
+/// A conflict if a version that is not smaller is accepted, or that the platform can't be reached.
+pub async fn roll_signed(
+    platform: &Platform,
+    signed: &SignedBundle,
+    key: &KeyId,
+) -> Result<BundleMark, CliError> {
+    let manifest: Manifest = serde_json::from_str(&signed.manifest.manifest)
+        .map_err(|e| CliError::Invalid(vec![e.to_string()]))?;
+    for (hash, body) in &signed.parts {
+        platform.put_content(&part_name(hash), body).await?;
+    }
+    let hash = content_hash(&signed.manifest.manifest);
+    let text = serde_json::to_string(&signed.manifest).unwrap_or_default();
+    platform.put_content(&manifest_name(&hash), &text).await?;
+    let pointer = BundlePointer {
+        bundle: BundleMark { version: manifest.version, hash },
+        mark: format!("{:032x}", rand::random::<u128>()),
+        rolled_by: key.clone(),
+    };
+    move_pointer(platform, &pointer).await?;
+    Ok(pointer.bundle)
+}
+
+/// Moves the pointer; an answer that was lost is settled by reading back the own mark.
+async fn move_pointer(platform: &Platform, pointer: &BundlePointer) -> Result<(), CliError> {
+    let value = serde_json::to_string(pointer).unwrap_or_default();
+    for _ in 0..ROLL_TRIES {
+        let present = platform.get(POINTER).await?;
+        let expect = match &present {
+            None => Expect::Absent,
+            Some((version, text)) => {
+                let there: BundlePointer = serde_json::from_str(text)
+                    .map_err(|e| CliError::Invalid(vec![format!("{POINTER} can't be read: {e}")]))?;
+                if there.mark == pointer.mark {
+                    return Ok(());
+                }
+                refuse_smaller(&there, pointer)?;
+                Expect::Version(*version)
+            }
+        };
+        if platform.put(POINTER, expect, &value).await == Written::Yes {
+            return Ok(());
+        }
+        tokio::time::sleep(ROLL_AGAIN).await;
+    }
+    Err(CliError::Unreachable("the platform takes no writes; try again when it is back".to_owned()))
+}
+
+fn refuse_smaller(there: &BundlePointer, pointer: &BundlePointer) -> Result<(), CliError> {
+    if there.bundle.version < pointer.bundle.version {
+        return Ok(());
+    }
+    Err(CliError::Conflict(format!(
+        "bundle {} was accepted already, rolled by {}; give yours a greater version, sign it and roll again",
+        there.bundle.version, there.rolled_by
+    )))
+}
+
+async fn status(matches: &ArgMatches) -> Result<Output, CliError> {
+    let platform = Platform::new(text(matches, "platform"));
+    let accepted: Option<BundlePointer> =
+        platform.get(POINTER).await?.and_then(|(_, text)| serde_json::from_str(&text).ok());
+    let mut lines = vec![match &accepted {
+        Some(pointer) => format!("accepted: {} (rolled by {})", pointer.bundle.version, pointer.rolled_by),
+        None => "accepted: none; roll one with `magpiemoor bundle roll`".to_owned(),
+    }];
+    let client = Client::default();
+    let mut boxes = Vec::new();
+    for address in addresses(matches) {
+        let at = fetch_status(&client, &address).await.ok().map(|s| (s.box_id, s.bundle));
+        let (name, version) = at.unwrap_or_else(|| (address.clone(), None));
+        lines.push(format!("{name}: {}", version.map_or("none".to_owned(), |v| v.to_string())));
+        boxes.push(json!({ "box": name, "version": version }));
+    }
+    Ok(Output::new(lines.join("\n"), json!({ "accepted": accepted, "boxes": boxes })))
+}
--- /dev/null
+++ b/src/cli/observe.rs
@@ -0,0 +1,134 @@
+//! `magpiemoor timeline` and `magpiemoor status`: what the boxes do.
+
+use std::time::Duration;
+
+use clap::ArgMatches;
+use gotham::hyper::{Method, StatusCode};
+use serde::de::DeserializeOwned;
+use serde_json::json;
+
+use crate::cli::{CliError, Output, block_on};
+use crate::daemon::control::Status;
+use crate::http::{Call, Client};
+use crate::schema::HybridTime;
+use crate::timeline::{Entry, merge};
+
+/// How long a box may take to answer.
+const ANSWER_LIMIT: Duration = Duration::from_secs(3);
+/// Bits of a hybrid reading below the milliseconds.
+const COUNTER_BITS: u32 = 16;
+
+/// The boxes' addresses that were given.
+#[must_use]
+pub fn addresses(matches: &ArgMatches) -> Vec<String> {
+    matches.get_many::<String>("boxes").into_iter().flatten().cloned().collect()
+}
+
+async fn get<T: DeserializeOwned>(client: &Client, address: &str, path: &str) -> Result<T, CliError> {
+    let unreachable = |what: String| CliError::Unreachable(format!("box at {address}: {what}"));
+    let call = Call::new(Method::GET, address, path);
+    let answer = client.send(call, ANSWER_LIMIT).await.map_err(|e| unreachable(e.to_string()))?;
+    if answer.status != StatusCode::OK {
+        return Err(unreachable(format!("status {}; is this the operators' address?", answer.status)));
+    }
+    serde_json::from_slice(&answer.body).map_err(|e| unreachable(e.to_string()))
+}
+
+/// Asks a box how it stands.
+///
+/// # Errors
+///
+/// That it can't be reached.
+pub async fn fetch_status(client: &Client, address: &str) -> Result<Status, CliError> {
+    get(client, address, "/status").await
+}
+
+/// Reads a box's time line.
+///
+/// # Errors
+///
+/// That it can't be reached.
+pub async fn fetch_timeline(client: &Client, address: &str, subject: Option<&str>) -> Result<Vec<Entry>, CliError> {
+    let path = subject.map_or("/timeline".to_owned(), |s| format!("/timeline?subject={s}"));
+    get(client, address, &path).await
+}
+
+/// Shows the merged time line of several boxes; one that can't be reached is named.
+///
+/// # Errors
+///
+/// That none of the boxes can be reached.
+pub fn timeline(matches: &ArgMatches) -> Result<Output, CliError> {
+    let subject = matches.get_one::<String>("subject").map(String::as_str);
+    let mut silent = Vec::new();
+    let mut lines = Vec::new();
+    block_on(async {
+        let client = Client::default();
+        for address in addresses(matches) {
+            match fetch_timeline(&client, &address, subject).await {
+                Ok(line) => lines.push(line),
+                Err(e) => silent.push(e.to_string()),
+            }
+        }
+        Ok(())
+    })?;
+    if lines.is_empty() {
+        return Err(CliError::Unreachable(silent.join("\n")));
+    }
+    let merged = merge(lines);
+    let mut text: Vec<String> = merged.iter().map(show).collect();
+    text.extend(silent.iter().map(|s| format!("# not shown: {s}")));
+    Ok(Output::new(text.join("\n"), json!({ "events": merged, "not_shown": silent })))
+}
+
+/// One event as a line for a person.
+#[must_use]
+pub fn show(entry: &Entry) -> String {
+    let HybridTime(at) = entry.at;
+    let (millis, counter) = (at >> COUNTER_BITS, at & ((1 << COUNTER_BITS) - 1));
+    format!(
+        "{millis}.{counter:<3} {:<12} {:<20} {} {}",
+        entry.source, entry.event, entry.subject, entry.detail
+    )
+}
+
+/// Shows how boxes stand.
+///
+/// # Errors
+///
+/// That none of the boxes can be reached.
+pub fn status(matches: &ArgMatches) -> Result<Output, CliError> {
+    let mut found = Vec::new();
+    let mut silent = Vec::new();
+    block_on(async {
+        let client = Client::default();
+        for address in addresses(matches) {
+            match fetch_status(&client, &address).await {
+                Ok(status) => found.push(status),
+                Err(e) => silent.push(e.to_string()),
+            }
+        }
+        Ok(())
+    })?;
+    if found.is_empty() {
+        return Err(CliError::Unreachable(silent.join("\n")));
+    }
+    let mut text: Vec<String> = found.iter().map(line_of).collect();
+    text.extend(silent.iter().map(|s| format!("# {s}")));
+    Ok(Output::new(text.join("\n"), json!({ "boxes": found, "not_shown": silent })))
+}
+
+fn line_of(status: &Status) -> String {
+    let bundle = status.bundle.map_or("none".to_owned(), |v| v.to_string());
+    let ready = if status.ready { "ready" } else { "not ready" };
+    format!(
+        "{} in {}: {ready}, bundle {bundle}, epoch {}, {} slices open, {} answers, {} callers, live: {}",
+        status.box_id,
+        status.domain,
+        status.epoch,
+        status.open_slices,
+        status.answers,
+        status.callers,
+        status.live.join(" ")
+    )
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,216 @@
+//! The daemon of an entry box: a shell around [`crate::node`] that moves bytes.
+//!
+//! One control thread owns the node and is the only one that touches it. Traffic threads read and
+//! write sockets; they speak to the control thread by a channel, and it tells them what to do by
+//! spawning tasks or by channels of their own. A timer service wakes the node.
+
+pub mod callers;
+pub mod control;
+pub mod engines;
+pub mod fetch;
+pub mod metrics;
+pub mod operators;
+pub mod peers;
+pub mod platform;
+pub mod services;
+pub mod timers;
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::{Arc, RwLock};
+
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::mpsc;
+
+use crate::bundle::Bundle;
+use crate::clock::{self, Monotonic};
+use crate::http::Client;
+use crate::node::Node;
+use crate::node::config::NodeConfig;
+use crate::schema::Incarnation;
+use crate::settings::Settings;
+use crate::timeline::Timeline;
+use control::{Control, Input};
+use metrics::Metrics;
+
+/// How many inputs may wait for the control thread before senders wait.
+const INPUT_CAPACITY: usize = 65_536;
+
+/// Why the daemon could not run.
+#[derive(Debug)]
+pub enum DaemonError {
+    /// An address can't be listened on.
+    Listen {
+        /// The setting that names the address.
+        setting: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// What the system says.
+        error: std::io::Error,
+    },
+    /// Threads can't be started.
+    Threads(std::io::Error),
+}
+
+impl fmt::Display for DaemonError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listen { setting, address, error } => {
+                write!(f, "{setting} = {address}: {error}; choose an address of this box that is free")
+            }
+            Self::Threads(error) => {
+                write!(f, "threads can't be started: {error}; allow this user more of them")
+            }
+        }
+    }
+}
+
+impl std::error::Error for DaemonError {}
+
+/// What all parts of the daemon share.
+#[derive(Clone)]
+pub struct Shared {
+    /// The checked settings.
+    pub settings: Arc<Settings>,
+    /// This box's clock.
+    pub clock: Monotonic,
+    /// The time line.
+    pub timeline: Arc<Timeline>,
+    /// The metrics.
+    pub metrics: Arc<Metrics>,
+    /// The bundle in force, for checks at the callers' face.
+    pub bundle: Arc<RwLock<Option<Arc<Bundle>>>>,
+    /// The way to the control thread.
+    pub inputs: mpsc::Sender<Input>,
+    /// The HTTP client.
+    pub client: Client,
+}
+
+impl Shared {
+    /// The bundle in force.
+    #[must_use]
+    pub fn bundle(&self) -> Option<Arc<Bundle>> {
+        self.bundle.read().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
+    }
+
+    /// Hands something to the control thread, waiting if it is busy.
+    pub async fn tell(&self, input: Input) {
+        // It fails only when the control thread has ended, and then the process is about to.
+        let _ = self.inputs.send(input).await;
+    }
+}
+
+/// Gives HTTP handlers access to the daemon.
+#[derive(Clone, gotham::prelude::StateData)]
+pub struct Context(Arc<std::panic::AssertUnwindSafe<Shared>>);
+
+impl Context {
+    /// Wraps what is shared for use in handlers.
+    #[must_use]
+    pub fn new(shared: Shared) -> Self {
+        Self(Arc::new(std::panic::AssertUnwindSafe(shared)))
+    }
+
+    /// What is shared, from the state of a request.
+    #[must_use]
+    pub fn shared(state: &gotham::state::State) -> Shared {
+        use gotham::state::FromState;
+        Self::borrow_from(state).0.0.clone()
+    }
+}
+
+struct Listeners {
+    callers: TcpListener,
+    operators: TcpListener,
+    peers: TcpListener,
+    heartbeats: UdpSocket,
+}
+
+impl Listeners {
+    async fn bind(settings: &Settings) -> Result<Self, DaemonError> {
+        Ok(Self {
+            callers: listen("callers", settings.callers).await?,
+            operators: listen("operators", settings.operators).await?,
+            peers: listen("peers_address", settings.peers_address).await?,
+            heartbeats: UdpSocket::bind(settings.peers_address).await.map_err(|error| {
+                DaemonError::Listen {
+                    setting: "peers_address",
+                    address: settings.peers_address,
+                    error,
+                }
+            })?,
+        })
+    }
+}
+
+async fn listen(setting: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| DaemonError::Listen { setting, address, error })
+}
+
+/// Runs the daemon until it has stopped.
+///
+/// # Errors
+///
+/// Says which address can't be listened on, or that threads can't be started.
+pub fn run(settings: Settings) -> Result<(), DaemonError> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.traffic_threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+        .map_err(DaemonError::Threads)?;
+    let listeners = runtime.block_on(Listeners::bind(&settings))?;
+    let (inputs, received) = mpsc::channel(INPUT_CAPACITY);
+    let shared = Shared {
+        timeline: Arc::new(Timeline::new(&settings.box_id, settings.timeline_events)),
+        settings: Arc::new(settings),
+        clock: Monotonic::start(),
+        metrics: Arc::new(Metrics::new()),
+        bundle: Arc::new(RwLock::new(None)),
+        inputs,
+        client: Client::default(),
+    };
+    let node = new_node(&shared);
+    let heartbeats = Arc::new(listeners.heartbeats);
+    runtime.spawn(peers::receive_heartbeats(Arc::clone(&heartbeats), shared.clone()));
+    runtime.spawn(peers::accept(listeners.peers, shared.clone()));
+    runtime.spawn(crate::http::serve(listeners.callers, callers::router(shared.clone())));
+    runtime.spawn(crate::http::serve(listeners.operators, operators::router(shared.clone())));
+    runtime.spawn(stop_on_signal(shared.clone()));
+    log::info!("box {} listens for callers on {}", shared.settings.box_id, shared.settings.callers);
+    let control = Control::new(node, shared, runtime.handle().clone(), heartbeats);
+    let thread = std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || control.run(received))
+        .map_err(DaemonError::Threads)?;
+    if thread.join().is_err() {
+        log::error!("the control thread ended by a fault; the process ends");
+    }
+    runtime.shutdown_timeout(std::time::Duration::from_millis(200));
+    Ok(())
+}
+
+fn new_node(shared: &Shared) -> Node {
+    let incarnation = Incarnation(clock::incarnation());
+    let address = shared.settings.peers_address.to_string();
+    let cfg = NodeConfig::new(&shared.settings, incarnation, address);
+    Node::new(cfg, rand::random(), shared.clock.now())
+}
+
+async fn stop_on_signal(shared: Shared) {
+    use tokio::signal::unix::{SignalKind, signal};
+    let (Ok(mut terminate), Ok(mut interrupt)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        log::warn!("signals can't be received; a stop will cut streams off");
+        return;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    log::info!("asked to stop; handing over");
+    shared.tell(Input::Event(crate::node::event::Event::Stop)).await;
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,11 +3,15 @@
 //! The crate is a library with thin programs. [`node`] holds every decision of an entry box as a
 //! pure state machine; [`daemon`] is the shell around it that moves bytes; [`bundle`] and
 //! [`settings`] turn what operators write into checked types; [`schema`] holds the types that
-//! cross a process edge.
+//! cross a process edge; [`cli`] is what operators run.
 
 pub mod bundle;
+pub mod cli;
 pub mod clock;
+pub mod daemon;
 pub mod digest;
+pub mod http;
+pub mod logs;
 pub mod node;
 pub mod rendezvous;
 pub mod schema;
--- a/src/node.rs
+++ b/src/node.rs
@@ -83,6 +83,23 @@
     stats: Stats,
 }
 
+/// How much a node holds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Holds {
+    /// Answers, produced here or copied.
+    pub answers: usize,
+    /// Calls that are going on.
+    pub calls: usize,
+    /// Records of calls, going on or settled.
+    pub call_records: usize,
+    /// Tokens of answers.
+    pub tokens: usize,
+    /// Requests that wait for an endpoint.
+    pub waiting: usize,
+    /// Callers that wait.
+    pub callers: usize,
+}
+
 impl Node {
     /// Makes a node that has not been started; `seed` determines all its random choices.
     #[must_use]
@@ -142,16 +159,41 @@
         &self.endpoints
     }
 
+    /// The bundle in force.
+    #[must_use]
+    pub fn bundle(&self) -> Option<std::sync::Arc<crate::bundle::Bundle>> {
+        self.bundles.current()
+    }
+
+    /// This box in its present life.
+    #[must_use]
+    pub fn me(&self) -> &Member {
+        &self.cfg.me
+    }
+
+    /// How many slices this box has opened.
+    #[must_use]
+    pub fn open_slices(&self) -> usize {
+        self.slices.open().len()
+    }
+
     /// Whether the box is ready for callers.
     #[must_use]
     pub fn is_ready(&self) -> bool {
         self.bundles.is_ready() && !self.stopping.is_begun()
     }
 
-    /// Requests and tokens that are held now.
+    /// What is held now.
     #[must_use]
-    pub fn holds(&self) -> (usize, usize) {
-        (self.answers.len() + self.calls.active(), self.tokens_held)
+    pub fn holds(&self) -> Holds {
+        Holds {
+            answers: self.answers.len(),
+            calls: self.calls.active(),
+            call_records: self.calls.records(),
+            tokens: self.tokens_held,
+            waiting: self.admission.len(),
+            callers: self.inbound.len(),
+        }
     }
 
     fn take_in(&mut self, event: Event) {
--- a/src/node/deferred.rs
+++ b/src/node/deferred.rs
@@ -149,10 +149,10 @@
             self.flush_deferred();
         }
         self.deferred.gathering.push((defer.request, defer.receiver, defer.subscription));
-        if self.deferred.gathering.len() >= BATCH_ITEMS {
-            self.flush_deferred();
-        } else {
-            self.out.timer(Timer::Flush, self.now.after(FLUSH_DELAY));
+        match self.deferred.gathering.len() {
+            1 => self.out.timer(Timer::Flush, self.now.after(FLUSH_DELAY)),
+            BATCH_ITEMS.. => self.flush_deferred(),
+            _ => {}
         }
     }
 
