--- a/lab/src/caller.rs
+++ b/lab/src/caller.rs
@@ -127,12 +127,22 @@
     let call = wanted.call(address, received.cursor.as_deref());
     let response = match client.open(call, HEAD_LIMIT).await {
         Ok(response) => response,
-        Err(HttpError::Connect(_) | HttpError::Broken(_) | HttpError::TimedOut | HttpError::BadRequest(_)) => {
+        Err(
+            HttpError::Connect(_)
+            | HttpError::Broken(_)
+            | HttpError::TimedOut
+            | HttpError::BadRequest(_),
+        ) => {
             return Ended::Cut;
         }
     };
     if response.status() != StatusCode::OK {
-        let body = response.into_body().collect().await.map(|b| b.to_bytes()).unwrap_or_default();
+        let body = response
+            .into_body()
+            .collect()
+            .await
+            .map(http_body_util::Collected::to_bytes)
+            .unwrap_or_default();
         received.problem = serde_json::from_slice(&body).ok();
         return Ended::Refused;
     }
@@ -184,7 +194,10 @@
 }
 
 fn may_come_back(received: &Received) -> bool {
-    received.problem.as_ref().is_some_and(|p| p.retry_after_ms.is_some())
+    received
+        .problem
+        .as_ref()
+        .is_some_and(|p| p.retry_after_ms.is_some())
 }
 
 /// Says what is wrong with an answer: whether each token belongs to its place, and none is missing
@@ -193,9 +206,13 @@
 pub fn faults(received: &Received, wanted: &Wanted, engines: &[String]) -> Option<String> {
     let (length, _) = answer_length(&wanted.prompt, wanted.max_tokens);
     for (place, id) in received.ids.iter().enumerate() {
-        let fits = engines.iter().any(|name| token(name, &wanted.prompt, place).id == *id);
+        let fits = engines
+            .iter()
+            .any(|name| token(name, &wanted.prompt, place).id == *id);
         if !fits {
-            return Some(format!("token {place} is {id}, which no engine gives there"));
+            return Some(format!(
+                "token {place} is {id}, which no engine gives there"
+            ));
         }
     }
     if received.ids.len() != length {
--- a/lab/src/demo.rs
+++ b/lab/src/demo.rs
@@ -31,7 +31,8 @@
 /// Tokens after which the entry box is killed.
 const KILL_BOX_AT: usize = 80;
 /// The prompt of the streaming answer.
-const PROMPT: &str = "Draft the member statement for the harbour bakery, with every purchase of the month.";
+const PROMPT: &str =
+    "Draft the member statement for the harbour bakery, with every purchase of the month.";
 
 /// What the demonstration found.
 #[derive(Debug)]
@@ -99,9 +100,19 @@
         }
         let mut engines = Vec::new();
         for plan in &self.fleet.engines {
-            let behaviour = Behaviour { name: plan.id.clone(), token_ms: 15.0, ..Behaviour::default() };
+            let behaviour = Behaviour {
+                name: plan.id.clone(),
+                token_ms: 15.0,
+                ..Behaviour::default()
+            };
             let behaviour = serde_json::to_string(&behaviour)?;
-            let args = ["engine", "--listen", &plan.address, "--behaviour", &behaviour];
+            let args = [
+                "engine",
+                "--listen",
+                &plan.address,
+                "--behaviour",
+                &behaviour,
+            ];
             engines.push(Process::start(&plan.id, &args, &log(&plan.id))?);
         }
         let mut boxes = Vec::new();
@@ -119,9 +130,14 @@
 
     async fn roll_bundle(&self) -> Result<(), String> {
         let signed = self.fleet.signed(&self.fleet.source(1));
-        let key = KEY_ID.parse().map_err(|_| "the key's name is not one".to_owned())?;
+        let key = KEY_ID
+            .parse()
+            .map_err(|_| "the key's name is not one".to_owned())?;
         let platform = Platform::new(&self.fleet.platform);
-        roll_signed(&platform, &signed, &key).await.map(drop).map_err(|e| e.to_string())
+        roll_signed(&platform, &signed, &key)
+            .await
+            .map(drop)
+            .map_err(|e| e.to_string())
     }
 
     /// Waits until every box has the bundle and all slices are open.
@@ -189,10 +205,15 @@
     let deferred = defer(&demo).await?;
     demo.say(&format!("a deferrable request was accepted: {deferred}"));
     let once = run_once(&demo).await;
-    demo.say(&format!("a call that may not be repeated was sent twice: {once}"));
+    demo.say(&format!(
+        "a call that may not be repeated was sent twice: {once}"
+    ));
     let stream = kill_in_the_middle(&mut demo).await;
     let result = wait_deferred(&demo, &deferred).await;
-    demo.say(&format!("the deferrable request: {}", if result { "done" } else { "not done" }));
+    demo.say(&format!(
+        "the deferrable request: {}",
+        if result { "done" } else { "not done" }
+    ));
     let events = demo.timeline(Some("demo-")).await;
     if !quiet {
         println!("\nthe time line of the surviving boxes:");
@@ -218,7 +239,11 @@
         .header("prefer", "respond-async")
         .header("idempotency-key", "demo-deferred")
         .body(body.to_string());
-    let answer = demo.client.send(call, DEFERRED_LIMIT).await.map_err(|e| e.to_string())?;
+    let answer = demo
+        .client
+        .send(call, DEFERRED_LIMIT)
+        .await
+        .map_err(|e| e.to_string())?;
     match answer.header("location") {
         Some(place) if answer.status == StatusCode::ACCEPTED => Ok(place.to_owned()),
         _ => Err(format!("not accepted: {} {}", answer.status, answer.text())),
@@ -244,12 +269,21 @@
     let key = Some("demo-redeem");
     let first = service_call(&demo.client, demo.callers(1), ONCE_CALL, key, true).await;
     let second = service_call(&demo.client, demo.callers(2), ONCE_CALL, key, false).await;
-    let runs = Call::new(Method::GET, &demo.fleet.services[0].address, "/control/runs");
+    let runs = Call::new(
+        Method::GET,
+        &demo.fleet.services[0].address,
+        "/control/runs",
+    );
     let runs = demo.client.send(runs, DEFERRED_LIMIT).await;
-    let runs = runs.ok().and_then(|a| serde_json::from_slice::<Value>(&a.body).ok());
+    let runs = runs
+        .ok()
+        .and_then(|a| serde_json::from_slice::<Value>(&a.body).ok());
     let count = runs.and_then(|r| r["demo-redeem"].as_u64()).unwrap_or(0);
-    let answers: Vec<(u16, String)> =
-        [first, second].into_iter().flatten().map(|a| (a.status.as_u16(), a.text())).collect();
+    let answers: Vec<(u16, String)> = [first, second]
+        .into_iter()
+        .flatten()
+        .map(|a| (a.status.as_u16(), a.text()))
+        .collect();
     let same = answers.len() == 2 && answers[0] == answers[1];
     json!({ "held": count == 1 && same, "runs": count, "same_answer": same, "answers": answers })
 }
@@ -265,7 +299,10 @@
     let until_box = received.ids.len();
     let killed_at = Instant::now();
     demo.boxes[0].kill();
-    demo.say(&format!("\n  killed {} at token {until_box}; coming back at another box", demo.fleet.boxes[0].id));
+    demo.say(&format!(
+        "\n  killed {} at token {until_box}; coming back at another box",
+        demo.fleet.boxes[0].id
+    ));
     let mut ended = Ended::Cut;
     let mut first_after = None;
     for turn in 0..20 {
@@ -326,12 +363,19 @@
     .await;
     // The stream goes on at the same box while the engine is found and killed.
     let name = demo.serving_engine("demo-stream").await;
-    let victim = demo.engines.iter_mut().find(|p| Some(&p.name) == name.as_ref());
+    let victim = demo
+        .engines
+        .iter_mut()
+        .find(|p| Some(&p.name) == name.as_ref());
     let died = victim.is_some();
     if let Some(process) = victim {
         process.kill();
     }
-    demo.say(&format!("\n  killed {} at token {}", name.unwrap_or_default(), received.ids.len()));
+    demo.say(&format!(
+        "\n  killed {} at token {}",
+        name.unwrap_or_default(),
+        received.ids.len()
+    ));
     let mut last = Instant::now();
     let mut longest = Duration::ZERO;
     let mut count = received.ids.len();
--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -7,7 +7,7 @@
 
 pub mod batch;
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -33,6 +33,22 @@
 /// Of how many cache events one is lost.
 const CACHE_GAP: u64 = 10;
 
+/// Something that an engine does wrong, or at least otherwise.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fault {
+    /// It does nothing and answers nothing.
+    Frozen,
+    /// It answers polls but produces no tokens.
+    Stalled,
+    /// It is leaving.
+    Leaving,
+    /// Every event is sent twice.
+    Duplicate,
+    /// Events of one stream come on another.
+    Crossed,
+}
+
 /// How an engine behaves.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default)]
@@ -59,24 +75,24 @@
     pub load_ms: u64,
     /// How many times slower it is than it should be.
     pub slow_down: f64,
-    /// It does nothing and answers nothing.
-    pub frozen: bool,
-    /// It answers polls but produces no tokens.
-    pub stalled: bool,
-    /// It is leaving.
-    pub leaving: bool,
-    /// Every event is sent twice.
-    pub duplicate: bool,
+    /// What it does wrong.
+    pub faults: BTreeSet<Fault>,
     /// Every event is sent this much later.
     pub late_ms: u64,
-    /// Events of one stream come on another.
-    pub crossed: bool,
     /// Streams break off after this many tokens, before the end mark.
     pub break_after: Option<usize>,
     /// The seed of its variations.
     pub seed: u64,
 }
 
+impl Behaviour {
+    /// Whether it does something wrong.
+    #[must_use]
+    pub fn has(&self, fault: Fault) -> bool {
+        self.faults.contains(&fault)
+    }
+}
+
 impl Default for Behaviour {
     fn default() -> Self {
         Self {
@@ -91,12 +107,8 @@
             checks_orders: true,
             load_ms: 100,
             slow_down: 1.0,
-            frozen: false,
-            stalled: false,
-            leaving: false,
-            duplicate: false,
+            faults: BTreeSet::new(),
             late_ms: 0,
-            crossed: false,
             break_after: None,
             seed: 1,
         }
@@ -154,7 +166,10 @@
             spent: Spent::default(),
             highest_epoch: 0,
             model_version: 1,
-            report: LoadAnswer { model_version: 1, ..LoadAnswer::default() },
+            report: LoadAnswer {
+                model_version: 1,
+                ..LoadAnswer::default()
+            },
             cache_events: Vec::new(),
             cache_count: 0,
         };
@@ -212,7 +227,7 @@
             let wait = {
                 let mut inner = self.lock();
                 let behaviour = inner.behaviour.clone();
-                if behaviour.frozen || behaviour.stalled {
+                if behaviour.has(Fault::Frozen) || behaviour.has(Fault::Stalled) {
                     Duration::from_millis(5)
                 } else {
                     let Inner { batch, spent, .. } = &mut *inner;
@@ -235,7 +250,7 @@
                 running,
                 queued,
                 model_version: inner.model_version,
-                leaving: inner.behaviour.leaving,
+                leaving: inner.behaviour.has(Fault::Leaving),
                 cache: inner.report.cache.drain(..).chain(cache).collect(),
             };
         }
@@ -246,7 +261,7 @@
         if segments.first() == Some(&"control") {
             return self.control(&ask);
         }
-        while self.lock().behaviour.frozen {
+        while self.lock().behaviour.has(Fault::Frozen) {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
         match (&ask.method, segments.as_slice()) {
@@ -271,16 +286,18 @@
     fn control(&self, ask: &Ask) -> Response<Body> {
         match ask.segments().as_slice() {
             ["control", "die"] => std::process::exit(137),
-            ["control", "behaviour"] => match serde_json::from_slice::<serde_json::Value>(&ask.body) {
-                Ok(change) => {
-                    let mut inner = self.lock();
-                    if let Some(changed) = merged(&inner.behaviour, &change) {
-                        inner.behaviour = changed;
+            ["control", "behaviour"] => {
+                match serde_json::from_slice::<serde_json::Value>(&ask.body) {
+                    Ok(change) => {
+                        let mut inner = self.lock();
+                        if let Some(changed) = merged(&inner.behaviour, &change) {
+                            inner.behaviour = changed;
+                        }
+                        plain(StatusCode::OK)
                     }
-                    plain(StatusCode::OK)
+                    Err(_) => plain(StatusCode::BAD_REQUEST),
                 }
-                Err(_) => plain(StatusCode::BAD_REQUEST),
-            },
+            }
             ["control", "spent"] => respond_json(StatusCode::OK, &self.spent()),
             _ => plain(StatusCode::NOT_FOUND),
         }
@@ -290,7 +307,7 @@
         let Ok(request) = serde_json::from_slice::<StreamRequest>(&ask.body) else {
             return plain(StatusCode::BAD_REQUEST);
         };
-        if self.lock().behaviour.leaving {
+        if self.lock().behaviour.has(Fault::Leaving) {
             return plain(StatusCode::CONFLICT);
         }
         let imported = match &request.import_from {
@@ -310,8 +327,11 @@
             spent.imports += u64::from(imported);
             for block in stored {
                 inner.cache_count += 1;
-                if inner.cache_count % CACHE_GAP != 0 {
-                    inner.cache_events.push(CacheEvent { block, stored: true });
+                if !inner.cache_count.is_multiple_of(CACHE_GAP) {
+                    inner.cache_events.push(CacheEvent {
+                        block,
+                        stored: true,
+                    });
                 }
             }
         }
@@ -328,7 +348,12 @@
 
     fn read_from(&self, name: String, from: usize) -> Response<Body> {
         self.lock().batch.reader_came(&name);
-        let reader = Reader { engine: self.clone(), name, next: from, ended: false };
+        let reader = Reader {
+            engine: self.clone(),
+            name,
+            next: from,
+            ended: false,
+        };
         let events = stream::unfold(reader, |mut reader| async move {
             let chunk = reader.next().await?;
             Some((chunk, reader))
@@ -339,7 +364,7 @@
     fn export(&self, name: &str) -> Response<Body> {
         let inner = self.lock();
         match inner.batch.progress(name, 0) {
-            Some(_) if !inner.behaviour.stalled => plain(StatusCode::OK),
+            Some(_) if !inner.behaviour.has(Fault::Stalled) => plain(StatusCode::OK),
             _ => plain(StatusCode::NOT_FOUND),
         }
     }
@@ -352,7 +377,10 @@
         };
         let before = attempt.parse::<u32>().unwrap_or(1).saturating_sub(1);
         let path = format!("/v1/cache/{front}.{before}");
-        let answer = self.client.send(Call::new(Method::GET, address, &path), IMPORT_LIMIT).await;
+        let answer = self
+            .client
+            .send(Call::new(Method::GET, address, &path), IMPORT_LIMIT)
+            .await;
         answer.is_ok_and(|a| a.status == StatusCode::OK)
     }
 
@@ -424,7 +452,7 @@
     fn event(&mut self) -> Option<(Option<Bytes>, u64)> {
         let inner = self.engine.lock();
         let behaviour = &inner.behaviour;
-        if behaviour.frozen {
+        if behaviour.has(Fault::Frozen) {
             return Some((None, 0));
         }
         let Progress { tokens, finish } = inner.batch.progress(&self.name, self.next)?;
@@ -436,19 +464,26 @@
                 return Some((None, 0));
             };
             self.ended = true;
-            let end = StreamEnd { stream: self.name.clone(), finish };
+            let end = StreamEnd {
+                stream: self.name.clone(),
+                finish,
+            };
             return Some((Some(event_text("end", &end)), behaviour.late_ms));
         }
         let mut name = self.name.clone();
-        if behaviour.crossed
+        if behaviour.has(Fault::Crossed)
             && let Some(other) = inner.batch.other_than(&self.name)
         {
             name = other;
         }
-        let sent = StreamTokens { stream: name, offset: self.next, tokens };
+        let sent = StreamTokens {
+            stream: name,
+            offset: self.next,
+            tokens,
+        };
         self.next += sent.tokens.len();
         let mut text = event_text("tokens", &sent).to_vec();
-        if behaviour.duplicate {
+        if behaviour.has(Fault::Duplicate) {
             text.extend_from_within(..);
         }
         Some((Some(text.into()), behaviour.late_ms))
--- a/lab/src/engine/batch.rs
+++ b/lab/src/engine/batch.rs
@@ -59,7 +59,10 @@
 pub fn token(identity: &str, prompt: &str, place: usize) -> Token {
     let seed = xxh3_64_with_seed(identity.as_bytes(), xxh3_64(prompt.as_bytes()));
     let id = (xxh3_64_with_seed(&place.to_le_bytes(), seed) % 50_000) as u32;
-    Token { id, text: format!(" t{id}") }
+    Token {
+        id,
+        text: format!(" t{id}"),
+    }
 }
 
 /// How many tokens the answer to a prompt has, and how it ends.
@@ -67,7 +70,11 @@
 pub fn answer_length(prompt: &str, max_tokens: u32) -> (usize, Finish) {
     let most = max_tokens as usize;
     let short = xxh3_64(prompt.as_bytes()) as usize % (most / 4 + 1);
-    if short == 0 { (most, Finish::Length) } else { (most - short, Finish::Stop) }
+    if short == 0 {
+        (most, Finish::Length)
+    } else {
+        (most - short, Finish::Stop)
+    }
 }
 
 impl Batch {
@@ -149,7 +156,11 @@
         let place = self
             .waiting
             .iter()
-            .position(|n| self.streams.get(n).is_some_and(|s| s.request.priority > urgency))
+            .position(|n| {
+                self.streams
+                    .get(n)
+                    .is_some_and(|s| s.request.priority > urgency)
+            })
             .unwrap_or(self.waiting.len());
         self.waiting.insert(place, name.clone());
         self.streams.insert(name, stream);
@@ -168,7 +179,10 @@
     pub fn progress(&self, name: &str, from: usize) -> Option<Progress> {
         let stream = self.streams.get(name)?;
         let tokens = stream.tokens.get(from..)?.to_vec();
-        Some(Progress { tokens, finish: stream.finish })
+        Some(Progress {
+            tokens,
+            finish: stream.finish,
+        })
     }
 
     /// The name of another stream.
@@ -208,7 +222,11 @@
             return IDLE;
         }
         let now = Instant::now();
-        let identity = if behaviour.deterministic { "" } else { &behaviour.name };
+        let identity = if behaviour.deterministic {
+            ""
+        } else {
+            &behaviour.name
+        };
         for name in &self.running {
             let Some(stream) = self.streams.get_mut(name) else {
                 continue;
@@ -218,7 +236,9 @@
             }
             if stream.tokens.len() < stream.length {
                 let place = stream.tokens.len();
-                stream.tokens.push(token(identity, &stream.request.prompt, place));
+                stream
+                    .tokens
+                    .push(token(identity, &stream.request.prompt, place));
                 spent.tokens += 1;
             }
             if stream.tokens.len() >= stream.length {
@@ -227,7 +247,8 @@
             }
         }
         let streams = &self.streams;
-        self.running.retain(|n| streams.get(n).is_some_and(|s| s.finish.is_none()));
+        self.running
+            .retain(|n| streams.get(n).is_some_and(|s| s.finish.is_none()));
         let vary = 1.0 + behaviour.jitter * self.rng.random_range(-1.0..1.0);
         Duration::from_secs_f64(behaviour.token_ms / 1_000.0 * vary * behaviour.slow_down)
     }
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -2,10 +2,10 @@
 
 use std::path::Path;
 
-use magpiemoor::bundle::sign::SigningKey;
-use magpiemoor::bundle::parts::split;
-use magpiemoor::bundle::sign::{new_key, sign, unsigned};
 use magpiemoor::bundle::SignedBundle;
+use magpiemoor::bundle::parts::split;
+use magpiemoor::bundle::sign::SigningKey;
+use magpiemoor::bundle::sign::{new_key, public_hex, sign, unsigned};
 use magpiemoor::schema::{
     BundleSource, BundleVersion, CallSpec, EndpointKind, EndpointSpec, EngineSpec, Millis,
     ModelSpec, OrganisationSpec, Policy, Priority, ServiceCalls, ServiceSpec, Weights,
@@ -121,8 +121,12 @@
                     operators: address(),
                 })
                 .collect(),
-            engines: (0..size.engines).map(|i| plan("engine", i, size.slots, address())).collect(),
-            services: (0..size.services).map(|i| plan(SERVICE, i, 64, address())).collect(),
+            engines: (0..size.engines)
+                .map(|i| plan("engine", i, size.slots, address()))
+                .collect(),
+            services: (0..size.services)
+                .map(|i| plan(SERVICE, i, 64, address()))
+                .collect(),
             platform: address(),
             organisations: vec![("shop".to_owned(), 1)],
             weights: (10.0, 1.0),
@@ -154,20 +158,30 @@
             serves,
         };
         let engines = self.engines.iter().map(|plan| {
-            let spec = EngineSpec { models: vec![model()], adapters: Vec::new(), slots: plan.slots };
+            let spec = EngineSpec {
+                models: vec![model()],
+                adapters: Vec::new(),
+                slots: plan.slots,
+            };
             endpoint(plan, EndpointKind::Engine(spec))
         });
         let services = self.services.iter().map(|plan| {
-            let spec = ServiceSpec { service: service(), slots: plan.slots };
+            let spec = ServiceSpec {
+                service: service(),
+                slots: plan.slots,
+            };
             endpoint(plan, EndpointKind::Service(spec))
         });
-        let organisations = self.organisations.iter().map(|(name, weight)| OrganisationSpec {
-            id: name.parse().expect("a valid name"),
-            weight: *weight,
-            priority: Priority::Interactive,
-            models: vec![model()],
-            services: vec![service()],
-        });
+        let organisations = self
+            .organisations
+            .iter()
+            .map(|(name, weight)| OrganisationSpec {
+                id: name.parse().expect("a valid name"),
+                weight: *weight,
+                priority: Priority::Interactive,
+                models: vec![model()],
+                services: vec![service()],
+            });
         BundleSource {
             version: BundleVersion(version),
             models: vec![ModelSpec {
@@ -184,7 +198,10 @@
             organisations: organisations.collect(),
             endpoints: engines.chain(services).collect(),
             policy: Policy {
-                weights: Weights { resume_second: self.weights.0, extra_second: self.weights.1 },
+                weights: Weights {
+                    resume_second: self.weights.0,
+                    extra_second: self.weights.1,
+                },
                 retry_horizon: Millis(600_000),
                 retry_percent: 10,
                 queue_limit: self.queue_limit,
@@ -200,7 +217,11 @@
     #[must_use]
     pub fn signed(&self, source: &BundleSource) -> SignedBundle {
         let mut signed = unsigned(split(source));
-        sign(&mut signed.manifest, &KEY_ID.parse().expect("a valid name"), &self.key);
+        sign(
+            &mut signed.manifest,
+            &KEY_ID.parse().expect("a valid name"),
+            &self.key,
+        );
         signed
     }
 
@@ -222,19 +243,16 @@
             "operators": plan.operators,
             "platform": self.platform,
             "seeds": seeds,
-            "trusted_keys": [{ "id": KEY_ID, "public": self.public_key() }],
+            "trusted_keys": [{ "id": KEY_ID, "public": public_hex(&self.key) }],
         });
-        if let (Some(fields), Some(extra)) = (settings.as_object_mut(), self.extra_settings.as_object()) {
+        if let (Some(fields), Some(extra)) =
+            (settings.as_object_mut(), self.extra_settings.as_object())
+        {
             fields.extend(extra.clone());
         }
         settings
     }
 
-    fn public_key(&self) -> String {
-        let bytes = self.key.verifying_key().to_bytes();
-        bytes.iter().map(|b| format!("{b:02x}")).collect()
-    }
-
     /// Writes a box's settings file.
     ///
     /// # Errors
--- a/lab/src/gen.rs
+++ b/lab/src/gen.rs
@@ -52,12 +52,15 @@
     let mut definitions: Vec<(String, Schema)> = Vec::new();
     for name in SCHEMAS {
         let path = root.join(format!("schema/{name}.schema.json"));
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+        let text =
+            std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
         let schema: RootSchema =
             serde_json::from_str(&text).map_err(|e| format!("{}: {e}", path.display()))?;
         definitions.extend(schema.definitions);
     }
-    space.add_ref_types(definitions).map_err(|e| e.to_string())?;
+    space
+        .add_ref_types(definitions)
+        .map_err(|e| e.to_string())?;
     let file = syn::parse2::<syn::File>(space.to_stream()).map_err(|e| e.to_string())?;
     Ok(format!("{HEADER}{}", prettyplease::unparse(&file)))
 }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -13,8 +13,20 @@
 use tokio::net::TcpListener;
 
 fn command() -> Command {
-    let listen = || Arg::new("listen").long("listen").value_name("IP:PORT").required(true).help("Where to listen");
-    let behaviour = || Arg::new("behaviour").long("behaviour").value_name("JSON").default_value("{}").help("How it behaves");
+    let listen = || {
+        Arg::new("listen")
+            .long("listen")
+            .value_name("IP:PORT")
+            .required(true)
+            .help("Where to listen")
+    };
+    let behaviour = || {
+        Arg::new("behaviour")
+            .long("behaviour")
+            .value_name("JSON")
+            .default_value("{}")
+            .help("How it behaves")
+    };
     Command::new("magpiemoor-lab")
         .about("Stand-ins, demonstration and measurements for magpiemoor; never shipped")
         .version(clap::crate_version!())
@@ -70,7 +82,14 @@
     if as_json {
         println!("{}", outcome.value);
     } else {
-        println!("\n{}", if outcome.held { "all held" } else { "NOT all held" });
+        println!(
+            "\n{}",
+            if outcome.held {
+                "all held"
+            } else {
+                "NOT all held"
+            }
+        );
     }
     Ok(outcome.held)
 }
@@ -83,21 +102,30 @@
 }
 
 fn run_box(matches: &ArgMatches) -> Result<bool, String> {
-    let path = matches.get_one::<PathBuf>("settings").ok_or("no settings file")?;
-    let settings = file::read(path).and_then(Settings::try_from).map_err(|errors| {
-        let texts: Vec<String> = errors.iter().map(ToString::to_string).collect();
-        texts.join("; ")
-    })?;
+    let path = matches
+        .get_one::<PathBuf>("settings")
+        .ok_or("no settings file")?;
+    let settings = file::read(path)
+        .and_then(Settings::try_from)
+        .map_err(|errors| {
+            let texts: Vec<String> = errors.iter().map(ToString::to_string).collect();
+            texts.join("; ")
+        })?;
     magpiemoor::logs::start(settings.log_file.as_deref(), settings.log_level)?;
     magpiemoor::daemon::run(settings).map_err(|e| e.to_string())?;
     Ok(true)
 }
 
 fn run_stand_in(kind: &str, matches: &ArgMatches) -> Result<bool, String> {
-    let address = matches.get_one::<String>("listen").cloned().unwrap_or_default();
+    let address = matches
+        .get_one::<String>("listen")
+        .cloned()
+        .unwrap_or_default();
     let text = |name: &str| matches.get_one::<String>(name).cloned().unwrap_or_default();
     block_on(async {
-        let listener = TcpListener::bind(&address).await.map_err(|e| format!("{address}: {e}"))?;
+        let listener = TcpListener::bind(&address)
+            .await
+            .map_err(|e| format!("{address}: {e}"))?;
         match kind {
             "platform" => Platform::default().serve(listener).await,
             "engine" => {
--- a/lab/src/platform.rs
+++ b/lab/src/platform.rs
@@ -73,7 +73,11 @@
 
 impl Bucket {
     fn new(rate: f64) -> Self {
-        Self { rate, level: rate, filled: Instant::now() }
+        Self {
+            rate,
+            level: rate,
+            filled: Instant::now(),
+        }
     }
 
     fn take(&mut self) -> bool {
@@ -140,7 +144,10 @@
             writes: Bucket::new(WRITES_PER_SECOND),
             reads: Bucket::new(READS_PER_SECOND),
         };
-        Self { inner: Arc::new(Mutex::new(inner)), changed: Arc::new(watch::Sender::new(0)) }
+        Self {
+            inner: Arc::new(Mutex::new(inner)),
+            changed: Arc::new(watch::Sender::new(0)),
+        }
     }
 }
 
@@ -192,13 +199,21 @@
     /// An object's version and value, past all faults.
     #[must_use]
     pub fn object(&self, name: &str) -> Option<(u64, String)> {
-        self.lock().objects.get(name).map(|s| (s.version, s.value.clone()))
+        self.lock()
+            .objects
+            .get(name)
+            .map(|s| (s.version, s.value.clone()))
     }
 
     /// The names that start with a prefix, past all faults.
     #[must_use]
     pub fn names(&self, prefix: &str) -> Vec<String> {
-        self.lock().objects.keys().filter(|n| n.starts_with(prefix)).cloned().collect()
+        self.lock()
+            .objects
+            .keys()
+            .filter(|n| n.starts_with(prefix))
+            .cloned()
+            .collect()
     }
 
     async fn answer(&self, ask: Ask) -> Response<Body> {
@@ -233,7 +248,11 @@
     fn gate(&self, ask: &Ask) -> Gate {
         let mut inner = self.lock();
         let write = ask.method != Method::GET;
-        let passes = if write { inner.writes.take() } else { inner.reads.take() };
+        let passes = if write {
+            inner.writes.take()
+        } else {
+            inner.reads.take()
+        };
         if !passes {
             inner.counts.throttled += 1;
             return Gate::Throttled;
@@ -275,7 +294,10 @@
             let wait = Duration::from_millis(ask.number("wait_ms").unwrap_or(WATCH_MS));
             let mut changed = self.changed.subscribe();
             let seen = async {
-                while self.object(&name).is_none_or(|(version, _)| version <= after) {
+                while self
+                    .object(&name)
+                    .is_none_or(|(version, _)| version <= after)
+                {
                     if changed.changed().await.is_err() {
                         return;
                     }
@@ -296,7 +318,10 @@
         if ask.header("if-none-match") == Some(&quoted(version)) {
             return plain(StatusCode::NOT_MODIFIED);
         }
-        with_version(respond(StatusCode::OK, "application/json", full(value)), version)
+        with_version(
+            respond(StatusCode::OK, "application/json", full(value)),
+            version,
+        )
     }
 
     async fn write(&self, ask: &Ask) -> Response<Body> {
@@ -346,7 +371,9 @@
     fn fleet(&self, ask: &Ask, domain: &str) -> Response<Body> {
         let mut inner = self.lock();
         let now = Instant::now();
-        let (due, later) = std::mem::take(&mut inner.pending).into_iter().partition(|c| c.at <= now);
+        let (due, later) = std::mem::take(&mut inner.pending)
+            .into_iter()
+            .partition(|c| c.at <= now);
         inner.pending = later;
         let due: Vec<ListChange> = due;
         for change in due {
@@ -364,7 +391,10 @@
 }
 
 fn empty_list() -> FleetList {
-    FleetList { version: 0, entries: Vec::new() }
+    FleetList {
+        version: 0,
+        entries: Vec::new(),
+    }
 }
 
 fn quoted(version: u64) -> String {
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -30,7 +30,12 @@
     /// # Errors
     ///
     /// What the system says.
-    pub fn start_program(program: &Path, name: &str, args: &[&str], log: &Path) -> std::io::Result<Self> {
+    pub fn start_program(
+        program: &Path,
+        name: &str,
+        args: &[&str],
+        log: &Path,
+    ) -> std::io::Result<Self> {
         let log = std::fs::File::create(log)?;
         let child = Command::new(program)
             .args(args)
@@ -38,7 +43,10 @@
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()?;
-        Ok(Self { name: name.to_owned(), child })
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+        })
     }
 
     /// The process's id.
@@ -97,7 +105,11 @@
 ///
 /// What the system says.
 pub fn free_ports(count: usize) -> std::io::Result<Vec<u16>> {
-    let listeners: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
-    listeners.iter().map(|l| l.local_addr().map(|a| a.port())).collect()
+    let listeners: Vec<TcpListener> = (0..count)
+        .map(|_| TcpListener::bind("127.0.0.1:0"))
+        .collect::<Result<_, _>>()?;
+    listeners
+        .iter()
+        .map(|l| l.local_addr().map(|a| a.port()))
+        .collect()
 }
--- a/lab/src/serve.rs
+++ b/lab/src/serve.rs
@@ -81,7 +81,12 @@
             let uri = Uri::borrow_from(&state);
             let ask = Ask {
                 method: Method::borrow_from(&state).clone(),
-                path: uri.path().split('/').filter(|s| !s.is_empty()).map(str::to_owned).collect(),
+                path: uri
+                    .path()
+                    .split('/')
+                    .filter(|s| !s.is_empty())
+                    .map(str::to_owned)
+                    .collect(),
                 query: query(uri.query().unwrap_or_default()),
                 headers: HeaderMap::borrow_from(&state).clone(),
                 body,
--- a/lab/src/service.rs
+++ b/lab/src/service.rs
@@ -30,7 +30,12 @@
 
 impl Default for Behaviour {
     fn default() -> Self {
-        Self { answer_ms: 2, slots: 64, lose_answers: false, leaving: false }
+        Self {
+            answer_ms: 2,
+            slots: 64,
+            lose_answers: false,
+            leaving: false,
+        }
     }
 }
 
@@ -86,7 +91,11 @@
             ["v1", "load"] => {
                 let inner = self.lock();
                 let leaving = inner.behaviour.leaving;
-                let load = LoadAnswer { running: inner.running, leaving, ..LoadAnswer::default() };
+                let load = LoadAnswer {
+                    running: inner.running,
+                    leaving,
+                    ..LoadAnswer::default()
+                };
                 respond_json(StatusCode::OK, &load)
             }
             ["control", "behaviour"] => {
@@ -106,7 +115,8 @@
             let mut inner = self.lock();
             if inner.running >= inner.behaviour.slots || inner.behaviour.leaving {
                 let mut busy = respond(StatusCode::SERVICE_UNAVAILABLE, "text/plain", full(""));
-                busy.headers_mut().insert("ran", gotham::hyper::header::HeaderValue::from_static("no"));
+                busy.headers_mut()
+                    .insert("ran", gotham::hyper::header::HeaderValue::from_static("no"));
                 return busy;
             }
             inner.running += 1;
@@ -120,10 +130,15 @@
             inner.runs.get(&key).copied().unwrap_or(0)
         };
         if behaviour.lose_answers {
-            return respond(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", broken_body());
+            return respond(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "text/plain",
+                broken_body(),
+            );
         }
         let echo = String::from_utf8_lossy(&ask.body).into_owned();
-        let answer = json!({ "service": service, "call": call, "key": key, "runs": runs, "echo": echo });
+        let answer =
+            json!({ "service": service, "call": call, "key": key, "runs": runs, "echo": echo });
         respond_json(StatusCode::OK, &answer)
     }
 }
--- a/src/bin/magpiemoord.rs
+++ b/src/bin/magpiemoord.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use magpiemoor::schema::SettingsFile;
 use magpiemoor::settings::{Settings, SettingsError, args, file, overlay};
 use magpiemoor::{daemon, logs};
 
@@ -33,7 +34,7 @@
 fn read_settings(matches: &clap::ArgMatches) -> Result<Settings, Vec<SettingsError>> {
     let written = match matches.get_one::<PathBuf>("settings") {
         Some(path) => file::read(path)?,
-        None => Default::default(),
+        None => SettingsFile::default(),
     };
     Settings::try_from(overlay(args::overrides(matches), written))
 }
--- a/src/bundle.rs
+++ b/src/bundle.rs
@@ -82,7 +82,10 @@
             match &endpoint.serves {
                 EndpointKind::Engine(engine) => {
                     for model in &engine.models {
-                        by_model.entry(model.clone()).or_default().push(endpoint.id.clone());
+                        by_model
+                            .entry(model.clone())
+                            .or_default()
+                            .push(endpoint.id.clone());
                     }
                 }
                 EndpointKind::Service(service) => {
@@ -98,11 +101,26 @@
             }
         }
         Self {
-            mark: BundleMark { version: source.version, hash },
-            models: source.models.into_iter().map(|m| (m.id.clone(), m)).collect(),
+            mark: BundleMark {
+                version: source.version,
+                hash,
+            },
+            models: source
+                .models
+                .into_iter()
+                .map(|m| (m.id.clone(), m))
+                .collect(),
             calls,
-            organisations: source.organisations.into_iter().map(|o| (o.id.clone(), o)).collect(),
-            endpoints: source.endpoints.into_iter().map(|e| (e.id.clone(), e)).collect(),
+            organisations: source
+                .organisations
+                .into_iter()
+                .map(|o| (o.id.clone(), o))
+                .collect(),
+            endpoints: source
+                .endpoints
+                .into_iter()
+                .map(|e| (e.id.clone(), e))
+                .collect(),
             by_model,
             by_service,
             policy: source.policy,
@@ -157,7 +175,10 @@
     }
 
     /// The endpoints of one failure domain.
-    pub fn endpoints_in<'a>(&'a self, domain: &'a DomainId) -> impl Iterator<Item = &'a EndpointSpec> {
+    pub fn endpoints_in<'a>(
+        &'a self,
+        domain: &'a DomainId,
+    ) -> impl Iterator<Item = &'a EndpointSpec> {
         self.endpoints.values().filter(move |e| &e.domain == domain)
     }
 
--- a/src/bundle/check.rs
+++ b/src/bundle/check.rs
@@ -23,19 +23,30 @@
         vec![BundleError::new("file", "", &remedy)]
     })?;
     let errors = check(&source);
-    if errors.is_empty() { Ok(source) } else { Err(errors) }
+    if errors.is_empty() {
+        Ok(source)
+    } else {
+        Err(errors)
+    }
 }
 
 /// Returns everything that is wrong with a source.
 #[must_use]
 pub fn check(source: &BundleSource) -> Vec<BundleError> {
-    let mut check = Check { source, errors: Vec::new() };
+    let mut check = Check {
+        source,
+        errors: Vec::new(),
+    };
     check.unique("models", source.models.iter().map(|m| &m.id));
     check.unique("services", source.services.iter().map(|s| &s.id));
     check.unique("organisations", source.organisations.iter().map(|o| &o.id));
     check.unique("endpoints", source.endpoints.iter().map(|e| &e.id));
     if source.version.0 == 0 {
-        check.fail("version", "0", "start with 1 and raise it with every change");
+        check.fail(
+            "version",
+            "0",
+            "start with 1 and raise it with every change",
+        );
     }
     check.models();
     for organisation in &source.organisations {
@@ -83,7 +94,11 @@
                 EndpointKind::Service(_) => false,
             });
             if !served {
-                self.fail(&place, model.id.as_str(), "name an engine that serves the model, or drop it");
+                self.fail(
+                    &place,
+                    model.id.as_str(),
+                    "name an engine that serves the model, or drop it",
+                );
             }
         }
     }
@@ -96,12 +111,20 @@
         }
         for model in &organisation.models {
             if !self.source.models.iter().any(|m| &m.id == model) {
-                self.fail(&place, model.as_str(), "no such model; add it to models or drop it here");
+                self.fail(
+                    &place,
+                    model.as_str(),
+                    "no such model; add it to models or drop it here",
+                );
             }
         }
         for service in &organisation.services {
             if !self.source.services.iter().any(|s| &s.id == service) {
-                self.fail(&place, service.as_str(), "no such service; add it to services or drop it here");
+                self.fail(
+                    &place,
+                    service.as_str(),
+                    "no such service; add it to services or drop it here",
+                );
             }
         }
     }
@@ -115,20 +138,32 @@
             EndpointKind::Engine(engine) => {
                 for model in &engine.models {
                     if !self.source.models.iter().any(|m| &m.id == model) {
-                        self.fail(&place, model.as_str(), "no such model; add it to models or drop it here");
+                        self.fail(
+                            &place,
+                            model.as_str(),
+                            "no such model; add it to models or drop it here",
+                        );
                     }
                 }
                 engine.slots
             }
             EndpointKind::Service(service) => {
                 if !self.source.services.iter().any(|s| s.id == service.service) {
-                    self.fail(&place, service.service.as_str(), "no such service; add it to services");
+                    self.fail(
+                        &place,
+                        service.service.as_str(),
+                        "no such service; add it to services",
+                    );
                 }
                 service.slots
             }
         };
         if slots == 0 {
-            self.fail(&place, "0", "give the number of requests it serves at once as slots");
+            self.fail(
+                &place,
+                "0",
+                "give the number of requests it serves at once as slots",
+            );
         }
     }
 
@@ -144,7 +179,11 @@
             }
         }
         if policy.retry_percent > 100 {
-            self.fail("policy.retry_percent", &policy.retry_percent.to_string(), "give 0 to 100");
+            self.fail(
+                "policy.retry_percent",
+                &policy.retry_percent.to_string(),
+                "give 0 to 100",
+            );
         }
         if policy.queue_limit == 0 {
             self.fail("policy.queue_limit", "0", "let at least one request wait");
--- a/src/bundle/parts.rs
+++ b/src/bundle/parts.rs
@@ -27,6 +27,10 @@
 }
 
 /// Returns the SHA-256 of a text in hex.
+///
+/// # Panics
+///
+/// Never: a digest in hex is a valid hash.
 #[must_use]
 pub fn content_hash(text: &str) -> PartHash {
     let hex = hex::encode(Sha256::digest(text.as_bytes()));
@@ -47,7 +51,10 @@
         parts.add(PartKind::Endpoints, &shard);
     }
     Split {
-        manifest: Manifest { version: source.version, parts: parts.refs },
+        manifest: Manifest {
+            version: source.version,
+            parts: parts.refs,
+        },
         parts: parts.texts,
     }
 }
@@ -73,7 +80,11 @@
 
 /// Spreads entries over shards; the number of shards is a power of two, so that it changes rarely.
 fn shards<T: Clone>(entries: &[T], id: impl Fn(&T) -> &str) -> Vec<Vec<T>> {
-    let count = entries.len().div_ceil(ENTRIES_PER_SHARD).max(1).next_power_of_two();
+    let count = entries
+        .len()
+        .div_ceil(ENTRIES_PER_SHARD)
+        .max(1)
+        .next_power_of_two();
     let mut shards = vec![Vec::new(); count];
     for entry in entries {
         let place = rendezvous::item(id(entry)) as usize % count;
@@ -111,7 +122,10 @@
 
 /// Stands in until the policy part has been read; the check refuses it if none comes.
 const EMPTY_POLICY: Policy = Policy {
-    weights: crate::schema::Weights { resume_second: 0.0, extra_second: 0.0 },
+    weights: crate::schema::Weights {
+        resume_second: 0.0,
+        extra_second: 0.0,
+    },
     retry_horizon: crate::schema::Millis(0),
     retry_percent: 0,
     queue_limit: 0,
@@ -123,10 +137,9 @@
     signed: &SignedBundle,
 ) -> Result<(), BundleError> {
     let hash = part.hash.as_str();
-    let text = signed
-        .parts
-        .get(hash)
-        .ok_or_else(|| BundleError::new("parts", hash, "the part is missing; roll the bundle again"))?;
+    let text = signed.parts.get(hash).ok_or_else(|| {
+        BundleError::new("parts", hash, "the part is missing; roll the bundle again")
+    })?;
     if content_hash(text) != part.hash {
         let remedy = "the part was altered; sign and roll the bundle again";
         return Err(BundleError::new("parts", hash, remedy));
--- a/src/bundle/sign.rs
+++ b/src/bundle/sign.rs
@@ -32,12 +32,25 @@
     Some(SigningKey::from_bytes(&bytes))
 }
 
+/// A signing key's public half in hex, as settings name it.
+#[must_use]
+pub fn public_hex(key: &SigningKey) -> String {
+    hex::encode(key.verifying_key().to_bytes())
+}
+
 /// Makes a bundle that no one has signed yet.
+///
+/// # Panics
+///
+/// Never: a manifest turns into JSON.
 #[must_use]
 pub fn unsigned(split: Split) -> SignedBundle {
     let manifest = serde_json::to_string(&split.manifest).expect("a manifest turns into JSON");
     SignedBundle {
-        manifest: SignedManifest { manifest, signatures: Vec::new() },
+        manifest: SignedManifest {
+            manifest,
+            signatures: Vec::new(),
+        },
         parts: split.parts,
     }
 }
@@ -46,7 +59,10 @@
 pub fn sign(manifest: &mut SignedManifest, id: &KeyId, key: &SigningKey) {
     let signature = hex::encode(key.sign(manifest.manifest.as_bytes()).to_bytes());
     manifest.signatures.retain(|s| &s.key != id);
-    manifest.signatures.push(Signature { key: id.clone(), signature });
+    manifest.signatures.push(Signature {
+        key: id.clone(),
+        signature,
+    });
 }
 
 /// Checks that enough trusted keys have signed a manifest.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -68,7 +68,10 @@
     /// Makes an output.
     #[must_use]
     pub fn new(text: impl Into<String>, value: Value) -> Self {
-        Self { text: text.into(), value }
+        Self {
+            text: text.into(),
+            value,
+        }
     }
 }
 
@@ -105,7 +108,9 @@
         Some(("timeline", sub)) => observe::timeline(sub),
         Some(("status", sub)) => observe::status(sub),
         Some(("completions", sub)) => Ok(args::completions(sub)),
-        _ => Err(CliError::Invalid(vec!["no such command; see `magpiemoor --help`".to_owned()])),
+        _ => Err(CliError::Invalid(vec![
+            "no such command; see `magpiemoor --help`".to_owned(),
+        ])),
     }
 }
 
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -27,13 +27,25 @@
             Command::new("timeline")
                 .about("Show the events of several boxes in one order")
                 .arg(boxes())
-                .arg(option("subject", "TEXT", "Only events about this request, box or endpoint")),
+                .arg(option(
+                    "subject",
+                    "TEXT",
+                    "Only events about this request, box or endpoint",
+                )),
+        )
+        .subcommand(
+            Command::new("status")
+                .about("Show how boxes stand")
+                .arg(boxes()),
         )
-        .subcommand(Command::new("status").about("Show how boxes stand").arg(boxes()))
         .subcommand(
             Command::new("completions")
                 .about("Print completions for a shell")
-                .arg(Arg::new("shell").required(true).value_parser(value_parser!(Shell))),
+                .arg(
+                    Arg::new("shell")
+                        .required(true)
+                        .value_parser(value_parser!(Shell)),
+                ),
         )
 }
 
@@ -83,7 +95,9 @@
                 .about("Check a settings file; all errors are shown at once")
                 .arg(file("settings", "Settings file, JSON with comments")),
         )
-        .subcommand(Command::new("sample").about("Print a commented sample, which equals the defaults"))
+        .subcommand(
+            Command::new("sample").about("Print a commented sample, which equals the defaults"),
+        )
 }
 
 fn option(name: &'static str, value: &'static str, help: &'static str) -> Arg {
@@ -99,7 +113,12 @@
 }
 
 fn platform() -> Arg {
-    option("platform", "IP:PORT", "Address of the platform's object API").required(true)
+    option(
+        "platform",
+        "IP:PORT",
+        "Address of the platform's object API",
+    )
+    .required(true)
 }
 
 fn boxes() -> Arg {
--- a/src/cli/bundle.rs
+++ b/src/cli/bundle.rs
@@ -8,7 +8,7 @@
 
 use crate::bundle::check::parse;
 use crate::bundle::parts::{content_hash, join, split};
-use crate::bundle::sign::{new_key, parse_signing_key, sign, unsigned};
+use crate::bundle::sign::{new_key, parse_signing_key, public_hex, sign, unsigned};
 use crate::bundle::{BundleError, SignedBundle};
 use crate::cli::observe::{addresses, fetch_status};
 use crate::cli::platform::{Platform, Written};
@@ -37,7 +37,9 @@
         Some(("sign", sub)) => sign_file(sub),
         Some(("roll", sub)) => block_on(roll(sub)),
         Some(("status", sub)) => block_on(status(sub)),
-        _ => Err(CliError::Invalid(vec!["no such command; see `magpiemoor bundle --help`".to_owned()])),
+        _ => Err(CliError::Invalid(vec![
+            "no such command; see `magpiemoor bundle --help`".to_owned(),
+        ])),
     }
 }
 
@@ -69,17 +71,22 @@
         source.organisations.len(),
         source.endpoints.len()
     );
-    Ok(Output::new(line, json!({ "version": source.version, "parts": parts })))
+    Ok(Output::new(
+        line,
+        json!({ "version": source.version, "parts": parts }),
+    ))
 }
 
 fn keygen(matches: &ArgMatches) -> Result<Output, CliError> {
     let path = text(matches, "out");
     if Path::new(path).exists() {
-        return Err(CliError::File(format!("{path} exists; a key is never overwritten, name a new file")));
+        return Err(CliError::File(format!(
+            "{path} exists; a key is never overwritten, name a new file"
+        )));
     }
     let key = new_key();
     write(path, &hex::encode(key.to_bytes()))?;
-    let public = hex::encode(key.verifying_key().to_bytes());
+    let public = public_hex(&key);
     Ok(Output::new(public.clone(), json!({ "public": public })))
 }
 
@@ -91,14 +98,26 @@
     };
     let bundle = join(&signed).map_err(|e| invalid(&e))?;
     let id = key_id(matches)?;
-    let key = parse_signing_key(&read(text(matches, "key"))?)
-        .ok_or_else(|| CliError::Invalid(vec!["the key file must hold 64 hex digits, as `bundle keygen` writes it".to_owned()]))?;
+    let key = parse_signing_key(&read(text(matches, "key"))?).ok_or_else(|| {
+        CliError::Invalid(vec![
+            "the key file must hold 64 hex digits, as `bundle keygen` writes it".to_owned(),
+        ])
+    })?;
     sign(&mut signed.manifest, &id, &key);
     let out = text(matches, "out");
-    write(out, &serde_json::to_string_pretty(&signed).unwrap_or_default())?;
+    write(
+        out,
+        &serde_json::to_string_pretty(&signed).unwrap_or_default(),
+    )?;
     let count = signed.manifest.signatures.len();
-    let line = format!("bundle {} has {count} signatures in {out}", bundle.version());
-    Ok(Output::new(line, json!({ "version": bundle.version(), "signatures": count })))
+    let line = format!(
+        "bundle {} has {count} signatures in {out}",
+        bundle.version()
+    );
+    Ok(Output::new(
+        line,
+        json!({ "version": bundle.version(), "signatures": count }),
+    ))
 }
 
 fn key_id(matches: &ArgMatches) -> Result<KeyId, CliError> {
@@ -109,13 +128,19 @@
 
 async fn roll(matches: &ArgMatches) -> Result<Output, CliError> {
     let content = read(text(matches, "signed"))?;
-    let signed: SignedBundle = serde_json::from_str(&content)
-        .map_err(|e| CliError::Invalid(vec![format!("not a signed bundle: {e}; run `bundle sign` first")]))?;
+    let signed: SignedBundle = serde_json::from_str(&content).map_err(|e| {
+        CliError::Invalid(vec![format!(
+            "not a signed bundle: {e}; run `bundle sign` first"
+        )])
+    })?;
     join(&signed).map_err(|e| invalid(&e))?;
     let platform = Platform::new(text(matches, "platform"));
     let mark = roll_signed(&platform, &signed, &key_id(matches)?).await?;
     let line = format!("bundle {} is accepted", mark.version);
-    Ok(Output::new(line, json!({ "version": mark.version, "hash": mark.hash })))
+    Ok(Output::new(
+        line,
+        json!({ "version": mark.version, "hash": mark.hash }),
+    ))
 }
 
 /// Stores a signed bundle and moves the pointer to it.
@@ -137,7 +162,10 @@
     let text = serde_json::to_string(&signed.manifest).unwrap_or_default();
     platform.put_content(&manifest_name(&hash), &text).await?;
     let pointer = BundlePointer {
-        bundle: BundleMark { version: manifest.version, hash },
+        bundle: BundleMark {
+            version: manifest.version,
+            hash,
+        },
         mark: format!("{:032x}", rand::random::<u128>()),
         rolled_by: key.clone(),
     };
@@ -153,8 +181,9 @@
         let expect = match &present {
             None => Expect::Absent,
             Some((version, text)) => {
-                let there: BundlePointer = serde_json::from_str(text)
-                    .map_err(|e| CliError::Invalid(vec![format!("{POINTER} can't be read: {e}")]))?;
+                let there: BundlePointer = serde_json::from_str(text).map_err(|e| {
+                    CliError::Invalid(vec![format!("{POINTER} can't be read: {e}")])
+                })?;
                 if there.mark == pointer.mark {
                     return Ok(());
                 }
@@ -167,7 +196,9 @@
         }
         tokio::time::sleep(ROLL_AGAIN).await;
     }
-    Err(CliError::Unreachable("the platform takes no writes; try again when it is back".to_owned()))
+    Err(CliError::Unreachable(
+        "the platform takes no writes; try again when it is back".to_owned(),
+    ))
 }
 
 fn refuse_smaller(there: &BundlePointer, pointer: &BundlePointer) -> Result<(), CliError> {
@@ -182,19 +213,33 @@
 
 async fn status(matches: &ArgMatches) -> Result<Output, CliError> {
     let platform = Platform::new(text(matches, "platform"));
-    let accepted: Option<BundlePointer> =
-        platform.get(POINTER).await?.and_then(|(_, text)| serde_json::from_str(&text).ok());
+    let accepted: Option<BundlePointer> = platform
+        .get(POINTER)
+        .await?
+        .and_then(|(_, text)| serde_json::from_str(&text).ok());
     let mut lines = vec![match &accepted {
-        Some(pointer) => format!("accepted: {} (rolled by {})", pointer.bundle.version, pointer.rolled_by),
+        Some(pointer) => format!(
+            "accepted: {} (rolled by {})",
+            pointer.bundle.version, pointer.rolled_by
+        ),
         None => "accepted: none; roll one with `magpiemoor bundle roll`".to_owned(),
     }];
     let client = Client::default();
     let mut boxes = Vec::new();
     for address in addresses(matches) {
-        let at = fetch_status(&client, &address).await.ok().map(|s| (s.box_id, s.bundle));
+        let at = fetch_status(&client, &address)
+            .await
+            .ok()
+            .map(|s| (s.box_id, s.bundle));
         let (name, version) = at.unwrap_or_else(|| (address.clone(), None));
-        lines.push(format!("{name}: {}", version.map_or("none".to_owned(), |v| v.to_string())));
+        lines.push(format!(
+            "{name}: {}",
+            version.map_or("none".to_owned(), |v| v.to_string())
+        ));
         boxes.push(json!({ "box": name, "version": version }));
     }
-    Ok(Output::new(lines.join("\n"), json!({ "accepted": accepted, "boxes": boxes })))
+    Ok(Output::new(
+        lines.join("\n"),
+        json!({ "accepted": accepted, "boxes": boxes }),
+    ))
 }
--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -20,15 +20,27 @@
     match matches.subcommand() {
         Some(("check", sub)) => check(sub),
         Some(("sample", _)) => Ok(Output::new(SAMPLE.trim_end(), json!({ "sample": SAMPLE }))),
-        _ => Err(CliError::Invalid(vec!["no such command; see `magpiemoor config --help`".to_owned()])),
+        _ => Err(CliError::Invalid(vec![
+            "no such command; see `magpiemoor config --help`".to_owned(),
+        ])),
     }
 }
 
 fn check(matches: &ArgMatches) -> Result<Output, CliError> {
-    let path = matches.get_one::<String>("settings").map_or("", String::as_str);
-    let settings = file::read(Path::new(path)).and_then(Settings::try_from).map_err(|errors| {
-        CliError::Invalid(errors.iter().map(SettingsError::to_string).collect())
-    })?;
-    let line = format!("{path} is good: box {} in {}", settings.box_id, settings.domain);
-    Ok(Output::new(line, json!({ "box": settings.box_id, "domain": settings.domain })))
+    let path = matches
+        .get_one::<String>("settings")
+        .map_or("", String::as_str);
+    let settings = file::read(Path::new(path))
+        .and_then(Settings::try_from)
+        .map_err(|errors| {
+            CliError::Invalid(errors.iter().map(SettingsError::to_string).collect())
+        })?;
+    let line = format!(
+        "{path} is good: box {} in {}",
+        settings.box_id, settings.domain
+    );
+    Ok(Output::new(
+        line,
+        json!({ "box": settings.box_id, "domain": settings.domain }),
+    ))
 }
--- a/src/cli/observe.rs
+++ b/src/cli/observe.rs
@@ -21,15 +21,30 @@
 /// The boxes' addresses that were given.
 #[must_use]
 pub fn addresses(matches: &ArgMatches) -> Vec<String> {
-    matches.get_many::<String>("boxes").into_iter().flatten().cloned().collect()
+    matches
+        .get_many::<String>("boxes")
+        .into_iter()
+        .flatten()
+        .cloned()
+        .collect()
 }
 
-async fn get<T: DeserializeOwned>(client: &Client, address: &str, path: &str) -> Result<T, CliError> {
+async fn get<T: DeserializeOwned>(
+    client: &Client,
+    address: &str,
+    path: &str,
+) -> Result<T, CliError> {
     let unreachable = |what: String| CliError::Unreachable(format!("box at {address}: {what}"));
     let call = Call::new(Method::GET, address, path);
-    let answer = client.send(call, ANSWER_LIMIT).await.map_err(|e| unreachable(e.to_string()))?;
+    let answer = client
+        .send(call, ANSWER_LIMIT)
+        .await
+        .map_err(|e| unreachable(e.to_string()))?;
     if answer.status != StatusCode::OK {
-        return Err(unreachable(format!("status {}; is this the operators' address?", answer.status)));
+        return Err(unreachable(format!(
+            "status {}; is this the operators' address?",
+            answer.status
+        )));
     }
     serde_json::from_slice(&answer.body).map_err(|e| unreachable(e.to_string()))
 }
@@ -48,7 +63,11 @@
 /// # Errors
 ///
 /// That it can't be reached.
-pub async fn fetch_timeline(client: &Client, address: &str, subject: Option<&str>) -> Result<Vec<Entry>, CliError> {
+pub async fn fetch_timeline(
+    client: &Client,
+    address: &str,
+    subject: Option<&str>,
+) -> Result<Vec<Entry>, CliError> {
     let path = subject.map_or("/timeline".to_owned(), |s| format!("/timeline?subject={s}"));
     get(client, address, &path).await
 }
@@ -78,7 +97,10 @@
     let merged = merge(lines);
     let mut text: Vec<String> = merged.iter().map(show).collect();
     text.extend(silent.iter().map(|s| format!("# not shown: {s}")));
-    Ok(Output::new(text.join("\n"), json!({ "events": merged, "not_shown": silent })))
+    Ok(Output::new(
+        text.join("\n"),
+        json!({ "events": merged, "not_shown": silent }),
+    ))
 }
 
 /// One event as a line for a person.
@@ -115,7 +137,10 @@
     }
     let mut text: Vec<String> = found.iter().map(line_of).collect();
     text.extend(silent.iter().map(|s| format!("# {s}")));
-    Ok(Output::new(text.join("\n"), json!({ "boxes": found, "not_shown": silent })))
+    Ok(Output::new(
+        text.join("\n"),
+        json!({ "boxes": found, "not_shown": silent }),
+    ))
 }
 
 fn line_of(status: &Status) -> String {
--- a/src/cli/platform.rs
+++ b/src/cli/platform.rs
@@ -38,7 +38,10 @@
     /// Names the platform; no connection is made yet.
     #[must_use]
     pub fn new(address: &str) -> Self {
-        Self { address: address.to_owned(), client: Client::default() }
+        Self {
+            address: address.to_owned(),
+            client: Client::default(),
+        }
     }
 
     fn unreachable(&self, what: &str) -> CliError {
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -77,7 +77,9 @@
     let micros = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .map_or(0, |d| u64::try_from(d.as_micros()).unwrap_or(0));
-    let mut last = LAST.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let mut last = LAST
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner);
     *last = micros.max(*last + 1);
     *last
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -55,11 +55,21 @@
 impl fmt::Display for DaemonError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Listen { setting, address, error } => {
-                write!(f, "{setting} = {address}: {error}; choose an address of this box that is free")
+            Self::Listen {
+                setting,
+                address,
+                error,
+            } => {
+                write!(
+                    f,
+                    "{setting} = {address}: {error}; choose an address of this box that is free"
+                )
             }
             Self::Threads(error) => {
-                write!(f, "threads can't be started: {error}; allow this user more of them")
+                write!(
+                    f,
+                    "threads can't be started: {error}; allow this user more of them"
+                )
             }
         }
     }
@@ -90,7 +100,10 @@
     /// The bundle in force.
     #[must_use]
     pub fn bundle(&self) -> Option<Arc<Bundle>> {
-        self.bundle.read().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
+        self.bundle
+            .read()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+            .clone()
     }
 
     /// Hands something to the control thread, waiting if it is busy.
@@ -132,13 +145,13 @@
             callers: listen("callers", settings.callers).await?,
             operators: listen("operators", settings.operators).await?,
             peers: listen("peers_address", settings.peers_address).await?,
-            heartbeats: UdpSocket::bind(settings.peers_address).await.map_err(|error| {
-                DaemonError::Listen {
+            heartbeats: UdpSocket::bind(settings.peers_address)
+                .await
+                .map_err(|error| DaemonError::Listen {
                     setting: "peers_address",
                     address: settings.peers_address,
                     error,
-                }
-            })?,
+                })?,
         })
     }
 }
@@ -146,7 +159,11 @@
 async fn listen(setting: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
     TcpListener::bind(address)
         .await
-        .map_err(|error| DaemonError::Listen { setting, address, error })
+        .map_err(|error| DaemonError::Listen {
+            setting,
+            address,
+            error,
+        })
 }
 
 /// Runs the daemon until it has stopped.
@@ -174,12 +191,25 @@
     };
     let node = new_node(&shared);
     let heartbeats = Arc::new(listeners.heartbeats);
-    runtime.spawn(peers::receive_heartbeats(Arc::clone(&heartbeats), shared.clone()));
+    runtime.spawn(peers::receive_heartbeats(
+        Arc::clone(&heartbeats),
+        shared.clone(),
+    ));
     runtime.spawn(peers::accept(listeners.peers, shared.clone()));
-    runtime.spawn(crate::http::serve(listeners.callers, callers::router(shared.clone())));
-    runtime.spawn(crate::http::serve(listeners.operators, operators::router(shared.clone())));
+    runtime.spawn(crate::http::serve(
+        listeners.callers,
+        callers::router(shared.clone()),
+    ));
+    runtime.spawn(crate::http::serve(
+        listeners.operators,
+        operators::router(shared.clone()),
+    ));
     runtime.spawn(stop_on_signal(shared.clone()));
-    log::info!("box {} listens for callers on {}", shared.settings.box_id, shared.settings.callers);
+    log::info!(
+        "box {} listens for callers on {}",
+        shared.settings.box_id,
+        shared.settings.callers
+    );
     let control = Control::new(node, shared, runtime.handle().clone(), heartbeats);
     let thread = std::thread::Builder::new()
         .name("control".to_owned())
@@ -201,9 +231,10 @@
 
 async fn stop_on_signal(shared: Shared) {
     use tokio::signal::unix::{SignalKind, signal};
-    let (Ok(mut terminate), Ok(mut interrupt)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
+    let (Ok(mut terminate), Ok(mut interrupt)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
         log::warn!("signals can't be received; a stop will cut streams off");
         return;
     };
@@ -212,5 +243,7 @@
         _ = interrupt.recv() => {}
     }
     log::info!("asked to stop; handing over");
-    shared.tell(Input::Event(crate::node::event::Event::Stop)).await;
+    shared
+        .tell(Input::Event(crate::node::event::Event::Stop))
+        .await;
 }
--- a/src/daemon/callers.rs
+++ b/src/daemon/callers.rs
@@ -20,8 +20,8 @@
 use serde_json::json;
 use tokio::sync::mpsc;
 
-use crate::daemon::{Context, Shared};
 use crate::daemon::control::Input;
+use crate::daemon::{Context, Shared};
 use crate::http::{self, BodyError};
 use crate::node::action::Reply;
 use crate::node::event::CallerEvent;
@@ -52,7 +52,9 @@
     let context = StateMiddleware::new(Context::new(shared));
     let (chain, pipelines) = single_pipeline(single_middleware(context));
     build_router(chain, pipelines, |route| {
-        route.post("/v1/completions").to_async_borrowing(completions);
+        route
+            .post("/v1/completions")
+            .to_async_borrowing(completions);
         route
             .post("/v1/services/:service/:call")
             .with_path_extractor::<CallPath>()
@@ -99,7 +101,9 @@
 
 async fn completions(state: &mut State) -> Result<Response<Body>, HandlerError> {
     let shared = Context::shared(state);
-    Ok(serve_completion(state, shared).await.unwrap_or_else(|problem| problem.respond()))
+    Ok(serve_completion(state, shared)
+        .await
+        .unwrap_or_else(|problem| problem.respond()))
 }
 
 async fn serve_completion(state: &mut State, shared: Shared) -> Result<Response<Body>, Problem> {
@@ -112,9 +116,16 @@
         let caller = ask(&shared, key, CallerEvent::Defer(wanted.request)).await;
         return accepted(caller).await;
     }
-    let event = CallerEvent::Submit { request: wanted.request, cursor: wanted.cursor };
+    let event = CallerEvent::Submit {
+        request: wanted.request,
+        cursor: wanted.cursor,
+    };
     let caller = ask(&shared, key, event).await;
-    if wanted.stream { stream::events(caller).await } else { stream::whole(caller).await }
+    if wanted.stream {
+        stream::events(caller).await
+    } else {
+        stream::whole(caller).await
+    }
 }
 
 /// Hands a caller's request to the control thread.
@@ -122,8 +133,19 @@
     let connection = NEXT_CONNECTION.fetch_add(1, Ordering::Relaxed);
     let (replies, received) = mpsc::channel(REPLY_CAPACITY);
     let guard = CallerGuard::new(connection, shared.clone());
-    shared.tell(Input::Caller { connection, event, replies }).await;
-    Caller { key, received, guard, asked: Instant::now() }
+    shared
+        .tell(Input::Caller {
+            connection,
+            event,
+            replies,
+        })
+        .await;
+    Caller {
+        key,
+        received,
+        guard,
+        asked: Instant::now(),
+    }
 }
 
 async fn accepted(mut caller: Caller) -> Result<Response<Body>, Problem> {
@@ -144,7 +166,9 @@
 
 async fn call(state: &mut State) -> Result<Response<Body>, HandlerError> {
     let shared = Context::shared(state);
-    Ok(serve_call(state, shared).await.unwrap_or_else(|problem| problem.respond()))
+    Ok(serve_call(state, shared)
+        .await
+        .unwrap_or_else(|problem| problem.respond()))
 }
 
 async fn serve_call(state: &mut State, shared: Shared) -> Result<Response<Body>, Problem> {
@@ -155,7 +179,10 @@
     let domain = &shared.settings.domain;
     let request = parse::call(headers, &path.service, &path.call, &body, &bundle, domain)?;
     let key = request.key.clone();
-    let event = CallerEvent::Submit { request, cursor: None };
+    let event = CallerEvent::Submit {
+        request,
+        cursor: None,
+    };
     let mut caller = ask(&shared, key.clone(), event).await;
     match caller.next().await? {
         Reply::Answered(answer) => {
@@ -171,7 +198,9 @@
 async fn lookup(state: &mut State) -> Result<Response<Body>, HandlerError> {
     let shared = Context::shared(state);
     let path = RequestPath::take_from(state);
-    Ok(serve_lookup(&path.key, shared).await.unwrap_or_else(|problem| problem.respond()))
+    Ok(serve_lookup(&path.key, shared)
+        .await
+        .unwrap_or_else(|problem| problem.respond()))
 }
 
 async fn serve_lookup(key: &str, shared: Shared) -> Result<Response<Body>, Problem> {
@@ -184,8 +213,10 @@
     match caller.next().await? {
         Reply::Status(DeferredStatus::Missing) => Err(missing()),
         Reply::Status(DeferredStatus::Accepted) => {
-            let mut response =
-                http::respond_json(StatusCode::ACCEPTED, &json!({ "key": key, "status": "accepted" }));
+            let mut response = http::respond_json(
+                StatusCode::ACCEPTED,
+                &json!({ "key": key, "status": "accepted" }),
+            );
             response.headers_mut().insert("retry-after", 1.into());
             Ok(response)
         }
--- a/src/daemon/callers/parse.rs
+++ b/src/daemon/callers/parse.rs
@@ -64,7 +64,9 @@
     domain: &DomainId,
 ) -> Result<Completion, Problem> {
     let raw: CompletionBody = serde_json::from_slice(body).map_err(|e| {
-        bad(format!("the body must be JSON with `model` and `prompt`: {e}"))
+        bad(format!(
+            "the body must be JSON with `model` and `prompt`: {e}"
+        ))
     })?;
     let organisation = organisation(headers, bundle)?;
     let generate = generate(&raw, bundle)?;
@@ -81,20 +83,36 @@
 
 fn generate(raw: &CompletionBody, bundle: &Bundle) -> Result<GenerateRequest, Problem> {
     let unknown = || {
-        let detail = format!("no model {:?} in bundle {}; ask the operators for its name", raw.model, bundle.version());
+        let detail = format!(
+            "no model {:?} in bundle {}; ask the operators for its name",
+            raw.model,
+            bundle.version()
+        );
         Problem::mistake(StatusCode::NOT_FOUND, "unknown_model", detail)
     };
-    let model = raw.model.parse().ok().and_then(|id| bundle.model(&id)).ok_or_else(unknown)?;
+    let model = raw
+        .model
+        .parse()
+        .ok()
+        .and_then(|id| bundle.model(&id))
+        .ok_or_else(unknown)?;
     let most = u64::from(model.max_tokens);
-    let wanted = raw.max_tokens.unwrap_or_else(|| u64::from(DEFAULT_MAX_TOKENS).min(most));
+    let wanted = raw
+        .max_tokens
+        .unwrap_or_else(|| u64::from(DEFAULT_MAX_TOKENS).min(most));
     if wanted == 0 || wanted > most {
-        return Err(bad(format!("max_tokens is {wanted}; give a number from 1 to {most}")));
+        return Err(bad(format!(
+            "max_tokens is {wanted}; give a number from 1 to {most}"
+        )));
     }
     let adapter = match &raw.adapter {
         None => None,
         Some(name) => {
             let known = model.adapters.iter().find(|a| a.as_str() == name);
-            let detail = format!("model {} has no adapter {name:?}; leave it out or ask the operators", model.id);
+            let detail = format!(
+                "model {} has no adapter {name:?}; leave it out or ask the operators",
+                model.id
+            );
             Some(known.cloned().ok_or_else(|| bad(detail))?)
         }
     };
@@ -120,14 +138,22 @@
     domain: &DomainId,
 ) -> Result<Request, Problem> {
     let unknown = || {
-        let detail = format!("no call {service}/{call} in bundle {}; ask the operators for its name", bundle.version());
+        let detail = format!(
+            "no call {service}/{call} in bundle {}; ask the operators for its name",
+            bundle.version()
+        );
         Problem::mistake(StatusCode::NOT_FOUND, "unknown_service", detail)
     };
     let service: ServiceId = service.parse().map_err(|_| unknown())?;
     let call: CallName = call.parse().map_err(|_| unknown())?;
     let spec = bundle.call(&service, &call).ok_or_else(unknown)?;
     let body = String::from_utf8(body.to_vec()).map_err(|_| bad("the body must be UTF-8"))?;
-    let kind = RequestKind::Call(CallRequest { service, call, body, repeatable: spec.repeatable });
+    let kind = RequestKind::Call(CallRequest {
+        service,
+        call,
+        body,
+        repeatable: spec.repeatable,
+    });
     let organisation = organisation(headers, bundle)?;
     request(headers, kind, organisation, bundle, domain, false)
 }
@@ -142,8 +168,15 @@
     };
     let known = name.parse().ok().and_then(|id| bundle.organisation(&id));
     let Some(organisation) = known else {
-        let detail = format!("no organisation {name:?} in bundle {}; check the header Organisation", bundle.version());
-        return Err(Problem::mistake(StatusCode::FORBIDDEN, "unknown_organisation", detail));
+        let detail = format!(
+            "no organisation {name:?} in bundle {}; check the header Organisation",
+            bundle.version()
+        );
+        return Err(Problem::mistake(
+            StatusCode::FORBIDDEN,
+            "unknown_organisation",
+            detail,
+        ));
     };
     Ok(organisation.id.clone())
 }
@@ -157,8 +190,14 @@
     deferred: bool,
 ) -> Result<Request, Problem> {
     let (key, first) = key(headers, domain)?;
-    let usual = bundle.organisation(&organisation).map_or(Priority::Interactive, |o| o.priority);
-    let priority = if deferred { Priority::Deferrable } else { priority(headers, usual)? };
+    let usual = bundle
+        .organisation(&organisation)
+        .map_or(Priority::Interactive, |o| o.priority);
+    let priority = if deferred {
+        Priority::Deferrable
+    } else {
+        priority(headers, usual)?
+    };
     let canonical = serde_json::to_vec(&(&organisation, &kind)).unwrap_or_default();
     Ok(Request {
         key,
@@ -174,21 +213,31 @@
 /// The request's key, and whether it can't have been used before.
 fn key(headers: &HeaderMap, domain: &DomainId) -> Result<(RequestKey, bool), Problem> {
     let Some(text) = header(headers, "idempotency-key")? else {
-        let minted = format!("{domain}{}{:016x}", RequestKey::DOMAIN_MARK, rand::random::<u64>());
-        let key = minted.parse().map_err(|_| bad("the domain's name is too long for a key"))?;
+        let minted = format!(
+            "{domain}{}{:016x}",
+            RequestKey::DOMAIN_MARK,
+            rand::random::<u64>()
+        );
+        let key = minted
+            .parse()
+            .map_err(|_| bad("the domain's name is too long for a key"))?;
         return Ok((key, true));
     };
     let plain = |c: char| c.is_ascii_alphanumeric() || "-_.~:".contains(c);
     if !text.chars().all(plain) {
-        return Err(bad("Idempotency-Key may hold letters, digits and - _ . ~ : only"));
+        return Err(bad(
+            "Idempotency-Key may hold letters, digits and - _ . ~ : only",
+        ));
     }
-    let key = text.parse().map_err(|_| bad("Idempotency-Key must have 1 to 200 characters"))?;
+    let key = text
+        .parse()
+        .map_err(|_| bad("Idempotency-Key must have 1 to 200 characters"))?;
     let first = match header(headers, "idempotency-attempt")? {
         None => false,
         Some(text) => {
-            let attempt: u32 = text
-                .parse()
-                .map_err(|_| bad("Idempotency-Attempt must be a number: 1 for the first sending of a key"))?;
+            let attempt: u32 = text.parse().map_err(|_| {
+                bad("Idempotency-Attempt must be a number: 1 for the first sending of a key")
+            })?;
             attempt == 1
         }
     };
@@ -198,9 +247,11 @@
 fn priority(headers: &HeaderMap, usual: Priority) -> Result<Priority, Problem> {
     match header(headers, "priority")? {
         None => Ok(usual),
-        Some(text) => text
-            .parse()
-            .map_err(|_| bad(format!("Priority is {text:?}; use quick, interactive or deferrable"))),
+        Some(text) => text.parse().map_err(|_| {
+            bad(format!(
+                "Priority is {text:?}; use quick, interactive or deferrable"
+            ))
+        }),
     }
 }
 
@@ -208,7 +259,10 @@
     let Some(text) = header(headers, "deadline-ms")? else {
         return Ok(None);
     };
-    let millis = text.parse().ok().filter(|ms| (1..=MAX_DEADLINE_MS).contains(ms));
+    let millis = text
+        .parse()
+        .ok()
+        .filter(|ms| (1..=MAX_DEADLINE_MS).contains(ms));
     let remedy = format!("Deadline-Ms is {text:?}; give milliseconds from 1 to {MAX_DEADLINE_MS}");
     millis.map(|ms| Some(Millis(ms))).ok_or_else(|| bad(remedy))
 }
@@ -217,7 +271,11 @@
     let Some(text) = header(headers, "last-event-id")?.filter(|t| !t.is_empty()) else {
         return Ok(None);
     };
-    let remedy = || bad("Last-Event-ID is not one that this service sent; send the id of the last event you have");
+    let remedy = || {
+        bad(
+            "Last-Event-ID is not one that this service sent; send the id of the last event you have",
+        )
+    };
     parse_cursor(text).map(Some).ok_or_else(remedy)
 }
 
--- a/src/daemon/callers/stream.rs
+++ b/src/daemon/callers/stream.rs
@@ -32,7 +32,11 @@
     /// Guards a connection.
     #[must_use]
     pub fn new(connection: u64, shared: Shared) -> Self {
-        Self { connection, shared, ended: false }
+        Self {
+            connection,
+            shared,
+            ended: false,
+        }
     }
 }
 
@@ -41,7 +45,10 @@
         if self.ended {
             return;
         }
-        let gone = Event::Caller { connection: self.connection, event: CallerEvent::Gone };
+        let gone = Event::Caller {
+            connection: self.connection,
+            event: CallerEvent::Gone,
+        };
         // Without room the answer runs on for nobody until it is swept.
         let _ = self.shared.inputs.try_send(Input::Event(gone));
     }
@@ -110,11 +117,19 @@
 pub async fn events(mut caller: Caller) -> Result<Response<Body>, Problem> {
     let first = caller.next().await?;
     let waited = caller.asked.elapsed().as_secs_f64();
-    caller.guard.shared.metrics.first_reply_seconds.observe(waited);
+    caller
+        .guard
+        .shared
+        .metrics
+        .first_reply_seconds
+        .observe(waited);
     let key = caller.key.clone();
     let body = http::streaming(chunks(caller, first));
     let mut response = http::respond(StatusCode::OK, EVENT_STREAM, body);
-    response.headers_mut().insert("cache-control", gotham::hyper::header::HeaderValue::from_static("no-store"));
+    response.headers_mut().insert(
+        "cache-control",
+        gotham::hyper::header::HeaderValue::from_static("no-store"),
+    );
     name_key(&mut response, &key);
     Ok(response)
 }
@@ -140,14 +155,25 @@
 
 fn chunk(caller: Caller, reply: Reply) -> (Bytes, Next) {
     match reply {
-        Reply::Tokens { generation, end, digest, tokens } => {
+        Reply::Tokens {
+            generation,
+            end,
+            digest,
+            tokens,
+        } => {
             let id = event_id(generation, end, digest);
             let data = choice(&caller.key, &tokens, None);
-            (Bytes::from(format!("id: {id}\ndata: {data}\n\n")), Next::Wait(caller))
+            (
+                Bytes::from(format!("id: {id}\ndata: {data}\n\n")),
+                Next::Wait(caller),
+            )
         }
         Reply::Finished(finish) => {
             let data = choice(&caller.key, &[], Some(finish));
-            (Bytes::from(format!("data: {data}\n\ndata: [DONE]\n\n")), Next::End)
+            (
+                Bytes::from(format!("data: {data}\n\ndata: [DONE]\n\n")),
+                Next::End,
+            )
         }
         Reply::Refused(_) | Reply::Answered(_) | Reply::Accepted(_) | Reply::Status(_) => {
             (problem_event(&caller.cut()), Next::End)
--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -11,9 +11,9 @@
 use crate::daemon::fetch::PartCache;
 use crate::daemon::peers::Links;
 use crate::daemon::{Shared, engines, fetch, platform, services, timers};
+use crate::node::Node;
 use crate::node::action::{Action, Reply};
 use crate::node::event::{CallerEvent, Event};
-use crate::node::Node;
 use crate::schema::Member;
 use crate::settings::Settings;
 
@@ -122,7 +122,11 @@
     fn take_in(&mut self, input: Input) {
         match input {
             Input::Event(event) => self.step(event),
-            Input::Caller { connection, event, replies } => {
+            Input::Caller {
+                connection,
+                event,
+                replies,
+            } => {
                 self.callers.insert(connection, replies);
                 self.step(Event::Caller { connection, event });
             }
@@ -135,20 +139,30 @@
 
     fn step(&mut self, event: Event) {
         let began = Instant::now();
-        if let Event::Caller { connection, event: CallerEvent::Gone } = &event {
+        if let Event::Caller {
+            connection,
+            event: CallerEvent::Gone,
+        } = &event
+        {
             self.callers.remove(connection);
         }
         let bundle_news = matches!(event, Event::Bundle { .. });
         let actions = self.node.handle(self.shared.clock.now(), event);
         if bundle_news {
-            let mut bundle =
-                self.shared.bundle.write().unwrap_or_else(std::sync::PoisonError::into_inner);
+            let mut bundle = self
+                .shared
+                .bundle
+                .write()
+                .unwrap_or_else(std::sync::PoisonError::into_inner);
             *bundle = self.node.bundle();
         }
         for action in actions {
             self.carry_out(action);
         }
-        self.shared.metrics.step_seconds.observe(began.elapsed().as_secs_f64());
+        self.shared
+            .metrics
+            .step_seconds
+            .observe(began.elapsed().as_secs_f64());
     }
 
     fn carry_out(&mut self, action: Action) {
@@ -177,12 +191,17 @@
             }
             Action::FetchBundle { mark, from_peer } => {
                 let parts = Arc::clone(&self.parts);
-                self.handle.spawn(fetch::fetch(mark, from_peer, parts, shared));
+                self.handle
+                    .spawn(fetch::fetch(mark, from_peer, parts, shared));
             }
             Action::SetTimer { timer, at } => {
                 let _ = self.timers.send((timer, self.shared.clock.instant(at)));
             }
-            Action::Note { event, subject, detail } => {
+            Action::Note {
+                event,
+                subject,
+                detail,
+            } => {
                 if LOGGED.contains(&event) {
                     log::info!("{event} {subject} {detail}");
                 }
@@ -207,7 +226,10 @@
                 // cursor.
                 self.shared.metrics.slow_callers.inc();
                 self.callers.remove(&connection);
-                self.step(Event::Caller { connection, event: CallerEvent::Gone });
+                self.step(Event::Caller {
+                    connection,
+                    event: CallerEvent::Gone,
+                });
             }
         }
     }
@@ -215,7 +237,9 @@
     fn update_metrics(&self) {
         let bundle = self.node.bundle().map_or(0, |b| b.version().0);
         let epoch = self.node.membership().epoch().0;
-        self.shared.metrics.update(self.node.stats(), &self.node.holds(), bundle, epoch);
+        self.shared
+            .metrics
+            .update(self.node.stats(), &self.node.holds(), bundle, epoch);
     }
 
     fn status(&self) -> Status {
@@ -230,8 +254,11 @@
         live.push(settings.box_id.to_string());
         live.sort();
         let endpoints = self.node.endpoints();
-        let mut leaving: Vec<String> =
-            endpoints.iter().filter(|(_, e)| e.leaving).map(|(id, _)| id.to_string()).collect();
+        let mut leaving: Vec<String> = endpoints
+            .iter()
+            .filter(|(_, e)| e.leaving)
+            .map(|(id, _)| id.to_string())
+            .collect();
         leaving.sort();
         Status {
             box_id: settings.box_id.to_string(),
--- a/src/daemon/engines.rs
+++ b/src/daemon/engines.rs
@@ -111,11 +111,17 @@
 }
 
 async fn tell(start: &EngineStart, event: EngineEvent, shared: &Shared) {
-    let event = Event::Engine { stream: start.stream.clone(), event };
+    let event = Event::Engine {
+        stream: start.stream.clone(),
+        event,
+    };
     shared.tell(Input::Event(event)).await;
 }
 
-async fn open(start: &EngineStart, shared: &Shared) -> Result<gotham::hyper::body::Incoming, EngineFailure> {
+async fn open(
+    start: &EngineStart,
+    shared: &Shared,
+) -> Result<gotham::hyper::body::Incoming, EngineFailure> {
     let path = match &start.attach {
         Some(stream) => format!("/v1/streams/{stream}?from={}", start.tokens.len()),
         None => "/v1/streams".to_owned(),
@@ -126,10 +132,14 @@
             .header("content-type", "application/json")
             .body(serde_json::to_string(&request_of(start)).unwrap_or_default()),
     };
-    let response = shared.client.open(call, OPEN_LIMIT).await.map_err(|e| match e {
-        HttpError::Connect(_) | HttpError::BadRequest(_) => EngineFailure::Unreachable,
-        HttpError::Broken(_) | HttpError::TimedOut => EngineFailure::Broken,
-    })?;
+    let response = shared
+        .client
+        .open(call, OPEN_LIMIT)
+        .await
+        .map_err(|e| match e {
+            HttpError::Connect(_) | HttpError::BadRequest(_) => EngineFailure::Unreachable,
+            HttpError::Broken(_) | HttpError::TimedOut => EngineFailure::Broken,
+        })?;
     match response.status() {
         StatusCode::OK => Ok(response.into_body()),
         StatusCode::NOT_FOUND => Err(EngineFailure::Gone),
@@ -158,7 +168,10 @@
     body: gotham::hyper::body::Incoming,
     shared: &Shared,
 ) -> EngineEvent {
-    let name = start.attach.clone().unwrap_or_else(|| start.stream.to_string());
+    let name = start
+        .attach
+        .clone()
+        .unwrap_or_else(|| start.stream.to_string());
     let mut events = body.into_data_stream().eventsource();
     while let Some(Ok(event)) = events.next().await {
         let read = match event.event.as_str() {
@@ -178,7 +191,10 @@
 
 fn read_tokens(data: &str, name: &str) -> Option<EngineEvent> {
     let read: StreamTokens = serde_json::from_str(data).ok()?;
-    (read.stream == name).then_some(EngineEvent::Tokens { offset: read.offset, tokens: read.tokens })
+    (read.stream == name).then_some(EngineEvent::Tokens {
+        offset: read.offset,
+        tokens: read.tokens,
+    })
 }
 
 fn read_end(data: &str, name: &str) -> Option<EngineEvent> {
@@ -195,8 +211,13 @@
 
 /// Asks an endpoint for its load.
 pub async fn poll(endpoint: EndpointId, address: String, shared: Shared) {
-    let answer = shared.client.send(Call::new(Method::GET, &address, "/v1/load"), POLL_LIMIT).await;
-    let read = answer.ok().and_then(|a| serde_json::from_slice::<LoadAnswer>(&a.body).ok());
+    let answer = shared
+        .client
+        .send(Call::new(Method::GET, &address, "/v1/load"), POLL_LIMIT)
+        .await;
+    let read = answer
+        .ok()
+        .and_then(|a| serde_json::from_slice::<LoadAnswer>(&a.body).ok());
     let load = read.map(|read| Load {
         report: LoadReport {
             endpoint: endpoint.clone(),
@@ -208,10 +229,15 @@
         cache: read
             .cache
             .iter()
-            .map(|c| CacheChange { block: c.block, stored: c.stored })
+            .map(|c| CacheChange {
+                block: c.block,
+                stored: c.stored,
+            })
             .collect(),
     });
-    shared.tell(Input::Event(Event::Load { endpoint, load })).await;
+    shared
+        .tell(Input::Event(Event::Load { endpoint, load }))
+        .await;
 }
 
 /// Gives an order, unless the lease it rests on has run out on the way here.
--- a/src/daemon/fetch.rs
+++ b/src/daemon/fetch.rs
@@ -48,10 +48,18 @@
     let checked = fetched.and_then(|signed| check(&mark, signed, &shared));
     let event = match checked {
         Ok((bundle, signed)) => {
-            *cache.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = signed.parts.clone();
-            Event::Bundle { bundle: Arc::new(bundle), signed: Arc::new(signed) }
+            *cache
+                .lock()
+                .unwrap_or_else(std::sync::PoisonError::into_inner) = signed.parts.clone();
+            Event::Bundle {
+                bundle: Arc::new(bundle),
+                signed: Arc::new(signed),
+            }
         }
-        Err(reason) => Event::BundleFailed { version: mark.version, reason },
+        Err(reason) => Event::BundleFailed {
+            version: mark.version,
+            reason,
+        },
     };
     shared.tell(Input::Event(event)).await;
 }
@@ -60,10 +68,20 @@
     let address = shared.settings.platform.to_string();
     let path = object_path(name);
     let call = Call::new(Method::GET, &address, &path);
-    let answer = shared.client.send(call, PART_LIMIT).await.map_err(|e| format!("{name}: {e}"))?;
-    shared.metrics.platform_bytes_in.inc_by(answer.body.len() as u64);
+    let answer = shared
+        .client
+        .send(call, PART_LIMIT)
+        .await
+        .map_err(|e| format!("{name}: {e}"))?;
+    shared
+        .metrics
+        .platform_bytes_in
+        .inc_by(answer.body.len() as u64);
     if answer.status != StatusCode::OK {
-        return Err(format!("{name}: status {}; roll the bundle again", answer.status));
+        return Err(format!(
+            "{name}: status {}; roll the bundle again",
+            answer.status
+        ));
     }
     Ok(answer.text())
 }
@@ -76,7 +94,10 @@
     let text = get(&manifest_name(mark.hash.as_str()), shared).await?;
     let manifest: SignedManifest = serde_json::from_str(&text).map_err(|e| e.to_string())?;
     let named: Manifest = serde_json::from_str(&manifest.manifest).map_err(|e| e.to_string())?;
-    let known = cache.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone();
+    let known = cache
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner)
+        .clone();
     let mut parts = BTreeMap::new();
     for part in named.parts {
         let hash = part.hash.to_string();
@@ -102,9 +123,13 @@
     let manifest: Manifest =
         serde_json::from_str(&signed.manifest.manifest).map_err(|e| e.to_string())?;
     if manifest.version != mark.version {
-        return Err("the manifest has another version than was named; roll the bundle again".to_owned());
+        return Err(
+            "the manifest has another version than was named; roll the bundle again".to_owned(),
+        );
     }
-    signed.parts.retain(|hash, _| manifest.parts.iter().any(|p| p.hash.as_str() == hash));
+    signed
+        .parts
+        .retain(|hash, _| manifest.parts.iter().any(|p| p.hash.as_str() == hash));
     let bundle = join(&signed).map_err(|errors| {
         let texts: Vec<String> = errors.iter().map(ToString::to_string).collect();
         texts.join("; ")
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -10,8 +10,9 @@
 use crate::node::stats::Stats;
 
 /// Upper bounds of the buckets for times, in seconds.
-const TIME_BUCKETS: [f64; 12] =
-    [0.000_01, 0.000_1, 0.001, 0.005, 0.02, 0.06, 0.15, 0.35, 1.0, 3.0, 10.0, 60.0];
+const TIME_BUCKETS: [f64; 12] = [
+    0.000_01, 0.000_1, 0.001, 0.005, 0.02, 0.06, 0.15, 0.35, 1.0, 3.0, 10.0, 60.0,
+];
 
 /// All metrics of a daemon.
 pub struct Metrics {
@@ -56,21 +57,28 @@
     pub fn new() -> Self {
         let registry = Registry::new();
         let counter = |name: &str, help: &str| {
-            let counter = IntCounter::new(format!("magpiemoor_{name}"), help).expect("a valid name");
-            registry.register(Box::new(counter.clone())).expect("a new name");
+            let counter =
+                IntCounter::new(format!("magpiemoor_{name}"), help).expect("a valid name");
+            registry
+                .register(Box::new(counter.clone()))
+                .expect("a new name");
             counter
         };
         let gauge = |name: &str, help: &str| {
             let opts = Opts::new(format!("magpiemoor_{name}"), help);
             let gauge = IntGauge::with_opts(opts).expect("a valid name");
-            registry.register(Box::new(gauge.clone())).expect("a new name");
+            registry
+                .register(Box::new(gauge.clone()))
+                .expect("a new name");
             gauge
         };
         let times = |name: &str, help: &str| {
             let opts = HistogramOpts::new(format!("magpiemoor_{name}"), help)
                 .buckets(TIME_BUCKETS.to_vec());
             let histogram = Histogram::with_opts(opts).expect("a valid name");
-            registry.register(Box::new(histogram.clone())).expect("a new name");
+            registry
+                .register(Box::new(histogram.clone()))
+                .expect("a new name");
             histogram
         };
         let node = Stats::default()
@@ -80,23 +88,41 @@
             .collect();
         Self {
             node: Mutex::new(node),
-            held: HELD.iter().map(|(name, help)| gauge(&format!("held_{name}"), help)).collect(),
+            held: HELD
+                .iter()
+                .map(|(name, help)| gauge(&format!("held_{name}"), help))
+                .collect(),
             bundle_version: gauge("bundle_version", "Version of the bundle in force"),
             epoch: gauge("epoch", "Epoch of the failure domain's roster"),
-            step_seconds: times("step_seconds", "Seconds that the control thread spends on an event"),
-            first_reply_seconds: times("first_reply_seconds", "Seconds to the first part of an answer"),
+            step_seconds: times(
+                "step_seconds",
+                "Seconds that the control thread spends on an event",
+            ),
+            first_reply_seconds: times(
+                "first_reply_seconds",
+                "Seconds to the first part of an answer",
+            ),
             peer_bytes_in: counter("peer_bytes_in_total", "Bytes from other boxes"),
             peer_bytes_out: counter("peer_bytes_out_total", "Bytes to other boxes"),
-            peer_garbled: counter("peer_garbled_total", "Messages of other boxes that could not be read"),
+            peer_garbled: counter(
+                "peer_garbled_total",
+                "Messages of other boxes that could not be read",
+            ),
             platform_bytes_in: counter("platform_bytes_in_total", "Bytes from the platform"),
-            slow_callers: counter("slow_callers_total", "Callers cut off for reading too slowly"),
+            slow_callers: counter(
+                "slow_callers_total",
+                "Callers cut off for reading too slowly",
+            ),
             registry,
         }
     }
 
     /// Takes over the counts of the node.
     pub fn update(&self, stats: &Stats, holds: &Holds, bundle_version: u64, epoch: u64) {
-        let node = self.node.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let node = self
+            .node
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
         for (counter, (_, _, count)) in node.iter().zip(stats.list()) {
             counter.inc_by(count.saturating_sub(counter.get()));
         }
@@ -111,7 +137,8 @@
         for (gauge, value) in self.held.iter().zip(held) {
             gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
         }
-        self.bundle_version.set(i64::try_from(bundle_version).unwrap_or(i64::MAX));
+        self.bundle_version
+            .set(i64::try_from(bundle_version).unwrap_or(i64::MAX));
         self.epoch.set(i64::try_from(epoch).unwrap_or(i64::MAX));
     }
 
--- a/src/daemon/operators.rs
+++ b/src/daemon/operators.rs
@@ -1,6 +1,5 @@
 //! The operators' face: health, readiness, metrics, status and the time line.
 
-
 use gotham::handler::HandlerError;
 use gotham::helpers::http::Body;
 use gotham::hyper::{Response, StatusCode};
@@ -12,8 +11,8 @@
 use serde::Deserialize;
 use tokio::sync::oneshot;
 
-use crate::daemon::{Context, Shared};
 use crate::daemon::control::{Input, Status};
+use crate::daemon::{Context, Shared};
 use crate::http;
 
 /// The media type of metrics in the text format.
@@ -45,7 +44,9 @@
 async fn ask_status(shared: &Shared) -> Option<Status> {
     let (reply, answer) = oneshot::channel();
     shared.tell(Input::Status(reply)).await;
-    http::within(std::time::Duration::from_secs(2), answer).await?.ok()
+    http::within(std::time::Duration::from_secs(2), answer)
+        .await?
+        .ok()
 }
 
 fn text(status: StatusCode, text: &'static str) -> Response<Body> {
@@ -56,7 +57,10 @@
     let shared = Context::shared(state);
     Ok(match ask_status(&shared).await {
         Some(_) => text(StatusCode::OK, "ok\n"),
-        None => text(StatusCode::INTERNAL_SERVER_ERROR, "the control thread hangs; restart the box\n"),
+        None => text(
+            StatusCode::INTERNAL_SERVER_ERROR,
+            "the control thread hangs; restart the box\n",
+        ),
     })
 }
 
@@ -66,21 +70,31 @@
     Ok(if ready {
         text(StatusCode::OK, "ready\n")
     } else {
-        text(StatusCode::SERVICE_UNAVAILABLE, "no bundle in force, or stopping\n")
+        text(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no bundle in force, or stopping\n",
+        )
     })
 }
 
 async fn metrics(state: &mut State) -> Result<Response<Body>, HandlerError> {
     let shared = Context::shared(state);
     ask_status(&shared).await;
-    Ok(http::respond(StatusCode::OK, METRICS_TYPE, http::full(shared.metrics.text())))
+    Ok(http::respond(
+        StatusCode::OK,
+        METRICS_TYPE,
+        http::full(shared.metrics.text()),
+    ))
 }
 
 async fn status(state: &mut State) -> Result<Response<Body>, HandlerError> {
     let shared = Context::shared(state);
     Ok(match ask_status(&shared).await {
         Some(status) => http::respond_json(StatusCode::OK, &status),
-        None => text(StatusCode::INTERNAL_SERVER_ERROR, "the control thread hangs; restart the box\n"),
+        None => text(
+            StatusCode::INTERNAL_SERVER_ERROR,
+            "the control thread hangs; restart the box\n",
+        ),
     })
 }
 
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -59,7 +59,10 @@
 #[must_use]
 pub fn encode_frame(envelope: &Envelope) -> Vec<u8> {
     let body = postcard::to_stdvec(envelope).unwrap_or_default();
-    let mut frame = u32::try_from(body.len()).unwrap_or(0).to_le_bytes().to_vec();
+    let mut frame = u32::try_from(body.len())
+        .unwrap_or(0)
+        .to_le_bytes()
+        .to_vec();
     frame.extend(body);
     frame
 }
@@ -107,7 +110,10 @@
         return;
     }
     if start[MARK.len()] != PROTOCOL_VERSION {
-        log::warn!("a box speaks version {} of the protocol; run one release everywhere", start[MARK.len()]);
+        log::warn!(
+            "a box speaks version {} of the protocol; run one release everywhere",
+            start[MARK.len()]
+        );
         return;
     }
     while let Some(envelope) = read_envelope(&mut reader, &shared).await {
@@ -149,7 +155,12 @@
     /// Starts without connections.
     #[must_use]
     pub fn new(shared: Shared, handle: Handle, socket: Arc<UdpSocket>) -> Self {
-        Self { shared, handle, socket, queues: HashMap::new() }
+        Self {
+            shared,
+            handle,
+            socket,
+            queues: HashMap::new(),
+        }
     }
 
     /// Sends a message; if it can't be queued, the box counts as lost.
@@ -160,7 +171,11 @@
             clock: self.shared.timeline.clock().tick(),
             message,
         });
-        let frame = match self.queues.get(&to.address).map(|queue| queue.try_send(frame.clone())) {
+        let frame = match self
+            .queues
+            .get(&to.address)
+            .map(|queue| queue.try_send(frame.clone()))
+        {
             Some(Ok(())) => return,
             Some(Err(mpsc::error::TrySendError::Full(_))) => {
                 // The box takes nothing; the connection is given up and everyone is told.
@@ -173,12 +188,14 @@
         let (queue, frames) = mpsc::channel(QUEUE);
         let _ = queue.try_send(frame);
         self.queues.insert(to.address.clone(), queue);
-        self.handle.spawn(write_messages(to.clone(), frames, self.shared.clone()));
+        self.handle
+            .spawn(write_messages(to.clone(), frames, self.shared.clone()));
     }
 
     fn tell_lost(&self, id: BoxId) {
         let shared = self.shared.clone();
-        self.handle.spawn(async move { shared.tell(Input::Event(Event::PeerLost(id))).await });
+        self.handle
+            .spawn(async move { shared.tell(Input::Event(Event::PeerLost(id))).await });
     }
 
     /// Sends a heartbeat to several boxes.
@@ -191,7 +208,10 @@
             };
             // A datagram that can't be sent is like one that is lost.
             if self.socket.try_send_to(&datagram, address).is_ok() {
-                self.shared.metrics.peer_bytes_out.inc_by(datagram.len() as u64);
+                self.shared
+                    .metrics
+                    .peer_bytes_out
+                    .inc_by(datagram.len() as u64);
             }
         }
     }
--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -23,13 +23,19 @@
 pub async fn call(id: u64, op: PlatformOp, shared: Shared) {
     let asked = shared.clock.now();
     let answer = ask(&op, &shared).await;
-    shared.tell(Input::Event(Event::Platform { id, asked, answer })).await;
+    shared
+        .tell(Input::Event(Event::Platform { id, asked, answer }))
+        .await;
 }
 
 async fn ask(op: &PlatformOp, shared: &Shared) -> PlatformAnswer {
     let address = shared.settings.platform.to_string();
     let path = path_of(op);
-    let limit = if matches!(op, PlatformOp::Watch { .. }) { WATCH_LIMIT } else { CALL_LIMIT };
+    let limit = if matches!(op, PlatformOp::Watch { .. }) {
+        WATCH_LIMIT
+    } else {
+        CALL_LIMIT
+    };
     let call = match op {
         PlatformOp::Get { known, .. } => {
             let call = Call::new(Method::GET, &address, &path);
@@ -53,12 +59,18 @@
     };
     match shared.client.send(call, limit).await {
         Ok(answer) => {
-            shared.metrics.platform_bytes_in.inc_by(answer.body.len() as u64);
+            shared
+                .metrics
+                .platform_bytes_in
+                .inc_by(answer.body.len() as u64);
             read(op, &answer)
         }
-        Err(HttpError::Connect(_) | HttpError::Broken(_) | HttpError::TimedOut | HttpError::BadRequest(_)) => {
-            PlatformAnswer::NoAnswer
-        }
+        Err(
+            HttpError::Connect(_)
+            | HttpError::Broken(_)
+            | HttpError::TimedOut
+            | HttpError::BadRequest(_),
+        ) => PlatformAnswer::NoAnswer,
     }
 }
 
@@ -106,16 +118,22 @@
     let found = match op {
         PlatformOp::Get { name, .. } | PlatformOp::Watch { name, .. } => {
             version_of(answer).map(|version| {
-                PlatformAnswer::Object(Object { name: name.clone(), version, value: answer.text() })
+                PlatformAnswer::Object(Object {
+                    name: name.clone(),
+                    version,
+                    value: answer.text(),
+                })
             })
         }
         PlatformOp::Put { .. } | PlatformOp::Delete(_) => {
             Some(PlatformAnswer::Written(version_of(answer).unwrap_or(0)))
         }
-        PlatformOp::List(_) => serde_json::from_slice(&answer.body).ok().map(PlatformAnswer::Names),
-        PlatformOp::Fleet { .. } => {
-            serde_json::from_slice::<FleetList>(&answer.body).ok().map(PlatformAnswer::Fleet)
-        }
+        PlatformOp::List(_) => serde_json::from_slice(&answer.body)
+            .ok()
+            .map(PlatformAnswer::Names),
+        PlatformOp::Fleet { .. } => serde_json::from_slice::<FleetList>(&answer.body)
+            .ok()
+            .map(PlatformAnswer::Fleet),
     };
     found.unwrap_or(PlatformAnswer::NoAnswer)
 }
--- a/src/daemon/services.rs
+++ b/src/daemon/services.rs
@@ -12,7 +12,11 @@
 /// Makes a call and tells the control thread what came of it.
 pub async fn call(call: ServiceCall, shared: Shared) {
     let outcome = ask(&call, &shared).await;
-    let event = Event::Service { key: call.key, attempt: call.attempt, outcome };
+    let event = Event::Service {
+        key: call.key,
+        attempt: call.attempt,
+        outcome,
+    };
     shared.tell(Input::Event(event)).await;
 }
 
@@ -26,7 +30,10 @@
     let limit = call.give_up.since(shared.clock.now());
     // The last look at the clock before bytes leave: a process that was frozen on the way here
     // finds its lease over and sends nothing.
-    if call.not_after.is_some_and(|until| shared.clock.now() >= until) {
+    if call
+        .not_after
+        .is_some_and(|until| shared.clock.now() >= until)
+    {
         return ServiceOutcome::NotSent(NotSent::LeaseOver);
     }
     match shared.client.send(request, limit).await {
--- a/src/http.rs
+++ b/src/http.rs
@@ -53,7 +53,10 @@
 impl std::fmt::Display for HttpError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            Self::Connect(e) => write!(f, "no connection: {e}; check the address and that the process runs"),
+            Self::Connect(e) => write!(
+                f,
+                "no connection: {e}; check the address and that the process runs"
+            ),
             Self::Broken(e) => write!(f, "connection broke: {e}; try again"),
             Self::TimedOut => write!(f, "no answer in time; try again"),
             Self::BadRequest(e) => write!(f, "request can't be built: {e}; check the address"),
@@ -127,7 +130,13 @@
     /// A request without headers or body.
     #[must_use]
     pub fn new(method: Method, address: &'a str, path: &'a str) -> Self {
-        Self { method, address, path, headers: Vec::new(), body: Bytes::new() }
+        Self {
+            method,
+            address,
+            path,
+            headers: Vec::new(),
+            body: Bytes::new(),
+        }
     }
 
     /// Adds a header.
@@ -151,7 +160,9 @@
         for (name, value) in self.headers {
             builder = builder.header(name, value);
         }
-        builder.body(Full::new(self.body)).map_err(|e| HttpError::BadRequest(e.to_string()))
+        builder
+            .body(Full::new(self.body))
+            .map_err(|e| HttpError::BadRequest(e.to_string()))
     }
 }
 
@@ -161,7 +172,11 @@
     /// # Errors
     ///
     /// Tells a connection that could not be made from one that broke.
-    pub async fn open(&self, call: Call<'_>, limit: Duration) -> Result<Response<Incoming>, HttpError> {
+    pub async fn open(
+        &self,
+        call: Call<'_>,
+        limit: Duration,
+    ) -> Result<Response<Incoming>, HttpError> {
         let request = call.build()?;
         match tokio::time::timeout(limit, self.inner.request(request)).await {
             Err(_) => Err(HttpError::TimedOut),
@@ -181,10 +196,19 @@
             let response = self.open(call, limit).await?;
             let (head, body) = response.into_parts();
             let body = Limited::new(body, MAX_ANSWER);
-            let body = body.collect().await.map_err(|e| HttpError::Broken(e.to_string()))?;
-            Ok(Answer { status: head.status, headers: head.headers, body: body.to_bytes() })
+            let body = body
+                .collect()
+                .await
+                .map_err(|e| HttpError::Broken(e.to_string()))?;
+            Ok(Answer {
+                status: head.status,
+                headers: head.headers,
+                body: body.to_bytes(),
+            })
         };
-        tokio::time::timeout(limit, whole).await.unwrap_or(Err(HttpError::TimedOut))
+        tokio::time::timeout(limit, whole)
+            .await
+            .unwrap_or(Err(HttpError::TimedOut))
     }
 }
 
@@ -224,7 +248,9 @@
 #[must_use]
 pub fn streaming(chunks: impl Stream<Item = Bytes> + Send + 'static) -> Body {
     use futures_util::StreamExt;
-    Body::new(StreamBody::new(chunks.map(|b| Ok::<_, io::Error>(Frame::data(b)))))
+    Body::new(StreamBody::new(
+        chunks.map(|b| Ok::<_, io::Error>(Frame::data(b))),
+    ))
 }
 
 /// Builds a response.
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -18,7 +18,12 @@
 pub fn start(file: Option<&str>, level: LevelFilter) -> Result<(), String> {
     let encoder = Box::new(PatternEncoder::new(PATTERN));
     let appender: Box<dyn Append> = match file {
-        None => Box::new(ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build()),
+        None => Box::new(
+            ConsoleAppender::builder()
+                .target(Target::Stderr)
+                .encoder(encoder)
+                .build(),
+        ),
         Some(path) => {
             let built = FileAppender::builder().encoder(encoder).build(path);
             let remedy = |e| format!("log_file = {path:?}: {e}; name a file that can be written");
@@ -29,5 +34,7 @@
         .appender(Appender::builder().build("main", appender))
         .build(Root::builder().appender("main").build(level))
         .map_err(|e| e.to_string())?;
-    log4rs::init_config(config).map(drop).map_err(|e| e.to_string())
+    log4rs::init_config(config)
+        .map(drop)
+        .map_err(|e| e.to_string())
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -201,7 +201,11 @@
             Event::Start => self.on_start(),
             Event::Timer(timer) => self.on_timer(timer),
             Event::Caller { connection, event } => self.on_caller(connection, event),
-            Event::Peer { from, incarnation, message } => {
+            Event::Peer {
+                from,
+                incarnation,
+                message,
+            } => {
                 if !self.membership.is_past_life(&from, incarnation) {
                     self.on_peer(&from, message);
                 }
@@ -209,7 +213,11 @@
             Event::PeerLost(id) => self.on_peer_lost(&id),
             Event::Heartbeat(beat) => self.on_heartbeat(&beat),
             Event::Engine { stream, event } => self.on_engine(&stream, event),
-            Event::Service { key, attempt, outcome } => self.on_service(&key, attempt, outcome),
+            Event::Service {
+                key,
+                attempt,
+                outcome,
+            } => self.on_service(&key, attempt, outcome),
             Event::Load { endpoint, load } => self.on_load(&endpoint, load),
             Event::Platform { id, asked, answer } => self.on_platform(id, asked, answer),
             Event::Bundle { bundle, signed } => self.on_bundle(bundle, signed),
@@ -245,7 +253,7 @@
     fn on_peer(&mut self, from: &BoxId, message: PeerMessage) {
         match message {
             PeerMessage::Submit(submit) => self.on_submit(submit),
-            PeerMessage::Output(output) => self.on_output(output),
+            PeerMessage::Output(output) => self.on_output(&output),
             PeerMessage::Refused(refused) => self.on_refused(refused),
             PeerMessage::Answered(answered) => self.on_answered(answered),
             PeerMessage::Moved(moved) => self.on_moved(&moved),
--- a/src/node/action.rs
+++ b/src/node/action.rs
@@ -5,9 +5,9 @@
 use crate::bundle::SignedBundle;
 use crate::node::event::{StreamId, Timer};
 use crate::schema::{
-    AdapterId, AnswerDigest, Attempt, BundleMark, CallName, DeferredStatus, DomainId, EndpointId, Epoch,
-    Finish, Generation, Heartbeat, Kept, Member, Micros, ModelId, PeerMessage, Priority, Refusal,
-    RequestKey, ServiceAnswer, ServiceId, Token, TokenOffset,
+    AdapterId, AnswerDigest, Attempt, BundleMark, CallName, DeferredStatus, DomainId, EndpointId,
+    Epoch, Finish, Generation, Heartbeat, Kept, Member, Micros, ModelId, PeerMessage, Priority,
+    Refusal, RequestKey, ServiceAnswer, ServiceId, Token, TokenOffset,
 };
 
 /// What a caller is told.
--- a/src/node/admission.rs
+++ b/src/node/admission.rs
@@ -133,14 +133,20 @@
 
 impl Queue {
     fn class(&mut self, priority: Priority) -> &mut Class {
-        let place = CLASSES.iter().position(|c| *c == priority).unwrap_or(CLASSES.len() - 1);
+        let place = CLASSES
+            .iter()
+            .position(|c| *c == priority)
+            .unwrap_or(CLASSES.len() - 1);
         &mut self.classes[place]
     }
 
     /// How many requests start before a new one of a class.
     fn ahead(&self, priority: Priority) -> usize {
         let classes = CLASSES.iter().zip(&self.classes);
-        classes.filter(|(c, _)| **c <= priority).map(|(_, class)| class.len()).sum()
+        classes
+            .filter(|(c, _)| **c <= priority)
+            .map(|(_, class)| class.len())
+            .sum()
     }
 
     fn expected_wait(&self, priority: Priority) -> Duration {
@@ -169,7 +175,10 @@
     pub fn admit(&mut self, pool: &Pool, waiting: Waiting, limit: usize, now: Micros) -> Admitted {
         let queue = self.queues.entry(pool.clone()).or_default();
         let wait = queue.expected_wait(waiting.priority);
-        if waiting.deadline.is_some_and(|deadline| now.after(wait) > deadline) {
+        if waiting
+            .deadline
+            .is_some_and(|deadline| now.after(wait) > deadline)
+        {
             return Admitted::TooLate(wait);
         }
         let class = queue.class(waiting.priority);
@@ -177,7 +186,11 @@
             push(class, waiting);
             return Admitted::Queued;
         }
-        let own = class.waiting.get(&waiting.organisation).map_or(0, VecDeque::len) + 1;
+        let own = class
+            .waiting
+            .get(&waiting.organisation)
+            .map_or(0, VecDeque::len)
+            + 1;
         let share = own as f64 / f64::from(waiting.weight.max(1));
         match class.greediest() {
             Some((greediest, most)) if most > share => {
@@ -195,7 +208,10 @@
     pub fn put_back(&mut self, pool: &Pool, waiting: Waiting) {
         let queue = self.queues.entry(pool.clone()).or_default();
         let class = queue.class(waiting.priority);
-        let line = class.waiting.entry(waiting.organisation.clone()).or_default();
+        let line = class
+            .waiting
+            .entry(waiting.organisation.clone())
+            .or_default();
         line.push_front(waiting);
     }
 
@@ -241,20 +257,28 @@
     /// How long a new request of a class would wait.
     #[must_use]
     pub fn expected_wait(&self, pool: &Pool, priority: Priority) -> Duration {
-        self.queues.get(pool).map_or(Duration::ZERO, |q| q.expected_wait(priority))
+        self.queues
+            .get(pool)
+            .map_or(Duration::ZERO, |q| q.expected_wait(priority))
     }
 
     /// The pools in which something waits.
     #[must_use]
     pub fn busy_pools(&self) -> Vec<Pool> {
-        let busy = self.queues.iter().filter(|(_, q)| q.ahead(Priority::Deferrable) > 0);
+        let busy = self
+            .queues
+            .iter()
+            .filter(|(_, q)| q.ahead(Priority::Deferrable) > 0);
         busy.map(|(pool, _)| pool.clone()).collect()
     }
 
     /// How many requests wait.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.queues.values().map(|q| q.ahead(Priority::Deferrable)).sum()
+        self.queues
+            .values()
+            .map(|q| q.ahead(Priority::Deferrable))
+            .sum()
     }
 
     /// Whether nothing waits.
@@ -265,5 +289,9 @@
 }
 
 fn push(class: &mut Class, waiting: Waiting) {
-    class.waiting.entry(waiting.organisation.clone()).or_default().push_back(waiting);
+    class
+        .waiting
+        .entry(waiting.organisation.clone())
+        .or_default()
+        .push_back(waiting);
 }
--- a/src/node/bundles.rs
+++ b/src/node/bundles.rs
@@ -44,7 +44,6 @@
     watching: bool,
 }
 
-
 impl Bundles {
     /// The bundle in force.
     #[must_use]
@@ -73,7 +72,9 @@
     /// How long callers may repeat a call.
     #[must_use]
     pub fn retry_horizon(&self) -> Duration {
-        self.current.as_ref().map_or(UNKNOWN_HORIZON, |b| b.policy().retry_horizon.into())
+        self.current
+            .as_ref()
+            .map_or(UNKNOWN_HORIZON, |b| b.policy().retry_horizon.into())
     }
 }
 
@@ -87,7 +88,10 @@
 
     fn read_pointer(&mut self) {
         self.bundles.last_read = Some(self.now);
-        let op = PlatformOp::Get { name: POINTER.to_owned(), known: None };
+        let op = PlatformOp::Get {
+            name: POINTER.to_owned(),
+            known: None,
+        };
         self.call_platform(op, Purpose::Pointer);
     }
 
@@ -95,13 +99,19 @@
     pub(super) fn watch_bundle(&mut self) {
         self.out.timer(Timer::Bundle, self.now.after(WATCH_AGAIN));
         self.settle_start();
-        let waited = self.bundles.last_read.is_none_or(|at| self.now.since(at) >= POINTER_READ);
+        let waited = self
+            .bundles
+            .last_read
+            .is_none_or(|at| self.now.since(at) >= POINTER_READ);
         let unread = !self.bundles.pointer_read;
         if self.membership.is_scribe() {
             if !self.bundles.watching {
                 self.bundles.watching = true;
                 let after = self.bundles.pointer_version;
-                let op = PlatformOp::Watch { name: POINTER.to_owned(), after };
+                let op = PlatformOp::Watch {
+                    name: POINTER.to_owned(),
+                    after,
+                };
                 self.call_platform(op, Purpose::WatchPointer);
             }
         } else if waited || unread {
@@ -114,7 +124,10 @@
     fn settle_start(&mut self) {
         let started = self.bundles.started.unwrap_or(self.now);
         let waited = self.now.since(started) >= START_WAIT;
-        if self.bundles.current.is_some() && (self.bundles.pointer_read || waited) && !self.bundles.ready {
+        if self.bundles.current.is_some()
+            && (self.bundles.pointer_read || waited)
+            && !self.bundles.ready
+        {
             self.bundles.ready = true;
             let me = self.cfg.me.id.clone();
             self.out.note("box_ready", me, "");
@@ -156,7 +169,10 @@
 
     fn fetch_from_platform(&mut self, mark: &BundleMark) {
         if self.wants(mark) {
-            self.out.push(Action::FetchBundle { mark: mark.clone(), from_peer: None });
+            self.out.push(Action::FetchBundle {
+                mark: mark.clone(),
+                from_peer: None,
+            });
         }
     }
 
@@ -166,29 +182,54 @@
             return;
         }
         let have = self.bundles.signed.as_ref().map_or_else(Vec::new, |s| {
-            s.parts.keys().filter_map(|hash| hash.parse().ok()).collect()
+            s.parts
+                .keys()
+                .filter_map(|hash| hash.parse().ok())
+                .collect()
         });
         if let Some(member) = self.member(peer) {
-            self.out.send(&member, BundleFetch { version: mark.version, have });
+            self.out.send(
+                &member,
+                BundleFetch {
+                    version: mark.version,
+                    have,
+                },
+            );
         }
     }
 
     /// A peer asks for a bundle.
     pub(super) fn on_bundle_fetch(&mut self, from: &BoxId, fetch: &BundleFetch) {
-        let (Some(signed), Some(version)) = (self.bundles.signed.clone(), self.bundles.version()) else {
+        let (Some(signed), Some(version)) = (self.bundles.signed.clone(), self.bundles.version())
+        else {
             return;
         };
         let parts = signed
             .parts
             .iter()
-            .filter(|(hash, _)| !fetch.have.iter().any(|h: &PartHash| h.as_str() == hash.as_str()))
+            .filter(|(hash, _)| {
+                !fetch
+                    .have
+                    .iter()
+                    .any(|h: &PartHash| h.as_str() == hash.as_str())
+            })
             .filter_map(|(hash, body)| {
-                Some(BundlePart { hash: hash.parse().ok()?, body: body.clone() })
+                Some(BundlePart {
+                    hash: hash.parse().ok()?,
+                    body: body.clone(),
+                })
             })
             .collect();
         let manifest = serde_json::to_string(&signed.manifest).unwrap_or_default();
         if let Some(member) = self.member(from) {
-            self.out.send(&member, BundleReply { version, manifest, parts });
+            self.out.send(
+                &member,
+                BundleReply {
+                    version,
+                    manifest,
+                    parts,
+                },
+            );
         }
     }
 
@@ -200,17 +241,36 @@
         let Ok(manifest) = serde_json::from_str(&reply.manifest) else {
             return;
         };
-        let mut parts = self.bundles.signed.as_ref().map_or_else(Default::default, |s| s.parts.clone());
-        parts.extend(reply.parts.into_iter().map(|p| (p.hash.to_string(), p.body)));
+        let mut parts = self
+            .bundles
+            .signed
+            .as_ref()
+            .map_or_else(Default::default, |s| s.parts.clone());
+        parts.extend(
+            reply
+                .parts
+                .into_iter()
+                .map(|p| (p.hash.to_string(), p.body)),
+        );
         let signed = SignedBundle { manifest, parts };
         let hash = crate::bundle::parts::content_hash(&signed.manifest.manifest);
-        let mark = BundleMark { version: reply.version, hash };
-        self.out.push(Action::FetchBundle { mark, from_peer: Some(Arc::new(signed)) });
+        let mark = BundleMark {
+            version: reply.version,
+            hash,
+        };
+        self.out.push(Action::FetchBundle {
+            mark,
+            from_peer: Some(Arc::new(signed)),
+        });
     }
 
     /// A bundle was fetched and holds.
     pub(super) fn on_bundle(&mut self, bundle: Arc<Bundle>, signed: Arc<SignedBundle>) {
-        if self.bundles.version().is_some_and(|v| v >= bundle.version()) {
+        if self
+            .bundles
+            .version()
+            .is_some_and(|v| v >= bundle.version())
+        {
             return;
         }
         self.stats.bundles += 1;
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -30,8 +30,7 @@
 /// Runs of one call before it is given up.
 const MAX_RUNS: u32 = 4;
 /// What a caller whose call can't be settled is told.
-const UNKNOWN_DETAIL: &str =
-    "the call may have run and will not be repeated; look at its effect before you send it under a new key";
+const UNKNOWN_DETAIL: &str = "the call may have run and will not be repeated; look at its effect before you send it under a new key";
 
 /// How far a call has got at this box.
 #[derive(Clone, Debug, PartialEq)]
@@ -156,13 +155,15 @@
 
     /// Passes a call on to the home of its slice.
     fn pass_call_on(&mut self, mut submit: Submit) {
-        let home = self.membership.call_home(&self.cfg.domain, &submit.request.key);
+        let home = self
+            .membership
+            .call_home(&self.cfg.domain, &submit.request.key);
         let home = home.filter(|h| h.id != self.cfg.me.id && submit.hops < MAX_HOPS);
         if let Some(home) = home {
             submit.hops += 1;
             return self.out.send(&home, submit);
         }
-        let refusal = self.closed(&submit);
+        let refusal = closed(&submit);
         self.refuse_submit(&submit, refusal);
     }
 
@@ -170,7 +171,10 @@
     fn answer_known(&mut self, submit: &Submit, state: OnceState) {
         match state {
             OnceState::Answered(answer) => {
-                let answered = Answered { subscription: submit.subscription, answer };
+                let answered = Answered {
+                    subscription: submit.subscription,
+                    answer,
+                };
                 self.out.send(&submit.receiver, answered);
             }
             OnceState::Intent | OnceState::NotRun | OnceState::Unknown => {
@@ -181,17 +185,6 @@
         }
     }
 
-    /// Refuses a call whose slice this box can't act for. Only a key that can't have been used
-    /// before is certain not to have run.
-    fn closed(&self, submit: &Submit) -> Refusal {
-        let detail = "the box in charge of this key is being replaced; come back with the same key";
-        let refusal = Refusal::not_run(Reason::SliceClosed, RETRY_AFTER, detail);
-        if submit.request.first && !submit.repeated {
-            return refusal;
-        }
-        Refusal { ran: crate::schema::Ran::Unknown, ..refusal }
-    }
-
     fn begin_call(&mut self, submit: &Submit) -> Result<(), Refusal> {
         let request = &submit.request;
         let RequestKind::Call(call) = &request.kind else {
@@ -212,7 +205,9 @@
         let waiting = Waiting {
             key: request.key.clone(),
             organisation: request.organisation.clone(),
-            weight: bundle.organisation(&request.organisation).map_or(1, |o| o.weight),
+            weight: bundle
+                .organisation(&request.organisation)
+                .map_or(1, |o| o.weight),
             priority: request.priority,
             cost: 1.0,
             deadline,
@@ -243,7 +238,7 @@
         let slice = slice_of(&submit.request.key);
         let open = self.slices.is_open(slice);
         if !open || self.membership.may_act_until(slice, self.now).is_none() {
-            return Err(self.closed(submit));
+            return Err(closed(submit));
         }
         let certain = submit.request.first && !submit.repeated;
         if !certain && self.slices.is_unknown(slice, self.now) {
@@ -254,7 +249,12 @@
 
     /// Starts a waiting call; returns whether an endpoint takes it.
     pub(super) fn start_call(&mut self, key: &RequestKey) -> bool {
-        let Some(call) = self.calls.table.get(key).filter(|c| c.phase == Phase::Queued) else {
+        let Some(call) = self
+            .calls
+            .table
+            .get(key)
+            .filter(|c| c.phase == Phase::Queued)
+        else {
             return true;
         };
         let repeatable = call.repeatable();
@@ -280,7 +280,13 @@
             bytes: 0,
             domain: &self.cfg.domain,
         };
-        routing::choose(self.cfg.routing, &self.endpoints, &need, self.now, &mut self.rng)
+        routing::choose(
+            self.cfg.routing,
+            &self.endpoints,
+            &need,
+            self.now,
+            &mut self.rng,
+        )
     }
 
     /// Has the intent held by the successor, or by the platform where there is none.
@@ -290,11 +296,22 @@
             return;
         };
         call.phase = Phase::Intent(endpoint);
-        let record = OnceRecord { state: OnceState::Intent, ..call.record.clone() };
-        self.out.timer(Timer::Intent(key.clone()), self.now.after(INTENT_LIMIT));
+        let record = OnceRecord {
+            state: OnceState::Intent,
+            ..call.record.clone()
+        };
+        self.out
+            .timer(Timer::Intent(key.clone()), self.now.after(INTENT_LIMIT));
         if let Some(successor) = self.membership.successor(slice_of(key)) {
             let epoch = self.membership.epoch();
-            self.out.send(&successor, OnceCopy { record, epoch, batch: false });
+            self.out.send(
+                &successor,
+                OnceCopy {
+                    record,
+                    epoch,
+                    batch: false,
+                },
+            );
             return;
         }
         let op = PlatformOp::Put {
@@ -315,7 +332,7 @@
             PlatformAnswer::Written(_) => self.intent_held(key),
             PlatformAnswer::Conflict => {
                 let refusal = Refusal::unknown(Reason::OutcomeUnknown, UNKNOWN_DETAIL);
-                self.settle_unknown(key, refusal);
+                self.settle_unknown(key, &refusal);
             }
             _ => self.intent_failed(key),
         }
@@ -323,7 +340,10 @@
 
     /// The successor answered to a record.
     pub(super) fn on_once_ack(&mut self, from: &BoxId, ack: &OnceAck) {
-        let is_successor = self.membership.successor(slice_of(&ack.key)).is_some_and(|m| &m.id == from);
+        let is_successor = self
+            .membership
+            .successor(slice_of(&ack.key))
+            .is_some_and(|m| &m.id == from);
         if ack.answered || !is_successor {
             return;
         }
@@ -358,8 +378,12 @@
         };
         if let Phase::Intent(endpoint) = call.phase.clone() {
             self.endpoints.on_end(&endpoint);
-            let detail = "the call could not be made safe against a failure; come back with the same key";
-            self.refuse_call(key, Refusal::not_run(Reason::NotDurable, RETRY_AFTER, detail));
+            let detail =
+                "the call could not be made safe against a failure; come back with the same key";
+            self.refuse_call(
+                key,
+                &Refusal::not_run(Reason::NotDurable, RETRY_AFTER, detail),
+            );
         }
     }
 
@@ -381,13 +405,17 @@
         };
         call.attempt = Attempt(call.attempt.0 + 1);
         call.phase = Phase::Sent(endpoint.clone());
-        let spec = call.bundle.as_ref().and_then(|b| b.call(&request.service, &request.call));
+        let spec = call
+            .bundle
+            .as_ref()
+            .and_then(|b| b.call(&request.service, &request.call));
         let limit = spec.map_or(RETRY_AFTER, |s| s.max_ms.into());
         if call.attempt == Attempt(1)
             && let (Some(request), Some(bundle)) = (&call.request, &call.bundle)
         {
             let percent = bundle.policy().retry_percent;
-            self.budgets.on_first_try(&request.organisation, &endpoint, percent);
+            self.budgets
+                .on_first_try(&request.organisation, &endpoint, percent);
         }
         let attempt = call.attempt;
         self.endpoints.on_start(&endpoint, self.now);
@@ -411,7 +439,10 @@
     fn unstart_call(&mut self, key: &RequestKey) {
         self.copy_state(key, OnceState::NotRun);
         let detail = "the lease ran out before the call was sent; come back with the same key";
-        self.refuse_call(key, Refusal::not_run(Reason::SliceClosed, RETRY_AFTER, detail));
+        self.refuse_call(
+            key,
+            &Refusal::not_run(Reason::SliceClosed, RETRY_AFTER, detail),
+        );
     }
 
     /// Copies a new state of a call to whoever has to know it.
@@ -433,13 +464,30 @@
             self.membership.slice_home(&self.cfg.domain, slice)
         };
         if let Some(to) = to.filter(|m| m.id != self.cfg.me.id) {
-            self.out.send(&to, OnceCopy { record, epoch, batch: false });
+            self.out.send(
+                &to,
+                OnceCopy {
+                    record,
+                    epoch,
+                    batch: false,
+                },
+            );
         }
     }
 
     /// A call of a plain service has ended.
-    pub(super) fn on_service(&mut self, key: &RequestKey, attempt: Attempt, outcome: ServiceOutcome) {
-        let Some(call) = self.calls.table.get_mut(key).filter(|c| c.attempt == attempt) else {
+    pub(super) fn on_service(
+        &mut self,
+        key: &RequestKey,
+        attempt: Attempt,
+        outcome: ServiceOutcome,
+    ) {
+        let Some(call) = self
+            .calls
+            .table
+            .get_mut(key)
+            .filter(|c| c.attempt == attempt)
+        else {
             return;
         };
         let Phase::Sent(endpoint) = call.phase.clone() else {
@@ -463,7 +511,13 @@
     fn settle_answered(&mut self, key: &RequestKey, answer: ServiceAnswer) {
         self.out.note("call_answered", key, answer.status);
         for (to, subscription) in self.calls.settle(key) {
-            self.out.send(&to, Answered { subscription, answer: answer.clone() });
+            self.out.send(
+                &to,
+                Answered {
+                    subscription,
+                    answer: answer.clone(),
+                },
+            );
         }
         if self.calls.table.get(key).is_some_and(Call::repeatable) {
             self.calls.remove(key);
@@ -497,7 +551,8 @@
         if allowed && organisation.is_some_and(|o| self.budgets.take(&o, endpoint)) {
             call.phase = Phase::Backoff;
             let wait = backoff(call.attempt.0, &mut self.rng);
-            self.out.timer(Timer::Retry(key.clone()), self.now.after(wait));
+            self.out
+                .timer(Timer::Retry(key.clone()), self.now.after(wait));
             return;
         }
         self.give_up_call(key);
@@ -509,16 +564,23 @@
         let detail = "no endpoint of the service took the call; come back later";
         let refusal = Refusal::not_run(Reason::NoEndpoint, RETRY_AFTER, detail);
         if may_have_run {
-            let refusal = Refusal { ran: crate::schema::Ran::Unknown, ..refusal };
-            return self.refuse_call(key, refusal);
+            let refusal = Refusal {
+                ran: crate::schema::Ran::Unknown,
+                ..refusal
+            };
+            return self.refuse_call(key, &refusal);
         }
         self.copy_state(key, OnceState::NotRun);
-        self.refuse_call(key, refusal);
+        self.refuse_call(key, &refusal);
     }
 
     /// The backoff of a call is over.
     pub(super) fn retry_call(&mut self, key: &RequestKey) {
-        let waits = self.calls.table.get(key).is_some_and(|c| c.phase == Phase::Backoff);
+        let waits = self
+            .calls
+            .table
+            .get(key)
+            .is_some_and(|c| c.phase == Phase::Backoff);
         if !waits {
             return;
         }
@@ -538,10 +600,10 @@
             return self.run_again(key, endpoint);
         }
         let refusal = Refusal::unknown(Reason::OutcomeUnknown, UNKNOWN_DETAIL);
-        self.settle_unknown(key, refusal);
+        self.settle_unknown(key, &refusal);
     }
 
-    fn settle_unknown(&mut self, key: &RequestKey, refusal: Refusal) {
+    fn settle_unknown(&mut self, key: &RequestKey, refusal: &Refusal) {
         self.stats.calls_unknown += 1;
         self.out.note("call_unknown", key, "");
         if let Some(Phase::Intent(endpoint)) = self.calls.table.get(key).map(|c| &c.phase) {
@@ -549,21 +611,27 @@
         }
         let waiters = self.calls.settle(key);
         self.copy_state(key, OnceState::Unknown);
-        self.refuse_waiters(waiters, &refusal);
+        self.refuse_waiters(waiters, refusal);
     }
 
     /// Refuses a call that did not run, and forgets it.
-    pub(super) fn refuse_call(&mut self, key: &RequestKey, refusal: Refusal) {
+    pub(super) fn refuse_call(&mut self, key: &RequestKey, refusal: &Refusal) {
         let Some(call) = self.calls.remove(key) else {
             return;
         };
         self.out.note("call_refused", key, &refusal.detail);
-        self.refuse_waiters(call.waiters, &refusal);
+        self.refuse_waiters(call.waiters, refusal);
     }
 
     fn refuse_waiters(&mut self, waiters: Vec<(Member, u64)>, refusal: &Refusal) {
         for (to, subscription) in waiters {
-            self.out.send(&to, Refused { subscription, refusal: refusal.clone() });
+            self.out.send(
+                &to,
+                Refused {
+                    subscription,
+                    refusal: refusal.clone(),
+                },
+            );
         }
     }
 
@@ -606,7 +674,15 @@
             self.keep_record(copy.record);
         }
         if let Some(member) = self.member(from) {
-            self.out.send(&member, OnceAck { key, epoch: copy.epoch, answered, accepted });
+            self.out.send(
+                &member,
+                OnceAck {
+                    key,
+                    epoch: copy.epoch,
+                    answered,
+                    accepted,
+                },
+            );
         }
     }
 
@@ -647,7 +723,8 @@
     /// A caller of a call has gone; the call itself goes on.
     pub(super) fn detach_call(&mut self, from: &BoxId, detach: &Detach) {
         if let Some(call) = self.calls.table.get_mut(&detach.key) {
-            call.waiters.retain(|(m, s)| &m.id != from || *s != detach.subscription);
+            call.waiters
+                .retain(|(m, s)| &m.id != from || *s != detach.subscription);
         }
     }
 
@@ -664,21 +741,43 @@
             .collect();
         for key in old {
             self.calls.remove(&key);
-            if self.membership.is_home(slice_of(&key)) && self.membership.successor(slice_of(&key)).is_none() {
+            if self.membership.is_home(slice_of(&key))
+                && self.membership.successor(slice_of(&key)).is_none()
+            {
                 self.call_platform(PlatformOp::Delete(self.intent_name(&key)), Purpose::Forget);
             }
         }
     }
 }
 
+/// Refuses a call whose slice this box can't act for. Only a key that can't have been used
+/// before is certain not to have run.
+fn closed(submit: &Submit) -> Refusal {
+    let detail = "the box in charge of this key is being replaced; come back with the same key";
+    let refusal = Refusal::not_run(Reason::SliceClosed, RETRY_AFTER, detail);
+    if submit.request.first && !submit.repeated {
+        return refusal;
+    }
+    Refusal {
+        ran: crate::schema::Ran::Unknown,
+        ..refusal
+    }
+}
+
 fn check_call(bundle: &Bundle, request: &Request, call: &CallRequest) -> Result<CallSpec, Refusal> {
     let refuse = |reason, detail: &str| Err(not_served(reason, detail));
     let Some(organisation) = bundle.organisation(&request.organisation) else {
-        return refuse(Reason::UnknownOrganisation, "the bundle in force has no such organisation");
+        return refuse(
+            Reason::UnknownOrganisation,
+            "the bundle in force has no such organisation",
+        );
     };
     let spec = bundle.call(&call.service, &call.call);
     let Some(spec) = spec.filter(|_| organisation.services.contains(&call.service)) else {
-        return refuse(Reason::UnknownService, "the organisation is not served by this service or call");
+        return refuse(
+            Reason::UnknownService,
+            "the organisation is not served by this service or call",
+        );
     };
     Ok(spec.clone())
 }
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -87,7 +87,11 @@
     pub fn new(settings: &Settings, incarnation: Incarnation, peers_address: String) -> Self {
         let id: BoxId = settings.box_id.clone();
         Self {
-            me: Member { id, incarnation, address: peers_address },
+            me: Member {
+                id,
+                incarnation,
+                address: peers_address,
+            },
             domain: settings.domain.clone(),
             domains: settings.domains.clone(),
             seeds: settings.seeds.clone(),
--- a/src/node/copies.rs
+++ b/src/node/copies.rs
@@ -3,9 +3,7 @@
 
 use crate::node::Node;
 use crate::node::answers::{Answer, CopyState, Role, next_generation};
-use crate::schema::{
-    BoxId, RequestKey, TokenAck, TokenCopy, TokenOffset, TokenRefused,
-};
+use crate::schema::{BoxId, RequestKey, TokenAck, TokenCopy, TokenOffset, TokenRefused};
 
 impl Node {
     /// Sends the copy holder what it doesn't have yet.
@@ -69,7 +67,11 @@
     fn apply_copy(&mut self, from: &BoxId, copy: TokenCopy) -> Result<TokenAck, TokenRefused> {
         let key = copy.key.clone();
         let offset = copy.offset.0 as usize;
-        let lacking = TokenRefused { key: key.clone(), generation: copy.generation, held: TokenOffset(0) };
+        let lacking = TokenRefused {
+            key: key.clone(),
+            generation: copy.generation,
+            held: TokenOffset(0),
+        };
         if !self.answers.contains_key(&key) {
             let (Some(request), Some(bundle)) = (copy.request, self.bundles.current()) else {
                 return Err(lacking);
@@ -85,12 +87,18 @@
             return Err(lacking);
         };
         if copy.generation < answer.generation {
-            return Err(TokenRefused { generation: answer.generation, ..lacking });
+            return Err(TokenRefused {
+                generation: answer.generation,
+                ..lacking
+            });
         }
         let newer = copy.generation > answer.generation;
         if (newer && offset != 0) || offset > answer.len() {
             let held = if newer { 0 } else { answer.len() };
-            return Err(TokenRefused { held: TokenOffset(held as u32), ..lacking });
+            return Err(TokenRefused {
+                held: TokenOffset(held as u32),
+                ..lacking
+            });
         }
         if newer && answer.role == Role::Producer {
             self.step_down(&key, from);
@@ -183,7 +191,8 @@
         answer.touched = self.now;
         self.stats.takeovers += 1;
         let length = answer.len();
-        self.out.note("takeover", key, format!("from {owner} at token {length}"));
+        self.out
+            .note("takeover", key, format!("from {owner} at token {length}"));
         if answer.finish.is_some() {
             return self.push_copy(key);
         }
@@ -213,7 +222,11 @@
         let keys: Vec<RequestKey> = self
             .answers
             .values()
-            .filter(|a| a.copy.as_ref().is_some_and(|c: &CopyState| &c.to.id == holder))
+            .filter(|a| {
+                a.copy
+                    .as_ref()
+                    .is_some_and(|c: &CopyState| &c.to.id == holder)
+            })
             .map(|a| a.key().clone())
             .collect();
         for key in keys {
--- a/src/node/deferred.rs
+++ b/src/node/deferred.rs
@@ -105,7 +105,10 @@
     }
 
     fn gathered_bytes(&self) -> usize {
-        self.gathering.iter().map(|(request, _, _)| item_bytes(request)).sum()
+        self.gathering
+            .iter()
+            .map(|(request, _, _)| item_bytes(request))
+            .sum()
     }
 }
 
@@ -132,7 +135,12 @@
             return;
         }
         let key = &defer.request.key;
-        if let Some(batch) = self.deferred.by_key.get(key).and_then(|id| self.deferred.batches.get_mut(id)) {
+        if let Some(batch) = self
+            .deferred
+            .by_key
+            .get(key)
+            .and_then(|id| self.deferred.batches.get_mut(id))
+        {
             match batch.is_kept() {
                 Some(kept) => self.defer_reply(&defer.receiver, defer.subscription, kept),
                 None => batch.waiters.push((defer.receiver, defer.subscription)),
@@ -148,7 +156,9 @@
         if bytes > BATCH_BYTES {
             self.flush_deferred();
         }
-        self.deferred.gathering.push((defer.request, defer.receiver, defer.subscription));
+        self.deferred
+            .gathering
+            .push((defer.request, defer.receiver, defer.subscription));
         match self.deferred.gathering.len() {
             1 => self.out.timer(Timer::Flush, self.now.after(FLUSH_DELAY)),
             BATCH_ITEMS.. => self.flush_deferred(),
@@ -167,7 +177,10 @@
         }
         let gathered = std::mem::take(&mut self.deferred.gathering);
         self.deferred.next_batch += 1;
-        let name = format!("{}-{}-{}", self.cfg.me.id, self.deferred.life, self.deferred.next_batch);
+        let name = format!(
+            "{}-{}-{}",
+            self.cfg.me.id, self.deferred.life, self.deferred.next_batch
+        );
         let Ok(id) = BatchId::try_from(name) else {
             return;
         };
@@ -193,19 +206,19 @@
         }
     }
 
-    fn batch_name(&self, domain: &DomainId, id: &BatchId) -> String {
-        format!("work/{domain}/{id}")
-    }
-
     fn write_new_batch(&mut self, id: &BatchId) {
-        let name = self.batch_name(&self.cfg.domain.clone(), id);
+        let name = batch_name(&self.cfg.domain.clone(), id);
         let Some(batch) = self.deferred.batches.get_mut(id) else {
             return;
         };
         batch.tried = self.now;
         batch.writing = true;
         let value = batch_value(id, &batch.items, &batch.results);
-        let op = PlatformOp::Put { name, expect: Expect::Absent, value };
+        let op = PlatformOp::Put {
+            name,
+            expect: Expect::Absent,
+            value,
+        };
         self.call_platform(op, Purpose::NewBatch(id.clone()));
     }
 
@@ -250,7 +263,11 @@
             return;
         };
         self.stats.deferred_accepted += batch.items.len() as u64;
-        self.out.note("batch_accepted", id, format!("{} requests, {kept}", batch.items.len()));
+        self.out.note(
+            "batch_accepted",
+            id,
+            format!("{} requests, {kept}", batch.items.len()),
+        );
         for item in &batch.items {
             if !batch.results.contains_key(item.key.as_str()) {
                 self.deferred.waiting.push_back(item.key.clone());
@@ -306,13 +323,13 @@
         let Some(member) = self.member(from).filter(|_| !full) else {
             return;
         };
-        let held = HeldBatch {
+        let entry = HeldBatch {
             domain: hold.domain,
             items: hold.items,
             since: self.now,
             tried: self.now,
         };
-        self.deferred.held.insert(hold.batch.clone(), held);
+        self.deferred.held.insert(hold.batch.clone(), entry);
         self.out.send(&member, HoldReply { batch: hold.batch });
     }
 
@@ -343,7 +360,10 @@
             self.stop_being_scribe();
             return;
         }
-        let due = self.deferred.listed.is_none_or(|at| self.now.since(at) >= LIST_EVERY);
+        let due = self
+            .deferred
+            .listed
+            .is_none_or(|at| self.now.since(at) >= LIST_EVERY);
         if due {
             self.deferred.listed = Some(self.now);
             let prefix = format!("work/{}/", self.cfg.domain);
@@ -360,7 +380,9 @@
         deferred.listed = None;
         deferred.waiting.clear();
         deferred.running.clear();
-        deferred.batches.retain(|_, b| b.version.is_none() || b.dirty);
+        deferred
+            .batches
+            .retain(|_, b| b.version.is_none() || b.dirty);
         let batches = &deferred.batches;
         deferred.by_key.retain(|_, id| batches.contains_key(id));
     }
@@ -388,7 +410,7 @@
     }
 
     fn write_results(&mut self, id: &BatchId, version: u64) {
-        let name = self.batch_name(&self.cfg.domain.clone(), id);
+        let name = batch_name(&self.cfg.domain.clone(), id);
         let Some(batch) = self.deferred.batches.get_mut(id) else {
             return;
         };
@@ -396,7 +418,11 @@
         batch.writing = true;
         batch.dirty = false;
         let value = batch_value(id, &batch.items, &batch.results);
-        let op = PlatformOp::Put { name, expect: Expect::Version(version), value };
+        let op = PlatformOp::Put {
+            name,
+            expect: Expect::Version(version),
+            value,
+        };
         self.call_platform(op, Purpose::Results(id.clone()));
     }
 
@@ -417,8 +443,11 @@
     }
 
     fn read_batch(&mut self, id: &BatchId) {
-        let name = self.batch_name(&self.cfg.domain.clone(), id);
-        self.call_platform(PlatformOp::Get { name, known: None }, Purpose::ReadBatch(id.clone()));
+        let name = batch_name(&self.cfg.domain.clone(), id);
+        self.call_platform(
+            PlatformOp::Get { name, known: None },
+            Purpose::ReadBatch(id.clone()),
+        );
     }
 
     /// The platform said which batches there are.
@@ -430,7 +459,10 @@
         };
         self.deferred.loaded = true;
         for name in names {
-            let id = name.rsplit('/').next().and_then(|n| n.parse::<BatchId>().ok());
+            let id = name
+                .rsplit('/')
+                .next()
+                .and_then(|n| n.parse::<BatchId>().ok());
             if let Some(id) = id.filter(|id| !self.deferred.batches.contains_key(id)) {
                 self.read_batch(&id);
             }
@@ -481,7 +513,9 @@
             .deferred
             .held
             .iter()
-            .filter(|(_, h)| now.since(h.since) >= HOLD_PATIENCE && now.since(h.tried) >= WRITE_AGAIN)
+            .filter(|(_, h)| {
+                now.since(h.since) >= HOLD_PATIENCE && now.since(h.tried) >= WRITE_AGAIN
+            })
             .map(|(id, _)| id.clone())
             .collect();
         for id in due {
@@ -491,15 +525,22 @@
             held.tried = now;
             let value = batch_value(&id, &held.items, &HashMap::new());
             let domain = held.domain.clone();
-            let name = self.batch_name(&domain, &id);
-            let op = PlatformOp::Put { name, expect: Expect::Absent, value };
+            let name = batch_name(&domain, &id);
+            let op = PlatformOp::Put {
+                name,
+                expect: Expect::Absent,
+                value,
+            };
             self.call_platform(op, Purpose::HeldBatch(id));
         }
     }
 
     /// The platform answered to a batch held for another failure domain.
     pub(super) fn on_held_written(&mut self, id: &BatchId, answer: &PlatformAnswer) {
-        if matches!(answer, PlatformAnswer::Written(_) | PlatformAnswer::Conflict) {
+        if matches!(
+            answer,
+            PlatformAnswer::Written(_) | PlatformAnswer::Conflict
+        ) {
             self.deferred.held.remove(id);
         }
     }
@@ -517,7 +558,11 @@
     }
 
     fn hand_to_home(&mut self, key: &RequestKey) {
-        let batch = self.deferred.by_key.get(key).and_then(|id| self.deferred.batches.get(id));
+        let batch = self
+            .deferred
+            .by_key
+            .get(key)
+            .and_then(|id| self.deferred.batches.get(id));
         let request = batch
             .filter(|b| !b.results.contains_key(key.as_str()))
             .and_then(|b| b.items.iter().find(|i| &i.key == key))
@@ -527,7 +572,9 @@
         };
         let ranked = self.membership.ranked(&self.cfg.domain, key, self.now);
         if let Some(home) = ranked.first() {
-            self.deferred.running.insert(key.clone(), (home.id.clone(), self.now));
+            self.deferred
+                .running
+                .insert(key.clone(), (home.id.clone(), self.now));
             self.out.send(home, RunDeferred { request });
         }
     }
@@ -593,14 +640,21 @@
         }
         if let Some(member) = self.member(scribe) {
             let result = DeferredResult::Failed(refusal);
-            self.out.send(&member, DeferredDone { key: key.clone(), result });
+            self.out.send(
+                &member,
+                DeferredDone {
+                    key: key.clone(),
+                    result,
+                },
+            );
         }
     }
 
     /// A home has finished work.
     pub(super) fn on_deferred_done(&mut self, done: DeferredDone) {
         self.deferred.running.remove(&done.key);
-        let temporary = matches!(&done.result, DeferredResult::Failed(r) if r.retry_after.is_some());
+        let temporary =
+            matches!(&done.result, DeferredResult::Failed(r) if r.retry_after.is_some());
         if temporary {
             self.deferred.waiting.push_back(done.key);
             return;
@@ -610,8 +664,8 @@
             return;
         };
         let name = done.key.to_string();
-        if !batch.results.contains_key(&name) {
-            batch.results.insert(name, done.result);
+        if let std::collections::hash_map::Entry::Vacant(entry) = batch.results.entry(name) {
+            entry.insert(done.result);
             batch.dirty = true;
             self.stats.deferred_done += 1;
             self.out.note("deferred_done", &done.key, "");
@@ -623,35 +677,58 @@
     pub(super) fn on_lookup(&mut self, mut lookup: Lookup) {
         if !self.membership.is_scribe() {
             let scribe = self.membership.slice_home(&self.cfg.domain, SCRIBE_SLICE);
-            if let Some(scribe) = scribe.filter(|s| s.id != self.cfg.me.id && lookup.hops < MAX_HOPS) {
+            if let Some(scribe) =
+                scribe.filter(|s| s.id != self.cfg.me.id && lookup.hops < MAX_HOPS)
+            {
                 lookup.hops += 1;
                 return self.out.send(&scribe, lookup);
             }
             return self.refuse_lookup(&lookup);
         }
-        let batch = self.deferred.by_key.get(&lookup.key).and_then(|id| self.deferred.batches.get(id));
+        let batch = self
+            .deferred
+            .by_key
+            .get(&lookup.key)
+            .and_then(|id| self.deferred.batches.get(id));
         let status = match batch {
             None if !self.deferred.loaded => return self.refuse_lookup(&lookup),
             None => DeferredStatus::Missing,
             Some(batch) => match batch.results.get(lookup.key.as_str()) {
                 // A result is told once it is where no loss of boxes can reach it.
-                Some(result) if !batch.dirty && !batch.writing => DeferredStatus::Done(result.clone()),
+                Some(result) if !batch.dirty && !batch.writing => {
+                    DeferredStatus::Done(result.clone())
+                }
                 _ => DeferredStatus::Accepted,
             },
         };
-        let reply = LookupReply { subscription: lookup.subscription, status };
+        let reply = LookupReply {
+            subscription: lookup.subscription,
+            status,
+        };
         self.out.send(&lookup.receiver, reply);
     }
 
     fn refuse_lookup(&mut self, lookup: &Lookup) {
         let detail = "the box that knows of this work is being replaced; ask again soon";
         let refusal = Refusal::not_run(Reason::HomeUnreachable, RETRY_AFTER, detail);
-        let refused = Refused { subscription: lookup.subscription, refusal };
+        let refused = Refused {
+            subscription: lookup.subscription,
+            refusal,
+        };
         self.out.send(&lookup.receiver, refused);
     }
 }
 
-fn batch_value(id: &BatchId, items: &[Request], results: &HashMap<String, DeferredResult>) -> String {
+/// The name of a batch's object in the platform.
+fn batch_name(domain: &DomainId, id: &BatchId) -> String {
+    format!("work/{domain}/{id}")
+}
+
+fn batch_value(
+    id: &BatchId,
+    items: &[Request],
+    results: &HashMap<String, DeferredResult>,
+) -> String {
     let batch = WorkBatch {
         batch: id.clone(),
         items: items.to_vec(),
--- a/src/node/endpoints.rs
+++ b/src/node/endpoints.rs
@@ -94,7 +94,11 @@
     /// The load: what was reported, and what this box has sent that the report can't show yet.
     #[must_use]
     pub fn load(&self, now: Micros) -> f64 {
-        let unseen = self.recent.iter().filter(|at| now.since(**at) < REPORT_LAG).count();
+        let unseen = self
+            .recent
+            .iter()
+            .filter(|at| now.since(**at) < REPORT_LAG)
+            .count();
         let reported = self.report.as_ref().map_or(0, |r| r.running + r.queued);
         f64::from(reported + unseen as u32).max(f64::from(self.mine))
     }
@@ -174,7 +178,8 @@
 impl Endpoints {
     /// Takes over the endpoints of a bundle; what is known of those that stay is kept.
     pub fn adopt(&mut self, bundle: &Bundle) {
-        self.table.retain(|id, state| bundle.endpoint(id).is_some() || state.mine > 0);
+        self.table
+            .retain(|id, state| bundle.endpoint(id).is_some() || state.mine > 0);
         for spec in bundle.endpoints() {
             match self.table.get_mut(&spec.id) {
                 Some(state) if state.address == spec.address => {
--- a/src/node/event.rs
+++ b/src/node/event.rs
@@ -6,7 +6,7 @@
 
 use crate::bundle::{Bundle, SignedBundle};
 use crate::schema::{
-    Attempt, BoxId, BundleVersion, Cursor, DomainId, EndpointId, FleetList, Finish, Generation,
+    Attempt, BoxId, BundleVersion, Cursor, DomainId, EndpointId, Finish, FleetList, Generation,
     Heartbeat, Incarnation, LoadReport, Micros, PeerMessage, Request, RequestKey, ServiceAnswer,
     Token,
 };
@@ -41,7 +41,11 @@
         let attempt = next()?.parse().map_err(|_| BadStreamId)?;
         let generation = next()?.parse().map_err(|_| BadStreamId)?;
         let key = next()?.parse().map_err(|_| BadStreamId)?;
-        Ok(Self { key, generation, attempt })
+        Ok(Self {
+            key,
+            generation,
+            attempt,
+        })
     }
 }
 
--- a/src/node/gaps.rs
+++ b/src/node/gaps.rs
@@ -24,7 +24,10 @@
 
 impl Default for Gaps {
     fn default() -> Self {
-        Self { current: empty(), previous: None }
+        Self {
+            current: empty(),
+            previous: None,
+        }
     }
 }
 
--- a/src/node/generate.rs
+++ b/src/node/generate.rs
@@ -49,14 +49,21 @@
     fn submit_unknown(&mut self, submit: Submit) {
         let begun = submit.cursor.is_some() || submit.repeated;
         if begun && submit.hops < MAX_HOPS {
-            let ranked = self.membership.ranked(&self.cfg.domain, &submit.request.key, self.now);
-            let place = ranked.iter().position(|m| m.id == self.cfg.me.id).unwrap_or(ranked.len());
+            let ranked = self
+                .membership
+                .ranked(&self.cfg.domain, &submit.request.key, self.now);
+            let place = ranked
+                .iter()
+                .position(|m| m.id == self.cfg.me.id)
+                .unwrap_or(ranked.len());
             if let Some(next) = ranked.get(place + 1).map(|m| m.id.clone()) {
                 return self.pass_on(submit, &next);
             }
         }
         if self.stopping.is_begun() && submit.hops < MAX_HOPS {
-            let ranked = self.membership.ranked(&self.cfg.domain, &submit.request.key, self.now);
+            let ranked = self
+                .membership
+                .ranked(&self.cfg.domain, &submit.request.key, self.now);
             let other = ranked.into_iter().find(|m| m.id != self.cfg.me.id);
             if let Some(other) = other {
                 return self.pass_on(submit, &other.id);
@@ -80,7 +87,10 @@
 
     /// Refuses what a caller's box submitted.
     pub(super) fn refuse_submit(&mut self, submit: &Submit, refusal: Refusal) {
-        let refused = Refused { subscription: submit.subscription, refusal };
+        let refused = Refused {
+            subscription: submit.subscription,
+            refusal,
+        };
         self.out.send(&submit.receiver, refused);
     }
 
@@ -143,7 +153,8 @@
             return self.refuse_submit(&submit, start_over());
         }
         let next = submit.cursor.map_or(0, |c| c.offset.0 as usize);
-        let same = |s: &Subscriber| s.to.id == submit.receiver.id && s.subscription == submit.subscription;
+        let same =
+            |s: &Subscriber| s.to.id == submit.receiver.id && s.subscription == submit.subscription;
         answer.subscribers.retain(|s| !same(s));
         answer.subscribers.push(Subscriber {
             to: submit.receiver,
@@ -161,7 +172,9 @@
             return;
         };
         let end = answer.releasable();
-        let finish = answer.finish.filter(|_| answer.finish_releasable() && end == answer.len());
+        let finish = answer
+            .finish
+            .filter(|_| answer.finish_releasable() && end == answer.len());
         let mut subscribers = std::mem::take(&mut answer.subscribers);
         for subscriber in &mut subscribers {
             let next = subscriber.next;
@@ -201,10 +214,15 @@
         };
         let text = DeferredText {
             tokens: answer.len() as u32,
-            digest: answer.digest(answer.len()).unwrap_or(crate::digest::start(key)),
+            digest: answer
+                .digest(answer.len())
+                .unwrap_or(crate::digest::start(key)),
             text: answer.text(),
         };
-        let done = DeferredDone { key: key.clone(), result: DeferredResult::Text(text) };
+        let done = DeferredDone {
+            key: key.clone(),
+            result: DeferredResult::Text(text),
+        };
         if let Some(member) = self.member(&scribe) {
             self.out.send(&member, done);
         }
@@ -219,12 +237,21 @@
         let scribe = answer.scribe.clone();
         self.out.note("generation_given_up", key, &refusal.detail);
         for subscriber in subscribers {
-            let refused = Refused { subscription: subscriber.subscription, refusal: refusal.clone() };
+            let refused = Refused {
+                subscription: subscriber.subscription,
+                refusal: refusal.clone(),
+            };
             self.out.send(&subscriber.to, refused);
         }
         if let Some(member) = scribe.and_then(|s| self.member(&s)) {
             let result = DeferredResult::Failed(refusal);
-            self.out.send(&member, DeferredDone { key: key.clone(), result });
+            self.out.send(
+                &member,
+                DeferredDone {
+                    key: key.clone(),
+                    result,
+                },
+            );
         }
         self.drop_answer(key);
     }
@@ -262,7 +289,10 @@
         }
         self.out.note("generation_moved", key, to);
         for subscriber in subscribers {
-            let moved = Moved { subscription: subscriber.subscription, to: Some(to.clone()) };
+            let moved = Moved {
+                subscription: subscriber.subscription,
+                to: Some(to.clone()),
+            };
             self.out.send(&subscriber.to, moved);
         }
     }
@@ -286,7 +316,11 @@
             .values()
             .filter(|a| a.subscribers.is_empty() && a.scribe.is_none())
             .filter(|a| {
-                let kept = if a.finish.is_some() { FINISHED_KEPT } else { ORPHAN_KEPT };
+                let kept = if a.finish.is_some() {
+                    FINISHED_KEPT
+                } else {
+                    ORPHAN_KEPT
+                };
                 now.since(a.touched) > kept
             })
             .map(|a| a.key().clone())
@@ -323,10 +357,15 @@
     Waiting {
         key: answer.key().clone(),
         organisation: organisation.clone(),
-        weight: answer.bundle.organisation(organisation).map_or(1, |o| o.weight),
+        weight: answer
+            .bundle
+            .organisation(organisation)
+            .map_or(1, |o| o.weight),
         priority: answer.request.priority,
         cost,
-        deadline: answer.deadline.filter(|_| answer.request.priority != Priority::Deferrable),
+        deadline: answer
+            .deadline
+            .filter(|_| answer.request.priority != Priority::Deferrable),
     }
 }
 
@@ -337,17 +376,26 @@
 ) -> Result<(), Refusal> {
     let refuse = |reason, detail: &str| Err(not_served(reason, detail));
     let Some(organisation) = bundle.organisation(&request.organisation) else {
-        return refuse(Reason::UnknownOrganisation, "the bundle in force has no such organisation");
+        return refuse(
+            Reason::UnknownOrganisation,
+            "the bundle in force has no such organisation",
+        );
     };
     if bundle.model(&generate.model).is_none() || !organisation.models.contains(&generate.model) {
-        return refuse(Reason::UnknownModel, "the organisation is not served by this model");
+        return refuse(
+            Reason::UnknownModel,
+            "the organisation is not served by this model",
+        );
     }
     Ok(())
 }
 
 /// Refuses what the bundle in force doesn't serve.
 pub(super) fn not_served(reason: Reason, detail: &str) -> Refusal {
-    Refusal { retry_after: None, ..Refusal::not_run(reason, RETRY_AFTER, detail) }
+    Refusal {
+        retry_after: None,
+        ..Refusal::not_run(reason, RETRY_AFTER, detail)
+    }
 }
 
 pub(super) fn no_bundle() -> Refusal {
@@ -359,7 +407,10 @@
 }
 
 pub(super) fn key_reused() -> Refusal {
-    not_served(Reason::KeyReused, "the key was used for another request; choose a new one")
+    not_served(
+        Reason::KeyReused,
+        "the key was used for another request; choose a new one",
+    )
 }
 
 fn start_over() -> Refusal {
--- a/src/node/heartbeats.rs
+++ b/src/node/heartbeats.rs
@@ -6,14 +6,15 @@
 use crate::node::event::Timer;
 use crate::rendezvous;
 use crate::schema::{
-    BoxId, BundleVersion, EndpointId, Heartbeat, HybridTime, Incarnation, LoadReport,
-    PromiseGrant,
+    BoxId, BundleVersion, EndpointId, Heartbeat, HybridTime, Incarnation, LoadReport, PromiseGrant,
 };
 
 /// Heartbeats between two sweeps of finished answers and old call records.
 const SWEEP_HEARTBEATS: u64 = 10;
 /// Heartbeats between two readings of the other failure domains' rosters.
 const ROSTERS_HEARTBEATS: u64 = 300;
+/// Heartbeats between two readings of a roster that isn't known yet.
+const MISSING_ROSTER_HEARTBEATS: u64 = 4;
 
 /// What the next heartbeats carry.
 #[derive(Debug, Default)]
@@ -49,7 +50,8 @@
 impl Node {
     /// Sends heartbeats and looks after what is overdue.
     pub(super) fn beat(&mut self) {
-        self.out.timer(Timer::Heartbeat, self.now.after(self.cfg.heartbeat));
+        self.out
+            .timer(Timer::Heartbeat, self.now.after(self.cfg.heartbeat));
         self.beats.sequence += 1;
         self.send_heartbeats();
         self.notice_silence();
@@ -59,12 +61,18 @@
         self.dispatch_all();
         self.tend_deferred();
         self.tend_orders();
-        if self.beats.sequence % SWEEP_HEARTBEATS == 0 {
+        if self.beats.sequence.is_multiple_of(SWEEP_HEARTBEATS) {
             self.sweep_answers();
             self.sweep_calls();
         }
-        if self.beats.sequence % ROSTERS_HEARTBEATS == 0 {
+        if self.beats.sequence.is_multiple_of(ROSTERS_HEARTBEATS) {
             self.read_other_rosters();
+        } else if self
+            .beats
+            .sequence
+            .is_multiple_of(MISSING_ROSTER_HEARTBEATS)
+        {
+            self.read_missing_rosters();
         }
         self.progress_stop();
     }
@@ -105,16 +113,23 @@
             short.grants.clear();
             short.loads.clear();
             short.ask = None;
-            self.out.push(Action::Beat { to: far, heartbeat: Box::new(short) });
+            self.out.push(Action::Beat {
+                to: far,
+                heartbeat: Box::new(short),
+            });
         }
         if !near.is_empty() {
-            self.out.push(Action::Beat { to: near, heartbeat: Box::new(heartbeat) });
+            self.out.push(Action::Beat {
+                to: near,
+                heartbeat: Box::new(heartbeat),
+            });
         }
     }
 
     /// One box of each other failure domain, spread so that each box there hears some of ours.
     fn remote_contacts(&self) -> Vec<String> {
-        let item = rendezvous::item(&self.cfg.me.id).wrapping_add(self.beats.sequence / REMOTE_HEARTBEATS);
+        let item =
+            rendezvous::item(&self.cfg.me.id).wrapping_add(self.beats.sequence / REMOTE_HEARTBEATS);
         let mut contacts = Vec::new();
         for domain in self.cfg.domains.iter().filter(|d| *d != &self.cfg.domain) {
             let mut names: Vec<&str> = self
@@ -133,7 +148,10 @@
 
     /// A heartbeat came.
     pub(super) fn on_heartbeat(&mut self, beat: &Heartbeat) {
-        let life = self.membership.peer(&beat.from).map(|p| p.member.incarnation);
+        let life = self
+            .membership
+            .peer(&beat.from)
+            .map(|p| p.member.incarnation);
         if life.is_some_and(|l| l != Incarnation(0) && l < beat.incarnation) {
             // The box was replaced: whatever its earlier life held is lost.
             self.after_peer_lost(&beat.from);
@@ -147,9 +165,13 @@
         }
         if let Some(ask) = &beat.ask
             && beat.domain == self.cfg.domain
-            && !self.slices.has_withdrawn(&beat.from, beat.incarnation, ask.epoch)
+            && !self
+                .slices
+                .has_withdrawn(&beat.from, beat.incarnation, ask.epoch)
         {
-            let grant = self.membership.grant(&beat.from, beat.incarnation, ask, self.now);
+            let grant = self
+                .membership
+                .grant(&beat.from, beat.incarnation, ask, self.now);
             self.beats.grants.extend(grant);
         }
         for report in &beat.loads {
@@ -157,7 +179,8 @@
         }
         for endpoint in &beat.leaving {
             if self.endpoints.on_leaving(endpoint) {
-                self.out.note("endpoint_leaving", endpoint, "heard from a peer");
+                self.out
+                    .note("endpoint_leaving", endpoint, "heard from a peer");
             }
         }
         if beat.domain == self.cfg.domain && beat.epoch > self.membership.epoch() {
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -14,7 +14,7 @@
 use crate::node::roster::{SCRIBE_SLICE, slice_of};
 use crate::rendezvous;
 use crate::schema::{
-    Answered, AnswerDigest, BoxId, Cursor, Defer, DeferReply, Detach, DomainId, Generation, Kept,
+    AnswerDigest, Answered, BoxId, Cursor, Defer, DeferReply, Detach, DomainId, Generation, Kept,
     Lookup, LookupReply, Member, Micros, Moved, Output, Ran, Reason, Refusal, Refused, Request,
     RequestKey, Submit, TokenOffset,
 };
@@ -124,8 +124,8 @@
         if let Some(domain) = self.cfg.domains.iter().find(|d| Some(d.as_str()) == named) {
             return domain.clone();
         }
-        let names: Vec<&str> = self.cfg.domains.iter().map(|d| d.as_str()).collect();
-        let ranked = rendezvous::rank(&names, rendezvous::item(key));
+        let domains: Vec<&str> = self.cfg.domains.iter().map(|d| d.as_str()).collect();
+        let ranked = rendezvous::rank(&domains, rendezvous::item(key));
         let first = ranked.first().and_then(|n| n.parse().ok());
         first.unwrap_or_else(|| self.cfg.domain.clone())
     }
@@ -135,7 +135,9 @@
         let Some(inbound) = self.inbound.table.get_mut(&connection) else {
             return;
         };
-        let reachable = self.membership.domain_is_reachable(&inbound.domain, self.now);
+        let reachable = self
+            .membership
+            .domain_is_reachable(&inbound.domain, self.now);
         if let Wanted::Answer(request) = &inbound.wanted
             && !reachable
             && !request.runs_once()
@@ -159,15 +161,32 @@
         match inbound.wanted.clone() {
             Wanted::Answer(request) => self.out.send(
                 &home,
-                Submit { request, cursor, receiver, subscription: connection, repeated, hops: 0 },
+                Submit {
+                    request,
+                    cursor,
+                    receiver,
+                    subscription: connection,
+                    repeated,
+                    hops: 0,
+                },
             ),
             Wanted::Acceptance(request) => self.out.send(
                 &home,
-                Defer { receiver, subscription: connection, request, hops: 0 },
+                Defer {
+                    receiver,
+                    subscription: connection,
+                    request,
+                    hops: 0,
+                },
             ),
             Wanted::Result(key) => self.out.send(
                 &home,
-                Lookup { receiver, subscription: connection, key, hops: 0 },
+                Lookup {
+                    receiver,
+                    subscription: connection,
+                    key,
+                    hops: 0,
+                },
             ),
         }
     }
@@ -183,7 +202,16 @@
             Wanted::Answer(request) => slice_of(&request.key),
             Wanted::Acceptance(_) | Wanted::Result(_) => SCRIBE_SLICE,
         };
-        let home = self.membership.slice_home(domain, slice)?;
+        let Some(home) = self.membership.slice_home(domain, slice) else {
+            // Any box of a failure domain whose roster isn't known here can pass the request on.
+            let others = self
+                .membership
+                .ranked_for(domain, u64::from(slice.0), self.now);
+            return others
+                .into_iter()
+                .next()
+                .filter(|_| domain != &self.cfg.domain);
+        };
         let lost = self.membership.peer(&home.id).is_some_and(|p| p.lost);
         let silent = domain == &self.cfg.domain && !self.membership.is_live(&home.id, self.now);
         let cut = !self.membership.domain_is_reachable(domain, self.now);
@@ -202,7 +230,12 @@
         inbound.home = None;
         if started && inbound.homes_tried < MAX_HOMES && now.since(since) < RECOVERY_LIMIT {
             let again = now.after(self.cfg.heartbeat);
-            self.read_roster_now();
+            let domain = inbound.domain.clone();
+            if domain == self.cfg.domain {
+                self.read_roster_now();
+            } else {
+                self.read_roster_of(&domain);
+            }
             return self.out.timer(Timer::Inbound(connection), again);
         }
         let certain = match &inbound.wanted {
@@ -210,7 +243,8 @@
             Wanted::Answer(_) | Wanted::Acceptance(_) => !started,
             Wanted::Result(_) => true,
         };
-        let detail = "the box in charge of this request can't be reached; come back with the same key";
+        let detail =
+            "the box in charge of this request can't be reached; come back with the same key";
         let mut refusal = Refusal::not_run(Reason::HomeUnreachable, RETRY_AFTER, detail);
         if !certain {
             refusal.ran = Ran::Unknown;
@@ -220,7 +254,12 @@
 
     /// Looks whether a request has found a home again.
     pub(super) fn check_inbound(&mut self, connection: u64) {
-        if self.inbound.table.get(&connection).is_some_and(|i| i.home.is_none()) {
+        if self
+            .inbound
+            .table
+            .get(&connection)
+            .is_some_and(|i| i.home.is_none())
+        {
             self.hand_over(connection);
         }
     }
@@ -249,7 +288,10 @@
             return;
         };
         inbound.home = None;
-        let to = moved.to.as_ref().and_then(|id| self.membership.member(id).cloned());
+        let to = moved
+            .to
+            .as_ref()
+            .and_then(|id| self.membership.member(id).cloned());
         let (Some(to), Wanted::Answer(request)) = (to, inbound.wanted.clone()) else {
             return self.hand_over(moved.subscription);
         };
@@ -267,14 +309,15 @@
     }
 
     /// Tokens came for a caller.
-    pub(super) fn on_output(&mut self, output: Output) {
+    pub(super) fn on_output(&mut self, output: &Output) {
         let connection = output.subscription;
         let Some(inbound) = self.inbound.table.get_mut(&connection) else {
             return;
         };
-        let Some(fresh) = fitting(inbound, &output) else {
+        let Some(fresh) = fitting(inbound, output) else {
             self.stats.outputs_rejected += 1;
-            let detail = "the answer this belongs to was lost; send the request again under a new key";
+            let detail =
+                "the answer this belongs to was lost; send the request again under a new key";
             return self.refuse_caller(connection, Refusal::unknown(Reason::StartOver, detail));
         };
         inbound.generation = output.generation;
@@ -298,7 +341,8 @@
     /// A plain service's answer came for a caller.
     pub(super) fn on_answered(&mut self, answered: Answered) {
         if self.inbound.table.remove(&answered.subscription).is_some() {
-            self.out.reply(answered.subscription, Reply::Answered(answered.answer));
+            self.out
+                .reply(answered.subscription, Reply::Answered(answered.answer));
         }
     }
 
@@ -323,16 +367,21 @@
         if reply.kept == Kept::Nowhere {
             let detail = "the work could not be kept safely anywhere; come back later";
             let refusal = Refusal::not_run(Reason::NotDurable, RETRY_AFTER, detail);
-            return self.on_refused(Refused { subscription: reply.subscription, refusal });
+            return self.on_refused(Refused {
+                subscription: reply.subscription,
+                refusal,
+            });
         }
         self.inbound.table.remove(&reply.subscription);
-        self.out.reply(reply.subscription, Reply::Accepted(reply.kept));
+        self.out
+            .reply(reply.subscription, Reply::Accepted(reply.kept));
     }
 
     /// The scribe's word on a result came.
     pub(super) fn on_lookup_reply(&mut self, reply: LookupReply) {
         if self.inbound.table.remove(&reply.subscription).is_some() {
-            self.out.reply(reply.subscription, Reply::Status(reply.status));
+            self.out
+                .reply(reply.subscription, Reply::Status(reply.status));
         }
     }
 
@@ -346,7 +395,10 @@
         let Some(inbound) = self.inbound.table.remove(&connection) else {
             return;
         };
-        let detach = Detach { key: inbound.key().clone(), subscription: connection };
+        let detach = Detach {
+            key: inbound.key().clone(),
+            subscription: connection,
+        };
         let home = inbound.home.and_then(|h| self.member(&h));
         if let (Some(home), Wanted::Answer(_)) = (home, inbound.wanted) {
             self.out.send(&home, detach);
--- a/src/node/loads.rs
+++ b/src/node/loads.rs
@@ -67,7 +67,10 @@
     }
 
     fn report_changed(&self, report: &LoadReport) -> bool {
-        let known = self.endpoints.get(&report.endpoint).and_then(|e| e.report.as_ref());
+        let known = self
+            .endpoints
+            .get(&report.endpoint)
+            .and_then(|e| e.report.as_ref());
         known != Some(report)
     }
 
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -149,7 +149,9 @@
     /// Whether a message of this life of a box must be dropped because a later life is known.
     #[must_use]
     pub fn is_past_life(&self, from: &BoxId, incarnation: Incarnation) -> bool {
-        self.peers.get(from).is_some_and(|p| p.member.incarnation > incarnation)
+        self.peers
+            .get(from)
+            .is_some_and(|p| p.member.incarnation > incarnation)
     }
 
     /// Notes that the connection to a box broke.
@@ -175,7 +177,14 @@
         if known == Some(epoch) {
             return false;
         }
-        self.rosters.insert(domain, RosterView { epoch, roster, seen: now });
+        self.rosters.insert(
+            domain,
+            RosterView {
+                epoch,
+                roster,
+                seen: now,
+            },
+        );
         true
     }
 
@@ -207,7 +216,8 @@
     /// Whether the own roster lists this box in its present life.
     #[must_use]
     pub fn is_listed(&self) -> bool {
-        self.own().is_some_and(|v| roster_lists(&v.roster, &self.me))
+        self.own()
+            .is_some_and(|v| roster_lists(&v.roster, &self.me))
     }
 
     /// When the roster that the lease rests on was asked for.
@@ -225,15 +235,23 @@
         }
         let place = view.roster.slices.get(usize::from(slice.0))?;
         let lease = self.confirmed.map(|c| c.after(self.lease));
-        let promise = place.successor.as_ref().and_then(|s| self.promises.get(s).copied());
+        let promise = place
+            .successor
+            .as_ref()
+            .and_then(|s| self.promises.get(s).copied());
         lease.max(promise).filter(|until| *until > now)
     }
 
     /// What this box asks of its successors: not to succeed it for one more lease.
     #[must_use]
     pub fn promise_ask(&self, now: Micros) -> Option<PromiseAsk> {
-        let fresh = self.confirmed.is_some_and(|c| now.since(c) < self.lease / 2);
-        (!fresh && self.is_listed()).then(|| PromiseAsk { asked: now, epoch: self.epoch() })
+        let fresh = self
+            .confirmed
+            .is_some_and(|c| now.since(c) < self.lease / 2);
+        (!fresh && self.is_listed()).then(|| PromiseAsk {
+            asked: now,
+            epoch: self.epoch(),
+        })
     }
 
     /// Takes in a promise of another box.
@@ -247,9 +265,19 @@
     }
 
     /// Promises a box of the same epoch not to succeed it for one lease.
-    pub fn grant(&mut self, to: &BoxId, life: Incarnation, ask: &PromiseAsk, now: Micros) -> Option<PromiseGrant> {
+    pub fn grant(
+        &mut self,
+        to: &BoxId,
+        life: Incarnation,
+        ask: &PromiseAsk,
+        now: Micros,
+    ) -> Option<PromiseGrant> {
         let view = self.own()?;
-        let listed = view.roster.members.iter().any(|m| &m.id == to && m.incarnation == life);
+        let listed = view
+            .roster
+            .members
+            .iter()
+            .any(|m| &m.id == to && m.incarnation == life);
         if !listed || view.epoch != ask.epoch || !roster_lists(&view.roster, &self.me) {
             return None;
         }
@@ -268,7 +296,10 @@
     pub fn is_bound_to(&self, id: &BoxId, life: Incarnation, now: Micros) -> bool {
         // A process that has just started doesn't know what its earlier life promised.
         let young = now.since(self.started) <= self.lease + self.clock_bound;
-        let promised = self.granted.get(&(id.clone(), life)).is_some_and(|until| *until > now);
+        let promised = self
+            .granted
+            .get(&(id.clone(), life))
+            .is_some_and(|until| *until > now);
         young || promised
     }
 
@@ -276,7 +307,11 @@
     pub fn on_fleet(&mut self, list: &FleetList, now: Micros) {
         self.fleet_version = list.version;
         for entry in &list.entries {
-            let listed = Listed { state: entry.state, incarnation: entry.incarnation, since: now };
+            let listed = Listed {
+                state: entry.state,
+                incarnation: entry.incarnation,
+                since: now,
+            };
             match self.listed.get_mut(&entry.id) {
                 Some(l) if l.state == entry.state && l.incarnation == entry.incarnation => {}
                 Some(l) => *l = listed,
@@ -338,7 +373,9 @@
         if id == &self.me.id {
             return true;
         }
-        self.peers.get(id).is_some_and(|p| self.peer_is_live(p, now))
+        self.peers
+            .get(id)
+            .is_some_and(|p| self.peer_is_live(p, now))
     }
 
     /// Whether a peer is taken to be alive; a box not heard yet has the benefit of the doubt for as
@@ -348,14 +385,22 @@
         if peer.lost {
             return false;
         }
-        let silence = if peer.domain == self.domain { self.silence } else { self.remote_silence };
+        let silence = if peer.domain == self.domain {
+            self.silence
+        } else {
+            self.remote_silence
+        };
         now.since(peer.heard.unwrap_or(self.started)) <= silence
     }
 
     /// How long a box has been silent.
     #[must_use]
     pub fn silent_for(&self, id: &BoxId, now: Micros) -> Duration {
-        let heard = self.peers.get(id).and_then(|p| p.heard).unwrap_or(self.started);
+        let heard = self
+            .peers
+            .get(id)
+            .and_then(|p| p.heard)
+            .unwrap_or(self.started);
         now.since(heard)
     }
 
@@ -400,7 +445,10 @@
     #[must_use]
     pub fn domain_is_reachable(&self, domain: &DomainId, now: Micros) -> bool {
         domain == &self.domain
-            || self.peers.values().any(|p| &p.domain == domain && self.peer_is_live(p, now))
+            || self
+                .peers
+                .values()
+                .any(|p| &p.domain == domain && self.peer_is_live(p, now))
     }
 
     /// The home of a slice as the roster of a failure domain has it.
@@ -442,5 +490,8 @@
 }
 
 fn roster_lists(roster: &Roster, member: &Member) -> bool {
-    roster.members.iter().any(|m| m.id == member.id && m.incarnation == member.incarnation)
+    roster
+        .members
+        .iter()
+        .any(|m| m.id == member.id && m.incarnation == member.incarnation)
 }
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -18,7 +18,10 @@
 impl Node {
     /// Gives the next order that is due.
     pub(super) fn tend_orders(&mut self) {
-        let spaced = self.orders.last.is_none_or(|at| self.now.since(at) >= ORDER_SPACING);
+        let spaced = self
+            .orders
+            .last
+            .is_none_or(|at| self.now.since(at) >= ORDER_SPACING);
         if !spaced {
             return;
         }
@@ -39,18 +42,29 @@
             return None;
         };
         let models = engine.models.iter().filter_map(|id| bundle.model(id));
-        models.filter(|m| m.version > loaded).map(|m| (m.id.clone(), m.version)).next()
+        models
+            .filter(|m| m.version > loaded)
+            .map(|m| (m.id.clone(), m.version))
+            .next()
     }
 
     fn give_order(&mut self, endpoint: &EndpointId, model: ModelId, version: u32) {
         let Some(state) = self.endpoints.get(endpoint) else {
             return;
         };
-        let Some(confirmed) = self.membership.confirmed().filter(|_| self.membership.is_listed()) else {
+        let Some(confirmed) = self
+            .membership
+            .confirmed()
+            .filter(|_| self.membership.is_listed())
+        else {
             return;
         };
         let age = self.now.since(confirmed);
-        let allowed = if state.checks_orders { self.cfg.lease } else { ORDER_LEASE_AGE };
+        let allowed = if state.checks_orders {
+            self.cfg.lease
+        } else {
+            ORDER_LEASE_AGE
+        };
         if age >= allowed {
             // A fresh read of the roster confirms the lease; the order then goes with the next beat.
             return self.read_roster_now();
@@ -65,7 +79,11 @@
         };
         self.orders.last = Some(self.now);
         self.stats.orders += 1;
-        self.out.note("order", endpoint, format!("{} version {version}", order.model));
+        self.out.note(
+            "order",
+            endpoint,
+            format!("{} version {version}", order.model),
+        );
         self.out.push(Action::Order(Box::new(order)));
     }
 }
--- a/src/node/outbox.rs
+++ b/src/node/outbox.rs
@@ -1,6 +1,7 @@
 //! Collects a node's actions; messages to itself come back without leaving the node.
 
 use std::collections::VecDeque;
+use std::fmt::Display;
 
 use crate::node::action::{Action, PlatformOp, Reply};
 use crate::node::event::Timer;
@@ -19,7 +20,12 @@
     /// Makes an empty outbox of the box `me`.
     #[must_use]
     pub fn new(me: BoxId) -> Self {
-        Self { me, actions: Vec::new(), loopback: VecDeque::new(), next_call: 0 }
+        Self {
+            me,
+            actions: Vec::new(),
+            loopback: VecDeque::new(),
+            next_call: 0,
+        }
     }
 
     /// Adds an action.
@@ -33,7 +39,10 @@
         if to.id == self.me {
             self.loopback.push_back(message);
         } else {
-            self.push(Action::Send { to: to.clone(), message: Box::new(message) });
+            self.push(Action::Send {
+                to: to.clone(),
+                message: Box::new(message),
+            });
         }
     }
 
@@ -45,7 +54,10 @@
     /// Calls the platform and returns the call's number.
     pub fn platform(&mut self, op: PlatformOp) -> u64 {
         self.next_call += 1;
-        self.push(Action::Platform { id: self.next_call, op });
+        self.push(Action::Platform {
+            id: self.next_call,
+            op,
+        });
         self.next_call
     }
 
@@ -55,7 +67,8 @@
     }
 
     /// Puts an event on the time line.
-    pub fn note(&mut self, event: &'static str, subject: impl ToString, detail: impl ToString) {
+    #[allow(clippy::needless_pass_by_value)] // Callers hand over what `format!` made.
+    pub fn note(&mut self, event: &'static str, subject: impl Display, detail: impl Display) {
         self.push(Action::Note {
             event,
             subject: subject.to_string(),
--- a/src/node/platform.rs
+++ b/src/node/platform.rs
@@ -10,9 +10,7 @@
 use crate::node::config::READS_PER_LEASE;
 use crate::node::event::{Object, PlatformAnswer, Timer, roster_name};
 use crate::node::roster;
-use crate::schema::{
-    BatchId, BoxId, DomainId, Epoch, Incarnation, Micros, RequestKey, Roster,
-};
+use crate::schema::{BatchId, BoxId, DomainId, Epoch, Incarnation, Micros, RequestKey, Roster};
 
 /// What a call of the platform was made for.
 #[derive(Clone, Debug)]
@@ -101,9 +99,13 @@
         self.platform.roster_read = Some(id);
     }
 
-    fn read_roster_of(&mut self, domain: &DomainId) -> u64 {
+    /// Reads the roster of a failure domain, unless it still is the known one.
+    pub(super) fn read_roster_of(&mut self, domain: &DomainId) -> u64 {
         let known = self.membership.roster_of(domain).map(|v| v.epoch.0);
-        let op = PlatformOp::Get { name: roster_name(domain), known };
+        let op = PlatformOp::Get {
+            name: roster_name(domain),
+            known,
+        };
         self.call_platform(op, Purpose::ReadRoster(domain.clone(), known))
     }
 
@@ -116,6 +118,15 @@
         }
     }
 
+    /// Reads the rosters of the failure domains of which none is known.
+    pub(super) fn read_missing_rosters(&mut self) {
+        for domain in self.cfg.domains.clone() {
+            if self.membership.roster_of(&domain).is_none() && domain != self.cfg.domain {
+                self.read_roster_of(&domain);
+            }
+        }
+    }
+
     /// The platform answered, or didn't.
     pub(super) fn on_platform(&mut self, id: u64, asked: Micros, answer: PlatformAnswer) {
         let Some(purpose) = self.platform.open.remove(&id) else {
@@ -161,14 +172,17 @@
                 let Ok(roster) = serde_json::from_str::<Roster>(&value) else {
                     return self.out.note("roster_unreadable", domain, "");
                 };
-                let new = self.membership.on_roster(roster, Epoch(version), asked, self.now);
+                let new = self
+                    .membership
+                    .on_roster(roster, Epoch(version), asked, self.now);
                 if own && new {
                     self.out.note("epoch", version, "");
                     self.on_new_epoch();
                 }
             }
             PlatformAnswer::Unchanged if own => {
-                self.membership.on_roster_unchanged(Epoch(known.unwrap_or(0)), asked);
+                self.membership
+                    .on_roster_unchanged(Epoch(known.unwrap_or(0)), asked);
             }
             PlatformAnswer::Missing => {}
             _ => return,
@@ -184,9 +198,17 @@
             return;
         }
         let wait = self.cfg.lease * REJOIN_LEASES;
-        let waited = self.platform.last_join.is_none_or(|at| self.now.since(at) >= wait);
+        let waited = self
+            .platform
+            .last_join
+            .is_none_or(|at| self.now.since(at) >= wait);
         // After a conflict there is no reason to wait: someone else was merely faster.
-        if !waited && self.membership.own().is_some_and(|v| self.was_removed(&v.roster)) {
+        if !waited
+            && self
+                .membership
+                .own()
+                .is_some_and(|v| self.was_removed(&v.roster))
+        {
             return;
         }
         let present = self.membership.own().map(|v| v.roster.clone());
@@ -201,7 +223,9 @@
     fn was_removed(&self, roster: &Roster) -> bool {
         let me = &self.cfg.me;
         let names_me = |s: &crate::schema::Slice| {
-            s.former.iter().any(|h| h.home == me.id && h.incarnation == me.incarnation)
+            s.former
+                .iter()
+                .any(|h| h.home == me.id && h.incarnation == me.incarnation)
         };
         roster.slices.iter().any(names_me)
     }
@@ -212,7 +236,11 @@
             return false;
         }
         let epoch = self.membership.epoch();
-        let expect = if epoch.0 == 0 { Expect::Absent } else { Expect::Version(epoch.0) };
+        let expect = if epoch.0 == 0 {
+            Expect::Absent
+        } else {
+            Expect::Version(epoch.0)
+        };
         let op = PlatformOp::Put {
             name: roster_name(&self.cfg.domain),
             expect,
@@ -269,8 +297,12 @@
             m.id != self.cfg.me.id
                 && self.membership.silent_for(&m.id, self.now) >= self.cfg.removal()
         };
-        let gone: Vec<(BoxId, Incarnation)> =
-            roster.members.iter().filter(silent).map(|m| (m.id.clone(), m.incarnation)).collect();
+        let gone: Vec<(BoxId, Incarnation)> = roster
+            .members
+            .iter()
+            .filter(silent)
+            .map(|m| (m.id.clone(), m.incarnation))
+            .collect();
         let first_live = roster.members.iter().find(|m| !silent(m));
         let is_mine = first_live.is_some_and(|m| m.id == self.cfg.me.id);
         if is_mine { gone } else { Vec::new() }
--- a/src/node/queueing.rs
+++ b/src/node/queueing.rs
@@ -8,8 +8,14 @@
 impl Node {
     /// Lets a request wait for an endpoint, or says why it can't.
     pub(super) fn admit(&mut self, pool: &Pool, waiting: Waiting) -> Result<(), Refusal> {
-        let limit = self.bundles.current().map_or(1, |b| b.policy().queue_limit as usize);
-        let wait = self.admission.expected_wait(pool, waiting.priority).max(RETRY_AFTER);
+        let limit = self
+            .bundles
+            .current()
+            .map_or(1, |b| b.policy().queue_limit as usize);
+        let wait = self
+            .admission
+            .expected_wait(pool, waiting.priority)
+            .max(RETRY_AFTER);
         match self.admission.admit(pool, waiting, limit, self.now) {
             Admitted::Queued => Ok(()),
             Admitted::Instead(evicted) => {
@@ -40,7 +46,7 @@
             answer.waiting = false;
             self.give_up_answer(key, refusal);
         } else {
-            self.refuse_call(key, refusal);
+            self.refuse_call(key, &refusal);
         }
     }
 
--- a/src/node/retries.rs
+++ b/src/node/retries.rs
@@ -30,18 +30,35 @@
 
 impl RetryBudgets {
     /// Notes a first try, which earns `percent` of a retry.
-    pub fn on_first_try(&mut self, organisation: &OrganisationId, endpoint: &EndpointId, percent: u32) {
+    pub fn on_first_try(
+        &mut self,
+        organisation: &OrganisationId,
+        endpoint: &EndpointId,
+        percent: u32,
+    ) {
         let earned = f64::from(percent) / 100.0;
-        let of = self.organisations.entry(organisation.clone()).or_insert(FIRST_GRANT);
+        let of = self
+            .organisations
+            .entry(organisation.clone())
+            .or_insert(FIRST_GRANT);
         *of = (*of + earned).min(MOST_SAVED);
-        let of = self.endpoints.entry(endpoint.clone()).or_insert(FIRST_GRANT);
+        let of = self
+            .endpoints
+            .entry(endpoint.clone())
+            .or_insert(FIRST_GRANT);
         *of = (*of + earned).min(MOST_SAVED);
     }
 
     /// Takes a retry if both budgets have one.
     pub fn take(&mut self, organisation: &OrganisationId, endpoint: &EndpointId) -> bool {
-        let first = self.organisations.entry(organisation.clone()).or_insert(FIRST_GRANT);
-        let second = self.endpoints.entry(endpoint.clone()).or_insert(FIRST_GRANT);
+        let first = self
+            .organisations
+            .entry(organisation.clone())
+            .or_insert(FIRST_GRANT);
+        let second = self
+            .endpoints
+            .entry(endpoint.clone())
+            .or_insert(FIRST_GRANT);
         if *first < 1.0 || *second < 1.0 {
             return false;
         }
@@ -54,5 +71,7 @@
 /// Returns how long to wait before a retry.
 pub fn backoff(failures: u32, rng: &mut impl Rng) -> Duration {
     let doubled = FIRST_BACKOFF * 2_u32.pow(failures.saturating_sub(1).min(DOUBLINGS));
-    doubled.min(LONGEST_BACKOFF).mul_f64(rng.random_range(0.5..1.5))
+    doubled
+        .min(LONGEST_BACKOFF)
+        .mul_f64(rng.random_range(0.5..1.5))
 }
