--- a/src/node/roster.rs
+++ b/src/node/roster.rs
@@ -6,7 +6,9 @@
 //! forgets no one who might still act.
 
 use crate::rendezvous;
-use crate::schema::{BoxId, DomainId, Holding, Incarnation, Member, RequestKey, Roster, Slice, SliceId};
+use crate::schema::{
+    BoxId, DomainId, Holding, Incarnation, Member, RequestKey, Roster, Slice, SliceId,
+};
 
 /// How many slices a failure domain's keys are spread over.
 pub const SLICES: u16 = 64;
@@ -33,9 +35,18 @@
 
 /// Returns the roster without some boxes.
 #[must_use]
-pub fn remove(present: &Roster, gone: &[(BoxId, Incarnation)], writer: &BoxId, mark: u64) -> Roster {
+pub fn remove(
+    present: &Roster,
+    gone: &[(BoxId, Incarnation)],
+    writer: &BoxId,
+    mark: u64,
+) -> Roster {
     let mut members = present.members.clone();
-    members.retain(|m| !gone.iter().any(|(id, life)| id == &m.id && *life == m.incarnation));
+    members.retain(|m| {
+        !gone
+            .iter()
+            .any(|(id, life)| id == &m.id && *life == m.incarnation)
+    });
     next(Some(present), &present.domain, members, writer, mark)
 }
 
@@ -67,7 +78,13 @@
             next_slice(before, &members, place, writer)
         })
         .collect();
-    Roster { domain: domain.clone(), members, slices, writer: writer.clone(), mark }
+    Roster {
+        domain: domain.clone(),
+        members,
+        slices,
+        writer: writer.clone(),
+        mark,
+    }
 }
 
 fn next_slice(
@@ -83,7 +100,12 @@
     let successor = ranked.get(1).and_then(|n| member(n)).map(|m| m.id.clone());
     let Some((roster, slice)) = before else {
         let home = home.map_or_else(|| writer.clone(), |m| m.id.clone());
-        return Slice { home, successor, term: 1, former: Vec::new() };
+        return Slice {
+            home,
+            successor,
+            term: 1,
+            former: Vec::new(),
+        };
     };
     let Some(home) = home else {
         // No box is left; the last home stays named, so that whoever comes next clears it.
@@ -94,13 +116,27 @@
             former: former_after(roster, slice),
         };
     };
-    let moved = slice.home != home.id || life(&roster.members, &slice.home) != Some(home.incarnation);
+    let moved =
+        slice.home != home.id || life(&roster.members, &slice.home) != Some(home.incarnation);
     let life_of = |members, id: &Option<BoxId>| id.as_ref().and_then(|id| life(members, id));
     let succeeded = slice.successor != successor
         || life_of(&roster.members, &slice.successor) != life_of(members, &successor);
-    let former = if moved { former_after(roster, slice) } else { slice.former.clone() };
-    let term = if moved || succeeded { slice.term + 1 } else { slice.term };
-    Slice { home: home.id.clone(), successor, term, former }
+    let former = if moved {
+        former_after(roster, slice)
+    } else {
+        slice.former.clone()
+    };
+    let term = if moved || succeeded {
+        slice.term + 1
+    } else {
+        slice.term
+    };
+    Slice {
+        home: home.id.clone(),
+        successor,
+        term,
+        former,
+    }
 }
 
 fn life(members: &[Member], id: &BoxId) -> Option<Incarnation> {
--- a/src/node/routing.rs
+++ b/src/node/routing.rs
@@ -89,7 +89,11 @@
     let known = cached.get(id).copied().unwrap_or(0).min(need.bytes);
     let prefill = state.prefill(need.bytes - known).as_secs_f64();
     let crowd = crowding(state, now) * CROWDING_SECONDS;
-    let remote = if &state.domain == need.domain { 0.0 } else { REMOTE_SECONDS };
+    let remote = if &state.domain == need.domain {
+        0.0
+    } else {
+        REMOTE_SECONDS
+    };
     let adapter = match need.adapter {
         Some((_, loaded)) if !loaded.contains(id) => ADAPTER_SECONDS,
         _ => 0.0,
--- a/src/node/runs.rs
+++ b/src/node/runs.rs
@@ -69,7 +69,11 @@
         };
         let attempt = Attempt(answer.next_attempt);
         answer.next_attempt += 1;
-        let stream = StreamId { key: key.clone(), generation: answer.generation, attempt };
+        let stream = StreamId {
+            key: key.clone(),
+            generation: answer.generation,
+            attempt,
+        };
         let bytes = generate.prompt.len() + answer.len() * BYTES_PER_TOKEN;
         let tokens = match self.cfg.recovery {
             Recovery::Restart => Vec::new(),
@@ -92,18 +96,29 @@
         });
         answer.mark = Some(mark);
         let first = attempt == Attempt(1);
-        let import_from = import_from.and_then(|id| self.endpoints.get(id)).map(|e| e.address.clone());
-        let address = self.endpoints.get(&endpoint).map(|e| e.address.clone()).unwrap_or_default();
+        let import_from = import_from
+            .and_then(|id| self.endpoints.get(id))
+            .map(|e| e.address.clone());
+        let address = self
+            .endpoints
+            .get(&endpoint)
+            .map(|e| e.address.clone())
+            .unwrap_or_default();
         if first {
             let percent = answer.bundle.policy().retry_percent;
-            self.budgets.on_first_try(&answer.request.organisation, &endpoint, percent);
+            self.budgets
+                .on_first_try(&answer.request.organisation, &endpoint, percent);
         }
         let priority = answer.request.priority;
         let blocks = prefixes::blocks(&generate.prompt);
         self.endpoints.prefixes.stored(&endpoint, &blocks);
         self.endpoints.on_start(&endpoint, self.now);
         self.stats.runs += 1;
-        self.out.note("run_started", key, format!("{endpoint} from token {}", tokens.len()));
+        self.out.note(
+            "run_started",
+            key,
+            format!("{endpoint} from token {}", tokens.len()),
+        );
         self.out.push(Action::StartEngine(Box::new(EngineStart {
             endpoint,
             address,
@@ -122,7 +137,11 @@
         true
     }
 
-    fn choose_engine(&mut self, key: &RequestKey, generate: &GenerateRequest) -> Option<EndpointId> {
+    fn choose_engine(
+        &mut self,
+        key: &RequestKey,
+        generate: &GenerateRequest,
+    ) -> Option<EndpointId> {
         let answer = self.answers.get(key)?;
         let bundle = answer.bundle.clone();
         let candidates = bundle.engines_for(&generate.model);
@@ -253,7 +272,11 @@
             let took = self.now.since(lost);
             self.stats.resumes += 1;
             self.stats.resume_micros += took.as_micros() as u64;
-            self.out.note("resumed", &stream.key, format!("after {} ms", took.as_millis()));
+            self.out.note(
+                "resumed",
+                &stream.key,
+                format!("after {} ms", took.as_millis()),
+            );
         }
         self.push_copy(&stream.key);
     }
@@ -314,7 +337,10 @@
         self.endpoints.on_end(&run.endpoint);
         if let Some(state) = self.endpoints.get(&run.endpoint) {
             let address = state.address.clone();
-            self.out.push(Action::CancelEngine { address, stream: run.stream.clone() });
+            self.out.push(Action::CancelEngine {
+                address,
+                stream: run.stream.clone(),
+            });
         }
     }
 
@@ -350,7 +376,8 @@
         let pool = pool_of(answer);
         let length = answer.len();
         self.stats.completions += 1;
-        self.out.note("generation_finished", key, format!("{length} tokens"));
+        self.out
+            .note("generation_finished", key, format!("{length} tokens"));
         self.push_copy(key);
         self.dispatch(&pool);
     }
@@ -373,13 +400,19 @@
             answer.lost_at.get_or_insert(self.now);
         }
         self.endpoints.on_end(&run.endpoint);
-        self.out.note("run_failed", &stream.key, format!("{}: {failure:?}", run.endpoint));
+        self.out.note(
+            "run_failed",
+            &stream.key,
+            format!("{}: {failure:?}", run.endpoint),
+        );
         self.note_failure(&run, failure);
         if others {
             return;
         }
         match failure {
-            EngineFailure::Busy | EngineFailure::Unreachable => self.retry(&stream.key, &run.endpoint),
+            EngineFailure::Busy | EngineFailure::Unreachable => {
+                self.retry(&stream.key, &run.endpoint);
+            }
             EngineFailure::Leaving
             | EngineFailure::Gone
             | EngineFailure::Broken
@@ -407,7 +440,10 @@
     fn cancel_garbled(&mut self, run: &Run) {
         if let Some(state) = self.endpoints.get(&run.endpoint) {
             let address = state.address.clone();
-            self.out.push(Action::CancelEngine { address, stream: run.stream.clone() });
+            self.out.push(Action::CancelEngine {
+                address,
+                stream: run.stream.clone(),
+            });
         }
     }
 
@@ -421,7 +457,13 @@
                 Reason::EngineFailed,
                 "the generation failed on every engine that was tried",
             );
-            return self.give_up_answer(key, Refusal { retry_after: Some(RETRY_AFTER.into()), ..refusal });
+            return self.give_up_answer(
+                key,
+                Refusal {
+                    retry_after: Some(RETRY_AFTER.into()),
+                    ..refusal
+                },
+            );
         }
         if answer.len() >= answer.request_limit() {
             return self.complete(key, Finish::Length);
@@ -465,7 +507,8 @@
             return self.give_up_answer(key, refusal);
         }
         let wait = backoff(answer.failures, &mut self.rng);
-        self.out.timer(Timer::Retry(key.clone()), self.now.after(wait));
+        self.out
+            .timer(Timer::Retry(key.clone()), self.now.after(wait));
     }
 
     /// The backoff of a generation or call is over.
@@ -485,7 +528,8 @@
         let Some((last, limit)) = self.suspicion_limit(stream) else {
             return;
         };
-        self.out.timer(Timer::Suspect(stream.clone()), last.after(limit));
+        self.out
+            .timer(Timer::Suspect(stream.clone()), last.after(limit));
     }
 
     /// When a run last gave a sign, and how long it may be silent.
@@ -500,21 +544,20 @@
             return Some((run.last, BASELINE_TIMEOUT));
         }
         if !run.has_token {
-            return Some((run.last, suspect_first_after(state.first_p99(), state.prefill(run.bytes))));
+            return Some((
+                run.last,
+                suspect_first_after(state.first_p99(), state.prefill(run.bytes)),
+            ));
         }
-        let stake = Stake {
+        let risk = Stake {
             p99: state.p99(),
-            extra_work: state.prefill(self.resume_bytes(answer)),
+            extra_work: state.prefill(resume_bytes(answer)),
             loss_per_gap: self.endpoints.losses.per_gap(),
         };
-        Some((run.last, suspect_after(&stake, &answer.bundle.policy().weights)))
-    }
-
-    fn resume_bytes(&self, answer: &Answer) -> usize {
-        match &answer.request.kind {
-            RequestKind::Generate(generate) => generate.prompt.len() + answer.len() * BYTES_PER_TOKEN,
-            RequestKind::Call(_) => 0,
-        }
+        Some((
+            run.last,
+            suspect_after(&risk, &answer.bundle.policy().weights),
+        ))
     }
 
     /// A run may have been silent for too long.
@@ -528,15 +571,23 @@
         let Some(answer) = self.answers.get(&stream.key) else {
             return;
         };
-        let suspect = answer.run(stream.attempt).map(|r| (r.endpoint.clone(), r.suspected));
+        let suspect = answer
+            .run(stream.attempt)
+            .map(|r| (r.endpoint.clone(), r.suspected));
         let Some((endpoint, false)) = suspect else {
             return;
         };
         if answer.runs.len() >= MOST_RUNS {
             self.drop_oldest_suspect(&stream.key);
         }
-        let import = self.import_pays(&stream.key, &endpoint).then_some(endpoint.clone());
-        self.out.note("run_suspected", &stream.key, format!("{endpoint} silent for {} ms", limit.as_millis()));
+        let import = self
+            .import_pays(&stream.key, &endpoint)
+            .then_some(endpoint.clone());
+        self.out.note(
+            "run_suspected",
+            &stream.key,
+            format!("{endpoint} silent for {} ms", limit.as_millis()),
+        );
         if let Some(answer) = self.answers.get_mut(&stream.key) {
             answer.lost_at.get_or_insert(last);
         }
@@ -548,7 +599,8 @@
             }
         } else {
             // Nowhere to go: the silent engine is still the best hope.
-            self.out.timer(Timer::Suspect(stream.clone()), self.now.after(limit));
+            self.out
+                .timer(Timer::Suspect(stream.clone()), self.now.after(limit));
         }
     }
 
@@ -575,17 +627,31 @@
         if !alive {
             return false;
         }
-        let bytes = self.resume_bytes(answer);
+        let bytes = resume_bytes(answer);
         let prefill = state.prefill(bytes).as_secs_f64();
         let per_token = IMPORT_PER_TOKEN.as_secs_f64();
         let import = IMPORT_BASE.as_secs_f64() + (bytes / BYTES_PER_TOKEN) as f64 * per_token;
         let weights = &answer.bundle.policy().weights;
-        let by_prefill = ResumeCost { latency: prefill, extra: prefill };
-        let by_import = ResumeCost { latency: import, extra: 0.0 };
+        let by_prefill = ResumeCost {
+            latency: prefill,
+            extra: prefill,
+        };
+        let by_import = ResumeCost {
+            latency: import,
+            extra: 0.0,
+        };
         by_import.total(weights) < by_prefill.total(weights)
     }
 }
 
+/// Bytes that another engine has to read to go on with an answer.
+fn resume_bytes(answer: &Answer) -> usize {
+    match &answer.request.kind {
+        RequestKind::Generate(generate) => generate.prompt.len() + answer.len() * BYTES_PER_TOKEN,
+        RequestKind::Call(_) => 0,
+    }
+}
+
 fn has_adapter(
     bundle: &crate::bundle::Bundle,
     id: &EndpointId,
--- a/src/node/slices.rs
+++ b/src/node/slices.rs
@@ -68,11 +68,15 @@
     /// Whether calls of a slice that may have been made before count as unknown.
     #[must_use]
     pub fn is_unknown(&self, slice: SliceId, now: Micros) -> bool {
-        self.unknown_until.get(&slice).is_some_and(|until| *until > now)
+        self.unknown_until
+            .get(&slice)
+            .is_some_and(|until| *until > now)
     }
 
     fn unknown_for(&self, slice: SliceId, now: Micros) -> Duration {
-        self.unknown_until.get(&slice).map_or(Duration::ZERO, |until| until.since(now))
+        self.unknown_until
+            .get(&slice)
+            .map_or(Duration::ZERO, |until| until.since(now))
     }
 
     fn extend_unknown(&mut self, slice: SliceId, until: Micros) {
@@ -102,8 +106,12 @@
     /// The slices that this box has opened.
     #[must_use]
     pub fn open(&self) -> Vec<SliceId> {
-        let mut open: Vec<SliceId> =
-            self.held.iter().filter(|(_, h)| h.open).map(|(id, _)| *id).collect();
+        let mut open: Vec<SliceId> = self
+            .held
+            .iter()
+            .filter(|(_, h)| h.open)
+            .map(|(id, _)| *id)
+            .collect();
         open.sort();
         open
     }
@@ -126,7 +134,11 @@
         self.slices.settle_wanted = false;
         for (place, slice) in view.roster.slices.iter().enumerate() {
             let id = SliceId(place as u16);
-            let let_go = self.slices.released.get(&id).is_some_and(|at| view.epoch < *at);
+            let let_go = self
+                .slices
+                .released
+                .get(&id)
+                .is_some_and(|at| view.epoch < *at);
             if slice.home != me.id || !listed || let_go {
                 if self.slices.held.remove(&id).is_some() && !let_go {
                     self.slices.awaiting_release.insert(id);
@@ -137,14 +149,21 @@
                 .former
                 .iter()
                 .filter(|h| h.home != me.id || h.incarnation != me.incarnation)
-                .map(|h| Former { holding: h.clone(), cleared: false })
+                .map(|h| Former {
+                    holding: h.clone(),
+                    cleared: false,
+                })
                 .collect();
             let before = self.slices.held.remove(&id);
             for f in &mut former {
                 f.cleared = before.as_ref().is_some_and(|b| b.has_cleared(&f.holding));
             }
             let held = match before {
-                Some(before) if former.is_empty() => Held { former, term: slice.term, ..before },
+                Some(before) if former.is_empty() => Held {
+                    former,
+                    term: slice.term,
+                    ..before
+                },
                 Some(before) => Held {
                     open: before.open && former.iter().all(|f| f.cleared),
                     term: slice.term,
@@ -170,8 +189,13 @@
 
     /// Asks former holders to let go, and opens what has been let go.
     pub(super) fn progress_slices(&mut self) {
-        let closed: Vec<SliceId> =
-            self.slices.held.iter().filter(|(_, h)| !h.open).map(|(id, _)| *id).collect();
+        let closed: Vec<SliceId> = self
+            .slices
+            .held
+            .iter()
+            .filter(|(_, h)| !h.open)
+            .map(|(id, _)| *id)
+            .collect();
         for id in closed {
             let Some(held) = self.slices.held.get(&id).cloned() else {
                 continue;
@@ -211,7 +235,10 @@
 
     /// Whether the platform's list has said for a lease that a home and its successor are gone.
     fn both_are_gone(&self, holding: &Holding) -> bool {
-        let Some(since) = self.membership.gone_since(&holding.home, holding.incarnation) else {
+        let Some(since) = self
+            .membership
+            .gone_since(&holding.home, holding.incarnation)
+        else {
             return false;
         };
         let successor_gone = holding.successor.as_ref().is_none_or(|s| {
@@ -245,7 +272,11 @@
             let horizon = self.bundles.retry_horizon();
             self.slices.extend_unknown(slice, self.now.after(horizon));
         }
-        let detail = if lost { "records lost" } else { "records known" };
+        let detail = if lost {
+            "records lost"
+        } else {
+            "records known"
+        };
         self.out.note("slice_opened", slice, detail);
     }
 
@@ -271,7 +302,13 @@
             let term = held.term;
             let me = self.cfg.me.clone();
             let epoch = self.membership.epoch();
-            let ask = SliceAsk { slice, epoch, home: me.id, incarnation: me.incarnation, term };
+            let ask = SliceAsk {
+                slice,
+                epoch,
+                home: me.id,
+                incarnation: me.incarnation,
+                term,
+            };
             let note = self.send_records(&successor.id, &ask, true);
             self.out.send(&successor, PeerMessage::SliceSync(note));
         }
@@ -284,7 +321,14 @@
         let count = records.len() as u32;
         if let Some(member) = self.member(to) {
             for record in records {
-                self.out.send(&member, OnceCopy { record, epoch, batch: true });
+                self.out.send(
+                    &member,
+                    OnceCopy {
+                        record,
+                        epoch,
+                        batch: true,
+                    },
+                );
             }
         }
         SliceNote {
@@ -327,7 +371,10 @@
         let key = (ask.slice, ask.home.clone(), ask.incarnation);
         let at = self.slices.withdrawn.entry(key).or_insert(ask.epoch);
         *at = ask.epoch.max(*at);
-        if self.membership.is_bound_to(&ask.home, ask.incarnation, self.now) {
+        if self
+            .membership
+            .is_bound_to(&ask.home, ask.incarnation, self.now)
+        {
             return;
         }
         let whole = (ask.home.clone(), ask.incarnation, ask.term);
@@ -344,8 +391,15 @@
             return;
         };
         let holding = held.former.iter().map(|f| &f.holding).find(|h| {
-            let speaks = if released { &h.home == from } else { h.successor.as_ref() == Some(from) };
-            speaks && h.home == note.home && h.incarnation == note.incarnation && h.term == note.term
+            let speaks = if released {
+                &h.home == from
+            } else {
+                h.successor.as_ref() == Some(from)
+            };
+            speaks
+                && h.home == note.home
+                && h.incarnation == note.incarnation
+                && h.term == note.term
         });
         let Some(holding) = holding.cloned() else {
             return;
@@ -380,13 +434,17 @@
         let until = self.now.after(note.unknown_for.into());
         self.slices.extend_unknown(note.slice, until);
         if let Some(member) = self.member(from) {
-            self.out.send(&member, PeerMessage::SliceSynced(note.clone()));
+            self.out
+                .send(&member, PeerMessage::SliceSynced(note.clone()));
         }
     }
 
     /// The successor has all records of a slice.
     pub(super) fn on_slice_synced(&mut self, from: &BoxId, note: &SliceNote) {
-        let is_successor = self.membership.successor(note.slice).is_some_and(|m| &m.id == from);
+        let is_successor = self
+            .membership
+            .successor(note.slice)
+            .is_some_and(|m| &m.id == from);
         if let Some(held) = self.slices.held.get_mut(&note.slice)
             && is_successor
             && held.term == note.term
@@ -397,7 +455,10 @@
 
     /// Whether a record may be taken from a box that says it is the home of its slice.
     pub(super) fn accepts_copy(&self, slice: SliceId, from: &BoxId, epoch: Epoch) -> bool {
-        let life = self.membership.peer(from).map_or(Incarnation(0), |p| p.member.incarnation);
+        let life = self
+            .membership
+            .peer(from)
+            .map_or(Incarnation(0), |p| p.member.incarnation);
         if self.slices.is_fenced(slice, from, life, epoch) {
             return false;
         }
@@ -408,12 +469,18 @@
     /// Counts a record of a batch.
     pub(super) fn note_batch_record(&mut self, from: &BoxId, key: &RequestKey) {
         let place = (slice_of(key), from.clone());
-        self.slices.received.entry(place).or_default().insert(key.clone());
+        self.slices
+            .received
+            .entry(place)
+            .or_default()
+            .insert(key.clone());
     }
 }
 
 impl Held {
     fn has_cleared(&self, holding: &Holding) -> bool {
-        self.former.iter().any(|f| f.cleared && &f.holding == holding)
+        self.former
+            .iter()
+            .any(|f| f.cleared && &f.holding == holding)
     }
 }
--- a/src/node/stopping.rs
+++ b/src/node/stopping.rs
@@ -39,11 +39,21 @@
 
     fn leave_roster(&mut self) {
         let me = self.cfg.me.clone();
-        let Some(view) = self.membership.own().cloned().filter(|_| self.membership.is_listed()) else {
+        let Some(view) = self
+            .membership
+            .own()
+            .cloned()
+            .filter(|_| self.membership.is_listed())
+        else {
             return;
         };
         let mark = self.new_mark();
-        let next = roster::remove(&view.roster, &[(me.id.clone(), me.incarnation)], &me.id, mark);
+        let next = roster::remove(
+            &view.roster,
+            &[(me.id.clone(), me.incarnation)],
+            &me.id,
+            mark,
+        );
         self.write_roster(&next);
     }
 
@@ -74,7 +84,10 @@
         }
         let subscribers = std::mem::take(&mut answer.subscribers);
         for subscriber in subscribers {
-            let moved = Moved { subscription: subscriber.subscription, to: Some(to.clone()) };
+            let moved = Moved {
+                subscription: subscriber.subscription,
+                to: Some(to.clone()),
+            };
             self.out.send(&subscriber.to, moved);
         }
         self.step_down(key, to);
@@ -91,16 +104,21 @@
         if self.membership.is_listed() {
             self.leave_roster();
         }
-        let producing = self.answers.values().any(|a| {
-            a.role == Role::Producer && (a.finish.is_none() || !a.subscribers.is_empty())
-        });
+        let producing = self
+            .answers
+            .values()
+            .any(|a| a.role == Role::Producer && (a.finish.is_none() || !a.subscribers.is_empty()));
         let released = self.slices.all_released() || !self.has_live_peers();
         let busy = producing || self.calls.active() > 0 || self.inbound.len() > 0;
         let overdue = self.now.since(begun) >= self.cfg.stop_grace;
         if overdue || (!busy && released && !self.membership.is_listed()) {
             self.stopping.exited = true;
             let me = self.cfg.me.id.clone();
-            self.out.note("box_stopped", &me, if overdue { "grace is over" } else { "" });
+            self.out.note(
+                "box_stopped",
+                &me,
+                if overdue { "grace is over" } else { "" },
+            );
             self.out.push(Action::Exit);
         }
     }
--- a/src/node/suspicion.rs
+++ b/src/node/suspicion.rs
@@ -67,7 +67,10 @@
 impl Default for LossRate {
     fn default() -> Self {
         // One loss in 100,000 gaps before anything was seen.
-        Self { losses: 1.0, gaps: 100_000.0 }
+        Self {
+            losses: 1.0,
+            gaps: 100_000.0,
+        }
     }
 }
 
--- a/src/rendezvous.rs
+++ b/src/rendezvous.rs
@@ -12,7 +12,9 @@
 #[must_use]
 pub fn rank<'a, T: AsRef<str> + ?Sized>(candidates: &[&'a T], item: u64) -> Vec<&'a T> {
     let mut ranked = candidates.to_vec();
-    ranked.sort_by_cached_key(|c| std::cmp::Reverse((score(c.as_ref(), item), c.as_ref().to_owned())));
+    ranked.sort_by_cached_key(|c| {
+        std::cmp::Reverse((score(c.as_ref(), item), c.as_ref().to_owned()))
+    });
     ranked
 }
 
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -17,9 +17,7 @@
 }
 impl ::std::str::FromStr for AdapterId {
     type Err = self::error::ConversionError;
-    fn from_str(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         if value.chars().count() > 128usize {
             return Err("longer than 128 characters".into());
         }
@@ -31,9 +29,7 @@
 }
 impl ::std::convert::TryFrom<&str> for AdapterId {
     type Error = self::error::ConversionError;
-    fn try_from(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -68,7 +64,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd
+    PartialOrd,
 )]
 #[serde(transparent)]
 pub struct AnswerDigest(pub u64);
@@ -129,7 +125,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd
+    PartialOrd,
 )]
 #[serde(transparent)]
 pub struct Attempt(pub u32);
@@ -197,9 +193,7 @@
 }
 impl ::std::str::FromStr for BatchId {
     type Err = self::error::ConversionError;
-    fn from_str(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         if value.chars().count() > 128usize {
             return Err("longer than 128 characters".into());
         }
@@ -211,9 +205,7 @@
 }
 impl ::std::convert::TryFrom<&str> for BatchId {
     type Error = self::error::ConversionError;
-    fn try_from(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -254,9 +246,7 @@
 }
 impl ::std::str::FromStr for BoxId {
     type Err = self::error::ConversionError;
-    fn from_str(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         if value.chars().count() > 128usize {
             return Err("longer than 128 characters".into());
         }
@@ -268,9 +258,7 @@
 }
 impl ::std::convert::TryFrom<&str> for BoxId {
     type Error = self::error::ConversionError;
-    fn try_from(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -355,7 +343,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd
+    PartialOrd,
 )]
 #[serde(transparent)]
 pub struct BundleVersion(pub u64);
@@ -415,9 +403,7 @@
 }
 impl ::std::str::FromStr for CallName {
     type Err = self::error::ConversionError;
-    fn from_str(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         if value.chars().count() > 128usize {
             return Err("longer than 128 characters".into());
         }
@@ -429,9 +415,7 @@
 }
 impl ::std::convert::TryFrom<&str> for CallName {
     type Error = self::error::ConversionError;
-    fn try_from(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -483,7 +467,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd
+    PartialOrd,
 )]
 #[serde(deny_unknown_fields)]
 pub struct Cursor {
@@ -574,9 +558,7 @@
 }
 impl ::std::str::FromStr for DomainId {
     type Err = self::error::ConversionError;
-    fn from_str(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         if value.chars().count() > 128usize {
             return Err("longer than 128 characters".into());
         }
@@ -588,9 +570,7 @@
 }
 impl ::std::convert::TryFrom<&str> for DomainId {
     type Error = self::error::ConversionError;
-    fn try_from(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -631,9 +611,7 @@
 }
 impl ::std::str::FromStr for EndpointId {
     type Err = self::error::ConversionError;
-    fn from_str(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         if value.chars().count() > 128usize {
             return Err("longer than 128 characters".into());
         }
@@ -645,9 +623,7 @@
 }
 impl ::std::convert::TryFrom<&str> for EndpointId {
     type Error = self::error::ConversionError;
-    fn try_from(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -725,7 +701,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd
+    PartialOrd,
 )]
 #[serde(transparent)]
 pub struct Epoch(pub u64);
@@ -779,7 +755,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd
+    PartialOrd,
 )]
 pub enum Finish {
     #[serde(rename = "stop")]
@@ -797,9 +773,7 @@
 }
 impl ::std::str::FromStr for Finish {
     type Err = self::error::ConversionError;
-    fn from_str(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "stop" => Ok(Self::Stop),
             "length" => Ok(Self::Length),
@@ -809,9 +783,7 @@
 }
 impl ::std::convert::TryFrom<&str> for Finish {
     type Error = self::error::ConversionError;
-    fn try_from(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -850,7 +822,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd
+    PartialOrd,
 )]
 pub enum FleetState {
     #[serde(rename = "live")]
@@ -871,9 +843,7 @@
 }
 impl ::std::str::FromStr for FleetState {
     type Err = self::error::ConversionError;
-    fn from_str(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "live" => Ok(Self::Live),
             "leaving" => Ok(Self::Leaving),
@@ -884,9 +854,7 @@
 }
 impl ::std::convert::TryFrom<&str> for FleetState {
     type Error = self::error::ConversionError;
-    fn try_from(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -919,7 +887,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd
+    PartialOrd,
 )]
 #[serde(transparent)]
 pub struct Generation(pub u32);
@@ -1023,7 +991,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd
+    PartialOrd,
 )]
 #[serde(transparent)]
 pub struct HybridTime(pub u64);
@@ -1077,7 +1045,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd
+    PartialOrd,
 )]
 #[serde(transparent)]
 pub struct Incarnation(pub u64);
@@ -1131,7 +1099,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd
+    PartialOrd,
 )]
 pub enum Kept {
     #[serde(rename = "platform")]
@@ -1155,9 +1123,7 @@
 }
 impl ::std::str::FromStr for Kept {
     type Err = self::error::ConversionError;
-    fn from_str(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "platform" => Ok(Self::Platform),
             "two_domains" => Ok(Self::TwoDomains),
@@ -1169,9 +1135,7 @@
 }
 impl ::std::convert::TryFrom<&str> for Kept {
     type Error = self::error::ConversionError;
-    fn try_from(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -1200,9 +1164,7 @@
 }
 impl ::std::str::FromStr for KeyId {
     type Err = self::error::ConversionError;
-    fn from_str(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         if value.chars().count() > 128usize {
             return Err("longer than 128 characters".into());
         }
@@ -1214,9 +1176,7 @@
 }
 impl ::std::convert::TryFrom<&str> for KeyId {
     type Error = self::error::ConversionError;
-    fn try_from(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -1292,7 +1252,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd
+    PartialOrd,
 )]
 #[serde(transparent)]
 pub struct Micros(pub u64);
@@ -1346,7 +1306,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd
+    PartialOrd,
 )]
 #[serde(transparent)]
 pub struct Millis(pub u64);
@@ -1406,9 +1366,7 @@
 }
 impl ::std::str::FromStr for ModelId {
     type Err = self::error::ConversionError;
-    fn from_str(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         if value.chars().count() > 128usize {
             return Err("longer than 128 characters".into());
         }
@@ -1420,9 +1378,7 @@
 }
 impl ::std::convert::TryFrom<&str> for ModelId {
     type Error = self::error::ConversionError;
-    fn try_from(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -1520,9 +1476,7 @@
 }
 impl ::std::str::FromStr for OrganisationId {
     type Err = self::error::ConversionError;
-    fn from_str(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         if value.chars().count() > 128usize {
             return Err("longer than 128 characters".into());
         }
@@ -1534,9 +1488,7 @@
 }
 impl ::std::convert::TryFrom<&str> for OrganisationId {
     type Error = self::error::ConversionError;
-    fn try_from(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -1599,9 +1551,7 @@
 }
 impl ::std::str::FromStr for PartHash {
     type Err = self::error::ConversionError;
-    fn from_str(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         if value.chars().count() > 64usize {
             return Err("longer than 64 characters".into());
         }
@@ -1613,9 +1563,7 @@
 }
 impl ::std::convert::TryFrom<&str> for PartHash {
     type Error = self::error::ConversionError;
-    fn try_from(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -1650,7 +1598,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd
+    PartialOrd,
 )]
 pub enum PartKind {
     #[serde(rename = "models")]
@@ -1677,9 +1625,7 @@
 }
 impl ::std::str::FromStr for PartKind {
     type Err = self::error::ConversionError;
-    fn from_str(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "models" => Ok(Self::Models),
             "services" => Ok(Self::Services),
@@ -1692,9 +1638,7 @@
 }
 impl ::std::convert::TryFrom<&str> for PartKind {
     type Error = self::error::ConversionError;
-    fn try_from(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -1884,7 +1828,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd
+    PartialOrd,
 )]
 pub enum Priority {
     #[serde(rename = "quick")]
@@ -1905,9 +1849,7 @@
 }
 impl ::std::str::FromStr for Priority {
     type Err = self::error::ConversionError;
-    fn from_str(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "quick" => Ok(Self::Quick),
             "interactive" => Ok(Self::Interactive),
@@ -1918,9 +1860,7 @@
 }
 impl ::std::convert::TryFrom<&str> for Priority {
     type Error = self::error::ConversionError;
-    fn try_from(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -1959,7 +1899,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd
+    PartialOrd,
 )]
 pub enum Ran {
     #[serde(rename = "no")]
@@ -1977,9 +1917,7 @@
 }
 impl ::std::str::FromStr for Ran {
     type Err = self::error::ConversionError;
-    fn from_str(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "no" => Ok(Self::No),
             "unknown" => Ok(Self::Unknown),
@@ -1989,9 +1927,7 @@
 }
 impl ::std::convert::TryFrom<&str> for Ran {
     type Error = self::error::ConversionError;
-    fn try_from(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -2014,7 +1950,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd
+    PartialOrd,
 )]
 pub enum Reason {
     #[serde(rename = "overloaded")]
@@ -2071,9 +2007,7 @@
 }
 impl ::std::str::FromStr for Reason {
     type Err = self::error::ConversionError;
-    fn from_str(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "overloaded" => Ok(Self::Overloaded),
             "deadline_unreachable" => Ok(Self::DeadlineUnreachable),
@@ -2096,9 +2030,7 @@
 }
 impl ::std::convert::TryFrom<&str> for Reason {
     type Error = self::error::ConversionError;
-    fn try_from(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -2158,9 +2090,7 @@
 }
 impl ::std::str::FromStr for RequestKey {
     type Err = self::error::ConversionError;
-    fn from_str(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         if value.chars().count() > 200usize {
             return Err("longer than 200 characters".into());
         }
@@ -2172,9 +2102,7 @@
 }
 impl ::std::convert::TryFrom<&str> for RequestKey {
     type Error = self::error::ConversionError;
-    fn try_from(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -2261,9 +2189,7 @@
 }
 impl ::std::str::FromStr for ServiceId {
     type Err = self::error::ConversionError;
-    fn from_str(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         if value.chars().count() > 128usize {
             return Err("longer than 128 characters".into());
         }
@@ -2275,9 +2201,7 @@
 }
 impl ::std::convert::TryFrom<&str> for ServiceId {
     type Error = self::error::ConversionError;
-    fn try_from(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -2428,7 +2352,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd
+    PartialOrd,
 )]
 #[serde(transparent)]
 pub struct SliceId(pub u16);
@@ -2543,7 +2467,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd
+    PartialOrd,
 )]
 #[serde(transparent)]
 pub struct TokenOffset(pub u32);
@@ -2622,18 +2546,12 @@
     pub struct ConversionError(::std::borrow::Cow<'static, str>);
     impl ::std::error::Error for ConversionError {}
     impl ::std::fmt::Display for ConversionError {
-        fn fmt(
-            &self,
-            f: &mut ::std::fmt::Formatter<'_>,
-        ) -> Result<(), ::std::fmt::Error> {
+        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Display::fmt(&self.0, f)
         }
     }
     impl ::std::fmt::Debug for ConversionError {
-        fn fmt(
-            &self,
-            f: &mut ::std::fmt::Formatter<'_>,
-        ) -> Result<(), ::std::fmt::Error> {
+        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Debug::fmt(&self.0, f)
         }
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -171,8 +171,7 @@
     fn try_from(file: SettingsFile) -> Result<Self, Self::Error> {
         let file = overlay(file, defaults());
         let mut check = Checker::default();
-        let heartbeat_ms =
-            check.range("heartbeat_ms", file.heartbeat_ms, MIN_HEARTBEAT_MS, 10_000);
+        let heartbeat_ms = check.range("heartbeat_ms", file.heartbeat_ms, MIN_HEARTBEAT_MS, 10_000);
         let least_lease = heartbeat_ms * HEARTBEATS_PER_LEASE;
         let lease_ms = check.range("lease_ms", file.lease_ms, least_lease, 600_000);
         let clock_bound_ms = check.range("clock_bound_ms", file.clock_bound_ms, 1, lease_ms);
@@ -192,7 +191,12 @@
             lease: Duration::from_millis(lease_ms),
             heartbeat: Duration::from_millis(heartbeat_ms),
             clock_bound: Duration::from_millis(clock_bound_ms),
-            max_body_bytes: check.size("max_body_bytes", file.max_body_bytes, 1_024, MAX_BODY_BYTES),
+            max_body_bytes: check.size(
+                "max_body_bytes",
+                file.max_body_bytes,
+                1_024,
+                MAX_BODY_BYTES,
+            ),
             max_requests: check.size("max_requests", file.max_requests, 1, 1_000_000),
             max_tokens_held: check.size("max_tokens_held", file.max_tokens_held, 1_000, 1 << 30),
             stop_grace: Duration::from_millis(check.range(
@@ -205,7 +209,11 @@
             traffic_threads: check.size("traffic_threads", file.traffic_threads, 1, 64),
             log_file: file.log_file.filter(|f| !f.is_empty()),
             log_level: check
-                .parse("log_level", file.log_level, "use off, error, warn, info, debug or trace")
+                .parse(
+                    "log_level",
+                    file.log_level,
+                    "use off, error, warn, info, debug or trace",
+                )
                 .unwrap_or(LevelFilter::Info),
             recovery: check.recovery(file.recovery),
             routing: check.routing(file.routing),
@@ -264,12 +272,17 @@
     where
         T::Err: fmt::Debug,
     {
-        self.parse(field, value, remedy).unwrap_or_else(|| placeholder("placeholder"))
+        self.parse(field, value, remedy)
+            .unwrap_or_else(|| placeholder("placeholder"))
     }
 
     fn address(&mut self, field: &str, value: Option<String>) -> SocketAddr {
-        self.parse(field, value, "give an IP number and a port, such as 127.0.0.1:8080")
-            .unwrap_or_else(|| placeholder("127.0.0.1:0"))
+        self.parse(
+            field,
+            value,
+            "give an IP number and a port, such as 127.0.0.1:8080",
+        )
+        .unwrap_or_else(|| placeholder("127.0.0.1:0"))
     }
 
     fn domains(&mut self, names: &[String], own: Option<&DomainId>) -> Vec<DomainId> {
@@ -280,14 +293,22 @@
                 continue;
             };
             if name.contains(crate::schema::RequestKey::DOMAIN_MARK) {
-                self.fail("domains", name, "leave `~` out of names; it marks the domain in a key");
+                self.fail(
+                    "domains",
+                    name,
+                    "leave `~` out of names; it marks the domain in a key",
+                );
             }
             domains.push(domain);
         }
         if let Some(own) = own
             && !domains.contains(own)
         {
-            self.fail("domains", &names.join(", "), "add this box's own domain to the list");
+            self.fail(
+                "domains",
+                &names.join(", "),
+                "add this box's own domain to the list",
+            );
         }
         domains.sort();
         domains.dedup();
@@ -312,7 +333,10 @@
                 None => self.fail(
                     "trusted_keys",
                     &key.public,
-                    &format!("give key {} as 64 hex digits, as `bundle keygen` prints it", key.id),
+                    &format!(
+                        "give key {} as 64 hex digits, as `bundle keygen` prints it",
+                        key.id
+                    ),
                 ),
             }
         }
@@ -329,7 +353,11 @@
             Some("hedge") => return Recovery::Hedge,
             _ => {}
         }
-        self.fail("recovery", &value.unwrap_or_default(), "use resume, restart, timeout or hedge");
+        self.fail(
+            "recovery",
+            &value.unwrap_or_default(),
+            "use resume, restart, timeout or hedge",
+        );
         Recovery::Resume
     }
 
@@ -340,7 +368,11 @@
             Some("least_loaded") => return Routing::LeastLoaded,
             _ => {}
         }
-        self.fail("routing", &value.unwrap_or_default(), "use cost, random or least_loaded");
+        self.fail(
+            "routing",
+            &value.unwrap_or_default(),
+            "use cost, random or least_loaded",
+        );
         Routing::Cost
     }
 }
--- a/src/settings/args.rs
+++ b/src/settings/args.rs
@@ -25,8 +25,16 @@
         .arg(text("callers", "IP:PORT", "Address for callers"))
         .arg(text("peers-address", "IP:PORT", "Address for other boxes"))
         .arg(text("operators", "IP:PORT", "Address for operators"))
-        .arg(text("platform", "IP:PORT", "Address of the platform's object API"))
-        .arg(text("log-level", "LEVEL", "off, error, warn, info, debug or trace"))
+        .arg(text(
+            "platform",
+            "IP:PORT",
+            "Address of the platform's object API",
+        ))
+        .arg(text(
+            "log-level",
+            "LEVEL",
+            "off, error, warn, info, debug or trace",
+        ))
 }
 
 fn text(name: &'static str, value: &'static str, help: &'static str) -> Arg {
--- a/src/settings/file.rs
+++ b/src/settings/file.rs
@@ -35,7 +35,11 @@
     for (name, field) in &value {
         let alone = Value::Object(Map::from_iter([(name.clone(), field.clone())]));
         if let Err(e) = serde_json::from_value::<SettingsFile>(alone) {
-            errors.push(SettingsError::new(name, &field.to_string(), &field_remedy(&e)));
+            errors.push(SettingsError::new(
+                name,
+                &field.to_string(),
+                &field_remedy(&e),
+            ));
         }
     }
     if !errors.is_empty() {
--- a/src/timeline.rs
+++ b/src/timeline.rs
@@ -76,7 +76,9 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, VecDeque<Entry>> {
-        self.ring.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+        self.ring
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 }
 
