--- a/src/node/platform.rs
+++ b/src/node/platform.rs
@@ -42,15 +42,31 @@
 }
 
 /// The calls that have not been answered.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Calls {
     open: HashMap<u64, Purpose>,
     roster_read: Option<u64>,
     roster_write: Option<u64>,
-    last_join: Option<Micros>,
+    listed: bool,
+    removals: u32,
+    join_after: Micros,
     reachable: bool,
 }
 
+impl Default for Calls {
+    fn default() -> Self {
+        Self {
+            open: HashMap::new(),
+            roster_read: None,
+            roster_write: None,
+            listed: false,
+            removals: 0,
+            join_after: Micros::ZERO,
+            reachable: false,
+        }
+    }
+}
+
 impl Calls {
     /// Whether the platform answered the last call.
     #[must_use]
@@ -59,8 +75,8 @@
     }
 }
 
-/// How many leases a removed box waits before it joins again.
-const REJOIN_LEASES: u32 = 1;
+/// Doublings of the wait of one lease before a box that was taken out joins again.
+const REJOIN_DOUBLINGS: u32 = 4;
 
 impl Node {
     /// Calls the platform.
@@ -192,42 +208,24 @@
         }
     }
 
-    /// Adds this box to its roster if it isn't there in its present life.
+    /// Adds this box to its roster if it isn't there in its present life. A box that was taken out
+    /// waits, longer each time, so that two boxes that don't hear each other don't take turns.
     fn join_if_missing(&mut self) {
-        if self.membership.is_listed() || self.stopping.is_begun() {
-            return;
+        let listed = self.membership.is_listed();
+        if std::mem::replace(&mut self.platform.listed, listed) && !listed {
+            self.platform.removals += 1;
+            let doublings = (self.platform.removals - 1).min(REJOIN_DOUBLINGS);
+            let wait = self.cfg.lease * 2_u32.pow(doublings);
+            self.platform.join_after = self.now.after(wait);
+            self.out.note("removed_from_roster", &self.cfg.me.id, format!("back in {wait:?}"));
         }
-        let wait = self.cfg.lease * REJOIN_LEASES;
-        let waited = self
-            .platform
-            .last_join
-            .is_none_or(|at| self.now.since(at) >= wait);
-        // After a conflict there is no reason to wait: someone else was merely faster.
-        if !waited
-            && self
-                .membership
-                .own()
-                .is_some_and(|v| self.was_removed(&v.roster))
-        {
+        if listed || self.stopping.is_begun() || self.now < self.platform.join_after {
             return;
         }
         let present = self.membership.own().map(|v| v.roster.clone());
         let mark = self.new_mark();
         let next = roster::join(present.as_ref(), &self.cfg.domain, &self.cfg.me, mark);
-        if self.write_roster(&next) {
-            self.platform.last_join = Some(self.now);
-        }
-    }
-
-    /// Whether this life of the box was in the roster before and was taken out.
-    fn was_removed(&self, roster: &Roster) -> bool {
-        let me = &self.cfg.me;
-        let names_me = |s: &crate::schema::Slice| {
-            s.former
-                .iter()
-                .any(|h| h.home == me.id && h.incarnation == me.incarnation)
-        };
-        roster.slices.iter().any(names_me)
+        self.write_roster(&next);
     }
 
     /// Writes the own roster if its version is still the known one; one write at a time.
