--- a/src/node.rs
+++ b/src/node.rs
@@ -274,7 +274,7 @@
             PeerMessage::Hold(hold) => self.on_hold(from, hold),
             PeerMessage::HoldReply(reply) => self.on_hold_reply(from, &reply),
             PeerMessage::HoldDone(done) => self.on_hold_done(&done),
-            PeerMessage::RunDeferred(run) => self.on_run_deferred(from, run),
+            PeerMessage::RunDeferred(run) => self.on_run_deferred(run),
             PeerMessage::DeferredDone(done) => self.on_deferred_done(done),
             PeerMessage::Lookup(lookup) => self.on_lookup(lookup),
             PeerMessage::LookupReply(reply) => self.on_lookup_reply(reply),
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -142,7 +142,10 @@
                 return self.refuse_submit(&submit, key_reused());
             }
             if call.phase != Phase::Settled {
-                call.waiters.push((submit.receiver, submit.subscription));
+                let waiter = (submit.receiver, submit.subscription);
+                if !call.waiters.contains(&waiter) {
+                    call.waiters.push(waiter);
+                }
                 return;
             }
             let state = call.record.state.clone();
@@ -159,7 +162,7 @@
             .membership
             .call_home(&self.cfg.domain, &submit.request.key);
         let home = home.filter(|h| h.id != self.cfg.me.id && submit.hops < MAX_HOPS);
-        if let Some(home) = home {
+        if let Some(home) = home.filter(|h| self.membership.is_live(&h.id, self.now)) {
             submit.hops += 1;
             return self.out.send(&home, submit);
         }
--- a/src/node/deferred.rs
+++ b/src/node/deferred.rs
@@ -575,7 +575,8 @@
             self.deferred
                 .running
                 .insert(key.clone(), (home.id.clone(), self.now));
-            self.out.send(home, RunDeferred { request });
+            let scribe = self.cfg.me.id.clone();
+            self.out.send(home, RunDeferred { request, scribe });
         }
     }
 
@@ -608,18 +609,17 @@
     }
 
     /// The scribe hands this box work to run.
-    pub(super) fn on_run_deferred(&mut self, from: &BoxId, run: RunDeferred) {
+    pub(super) fn on_run_deferred(&mut self, run: RunDeferred) {
         let key = run.request.key.clone();
         let role = self.answers.get(&key).map(|a| a.role.clone());
         match role {
             None => {
-                if let Err(refusal) = self.start_answer(run.request) {
-                    return self.deferred_failed(from, &key, refusal);
+                if let Err(refusal) = self.start_answer(run.request.clone()) {
+                    return self.deferred_failed(&run.scribe, &key, refusal);
                 }
             }
             Some(Role::CopyOf(owner)) if self.membership.is_live(&owner, self.now) => {
-                // The producer is asked instead; its copies name this box's scribe no further.
-                if let Some(member) = self.member(&owner).filter(|m| m.id != *from) {
+                if let Some(member) = self.member(&owner) {
                     self.out.send(&member, run);
                 }
                 return;
@@ -628,7 +628,7 @@
             Some(Role::Producer) => {}
         }
         if let Some(answer) = self.answers.get_mut(&key) {
-            answer.scribe = Some(from.clone());
+            answer.scribe = Some(run.scribe);
         }
         self.release(&key);
     }
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -5,6 +5,7 @@
 //! tokens of two answers, whoever sends them.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use crate::digest;
 use crate::node::Node;
@@ -19,6 +20,9 @@
     RequestKey, Submit, TokenOffset,
 };
 
+/// How long a request may be quiet before it is handed over again, in case a message was lost on
+/// the way between boxes.
+const QUIET_LIMIT: Duration = Duration::from_secs(2);
 /// The most homes that one request is handed to.
 const MAX_HOMES: u32 = 8;
 
@@ -41,6 +45,7 @@
     home: Option<BoxId>,
     homes_tried: u32,
     homeless_since: Option<Micros>,
+    heard: Micros,
     generation: Generation,
     next: usize,
     digest: AnswerDigest,
@@ -110,11 +115,14 @@
             home: None,
             homes_tried: 0,
             homeless_since: None,
+            heard: self.now,
             generation: cursor.map_or(Generation(0), |c| c.generation),
             next: cursor.map_or(0, |c| c.offset.0 as usize),
             digest: cursor.map_or(digest::start(&key), |c| c.digest),
         };
         self.inbound.table.insert(connection, inbound);
+        self.out
+            .timer(Timer::Inbound(connection), self.now.after(QUIET_LIMIT));
         self.hand_over(connection);
     }
 
@@ -152,9 +160,12 @@
         let Some(inbound) = self.inbound.table.get_mut(&connection) else {
             return;
         };
-        let repeated = inbound.homes_tried > 0;
+        let again = inbound.home.as_ref() == Some(&home.id);
+        let calls_once = matches!(&inbound.wanted, Wanted::Answer(r) if r.runs_once());
+        // A generation that is handed to the same home once more has lost no home.
+        let repeated = inbound.homes_tried > 0 && (calls_once || !again);
+        inbound.homes_tried += u32::from(!again);
         inbound.home = Some(home.id.clone());
-        inbound.homes_tried += 1;
         inbound.homeless_since = None;
         let receiver = self.cfg.me.clone();
         let cursor = inbound.cursor();
@@ -252,16 +263,24 @@
         self.refuse_caller(connection, refusal);
     }
 
-    /// Looks whether a request has found a home again.
+    /// Looks whether a request has a home, and whether anything has come from there lately.
     pub(super) fn check_inbound(&mut self, connection: u64) {
-        if self
-            .inbound
-            .table
-            .get(&connection)
-            .is_some_and(|i| i.home.is_none())
-        {
+        let Some(inbound) = self.inbound.table.get_mut(&connection) else {
+            return;
+        };
+        let homeless = inbound.home.is_none();
+        let quiet = self.now.since(inbound.heard);
+        if homeless || quiet >= QUIET_LIMIT {
+            inbound.heard = self.now;
             self.hand_over(connection);
         }
+        let Some(inbound) = self.inbound.table.get(&connection) else {
+            return;
+        };
+        if inbound.home.is_some() {
+            let at = inbound.heard.after(QUIET_LIMIT);
+            self.out.timer(Timer::Inbound(connection), at);
+        }
     }
 
     /// Finds new homes for the requests that were handed to a lost box.
@@ -314,6 +333,11 @@
         let Some(inbound) = self.inbound.table.get_mut(&connection) else {
             return;
         };
+        inbound.heard = self.now;
+        if output.offset.0 as usize > inbound.next {
+            // Something before it was lost on the way; the home sends it again.
+            return self.hand_over(connection);
+        }
         let Some(fresh) = fitting(inbound, output) else {
             self.stats.outputs_rejected += 1;
             let detail =
@@ -409,11 +433,7 @@
 /// The tokens of an output that the caller doesn't have yet, or `None` if the output belongs to
 /// another answer than what the caller has.
 fn fitting(inbound: &Inbound, output: &Output) -> Option<Vec<crate::schema::Token>> {
-    let offset = output.offset.0 as usize;
-    if offset > inbound.next {
-        return None;
-    }
-    let known = inbound.next - offset;
+    let known = inbound.next - output.offset.0 as usize;
     if known > output.tokens.len() {
         // All of it is old; it can't be told apart, and nothing of it is passed on.
         return Some(Vec::new()).filter(|_| output.finish.is_none());
--- a/src/node/platform.rs
+++ b/src/node/platform.rs
@@ -217,7 +217,11 @@
             let doublings = (self.platform.removals - 1).min(REJOIN_DOUBLINGS);
             let wait = self.cfg.lease * 2_u32.pow(doublings);
             self.platform.join_after = self.now.after(wait);
-            self.out.note("removed_from_roster", &self.cfg.me.id, format!("back in {wait:?}"));
+            self.out.note(
+                "removed_from_roster",
+                &self.cfg.me.id,
+                format!("back in {wait:?}"),
+            );
         }
         if listed || self.stopping.is_begun() || self.now < self.platform.join_after {
             return;
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -2157,6 +2157,7 @@
 #[serde(deny_unknown_fields)]
 pub struct RunDeferred {
     pub request: Request,
+    pub scribe: BoxId,
 }
 ///A plain service's answer.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
--- a/tests/deferred.rs
+++ b/tests/deferred.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use magpiemoor::schema::{BoxId, DeferredResult, DeferredStatus, Kept, Priority, Ran, Reason, Request};
+use magpiemoor::schema::{
+    BoxId, DeferredResult, DeferredStatus, Kept, Priority, Ran, Reason, Request,
+};
 use rstest::rstest;
 use world::World;
 use world::callers::generation;
@@ -27,7 +29,9 @@
 }
 
 fn send(world: &mut World, count: usize) -> Vec<String> {
-    let keys: Vec<String> = (0..count).map(|n| key_in("north", &format!("work-{n}"))).collect();
+    let keys: Vec<String> = (0..count)
+        .map(|n| key_in("north", &format!("work-{n}")))
+        .collect();
     for key in &keys {
         world.send_request("north-0", deferrable(key));
     }
@@ -35,7 +39,9 @@
 }
 
 fn all_accepted(world: &mut World, keys: &[String]) -> bool {
-    world.run_until(LIMIT, |w| keys.iter().all(|k| w.callers.get(k).kept.is_some()))
+    world.run_until(LIMIT, |w| {
+        keys.iter().all(|k| w.callers.get(k).kept.is_some())
+    })
 }
 
 fn is_done(world: &World, key: &str) -> bool {
@@ -45,7 +51,12 @@
 
 fn all_done(world: &mut World, at: &str, keys: &[String]) -> bool {
     for _ in 0..120 {
-        for key in keys.iter().filter(|k| !is_done(world, k)).cloned().collect::<Vec<_>>() {
+        for key in keys
+            .iter()
+            .filter(|k| !is_done(world, k))
+            .cloned()
+            .collect::<Vec<_>>()
+        {
             world.look_up(at, &key);
         }
         world.run(Duration::from_millis(500));
@@ -60,8 +71,16 @@
 fn accepted_work_is_done_with_few_writes() {
     let (mut world, keys) = accepted(1, 40);
     assert!(all_done(&mut world, "south-0", &keys));
-    assert!(keys.iter().all(|k| world.callers.get(k).kept == Some(Kept::Platform)));
-    let batches = world.platform.objects.keys().filter(|n| n.starts_with("work/")).count();
+    assert!(
+        keys.iter()
+            .all(|k| world.callers.get(k).kept == Some(Kept::Platform))
+    );
+    let batches = world
+        .platform
+        .objects
+        .keys()
+        .filter(|n| n.starts_with("work/"))
+        .count();
     assert!(batches <= 4, "{batches} batches for 40 requests");
     world.assert_sound();
 }
@@ -72,7 +91,12 @@
     world.come_back("north-1", &keys[0]);
     world.run(Duration::from_secs(1));
     assert!(all_done(&mut world, "north-2", &keys));
-    let batches = world.platform.objects.keys().filter(|n| n.starts_with("work/")).count();
+    let batches = world
+        .platform
+        .objects
+        .keys()
+        .filter(|n| n.starts_with("work/"))
+        .count();
     assert_eq!(batches, 1);
 }
 
@@ -82,7 +106,9 @@
 fn all_boxes_of_the_domain_are_replaced(#[case] after: u64, #[values(1, 2)] seed: u64) {
     let (mut world, keys) = accepted(seed, 10);
     world.run(Duration::from_millis(after));
-    let boxes: Vec<BoxId> = (0..3).map(|n| format!("north-{n}").parse().unwrap()).collect();
+    let boxes: Vec<BoxId> = (0..3)
+        .map(|n| format!("north-{n}").parse().unwrap())
+        .collect();
     for id in &boxes {
         world.kill_box(id);
     }
@@ -105,8 +131,12 @@
 }
 
 fn scribe_of(world: &World) -> BoxId {
-    let nodes = world.boxes.iter().filter_map(|(id, s)| s.node.as_ref().map(|n| (id, s, n)));
-    let mut scribes = nodes.filter(|(_, s, n)| s.cfg.domain.as_str() == "north" && n.membership().is_scribe());
+    let nodes = world
+        .boxes
+        .iter()
+        .filter_map(|(id, s)| s.node.as_ref().map(|n| (id, s, n)));
+    let mut scribes =
+        nodes.filter(|(_, s, n)| s.cfg.domain.as_str() == "north" && n.membership().is_scribe());
     scribes.next().expect("there is a scribe").0.clone()
 }
 
@@ -141,9 +171,14 @@
     world.run(Duration::from_secs(5));
     let keys = send(&mut world, 5);
     assert!(all_accepted(&mut world, &keys));
-    assert!(keys.iter().all(|k| world.callers.get(k).kept == Some(Kept::TwoDomains)));
+    assert!(
+        keys.iter()
+            .all(|k| world.callers.get(k).kept == Some(Kept::TwoDomains))
+    );
     world.run(Duration::from_secs(5));
-    let boxes: Vec<BoxId> = (0..3).map(|n| format!("north-{n}").parse().unwrap()).collect();
+    let boxes: Vec<BoxId> = (0..3)
+        .map(|n| format!("north-{n}").parse().unwrap())
+        .collect();
     if lost {
         for id in &boxes {
             world.kill_box(id);
@@ -185,5 +220,36 @@
         world.look_up("south-0", &strange);
         world.run(Duration::from_millis(500));
     }
-    assert_eq!(world.callers.get(&strange).status, Some(DeferredStatus::Missing));
+    assert_eq!(
+        world.callers.get(&strange).status,
+        Some(DeferredStatus::Missing)
+    );
+}
+
+#[rstest]
+fn a_home_that_hands_work_on_names_the_scribe(#[values(1, 2, 3)] seed: u64) {
+    // Found by the explorer: the producer reported to the box that had handed the work on.
+    let mut world = running(seed, 3, 2);
+    for name in [
+        "north-engine-0",
+        "north-engine-1",
+        "south-engine-0",
+        "south-engine-1",
+    ] {
+        world.engine_mut(name).stalled = true;
+    }
+    let keys = send(&mut world, 6);
+    assert!(all_accepted(&mut world, &keys));
+    let scribe = scribe_of(&world);
+    for id in world.others("north", &scribe) {
+        world.kill_box(&id);
+        world.run(Duration::from_secs(3));
+        world.start_box(&id);
+        world.run(Duration::from_secs(3));
+    }
+    for engine in world.engines.values_mut() {
+        engine.stalled = false;
+    }
+    assert!(all_done(&mut world, "south-0", &keys));
+    world.assert_sound();
 }
--- a/tests/explorer.rs
+++ b/tests/explorer.rs
@@ -65,7 +65,11 @@
         .map(|n| {
             let pause = Duration::from_micros(rng.random_range(0..PAUSE_MS * 1_000));
             // Most pauses are short, so that failures meet requests on their way.
-            let pause = if rng.random_bool(0.6) { pause / 100 } else { pause };
+            let pause = if rng.random_bool(0.6) {
+                pause / 100
+            } else {
+                pause
+            };
             (pause, step(&mut rng, n))
         })
         .collect()
@@ -228,11 +232,18 @@
         for key in self.keys.clone() {
             if !self.press("north-0", &key) {
                 let caller = self.world.callers.get(&key);
-                let text = format!("{key} never ended: {:?} {:?}", caller.refusal, caller.status);
+                let text = format!(
+                    "{key} never ended: {:?} {:?}",
+                    caller.refusal, caller.status
+                );
                 self.world.violations.push(text);
             }
         }
-        let running = self.world.box_ids().into_iter().filter(|id| self.world.node(id).is_some());
+        let running = self
+            .world
+            .box_ids()
+            .into_iter()
+            .filter(|id| self.world.node(id).is_some());
         let versions: Vec<u64> = running.map(|id| self.world.bundle_version(&id)).collect();
         if versions.iter().any(|v| *v != self.version) {
             let text = format!("bundle versions {versions:?} instead of {}", self.version);
@@ -252,7 +263,8 @@
         let last = caller.finish.is_some()
             || caller.answer.is_some()
             || caller.refusal.as_ref().is_some_and(|r| {
-                matches!(r.reason, Reason::StartOver | Reason::OutcomeUnknown) && r.retry_after.is_none()
+                matches!(r.reason, Reason::StartOver | Reason::OutcomeUnknown)
+                    && r.retry_after.is_none()
             });
         if !last && !caller.waits {
             self.world.come_back(at, key);
@@ -262,11 +274,16 @@
 
     fn press_deferred(&mut self, at: &str, key: &str) -> bool {
         let caller = self.world.callers.get(key);
-        if matches!(caller.status, Some(DeferredStatus::Done(DeferredResult::Text(_)))) {
+        if matches!(
+            caller.status,
+            Some(DeferredStatus::Done(DeferredResult::Text(_)))
+        ) {
             return true;
         }
         if matches!(caller.status, Some(DeferredStatus::Missing)) && caller.kept.is_some() {
-            self.world.violations.push(format!("{key} was accepted and is lost"));
+            self.world
+                .violations
+                .push(format!("{key} was accepted and is lost"));
         }
         if caller.kept.is_some() {
             self.world.look_up(at, key);
@@ -279,7 +296,33 @@
 
 /// Runs a list of steps; returns what it broke.
 fn broken_by(seed: u64, steps: &[(Duration, Step)]) -> Vec<String> {
-    let mut case = Case { world: running(seed, BOXES, ENGINES), keys: Vec::new(), version: 1 };
+    run_case(seed, steps).violations
+}
+
+/// What the nodes noted about the keys and boxes of a broken case.
+fn notes_of(world: &World) -> Vec<String> {
+    let named = |n: &&(_, _, _, String, _)| world.violations.iter().any(|v| v.contains(&n.3));
+    let general = [
+        "box_started",
+        "box_silent",
+        "epoch",
+        "removed_from_roster",
+        "batch_accepted",
+    ];
+    let told = world
+        .notes
+        .iter()
+        .filter(|n| named(n) || general.contains(&n.2));
+    told.map(|n| format!("{} {} {} {} {}", n.0, n.1, n.2, n.3, n.4))
+        .collect()
+}
+
+fn run_case(seed: u64, steps: &[(Duration, Step)]) -> World {
+    let mut case = Case {
+        world: running(seed, BOXES, ENGINES),
+        keys: Vec::new(),
+        version: 1,
+    };
     for (pause, step) in steps {
         case.world.run(*pause);
         case.take(step);
@@ -287,7 +330,7 @@
     case.world.run(Duration::from_secs(1));
     case.mend();
     case.judge();
-    case.world.violations
+    case.world
 }
 
 /// Leaves out every step that the case doesn't need.
@@ -309,7 +352,10 @@
 }
 
 fn from_environment(name: &str, otherwise: u64) -> u64 {
-    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(otherwise)
+    std::env::var(name)
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(otherwise)
 }
 
 #[test]
@@ -320,8 +366,9 @@
         let steps = steps(seed);
         if !broken_by(seed, &steps).is_empty() {
             let needed = cut_down(seed, steps);
-            let broken = broken_by(seed, &needed);
-            panic!("seed {seed}: {needed:#?}\nbreaks {broken:#?}");
+            let world = run_case(seed, &needed);
+            let (broken, notes) = (&world.violations, notes_of(&world));
+            panic!("seed {seed}: {needed:#?}\nbreaks {broken:#?}\nafter {notes:#?}");
         }
     }
 }
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -25,7 +25,9 @@
     let now = world.now;
     world.engine_mut(name).leaving_since = Some(now);
     if told == Told::List {
-        world.platform.list("north", name, FleetState::Leaving, None);
+        world
+            .platform
+            .list("north", name, FleetState::Leaving, None);
     }
     for n in 0..200 {
         let key = key_in("north", &format!("work-{n}"));
@@ -67,11 +69,15 @@
 #[rstest]
 fn a_box_that_stops_as_planned_cuts_nothing(#[values(1, 2, 3)] seed: u64) {
     let mut world = running(seed, 3, 2);
-    let keys: Vec<String> = (0..12).map(|n| key_in("north", &format!("answer-{n}"))).collect();
+    let keys: Vec<String> = (0..12)
+        .map(|n| key_in("north", &format!("answer-{n}")))
+        .collect();
     for (n, key) in keys.iter().enumerate() {
         world.send_request(&format!("north-{}", n % 3), generation(key, 150));
     }
-    let calls: Vec<String> = (0..12).map(|n| key_in("north", &format!("redeem-{n}"))).collect();
+    let calls: Vec<String> = (0..12)
+        .map(|n| key_in("north", &format!("redeem-{n}")))
+        .collect();
     world.run(Duration::from_millis(400));
     let stopping: BoxId = "north-1".parse().unwrap();
     for key in &calls {
@@ -80,14 +86,20 @@
     world.give(&stopping, magpiemoor::node::event::Event::Stop);
     let whole = |w: &mut World| keys.iter().all(|k| w.callers.get(k).finish.is_some());
     assert!(world.run_until(LIMIT, whole));
-    assert!(world.run_until(LIMIT, |w| w.node(&stopping).is_none()), "the box has exited");
+    assert!(
+        world.run_until(LIMIT, |w| w.node(&stopping).is_none()),
+        "the box has exited"
+    );
     for key in &keys {
         let caller = world.callers.get(key);
         assert_eq!((caller.cut, caller.sent), (0, 1), "{key} was cut off");
     }
     for key in &calls {
         let caller = world.callers.get(key);
-        assert!(caller.answer.is_some() || caller.refusal.is_some(), "{key} was cut off");
+        assert!(
+            caller.answer.is_some() || caller.refusal.is_some(),
+            "{key} was cut off"
+        );
     }
     world.run(Duration::from_secs(10));
     assert!(world.is_settled());
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -34,7 +34,10 @@
         world.come_back(at, key);
         world.run(Duration::from_millis(500));
         let caller = world.callers.get(key);
-        let again = caller.refusal.as_ref().is_none_or(|r| r.retry_after.is_some());
+        let again = caller
+            .refusal
+            .as_ref()
+            .is_none_or(|r| r.retry_after.is_some());
         if caller.answer.is_some() || !again {
             break;
         }
@@ -50,7 +53,10 @@
     for at in ["north-1", "north-2", "south-0", "south-1"] {
         world.callers.table.get_mut(&key).unwrap().answer = None;
         world.come_back(at, &key);
-        assert!(world.run_until(LIMIT, |w| w.callers.get(&key).answer.is_some()), "at {at}");
+        assert!(
+            world.run_until(LIMIT, |w| w.callers.get(&key).answer.is_some()),
+            "at {at}"
+        );
     }
     assert_eq!(world.runs_of(&key), 1);
     world.assert_sound();
@@ -73,7 +79,10 @@
     world.callers.table.get_mut(&key).unwrap().answer = None;
     world.send_request("north-1", other);
     assert!(world.run_until(LIMIT, |w| w.callers.get(&key).refusal.is_some()));
-    assert_eq!(world.callers.get(&key).refusal.as_ref().unwrap().reason, Reason::KeyReused);
+    assert_eq!(
+        world.callers.get(&key).refusal.as_ref().unwrap().reason,
+        Reason::KeyReused
+    );
 }
 
 #[rstest]
@@ -109,9 +118,15 @@
     world.send_request("north-0", redeem(&key));
     assert!(world.run_until(LIMIT, |w| is_settled(w, &key)));
     let refusal = world.callers.get(&key).refusal.clone().unwrap();
-    assert_eq!((refusal.ran, refusal.reason), (Ran::Unknown, Reason::OutcomeUnknown));
+    assert_eq!(
+        (refusal.ran, refusal.reason),
+        (Ran::Unknown, Reason::OutcomeUnknown)
+    );
     repeat_until_settled(&mut world, "north-1", &key);
-    assert_eq!(world.callers.get(&key).refusal.as_ref().unwrap().reason, Reason::OutcomeUnknown);
+    assert_eq!(
+        world.callers.get(&key).refusal.as_ref().unwrap().reason,
+        Reason::OutcomeUnknown
+    );
     assert_eq!(world.runs_of(&key), 1);
 }
 
@@ -158,17 +173,30 @@
     world.run(Duration::from_secs(1));
     let home = world.home_of_call(&key);
     let slice = magpiemoor::node::roster::slice_of(&key.parse().unwrap());
-    let successor: BoxId = world.node(&home).unwrap().membership().successor(slice).unwrap().id;
+    let successor: BoxId = world
+        .node(&home)
+        .unwrap()
+        .membership()
+        .successor(slice)
+        .unwrap()
+        .id;
     world.kill_box(&home);
     if both {
         world.kill_box(&successor);
     }
-    let back = world.others("north", &home).into_iter().find(|b| *b != successor).unwrap();
+    let back = world
+        .others("north", &home)
+        .into_iter()
+        .find(|b| *b != successor)
+        .unwrap();
     world.callers.table.get_mut(&key).unwrap().answer = None;
     repeat_until_settled(&mut world, back.as_str(), &key);
     let caller = world.callers.get(&key);
     if both {
-        assert_eq!(caller.refusal.as_ref().unwrap().reason, Reason::OutcomeUnknown);
+        assert_eq!(
+            caller.refusal.as_ref().unwrap().reason,
+            Reason::OutcomeUnknown
+        );
     } else {
         assert!(caller.answer.is_some());
     }
@@ -193,7 +221,10 @@
     world.send_request("north-0", request);
     assert!(world.run_until(Duration::from_millis(100), |w| is_settled(w, &key)));
     let refusal = world.callers.get(&key).refusal.clone().unwrap();
-    assert_eq!((refusal.ran, refusal.reason), (Ran::No, Reason::HomeUnreachable));
+    assert_eq!(
+        (refusal.ran, refusal.reason),
+        (Ran::No, Reason::HomeUnreachable)
+    );
     assert!(refusal.retry_after.is_some());
     world.cuts.clear();
     world.run(Duration::from_secs(3));
@@ -209,7 +240,10 @@
     world.run(Duration::from_secs(20));
     let key = key_in("north", "redeem");
     world.send_request("north-0", redeem(&key));
-    assert!(world.run_until(LIMIT, |w| w.callers.get(&key).answer.is_some()), "a promise stands in for the lease");
+    assert!(
+        world.run_until(LIMIT, |w| w.callers.get(&key).answer.is_some()),
+        "a promise stands in for the lease"
+    );
     let home = world.home_of_call(&key);
     world.kill_box(&home);
     let back = world.others("north", &home)[0].to_string();
@@ -230,8 +264,18 @@
     let (mut world, key) = sent(seed, "call_answered");
     let home = world.home_of_call(&key);
     let slice = magpiemoor::node::roster::slice_of(&key.parse().unwrap());
-    let successor: BoxId = world.node(&home).unwrap().membership().successor(slice).unwrap().id;
-    let third = world.others("north", &home).into_iter().find(|b| *b != successor).unwrap();
+    let successor: BoxId = world
+        .node(&home)
+        .unwrap()
+        .membership()
+        .successor(slice)
+        .unwrap()
+        .id;
+    let third = world
+        .others("north", &home)
+        .into_iter()
+        .find(|b| *b != successor)
+        .unwrap();
     for side in [&home, &successor] {
         world.cut(side, &third);
         world.cut(side, "platform");
@@ -250,7 +294,10 @@
         both.push(world.runs_of(&key));
     }
     assert!(both.iter().all(|runs| *runs <= 1));
-    assert!(both.iter().any(|runs| *runs == 1), "what is cut off goes on serving");
+    assert!(
+        both.iter().any(|runs| *runs == 1),
+        "what is cut off goes on serving"
+    );
     world.cuts.clear();
     world.run(Duration::from_secs(10));
     world.assert_sound();
@@ -277,7 +324,9 @@
         world.start_box(&id);
     }
     assert!(world.run_until(Duration::from_secs(30), |w| w.is_settled()));
-    let keys: Vec<String> = (0..30).map(|n| key_in("north", &format!("redeem-{n}"))).collect();
+    let keys: Vec<String> = (0..30)
+        .map(|n| key_in("north", &format!("redeem-{n}")))
+        .collect();
     for key in &keys {
         world.send_request("north-0", redeem(key));
     }
@@ -291,7 +340,10 @@
     }
     world.run(Duration::from_secs(5));
     assert!(keys.iter().all(|key| world.runs_of(key) == 1));
-    assert!(keys.iter().all(|key| world.callers.get(key).answer.is_some()));
+    assert!(
+        keys.iter()
+            .all(|key| world.callers.get(key).answer.is_some())
+    );
     assert!(world.is_settled());
     world.assert_sound();
 }
@@ -302,12 +354,20 @@
     let key = key_in("north", "redeem");
     world.send_request("north-0", redeem(&key));
     assert!(world.run_until(LIMIT, |w| w.callers.get(&key).answer.is_some()));
-    assert!(world.platform.objects.contains_key(&format!("intents/north/{key}")));
+    assert!(
+        world
+            .platform
+            .objects
+            .contains_key(&format!("intents/north/{key}"))
+    );
     world.platform_out();
     let later = key_in("north", "later");
     world.send_request("north-0", redeem(&later));
     assert!(world.run_until(LIMIT, |w| is_settled(w, &later)));
-    assert_eq!(world.callers.get(&later).refusal.as_ref().unwrap().ran, Ran::No);
+    assert_eq!(
+        world.callers.get(&later).refusal.as_ref().unwrap().ran,
+        Ran::No
+    );
     assert_eq!(world.runs_of(&later), 0);
     world.assert_sound();
 }
@@ -321,3 +381,17 @@
     assert!(world.run_until(LIMIT, |w| is_settled(w, &key)));
     assert!(world.callers.get(&key).answer.is_some());
 }
+
+#[rstest]
+fn a_call_that_is_handed_to_a_dead_home_still_ends(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
+    // Found by the explorer: a box handed the call on to a home that had just died, and the
+    // caller's box never heard of it again.
+    let mut world = running(seed, 3, 1);
+    let key = key_in("north", "redeem");
+    let home = world.home_of_call(&key);
+    world.kill_box(&home);
+    world.run(Duration::from_micros(300 * seed));
+    world.send_request("south-2", redeem(&key));
+    assert!(world.run_until(LIMIT, |w| is_settled(w, &key)));
+    world.assert_sound();
+}
--- a/tests/tokens.rs
+++ b/tests/tokens.rs
@@ -34,7 +34,13 @@
 fn finish_at(world: &mut World, at: &str, key: &str) {
     let whole = world.run_until(LIMIT, |w| {
         let caller = w.callers.get(key);
-        if caller.finish.is_none() && !caller.waits && caller.refusal.as_ref().is_none_or(|r| r.retry_after.is_some()) {
+        if caller.finish.is_none()
+            && !caller.waits
+            && caller
+                .refusal
+                .as_ref()
+                .is_none_or(|r| r.retry_after.is_some())
+        {
             w.come_back(at, key);
         }
         is_whole(w, key)
@@ -159,7 +165,9 @@
 }
 
 #[rstest]
-fn the_caller_comes_back_while_its_home_still_runs(#[values("north-1", "north-2", "south-0")] at: &str) {
+fn the_caller_comes_back_while_its_home_still_runs(
+    #[values("north-1", "north-2", "south-0")] at: &str,
+) {
     let (mut world, key) = begun(1, 20);
     world.caller_leaves(&key);
     world.run(Duration::from_millis(200));
@@ -180,12 +188,20 @@
     world.kill_box(&home);
     world.kill_box(&holder);
     world.run(Duration::from_secs(2));
-    let left: Vec<BoxId> =
-        world.others("north", &home).into_iter().filter(|b| *b != holder).collect();
+    let left: Vec<BoxId> = world
+        .others("north", &home)
+        .into_iter()
+        .filter(|b| *b != holder)
+        .collect();
     world.come_back(left[0].as_str(), &key);
     let told = world.run_until(LIMIT, |w| !w.callers.get(&key).waits);
     assert!(told);
-    let refusal = world.callers.get(&key).refusal.clone().expect("the answer is lost");
+    let refusal = world
+        .callers
+        .get(&key)
+        .refusal
+        .clone()
+        .expect("the answer is lost");
     assert_eq!(refusal.reason, Reason::StartOver);
     world.assert_sound();
 }
@@ -201,7 +217,10 @@
     world.callers.table.get_mut(&key).unwrap().cursor = strange;
     world.come_back("north-2", &key);
     assert!(world.run_until(LIMIT, |w| w.callers.get(&key).refusal.is_some()));
-    assert_eq!(world.callers.get(&key).refusal.as_ref().unwrap().reason, Reason::StartOver);
+    assert_eq!(
+        world.callers.get(&key).refusal.as_ref().unwrap().reason,
+        Reason::StartOver
+    );
 }
 
 #[rstest]
@@ -220,3 +239,17 @@
     assert!(world.run_until(LIMIT, |w| is_whole(w, &strange)));
     world.assert_sound();
 }
+
+#[rstest]
+fn output_that_was_lost_between_boxes_comes_again(#[values(1, 2, 3)] seed: u64) {
+    let mut world = running(seed, 3, 2);
+    let key = key_in("north", "answer");
+    world.send_request("south-0", generation(&key, 100));
+    assert!(world.run_until(LIMIT, |w| tokens(w, &key) > 10));
+    let home = world.producer_of(&key).to_string();
+    world.cut("south-0", &home);
+    world.run(Duration::from_millis(150));
+    world.cuts.clear();
+    assert!(world.run_until(LIMIT, |w| is_whole(w, &key)));
+    world.assert_sound();
+}
--- a/tests/world/callers.rs
+++ b/tests/world/callers.rs
@@ -6,8 +6,8 @@
 use magpiemoor::node::action::Reply;
 use magpiemoor::node::event::CallerEvent;
 use magpiemoor::schema::{
-    BoxId, CallRequest, Cursor, DeferredStatus, Finish, GenerateRequest, Kept, Micros, Millis, Priority, Ran,
-    Refusal, Request, RequestKey, RequestKind, ServiceAnswer, Token, TokenOffset,
+    BoxId, CallRequest, Cursor, DeferredStatus, Finish, GenerateRequest, Kept, Micros, Millis,
+    Priority, Ran, Refusal, Request, RequestKey, RequestKind, ServiceAnswer, Token, TokenOffset,
 };
 
 use super::World;
@@ -57,21 +57,27 @@
 }
 
 pub fn generation(key: &str, max_tokens: u32) -> Request {
-    request(key, RequestKind::Generate(GenerateRequest {
-        model: "drafter".parse().unwrap(),
-        adapter: None,
-        prompt: format!("the prompt of {key}"),
-        max_tokens,
-    }))
+    request(
+        key,
+        RequestKind::Generate(GenerateRequest {
+            model: "drafter".parse().unwrap(),
+            adapter: None,
+            prompt: format!("the prompt of {key}"),
+            max_tokens,
+        }),
+    )
 }
 
 pub fn call(key: &str, name: &str, repeatable: bool) -> Request {
-    request(key, RequestKind::Call(CallRequest {
-        service: "till".parse().unwrap(),
-        call: name.parse().unwrap(),
-        body: "{}".to_owned(),
-        repeatable,
-    }))
+    request(
+        key,
+        RequestKind::Call(CallRequest {
+            service: "till".parse().unwrap(),
+            call: name.parse().unwrap(),
+            body: "{}".to_owned(),
+            repeatable,
+        }),
+    )
 }
 
 pub fn redeem(key: &str) -> Request {
@@ -179,19 +185,33 @@
             return;
         }
         match reply {
-            Reply::Tokens { generation, end, digest, tokens } => {
+            Reply::Tokens {
+                generation,
+                end,
+                digest,
+                tokens,
+            } => {
                 caller.tokens.extend(tokens);
                 caller.times.push(now);
                 let whole = digest::extend_all(digest::start(&caller.request.key), &caller.tokens);
                 if whole != digest || end.0 as usize != caller.tokens.len() {
-                    self.violations.push(format!("{key}: tokens of two answers, or lost ones, at {id}"));
+                    self.violations.push(format!(
+                        "{key}: tokens of two answers, or lost ones, at {id}"
+                    ));
                 }
-                caller.cursor = Some(Cursor { generation, offset: TokenOffset(end.0), digest });
-                let strange = caller.tokens.iter().enumerate().find(|(place, t)| {
-                    !engines.iter().any(|e| &&token(e, &key, *place) == t)
+                caller.cursor = Some(Cursor {
+                    generation,
+                    offset: TokenOffset(end.0),
+                    digest,
                 });
+                let strange = caller
+                    .tokens
+                    .iter()
+                    .enumerate()
+                    .find(|(place, t)| !engines.iter().any(|e| &&token(e, &key, *place) == t));
                 if let Some((place, _)) = strange {
-                    self.violations.push(format!("{key}: the token at {place} belongs elsewhere"));
+                    self.violations
+                        .push(format!("{key}: the token at {place} belongs elsewhere"));
                 }
             }
             Reply::Finished(finish) => {
@@ -201,7 +221,8 @@
                     && caller.tokens.len() != g.max_tokens as usize
                 {
                     let count = caller.tokens.len();
-                    self.violations.push(format!("{key}: whole with {count} tokens"));
+                    self.violations
+                        .push(format!("{key}: whole with {count} tokens"));
                 }
             }
             Reply::Refused(refusal) => {
@@ -226,7 +247,8 @@
 
     fn check_not_run(&mut self, key: &str) {
         if self.runs_of(key) > 0 {
-            self.violations.push(format!("{key}: told \"not run\", but it ran"));
+            self.violations
+                .push(format!("{key}: told \"not run\", but it ran"));
         }
         for service in self.services.values_mut() {
             service.not_run.insert(key.to_owned());
--- a/tests/world/endpoints.rs
+++ b/tests/world/endpoints.rs
@@ -60,7 +60,10 @@
 /// The token that an engine gives at a place of a request's answer.
 pub fn token(engine: &str, key: &str, place: usize) -> Token {
     let hash = magpiemoor::rendezvous::item(&format!("{engine}/{key}/{place}"));
-    Token { id: (hash % 1_000_000) as u32, text: format!(" {place}") }
+    Token {
+        id: (hash % 1_000_000) as u32,
+        text: format!(" {place}"),
+    }
 }
 
 impl World {
@@ -75,7 +78,12 @@
         let streams = std::mem::take(&mut engine.streams);
         for stream in streams.into_values() {
             for (id, life, named, _) in stream.readers {
-                self.engine_event(&id, life, &named, EngineEvent::Failed(EngineFailure::Broken));
+                self.engine_event(
+                    &id,
+                    life,
+                    &named,
+                    EngineEvent::Failed(EngineFailure::Broken),
+                );
             }
         }
     }
@@ -90,9 +98,12 @@
         } else if engine.frozen {
             return;
         } else if start.attach.is_none() && engine.leaving_since.is_some() {
-            let late = engine.leaving_since.is_some_and(|at| now.since(at) > LEAVING_BOUND);
+            let late = engine
+                .leaving_since
+                .is_some_and(|at| now.since(at) > LEAVING_BOUND);
             if late {
-                self.violations.push(format!("{id} gave new work to {name}, which is leaving"));
+                self.violations
+                    .push(format!("{id} gave new work to {name}, which is leaving"));
             }
             Some(EngineFailure::Leaving)
         } else {
@@ -109,20 +120,37 @@
 
     fn attach(&mut self, id: &BoxId, life: u64, name: &str, stream: &str, start: &EngineStart) {
         let from = start.tokens.len();
-        let known = self.engine_mut(name).streams.get_mut(stream).filter(|s| s.tokens.len() >= from);
+        let known = self
+            .engine_mut(name)
+            .streams
+            .get_mut(stream)
+            .filter(|s| s.tokens.len() >= from);
         let Some(known) = known else {
-            return self.engine_event(id, life, &start.stream, EngineEvent::Failed(EngineFailure::Gone));
+            return self.engine_event(
+                id,
+                life,
+                &start.stream,
+                EngineEvent::Failed(EngineFailure::Gone),
+            );
         };
         let caught_up = known.tokens[from..].to_vec();
-        known.readers.push((id.clone(), life, start.stream.clone(), known.tokens.len()));
+        known
+            .readers
+            .push((id.clone(), life, start.stream.clone(), known.tokens.len()));
         let (whole, finish) = (known.is_whole(), known.finish());
         if !caught_up.is_empty() {
-            let event = EngineEvent::Tokens { offset: from, tokens: caught_up };
+            let event = EngineEvent::Tokens {
+                offset: from,
+                tokens: caught_up,
+            };
             self.engine_event(id, life, &start.stream, event);
         }
         if whole {
             let hop = Duration::from_millis(2);
-            let event = Event::Engine { stream: start.stream.clone(), event: EngineEvent::Finished(finish) };
+            let event = Event::Engine {
+                stream: start.stream.clone(),
+                event: EngineEvent::Finished(finish),
+            };
             self.event_for_life(id, life, hop, event);
         }
     }
@@ -181,12 +209,21 @@
             }
             let times = if duplicate { 2 } else { 1 };
             for turn in 0..times {
-                let event = EngineEvent::Tokens { offset, tokens: tokens.clone() };
-                let event = Event::Engine { stream: named.clone(), event };
+                let event = EngineEvent::Tokens {
+                    offset,
+                    tokens: tokens.clone(),
+                };
+                let event = Event::Engine {
+                    stream: named.clone(),
+                    event,
+                };
                 self.event_for_life(&id, life, Duration::from_micros(500 + turn), event);
             }
             if whole {
-                let event = Event::Engine { stream: named.clone(), event: EngineEvent::Finished(finish) };
+                let event = Event::Engine {
+                    stream: named.clone(),
+                    event: EngineEvent::Finished(finish),
+                };
                 self.event_for_life(&id, life, Duration::from_micros(600), event);
             }
         }
@@ -205,12 +242,19 @@
     /// The address of an endpoint; its port stands for its name.
     pub fn address_of(&self, name: &str) -> String {
         let names = self.engines.keys().chain(self.services.keys());
-        let place = names.into_iter().position(|n| n == name).expect("the endpoint exists");
+        let place = names
+            .into_iter()
+            .position(|n| n == name)
+            .expect("the endpoint exists");
         format!("127.0.0.1:{}", place + 1)
     }
 
     fn endpoint_at(&self, address: &str) -> String {
-        let port = address.rsplit(':').next().and_then(|p| p.parse::<usize>().ok()).unwrap_or(1);
+        let port = address
+            .rsplit(':')
+            .next()
+            .and_then(|p| p.parse::<usize>().ok())
+            .unwrap_or(1);
         let mut names = self.engines.keys().chain(self.services.keys());
         names.nth(port - 1).cloned().unwrap_or_default()
     }
@@ -220,20 +264,34 @@
         let cut = self.is_cut(id, address);
         let load = if let Some(engine) = self.engines.get(address) {
             let answers = engine.alive && !engine.frozen && !cut;
-            answers.then(|| report(endpoint, engine.streams.len() as u32, engine.model_version, engine.leaving_since.is_some()))
+            answers.then(|| {
+                report(
+                    endpoint,
+                    engine.streams.len() as u32,
+                    engine.model_version,
+                    engine.leaving_since.is_some(),
+                )
+            })
         } else {
             let answers = self.services.get(address).is_some_and(|s| s.alive) && !cut;
             answers.then(|| report(endpoint, 0, 0, false))
         };
         let hop = self.hop();
-        let event = Event::Load { endpoint: endpoint.clone(), load };
+        let event = Event::Load {
+            endpoint: endpoint.clone(),
+            load,
+        };
         self.event_for(id, hop, event);
     }
 
     pub(super) fn service_call(&mut self, id: &BoxId, life: u64, call: &ServiceCall) {
         let name = call.endpoint.to_string();
         let cut = self.is_cut(id, &name);
-        let reply = |outcome| Event::Service { key: call.key.clone(), attempt: call.attempt, outcome };
+        let reply = |outcome| Event::Service {
+            key: call.key.clone(),
+            attempt: call.attempt,
+            outcome,
+        };
         let service = self.services.get_mut(&name).expect("the service exists");
         if cut || !service.alive {
             let event = reply(ServiceOutcome::NotSent(NotSent::Unreachable));
@@ -244,18 +302,31 @@
         *runs += 1;
         let runs = *runs;
         let lose = service.lose_answers;
-        let total = self.services.values().filter_map(|s| s.runs.get(&key)).sum::<u32>();
+        let total = self
+            .services
+            .values()
+            .filter_map(|s| s.runs.get(&key))
+            .sum::<u32>();
         if call.call.as_str() == "redeem" && total > 1 {
             self.violations.push(format!("{key} ran {total} times"));
         }
         if self.services.values().any(|s| s.not_run.contains(&key)) {
-            self.violations.push(format!("{key} ran after a caller was told that it had not"));
+            self.violations
+                .push(format!("{key} ran after a caller was told that it had not"));
         }
         if lose {
             return self.event_for_life(id, life, ANSWER_TIME, reply(ServiceOutcome::Lost));
         }
-        let answer = ServiceAnswer { status: 200, body: format!("run {runs}") };
-        self.event_for_life(id, life, ANSWER_TIME, reply(ServiceOutcome::Answered(answer)));
+        let answer = ServiceAnswer {
+            status: 200,
+            body: format!("run {runs}"),
+        };
+        self.event_for_life(
+            id,
+            life,
+            ANSWER_TIME,
+            reply(ServiceOutcome::Answered(answer)),
+        );
     }
 
     /// How often a key was run by any endpoint.
@@ -276,14 +347,24 @@
         engine.highest_epoch = engine.highest_epoch.max(order.epoch.0);
         engine.model_version = engine.model_version.max(order.version);
         if old {
-            self.violations.push(format!("{name} took an order of an old epoch"));
+            self.violations
+                .push(format!("{name} took an order of an old epoch"));
         }
     }
 }
 
 fn report(endpoint: &EndpointId, running: u32, model_version: u32, leaving: bool) -> Load {
-    let report = LoadReport { endpoint: endpoint.clone(), running, queued: 0, model_version, leaving };
-    Load { report, cache: Vec::new() }
+    let report = LoadReport {
+        endpoint: endpoint.clone(),
+        running,
+        queued: 0,
+        model_version,
+        leaving,
+    };
+    Load {
+        report,
+        cache: Vec::new(),
+    }
 }
 
 impl Stream {
@@ -292,6 +373,10 @@
     }
 
     fn finish(&self) -> Finish {
-        if self.length >= self.max { Finish::Length } else { Finish::Stop }
+        if self.length >= self.max {
+            Finish::Length
+        } else {
+            Finish::Stop
+        }
     }
 }
--- a/tests/world/fixtures.rs
+++ b/tests/world/fixtures.rs
@@ -7,9 +7,9 @@
 use magpiemoor::bundle::sign::unsigned;
 use magpiemoor::node::config::NodeConfig;
 use magpiemoor::schema::{
-    BoxId, BundlePointer, BundleSource, BundleVersion, CallSpec, EndpointKind, EndpointSpec, EngineSpec,
-    Incarnation, Member, Millis, ModelSpec, OrganisationSpec, PeerSeed, Policy, Priority,
-    ServiceCalls, ServiceSpec, Weights,
+    BoxId, BundlePointer, BundleSource, BundleVersion, CallSpec, EndpointKind, EndpointSpec,
+    EngineSpec, Incarnation, Member, Millis, ModelSpec, OrganisationSpec, PeerSeed, Policy,
+    Priority, ServiceCalls, ServiceSpec, Weights,
 };
 use magpiemoor::settings::{Recovery, Routing};
 
@@ -32,11 +32,14 @@
         .flat_map(|d| (0..boxes_per_domain).map(move |i| (format!("{d}-{i}"), *d)))
         .collect();
     for (name, domain) in &names {
-        let seeds = names.iter().filter(|(n, _)| n != name).map(|(n, d)| PeerSeed {
-            id: n.parse().unwrap(),
-            domain: d.parse().unwrap(),
-            address: n.clone(),
-        });
+        let seeds = names
+            .iter()
+            .filter(|(n, _)| n != name)
+            .map(|(n, d)| PeerSeed {
+                id: n.parse().unwrap(),
+                domain: d.parse().unwrap(),
+                address: n.clone(),
+            });
         let slot = Slot {
             cfg: config(name, domain, seeds.collect()),
             node: None,
@@ -60,7 +63,11 @@
             };
             world.engines.insert(format!("{domain}-engine-{i}"), engine);
         }
-        let service = Service { domain: domain.to_owned(), alive: true, ..Service::default() };
+        let service = Service {
+            domain: domain.to_owned(),
+            alive: true,
+            ..Service::default()
+        };
         world.services.insert(format!("{domain}-till"), service);
     }
     world.roll(1);
@@ -117,7 +124,10 @@
         domain: service.domain.parse().unwrap(),
         address: world.address_of(name),
         checks_orders: false,
-        serves: EndpointKind::Service(ServiceSpec { service: "till".parse().unwrap(), slots: 32 }),
+        serves: EndpointKind::Service(ServiceSpec {
+            service: "till".parse().unwrap(),
+            slots: 32,
+        }),
     });
     let call = |name: &str, repeatable| CallSpec {
         name: name.parse().unwrap(),
@@ -146,7 +156,10 @@
         }],
         endpoints: engines.chain(services).collect(),
         policy: Policy {
-            weights: Weights { resume_second: 10.0, extra_second: 1.0 },
+            weights: Weights {
+                resume_second: 10.0,
+                extra_second: 1.0,
+            },
             retry_horizon: Millis(60_000),
             retry_percent: 20,
             queue_limit: 32,
@@ -160,14 +173,20 @@
         let signed = unsigned(split(&source(self, version)));
         let bundle = join(&signed).unwrap();
         let mark = bundle.mark().clone();
-        self.bundles.insert(mark.version, (Arc::new(bundle), Arc::new(signed)));
-        BundlePointer { bundle: mark, mark: format!("mark-{version}"), rolled_by: "test".parse().unwrap() }
+        self.bundles
+            .insert(mark.version, (Arc::new(bundle), Arc::new(signed)));
+        BundlePointer {
+            bundle: mark,
+            mark: format!("mark-{version}"),
+            rolled_by: "test".parse().unwrap(),
+        }
     }
 
     /// Accepts a bundle version.
     pub fn roll(&mut self, version: u64) {
         let pointer = self.prepare_bundle(version);
-        self.platform.put("bundle/current", serde_json::to_string(&pointer).unwrap());
+        self.platform
+            .put("bundle/current", serde_json::to_string(&pointer).unwrap());
         self.wake_watches();
     }
 
@@ -183,7 +202,11 @@
             let open: usize = nodes.iter().map(|n| n.open_slices()).sum();
             let slices = usize::from(magpiemoor::node::roster::SLICES);
             let name = format!("rosters/{domain}");
-            let epoch = self.platform.objects.get(&name).map_or(0, |(version, _)| *version);
+            let epoch = self
+                .platform
+                .objects
+                .get(&name)
+                .map_or(0, |(version, _)| *version);
             let joined = nodes.iter().all(|n| {
                 n.is_ready() && n.membership().is_listed() && n.membership().epoch().0 == epoch
             });
@@ -194,7 +217,10 @@
     /// The box that has opened the slice of a key.
     pub fn home_of_call(&self, key: &str) -> BoxId {
         let domain = key.split('~').next().unwrap().parse().unwrap();
-        let node = self.boxes.values().find_map(|s| s.node.as_ref().filter(|_| s.cfg.domain == domain));
+        let node = self
+            .boxes
+            .values()
+            .find_map(|s| s.node.as_ref().filter(|_| s.cfg.domain == domain));
         let member = node.and_then(|n| n.membership().call_home(&domain, &key.parse().unwrap()));
         member.expect("the roster is known").id
     }
@@ -203,18 +229,34 @@
     pub fn producer_of(&self, key: &str) -> BoxId {
         let mut notes = self.notes.iter().rev();
         let begun = ["generation_started", "takeover"];
-        notes.find(|n| begun.contains(&n.2) && n.3 == key).expect("it was started").1.clone()
+        notes
+            .find(|n| begun.contains(&n.2) && n.3 == key)
+            .expect("it was started")
+            .1
+            .clone()
     }
 
     /// The engine that runs a generation, by the nodes' notes.
     pub fn engine_of(&self, key: &str) -> String {
-        let note = self.notes.iter().rev().find(|n| n.2 == "run_started" && n.3 == key);
-        note.expect("it was started").4.split(' ').next().unwrap().to_owned()
+        let note = self
+            .notes
+            .iter()
+            .rev()
+            .find(|n| n.2 == "run_started" && n.3 == key);
+        note.expect("it was started")
+            .4
+            .split(' ')
+            .next()
+            .unwrap()
+            .to_owned()
     }
 
     /// The boxes of a failure domain other than one.
     pub fn others(&self, domain: &str, not: &BoxId) -> Vec<BoxId> {
-        let boxes = self.boxes.iter().filter(|(id, s)| s.cfg.domain.as_str() == domain && *id != not);
+        let boxes = self
+            .boxes
+            .iter()
+            .filter(|(id, s)| s.cfg.domain.as_str() == domain && *id != not);
         boxes.map(|(id, _)| id.clone()).collect()
     }
 
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -111,7 +111,8 @@
 
     pub fn schedule(&mut self, after: Duration, delivery: Delivery) -> u64 {
         self.sequence += 1;
-        self.queue.insert((self.now.after(after), self.sequence), delivery);
+        self.queue
+            .insert((self.now.after(after), self.sequence), delivery);
         self.sequence
     }
 
@@ -137,7 +138,8 @@
         slot.node = Some(Node::new(slot.cfg.clone(), seed, Micros(now.0 + offset)));
         let domain = slot.cfg.domain.to_string();
         let life = slot.cfg.me.incarnation;
-        self.platform.list(&domain, id, FleetState::Live, Some(life));
+        self.platform
+            .list(&domain, id, FleetState::Live, Some(life));
         self.give(id, Event::Start);
     }
 
@@ -256,7 +258,11 @@
             Delivery::Call(id, life, call) => return self.service_call(&id.clone(), *life, call),
             Delivery::Order(order) => return self.take_order(order),
         };
-        let Some(slot) = self.boxes.get_mut(&id).filter(|s| s.life == life && s.node.is_some()) else {
+        let Some(slot) = self
+            .boxes
+            .get_mut(&id)
+            .filter(|s| s.life == life && s.node.is_some())
+        else {
             return;
         };
         if slot.frozen {
@@ -267,7 +273,11 @@
             Delivery::Event(_, _, event) => {
                 if let Event::Timer(timer) = &event {
                     let name = format!("{timer:?}");
-                    if slot.timers.get(&name).is_none_or(|(_, _, s)| *s != sequence) {
+                    if slot
+                        .timers
+                        .get(&name)
+                        .is_none_or(|(_, _, s)| *s != sequence)
+                    {
                         return;
                     }
                     slot.timers.remove(&name);
@@ -296,7 +306,11 @@
                 Action::Reply { connection, reply } => {
                     self.on_reply(id, connection, reply);
                 }
-                Action::Note { event, subject, detail } => self.on_note(id, event, subject, detail),
+                Action::Note {
+                    event,
+                    subject,
+                    detail,
+                } => self.on_note(id, event, subject, detail),
                 other => {
                     self.schedule(LOCAL, Delivery::Act(id.clone(), life, Box::new(other)));
                 }
@@ -311,7 +325,8 @@
         let event = Event::Timer(timer.clone());
         let sequence = self.schedule(span, Delivery::Event(id.clone(), life, event));
         if let Some(slot) = self.boxes.get_mut(id) {
-            slot.timers.insert(format!("{timer:?}"), (timer, due, sequence));
+            slot.timers
+                .insert(format!("{timer:?}"), (timer, due, sequence));
         }
     }
 
@@ -320,11 +335,13 @@
             let version: u64 = subject.parse().unwrap_or(0);
             let slot = self.boxes.get_mut(id).expect("the box exists");
             if version <= slot.bundle_version {
-                self.violations.push(format!("{id} went back to bundle {version}"));
+                self.violations
+                    .push(format!("{id} went back to bundle {version}"));
             }
             slot.bundle_version = version;
         }
-        self.notes.push((self.now, id.clone(), event, subject, detail));
+        self.notes
+            .push((self.now, id.clone(), event, subject, detail));
     }
 
     fn act(&mut self, id: &BoxId, life: u64, action: Action) {
@@ -332,11 +349,17 @@
             Action::Send { to, message } => self.send(id, &to, *message),
             Action::Beat { to, heartbeat } => {
                 for address in to {
-                    let Ok(to) = address.parse::<BoxId>() else { continue };
+                    let Ok(to) = address.parse::<BoxId>() else {
+                        continue;
+                    };
                     if self.is_cut(id, &to) || self.rng.random_bool(self.loss) {
                         continue;
                     }
-                    let copies = if self.rng.random_bool(self.loss) { 2 } else { 1 };
+                    let copies = if self.rng.random_bool(self.loss) {
+                        2
+                    } else {
+                        1
+                    };
                     for _ in 0..copies {
                         let hop = self.hop();
                         self.event_for(&to, hop, Event::Heartbeat(heartbeat.clone()));
@@ -392,7 +415,11 @@
         let due = due.max(Micros(last.0 + 1));
         self.links.insert(link, due);
         let incarnation = self.boxes[from].cfg.me.incarnation;
-        let event = Event::Peer { from: from.clone(), incarnation, message };
+        let event = Event::Peer {
+            from: from.clone(),
+            incarnation,
+            message,
+        };
         self.event_for(&to.id, due.since(self.now), event);
     }
 
@@ -401,7 +428,11 @@
         let own = Micros(self.now.0 + self.boxes[id].offset);
         if call.not_after.is_some_and(|until| own >= until) {
             let outcome = ServiceOutcome::NotSent(NotSent::LeaseOver);
-            let event = Event::Service { key: call.key.clone(), attempt: call.attempt, outcome };
+            let event = Event::Service {
+                key: call.key.clone(),
+                attempt: call.attempt,
+                outcome,
+            };
             return self.event_for(id, LOCAL, event);
         }
         let hop = self.hop();
@@ -412,9 +443,23 @@
         self.schedule(after, Delivery::Event(id.clone(), life, event));
     }
 
-    pub fn engine_event(&mut self, id: &BoxId, life: u64, stream: &magpiemoor::node::event::StreamId, event: EngineEvent) {
+    pub fn engine_event(
+        &mut self,
+        id: &BoxId,
+        life: u64,
+        stream: &magpiemoor::node::event::StreamId,
+        event: EngineEvent,
+    ) {
         let hop = self.hop();
-        self.event_for_life(id, life, hop, Event::Engine { stream: stream.clone(), event });
+        self.event_for_life(
+            id,
+            life,
+            hop,
+            Event::Engine {
+                stream: stream.clone(),
+                event,
+            },
+        );
     }
 
     /// A caller does something at a box.
--- a/tests/world/platform.rs
+++ b/tests/world/platform.rs
@@ -27,8 +27,21 @@
 }
 
 impl FakePlatform {
-    pub fn list(&mut self, domain: &str, id: &str, state: FleetState, incarnation: Option<Incarnation>) {
-        self.late.push((domain.to_owned(), FleetEntry { id: id.to_owned(), state, incarnation }));
+    pub fn list(
+        &mut self,
+        domain: &str,
+        id: &str,
+        state: FleetState,
+        incarnation: Option<Incarnation>,
+    ) {
+        self.late.push((
+            domain.to_owned(),
+            FleetEntry {
+                id: id.to_owned(),
+                state,
+                incarnation,
+            },
+        ));
         if !self.list_lags {
             self.catch_up();
         }
@@ -37,7 +50,10 @@
     /// Lets the list show what it lagged behind.
     pub fn catch_up(&mut self) {
         for (domain, entry) in std::mem::take(&mut self.late) {
-            let empty = || FleetList { version: 0, entries: Vec::new() };
+            let empty = || FleetList {
+                version: 0,
+                entries: Vec::new(),
+            };
             let list = self.lists.entry(domain).or_insert_with(empty);
             list.version += 1;
             list.entries.retain(|e| e.id != entry.id);
@@ -67,7 +83,11 @@
                     }),
                 }
             }
-            PlatformOp::Put { name, expect, value } => {
+            PlatformOp::Put {
+                name,
+                expect,
+                value,
+            } => {
                 let present = self.objects.get(name).map(|(version, _)| *version);
                 let fits = match expect {
                     Expect::Absent => present.is_none(),
@@ -88,7 +108,11 @@
                 PlatformAnswer::Written(0)
             }
             PlatformOp::List(prefix) => {
-                let names = self.objects.keys().filter(|n| n.starts_with(prefix)).cloned();
+                let names = self
+                    .objects
+                    .keys()
+                    .filter(|n| n.starts_with(prefix))
+                    .cloned();
                 PlatformAnswer::Names(names.collect())
             }
             PlatformOp::Fleet { domain, known } => match self.lists.get(domain.as_str()) {
@@ -101,18 +125,38 @@
 }
 
 impl World {
-    pub(super) fn platform_call(&mut self, id: &BoxId, life: u64, call: u64, asked: Micros, op: PlatformOp) {
+    pub(super) fn platform_call(
+        &mut self,
+        id: &BoxId,
+        life: u64,
+        call: u64,
+        asked: Micros,
+        op: PlatformOp,
+    ) {
         if self.platform.outage || self.is_cut(id, "platform") {
-            let event = Event::Platform { id: call, asked, answer: PlatformAnswer::NoAnswer };
+            let event = Event::Platform {
+                id: call,
+                asked,
+                answer: PlatformAnswer::NoAnswer,
+            };
             return self.event_for_life(id, life, Self::platform_limit(), event);
         }
         if let PlatformOp::Watch { name, after } = &op {
-            let known = self.platform.objects.get(name).map_or(0, |(version, _)| *version);
+            let known = self
+                .platform
+                .objects
+                .get(name)
+                .map_or(0, |(version, _)| *version);
             if known <= *after {
-                self.platform.watches.push((id.clone(), life, call, asked, name.clone(), *after));
+                self.platform
+                    .watches
+                    .push((id.clone(), life, call, asked, name.clone(), *after));
                 return;
             }
-            let get = PlatformOp::Get { name: name.clone(), known: None };
+            let get = PlatformOp::Get {
+                name: name.clone(),
+                known: None,
+            };
             let answer = self.platform.answer(&get);
             return self.platform_reply(id, life, call, asked, answer);
         }
@@ -121,24 +165,46 @@
         self.wake_watches();
     }
 
-    fn platform_reply(&mut self, id: &BoxId, life: u64, call: u64, asked: Micros, answer: PlatformAnswer) {
+    fn platform_reply(
+        &mut self,
+        id: &BoxId,
+        life: u64,
+        call: u64,
+        asked: Micros,
+        answer: PlatformAnswer,
+    ) {
         let wait = match answer {
             PlatformAnswer::NoAnswer => Self::platform_limit(),
             _ => Duration::from_millis(1),
         };
-        self.event_for_life(id, life, wait, Event::Platform { id: call, asked, answer });
+        self.event_for_life(
+            id,
+            life,
+            wait,
+            Event::Platform {
+                id: call,
+                asked,
+                answer,
+            },
+        );
     }
 
     /// Ends the watches whose object has changed.
     pub fn wake_watches(&mut self) {
         for (id, life, call, asked, name, after) in std::mem::take(&mut self.platform.watches) {
-            let known = self.platform.objects.get(&name).map_or(0, |(version, _)| *version);
+            let known = self
+                .platform
+                .objects
+                .get(&name)
+                .map_or(0, |(version, _)| *version);
             if known > after && !self.is_cut(&id, "platform") {
                 let get = PlatformOp::Get { name, known: None };
                 let answer = self.platform.answer(&get);
                 self.platform_reply(&id, life, call, asked, answer);
             } else {
-                self.platform.watches.push((id, life, call, asked, name, after));
+                self.platform
+                    .watches
+                    .push((id, life, call, asked, name, after));
             }
         }
     }
@@ -147,7 +213,11 @@
     pub fn platform_out(&mut self) {
         self.platform.outage = true;
         for (id, life, call, asked, _, _) in std::mem::take(&mut self.platform.watches) {
-            let event = Event::Platform { id: call, asked, answer: PlatformAnswer::NoAnswer };
+            let event = Event::Platform {
+                id: call,
+                asked,
+                answer: PlatformAnswer::NoAnswer,
+            };
             self.event_for_life(&id, life, Self::platform_limit(), event);
         }
     }
