A generation whose silent run is all that is left is run again

Ruled out: the suspicion timer, which had done its work. The test failed in both cases before the change and passes after it.

--- a/src/node/answers.rs
+++ b/src/node/answers.rs
@@ -243,6 +243,12 @@
         self.finish.is_some() && self.copy.as_ref().is_none_or(|c| c.finish_held)
     }
 
+    /// Whether any run is going on that isn't suspected to be lost.
+    #[must_use]
+    pub fn has_sound_run(&self) -> bool {
+        self.runs.iter().any(|r| !r.suspected)
+    }
+
     /// The run with a number.
     #[must_use]
     pub fn run(&self, attempt: Attempt) -> Option<&Run> {
--- a/src/node/runs.rs
+++ b/src/node/runs.rs
@@ -395,7 +395,7 @@
         if answer.avoid.len() > AVOIDED {
             answer.avoid.remove(0);
         }
-        let others = !answer.runs.is_empty();
+        let others = answer.has_sound_run();
         if !others {
             answer.lost_at.get_or_insert(self.now);
         }
@@ -514,7 +514,7 @@
     /// The backoff of a generation or call is over.
     pub(super) fn on_retry(&mut self, key: &RequestKey) {
         let idle = self.answers.get(key).is_some_and(|a| {
-            a.runs.is_empty() && !a.waiting && a.finish.is_none() && a.role == Role::Producer
+            !a.has_sound_run() && !a.waiting && a.finish.is_none() && a.role == Role::Producer
         });
         if idle {
             self.resume(key);
--- a/tests/tokens.rs
+++ b/tests/tokens.rs
@@ -118,6 +118,28 @@
     world.assert_sound();
 }
 
+#[rstest]
+fn the_engine_that_was_to_go_on_is_dead_too(#[values(1, 20)] at: usize) {
+    // Found by the explorer: with a silent run left, the loss of the new one was not made good.
+    let (mut world, key) = begun(1, at);
+    let engine = world.engine_of(&key);
+    world.engine_mut(&engine).trouble = Trouble::Frozen;
+    let others: Vec<String> = world
+        .engines
+        .keys()
+        .filter(|e| **e != engine)
+        .cloned()
+        .collect();
+    for other in &others {
+        world.kill_engine(other);
+    }
+    assert!(world.run_until(LIMIT, |w| w.noted("run_failed") > 0));
+    world.run(Duration::from_secs(1));
+    world.engine_mut(&others[0]).alive = true;
+    assert!(world.run_until(LIMIT, |w| is_whole(w, &key)));
+    world.assert_sound();
+}
+
 #[test]
 fn doubled_output_is_dropped() {
     let (mut world, key) = begun(1, 1);
