--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -122,6 +122,8 @@
     pub tokens: u64,
     /// Seconds that it read prompts.
     pub prefill_seconds: f64,
+    /// Seconds of that for answers that had been begun before.
+    pub resume_seconds: f64,
     /// Prompt bytes that it did not have to read, thanks to its cache.
     pub cached_bytes: u64,
     /// Prompt bytes that it read.
@@ -202,6 +204,12 @@
         self.lock().batch.len()
     }
 
+    /// The names of the streams that are producing tokens or about to.
+    #[must_use]
+    pub fn running(&self) -> Vec<String> {
+        self.lock().batch.running()
+    }
+
     /// The version of the model that it has loaded.
     #[must_use]
     pub fn model_version(&self) -> u32 {
--- a/lab/src/engine/batch.rs
+++ b/lab/src/engine/batch.rs
@@ -77,6 +77,11 @@
     }
 }
 
+/// Whether a request goes on with an answer, or starts one over.
+fn begun_before(request: &StreamRequest) -> bool {
+    !request.tokens.is_empty() || !request.stream.ends_with(".1")
+}
+
 impl Batch {
     /// An empty batch.
     #[must_use]
@@ -133,6 +138,9 @@
             spent.cached_bytes += cached as u64;
             let seconds = read as f64 / behaviour.prefill_rate;
             spent.prefill_seconds += seconds;
+            if begun_before(&request) {
+                spent.resume_seconds += seconds;
+            }
             Duration::from_secs_f64(seconds)
         };
         let stored: Vec<u64> = wanted[known..].to_vec();
@@ -167,6 +175,12 @@
         Some(stored)
     }
 
+    /// The names of the streams that run.
+    #[must_use]
+    pub fn running(&self) -> Vec<String> {
+        self.running.clone()
+    }
+
     /// Ends a stream.
     pub fn remove(&mut self, name: &str) {
         self.streams.remove(name);
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! Unlike the product's processes, the laboratory starts others: the demonstration and the
 //! measurements run real boxes as processes of their own.
 
+pub mod bench;
 pub mod caller;
 pub mod demo;
 pub mod engine;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -8,7 +8,7 @@
 use magpiemoor_lab::engine::{self, Engine};
 use magpiemoor_lab::platform::Platform;
 use magpiemoor_lab::service::{self, Service};
-use magpiemoor_lab::{demo, r#gen};
+use magpiemoor_lab::{bench, demo, r#gen};
 use serde_json::json;
 use tokio::net::TcpListener;
 
@@ -45,13 +45,49 @@
                 .about("An entry box, as magpiemoord runs it")
                 .arg(Arg::new("settings").long("settings").required(true).value_parser(value_parser!(PathBuf)).help("Settings file")),
         )
+        .subcommand(bench_command())
         .subcommand(Command::new("gen").about("Generate src/schema/generated.rs from schema/"))
 }
 
+fn bench_command() -> Command {
+    let option = |name: &'static str, value: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name).long(name).value_name(value).default_value(default).help(help)
+    };
+    Command::new("bench")
+        .about("Measure the policy under load and faults, against baselines in the same run")
+        .arg(option("suite", "NAME", "recovery", "recovery, routing, overload or control"))
+        .arg(option("deployment", "NAME", "lundavik", "lundavik or sahel-ride"))
+        .arg(option("seed", "NUMBER", "1", "Seed of everything random").value_parser(value_parser!(u64)))
+        .arg(option("seconds", "NUMBER", "15", "Seconds of load for each policy").value_parser(value_parser!(u64)))
+        .arg(Arg::new("json").long("json").value_name("FILE").help("Where the figures go as JSON"))
+        .arg(Arg::new("svg").long("svg").value_name("FILE").help("Where the plot goes"))
+}
+
+fn run_bench(matches: &ArgMatches) -> Result<bool, String> {
+    let text = |name: &str| matches.get_one::<String>(name).cloned();
+    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or(1);
+    let name = text("deployment").unwrap_or_default();
+    let options = bench::Options {
+        suite: text("suite").unwrap_or_default(),
+        deployment: bench::Deployment::parse(&name)
+            .ok_or_else(|| format!("no deployment {name:?}; use lundavik or sahel-ride"))?,
+        seed: number("seed"),
+        seconds: number("seconds"),
+        svg: text("svg"),
+    };
+    let figures = block_on(bench::run(&options))?;
+    if let Some(path) = text("json") {
+        let pretty = serde_json::to_string_pretty(&figures).unwrap_or_default();
+        std::fs::write(&path, pretty).map_err(|e| format!("{path}: {e}"))?;
+    }
+    Ok(true)
+}
+
 fn main() -> ExitCode {
     let matches = command().get_matches();
     let done = match matches.subcommand() {
         Some(("demo", sub)) => run_demo(sub),
+        Some(("bench", sub)) => run_bench(sub),
         Some(("gen", _)) => write_generated(),
         Some(("box", sub)) => run_box(sub),
         Some((stand_in, sub)) => run_stand_in(stand_in, sub),
