A silent engine is suspected from its first token on

Cause: the wake-up for a silent run was set once, by the time to the first token, and looked at the gaps between tokens only when it came, seconds later. Ruled out: the detector's figure itself (98 ms in the time line of the case) and the start of the new run (58 ms). Now the first token sets it anew, and an engine that is not known well yet is judged by all engines.

--- a/lab/src/bench.rs
+++ b/lab/src/bench.rs
@@ -39,8 +39,18 @@
     /// That there are no free ports.
     pub fn fleet(self, slots: u32) -> Result<Fleet, String> {
         let (domains, boxes, services, weights): (&[&str], _, _, _) = match self {
-            Self::Lundavik => (&["hafnar-hall", "hraun-hall", "heidi-hall"], 2, 3, (10.0, 1.0)),
-            Self::SahelRide => (&["lac", "charguia", "ariana", "ben-arous"], 2, 4, (1.0, 5.0)),
+            Self::Lundavik => (
+                &["hafnar-hall", "hraun-hall", "heidi-hall"],
+                2,
+                3,
+                (10.0, 1.0),
+            ),
+            Self::SahelRide => (
+                &["lac", "charguia", "ariana", "ben-arous"],
+                2,
+                4,
+                (1.0, 5.0),
+            ),
         };
         let size = Size {
             domains: domains.iter().map(ToString::to_string).collect(),
@@ -82,7 +92,9 @@
         "overload" => overload::run(options).await?,
         "control" => control::run(options).await?,
         other => {
-            return Err(format!("no suite {other:?}; use recovery, routing, overload or control"));
+            return Err(format!(
+                "no suite {other:?}; use recovery, routing, overload or control"
+            ));
         }
     };
     Ok(json!({
--- a/lab/src/bench/control.rs
+++ b/lab/src/bench/control.rs
@@ -28,8 +28,14 @@
         rows.push(measure(options, boxes).await?);
     }
     let fields = [
-        "boxes", "cpu_percent", "memory_mb", "peer_bytes_in", "peer_bytes_out",
-        "platform_bytes_in", "platform_reads", "platform_writes",
+        "boxes",
+        "cpu_percent",
+        "memory_mb",
+        "peer_bytes_in",
+        "peer_bytes_out",
+        "platform_bytes_in",
+        "platform_reads",
+        "platform_writes",
     ];
     print_table(&rows, &fields);
     Ok(rows)
@@ -44,7 +50,12 @@
     let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
     let after_name = stat.rsplit(')').next().unwrap_or_default();
     let fields: Vec<&str> = after_name.split_whitespace().collect();
-    let ticks = |place: usize| fields.get(place).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
+    let ticks = |place: usize| {
+        fields
+            .get(place)
+            .and_then(|t| t.parse::<f64>().ok())
+            .unwrap_or(0.0)
+    };
     let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
     let resident = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
     let kilobytes = resident.and_then(|t| t.split_whitespace().next()?.parse::<f64>().ok());
--- a/lab/src/bench/field.rs
+++ b/lab/src/bench/field.rs
@@ -39,7 +39,13 @@
     pub fn start(plan: EndpointPlan, behaviour: Behaviour) -> Self {
         let engine = Engine::new(behaviour.clone());
         let stop = run_on_thread(engine.clone(), plan.address.clone());
-        Self { plan, engine, behaviour, past: Vec::new(), stop: Some(stop) }
+        Self {
+            plan,
+            engine,
+            behaviour,
+            past: Vec::new(),
+            stop: Some(stop),
+        }
     }
 
     /// Kills it: all its connections are closed at once.
@@ -54,7 +60,10 @@
         self.kill();
         let fresh = Engine::new(self.behaviour.clone());
         self.past.push(std::mem::replace(&mut self.engine, fresh));
-        self.stop = Some(run_on_thread(self.engine.clone(), self.plan.address.clone()));
+        self.stop = Some(run_on_thread(
+            self.engine.clone(),
+            self.plan.address.clone(),
+        ));
     }
 
     /// What it has spent in all its lives.
@@ -82,7 +91,10 @@
 fn run_on_thread(engine: Engine, address: String) -> oneshot::Sender<()> {
     let (stop, stopped) = oneshot::channel();
     std::thread::spawn(move || {
-        let Ok(runtime) = tokio::runtime::Builder::new_current_thread().enable_all().build() else {
+        let Ok(runtime) = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+        else {
             return;
         };
         runtime.block_on(async {
@@ -138,9 +150,17 @@
     /// # Errors
     ///
     /// Says what could not be started.
-    pub async fn start(fleet: Fleet, behaviour: &Behaviour, answer_ms: u64) -> Result<Self, String> {
+    pub async fn start(
+        fleet: Fleet,
+        behaviour: &Behaviour,
+        answer_ms: u64,
+    ) -> Result<Self, String> {
         let text = |e: std::io::Error| e.to_string();
-        let name = format!("magpiemoor-bench-{}-{:08x}", std::process::id(), rand::random::<u32>());
+        let name = format!(
+            "magpiemoor-bench-{}-{:08x}",
+            std::process::id(),
+            rand::random::<u32>()
+        );
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).map_err(text)?;
         let platform = Platform::default();
@@ -148,7 +168,10 @@
         tokio::spawn(platform.clone().serve(listener));
         let mut services = Vec::new();
         for plan in &fleet.services {
-            let service = Service::new(service::Behaviour { answer_ms, ..Default::default() });
+            let service = Service::new(service::Behaviour {
+                answer_ms,
+                ..Default::default()
+            });
             let listener = TcpListener::bind(&plan.address).await.map_err(text)?;
             tokio::spawn(service.clone().serve(listener));
             services.push(service);
@@ -175,11 +198,23 @@
             let log = folder.join(format!("{}.log", plan.id));
             boxes.push(Process::start(&plan.id, &args, &log).map_err(text)?);
         }
-        let field = Self { fleet, platform, engines, services, boxes, client: Client::default(), folder };
+        let field = Self {
+            fleet,
+            platform,
+            engines,
+            services,
+            boxes,
+            client: Client::default(),
+            folder,
+        };
         let signed = field.fleet.signed(&field.fleet.source(1));
-        let key = KEY_ID.parse().map_err(|_| "the key's name is not one".to_owned())?;
+        let key = KEY_ID
+            .parse()
+            .map_err(|_| "the key's name is not one".to_owned())?;
         let client = PlatformClient::new(&field.fleet.platform);
-        roll_signed(&client, &signed, &key).await.map_err(|e| e.to_string())?;
+        roll_signed(&client, &signed, &key)
+            .await
+            .map_err(|e| e.to_string())?;
         field.wait_ready().await?;
         Ok(field)
     }
@@ -213,7 +248,10 @@
     /// What all engines have spent.
     #[must_use]
     pub fn spent(&self) -> Spent {
-        self.engines.iter().map(EngineHost::spent).fold(Spent::default(), add)
+        self.engines
+            .iter()
+            .map(EngineHost::spent)
+            .fold(Spent::default(), add)
     }
 
     /// The sum of a metric over all boxes that answer.
--- a/lab/src/bench/load.rs
+++ b/lab/src/bench/load.rs
@@ -95,12 +95,21 @@
 }
 
 /// Sends a mix for a while, and waits for what was sent.
-pub async fn run(client: &Client, addresses: &[String], mix: &Mix, span: Duration, seed: u64) -> Outcome {
+pub async fn run(
+    client: &Client,
+    addresses: &[String],
+    mix: &Mix,
+    span: Duration,
+    seed: u64,
+) -> Outcome {
     let (generations, calls) = tokio::join!(
         generate(client, addresses, mix, span, seed),
         call(client, addresses, mix.calls, span, seed ^ 1),
     );
-    Outcome { sent: generations, called: calls }
+    Outcome {
+        sent: generations,
+        called: calls,
+    }
 }
 
 async fn generate(
@@ -121,7 +130,11 @@
             break;
         }
         count += 1;
-        let range = if rng.random_bool(LONG_SHARE) { &mix.long } else { &mix.short };
+        let range = if rng.random_bool(LONG_SHARE) {
+            &mix.long
+        } else {
+            &mix.short
+        };
         let template = rng.random_range(0..mix.templates.max(1));
         let wanted = Wanted {
             key: Some(format!("bench-{seed}-{count}")),
@@ -146,7 +159,12 @@
                 crate::caller::follow(&client, &turned[0], &wanted, &mut received, |_| true).await;
                 received
             };
-            Sent { wanted, at, ended: Instant::now(), received }
+            Sent {
+                wanted,
+                at,
+                ended: Instant::now(),
+                received,
+            }
         }));
     }
     let mut sent = Vec::new();
@@ -156,7 +174,13 @@
     sent
 }
 
-async fn call(client: &Client, addresses: &[String], rate: f64, span: Duration, seed: u64) -> Vec<Called> {
+async fn call(
+    client: &Client,
+    addresses: &[String],
+    rate: f64,
+    span: Duration,
+    seed: u64,
+) -> Vec<Called> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let began = Instant::now();
     let mut due = Duration::ZERO;
@@ -172,7 +196,10 @@
         tasks.push(tokio::spawn(async move {
             let at = Instant::now();
             let answer = service_call(&client, &address, REPEATABLE_CALL, None, false).await;
-            Called { took: at.elapsed(), status: answer.ok().map(|a| a.status.as_u16()) }
+            Called {
+                took: at.elapsed(),
+                status: answer.ok().map(|a| a.status.as_u16()),
+            }
         }));
     }
     let mut called = Vec::new();
--- a/lab/src/bench/overload.rs
+++ b/lab/src/bench/overload.rs
@@ -42,8 +42,16 @@
         rows.push(measure(options, share).await?);
     }
     let fields = [
-        "share", "tokens_per_second", "refused", "refusal/p99_ms", "quick/p50_ms", "quick/p99_ms",
-        "first/p95_ms", "shares/large", "shares/middle", "shares/small",
+        "share",
+        "tokens_per_second",
+        "refused",
+        "refusal/p99_ms",
+        "quick/p50_ms",
+        "quick/p99_ms",
+        "first/p95_ms",
+        "shares/large",
+        "shares/middle",
+        "shares/small",
     ];
     print_table(&rows, &fields);
     if let Some(path) = &options.svg {
@@ -52,7 +60,12 @@
             (field.to_owned(), rows.iter().filter_map(point).collect())
         };
         let axes = ("offered load in shares of the capacity", "tokens a second");
-        plot(path, "Useful work under overload", axes, &[line("tokens_per_second")])?;
+        plot(
+            path,
+            "Useful work under overload",
+            axes,
+            &[line("tokens_per_second")],
+        )?;
     }
     Ok(rows)
 }
@@ -61,7 +74,10 @@
     let mut fleet = options.deployment.fleet(SLOTS)?;
     fleet.extra_settings = json!({ "log_level": "warn" });
     fleet.queue_limit = QUEUE;
-    fleet.organisations = ORGANISATIONS.iter().map(|(n, w)| ((*n).to_owned(), *w)).collect();
+    fleet.organisations = ORGANISATIONS
+        .iter()
+        .map(|(n, w)| ((*n).to_owned(), *w))
+        .collect();
     fleet.organisations.push(("shop".to_owned(), 1));
     let behaviour = Behaviour {
         token_ms: TOKEN_MS,
@@ -79,7 +95,10 @@
         long: 40..80,
         prompt_bytes: PROMPT_BYTES,
         templates: 4,
-        organisations: ORGANISATIONS.iter().map(|(n, _)| ((*n).to_owned(), 1.0)).collect(),
+        organisations: ORGANISATIONS
+            .iter()
+            .map(|(n, _)| ((*n).to_owned(), 1.0))
+            .collect(),
         deadline_ms: None,
         patient: false,
     };
@@ -104,7 +123,9 @@
         }
         whole += 1;
         tokens += sent.received.ids.len();
-        *by_organisation.entry(&sent.wanted.organisation).or_default() += sent.received.ids.len();
+        *by_organisation
+            .entry(&sent.wanted.organisation)
+            .or_default() += sent.received.ids.len();
         if let Some(at) = sent.received.times.first() {
             first.add(at.duration_since(sent.at));
         }
@@ -115,8 +136,10 @@
         calls_failed += usize::from(called.status != Some(200));
     }
     let whole_tokens = tokens.max(1) as f64;
-    let shares: BTreeMap<&str, f64> =
-        by_organisation.iter().map(|(n, t)| (*n, *t as f64 / whole_tokens)).collect();
+    let shares: BTreeMap<&str, f64> = by_organisation
+        .iter()
+        .map(|(n, t)| (*n, *t as f64 / whole_tokens))
+        .collect();
     json!({
         "share": share,
         "sent": outcome.sent.len(),
--- a/lab/src/bench/recovery.rs
+++ b/lab/src/bench/recovery.rs
@@ -58,8 +58,16 @@
         lines.push((way.to_owned(), line));
     }
     let fields = [
-        "way", "reset/count", "reset/p50_ms", "reset/p99_ms", "silent/p50_ms", "silent/p99_ms",
-        "extra_percent", "suspected", "suspected_wrongly", "unsound",
+        "way",
+        "reset/count",
+        "reset/p50_ms",
+        "reset/p99_ms",
+        "silent/p50_ms",
+        "silent/p99_ms",
+        "extra_percent",
+        "suspected",
+        "suspected_wrongly",
+        "unsound",
     ];
     print_table(&rows, &fields);
     if let Some(path) = &options.svg {
@@ -95,7 +103,10 @@
     let callers = field.callers();
     let (outcome, losses) = {
         let blows = strike(&mut field, span, options.seed);
-        tokio::join!(load::run(&client, &callers, &mix, span, options.seed), blows)
+        tokio::join!(
+            load::run(&client, &callers, &mix, span, options.seed),
+            blows
+        )
     };
     Ok(judge(way, &field, &outcome, &losses).await)
 }
@@ -138,7 +149,12 @@
 
 fn deal(field: &mut Field, place: usize, blow: Blow) -> Loss {
     let host = &mut field.engines[place];
-    let keys = host.engine.running().iter().filter_map(|name| key_of(name)).collect();
+    let keys = host
+        .engine
+        .running()
+        .iter()
+        .filter_map(|name| key_of(name))
+        .collect();
     match blow {
         Blow::Kill => host.kill(),
         Blow::Stall => host.engine.change(|b| {
@@ -149,7 +165,11 @@
         }),
         Blow::Slow => host.engine.change(|b| b.slow_down = SLOW_DOWN),
     }
-    Loss { blow, at: Instant::now(), keys }
+    Loss {
+        blow,
+        at: Instant::now(),
+        keys,
+    }
 }
 
 fn key_of(stream: &str) -> Option<String> {
@@ -170,9 +190,17 @@
     });
 }
 
-async fn judge(way: &str, field: &Field, outcome: &Outcome, losses: &[Loss]) -> (Value, Vec<(f64, f64)>) {
-    let by_key: HashMap<&str, &load::Sent> =
-        outcome.sent.iter().filter_map(|s| Some((s.wanted.key.as_deref()?, s))).collect();
+async fn judge(
+    way: &str,
+    field: &Field,
+    outcome: &Outcome,
+    losses: &[Loss],
+) -> (Value, Vec<(f64, f64)>) {
+    let by_key: HashMap<&str, &load::Sent> = outcome
+        .sent
+        .iter()
+        .filter_map(|s| Some((s.wanted.key.as_deref()?, s)))
+        .collect();
     let mut reset = Times::default();
     let mut silent = Times::default();
     let mut all = Vec::new();
@@ -186,17 +214,26 @@
             let bytes = sent.wanted.prompt.len() as f64 + after as f64 * BYTES_PER_TOKEN;
             let beyond = took.saturating_sub(Duration::from_secs_f64(bytes / PREFILL_RATE));
             all.push(took.as_secs_f64() * 1_000.0);
-            if loss.blow == Blow::Kill { reset.add(beyond) } else { silent.add(beyond) }
+            if loss.blow == Blow::Kill {
+                reset.add(beyond)
+            } else {
+                silent.add(beyond)
+            }
         }
     }
-    let unsound = outcome
+    let unsound: Vec<String> = outcome
         .sent
         .iter()
-        .filter(|s| faults(&s.received, &s.wanted, &[String::new()]).is_some())
-        .count();
+        .filter_map(|s| {
+            let fault = faults(&s.received, &s.wanted, &[String::new()])?;
+            let told = s.received.problem.as_ref().map(|p| p.detail.clone());
+            Some(format!("{:?}: {fault}; told {told:?}", s.wanted.key))
+        })
+        .collect();
     let delivered: usize = outcome.sent.iter().map(|s| s.received.ids.len()).sum();
     let spent = field.spent();
-    let useful = delivered as f64 * TOKEN_MS / 1_000.0 + spent.prefill_seconds - spent.resume_seconds;
+    let useful =
+        delivered as f64 * TOKEN_MS / 1_000.0 + spent.prefill_seconds - spent.resume_seconds;
     let wasted = (spent.tokens as f64 - delivered as f64).max(0.0) * TOKEN_MS / 1_000.0;
     let extra = (wasted + spent.resume_seconds) / useful * 100.0;
     let mut quick = Times::default();
@@ -214,10 +251,15 @@
         "suspected_wrongly": field.metric("suspected_wrongly_total").await,
         "imports": spent.imports,
         "quick": quick.summary(),
-        "unsound": unsound,
+        "unsound": unsound.len(),
+        "unsound_answers": unsound,
     });
     all.sort_by(f64::total_cmp);
     let count = all.len().max(1) as f64;
-    let line = all.iter().enumerate().map(|(n, ms)| (n as f64 / count * 100.0, *ms)).collect();
+    let line = all
+        .iter()
+        .enumerate()
+        .map(|(n, ms)| (n as f64 / count * 100.0, *ms))
+        .collect();
     (row, line)
 }
--- a/lab/src/bench/report.rs
+++ b/lab/src/bench/report.rs
@@ -38,7 +38,11 @@
     /// A quantile in milliseconds; zero if there are none.
     #[must_use]
     pub fn millis(&self, q: f64) -> f64 {
-        if self.0.is_empty() { 0.0 } else { self.0.value_at_quantile(q) as f64 / 1_000.0 }
+        if self.0.is_empty() {
+            0.0
+        } else {
+            self.0.value_at_quantile(q) as f64 / 1_000.0
+        }
     }
 
     /// Count and usual quantiles.
@@ -65,7 +69,10 @@
     let header: Vec<String> = fields.iter().map(|f| format!("{f:>22}")).collect();
     println!("{}", header.join(" "));
     for row in rows {
-        let cells: Vec<String> = fields.iter().map(|f| format!("{:>22}", cell(row, f))).collect();
+        let cells: Vec<String> = fields
+            .iter()
+            .map(|f| format!("{:>22}", cell(row, f)))
+            .collect();
         println!("{}", cells.join(" "));
     }
 }
@@ -75,7 +82,12 @@
 /// # Errors
 ///
 /// Says what could not be drawn.
-pub fn plot(path: &str, title: &str, axes: (&str, &str), lines: &[(String, Vec<(f64, f64)>)]) -> Result<(), String> {
+pub fn plot(
+    path: &str,
+    title: &str,
+    axes: (&str, &str),
+    lines: &[(String, Vec<(f64, f64)>)],
+) -> Result<(), String> {
     let points = || lines.iter().flat_map(|(_, points)| points);
     let most_x = points().map(|p| p.0).fold(1.0, f64::max);
     let most_y = points().map(|p| p.1).fold(0.01, f64::max);
@@ -98,7 +110,10 @@
     for (place, (name, points)) in lines.iter().enumerate() {
         let colour = Palette99::pick(place).to_rgba();
         chart
-            .draw_series(LineSeries::new(points.iter().copied(), colour.stroke_width(2)))
+            .draw_series(LineSeries::new(
+                points.iter().copied(),
+                colour.stroke_width(2),
+            ))
             .map_err(|e| failed(e.to_string()))?
             .label(name)
             .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], colour));
--- a/lab/src/bench/routes.rs
+++ b/lab/src/bench/routes.rs
@@ -24,7 +24,17 @@
     for way in WAYS {
         rows.push(measure(options, way).await?);
     }
-    print_table(&rows, &["way", "first/p50_ms", "first/p95_ms", "first/p99_ms", "cached_percent", "prefill_seconds"]);
+    print_table(
+        &rows,
+        &[
+            "way",
+            "first/p50_ms",
+            "first/p95_ms",
+            "first/p99_ms",
+            "cached_percent",
+            "prefill_seconds",
+        ],
+    );
     Ok(rows)
 }
 
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -50,17 +50,48 @@
 }
 
 fn bench_command() -> Command {
-    let option = |name: &'static str, value: &'static str, default: &'static str, help: &'static str| {
-        Arg::new(name).long(name).value_name(value).default_value(default).help(help)
-    };
+    let option =
+        |name: &'static str, value: &'static str, default: &'static str, help: &'static str| {
+            Arg::new(name)
+                .long(name)
+                .value_name(value)
+                .default_value(default)
+                .help(help)
+        };
     Command::new("bench")
         .about("Measure the policy under load and faults, against baselines in the same run")
-        .arg(option("suite", "NAME", "recovery", "recovery, routing, overload or control"))
-        .arg(option("deployment", "NAME", "lundavik", "lundavik or sahel-ride"))
-        .arg(option("seed", "NUMBER", "1", "Seed of everything random").value_parser(value_parser!(u64)))
-        .arg(option("seconds", "NUMBER", "15", "Seconds of load for each policy").value_parser(value_parser!(u64)))
-        .arg(Arg::new("json").long("json").value_name("FILE").help("Where the figures go as JSON"))
-        .arg(Arg::new("svg").long("svg").value_name("FILE").help("Where the plot goes"))
+        .arg(option(
+            "suite",
+            "NAME",
+            "recovery",
+            "recovery, routing, overload or control",
+        ))
+        .arg(option(
+            "deployment",
+            "NAME",
+            "lundavik",
+            "lundavik or sahel-ride",
+        ))
+        .arg(
+            option("seed", "NUMBER", "1", "Seed of everything random")
+                .value_parser(value_parser!(u64)),
+        )
+        .arg(
+            option("seconds", "NUMBER", "15", "Seconds of load for each policy")
+                .value_parser(value_parser!(u64)),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .value_name("FILE")
+                .help("Where the figures go as JSON"),
+        )
+        .arg(
+            Arg::new("svg")
+                .long("svg")
+                .value_name("FILE")
+                .help("Where the plot goes"),
+        )
 }
 
 fn run_bench(matches: &ArgMatches) -> Result<bool, String> {
--- a/src/node/endpoints.rs
+++ b/src/node/endpoints.rs
@@ -10,6 +10,8 @@
 use crate::node::suspicion::{LossRate, UNKNOWN_FIRST, UNKNOWN_P99};
 use crate::schema::{DomainId, EndpointId, EndpointKind, EndpointSpec, LoadReport, Micros};
 
+/// The quantile that counts as the usual longest time.
+const P99: f64 = 0.99;
 /// Failures in a row after which an endpoint is left alone.
 const OUTLIER_FAILURES: u32 = 3;
 /// How long it is left alone the first time.
@@ -109,18 +111,6 @@
         !self.leaving && !self.probing && now >= self.rest_until && self.load(now) < self.limit
     }
 
-    /// The usual longest time between two tokens.
-    #[must_use]
-    pub fn p99(&self) -> Duration {
-        self.gaps.quantile(0.99).unwrap_or(UNKNOWN_P99)
-    }
-
-    /// The usual longest time to the first token.
-    #[must_use]
-    pub fn first_p99(&self) -> Duration {
-        self.first.quantile(0.99).unwrap_or(UNKNOWN_FIRST)
-    }
-
     /// How long it takes to read prompt bytes that aren't cached.
     #[must_use]
     pub fn prefill(&self, bytes: usize) -> Duration {
@@ -173,6 +163,8 @@
     pub prefixes: Prefixes,
     /// How likely a token gap is a loss.
     pub losses: LossRate,
+    all_gaps: Gaps,
+    all_first: Gaps,
 }
 
 impl Endpoints {
@@ -211,6 +203,24 @@
         self.table.iter()
     }
 
+    /// The usual longest time between two tokens of an endpoint; of one that is not known well
+    /// yet, that of all endpoints.
+    #[must_use]
+    pub fn p99(&self, id: &EndpointId) -> Duration {
+        let own = self.table.get(id).and_then(|e| e.gaps.quantile(P99));
+        own.or_else(|| self.all_gaps.quantile(P99))
+            .unwrap_or(UNKNOWN_P99)
+    }
+
+    /// The usual longest time to the first token of an endpoint; of one that is not known well
+    /// yet, that of all endpoints.
+    #[must_use]
+    pub fn first_p99(&self, id: &EndpointId) -> Duration {
+        let own = self.table.get(id).and_then(|e| e.first.quantile(P99));
+        own.or_else(|| self.all_first.quantile(P99))
+            .unwrap_or(UNKNOWN_FIRST)
+    }
+
     /// Notes that work was sent.
     pub fn on_start(&mut self, id: &EndpointId, now: Micros) {
         if let Some(state) = self.table.get_mut(id) {
@@ -249,6 +259,7 @@
     /// Notes the time between two tokens.
     pub fn on_gap(&mut self, id: &EndpointId, gap: Duration, now: Micros) {
         self.losses.on_gap();
+        self.all_gaps.record(gap);
         let Some(state) = self.table.get_mut(id) else {
             return;
         };
@@ -265,6 +276,7 @@
             return;
         };
         state.first.record(took);
+        self.all_first.record(took);
         if bytes > 0 && !took.is_zero() {
             let rate = bytes as f64 / took.as_secs_f64();
             state.prefill_rate += RATE_WEIGHT * (rate - state.prefill_rate);
--- a/src/node/runs.rs
+++ b/src/node/runs.rs
@@ -303,6 +303,9 @@
         if was_suspected {
             self.stats.suspected_wrongly += 1;
             self.out.note("suspected_wrongly", &stream.key, &endpoint);
+        }
+        if was_suspected || first {
+            // Between tokens far less silence is usual than before the first one.
             self.arm_suspicion(stream);
         }
     }
@@ -544,13 +547,14 @@
             return Some((run.last, BASELINE_TIMEOUT));
         }
         if !run.has_token {
+            let usual = self.endpoints.first_p99(&run.endpoint);
             return Some((
                 run.last,
-                suspect_first_after(state.first_p99(), state.prefill(run.bytes)),
+                suspect_first_after(usual, state.prefill(run.bytes)),
             ));
         }
         let risk = Stake {
-            p99: state.p99(),
+            p99: self.endpoints.p99(&run.endpoint),
             extra_work: state.prefill(resume_bytes(answer)),
             loss_per_gap: self.endpoints.losses.per_gap(),
         };
