--- a/lab/src/bench/load.rs
+++ b/lab/src/bench/load.rs
@@ -124,7 +124,10 @@
     let mut due = Duration::ZERO;
     let mut tasks = Vec::new();
     let mut count = 0_u64;
-    while mix.generations > 0.0 {
+    if mix.generations <= 0.0 {
+        return Vec::new();
+    }
+    loop {
         due += exponential(mix.generations, &mut rng);
         if due >= span {
             break;
@@ -185,7 +188,10 @@
     let began = Instant::now();
     let mut due = Duration::ZERO;
     let mut tasks = Vec::new();
-    while rate > 0.0 {
+    if rate <= 0.0 {
+        return Vec::new();
+    }
+    loop {
         due += exponential(rate, &mut rng);
         if due >= span {
             break;
--- a/lab/src/bench/recovery.rs
+++ b/lab/src/bench/recovery.rs
@@ -215,9 +215,9 @@
             let beyond = took.saturating_sub(Duration::from_secs_f64(bytes / PREFILL_RATE));
             all.push(took.as_secs_f64() * 1_000.0);
             if loss.blow == Blow::Kill {
-                reset.add(beyond)
+                reset.add(beyond);
             } else {
-                silent.add(beyond)
+                silent.add(beyond);
             }
         }
     }
