Large modules of the node are split by job; work that an engine has no room for waits in its queue

Cause of unfair shares under overload: an engine's "no room" was answered with a retry budget, and once that was spent with a refusal, past the queue that knows the weights. Ruled out: the queue's order, which was not reached. Such work now goes back to the queue, and the engine rests for 40 ms.

--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -5,6 +5,9 @@
 //! is kept for the callers' retry horizon, so that a repeated call gets the stored answer or is
 //! told that the outcome is unknown. "Not run" is said only where that is certain.
 
+mod outcomes;
+mod records;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -13,16 +16,15 @@
 use crate::node::action::{Action, Expect, PlatformOp, ServiceCall};
 use crate::node::admission::{Pool, Waiting};
 use crate::node::config::{INTENT_LIMIT, MAX_HOPS, RETRY_AFTER};
-use crate::node::event::{NotSent, PlatformAnswer, ServiceOutcome, Timer};
+use crate::node::event::{PlatformAnswer, Timer};
 use crate::node::generate::{key_reused, no_bundle, not_served};
 use crate::node::platform::Purpose;
-use crate::node::retries::backoff;
 use crate::node::roster::slice_of;
 use crate::node::routing::{self, Need};
 use crate::schema::{
     Answered, Attempt, BoxId, CallRequest, CallSpec, Detach, EndpointId, Member, Micros, OnceAck,
-    OnceCopy, OnceRecord, OnceState, Reason, Refusal, Refused, Request, RequestKey, RequestKind,
-    ServiceAnswer, SliceId, Submit,
+    OnceCopy, OnceRecord, OnceState, Reason, Refusal, Request, RequestKey, RequestKind, SliceId,
+    Submit,
 };
 
 /// How many records of calls are kept for each request that may be held at once.
@@ -448,281 +450,6 @@
         );
     }
 
-    /// Copies a new state of a call to whoever has to know it.
-    fn copy_state(&mut self, key: &RequestKey, state: OnceState) {
-        let Some(call) = self.calls.table.get_mut(key) else {
-            return;
-        };
-        if call.repeatable() {
-            return;
-        }
-        call.record.state = state;
-        call.touched = self.now;
-        let record = call.record.clone();
-        let slice = slice_of(key);
-        let epoch = self.membership.epoch();
-        let to = if self.membership.is_home(slice) {
-            self.membership.successor(slice)
-        } else {
-            self.membership.slice_home(&self.cfg.domain, slice)
-        };
-        if let Some(to) = to.filter(|m| m.id != self.cfg.me.id) {
-            self.out.send(
-                &to,
-                OnceCopy {
-                    record,
-                    epoch,
-                    batch: false,
-                },
-            );
-        }
-    }
-
-    /// A call of a plain service has ended.
-    pub(super) fn on_service(
-        &mut self,
-        key: &RequestKey,
-        attempt: Attempt,
-        outcome: ServiceOutcome,
-    ) {
-        let Some(call) = self
-            .calls
-            .table
-            .get_mut(key)
-            .filter(|c| c.attempt == attempt)
-        else {
-            return;
-        };
-        let Phase::Sent(endpoint) = call.phase.clone() else {
-            return;
-        };
-        self.endpoints.on_end(&endpoint);
-        match outcome {
-            ServiceOutcome::Answered(answer) => {
-                self.endpoints.on_success(&endpoint);
-                self.settle_answered(key, answer);
-            }
-            ServiceOutcome::NotSent(reason) => self.on_not_sent(key, &endpoint, reason),
-            ServiceOutcome::Lost => {
-                self.endpoints.on_failure(&endpoint, self.now);
-                self.on_call_lost(key, &endpoint);
-            }
-        }
-        self.dispatch_all();
-    }
-
-    fn settle_answered(&mut self, key: &RequestKey, answer: ServiceAnswer) {
-        self.out.note("call_answered", key, answer.status);
-        for (to, subscription) in self.calls.settle(key) {
-            self.out.send(
-                &to,
-                Answered {
-                    subscription,
-                    answer: answer.clone(),
-                },
-            );
-        }
-        if self.calls.table.get(key).is_some_and(Call::repeatable) {
-            self.calls.remove(key);
-        } else {
-            self.copy_state(key, OnceState::Answered(answer));
-        }
-    }
-
-    fn on_not_sent(&mut self, key: &RequestKey, endpoint: &EndpointId, reason: NotSent) {
-        match reason {
-            NotSent::LeaseOver => self.unstart_call(key),
-            NotSent::Unreachable => {
-                self.endpoints.on_failure(endpoint, self.now);
-                self.run_again(key, endpoint);
-            }
-            NotSent::Busy => {
-                self.endpoints.on_busy(endpoint, self.now);
-                self.run_again(key, endpoint);
-            }
-        }
-    }
-
-    /// Tries a call again that is certain not to have run, or that may be repeated.
-    fn run_again(&mut self, key: &RequestKey, endpoint: &EndpointId) {
-        let Some(call) = self.calls.table.get_mut(key) else {
-            return;
-        };
-        let organisation = call.request.as_ref().map(|r| r.organisation.clone());
-        let in_time = call.deadline.is_none_or(|d| d > self.now);
-        let allowed = in_time && call.attempt.0 < MAX_RUNS;
-        if allowed && organisation.is_some_and(|o| self.budgets.take(&o, endpoint)) {
-            call.phase = Phase::Backoff;
-            let wait = backoff(call.attempt.0, &mut self.rng);
-            self.out
-                .timer(Timer::Retry(key.clone()), self.now.after(wait));
-            return;
-        }
-        self.give_up_call(key);
-    }
-
-    /// Refuses a call that no endpoint took.
-    fn give_up_call(&mut self, key: &RequestKey) {
-        let may_have_run = self.calls.table.get(key).is_some_and(|c| c.may_have_run);
-        let detail = "no endpoint of the service took the call; come back later";
-        let refusal = Refusal::not_run(Reason::NoEndpoint, RETRY_AFTER, detail);
-        if may_have_run {
-            let refusal = Refusal {
-                ran: crate::schema::Ran::Unknown,
-                ..refusal
-            };
-            return self.refuse_call(key, &refusal);
-        }
-        self.copy_state(key, OnceState::NotRun);
-        self.refuse_call(key, &refusal);
-    }
-
-    /// The backoff of a call is over.
-    pub(super) fn retry_call(&mut self, key: &RequestKey) {
-        let waits = self
-            .calls
-            .table
-            .get(key)
-            .is_some_and(|c| c.phase == Phase::Backoff);
-        if !waits {
-            return;
-        }
-        match self.choose_service(key) {
-            Some(endpoint) => self.send_call(key, endpoint),
-            None => self.give_up_call(key),
-        }
-    }
-
-    /// A call was sent and no answer came.
-    fn on_call_lost(&mut self, key: &RequestKey, endpoint: &EndpointId) {
-        let Some(call) = self.calls.table.get_mut(key) else {
-            return;
-        };
-        if call.repeatable() {
-            call.may_have_run = true;
-            return self.run_again(key, endpoint);
-        }
-        let refusal = Refusal::unknown(Reason::OutcomeUnknown, UNKNOWN_DETAIL);
-        self.settle_unknown(key, &refusal);
-    }
-
-    fn settle_unknown(&mut self, key: &RequestKey, refusal: &Refusal) {
-        self.stats.calls_unknown += 1;
-        self.out.note("call_unknown", key, "");
-        if let Some(Phase::Intent(endpoint)) = self.calls.table.get(key).map(|c| &c.phase) {
-            self.endpoints.on_end(endpoint);
-        }
-        let waiters = self.calls.settle(key);
-        self.copy_state(key, OnceState::Unknown);
-        self.refuse_waiters(waiters, refusal);
-    }
-
-    /// Refuses a call that did not run, and forgets it.
-    pub(super) fn refuse_call(&mut self, key: &RequestKey, refusal: &Refusal) {
-        let Some(call) = self.calls.remove(key) else {
-            return;
-        };
-        self.out.note("call_refused", key, &refusal.detail);
-        self.refuse_waiters(call.waiters, refusal);
-    }
-
-    fn refuse_waiters(&mut self, waiters: Vec<(Member, u64)>, refusal: &Refusal) {
-        for (to, subscription) in waiters {
-            self.out.send(
-                &to,
-                Refused {
-                    subscription,
-                    refusal: refusal.clone(),
-                },
-            );
-        }
-    }
-
-    /// Refuses the calls of a slice that have not been sent, as the slice is let go.
-    pub(super) fn refuse_queued_calls(&mut self, slice: SliceId) {
-        let waiting: Vec<(RequestKey, Pool, Phase)> = self
-            .calls
-            .table
-            .values()
-            .filter(|c| !c.repeatable() && slice_of(&c.record.key) == slice)
-            .filter(|c| matches!(c.phase, Phase::Queued | Phase::Intent(_) | Phase::Backoff))
-            .filter_map(|c| {
-                let pool = Pool::Service(c.call()?.service.clone());
-                Some((c.record.key.clone(), pool, c.phase.clone()))
-            })
-            .collect();
-        for (key, pool, phase) in waiting {
-            match phase {
-                Phase::Queued => {
-                    self.admission.remove(&pool, &key);
-                }
-                Phase::Intent(endpoint) => self.endpoints.on_end(&endpoint),
-                Phase::Backoff | Phase::Sent(_) | Phase::Settled => {}
-            }
-            self.unstart_call(&key);
-        }
-    }
-
-    /// Takes in a record of a call from the home of its slice, or from one who let it go.
-    pub(super) fn on_once_copy(&mut self, from: &BoxId, copy: OnceCopy) {
-        let key = copy.record.key.clone();
-        let slice = slice_of(&key);
-        let answered = matches!(copy.record.state, OnceState::Answered(_));
-        // An answer is a fact whoever reports it; an intent counts only from the present home.
-        let accepted = copy.batch || answered || self.accepts_copy(slice, from, copy.epoch);
-        if accepted {
-            if copy.batch {
-                self.note_batch_record(from, &key);
-            }
-            self.keep_record(copy.record);
-        }
-        if let Some(member) = self.member(from) {
-            self.out.send(
-                &member,
-                OnceAck {
-                    key,
-                    epoch: copy.epoch,
-                    answered,
-                    accepted,
-                },
-            );
-        }
-    }
-
-    /// Keeps a record; what is known of a call never gets less.
-    fn keep_record(&mut self, record: OnceRecord) {
-        let now = self.now;
-        if record.state == OnceState::NotRun {
-            let known = self.calls.table.get(&record.key);
-            if known.is_some_and(|c| c.record.state == OnceState::Intent && c.request.is_none()) {
-                self.calls.remove(&record.key);
-            }
-            return;
-        }
-        match self.calls.table.get_mut(&record.key) {
-            Some(call) if call.phase == Phase::Settled => {
-                if !matches!(call.record.state, OnceState::Answered(_)) {
-                    call.record = record;
-                }
-                call.touched = now;
-            }
-            Some(_) => {}
-            None => {
-                self.calls.insert(Call {
-                    record,
-                    request: None,
-                    bundle: None,
-                    phase: Phase::Settled,
-                    attempt: Attempt(0),
-                    waiters: Vec::new(),
-                    deadline: None,
-                    touched: now,
-                    may_have_run: false,
-                });
-            }
-        }
-    }
-
     /// A caller of a call has gone; the call itself goes on.
     pub(super) fn detach_call(&mut self, from: &BoxId, detach: &Detach) {
         if let Some(call) = self.calls.table.get_mut(&detach.key) {
@@ -730,27 +457,6 @@
                 .retain(|(m, s)| &m.id != from || *s != detach.subscription);
         }
     }
-
-    /// Forgets records whose callers no longer come back.
-    pub(super) fn sweep_calls(&mut self) {
-        let horizon = self.bundles.retry_horizon();
-        let now = self.now;
-        let old: Vec<RequestKey> = self
-            .calls
-            .table
-            .values()
-            .filter(|c| c.phase == Phase::Settled && now.since(c.touched) > horizon)
-            .map(|c| c.record.key.clone())
-            .collect();
-        for key in old {
-            self.calls.remove(&key);
-            if self.membership.is_home(slice_of(&key))
-                && self.membership.successor(slice_of(&key)).is_none()
-            {
-                self.call_platform(PlatformOp::Delete(self.intent_name(&key)), Purpose::Forget);
-            }
-        }
-    }
 }
 
 /// Refuses a call whose slice this box can't act for. Only a key that can't have been used
--- a/src/node/endpoints.rs
+++ b/src/node/endpoints.rs
@@ -18,6 +18,8 @@
 const FIRST_REST: Duration = Duration::from_millis(500);
 /// Doublings of that time.
 const REST_DOUBLINGS: u32 = 5;
+/// How long an endpoint that had no room is left alone.
+const BUSY_REST: Duration = Duration::from_millis(40);
 /// How much the concurrency limit shrinks when an endpoint is overloaded.
 const SHRINK: f64 = 0.85;
 /// The least time between two cuts of the limit.
@@ -253,6 +255,7 @@
     pub fn on_busy(&mut self, id: &EndpointId, now: Micros) {
         if let Some(state) = self.table.get_mut(id) {
             state.shrink(now);
+            state.rest_until = state.rest_until.max(now.after(BUSY_REST));
         }
     }
 
