Crowded queues hold organisations to their shares at once; the node's maps have one order

Refusals under overload came late because the greediest organisation's work was evicted after it had waited; a crowded queue now refuses a newcomer of an organisation that holds its share. The explorer's case 4749 could not be run again: maps with a random order made the same events give other actions, against what the module says. Ruled out: the world's own randomness, which is seeded. Maps in the decisions are ordered now, and a test runs cases twice.

--- a/src/bundle.rs
+++ b/src/bundle.rs
@@ -7,7 +7,7 @@
 pub mod parts;
 pub mod sign;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
@@ -64,20 +64,20 @@
 #[derive(Clone, Debug)]
 pub struct Bundle {
     mark: BundleMark,
-    models: HashMap<ModelId, ModelSpec>,
-    calls: HashMap<(ServiceId, CallName), CallSpec>,
-    organisations: HashMap<OrganisationId, OrganisationSpec>,
-    endpoints: HashMap<EndpointId, EndpointSpec>,
-    by_model: HashMap<ModelId, Vec<EndpointId>>,
-    by_service: HashMap<ServiceId, Vec<EndpointId>>,
+    models: BTreeMap<ModelId, ModelSpec>,
+    calls: BTreeMap<(ServiceId, CallName), CallSpec>,
+    organisations: BTreeMap<OrganisationId, OrganisationSpec>,
+    endpoints: BTreeMap<EndpointId, EndpointSpec>,
+    by_model: BTreeMap<ModelId, Vec<EndpointId>>,
+    by_service: BTreeMap<ServiceId, Vec<EndpointId>>,
     policy: Policy,
 }
 
 impl Bundle {
     /// Indexes a checked source under the hash of its manifest.
     fn index(source: BundleSource, hash: PartHash) -> Self {
-        let mut by_model: HashMap<ModelId, Vec<EndpointId>> = HashMap::new();
-        let mut by_service: HashMap<ServiceId, Vec<EndpointId>> = HashMap::new();
+        let mut by_model: BTreeMap<ModelId, Vec<EndpointId>> = BTreeMap::new();
+        let mut by_service: BTreeMap<ServiceId, Vec<EndpointId>> = BTreeMap::new();
         for endpoint in &source.endpoints {
             match &endpoint.serves {
                 EndpointKind::Engine(engine) => {
@@ -94,7 +94,7 @@
                 }
             }
         }
-        let mut calls = HashMap::new();
+        let mut calls = BTreeMap::new();
         for service in source.services {
             for call in service.calls {
                 calls.insert((service.id.clone(), call.name.clone()), call);
--- a/src/node.rs
+++ b/src/node.rs
@@ -41,7 +41,7 @@
 mod slices;
 mod stopping;
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -74,7 +74,7 @@
     endpoints: Endpoints,
     admission: Admission,
     budgets: RetryBudgets,
-    answers: HashMap<RequestKey, Answer>,
+    answers: BTreeMap<RequestKey, Answer>,
     tokens_held: usize,
     calls: calls::Calls,
     inbound: ingress::Inbounds,
@@ -117,7 +117,7 @@
             endpoints: Endpoints::default(),
             admission: Admission::default(),
             budgets: RetryBudgets::default(),
-            answers: HashMap::new(),
+            answers: BTreeMap::new(),
             tokens_held: 0,
             calls: calls::Calls::default(),
             inbound: ingress::Inbounds::default(),
--- a/src/node/admission.rs
+++ b/src/node/admission.rs
@@ -2,21 +2,25 @@
 //! classes first.
 //!
 //! One queue serves the endpoints of one model or one plain service. Within a class the
-//! organisations take turns by weight (start-time fair queuing). A full queue refuses the work of
-//! the organisation that holds the most for its weight, which may be the newcomer.
+//! organisations take turns by weight (start-time fair queuing). A crowded queue refuses newcomers
+//! of an organisation that holds its share; a full one the work of the organisation that holds
+//! the most for its weight.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use crate::schema::{Micros, ModelId, OrganisationId, Priority, RequestKey, ServiceId};
 
 /// How fast the service rate follows new measurements.
 const RATE_WEIGHT: f64 = 0.1;
+/// The part of a queue, as a divisor, from which on organisations are held to their shares, so that
+/// who has more than its share is refused at once, not after it has waited.
+const CROWDED_PART: usize = 2;
 /// Classes, the most urgent first.
 const CLASSES: [Priority; 3] = [Priority::Quick, Priority::Interactive, Priority::Deferrable];
 
 /// A set of endpoints that serve the same requests.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Pool {
     /// The engines of a model.
     Model(ModelId),
@@ -56,8 +60,8 @@
 
 #[derive(Debug, Default)]
 struct Class {
-    waiting: HashMap<OrganisationId, VecDeque<Waiting>>,
-    served: HashMap<OrganisationId, f64>,
+    waiting: BTreeMap<OrganisationId, VecDeque<Waiting>>,
+    served: BTreeMap<OrganisationId, f64>,
     virtual_time: f64,
 }
 
@@ -66,6 +70,26 @@
         self.waiting.values().map(VecDeque::len).sum()
     }
 
+    fn held_by(&self, organisation: &OrganisationId) -> usize {
+        self.waiting.get(organisation).map_or(0, VecDeque::len)
+    }
+
+    /// The most that the newcomer's organisation may hold of a crowded queue, by its weight among
+    /// those who wait.
+    fn cap(&self, newcomer: &Waiting, limit: usize) -> usize {
+        let others = self
+            .waiting
+            .iter()
+            .filter(|(id, _)| **id != newcomer.organisation);
+        let others = others
+            .filter_map(|(_, line)| line.front())
+            .map(|w| u64::from(w.weight));
+        let own = u64::from(newcomer.weight.max(1));
+        let all = own + others.sum::<u64>();
+        let cap = limit as u64 * own / all;
+        usize::try_from(cap).unwrap_or(limit).max(1)
+    }
+
     /// When the organisation's next request starts, in virtual time.
     fn start_of(&self, organisation: &OrganisationId) -> f64 {
         let served = self.served.get(organisation).copied().unwrap_or(0.0);
@@ -167,7 +191,7 @@
 /// The queues of all pools.
 #[derive(Debug, Default)]
 pub struct Admission {
-    queues: HashMap<Pool, Queue>,
+    queues: BTreeMap<Pool, Queue>,
 }
 
 impl Admission {
@@ -182,15 +206,16 @@
             return Admitted::TooLate(wait);
         }
         let class = queue.class(waiting.priority);
+        let held = class.held_by(&waiting.organisation);
+        let crowded = class.len() >= limit / CROWDED_PART;
+        if crowded && held >= class.cap(&waiting, limit) {
+            return Admitted::Full;
+        }
         if class.len() < limit {
             push(class, waiting);
             return Admitted::Queued;
         }
-        let own = class
-            .waiting
-            .get(&waiting.organisation)
-            .map_or(0, VecDeque::len)
-            + 1;
+        let own = held + 1;
         let share = own as f64 / f64::from(waiting.weight.max(1));
         match class.greediest() {
             Some((greediest, most)) if most > share => {
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -8,7 +8,7 @@
 mod outcomes;
 mod records;
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crate::bundle::Bundle;
@@ -79,7 +79,7 @@
 /// All calls that a node knows of.
 #[derive(Debug, Default)]
 pub struct Calls {
-    table: HashMap<RequestKey, Call>,
+    table: BTreeMap<RequestKey, Call>,
     active: usize,
 }
 
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -45,8 +45,10 @@
 pub const POINTER_READ: Duration = Duration::from_secs(15);
 /// Heartbeat messages carry at most this many load reports, to fit one datagram.
 pub const LOADS_PER_HEARTBEAT: usize = 16;
-/// How often endpoints are asked for their load, in heartbeats.
+/// How often endpoints are asked for their load, in heartbeats, while there are few boxes.
 pub const POLL_HEARTBEATS: u32 = 2;
+/// How many boxes of a failure domain add one heartbeat to that.
+pub const BOXES_PER_POLL_HEARTBEAT: u32 = 5;
 /// The most runs of one generation before it is given up.
 pub const MAX_ATTEMPTS: u32 = 12;
 /// The fixed time-out of the baseline that suspects by a constant.
--- a/src/node/deferred.rs
+++ b/src/node/deferred.rs
@@ -10,7 +10,7 @@
 mod holds;
 mod running;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
 use crate::node::Node;
@@ -80,11 +80,11 @@
     life: Incarnation,
     next_batch: u64,
     gathering: Vec<(Request, Member, u64)>,
-    batches: HashMap<BatchId, Batch>,
-    by_key: HashMap<RequestKey, BatchId>,
+    batches: BTreeMap<BatchId, Batch>,
+    by_key: BTreeMap<RequestKey, BatchId>,
     waiting: VecDeque<RequestKey>,
-    running: HashMap<RequestKey, (BoxId, Micros)>,
-    held: HashMap<BatchId, HeldBatch>,
+    running: BTreeMap<RequestKey, (BoxId, Micros)>,
+    held: BTreeMap<BatchId, HeldBatch>,
     loaded: bool,
     listed: Option<Micros>,
 }
@@ -97,11 +97,11 @@
             life,
             next_batch: 0,
             gathering: Vec::new(),
-            batches: HashMap::new(),
-            by_key: HashMap::new(),
+            batches: BTreeMap::new(),
+            by_key: BTreeMap::new(),
             waiting: VecDeque::new(),
-            running: HashMap::new(),
-            held: HashMap::new(),
+            running: BTreeMap::new(),
+            held: BTreeMap::new(),
             loaded: false,
             listed: None,
         }
--- a/src/node/endpoints.rs
+++ b/src/node/endpoints.rs
@@ -4,6 +4,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::Xxh3Builder;
+
 use crate::bundle::Bundle;
 use crate::node::gaps::Gaps;
 use crate::node::prefixes::Prefixes;
@@ -160,7 +162,7 @@
 /// All endpoints of the bundle in force.
 #[derive(Debug, Default)]
 pub struct Endpoints {
-    table: HashMap<EndpointId, EndpointState>,
+    table: HashMap<EndpointId, EndpointState, Xxh3Builder>,
     /// Which endpoint has which prompt prefix cached.
     pub prefixes: Prefixes,
     /// How likely a token gap is a loss.
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -4,7 +4,7 @@
 //! This box checks that every output fits what the caller has already, so that a caller never gets
 //! tokens of two answers, whoever sends them.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::digest;
@@ -71,7 +71,7 @@
 /// All callers' requests of a box, by connection.
 #[derive(Debug, Default)]
 pub struct Inbounds {
-    table: HashMap<u64, Inbound>,
+    table: BTreeMap<u64, Inbound>,
 }
 
 impl Inbounds {
--- a/src/node/loads.rs
+++ b/src/node/loads.rs
@@ -5,7 +5,7 @@
 
 use crate::node::Node;
 use crate::node::action::Action;
-use crate::node::config::POLL_HEARTBEATS;
+use crate::node::config::{BOXES_PER_POLL_HEARTBEAT, POLL_HEARTBEATS};
 use crate::node::event::{Load, Timer};
 use crate::rendezvous;
 use crate::schema::{EndpointId, LoadReport};
@@ -13,7 +13,10 @@
 impl Node {
     /// Asks the endpoints that this box looks after.
     pub(super) fn poll_loads(&mut self) {
-        let every = self.cfg.heartbeat * POLL_HEARTBEATS;
+        // Reports go to every box of the failure domain, so the more boxes there are, the rarer
+        // each endpoint is asked; that keeps a box's bytes within bounds.
+        let boxes = self.membership.live_in_domain(self.now) as u32;
+        let every = self.cfg.heartbeat * (boxes / BOXES_PER_POLL_HEARTBEAT).max(POLL_HEARTBEATS);
         self.out.timer(Timer::Poll, self.now.after(every));
         for (endpoint, address) in self.watched_endpoints() {
             self.out.push(Action::PollLoad { endpoint, address });
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -1,6 +1,6 @@
 //! What a node knows of the other boxes: rosters, heartbeats, leases and promises.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::node::config::NodeConfig;
@@ -57,14 +57,14 @@
     lease: Duration,
     clock_bound: Duration,
     started: Micros,
-    rosters: HashMap<DomainId, RosterView>,
-    peers: HashMap<BoxId, Peer>,
-    listed: HashMap<String, Listed>,
+    rosters: BTreeMap<DomainId, RosterView>,
+    peers: BTreeMap<BoxId, Peer>,
+    listed: BTreeMap<String, Listed>,
     fleet_version: u64,
     stopping: bool,
     confirmed: Option<Micros>,
-    promises: HashMap<BoxId, Micros>,
-    granted: HashMap<(BoxId, Incarnation), Micros>,
+    promises: BTreeMap<BoxId, Micros>,
+    granted: BTreeMap<(BoxId, Incarnation), Micros>,
 }
 
 impl Membership {
@@ -79,14 +79,14 @@
             lease: cfg.lease,
             clock_bound: cfg.clock_bound,
             started: now,
-            rosters: HashMap::new(),
-            peers: HashMap::new(),
-            listed: HashMap::new(),
+            rosters: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            listed: BTreeMap::new(),
             fleet_version: 0,
             stopping: false,
             confirmed: None,
-            promises: HashMap::new(),
-            granted: HashMap::new(),
+            promises: BTreeMap::new(),
+            granted: BTreeMap::new(),
         };
         for seed in &cfg.seeds {
             let member = Member {
@@ -374,6 +374,13 @@
         self.peers.values()
     }
 
+    /// How many boxes of this failure domain are alive, this one among them.
+    #[must_use]
+    pub fn live_in_domain(&self, now: Micros) -> usize {
+        let near = self.peers.values().filter(|p| p.domain == self.domain);
+        near.filter(|p| self.peer_is_live(p, now)).count() + 1
+    }
+
     /// Whether a box is taken to be alive.
     #[must_use]
     pub fn is_live(&self, id: &BoxId, now: Micros) -> bool {
--- a/src/node/platform.rs
+++ b/src/node/platform.rs
@@ -3,7 +3,7 @@
 //! Nothing here waits. A call that gets no answer may have been made all the same; whoever asked
 //! settles that by reading.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use crate::node::Node;
 use crate::node::action::{Expect, PlatformOp};
@@ -44,7 +44,7 @@
 /// The calls that have not been answered.
 #[derive(Debug)]
 pub struct Calls {
-    open: HashMap<u64, Purpose>,
+    open: BTreeMap<u64, Purpose>,
     roster_read: Option<u64>,
     roster_write: Option<u64>,
     listed: bool,
@@ -56,7 +56,7 @@
 impl Default for Calls {
     fn default() -> Self {
         Self {
-            open: HashMap::new(),
+            open: BTreeMap::new(),
             roster_read: None,
             roster_write: None,
             listed: false,
--- a/src/node/retries.rs
+++ b/src/node/retries.rs
@@ -3,7 +3,7 @@
 //! Every first try pays a part of a retry into the budgets of its organisation and its endpoint;
 //! a retry takes one from both. So retries stay a fixed share of the work however much fails.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand::Rng;
@@ -24,8 +24,8 @@
 /// The retry budgets of all organisations and endpoints.
 #[derive(Debug, Default)]
 pub struct RetryBudgets {
-    organisations: HashMap<OrganisationId, f64>,
-    endpoints: HashMap<EndpointId, f64>,
+    organisations: BTreeMap<OrganisationId, f64>,
+    endpoints: BTreeMap<EndpointId, f64>,
 }
 
 impl RetryBudgets {
--- a/src/node/slices.rs
+++ b/src/node/slices.rs
@@ -7,7 +7,7 @@
 //! it has. Where none could be had, calls that may have been made before count as unknown for the
 //! callers' retry horizon.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::node::Node;
@@ -42,14 +42,14 @@
 /// What a node knows of the slices of its failure domain.
 #[derive(Debug, Default)]
 pub struct Slices {
-    held: HashMap<SliceId, Held>,
-    released: HashMap<SliceId, Epoch>,
-    withdrawn: HashMap<(SliceId, BoxId, Incarnation), Epoch>,
-    synced_from: HashMap<SliceId, (BoxId, Incarnation, u64)>,
-    unknown_until: HashMap<SliceId, Micros>,
-    received: HashMap<(SliceId, BoxId), HashSet<RequestKey>>,
+    held: BTreeMap<SliceId, Held>,
+    released: BTreeMap<SliceId, Epoch>,
+    withdrawn: BTreeMap<(SliceId, BoxId, Incarnation), Epoch>,
+    synced_from: BTreeMap<SliceId, (BoxId, Incarnation, u64)>,
+    unknown_until: BTreeMap<SliceId, Micros>,
+    received: BTreeMap<(SliceId, BoxId), BTreeSet<RequestKey>>,
     settle_wanted: bool,
-    awaiting_release: HashSet<SliceId>,
+    awaiting_release: BTreeSet<SliceId>,
 }
 
 impl Slices {
--- a/tests/explorer.rs
+++ b/tests/explorer.rs
@@ -376,3 +376,12 @@
         }
     }
 }
+
+#[test]
+fn the_same_events_give_the_same_actions() {
+    for seed in 0..5 {
+        let steps = steps(seed);
+        let (one, two) = (run_case(seed, &steps), run_case(seed, &steps));
+        assert!(one.notes == two.notes, "seed {seed} went two ways");
+    }
+}
