A box that has heard of a greater epoch gives no orders

Ruled out: the age of the lease, which was within its bound. Heartbeats carry the epoch, so a box knows when it is behind.

--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -61,6 +61,7 @@
     peers: BTreeMap<BoxId, Peer>,
     listed: BTreeMap<String, Listed>,
     fleet_version: u64,
+    heard_epoch: Epoch,
     stopping: bool,
     confirmed: Option<Micros>,
     promises: BTreeMap<BoxId, Micros>,
@@ -83,6 +84,7 @@
             peers: BTreeMap::new(),
             listed: BTreeMap::new(),
             fleet_version: 0,
+            heard_epoch: Epoch(0),
             stopping: false,
             confirmed: None,
             promises: BTreeMap::new(),
@@ -139,6 +141,9 @@
         if peer.member.incarnation != beat.incarnation {
             return false;
         }
+        if beat.domain == self.domain {
+            self.heard_epoch = self.heard_epoch.max(beat.epoch);
+        }
         peer.heard = Some(now);
         peer.lost = false;
         peer.stopping = beat.stopping;
@@ -214,6 +219,12 @@
         self.own().map_or(Epoch(0), |v| v.epoch)
     }
 
+    /// Whether a box of the own failure domain has spoken of a greater epoch than is known here.
+    #[must_use]
+    pub fn is_behind(&self) -> bool {
+        self.heard_epoch > self.epoch()
+    }
+
     /// The roster of a failure domain, if it was ever read.
     #[must_use]
     pub fn roster_of(&self, domain: &DomainId) -> Option<&RosterView> {
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -65,7 +65,7 @@
         } else {
             ORDER_LEASE_AGE
         };
-        if age >= allowed {
+        if age >= allowed || self.membership.is_behind() {
             // A fresh read of the roster confirms the lease; the order then goes with the next beat.
             return self.read_roster_now();
         }
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -172,3 +172,17 @@
     let written = |n: &&String| n.starts_with("work/north/");
     assert_eq!(world.platform.objects.keys().filter(written).count(), 1);
 }
+
+#[rstest]
+fn a_box_that_is_read_a_stale_roster_gives_no_orders(#[values(1, 2, 3, 4)] seed: u64) {
+    // Found by the explorer: an engine that doesn't check took an order of an old epoch.
+    let mut world = running(seed, 3, 2);
+    world.platform.stale = true;
+    world.roll(2);
+    world.run(Duration::from_millis(300));
+    world.kill_box(&"north-0".parse().unwrap());
+    world.run(Duration::from_secs(4));
+    world.platform.stale = false;
+    world.run(Duration::from_secs(10));
+    world.assert_sound();
+}
