A test that tokens are copied before they are released

The test was missing, and its first form could not fail: the frozen copy holder was the caller's own box, so nothing reached the caller either way.

--- a/tests/tokens.rs
+++ b/tests/tokens.rs
@@ -309,3 +309,26 @@
     );
     world.assert_sound();
 }
+
+#[rstest]
+fn no_token_is_released_that_only_the_home_has(#[values(1, 2, 3)] seed: u64) {
+    // The caller is at a box of the other domain, which isn't the one that is frozen.
+    let mut world = running(seed, 3, 2);
+    let key = key_in("north", "answer");
+    world.send_request("south-0", generation(&key, 100));
+    assert!(world.run_until(LIMIT, |w| tokens(w, &key) >= 10));
+    let home = world.producer_of(&key);
+    let now = magpiemoor::schema::Micros(world.now.0 + world.boxes[&home].offset);
+    let membership = world.node(&home).unwrap().membership();
+    let ranked = membership.ranked(&"north".parse().unwrap(), &key.parse().unwrap(), now);
+    let holder = ranked.into_iter().find(|m| m.id != home).unwrap().id;
+    world.freeze_box(&holder);
+    // One token may have been held already.
+    let before = tokens(&world, &key);
+    world.run(Duration::from_millis(500));
+    assert!(tokens(&world, &key) <= before + 1);
+    assert!(world.engines.values().map(|e| e.produced).sum::<u64>() > before as u64 + 20);
+    world.thaw_box(&holder);
+    assert!(world.run_until(LIMIT, |w| is_whole(w, &key)));
+    world.assert_sound();
+}
