Boxes that stop together hand unwritten work over until one that stays has it

Cause: work was handed over once, to a box that might be stopping as well. The test of it passed without any handing over, since another box happened to hold the work; it now stops all boxes but one that isn't the scribe.

--- a/src/node/stopping.rs
+++ b/src/node/stopping.rs
@@ -1,16 +1,22 @@
 //! A planned stop: the box leaves the roster, hands over what it has, lets its callers' streams
 //! end or go on at their new homes, and only then exits.
 
+use std::time::Duration;
+
 use crate::node::Node;
 use crate::node::action::Action;
 use crate::node::answers::Role;
 use crate::node::roster;
 use crate::schema::{BoxId, Micros, Moved, RequestKey};
 
+/// How often work that isn't written yet is handed over during a stop.
+const HAND_OVER_AGAIN: Duration = Duration::from_secs(1);
+
 /// How far a stop has got.
 #[derive(Debug, Default)]
 pub struct Stopping {
     begun: Option<Micros>,
+    handed_over: Option<Micros>,
     exited: bool,
 }
 
@@ -34,7 +40,6 @@
         self.out.note("box_stopping", &me, "");
         self.leave_roster();
         self.hand_over_answers();
-        self.hand_over_unwritten();
         self.progress_stop();
     }
 
@@ -105,6 +110,12 @@
         if self.membership.is_listed() {
             self.leave_roster();
         }
+        let due = self.stopping.handed_over;
+        if self.has_unwritten() && due.is_none_or(|at| self.now.since(at) >= HAND_OVER_AGAIN) {
+            // Again and again, since the box that was chosen may be stopping too.
+            self.stopping.handed_over = Some(self.now);
+            self.hand_over_unwritten();
+        }
         let producing = self
             .answers
             .values()
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -163,8 +163,14 @@
     request.priority = magpiemoor::schema::Priority::Deferrable;
     world.send_request("north-0", request);
     assert!(world.run_until(LIMIT, |w| w.callers.get(&key).kept.is_some()));
-    for name in ["north-0", "north-1", "south-0", "south-1"] {
-        world.give(&name.parse().unwrap(), magpiemoor::node::event::Event::Stop);
+    // Only one box of the domain stays, and it isn't the scribe.
+    let scribe = world.box_ids().into_iter().find(|id| {
+        let node = world.node(id).unwrap();
+        id.starts_with("north") && node.membership().is_scribe()
+    });
+    let stays = world.others("north", &scribe.unwrap())[0].clone();
+    for id in world.box_ids().into_iter().filter(|id| *id != stays) {
+        world.give(&id, magpiemoor::node::event::Event::Stop);
     }
     world.run(Duration::from_secs(25));
     world.platform.outage = false;
@@ -174,12 +180,15 @@
 }
 
 #[rstest]
-fn a_box_that_is_read_a_stale_roster_gives_no_orders(#[values(1, 2, 3, 4)] seed: u64) {
-    // Found by the explorer: an engine that doesn't check took an order of an old epoch.
+fn a_box_that_is_read_a_stale_roster_gives_no_orders(#[values(4749, 1, 2, 3)] seed: u64) {
+    // Found by the explorer, with the first of these seeds: an engine that doesn't check took an
+    // order of an old epoch.
     let mut world = running(seed, 3, 2);
-    world.platform.stale = true;
+    world.run(Duration::from_nanos(408_766_980));
     world.roll(2);
-    world.run(Duration::from_millis(300));
+    world.run(Duration::from_nanos(2_695_050));
+    world.platform.stale = true;
+    world.run(Duration::from_nanos(478_738_200));
     world.kill_box(&"north-0".parse().unwrap());
     world.run(Duration::from_secs(4));
     world.platform.stale = false;
