--- a/src/node/endpoints.rs
+++ b/src/node/endpoints.rs
@@ -261,6 +261,13 @@
         }
     }
 
+    /// Notes that a run on an endpoint is suspected; nothing more is sent there for a moment.
+    pub fn on_suspicion(&mut self, id: &EndpointId, now: Micros) {
+        if let Some(state) = self.table.get_mut(id) {
+            state.rest_until = state.rest_until.max(now.after(FIRST_REST));
+        }
+    }
+
     /// Notes the time between two tokens.
     pub fn on_gap(&mut self, id: &EndpointId, gap: Duration, now: Micros) {
         self.losses.on_gap();
--- a/src/node/loads.rs
+++ b/src/node/loads.rs
@@ -15,34 +15,40 @@
     pub(super) fn poll_loads(&mut self) {
         // Reports go to every box of the failure domain, so the more boxes there are, the rarer
         // each endpoint is asked; that keeps a box's bytes within bounds.
-        let boxes = self.membership.live_in_domain(self.now) as u32;
+        let boxes = self.membership.live_boxes(self.now).len() as u32;
         let every = self.cfg.heartbeat * (boxes / BOXES_PER_POLL_HEARTBEAT).max(POLL_HEARTBEATS);
         self.out.timer(Timer::Poll, self.now.after(every));
-        for (endpoint, address) in self.watched_endpoints() {
+        let watched = self.watched_endpoints();
+        self.orders.watch(
+            watched
+                .iter()
+                .map(|(endpoint, _)| endpoint.clone())
+                .collect(),
+        );
+        for (endpoint, address) in watched {
             self.out.push(Action::PollLoad { endpoint, address });
         }
     }
 
     /// The endpoints of the own failure domain that this box looks after, with their addresses.
-    pub(super) fn watched_endpoints(&self) -> Vec<(EndpointId, String)> {
+    fn watched_endpoints(&self) -> Vec<(EndpointId, String)> {
+        let boxes = self.membership.live_boxes(self.now);
+        let watches = |endpoint: &EndpointId| {
+            let item = rendezvous::item(endpoint);
+            let first = boxes.iter().max_by_key(|b| rendezvous::score(b, item));
+            first == Some(&&self.cfg.me.id)
+        };
         let mut watched: Vec<(EndpointId, String)> = self
             .endpoints
             .iter()
             .filter(|(_, state)| state.domain == self.cfg.domain)
-            .filter(|(id, _)| self.watches(id))
+            .filter(|(id, _)| watches(id))
             .map(|(id, state)| (id.clone(), state.address.clone()))
             .collect();
         watched.sort();
         watched
     }
 
-    /// Whether this box is the one that looks after an endpoint.
-    pub(super) fn watches(&self, endpoint: &EndpointId) -> bool {
-        let item = rendezvous::item(endpoint);
-        let ranked = self.membership.ranked_for(&self.cfg.domain, item, self.now);
-        ranked.first().is_some_and(|m| m.id == self.cfg.me.id)
-    }
-
     /// An endpoint answered, or didn't.
     pub(super) fn on_load(&mut self, endpoint: &EndpointId, load: Option<Load>) {
         let Some(load) = load else {
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -385,11 +385,21 @@
         self.peers.values()
     }
 
-    /// How many boxes of this failure domain are alive, this one among them.
+    /// The live boxes of this failure domain that take work, this one among them.
     #[must_use]
-    pub fn live_in_domain(&self, now: Micros) -> usize {
-        let near = self.peers.values().filter(|p| p.domain == self.domain);
-        near.filter(|p| self.peer_is_live(p, now)).count() + 1
+    pub fn live_boxes(&self, now: Micros) -> Vec<&BoxId> {
+        let near = self
+            .peers
+            .values()
+            .filter(|p| p.domain == self.domain && !p.stopping);
+        let mut live: Vec<&BoxId> = near
+            .filter(|p| self.peer_is_live(p, now))
+            .map(|p| &p.member.id)
+            .collect();
+        if live.is_empty() || !self.stopping {
+            live.push(&self.me.id);
+        }
+        live
     }
 
     /// Whether a box is taken to be alive.
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -13,6 +13,14 @@
 #[derive(Debug, Default)]
 pub struct Orders {
     last: Option<Micros>,
+    watched: Vec<EndpointId>,
+}
+
+impl Orders {
+    /// Says which endpoints this box looks after.
+    pub fn watch(&mut self, endpoints: Vec<EndpointId>) {
+        self.watched = endpoints;
+    }
 }
 
 impl Node {
@@ -25,7 +33,7 @@
         if !spaced {
             return;
         }
-        for (endpoint, _) in self.watched_endpoints() {
+        for endpoint in self.orders.watched.clone() {
             if let Some((model, version)) = self.outdated_model(&endpoint) {
                 self.give_order(&endpoint, model, version);
                 return;
--- a/src/node/runs/silence.rs
+++ b/src/node/runs/silence.rs
@@ -84,6 +84,7 @@
         if let Some(answer) = self.answers.get_mut(&stream.key) {
             answer.lost_at.get_or_insert(last);
         }
+        self.endpoints.on_suspicion(&endpoint, self.now);
         if self.start_run(&stream.key, import.as_ref()) {
             self.stats.suspected += 1;
             let answer = self.answers.get_mut(&stream.key);
--- a/src/node/suspicion.rs
+++ b/src/node/suspicion.rs
@@ -27,7 +27,7 @@
 /// The time to the first token that an engine is taken to need before it was measured.
 pub const UNKNOWN_FIRST: Duration = Duration::from_millis(1_500);
 /// How much longer than usual a first token may take.
-const FIRST_FACTOR: u32 = 3;
+const FIRST_FACTOR: u32 = 2;
 
 /// What the decision rests on.
 #[derive(Clone, Copy, Debug)]
