--- a/lab/src/bench/load.rs
+++ b/lab/src/bench/load.rs
@@ -5,7 +5,9 @@
 use magpiemoor::http::Client;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
 
+use super::report::Times;
 use crate::caller::{Received, Wanted, follow_to_end, service_call};
 use crate::fleet::REPEATABLE_CALL;
 
@@ -112,6 +114,50 @@
     }
 }
 
+/// Sends load to boxes that run, and sums up what came of it.
+pub async fn try_boxes(
+    boxes: &[String],
+    organisation: &str,
+    rate: u64,
+    calls: u64,
+    seconds: u64,
+    seed: u64,
+) -> Value {
+    let mix = Mix {
+        generations: rate as f64,
+        calls: calls as f64,
+        short: 20..80,
+        long: 250..500,
+        prompt_bytes: 2_048,
+        templates: 8,
+        organisations: vec![(organisation.to_owned(), 1.0)],
+        deadline_ms: None,
+        patient: true,
+    };
+    let span = Duration::from_secs(seconds);
+    let outcome = run(&Client::default(), boxes, &mix, span, seed).await;
+    let mut first = Times::default();
+    let mut quick = Times::default();
+    let mut failed = 0;
+    for sent in &outcome.sent {
+        match sent.received.times.first() {
+            Some(at) => first.add(at.duration_since(sent.at)),
+            None => failed += 1,
+        }
+    }
+    for called in &outcome.called {
+        quick.add(called.took);
+        failed += usize::from(called.status != Some(200));
+    }
+    json!({
+        "generations": outcome.sent.len(),
+        "calls": outcome.called.len(),
+        "failed": failed,
+        "first_token": first.summary(),
+        "quick": quick.summary(),
+    })
+}
+
 async fn generate(
     client: &Client,
     addresses: &[String],
--- a/lab/src/demo.rs
+++ b/lab/src/demo.rs
@@ -30,6 +30,10 @@
 const KILL_ENGINE_AT: usize = 30;
 /// Tokens after which the entry box is killed.
 const KILL_BOX_AT: usize = 80;
+/// The prompt of the deferrable request.
+const DEFERRED_PROMPT: &str = "Summarise the settlement.";
+/// Tokens that the deferrable answer may have.
+const DEFERRED_TOKENS: u32 = 40;
 /// The prompt of the streaming answer.
 const PROMPT: &str =
     "Draft the member statement for the harbour bakery, with every purchase of the month.";
@@ -233,7 +237,7 @@
 }
 
 async fn defer(demo: &Demo) -> Result<String, String> {
-    let body = json!({ "model": MODEL, "prompt": "Summarise the settlement.", "max_tokens": 40 });
+    let body = json!({ "model": MODEL, "prompt": DEFERRED_PROMPT, "max_tokens": DEFERRED_TOKENS });
     let call = Call::new(Method::POST, demo.callers(2), "/v1/completions")
         .header("organisation", "shop")
         .header("prefer", "respond-async")
@@ -295,7 +299,8 @@
     let client = demo.client.clone();
     let quiet = demo.quiet;
     demo.say("streaming an answer; its engine and then the caller's box will be killed");
-    let (engine_died, engine_gap) = follow_and_kill_engine(demo, &wanted, &mut received).await;
+    let (engine_died, engine_gap, lost_tokens) =
+        follow_and_kill_engine(demo, &wanted, &mut received).await;
     let until_box = received.ids.len();
     let killed_at = Instant::now();
     demo.boxes[0].kill();
@@ -322,12 +327,14 @@
     }
     let names: Vec<String> = demo.fleet.engines.iter().map(|e| e.id.clone()).collect();
     let fault = faults(&received, &wanted, &names);
-    let produced = tokens_produced(demo).await;
     let (length, _) = answer_length(PROMPT, MAX_TOKENS);
+    let (deferred, _) = answer_length(DEFERRED_PROMPT, DEFERRED_TOKENS);
+    let produced = tokens_produced(demo).await + lost_tokens;
+    let extra = produced.saturating_sub((length + deferred) as u64);
     let box_gap = first_after.map(|at| at.duration_since(killed_at).as_millis() as u64);
     let held = ended == Ended::Whole && fault.is_none() && engine_died;
     demo.say(&format!(
-        "\n  {} of {length} tokens, {}; {} ms without tokens after the engine's death, {} ms after the box's",
+        "\n  {} of {length} tokens, {}; {} ms without tokens after the engine's death, {} ms after the box's; {extra} extra tokens",
         received.ids.len(),
         fault.as_deref().unwrap_or("none missing or repeated"),
         engine_gap,
@@ -341,7 +348,7 @@
         "problem": received.problem,
         "engine_resume_ms": engine_gap,
         "box_resume_ms": box_gap,
-        "tokens_produced_by_survivors": produced,
+        "extra_tokens": extra,
     })
 }
 
@@ -350,7 +357,7 @@
     demo: &mut Demo,
     wanted: &Wanted,
     received: &mut Received,
-) -> (bool, u64) {
+) -> (bool, u64, u64) {
     let client = demo.client.clone();
     let address = demo.callers(0).to_owned();
     let quiet = demo.quiet;
@@ -387,18 +394,24 @@
         count < KILL_BOX_AT
     })
     .await;
-    (died, longest.as_millis() as u64)
+    (died, longest.as_millis() as u64, spent)
 }
 
+/// Tokens that the engines that are left have produced.
 async fn tokens_produced(demo: &Demo) -> u64 {
     let mut produced = 0;
     for plan in &demo.fleet.engines {
-        let call = Call::new(Method::GET, &plan.address, "/control/spent");
-        if let Ok(answer) = demo.client.send(call, Duration::from_secs(1)).await
-            && let Ok(spent) = serde_json::from_slice::<Value>(&answer.body)
-        {
-            produced += spent["tokens"].as_u64().unwrap_or(0);
-        }
+        produced += tokens_of(demo, &plan.address).await;
     }
     produced
 }
+
+/// Tokens that an engine has produced, or none if it is dead.
+async fn tokens_of(demo: &Demo, address: &str) -> u64 {
+    let call = Call::new(Method::GET, address, "/control/spent");
+    let answer = demo.client.send(call, Duration::from_secs(1)).await;
+    let spent = answer
+        .ok()
+        .and_then(|a| serde_json::from_slice::<Value>(&a.body).ok());
+    spent.and_then(|s| s["tokens"].as_u64()).unwrap_or(0)
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -46,6 +46,7 @@
                 .arg(Arg::new("settings").long("settings").required(true).value_parser(value_parser!(PathBuf)).help("Settings file")),
         )
         .subcommand(bench_command())
+        .subcommand(load_command())
         .subcommand(Command::new("gen").about("Generate src/schema/generated.rs from schema/"))
 }
 
@@ -94,6 +95,63 @@
         )
 }
 
+fn load_command() -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .default_value(default)
+            .value_parser(value_parser!(u64))
+            .help(help)
+    };
+    Command::new("load")
+        .about("Send open-loop load to boxes that run, and print what came of it as JSON")
+        .arg(
+            Arg::new("boxes")
+                .long("boxes")
+                .value_name("IP:PORT,...")
+                .value_delimiter(',')
+                .required(true)
+                .help("Callers' addresses of the boxes"),
+        )
+        .arg(
+            Arg::new("organisation")
+                .long("organisation")
+                .default_value("shop")
+                .help("Who asks"),
+        )
+        .arg(number("rate", "5", "Generations a second"))
+        .arg(number("calls", "0", "Quick calls a second"))
+        .arg(number("seconds", "10", "How long"))
+        .arg(number("seed", "1", "Seed of everything random"))
+}
+
+fn run_load(matches: &ArgMatches) -> Result<bool, String> {
+    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or(1);
+    let boxes: Vec<String> = matches
+        .get_many::<String>("boxes")
+        .into_iter()
+        .flatten()
+        .cloned()
+        .collect();
+    let organisation = matches
+        .get_one::<String>("organisation")
+        .cloned()
+        .unwrap_or_default();
+    let summary = block_on(async {
+        Ok(bench::load::try_boxes(
+            &boxes,
+            &organisation,
+            number("rate"),
+            number("calls"),
+            number("seconds"),
+            number("seed"),
+        )
+        .await)
+    })?;
+    println!("{summary}");
+    Ok(summary["failed"] == 0)
+}
+
 fn run_bench(matches: &ArgMatches) -> Result<bool, String> {
     let text = |name: &str| matches.get_one::<String>(name).cloned();
     let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or(1);
@@ -119,6 +177,7 @@
     let done = match matches.subcommand() {
         Some(("demo", sub)) => run_demo(sub),
         Some(("bench", sub)) => run_bench(sub),
+        Some(("load", sub)) => run_load(sub),
         Some(("gen", _)) => write_generated(),
         Some(("box", sub)) => run_box(sub),
         Some((stand_in, sub)) => run_stand_in(stand_in, sub),
--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -18,7 +18,9 @@
 use crate::settings::Settings;
 
 /// Events of the time line that are changes of state, and so are logged.
-const LOGGED: [&str; 11] = [
+const LOGGED: [&str; 13] = [
+    "box_paused",
+    "removed_from_roster",
     "box_started",
     "box_ready",
     "box_silent",
--- a/src/node/loads.rs
+++ b/src/node/loads.rs
@@ -33,7 +33,7 @@
     /// The endpoints of the own failure domain that this box looks after, with their addresses.
     fn watched_endpoints(&self) -> Vec<(EndpointId, String)> {
         let boxes = self.membership.live_boxes(self.now);
-        let watches = |endpoint: &EndpointId| {
+        let is_mine = |endpoint: &EndpointId| {
             let item = rendezvous::item(endpoint);
             let first = boxes.iter().max_by_key(|b| rendezvous::score(b, item));
             first == Some(&&self.cfg.me.id)
@@ -42,7 +42,7 @@
             .endpoints
             .iter()
             .filter(|(_, state)| state.domain == self.cfg.domain)
-            .filter(|(id, _)| watches(id))
+            .filter(|(id, _)| is_mine(id))
             .map(|(id, state)| (id.clone(), state.address.clone()))
             .collect();
         watched.sort();
