--- a/lab/src/demo.rs
+++ b/lab/src/demo.rs
@@ -370,6 +370,13 @@
     .await;
     // The stream goes on at the same box while the engine is found and killed.
     let name = demo.serving_engine("demo-stream").await;
+    let plan = demo
+        .fleet
+        .engines
+        .iter()
+        .find(|e| Some(&e.id) == name.as_ref());
+    let address = plan.map(|e| e.address.clone()).unwrap_or_default();
+    let spent = tokens_of(demo, &address).await;
     let victim = demo
         .engines
         .iter_mut()
