--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -6,25 +6,24 @@
 //! deterministic, from its own name too, so that two generations that were joined are seen.
 
 pub mod batch;
+mod reader;
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures_util::stream;
 use gotham::helpers::http::Body;
 use gotham::hyper::{Method, Response, StatusCode};
-use magpiemoor::daemon::engines::{
-    CacheEvent, LoadAnswer, OrderRequest, StreamEnd, StreamRequest, StreamTokens,
-};
+use magpiemoor::daemon::engines::{CacheEvent, LoadAnswer, OrderRequest, StreamRequest};
 use magpiemoor::http::{Call, Client, full, respond, respond_json, streaming};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use crate::serve::{Ask, serve};
-use batch::{Batch, Progress};
+use batch::Batch;
+use reader::Reader;
 
 /// How long an engine takes to fetch a KV cache, at most.
 const IMPORT_LIMIT: Duration = Duration::from_millis(200);
@@ -356,12 +355,7 @@
 
     fn read_from(&self, name: String, from: usize) -> Response<Body> {
         self.lock().batch.reader_came(&name);
-        let reader = Reader {
-            engine: self.clone(),
-            name,
-            next: from,
-            ended: false,
-        };
+        let reader = Reader::new(self.clone(), name, from);
         let events = stream::unfold(reader, |mut reader| async move {
             let chunk = reader.next().await?;
             Some((chunk, reader))
@@ -423,89 +417,6 @@
     serde_json::from_value(whole).ok()
 }
 
-/// One connection that reads a stream.
-struct Reader {
-    engine: Engine,
-    name: String,
-    next: usize,
-    ended: bool,
-}
-
-impl Drop for Reader {
-    fn drop(&mut self) {
-        self.engine.lock().batch.reader_left(&self.name);
-    }
-}
-
-impl Reader {
-    async fn next(&mut self) -> Option<Bytes> {
-        let mut progress = self.engine.progress.subscribe();
-        loop {
-            if self.ended {
-                return None;
-            }
-            let (event, late) = self.event()?;
-            if let Some(event) = event {
-                if late > 0 {
-                    tokio::time::sleep(Duration::from_millis(late)).await;
-                }
-                return Some(event);
-            }
-            progress.changed().await.ok()?;
-        }
-    }
-
-    /// The next event, if there is one yet; `None` if the stream is gone or broken off.
-    #[allow(clippy::type_complexity)]
-    fn event(&mut self) -> Option<(Option<Bytes>, u64)> {
-        let inner = self.engine.lock();
-        let behaviour = &inner.behaviour;
-        if behaviour.has(Fault::Frozen) {
-            return Some((None, 0));
-        }
-        let Progress { tokens, finish } = inner.batch.progress(&self.name, self.next)?;
-        if behaviour.break_after.is_some_and(|most| self.next >= most) {
-            return None;
-        }
-        if tokens.is_empty() {
-            let Some(finish) = finish else {
-                return Some((None, 0));
-            };
-            self.ended = true;
-            let end = StreamEnd {
-                stream: self.name.clone(),
-                finish,
-            };
-            return Some((Some(event_text("end", &end)), behaviour.late_ms));
-        }
-        let mut name = self.name.clone();
-        if behaviour.has(Fault::Crossed)
-            && let Some(other) = inner.batch.other_than(&self.name)
-        {
-            name = other;
-        }
-        let sent = StreamTokens {
-            stream: name,
-            offset: self.next,
-            tokens,
-        };
-        self.next += sent.tokens.len();
-        let mut text = event_text("tokens", &sent).to_vec();
-        if behaviour.has(Fault::Duplicate) {
-            text.extend_from_within(..);
-        }
-        Some((Some(text.into()), behaviour.late_ms))
-    }
-}
-
-fn event_text(event: &str, data: &impl Serialize) -> Bytes {
-    let data = serde_json::to_string(data).unwrap_or_default();
-    Bytes::from(format!("event: {event}\ndata: {data}\n\n"))
-}
-
 fn plain(status: StatusCode) -> Response<Body> {
     respond(status, "text/plain", full(""))
 }
-
-/// Engines by name, as a test or a measurement holds them.
-pub type Engines = HashMap<String, Engine>;
