--- a/lab/src/bench/control.rs
+++ b/lab/src/bench/control.rs
@@ -1,4 +1,5 @@
-//! What control costs: processor time, memory and bytes of idle daemons, by the number of boxes.
+//! What control costs: processor time, memory and bytes of idle daemons, by the number of boxes;
+//! and what a token costs a loaded one.
 
 use std::time::Duration;
 
@@ -6,6 +7,7 @@
 
 use super::Options;
 use super::field::Field;
+use super::load::{self, Mix};
 use super::report::print_table;
 use crate::engine::Behaviour;
 use crate::fleet::{Fleet, Size};
@@ -36,6 +38,7 @@
         "platform_bytes_in",
         "platform_reads",
         "platform_writes",
+        "cpu_micros_per_token",
     ];
     print_table(&rows, &fields);
     Ok(rows)
@@ -85,8 +88,12 @@
     let counted = field.platform.counts();
     let per = |before: f64, after: f64| (after - before) / span.as_secs_f64() / boxes as f64;
     let rate = |before: u64, after: u64| (after - before) as f64 / span.as_secs_f64();
+    let loaded = load_boxes(&field, span, options.seed).await;
     Ok(json!({
         "boxes": boxes,
+        "tokens": loaded.tokens,
+        "cpu_micros_per_token": loaded.cpu_micros_per_token,
+        "loaded_memory_mb": loaded.memory_mb,
         "cpu_percent": per(before.cpu, after.cpu) * 100.0,
         "memory_mb": after.memory / boxes as f64,
         "peer_bytes_in": per(before.bytes_in, after.bytes_in),
@@ -98,6 +105,36 @@
     }))
 }
 
+struct Loaded {
+    tokens: usize,
+    cpu_micros_per_token: f64,
+    memory_mb: f64,
+}
+
+/// Sends generations for a while, and says what a token costs all boxes together.
+async fn load_boxes(field: &Field, span: Duration, seed: u64) -> Loaded {
+    let mix = Mix {
+        generations: 15.0,
+        calls: 0.0,
+        short: 20..80,
+        long: 100..200,
+        prompt_bytes: 2_048,
+        templates: 8,
+        organisations: vec![("shop".to_owned(), 1.0)],
+        deadline_ms: None,
+        patient: true,
+    };
+    let before = totals(field).await;
+    let outcome = load::run(&field.client, &field.callers(), &mix, span, seed).await;
+    let after = totals(field).await;
+    let tokens: usize = outcome.sent.iter().map(|s| s.received.ids.len()).sum();
+    Loaded {
+        tokens,
+        cpu_micros_per_token: (after.cpu - before.cpu) * 1e6 / tokens.max(1) as f64,
+        memory_mb: after.memory / field.boxes.len() as f64,
+    }
+}
+
 struct Totals {
     cpu: f64,
     memory: f64,
