Tests of two faults that had none of their own

The explorer's first find (a box out of hearing joining again at once) and the measurements' (suspicion that slept until the time of the first token) were covered only where they were found.

--- a/tests/tokens.rs
+++ b/tests/tokens.rs
@@ -332,3 +332,28 @@
     assert!(world.run_until(LIMIT, |w| is_whole(w, &key)));
     world.assert_sound();
 }
+
+#[rstest]
+fn a_silent_engine_is_noticed_by_its_usual_gaps(#[values(30, 45)] at: usize) {
+    // Found by the measurements: the wake-up stayed at the time to the first token, seconds away.
+    let (mut world, key) = begun(1, at);
+    let engine = world.engine_of(&key);
+    world.engine_mut(&engine).trouble = Trouble::Stalled;
+    let before = tokens(&world, &key);
+    world.run(Duration::from_millis(1_700));
+    assert!(tokens(&world, &key) > before + 1, "no other engine went on");
+}
+
+#[test]
+fn a_box_that_is_not_heard_joins_again_ever_more_rarely() {
+    // Found by the explorer: it was taken out and joined again with every second heartbeat.
+    let mut world = running(1, 3, 2);
+    world.cut("north-0", "north-1");
+    world.cut("north-0", "north-2");
+    world.run(Duration::from_secs(60));
+    let removals = world.noted("removed_from_roster");
+    assert!(
+        (1..=16).contains(&removals),
+        "{removals} removals in a minute"
+    );
+}
