Streams end whole only with their end; a cut watch is followed by a list

Now a body ends whole only with an explicit end. Ruled out: pooled connections that fell silent (own connections made no difference).

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -38,7 +38,7 @@
 use crate::dispatch::record::Record;
 use crate::dispatch::table::{CallerLimits, RoutingTable, TableVersion};
 use crate::dispatch::{DispatchConfig, Dispatcher};
-use crate::http::{Client, ServeOptions};
+use crate::http::ServeOptions;
 use crate::schema::{Incarnation, StateReply, StateRequest};
 use control::{Control, Input};
 use decisions::DecisionLog;
@@ -85,8 +85,6 @@
     pub metrics: Arc<GatewayMetrics>,
     /// The way to the control thread.
     pub inputs: mpsc::Sender<Input>,
-    /// The client for the store.
-    pub client: Client,
     /// Connections to endpoints.
     pub pool: Arc<Pool>,
     closing: watch::Sender<bool>,
@@ -362,7 +360,6 @@
         log: Arc::new(log),
         metrics: Arc::new(metrics),
         inputs,
-        client: Client::default(),
         pool: Arc::new(Pool::default()),
         closing: watch::channel(false).0,
         standing: Arc::default(),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -20,7 +20,7 @@
 use crate::gateway::control::Input;
 use crate::gateway::dialect::AnswerKind;
 use crate::gateway::events::EventCutter;
-use crate::gateway::pool::{Connection, SendError};
+use crate::gateway::pool::{Connection, Pool, SendError};
 use crate::gateway::{GatewayShared, headers};
 use crate::http;
 
@@ -31,7 +31,16 @@
 /// The content type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
 
-type EventSender = mpsc::Sender<Result<Frame<Bytes>, std::io::Error>>;
+/// A part of a stream on its way to the caller.
+#[derive(Debug)]
+enum Part {
+    /// A whole event.
+    Event(Bytes),
+    /// The stream is complete.
+    End,
+}
+
+type EventSender = mpsc::Sender<Part>;
 
 /// A request as the caller sent it.
 #[derive(Debug)]
@@ -125,8 +134,8 @@
                 }
                 Command::StopSending(_) => {}
                 Command::Deliver => return self.deliver(),
-                Command::Finish => return,
-                Command::Refuse(refusal) => return self.refuse(refusal).await,
+                Command::Finish => return self.finish().await,
+                Command::Refuse(refusal) => return self.refuse(refusal),
             }
         }
     }
@@ -316,7 +325,7 @@
 
     async fn pass(&mut self, attempt: Try, headers: &HeaderMap, bytes: Bytes) -> Result<(), Left> {
         let events = self.begin_stream(headers).ok_or(Left::CallerGone)?;
-        let sent = events.send(Ok(Frame::data(bytes)));
+        let sent = events.send(Part::Event(bytes));
         match self.unless_left(attempt, sent).await? {
             Ok(()) => Ok(()),
             Err(_) => Err(Left::CallerGone),
@@ -336,10 +345,7 @@
             .first_event_seconds
             .observe(self.started.elapsed().as_secs_f64());
         let (events, received) = mpsc::channel(EVENTS_WAITING);
-        let stream = futures_util::stream::unfold(received, |mut received| async move {
-            received.recv().await.map(|item| (item, received))
-        });
-        let mut response = Response::new(Body::new(StreamBody::new(stream)));
+        let mut response = Response::new(Body::new(StreamBody::new(frames(received))));
         *response.headers_mut() = headers::passed_on(headers);
         response.headers_mut().remove(header::CONTENT_LENGTH);
         self.shared.mark_closing(&mut response);
@@ -356,6 +362,12 @@
         }
     }
 
+    async fn finish(mut self) {
+        if let Some(Caller::Streaming(events)) = self.caller.take() {
+            let _ = events.send(Part::End).await;
+        }
+    }
+
     fn deliver(mut self) {
         let (Some(held), Some(Caller::Waiting(reply))) = (self.held.take(), self.caller.take())
         else {
@@ -375,21 +387,31 @@
 
     /// Tells the caller that there will be no answer, or breaks a stream off so that it can't look
     /// complete.
-    async fn refuse(mut self, refusal: Refusal) {
+    fn refuse(mut self, refusal: Refusal) {
         match self.caller.take() {
             Some(Caller::Waiting(reply)) => {
                 let _ = reply.send(self.shared.refusal(&self.request.id, refusal));
             }
-            Some(Caller::Streaming(events)) => {
-                let _ = events
-                    .send(Err(std::io::ErrorKind::ConnectionAborted.into()))
-                    .await;
-            }
-            None => {}
+            // Without its end the stream can't look complete.
+            Some(Caller::Streaming(_)) | None => {}
         }
     }
 }
 
+/// The body of a stream: it ends whole only with its end, whatever else becomes of the exchange.
+fn frames(
+    received: mpsc::Receiver<Part>,
+) -> impl futures_util::Stream<Item = Result<Frame<Bytes>, std::io::Error>> {
+    futures_util::stream::unfold(Some(received), |received| async move {
+        let mut received = received?;
+        match received.recv().await {
+            Some(Part::Event(bytes)) => Some((Ok(Frame::data(bytes)), Some(received))),
+            Some(Part::End) => None,
+            None => Some((Err(std::io::ErrorKind::ConnectionAborted.into()), None)),
+        }
+    })
+}
+
 /// Sends a request and waits for the head of its answer.
 async fn open(
     shared: &GatewayShared,
@@ -410,9 +432,7 @@
             Err(e) => return Err(outcome_of(&e)),
         }
     }
-    let mut connection = shared
-        .pool
-        .connect(sending.address, sending.connect_limit)
+    let mut connection = Pool::connect(sending.address, sending.connect_limit)
         .await
         .map_err(|_| Outcome::NotSent)?;
     sending.time_left = sending.time_left.saturating_sub(started.elapsed());
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -105,11 +105,7 @@
     /// # Errors
     ///
     /// If none can be made within `limit`.
-    pub async fn connect(
-        &self,
-        address: SocketAddr,
-        limit: Duration,
-    ) -> Result<Connection, SendError> {
+    pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Connection, SendError> {
         let socket = tokio::time::timeout(limit, TcpStream::connect(address))
             .await
             .map_err(|_| SendError::NotSent)?
--- a/src/gateway/probes.rs
+++ b/src/gateway/probes.rs
@@ -10,6 +10,7 @@
 use crate::dispatch::event::{EndpointLoad, Event};
 use crate::gateway::GatewayShared;
 use crate::gateway::control::Input;
+use crate::gateway::pool::{Connection, Pool};
 use crate::schema::EndpointId;
 
 /// How long a connection may have rested for a probe.
@@ -38,12 +39,12 @@
         return Some(load);
     }
     let left = until.saturating_duration_since(Instant::now());
-    let connection = shared.pool.connect(address, left).await.ok()?;
+    let connection = Pool::connect(address, left).await.ok()?;
     ask_on(connection, address, shared).await
 }
 
 async fn ask_on(
-    mut connection: crate::gateway::pool::Connection,
+    mut connection: Connection,
     address: SocketAddr,
     shared: &GatewayShared,
 ) -> Option<EndpointLoad> {
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use gotham::hyper::{Method, StatusCode};
+use bytes::Bytes;
+use gotham::hyper::{Request, StatusCode, header};
+use http_body_util::{BodyExt, Full};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -11,11 +13,15 @@
 use crate::gateway::GatewayShared;
 use crate::gateway::control::Input;
 use crate::gateway::dialect::{Entry, Source};
+use crate::gateway::pool::{Connection, Pool};
 use crate::gateway::watcher::{News, Step, StepAnswer, Watcher};
-use crate::http::Call;
 
-/// How long a list may take.
-const LIST_LIMIT: Duration = Duration::from_millis(1_500);
+/// How long a list may take at first; longer after each failure.
+const LIST_LIMIT: Duration = Duration::from_millis(500);
+/// How often that is doubled at the most.
+const MOST_DOUBLINGS: u32 = 3;
+/// How long a connection may take.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 /// How much longer than asked for a watch may take.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 
@@ -23,9 +29,10 @@
 pub async fn follow(source: Source, shared: GatewayShared) {
     let mut watcher = Watcher::default();
     let mut rng = ChaCha8Rng::seed_from_u64(rand::random());
+    let mut link = StoreLink::default();
     let mut was_reached = false;
     loop {
-        let answer = ask(source, watcher.step(), &shared).await;
+        let answer = link.ask(source, &watcher.step(), &shared).await;
         let next = watcher.on_answer(answer, &mut rng);
         if watcher.is_reached() != was_reached {
             was_reached = watcher.is_reached();
@@ -50,38 +57,68 @@
     });
 }
 
-async fn ask(source: Source, step: Step, shared: &GatewayShared) -> StepAnswer {
-    let dialect = &shared.dialect;
-    let watch = shared.settings.watch;
-    let (path, limit, is_watch) = match &step {
-        Step::List { after } => (
-            dialect.list_path(source, after.as_deref()),
-            LIST_LIMIT,
-            false,
-        ),
-        Step::Watch { at } => (
-            dialect.watch_path(source, *at, watch),
-            watch + WATCH_SLACK,
-            true,
-        ),
-    };
-    shared.metrics.store_calls.inc();
-    let address = shared.settings.platform.to_string();
-    let call = Call::new(Method::GET, &address, &path);
-    let Ok(answer) = shared.client.send(call, limit).await else {
-        return StepAnswer::Failed;
-    };
-    match answer.status {
-        StatusCode::GONE => return StepAnswer::HistoryLost,
-        StatusCode::OK => {}
-        _ => return StepAnswer::Failed,
+/// The connection to the store that one source uses; none is kept after a failure, since an answer
+/// that was lost leaves a connection silent for ever.
+#[derive(Default)]
+struct StoreLink {
+    connection: Option<Connection>,
+    failures: u32,
+}
+
+impl StoreLink {
+    async fn ask(&mut self, source: Source, step: &Step, shared: &GatewayShared) -> StepAnswer {
+        let dialect = &shared.dialect;
+        let watch = shared.settings.watch;
+        let patience = LIST_LIMIT * 2_u32.pow(self.failures.min(MOST_DOUBLINGS));
+        let (path, limit, is_watch) = match step {
+            Step::List { after } => (dialect.list_path(source, after.as_deref()), patience, false),
+            Step::Watch { at } => (
+                dialect.watch_path(source, *at, watch),
+                watch + WATCH_SLACK,
+                true,
+            ),
+        };
+        shared.metrics.store_calls.inc();
+        let got = tokio::time::timeout(limit, self.get(&path, shared)).await;
+        let answer = match got.ok().flatten() {
+            None => StepAnswer::Failed,
+            Some((StatusCode::GONE, _)) => StepAnswer::HistoryLost,
+            Some((StatusCode::OK, body)) => {
+                let page = if is_watch {
+                    dialect.read_watch(&body)
+                } else {
+                    dialect.read_list(&body)
+                };
+                page.map_or(StepAnswer::Failed, StepAnswer::Page)
+            }
+            Some(_) => StepAnswer::Failed,
+        };
+        if answer == StepAnswer::Failed {
+            self.connection = None;
+            self.failures += 1;
+        } else {
+            self.failures = 0;
+        }
+        answer
+    }
+
+    /// Makes one call; the connection is kept only if the answer came whole.
+    async fn get(&mut self, path: &str, shared: &GatewayShared) -> Option<(StatusCode, Bytes)> {
+        let address = shared.settings.platform;
+        let mut connection = match self.connection.take() {
+            Some(kept) => kept,
+            None => Pool::connect(address, CONNECT_LIMIT).await.ok()?,
+        };
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = path.parse().ok()?;
+        let host = address.to_string().parse().ok()?;
+        request.headers_mut().insert(header::HOST, host);
+        let response = connection.send(request).await.ok()?;
+        let status = response.status();
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        self.connection = Some(connection);
+        Some((status, body))
     }
-    let page = if is_watch {
-        dialect.read_watch(&answer.body)
-    } else {
-        dialect.read_list(&answer.body)
-    };
-    page.map_or(StepAnswer::Failed, StepAnswer::Page)
 }
 
 /// Tells the control thread what is new.
--- a/src/gateway/watcher.rs
+++ b/src/gateway/watcher.rs
@@ -97,11 +97,12 @@
                     pause: Duration::ZERO,
                 }
             }
-            StepAnswer::HistoryLost => {
+            // A watch that was cut may have missed changes that the store no longer knows, and a
+            // new one from the same revision may then wait in vain: only a list tells for sure.
+            StepAnswer::HistoryLost | StepAnswer::Failed => {
                 self.restart();
                 self.failed(rng)
             }
-            StepAnswer::Failed => self.failed(rng),
         }
     }
 
