--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -18,6 +18,7 @@
 
 mod arrivals;
 mod gossip;
+mod locating;
 mod outcomes;
 mod request;
 mod sending;
@@ -79,7 +80,7 @@
     budget: RetryBudget,
     peers: Peers,
     next_gossip: Micros,
-    is_stopping: bool,
+    ends_at: Option<Micros>,
     actions: Vec<Action>,
 }
 
@@ -91,7 +92,6 @@
             now,
             rng: ChaCha8Rng::seed_from_u64(seed),
             placer: Placer {
-                me: cfg.me.clone(),
                 domain: cfg.domain.clone(),
             },
             table: None,
@@ -100,7 +100,7 @@
             budget: RetryBudget::new(cfg.retries),
             peers: Peers::new(cfg.me.clone(), cfg.address, &cfg.seeds),
             next_gossip: now,
-            is_stopping: false,
+            ends_at: None,
             actions: Vec::new(),
             cfg,
         }
@@ -130,7 +130,8 @@
             Event::Peer(state) => self.on_peer(&state),
             Event::Seeds(seeds) => self.peers.set_seeds(&seeds),
             Event::Tick => self.on_tick(),
-            Event::Stop => self.is_stopping = true,
+            Event::Stop { grace } => self.ends_at = Some(self.now.after(grace)),
+            Event::Located { request, endpoint } => self.on_located(request, endpoint),
         }
         std::mem::take(&mut self.actions)
     }
@@ -159,7 +160,7 @@
     /// Whether the box can answer callers.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.table.is_some() && self.fleet.is_known() && !self.is_stopping
+        self.table.is_some() && self.fleet.is_known() && self.ends_at.is_none()
     }
 
     /// How many requests are served.
--- a/src/dispatch/action.rs
+++ b/src/dispatch/action.rs
@@ -111,6 +111,15 @@
         /// How long to wait.
         limit: Duration,
     },
+    /// Ask endpoints which of them keeps a part of a prompt.
+    Locate {
+        /// The request.
+        request: RequestNumber,
+        /// The part.
+        part: String,
+        /// Whom to ask.
+        among: Vec<(EndpointId, SocketAddr)>,
+    },
     /// Drop the connections to an endpoint that rest.
     Disconnect(SocketAddr),
     /// Tell other boxes how this one stands, by UDP.
--- a/src/dispatch/arrivals.rs
+++ b/src/dispatch/arrivals.rs
@@ -11,10 +11,16 @@
 use super::record::Record;
 use super::request::Request;
 use super::table::{KeyHolder, NoMatch, Route, RoutingTable};
+use crate::rendezvous;
 
 /// When to come back to a box that has no configuration yet.
 const RETRY_UNCONFIGURED: Duration = Duration::from_millis(300);
 
+/// When to come back to another box, after one that is stopping.
+const RETRY_STOPPING: Duration = Duration::from_millis(20);
+/// How long a stream takes as a rule.
+const STREAM_TIME: Duration = Duration::from_secs(5);
+
 impl Dispatcher {
     pub(super) fn on_arrival(&mut self, number: RequestNumber, arrival: Arrival) {
         let Some(table) = self.table.clone() else {
@@ -24,12 +30,19 @@
         match matching(&table, &arrival) {
             Err(NoMatch::Route) => self.refuse_new(number, &arrival, RefusalReason::NoRoute),
             Err(NoMatch::Key) => self.refuse_new(number, &arrival, RefusalReason::UnknownKey),
+            Ok((route, _)) if self.would_be_cut(&route) => {
+                self.refuse_new(number, &arrival, RefusalReason::NoEndpoint);
+            }
             Ok((route, holder)) => self.take_in(number, arrival, &table, route, holder),
         }
     }
 
     fn refuse_new(&mut self, number: RequestNumber, arrival: &Arrival, reason: RefusalReason) {
-        let retry_after = (reason == RefusalReason::NoConfiguration).then_some(RETRY_UNCONFIGURED);
+        let retry_after = match reason {
+            RefusalReason::NoConfiguration => Some(RETRY_UNCONFIGURED),
+            RefusalReason::NoEndpoint => Some(RETRY_STOPPING),
+            _ => None,
+        };
         self.record(Record::Refused {
             request: arrival.id.clone(),
             reason,
@@ -66,6 +79,7 @@
             arrived: self.now,
             engine: table.service(&service).and_then(|s| s.engine),
             last_event: arrival.after_event,
+            key: rendezvous::item(arrival.parts.last().unwrap_or(&arrival.id)),
             arrival,
             route,
             service,
@@ -79,8 +93,21 @@
             next_look: None,
             without_endpoint: None,
         };
+        let is_return = request.engine.is_some() && request.last_event.is_some();
         self.requests.insert(number, request);
-        self.send_somewhere(number);
+        if is_return {
+            self.locate(number);
+        } else {
+            self.send_somewhere(number);
+        }
+    }
+
+    /// Whether a stream that begins now would be cut by the end of the process.
+    fn would_be_cut(&self, route: &Route) -> bool {
+        let Some(ends_at) = self.ends_at else {
+            return false;
+        };
+        route.kind.is_stream() && self.now.after(STREAM_TIME) > ends_at
     }
 }
 
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -53,6 +53,8 @@
     pub patience: Option<Duration>,
     /// The event after which the caller wants a stream to go on.
     pub after_event: Option<u64>,
+    /// The parts of the prompt, by ids that engines know them by, in order.
+    pub parts: Vec<String>,
     /// Tokens of the prompt.
     pub prompt: Tokens,
     /// The most tokens that may come out.
@@ -181,7 +183,17 @@
     /// Time has passed.
     Tick,
     /// The process is asked to stop.
-    Stop,
+    Stop {
+        /// How long it may take.
+        grace: Duration,
+    },
+    /// Endpoints were asked which of them keeps a request's prompt.
+    Located {
+        /// The request.
+        request: RequestNumber,
+        /// The one that keeps it, if any does.
+        endpoint: Option<EndpointId>,
+    },
 }
 
 /// What an endpoint says of itself.
--- a/src/dispatch/gossip.rs
+++ b/src/dispatch/gossip.rs
@@ -34,7 +34,7 @@
             incarnation: self.cfg.incarnation,
             address: self.cfg.address.to_string(),
             table_version: self.table_version().0,
-            stopping: self.is_stopping,
+            stopping: self.ends_at.is_some(),
             usage: usage.collect(),
             lost: self.fleet.lost(self.now).cloned().collect(),
             peers: self.peers.heard_addresses(self.now),
--- /dev/null
+++ b/src/dispatch/locating.rs
@@ -0,0 +1,54 @@
+//! Callers that come back in the middle of a stream: where their prompt is kept.
+//!
+//! Nothing is written down of a stream. When its box is lost the caller comes back with a cursor to
+//! another one, which asks the engines that the request ranks highest whether they keep its prompt;
+//! that costs a few small questions and saves reading thousands of tokens again.
+
+use super::Dispatcher;
+use super::action::Action;
+use super::event::RequestNumber;
+use crate::schema::EndpointId;
+
+impl Dispatcher {
+    /// Asks for the engine that keeps a request's prompt.
+    pub(super) fn locate(&mut self, number: RequestNumber) {
+        let Some(request) = self.requests.get(&number) else {
+            return;
+        };
+        let Some(part) = request.arrival.parts.last() else {
+            self.send_somewhere(number);
+            return;
+        };
+        let likely = self
+            .placer
+            .likely(&self.fleet, &request.service, request.key);
+        let among = likely
+            .iter()
+            .filter(|e| e.takes_work() && !e.is_avoided(self.now))
+            .map(|e| (e.spec.id.clone(), e.spec.address));
+        let action = Action::Locate {
+            request: number,
+            part: part.clone(),
+            among: among.collect(),
+        };
+        self.actions.push(action);
+    }
+
+    pub(super) fn on_located(&mut self, number: RequestNumber, endpoint: Option<EndpointId>) {
+        let is_waiting = self
+            .requests
+            .get(&number)
+            .is_some_and(|request| request.running.is_none() && request.sendings == 0);
+        if !is_waiting {
+            return;
+        }
+        let usable = endpoint.filter(|id| {
+            let found = self.fleet.get(id);
+            found.is_some_and(|e| e.takes_work() && !e.is_avoided(self.now))
+        });
+        match usable {
+            Some(id) => self.send_to(number, &id, None),
+            None => self.send_somewhere(number),
+        }
+    }
+}
--- a/src/dispatch/outcomes.rs
+++ b/src/dispatch/outcomes.rs
@@ -145,7 +145,9 @@
             self.give_up_without_retry(number);
             return;
         }
-        let copy = running.backup.clone().map(|endpoint| Copy { endpoint });
+        // Memory is copied only once the prompt has been read.
+        let backup = running.backup.clone().filter(|_| running.has_events);
+        let copy = backup.map(|endpoint| Copy { endpoint });
         self.send_after(number, copy);
     }
 
--- a/src/dispatch/placement.rs
+++ b/src/dispatch/placement.rs
@@ -2,7 +2,7 @@
 //!
 //! Reading prompts is what engines have least of, so the cost of an engine is the time that the
 //! prompts before this one still take, plus what runs beside it slows it down. Boxes choose
-//! without seeing each other's latest choices, so each box has an order of its own among equals.
+//! without seeing each other's latest choices, so each request has an order of its own among equals.
 
 use std::time::Duration;
 
@@ -10,14 +10,16 @@
 use crate::dispatch::fleet::{Endpoint, Fleet};
 use crate::dispatch::table::EngineSpec;
 use crate::rendezvous;
-use crate::schema::{BoxId, DomainId, EndpointId, Micros, ServiceId};
+use crate::schema::{DomainId, EndpointId, Micros, ServiceId};
 
 /// Tokens of a prompt that an engine reads in a millisecond, as long as nothing better is known.
 const READ_PER_MS: f64 = 5.0;
 /// What one request that runs beside it costs a stream, in milliseconds.
-const RUNNING_COST: f64 = 60.0;
-/// What an endpoint of another failure domain costs, in milliseconds.
-const OTHER_DOMAIN_COST: f64 = 40.0;
+const RUNNING_COST: f64 = 30.0;
+/// What an engine of another failure domain costs, in milliseconds.
+const OTHER_DOMAIN_COST: f64 = 300.0;
+/// What a plain service of another failure domain costs, in milliseconds.
+const OTHER_DOMAIN_PLAIN_COST: f64 = 40.0;
 /// What an endpoint without a free slot costs, in milliseconds.
 const FULL_COST: f64 = 2_000.0;
 /// What an endpoint costs that fails all its requests, in milliseconds.
@@ -28,17 +30,15 @@
 const AVOIDED_COST: f64 = 20_000.0;
 /// What an engine without free memory costs, in milliseconds.
 const NO_MEMORY_COST: f64 = 4_000.0;
-/// By how much the own order of a box sets equals apart, in milliseconds.
-const SPREAD: f64 = 25.0;
+/// By how much the own order of a request sets equals apart, in milliseconds.
+const SPREAD: f64 = 100.0;
 /// What a request that runs at a plain service costs the next one, in milliseconds.
 const PLAIN_RUNNING_COST: f64 = 10.0;
 
 /// Who places a request.
 #[derive(Clone, Debug)]
 pub struct Placer {
-    /// This box, which gives the order among equals.
-    pub me: BoxId,
-    /// Its failure domain.
+    /// The box's failure domain.
     pub domain: DomainId,
 }
 
@@ -53,6 +53,8 @@
     pub memory: Tokens,
     /// Endpoints that it was sent to before.
     pub tried: &'a [EndpointId],
+    /// What sets equals apart: the same for each sending of a request at any box.
+    pub key: u64,
 }
 
 impl Placer {
@@ -123,33 +125,49 @@
             }
             None => f64::from(usage.running) * PLAIN_RUNNING_COST,
         };
-        work + self.standing_cost(fleet, endpoint, usage.running, now)
+        let is_other = endpoint.spec.domain != self.domain;
+        let distance = match (is_other, demand.engine) {
+            (false, _) => 0.0,
+            (true, Some(_)) => OTHER_DOMAIN_COST,
+            (true, None) => OTHER_DOMAIN_PLAIN_COST,
+        };
+        work + distance
+            + standing_cost(fleet, endpoint, usage.running, now)
+            + spread(demand.key, &endpoint.spec.id)
     }
 
-    /// What an endpoint costs whatever the request.
-    fn standing_cost(&self, fleet: &Fleet, endpoint: &Endpoint, running: u32, now: Micros) -> f64 {
-        let spec = &endpoint.spec;
-        let mut cost = endpoint.failing * FAILING_COST;
-        if spec.domain != self.domain {
-            cost += OTHER_DOMAIN_COST;
-        }
-        if running >= spec.slots {
-            cost += FULL_COST;
-        }
-        if endpoint.is_avoided(now) {
-            cost += AVOIDED_COST;
-        } else if fleet.is_domain_failing(&spec.service, &spec.domain, now) {
-            cost += FAILING_DOMAIN_COST;
-        }
-        cost + self.spread(&spec.id)
+    /// The endpoints where a request with this key was most likely sent before.
+    #[must_use]
+    pub fn likely<'a>(&self, fleet: &'a Fleet, service: &ServiceId, key: u64) -> Vec<&'a Endpoint> {
+        let mut found: Vec<&Endpoint> = fleet.of_service(service).filter(|e| e.listed).collect();
+        found.sort_by_key(|e| std::cmp::Reverse(rendezvous::score(&e.spec.id, key)));
+        found.truncate(MOST_ASKED);
+        found
     }
+}
 
-    /// A part between 0 and [`SPREAD`] that is this box's own for each endpoint.
-    fn spread(&self, endpoint: &str) -> f64 {
-        let drawn = rendezvous::score(&self.me, rendezvous::item(endpoint));
-        (drawn as f64 / u64::MAX as f64) * SPREAD
+/// What an endpoint costs whatever the request.
+fn standing_cost(fleet: &Fleet, endpoint: &Endpoint, running: u32, now: Micros) -> f64 {
+    let spec = &endpoint.spec;
+    let mut cost = endpoint.failing * FAILING_COST;
+    if running >= spec.slots {
+        cost += FULL_COST;
     }
+    if endpoint.is_avoided(now) {
+        cost += AVOIDED_COST;
+    } else if fleet.is_domain_failing(&spec.service, &spec.domain, now) {
+        cost += FAILING_DOMAIN_COST;
+    }
+    cost
+}
+
+/// A part between 0 and [`SPREAD`] that each key has of its own for each endpoint.
+fn spread(key: u64, endpoint: &EndpointId) -> f64 {
+    let drawn = rendezvous::score(endpoint, key);
+    (1.0 - drawn as f64 / u64::MAX as f64) * SPREAD
 }
 
 /// How long to wait for a connection before another endpoint is better.
-pub const CONNECT_LIMIT: Duration = Duration::from_millis(200);
+pub const CONNECT_LIMIT: Duration = Duration::from_millis(120);
+/// How many endpoints are asked for a prompt.
+const MOST_ASKED: usize = 24;
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -39,6 +39,8 @@
     pub service: ServiceId,
     /// What is known of the service's engines.
     pub engine: Option<EngineSpec>,
+    /// What sets equal endpoints apart, the same for every sending of this request.
+    pub key: u64,
     /// Who asks.
     pub holder: Option<KeyHolder>,
     /// When it arrived.
--- a/src/dispatch/sending.rs
+++ b/src/dispatch/sending.rs
@@ -67,7 +67,12 @@
         }
     }
 
-    fn send_to(&mut self, number: RequestNumber, to: &EndpointId, copy: Option<SocketAddr>) {
+    pub(super) fn send_to(
+        &mut self,
+        number: RequestNumber,
+        to: &EndpointId,
+        copy: Option<SocketAddr>,
+    ) {
         let now = self.now;
         let Some(request) = self.requests.get(&number) else {
             return;
@@ -245,6 +250,7 @@
         engine: request.engine,
         memory: memory_of(request),
         tried: &request.tried,
+        key: request.key,
     }
 }
 
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -90,7 +90,7 @@
         }
         let is_belief = matches!(
             event,
-            Event::Table(_) | Event::EndpointsListed(_) | Event::Stop
+            Event::Table(_) | Event::EndpointsListed(_) | Event::Stop { .. }
         );
         let actions = self.dispatcher.handle(self.shared.clock.now(), event);
         for action in actions {
@@ -117,6 +117,14 @@
                 let probe = probes::probe(endpoint, address, limit, self.shared.clone());
                 self.traffic.spawn(probe);
             }
+            Action::Locate {
+                request,
+                part,
+                among,
+            } => {
+                let locating = probes::locate(request, part, among, self.shared.clone());
+                self.traffic.spawn(locating);
+            }
             Action::Disconnect(address) => self.shared.pool.forget(address),
             Action::Gossip { to, state } => {
                 let telling = peers::tell(Arc::clone(&self.gossip), to, *state);
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -87,6 +87,12 @@
     /// Reads how an endpoint stands.
     fn read_load(&self, body: &[u8]) -> Option<EndpointLoad>;
 
+    /// The path at which an engine tells which parts of prompts it keeps.
+    fn cache_path(&self) -> &'static str;
+
+    /// Whether an engine that answered this keeps a part of a prompt.
+    fn keeps_part(&self, body: &[u8], part: &str) -> bool;
+
     /// The path at which this process says whether it is ready.
     fn ready_path(&self) -> &'static str;
 
--- a/src/gateway/probes.rs
+++ b/src/gateway/probes.rs
@@ -4,10 +4,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use gotham::hyper::{HeaderMap, Request, StatusCode, header};
+use gotham::hyper::{Request, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full};
+use tokio::task::JoinSet;
 
-use crate::dispatch::event::{EndpointLoad, Event};
+use crate::dispatch::event::{EndpointLoad, Event, RequestNumber};
 use crate::gateway::GatewayShared;
 use crate::gateway::control::Input;
 use crate::gateway::pool::{Connection, Pool};
@@ -16,6 +17,9 @@
 /// How long a connection may have rested for a probe.
 const PROBE_REST: Duration = Duration::from_secs(4);
 
+/// How long endpoints may take to say what they keep.
+const LOCATE_LIMIT: Duration = Duration::from_millis(80);
+
 /// Asks an endpoint how it stands and tells what came of it.
 pub async fn probe(
     endpoint: EndpointId,
@@ -25,41 +29,86 @@
 ) {
     let load = tokio::time::timeout(limit, ask(address, limit, &shared)).await;
     let load = load.ok().flatten();
-    shared.metrics.probes.inc();
     shared
         .tell(Input::Event(Event::Probed { endpoint, load }))
         .await;
 }
 
+/// Asks endpoints which of them keeps a part of a prompt and tells of the first that does.
+pub async fn locate(
+    request: RequestNumber,
+    part: String,
+    among: Vec<(EndpointId, SocketAddr)>,
+    shared: GatewayShared,
+) {
+    let mut asked = JoinSet::new();
+    for (endpoint, address) in among {
+        let shared = shared.clone();
+        let part = part.clone();
+        asked.spawn(async move {
+            let path = shared.dialect.cache_path();
+            let body = get(address, path, LOCATE_LIMIT, &shared).await?;
+            shared.dialect.keeps_part(&body?, &part).then_some(endpoint)
+        });
+    }
+    let finding = async {
+        while let Some(found) = asked.join_next().await {
+            if let Ok(Some(endpoint)) = found {
+                return Some(endpoint);
+            }
+        }
+        None
+    };
+    let endpoint = tokio::time::timeout(LOCATE_LIMIT, finding).await;
+    let event = Event::Located {
+        request,
+        endpoint: endpoint.ok().flatten(),
+    };
+    shared.tell(Input::Event(event)).await;
+}
+
 async fn ask(address: SocketAddr, limit: Duration, shared: &GatewayShared) -> Option<EndpointLoad> {
+    let path = shared.dialect.load_path();
+    let body = get(address, path, limit, shared).await?;
+    // An endpoint that answers is there, whatever it says.
+    Some(
+        body.and_then(|body| shared.dialect.read_load(&body))
+            .unwrap_or_default(),
+    )
+}
+
+/// Gets a path of an endpoint: `None` without an answer, `Some(None)` for one without success.
+async fn get(
+    address: SocketAddr,
+    path: &'static str,
+    limit: Duration,
+    shared: &GatewayShared,
+) -> Option<Option<Bytes>> {
+    shared.metrics.probes.inc();
     let until = Instant::now() + limit;
     if let Some(connection) = shared.pool.take(address, PROBE_REST)
-        && let Some(load) = ask_on(connection, address, shared).await
+        && let Some(answer) = get_on(connection, address, path, shared).await
     {
-        return Some(load);
+        return Some(answer);
     }
     let left = until.saturating_duration_since(Instant::now());
     let connection = Pool::connect(address, left).await.ok()?;
-    ask_on(connection, address, shared).await
+    get_on(connection, address, path, shared).await
 }
 
-async fn ask_on(
+async fn get_on(
     mut connection: Connection,
     address: SocketAddr,
+    path: &'static str,
     shared: &GatewayShared,
-) -> Option<EndpointLoad> {
+) -> Option<Option<Bytes>> {
     let mut request = Request::new(Full::new(Bytes::new()));
-    *request.uri_mut() = gotham::hyper::Uri::from_static(shared.dialect.load_path());
-    let mut headers = HeaderMap::new();
-    headers.insert(header::HOST, address.to_string().parse().ok()?);
-    *request.headers_mut() = headers;
+    *request.uri_mut() = Uri::from_static(path);
+    let host = address.to_string().parse().ok()?;
+    request.headers_mut().insert(header::HOST, host);
     let response = connection.send(request).await.ok()?;
     let status = response.status();
     let body = response.into_body().collect().await.ok()?.to_bytes();
     shared.pool.put_back(connection);
-    if status != StatusCode::OK {
-        // It is there, whatever it says.
-        return Some(EndpointLoad::default());
-    }
-    Some(shared.dialect.read_load(&body).unwrap_or_default())
+    Some((status == StatusCode::OK).then_some(body))
 }
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -41,9 +41,9 @@
 async fn stop(shared: &GatewayShared) {
     let asked = Instant::now();
     shared.begin_stopping();
-    shared.tell(Input::Event(Event::Stop)).await;
-    record(shared, "stopping", String::new());
     let grace = shared.settings.stop_grace.saturating_sub(BEFORE_KILL);
+    shared.tell(Input::Event(Event::Stop { grace })).await;
+    record(shared, "stopping", String::new());
     tokio::time::sleep(NOTICED_AFTER.min(grace)).await;
     shared.close_resting();
     tokio::time::sleep(CLOSING).await;
--- a/src/http.rs
+++ b/src/http.rs
@@ -333,7 +333,20 @@
 }
 
 /// Serves HTTP like [`serve`], with options that are asked for at each new connection.
+///
+/// Ends, and so refuses new connections, once those at rest are to be closed.
 pub async fn serve_with<H>(listener: TcpListener, handler: H, options: impl Fn() -> ServeOptions)
+where
+    H: NewHandler + 'static,
+{
+    let mut closing = options().closing;
+    tokio::select! {
+        () = accept_all(listener, handler, options) => {}
+        () = becomes_true(&mut closing) => {}
+    }
+}
+
+async fn accept_all<H>(listener: TcpListener, handler: H, options: impl Fn() -> ServeOptions)
 where
     H: NewHandler + 'static,
 {
