--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -194,7 +194,7 @@
     }
 
     fn on_listed(&mut self, specs: Vec<event::EndpointSpec>) {
-        for id in self.fleet.replace(specs) {
+        for id in self.fleet.replace(specs, self.now) {
             self.record(Record::Endpoint {
                 endpoint: id.to_string(),
                 state: "absent",
@@ -212,7 +212,7 @@
                 event::EndpointChange::Present(spec) => (spec.id.to_string(), "present"),
             };
             self.record(Record::Endpoint { endpoint, state });
-            self.fleet.change(change);
+            self.fleet.change(change, self.now);
         }
     }
 
--- a/src/dispatch/arrivals.rs
+++ b/src/dispatch/arrivals.rs
@@ -88,6 +88,7 @@
             sendings: 0,
             runs: 0,
             tried: Vec::new(),
+            last_passed: self.now,
             has_begun: false,
             fault: None,
             next_look: None,
--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -18,6 +18,11 @@
 const DOMAIN_LOSSES: usize = 2;
 /// The time within which these losses must lie, and for which the domain is then avoided.
 const DOMAIN_WINDOW: Duration = Duration::from_millis(1_500);
+/// How long an endpoint that was there before its domain failed is doubted, unless it is heard: a
+/// restarted one is listed under another id by then.
+const DOUBTED_FOR: Duration = Duration::from_millis(4_500);
+/// How recently this box must have heard an endpoint to trust that more than a peer's word.
+const HEARD_LATELY: Duration = Duration::from_millis(200);
 /// How long a peer's account of its sendings counts.
 const PEER_ACCOUNT: Duration = Duration::from_millis(1_500);
 /// How much of the estimate of failures the last request makes.
@@ -51,12 +56,13 @@
     pub last_probe: Micros,
     /// Share of requests that failed lately, 0 to 1.
     pub failing: f64,
+    first_seen: Micros,
     avoided_until: Micros,
     failures: u32,
 }
 
 impl Endpoint {
-    fn new(spec: EndpointSpec) -> Self {
+    fn new(spec: EndpointSpec, now: Micros) -> Self {
         Self {
             spec,
             listed: true,
@@ -65,6 +71,7 @@
             probe_sent: None,
             last_probe: Micros::ZERO,
             failing: 0.0,
+            first_seen: now,
             avoided_until: Micros::ZERO,
             failures: 0,
         }
@@ -89,12 +96,23 @@
     usage: BTreeMap<EndpointId, Usage>,
 }
 
+/// An endpoint that was lost, by this box's own account or a peer's.
+#[derive(Clone, Debug)]
+struct Loss {
+    at: Micros,
+    endpoint: EndpointId,
+    domain: DomainId,
+    service: ServiceId,
+    is_own: bool,
+}
+
 /// All endpoints.
 #[derive(Debug, Default)]
 pub struct Fleet {
     endpoints: BTreeMap<EndpointId, Endpoint>,
     accounts: BTreeMap<String, PeerAccount>,
-    losses: Vec<(Micros, EndpointId, DomainId, ServiceId)>,
+    losses: Vec<Loss>,
+    failed_domains: BTreeMap<(ServiceId, DomainId), Micros>,
     is_known: bool,
 }
 
@@ -132,11 +150,11 @@
     }
 
     /// Takes in a whole list; returns the ids that are no longer listed.
-    pub fn replace(&mut self, specs: Vec<EndpointSpec>) -> Vec<EndpointId> {
+    pub fn replace(&mut self, specs: Vec<EndpointSpec>, now: Micros) -> Vec<EndpointId> {
         self.is_known = true;
         let listed: Vec<EndpointId> = specs.iter().map(|s| s.id.clone()).collect();
         for spec in specs {
-            self.present(spec);
+            self.present(spec, now);
         }
         let gone: Vec<EndpointId> = self
             .endpoints
@@ -151,23 +169,28 @@
     }
 
     /// Takes in one change of the list.
-    pub fn change(&mut self, change: EndpointChange) {
+    pub fn change(&mut self, change: EndpointChange, now: Micros) {
         match change {
-            EndpointChange::Present(spec) => self.present(spec),
+            EndpointChange::Present(spec) => self.present(spec, now),
             EndpointChange::Absent(id) => self.absent(&id),
         }
     }
 
-    fn present(&mut self, spec: EndpointSpec) {
-        match self.endpoints.get_mut(&spec.id) {
-            Some(known) => {
-                known.spec = spec;
-                known.listed = true;
-            }
-            None => {
-                self.endpoints.insert(spec.id.clone(), Endpoint::new(spec));
+    fn present(&mut self, spec: EndpointSpec, now: Micros) {
+        if let Some(known) = self.endpoints.get_mut(&spec.id) {
+            known.spec = spec;
+            known.listed = true;
+            return;
+        }
+        // Whoever had the address before is gone.
+        for other in self.endpoints.values_mut() {
+            if other.spec.address == spec.address {
+                other.listed = false;
             }
         }
+        self.endpoints
+            .insert(spec.id.clone(), Endpoint::new(spec, now));
+        self.forget_unused();
     }
 
     fn absent(&mut self, id: &EndpointId) {
@@ -219,36 +242,68 @@
         let doubled = FIRST_AVOIDANCE * 2_u32.pow(endpoint.failures.min(4));
         endpoint.failures += 1;
         endpoint.avoided_until = now.after(doubled.min(LONGEST_AVOIDANCE));
-        let loss = (
-            now,
-            id.clone(),
-            endpoint.spec.domain.clone(),
-            endpoint.spec.service.clone(),
-        );
+        self.note_loss(id, now, true);
+    }
+
+    /// Notes that an endpoint was lost; several at once tell of a loss of their domain.
+    fn note_loss(&mut self, id: &EndpointId, now: Micros, is_own: bool) {
+        let Some(endpoint) = self.endpoints.get(id) else {
+            return;
+        };
+        let domain = endpoint.spec.domain.clone();
+        let service = endpoint.spec.service.clone();
         self.losses
-            .retain(|(at, of, ..)| now.since(*at) < DOMAIN_WINDOW && of != id);
-        self.losses.push(loss);
+            .retain(|loss| now.since(loss.at) < DOMAIN_WINDOW && loss.endpoint != *id);
+        self.losses.push(Loss {
+            at: now,
+            endpoint: id.clone(),
+            domain: domain.clone(),
+            service: service.clone(),
+            is_own,
+        });
+        let of_domain = |loss: &&Loss| loss.domain == domain && loss.service == service;
+        if self.losses.iter().filter(of_domain).count() >= DOMAIN_LOSSES {
+            self.failed_domains.insert((service, domain), now);
+        }
     }
 
-    /// The endpoints that this box lost a short while ago.
+    /// The endpoints that this box itself lost a short while ago.
     pub fn lost(&self, now: Micros) -> impl Iterator<Item = &EndpointId> {
         self.losses
             .iter()
-            .filter(move |(at, ..)| now.since(*at) < DOMAIN_WINDOW)
-            .map(|(_, id, ..)| id)
+            .filter(move |loss| loss.is_own && now.since(loss.at) < DOMAIN_WINDOW)
+            .map(|loss| &loss.endpoint)
     }
 
-    /// Whether a failure domain lost several endpoints of a service at once.
+    /// Whether an endpoint may have been lost with others of its domain.
     #[must_use]
-    pub fn is_domain_failing(&self, service: &ServiceId, domain: &DomainId, now: Micros) -> bool {
-        let lost = self.losses.iter().filter(|(at, _, of_domain, of)| {
-            of == service && of_domain == domain && now.since(*at) < DOMAIN_WINDOW
-        });
-        lost.count() >= DOMAIN_LOSSES
+    pub fn is_doubted(&self, endpoint: &Endpoint, now: Micros) -> bool {
+        let key = (endpoint.spec.service.clone(), endpoint.spec.domain.clone());
+        let Some(failed) = self.failed_domains.get(&key) else {
+            return false;
+        };
+        let is_unheard = endpoint.heard < *failed && endpoint.first_seen < *failed;
+        is_unheard && now.since(*failed) < DOUBTED_FOR
+    }
+
+    /// Takes in which endpoints a peer lost.
+    fn on_peer_losses(&mut self, lost: &[EndpointId], now: Micros) {
+        for id in lost {
+            let is_known = self.losses.iter().any(|loss| loss.endpoint == *id);
+            let Some(endpoint) = self.endpoints.get_mut(id) else {
+                continue;
+            };
+            if is_known || now.since(endpoint.heard) < HEARD_LATELY {
+                continue;
+            }
+            endpoint.avoided_until = endpoint.avoided_until.max(now.after(FIRST_AVOIDANCE));
+            self.note_loss(id, now, false);
+        }
     }
 
     /// Takes in what a peer runs.
     pub fn on_peer(&mut self, state: &BoxState, now: Micros) {
+        self.on_peer_losses(&state.lost, now);
         let usage = state.usage.iter().map(|u| {
             let usage = Usage {
                 running: u.running,
--- a/src/dispatch/outcomes.rs
+++ b/src/dispatch/outcomes.rs
@@ -1,12 +1,17 @@
 //! What comes of sendings, and what follows from it.
 
+use std::time::Duration;
+
 use super::Dispatcher;
 use super::action::{Action, Command, RefusalReason};
 use super::event::{Fault, Outcome, RequestNumber, Try};
 use super::record::Record;
 use super::request::{Running, outcome_word};
 use super::sending::Copy;
+use crate::schema::EndpointId;
 
+/// How long losses gather before peers are told.
+const LOSS_GOSSIP_PAUSE: Duration = Duration::from_millis(10);
 /// The least status that tells of a fault of the endpoint.
 const SERVER_ERROR: u16 = 500;
 
@@ -43,19 +48,30 @@
         let Some(request) = self.running(number, attempt) else {
             return;
         };
+        let pause = now.since(request.last_passed);
+        let is_resumed = request.has_begun;
         request.last_event = Some(last_event);
+        request.last_passed = now;
         request.has_begun = true;
+        let id = request.arrival.id.clone();
         let Some(running) = request.running.as_mut() else {
             return;
         };
         running.heard = now;
-        running.has_events = true;
+        let is_first = !std::mem::replace(&mut running.has_events, true);
         let read = std::mem::take(&mut running.reading);
         let endpoint = running.endpoint.clone();
         if let Some(endpoint) = self.fleet.get_mut(&endpoint) {
             endpoint.heard = now;
             endpoint.own.reading = endpoint.own.reading.saturating_sub(read);
         }
+        if is_first && is_resumed {
+            self.record(Record::Resumed {
+                request: id,
+                endpoint: endpoint.to_string(),
+                pause_ms: u64::try_from(pause.as_millis()).unwrap_or(u64::MAX),
+            });
+        }
     }
 
     pub(super) fn on_ended(&mut self, number: RequestNumber, attempt: Try, outcome: Outcome) {
@@ -80,7 +96,7 @@
         let endpoint = &running.endpoint;
         match outcome {
             Outcome::NotSent => {
-                self.fleet.on_failure(endpoint, self.now);
+                self.on_loss(endpoint);
                 self.send_somewhere(number);
             }
             Outcome::NotRun { misdirected: true } => {
@@ -97,13 +113,19 @@
                 self.finish(number, Command::Finish);
             }
             Outcome::Broken(fault) => {
-                self.fleet.on_failure(endpoint, self.now);
+                self.on_loss(endpoint);
                 self.go_on(number, running, *fault);
             }
             Outcome::Stopped => self.go_on(number, running, Fault::Silent),
         }
     }
 
+    /// Notes that an endpoint was lost, and tells peers at once.
+    pub(super) fn on_loss(&mut self, endpoint: &EndpointId) {
+        self.fleet.on_failure(endpoint, self.now);
+        self.next_gossip = self.next_gossip.min(self.now.after(LOSS_GOSSIP_PAUSE));
+    }
+
     /// Sends a request elsewhere that an endpoint had no room for.
     fn retry_not_run(&mut self, number: RequestNumber) {
         if self.take_retry(number) {
--- a/src/dispatch/placement.rs
+++ b/src/dispatch/placement.rs
@@ -24,8 +24,10 @@
 const FULL_COST: f64 = 2_000.0;
 /// What an endpoint costs that fails all its requests, in milliseconds.
 const FAILING_COST: f64 = 1_500.0;
-/// What an endpoint of a failing domain costs, in milliseconds.
-const FAILING_DOMAIN_COST: f64 = 3_000.0;
+/// What an endpoint costs that may have been lost with others of its domain, in milliseconds.
+const DOUBTED_COST: f64 = 3_000.0;
+/// What a copy in the same failure domain as the run costs, in milliseconds.
+const SAME_DOMAIN_COST: f64 = 3_000.0;
 /// What an endpoint costs that failed a short while ago, in milliseconds.
 const AVOIDED_COST: f64 = 20_000.0;
 /// What an engine without free memory costs, in milliseconds.
@@ -86,7 +88,12 @@
     ) -> Option<&'a Endpoint> {
         let costs = fleet
             .of_service(demand.service)
-            .filter(|e| e.takes_work() && !e.is_avoided(now) && e.spec.id != first.spec.id)
+            .filter(|e| {
+                e.takes_work()
+                    && !e.is_avoided(now)
+                    && !fleet.is_doubted(e, now)
+                    && e.spec.id != first.spec.id
+            })
             .map(|e| (self.backup_cost(fleet, e, demand, first, now), e));
         costs
             .min_by(|(a, _), (b, _)| a.total_cmp(b))
@@ -103,7 +110,7 @@
         now: Micros,
     ) -> f64 {
         let same = endpoint.spec.domain == first.spec.domain;
-        let with_first = if same { FAILING_DOMAIN_COST } else { 0.0 };
+        let with_first = if same { SAME_DOMAIN_COST } else { 0.0 };
         let tried = demand.tried.contains(&endpoint.spec.id);
         let again = if tried { AVOIDED_COST } else { 0.0 };
         self.cost(fleet, endpoint, demand, now) + with_first + again
@@ -155,8 +162,8 @@
     }
     if endpoint.is_avoided(now) {
         cost += AVOIDED_COST;
-    } else if fleet.is_domain_failing(&spec.service, &spec.domain, now) {
-        cost += FAILING_DOMAIN_COST;
+    } else if fleet.is_doubted(endpoint, now) {
+        cost += DOUBTED_COST;
     }
     cost
 }
--- a/src/dispatch/record.rs
+++ b/src/dispatch/record.rs
@@ -62,6 +62,15 @@
         /// The last event that was passed on.
         last_event: Option<u64>,
     },
+    /// A stream goes on at another endpoint: its first event there was passed on.
+    Resumed {
+        /// The caller's id.
+        request: String,
+        /// The endpoint.
+        endpoint: String,
+        /// Milliseconds since the event before.
+        pause_ms: u64,
+    },
     /// An endpoint has been silent for too long.
     Suspected {
         /// The caller's id.
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -57,6 +57,8 @@
     pub tried: Vec<EndpointId>,
     /// The last event that the caller got.
     pub last_event: Option<u64>,
+    /// When the caller got an event last.
+    pub last_passed: Micros,
     /// Whether the caller got an event of this answer.
     pub has_begun: bool,
     /// The last fault that was met.
--- a/src/dispatch/silence.rs
+++ b/src/dispatch/silence.rs
@@ -91,7 +91,7 @@
         if endpoint.heard > asked {
             return;
         }
-        self.fleet.on_failure(id, now);
+        self.on_loss(id);
         self.move_all_from(id, asked);
     }
 
