--- /dev/null
+++ b/lab/src/outside.rs
@@ -0,0 +1,8 @@
+//! Stand-ins that speak the users' platform's protocol, written from its pages: the store, model
+//! servers, plain services, and callers. They have faults on command, down to single bytes.
+
+pub mod caller;
+pub mod fleet;
+pub mod server;
+pub mod store;
+pub mod wire;
--- /dev/null
+++ b/lab/src/outside/server.rs
@@ -0,0 +1,373 @@
+//! A stand-in for a server of the platform: a model server with copies of its runs at others, or a
+//! plain service, with faults on command.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+use super::wire::{Message, Wire};
+
+/// What a server does with a request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Act {
+    /// It answers as it should.
+    #[default]
+    Well,
+    /// It has no room and says so.
+    NoRoom,
+    /// Another instance has its address.
+    Misdirected,
+    /// It fails with an error of its own.
+    Error,
+    /// It runs the request and resets the connection.
+    LostAnswer,
+    /// It sends half of the answer and closes.
+    CutOff,
+    /// Its stream stops in the middle of its second event.
+    TornEvent,
+    /// It answers with the id of another request.
+    Foreign,
+    /// It sends a second answer after the whole one.
+    Surplus,
+    /// It names no length and closes after the whole answer.
+    Unframed,
+    /// It sends bytes that are no answer.
+    Garbage,
+    /// It leaves its signature out.
+    Unsigned,
+    /// It answers before it has read the body.
+    Early,
+    /// It takes the request and says nothing any more.
+    Silent,
+}
+
+/// A run, as the server saw it begin.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The request.
+    pub ask: Message,
+    /// Whether it read the prompt, or went on from a copy.
+    pub has_read_prompt: bool,
+}
+
+impl Run {
+    /// The id of the sending.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        self.ask.header("magpiemoor-attempt-id").unwrap_or_default()
+    }
+}
+
+/// Copies of runs: by the address of the holder and the id of the run, the events made.
+pub type Copies = Arc<Mutex<BTreeMap<(String, String), u64>>>;
+
+#[derive(Debug, Default)]
+struct State {
+    acts: VecDeque<Act>,
+    runs: Vec<Run>,
+    is_silent: bool,
+    kept: Vec<String>,
+}
+
+/// A server.
+#[derive(Debug)]
+pub struct Server {
+    /// Its id.
+    pub id: String,
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// How a server streams.
+#[derive(Clone, Debug)]
+pub struct Pace {
+    /// Events of a whole stream.
+    pub events: u64,
+    /// Time between them.
+    pub gap: Duration,
+}
+
+#[derive(Clone)]
+struct Serving {
+    id: String,
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    copies: Copies,
+    pace: Pace,
+}
+
+impl Server {
+    /// Starts a server on a free port.
+    ///
+    /// # Errors
+    ///
+    /// What the system says.
+    pub async fn start(id: &str, copies: Copies, pace: Pace) -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(Mutex::new(State::default()));
+        let serving = Serving {
+            id: id.to_owned(),
+            address,
+            state: Arc::clone(&state),
+            copies,
+            pace,
+        };
+        let task = tokio::spawn(serving.accept(listener));
+        Ok(Self {
+            id: id.to_owned(),
+            address,
+            state,
+            task,
+        })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Has the next requests met with these acts.
+    pub fn act(&self, acts: &[Act]) {
+        lock(&self.state).acts.extend(acts);
+    }
+
+    /// Falls silent: connections stay, nothing is said any more.
+    pub fn fall_silent(&self) {
+        lock(&self.state).is_silent = true;
+    }
+
+    /// The runs that began here.
+    #[must_use]
+    pub fn runs(&self) -> Vec<Run> {
+        lock(&self.state).runs.clone()
+    }
+
+    /// Ends at once, with all connections.
+    pub fn crash(&self) {
+        self.task.abort();
+    }
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Serving {
+    async fn accept(self, listener: TcpListener) {
+        let mut connections = tokio::task::JoinSet::new();
+        while let Ok((socket, _)) = listener.accept().await {
+            let serving = self.clone();
+            connections.spawn(async move {
+                let mut wire = Wire::new(socket);
+                // A caller that breaks off is no fault of the server.
+                let _ = serving.talk(&mut wire).await;
+            });
+        }
+    }
+
+    fn is_silent(&self) -> bool {
+        lock(&self.state).is_silent
+    }
+
+    async fn talk(&self, wire: &mut Wire) -> std::io::Result<()> {
+        while let Some(head) = wire.read_request_head().await? {
+            if self.is_silent() {
+                std::future::pending::<()>().await;
+            }
+            let is_end = match head.path() {
+                "/v1/report" => self.report(wire).await?,
+                path if path.starts_with("/v1/kv-events") => self.kept(wire).await?,
+                _ => self.run(wire, head).await?,
+            };
+            if is_end {
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+
+    async fn report(&self, wire: &mut Wire) -> std::io::Result<bool> {
+        let body = json!({"phase": "combined", "queued": 0, "active": 0, "kvUsed": 0}).to_string();
+        wire.send(whole(200, "", &body)).await?;
+        Ok(false)
+    }
+
+    async fn kept(&self, wire: &mut Wire) -> std::io::Result<bool> {
+        let kept = lock(&self.state).kept.clone();
+        let events = kept.iter().enumerate();
+        let events: Vec<_> = events
+            .map(|(number, part)| json!([number, "+", "", part, 5000, "m"]))
+            .collect();
+        let body = json!({"epoch": 1, "nextToken": events.len(), "lost": false, "events": events});
+        wire.send(whole(200, "", &body.to_string())).await?;
+        Ok(false)
+    }
+
+    /// Serves a request; returns whether the connection ends.
+    async fn run(&self, wire: &mut Wire, head: Message) -> std::io::Result<bool> {
+        let act = lock(&self.state).acts.pop_front().unwrap_or_default();
+        let id = head
+            .header("magpiemoor-attempt-id")
+            .unwrap_or_default()
+            .to_owned();
+        if act == Act::Early {
+            let answer = whole(400, &self.signed(&id), "too early");
+            wire.send(answer).await?;
+            return Ok(true);
+        }
+        let mut ask = head;
+        wire.finish_request(&mut ask).await?;
+        let expected = ask.header("magpiemoor-expect-instance");
+        if act == Act::Misdirected || expected.is_some_and(|e| e != self.id) {
+            wire.send(whole(421, "Magpiemoor-Instance-Id: other\r\n", ""))
+                .await?;
+            return Ok(false);
+        }
+        if act == Act::NoRoom || !self.has_copy(&ask) {
+            let headers = format!("Magpiemoor-Attempt-Id: {id}\r\nMagpiemoor-Not-Executed: 1\r\n");
+            wire.send(whole(503, &headers, "")).await?;
+            return Ok(false);
+        }
+        lock(&self.state).runs.push(Run {
+            has_read_prompt: ask.header("kv-from").is_none(),
+            ask: ask.clone(),
+        });
+        if let Some(part) = last_part(&ask) {
+            lock(&self.state).kept.push(part);
+        }
+        if ask.header("magpiemoor-prefix-hash").is_some() {
+            self.stream(wire, &ask, act).await
+        } else {
+            self.answer(wire, &id, act).await
+        }
+    }
+
+    fn has_copy(&self, ask: &Message) -> bool {
+        let Some(from) = ask.header("kv-from") else {
+            return true;
+        };
+        let Some((address, id)) = from.split_once('/') else {
+            return false;
+        };
+        let copies = self.copies.lock().unwrap_or_else(PoisonError::into_inner);
+        address == self.address.to_string()
+            && copies.contains_key(&(address.to_owned(), id.to_owned()))
+    }
+
+    fn signed(&self, id: &str) -> String {
+        format!(
+            "Magpiemoor-Attempt-Id: {id}\r\nMagpiemoor-Server-Stamp: {}\r\n",
+            self.id
+        )
+    }
+
+    /// Answers a plain call.
+    async fn answer(&self, wire: &mut Wire, id: &str, act: Act) -> std::io::Result<bool> {
+        let body = format!("answer to {id}");
+        let signed = self.signed(id);
+        match act {
+            Act::Error => wire.send(whole(500, &signed, "error")).await?,
+            Act::LostAnswer => return Ok(true),
+            Act::Garbage => {
+                wire.send("\x01\x02 no answer\r\n\r\n").await?;
+                return Ok(true);
+            }
+            Act::CutOff => {
+                let answer = whole(200, &signed, &body);
+                wire.send(&answer[..answer.len() - 4]).await?;
+                return Ok(true);
+            }
+            Act::Foreign => {
+                wire.send(whole(200, &self.signed("someone-else"), &body))
+                    .await?
+            }
+            Act::Unsigned => {
+                let headers = format!("Magpiemoor-Attempt-Id: {id}\r\n");
+                wire.send(whole(200, &headers, &body)).await?;
+            }
+            Act::Surplus => {
+                let answer = whole(200, &signed, &body);
+                wire.send(answer.repeat(2)).await?;
+            }
+            Act::Unframed => {
+                wire.send(format!("HTTP/1.1 200 OK\r\n{signed}\r\n{body}"))
+                    .await?;
+                return Ok(true);
+            }
+            Act::Silent => std::future::pending().await,
+            _ => wire.send(whole(200, &signed, &body)).await?,
+        }
+        Ok(false)
+    }
+
+    /// Streams events; each run's memory is copied where the request says.
+    async fn stream(&self, wire: &mut Wire, ask: &Message, act: Act) -> std::io::Result<bool> {
+        let id = ask.header("magpiemoor-attempt-id").unwrap_or_default();
+        let part = last_part(ask).unwrap_or_default();
+        let first = ask.number("last-event-id").unwrap_or(0) + 1;
+        let backup = ask.header("magpiemoor-kv-backup").map(str::to_owned);
+        let signed = self.signed(id);
+        wire.send(format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n{signed}\r\n"
+        ))
+        .await?;
+        for event in first..=self.pace.events {
+            if self.is_silent() {
+                std::future::pending::<()>().await;
+            }
+            let text = event_text(&part, event);
+            let is_second = event == first + 1;
+            match act {
+                Act::TornEvent if is_second => {
+                    wire.send(chunk(&text[..text.len() / 2])).await?;
+                    return Ok(true);
+                }
+                Act::CutOff if is_second => return Ok(true),
+                Act::Silent if is_second => std::future::pending().await,
+                _ => wire.send(chunk(&text)).await?,
+            }
+            if let Some(address) = &backup {
+                let mut copies = self.copies.lock().unwrap_or_else(PoisonError::into_inner);
+                copies.insert((address.clone(), id.to_owned()), event);
+            }
+            tokio::time::sleep(self.pace.gap).await;
+        }
+        wire.send("0\r\n\r\n").await?;
+        Ok(false)
+    }
+}
+
+/// The text of an event: it follows from the prompt, so that a mixed stream is seen.
+#[must_use]
+pub fn event_text(part: &str, event: u64) -> String {
+    format!("id: {event}\ndata: {part}-{event}\n\n")
+}
+
+fn last_part(ask: &Message) -> Option<String> {
+    let parts = ask.header("magpiemoor-prefix-hash")?;
+    let last = parts.rsplit(',').next()?;
+    Some(last.split(':').next()?.to_owned())
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+fn whole(status: u16, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n{headers}\r\n{body}")
+}
--- /dev/null
+++ b/lab/src/outside/store.rs
@@ -0,0 +1,222 @@
+//! A stand-in for the platform's store: objects with revisions, lists, watches, history that is
+//! forgotten, and outages.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use super::wire::{Message, Start, Wire};
+
+/// How the store answers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Mood {
+    /// As it should.
+    #[default]
+    Well,
+    /// With 503.
+    Down,
+    /// Not at all, though connections are taken.
+    Silent,
+    /// With 404, whatever is asked.
+    Lost,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    forgotten: u64,
+    objects: BTreeMap<(String, String), Value>,
+    changes: Vec<(u64, String, Value, bool)>,
+    mood: Mood,
+    calls: u64,
+}
+
+/// The store.
+#[derive(Clone, Debug)]
+pub struct Store {
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    changed: watch::Sender<u64>,
+}
+
+impl Store {
+    /// Starts a store on a free port.
+    ///
+    /// # Errors
+    ///
+    /// What the system says.
+    pub async fn start() -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let store = Self {
+            address: listener.local_addr()?,
+            state: Arc::default(),
+            changed: watch::channel(0).0,
+        };
+        tokio::spawn(store.clone().serve(listener));
+        Ok(store)
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Calls so far, watches with them.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    /// Changes how it answers.
+    pub fn set_mood(&self, mood: Mood) {
+        self.lock().mood = mood;
+    }
+
+    /// Writes an object.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        let mut state = self.lock();
+        state.revision += 1;
+        let revision = state.revision;
+        let object = json!({
+            "metadata": {"name": name, "revision": revision, "made": revision, "finalizers": [], "deleting": false},
+            "spec": spec,
+            "status": null,
+        });
+        state
+            .objects
+            .insert((kind.to_owned(), name.to_owned()), object.clone());
+        state
+            .changes
+            .push((revision, kind.to_owned(), object, false));
+        drop(state);
+        self.changed.send_replace(revision);
+    }
+
+    /// Takes an object away.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut state = self.lock();
+        let Some(object) = state.objects.remove(&(kind.to_owned(), name.to_owned())) else {
+            return;
+        };
+        state.revision += 1;
+        let revision = state.revision;
+        state
+            .changes
+            .push((revision, kind.to_owned(), object, true));
+        drop(state);
+        self.changed.send_replace(revision);
+    }
+
+    /// Forgets all changes so far, and cuts the watches that wait.
+    pub fn forget_history(&self) {
+        let mut state = self.lock();
+        state.forgotten = state.revision;
+        state.changes.clear();
+        let revision = state.revision;
+        drop(state);
+        self.changed.send_replace(revision);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn serve(self, listener: TcpListener) {
+        while let Ok((socket, _)) = listener.accept().await {
+            let store = self.clone();
+            tokio::spawn(async move {
+                let mut wire = Wire::new(socket);
+                while let Ok(Some(ask)) = wire.read_request().await {
+                    let Some((status, body)) = store.answer(&ask).await else {
+                        std::future::pending::<()>().await;
+                        return;
+                    };
+                    let text = body.to_string();
+                    let length = text.len();
+                    let answer = format!(
+                        "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n{text}"
+                    );
+                    if wire.send(answer).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    }
+
+    async fn answer(&self, ask: &Message) -> Option<(u16, Value)> {
+        let mood = {
+            let mut state = self.lock();
+            state.calls += 1;
+            state.mood
+        };
+        match mood {
+            Mood::Down => return Some((503, json!({}))),
+            Mood::Lost => return Some((404, json!({}))),
+            Mood::Silent => return None,
+            Mood::Well => {}
+        }
+        let Start::Request(_, path) = &ask.start else {
+            return Some((400, json!({})));
+        };
+        let (path, query) = path.split_once('?').unwrap_or((path, ""));
+        let Some(kind) = path.strip_prefix("/v1/objects/") else {
+            return Some((404, json!({})));
+        };
+        let field = |name: &str| {
+            let mut fields = query.split('&').filter_map(|f| f.split_once('='));
+            fields.find(|(n, _)| *n == name).map(|(_, v)| v.to_owned())
+        };
+        match field("watch").and_then(|at| at.parse().ok()) {
+            Some(at) => {
+                let wait = field("waitMs").and_then(|w| w.parse().ok()).unwrap_or(0);
+                Some(self.watch(kind, at, Duration::from_millis(wait)).await)
+            }
+            None => Some(self.list(kind)),
+        }
+    }
+
+    fn list(&self, kind: &str) -> (u16, Value) {
+        let state = self.lock();
+        let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind);
+        let entries: Vec<&Value> = of_kind.map(|(_, object)| object).collect();
+        let body = json!({"entries": entries, "more": false, "at": state.revision});
+        (200, body)
+    }
+
+    async fn watch(&self, kind: &str, at: u64, wait: Duration) -> (u16, Value) {
+        let mut changed = self.changed.subscribe();
+        let end = tokio::time::Instant::now() + wait;
+        loop {
+            changed.borrow_and_update();
+            {
+                let state = self.lock();
+                if at < state.forgotten {
+                    return (410, json!({}));
+                }
+                let new = state
+                    .changes
+                    .iter()
+                    .filter(|(r, k, ..)| *r > at && k == kind);
+                let events: Vec<Value> = new
+                    .map(|(_, _, object, gone)| json!({"gone": gone, "object": object}))
+                    .collect();
+                if !events.is_empty() {
+                    return (200, json!({"events": events, "at": state.revision}));
+                }
+            }
+            if tokio::time::timeout_at(end, changed.changed())
+                .await
+                .is_err()
+            {
+                return (200, json!({"events": [], "at": at}));
+            }
+        }
+    }
+}
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -17,7 +17,7 @@
 }
 
 impl Process {
-    /// Starts this program again with other arguments; its errors go to `log`.
+    /// Starts this program again with other arguments; its output goes to `log`.
     ///
     /// # Errors
     ///
@@ -26,7 +26,7 @@
         Self::start_program(&std::env::current_exe()?, name, args, log)
     }
 
-    /// Starts a program; its errors go to `log`.
+    /// Starts a program; its output goes to `log`.
     ///
     /// # Errors
     ///
@@ -38,10 +38,11 @@
         log: &Path,
     ) -> std::io::Result<Self> {
         let log = std::fs::File::create(log)?;
+        let decisions = log.try_clone()?;
         let child = Command::new(program)
             .args(args)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(decisions)
             .stderr(log)
             .spawn()?;
         Ok(Self {
