--- a/lab/src/outside/fleet.rs
+++ b/lab/src/outside/fleet.rs
@@ -139,7 +139,7 @@
             outside.list(&server, "tills", zone(number), "ready");
             outside.tills.push(server);
         }
-        outside.store.put("config", "main", config(1));
+        outside.store.put("config", "main", &config(1));
         Ok(outside)
     }
 
@@ -149,7 +149,7 @@
             "service": service, "address": server.address().to_string(), "zone": zone,
             "version": "v1", "slots": 8, "state": state, "coldRemainingMs": 0, "sequence": 1,
         });
-        self.store.put("servers", &server.id, spec);
+        self.store.put("servers", &server.id, &spec);
     }
 
     /// Plans boxes and writes their settings: each has an address of its own, all the same ports.
--- a/lab/src/outside/server.rs
+++ b/lab/src/outside/server.rs
@@ -71,6 +71,7 @@
     acts: VecDeque<Act>,
     runs: Vec<Run>,
     is_silent: bool,
+    silent_after: Option<u64>,
     kept: Vec<String>,
 }
 
@@ -150,6 +151,16 @@
         lock(&self.state).is_silent = true;
     }
 
+    /// Falls silent once it has sent an event of a stream.
+    pub fn fall_silent_after(&self, event: u64) {
+        lock(&self.state).silent_after = Some(event);
+    }
+
+    /// Takes back what was said of falling silent.
+    pub fn stay_awake(&self) {
+        lock(&self.state).silent_after = None;
+    }
+
     /// The runs that began here.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -293,7 +304,7 @@
             }
             Act::Foreign => {
                 wire.send(whole(200, &self.signed("someone-else"), &body))
-                    .await?
+                    .await?;
             }
             Act::Unsigned => {
                 let headers = format!("Magpiemoor-Attempt-Id: {id}\r\n");
@@ -345,6 +356,8 @@
                 copies.insert((address.clone(), id.to_owned()), event);
             }
             tokio::time::sleep(self.pace.gap).await;
+            let mut state = lock(&self.state);
+            state.is_silent |= state.silent_after == Some(event);
         }
         wire.send("0\r\n\r\n").await?;
         Ok(false)
--- a/lab/src/outside/store.rs
+++ b/lab/src/outside/store.rs
@@ -79,7 +79,7 @@
     }
 
     /// Writes an object.
-    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+    pub fn put(&self, kind: &str, name: &str, spec: &Value) {
         let mut state = self.lock();
         state.revision += 1;
         let revision = state.revision;
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -122,7 +122,7 @@
                 request,
                 attempt,
                 outcome,
-            } => self.on_ended(request, attempt, outcome),
+            } => self.on_ended(request, attempt, &outcome),
             Event::Probed { endpoint, load } => self.on_probed(&endpoint, load),
             Event::Table(table) => self.on_table(table),
             Event::EndpointsListed(specs) => self.on_listed(specs),
--- a/src/dispatch/gossip.rs
+++ b/src/dispatch/gossip.rs
@@ -2,6 +2,7 @@
 
 use super::Dispatcher;
 use super::action::Action;
+use super::fleet::Usage;
 use super::table::TableVersion;
 use crate::schema::{BoxState, EndpointUsage, StateRequest};
 
@@ -22,7 +23,7 @@
     /// How this box stands.
     #[must_use]
     pub fn state(&self) -> BoxState {
-        let used = self.fleet.iter().filter(|e| e.own != Default::default());
+        let used = self.fleet.iter().filter(|e| e.own != Usage::default());
         let usage = used.map(|e| EndpointUsage {
             endpoint: e.spec.id.clone(),
             running: e.own.running,
--- a/src/dispatch/outcomes.rs
+++ b/src/dispatch/outcomes.rs
@@ -6,7 +6,7 @@
 use super::action::{Action, Command, RefusalReason};
 use super::event::{Fault, Outcome, RequestNumber, Try};
 use super::record::Record;
-use super::request::{Running, outcome_word};
+use super::request::{Request, Running, outcome_word};
 use super::sending::Copy;
 use crate::schema::EndpointId;
 
@@ -74,7 +74,7 @@
         }
     }
 
-    pub(super) fn on_ended(&mut self, number: RequestNumber, attempt: Try, outcome: Outcome) {
+    pub(super) fn on_ended(&mut self, number: RequestNumber, attempt: Try, outcome: &Outcome) {
         let Some(request) = self.running(number, attempt) else {
             return;
         };
@@ -85,11 +85,11 @@
             request.runs += 1;
         }
         if let Outcome::Broken(fault) = outcome {
-            request.fault = Some(fault);
+            request.fault = Some(*fault);
         }
-        self.record_end(number, &running, &outcome);
+        self.record_end(number, &running, outcome);
         self.note_ended(&running);
-        self.follow(number, &running, &outcome);
+        self.follow(number, &running, outcome);
     }
 
     fn follow(&mut self, number: RequestNumber, running: &Running, outcome: &Outcome) {
@@ -145,7 +145,7 @@
         let may_run_again = self
             .requests
             .get(&number)
-            .is_some_and(|r| r.may_run_again());
+            .is_some_and(Request::may_run_again);
         if may_run_again && self.take_retry(number) {
             self.send_somewhere(number);
         } else {
@@ -174,7 +174,7 @@
     }
 
     fn give_up_without_retry(&mut self, number: RequestNumber) {
-        let not_run = self.requests.get(&number).is_some_and(|r| r.has_not_run());
+        let not_run = self.requests.get(&number).is_some_and(Request::has_not_run);
         let reason = if not_run {
             RefusalReason::NoEndpoint
         } else {
--- a/src/dispatch/peers.rs
+++ b/src/dispatch/peers.rs
@@ -37,7 +37,7 @@
     me: BoxId,
     address: SocketAddr,
     seeds: BTreeSet<SocketAddr>,
-    peers: BTreeMap<BoxId, Peer>,
+    boxes: BTreeMap<BoxId, Peer>,
     hearsay: BTreeMap<SocketAddr, Micros>,
     fetched: Option<Micros>,
 }
@@ -50,7 +50,7 @@
             me,
             address,
             seeds: seeds.iter().copied().filter(|s| *s != address).collect(),
-            peers: BTreeMap::new(),
+            boxes: BTreeMap::new(),
             hearsay: BTreeMap::new(),
             fetched: None,
         }
@@ -65,7 +65,7 @@
     /// How many boxes run, this one with them.
     #[must_use]
     pub fn running(&self, now: Micros) -> usize {
-        let heard = self.peers.values();
+        let heard = self.boxes.values();
         1 + heard.filter(|p| now.since(p.heard) < HEARD_FOR).count()
     }
 
@@ -77,7 +77,7 @@
         if state.from == self.me {
             return false;
         }
-        let known = self.peers.get(&state.from);
+        let known = self.boxes.get(&state.from);
         if known.is_some_and(|p| p.incarnation > state.incarnation.0) {
             return false;
         }
@@ -86,7 +86,7 @@
             address,
             incarnation: state.incarnation.0,
         };
-        self.peers.insert(state.from.clone(), peer);
+        self.boxes.insert(state.from.clone(), peer);
         for address in state.peers.iter().filter_map(|a| a.parse().ok()) {
             if address != self.address {
                 self.hearsay.insert(address, now);
@@ -108,7 +108,7 @@
     /// The addresses to pass on.
     #[must_use]
     pub fn heard_addresses(&self, now: Micros) -> Vec<String> {
-        let heard = self.peers.values();
+        let heard = self.boxes.values();
         heard
             .filter(|p| now.since(p.heard) < HEARD_FOR)
             .take(ADDRESSES_PASSED)
@@ -118,9 +118,9 @@
 
     /// Chooses the boxes that are told this time.
     pub fn choose(&mut self, rng: &mut ChaCha8Rng, now: Micros) -> Vec<SocketAddr> {
-        self.peers.retain(|_, p| now.since(p.heard) < KEPT_FOR);
+        self.boxes.retain(|_, p| now.since(p.heard) < KEPT_FOR);
         self.hearsay.retain(|_, at| now.since(*at) < KEPT_FOR);
-        let peers = self.peers.values().map(|p| p.address);
+        let peers = self.boxes.values().map(|p| p.address);
         let known: BTreeSet<SocketAddr> = peers
             .chain(self.hearsay.keys().copied())
             .chain(self.seeds.iter().copied())
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -210,17 +210,17 @@
             .await;
             self.pump(sending, &head.headers, body, connection).await
         } else {
-            let whole = hold(head.status, &head.headers, body);
-            match self.unless_left(sending.attempt, whole).await {
+            let reading = hold(head.status, &head.headers, body);
+            match self.unless_left(sending.attempt, reading).await {
                 Err(left) => left,
                 Ok(Err(fault)) => Left::Ended(Outcome::Broken(fault)),
-                Ok(Ok(held)) => {
+                Ok(Ok(answer)) => {
                     self.shared.pool.put_back(connection);
                     let outcome = Outcome::Answered {
-                        status: held.status.as_u16(),
-                        closing: headers::closes(&held.headers),
+                        status: answer.status.as_u16(),
+                        closing: headers::closes(&answer.headers),
                     };
-                    self.held = Some(held);
+                    self.held = Some(answer);
                     Left::Ended(outcome)
                 }
             }
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -11,7 +11,7 @@
 use crate::gateway::{GatewayShared, settings};
 
 /// How long a box that is stopping still takes new connections: until the balancer has noticed.
-const NOTICED_AFTER: Duration = Duration::from_millis(3_000);
+const NOTICED_AFTER: Duration = Duration::from_secs(3);
 /// How long before the end of the grace a box closes what is left.
 const BEFORE_KILL: Duration = Duration::from_millis(250);
 /// How often a box that is stopping looks whether it is done.
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -81,7 +81,6 @@
         shared.metrics.store_calls.inc();
         let got = tokio::time::timeout(limit, self.get(&path, shared)).await;
         let answer = match got.ok().flatten() {
-            None => StepAnswer::Failed,
             Some((StatusCode::GONE, _)) => StepAnswer::HistoryLost,
             Some((StatusCode::OK, body)) => {
                 let page = if is_watch {
@@ -91,7 +90,7 @@
                 };
                 page.map_or(StepAnswer::Failed, StepAnswer::Page)
             }
-            Some(_) => StepAnswer::Failed,
+            None | Some(_) => StepAnswer::Failed,
         };
         if answer == StepAnswer::Failed {
             self.connection = None;
--- a/tests/gateway_parts.rs
+++ b/tests/gateway_parts.rs
@@ -264,10 +264,12 @@
         log.write(&record);
     }
     open.send(()).unwrap();
-    let mut text = String::new();
-    while !text.contains("log_lines_left_out") {
+    let mut has_said_so = false;
+    while !has_said_so {
         log.write(&record);
         let bytes = lines.recv().unwrap();
-        text.push_str(&String::from_utf8(bytes).unwrap());
+        has_said_so = String::from_utf8(bytes)
+            .unwrap()
+            .contains("log_lines_left_out");
     }
 }
