--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -8,7 +8,7 @@
 use magpiemoor_lab::engine::{self, Engine};
 use magpiemoor_lab::platform::Platform;
 use magpiemoor_lab::service::{self, Service};
-use magpiemoor_lab::{bench, demo, r#gen};
+use magpiemoor_lab::{bench, demo, r#gen, outside};
 use serde_json::json;
 use tokio::net::TcpListener;
 
@@ -35,7 +35,13 @@
         .subcommand(
             Command::new("demo")
                 .about("Kill an engine and an entry box in the middle of an answer, and check what comes of it")
-                .arg(Arg::new("json").long("json").action(ArgAction::SetTrue).help("Print the findings as JSON")),
+                .arg(Arg::new("json").long("json").action(ArgAction::SetTrue).help("Print the findings as JSON"))
+                .arg(Arg::new("platform").long("platform").action(ArgAction::SetTrue).help("Show the whole path in the users' platform's protocol instead")),
+        )
+        .subcommand(
+            Command::new("gateway")
+                .about("A gateway box, as magpiemoor-platform runs it")
+                .arg(Arg::new("settings").long("settings").required(true).value_parser(value_parser!(PathBuf)).help("Settings file")),
         )
         .subcommand(Command::new("platform").about("Stand-in for the platform").arg(listen()))
         .subcommand(Command::new("engine").about("Stand-in for a model engine").arg(listen()).arg(behaviour()))
@@ -180,6 +186,7 @@
         Some(("load", sub)) => run_load(sub),
         Some(("gen", _)) => write_generated(),
         Some(("box", sub)) => run_box(sub),
+        Some(("gateway", sub)) => run_gateway(sub),
         Some((stand_in, sub)) => run_stand_in(stand_in, sub),
         None => Err("no command; see --help".to_owned()),
     };
@@ -202,7 +209,19 @@
         .block_on(future)
 }
 
+fn run_gateway(matches: &ArgMatches) -> Result<bool, String> {
+    let path = matches
+        .get_one::<PathBuf>("settings")
+        .ok_or("no settings file")?;
+    let program = "magpiemoor-platform".into();
+    let code = magpiemoor_platform::command::run([program, "--settings".into(), path.into()]);
+    Ok(code == ExitCode::SUCCESS)
+}
+
 fn run_demo(matches: &ArgMatches) -> Result<bool, String> {
+    if matches.get_flag("platform") {
+        return block_on(outside::demo::run());
+    }
     let as_json = matches.get_flag("json");
     let outcome = block_on(demo::run(as_json))?;
     if as_json {
