--- a/lab/src/outside/server.rs
+++ b/lab/src/outside/server.rs
@@ -212,7 +212,7 @@
     }
 
     async fn report(&self, wire: &mut Wire) -> std::io::Result<bool> {
-        let body = json!({"phase": "combined", "queued": 0, "active": 0, "kvUsed": 0}).to_string();
+        let body = json!({"phase": "combined", "models": [{"name": "m"}], "queued": 0, "active": 0, "kvUsed": 0}).to_string();
         wire.send(whole(200, "", &body)).await?;
         Ok(false)
     }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -131,6 +131,7 @@
             Event::Seeds(seeds) => self.peers.set_seeds(&seeds),
             Event::Tick => self.on_tick(),
             Event::Stop { grace } => self.ends_at = Some(self.now.after(grace)),
+            Event::Identified(spec) => self.fleet.succeed(spec, self.now),
             Event::Located { request, endpoint } => self.on_located(request, endpoint),
         }
         std::mem::take(&mut self.actions)
--- a/src/dispatch/action.rs
+++ b/src/dispatch/action.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::dispatch::event::{RequestNumber, Try};
+use crate::dispatch::event::{EndpointSpec, RequestNumber, Try};
 use crate::dispatch::record::Record;
 use crate::schema::{BoxState, EndpointId, OrganisationId, StateRequest};
 
@@ -120,6 +120,8 @@
         /// Whom to ask.
         among: Vec<(EndpointId, SocketAddr)>,
     },
+    /// Find out whether what has an address now is a model engine.
+    Identify(EndpointSpec),
     /// Drop the connections to an endpoint that rest.
     Disconnect(SocketAddr),
     /// Tell other boxes how this one stands, by UDP.
--- a/src/dispatch/arrivals.rs
+++ b/src/dispatch/arrivals.rs
@@ -16,8 +16,6 @@
 /// When to come back to a box that has no configuration yet.
 const RETRY_UNCONFIGURED: Duration = Duration::from_millis(300);
 
-/// When to come back to another box, after one that is stopping.
-const RETRY_STOPPING: Duration = Duration::from_millis(20);
 /// How long a stream takes as a rule.
 const STREAM_TIME: Duration = Duration::from_secs(5);
 
@@ -40,7 +38,8 @@
     fn refuse_new(&mut self, number: RequestNumber, arrival: &Arrival, reason: RefusalReason) {
         let retry_after = match reason {
             RefusalReason::NoConfiguration => Some(RETRY_UNCONFIGURED),
-            RefusalReason::NoEndpoint => Some(RETRY_STOPPING),
+            // By then this process has made way for its successor.
+            RefusalReason::NoEndpoint => self.ends_at.map(|at| at.since(self.now)),
             _ => None,
         };
         self.record(Record::Refused {
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -87,16 +87,22 @@
     Absent(EndpointId),
 }
 
+/// Why an endpoint did not run a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum NotRunCause {
+    /// It has no room, or the time was over.
+    NoRoom,
+    /// Another instance has its address: this one, if it said so.
+    OtherInstance(Option<EndpointId>),
+}
+
 /// How one sending to an endpoint ended.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Outcome {
     /// No byte of the request left this box.
     NotSent,
     /// The endpoint said that it did not run the request.
-    NotRun {
-        /// Whether another instance has its address.
-        misdirected: bool,
-    },
+    NotRun(NotRunCause),
     /// A whole answer is held, ready to be passed on.
     Answered {
         /// Its status.
@@ -187,6 +193,8 @@
         /// How long it may take.
         grace: Duration,
     },
+    /// An endpoint that took over an address turned out to be a model engine.
+    Identified(EndpointSpec),
     /// Endpoints were asked which of them keeps a request's prompt.
     Located {
         /// The request.
--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -18,6 +18,10 @@
 const DOMAIN_LOSSES: usize = 2;
 /// The time within which these losses must lie, and for which the domain is then avoided.
 const DOMAIN_WINDOW: Duration = Duration::from_millis(1_500);
+/// Connections to a domain that must fail in a row before it counts as unreachable.
+const UNREACHABLE_AFTER: u32 = 3;
+/// Time between trials of a domain that can't be reached.
+const TRIAL_PAUSE: Duration = Duration::from_millis(300);
 /// How long an endpoint that was there before its domain failed is doubted, unless it is heard: a
 /// restarted one is listed under another id by then.
 const DOUBTED_FOR: Duration = Duration::from_millis(4_500);
@@ -106,6 +110,14 @@
     is_own: bool,
 }
 
+/// A failure domain whose endpoints of a service could not be connected to.
+#[derive(Clone, Copy, Debug)]
+struct Unreachable {
+    failures: u32,
+    last: Micros,
+    next_trial: Micros,
+}
+
 /// All endpoints.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -113,6 +125,7 @@
     accounts: BTreeMap<String, PeerAccount>,
     losses: Vec<Loss>,
     failed_domains: BTreeMap<(ServiceId, DomainId), Micros>,
+    unreachable: BTreeMap<(ServiceId, DomainId), Unreachable>,
     is_known: bool,
 }
 
@@ -211,8 +224,64 @@
         self.absent(id);
     }
 
+    /// Takes in an instance that the list doesn't show yet.
+    pub fn succeed(&mut self, spec: EndpointSpec, now: Micros) {
+        if !self.endpoints.contains_key(&spec.id) {
+            self.present(spec, now);
+        }
+    }
+
+    /// Notes that an endpoint could not be connected to.
+    pub fn on_unreachable(&mut self, id: &EndpointId, now: Micros) {
+        let Some(endpoint) = self.endpoints.get(id) else {
+            return;
+        };
+        let key = (endpoint.spec.service.clone(), endpoint.spec.domain.clone());
+        let entry = self.unreachable.entry(key).or_insert(Unreachable {
+            failures: 0,
+            last: now,
+            next_trial: now,
+        });
+        if now.since(entry.last) > DOMAIN_WINDOW {
+            entry.failures = 0;
+        }
+        entry.failures += 1;
+        entry.last = now;
+        if entry.failures >= UNREACHABLE_AFTER {
+            entry.next_trial = now.after(TRIAL_PAUSE);
+        }
+    }
+
+    /// Notes that an endpoint could be connected to, whatever it said.
+    pub fn on_reached(&mut self, id: &EndpointId) {
+        if let Some(endpoint) = self.endpoints.get(id) {
+            let key = (endpoint.spec.service.clone(), endpoint.spec.domain.clone());
+            self.unreachable.remove(&key);
+        }
+    }
+
+    /// Whether an endpoint's domain can't be reached, and no trial is due.
+    #[must_use]
+    pub fn is_unreachable(&self, endpoint: &Endpoint, now: Micros) -> bool {
+        let key = (endpoint.spec.service.clone(), endpoint.spec.domain.clone());
+        self.unreachable
+            .get(&key)
+            .is_some_and(|entry| now < entry.next_trial)
+    }
+
+    /// Notes a sending, which is the trial if its domain can't be reached.
+    pub fn on_sending(&mut self, endpoint: &EndpointSpec, now: Micros) {
+        let key = (endpoint.service.clone(), endpoint.domain.clone());
+        if let Some(entry) = self.unreachable.get_mut(&key)
+            && entry.failures >= UNREACHABLE_AFTER
+        {
+            entry.next_trial = now.after(TRIAL_PAUSE);
+        }
+    }
+
     /// Notes an answer of an endpoint.
     pub fn on_success(&mut self, id: &EndpointId, now: Micros) {
+        self.on_reached(id);
         let Some(endpoint) = self.endpoints.get_mut(id) else {
             return;
         };
@@ -224,6 +293,7 @@
 
     /// Notes an answer that was no success, though the endpoint is there.
     pub fn on_error_answer(&mut self, id: &EndpointId, now: Micros) {
+        self.on_reached(id);
         if let Some(endpoint) = self.endpoints.get_mut(id) {
             endpoint.heard = now;
             endpoint.failing += (1.0 - endpoint.failing) * FAILURE_SHARE;
--- a/src/dispatch/outcomes.rs
+++ b/src/dispatch/outcomes.rs
@@ -4,7 +4,7 @@
 
 use super::Dispatcher;
 use super::action::{Action, Command, RefusalReason};
-use super::event::{Fault, Outcome, RequestNumber, Try};
+use super::event::{EndpointSpec, Fault, NotRunCause, Outcome, RequestNumber, Try};
 use super::record::Record;
 use super::request::{Request, Running, outcome_word};
 use super::sending::Copy;
@@ -37,6 +37,7 @@
         {
             running.heard = now;
             let endpoint = running.endpoint.clone();
+            self.fleet.on_reached(&endpoint);
             if let Some(endpoint) = self.fleet.get_mut(&endpoint) {
                 endpoint.heard = now;
             }
@@ -54,6 +55,7 @@
         request.last_passed = now;
         request.has_begun = true;
         let id = request.arrival.id.clone();
+        let arrived = request.arrived;
         let Some(running) = request.running.as_mut() else {
             return;
         };
@@ -65,7 +67,13 @@
             endpoint.heard = now;
             endpoint.own.reading = endpoint.own.reading.saturating_sub(read);
         }
-        if is_first && is_resumed {
+        if is_first && !is_resumed {
+            self.record(Record::Begun {
+                request: id,
+                endpoint: endpoint.to_string(),
+                after_ms: u64::try_from(now.since(arrived).as_millis()).unwrap_or(u64::MAX),
+            });
+        } else if is_first {
             self.record(Record::Resumed {
                 request: id,
                 endpoint: endpoint.to_string(),
@@ -81,7 +89,7 @@
         let Some(running) = request.running.take() else {
             return;
         };
-        if !matches!(outcome, Outcome::NotSent | Outcome::NotRun { .. }) {
+        if !matches!(outcome, Outcome::NotSent | Outcome::NotRun(_)) {
             request.runs += 1;
         }
         if let Outcome::Broken(fault) = outcome {
@@ -97,13 +105,16 @@
         match outcome {
             Outcome::NotSent => {
                 self.on_loss(endpoint);
+                self.fleet.on_unreachable(endpoint, self.now);
                 self.send_somewhere(number);
             }
-            Outcome::NotRun { misdirected: true } => {
+            Outcome::NotRun(NotRunCause::OtherInstance(instance)) => {
+                self.identify(endpoint, instance.as_ref());
+                self.fleet.on_reached(endpoint);
                 self.fleet.replaced(endpoint);
                 self.send_somewhere(number);
             }
-            Outcome::NotRun { misdirected: false } => {
+            Outcome::NotRun(NotRunCause::NoRoom) => {
                 self.fleet.on_error_answer(endpoint, self.now);
                 self.retry_not_run(number);
             }
@@ -126,6 +137,27 @@
         self.next_gossip = self.next_gossip.min(self.now.after(LOSS_GOSSIP_PAUSE));
     }
 
+    /// Has an instance looked at that took over an engine's address. The list may not show it for
+    /// long when the store is out; but it may also belong to another service by now.
+    fn identify(&mut self, before: &EndpointId, instance: Option<&EndpointId>) {
+        let Some(table) = &self.table else {
+            return;
+        };
+        let engines: Vec<_> = table.services().filter(|s| s.engine.is_some()).collect();
+        let Some(endpoint) = self.fleet.get(before) else {
+            return;
+        };
+        let is_only = engines.len() == 1 && engines[0].name == endpoint.spec.service;
+        if let (true, Some(instance)) = (is_only, instance) {
+            let spec = EndpointSpec {
+                id: instance.clone(),
+                leaving: false,
+                ..endpoint.spec.clone()
+            };
+            self.actions.push(Action::Identify(spec));
+        }
+    }
+
     /// Sends a request elsewhere that an endpoint had no room for.
     fn retry_not_run(&mut self, number: RequestNumber) {
         if self.take_retry(number) {
--- a/src/dispatch/placement.rs
+++ b/src/dispatch/placement.rs
@@ -71,6 +71,7 @@
         let costs = fleet
             .of_service(demand.service)
             .filter(|e| e.takes_work() && !demand.tried.contains(&e.spec.id))
+            .filter(|e| !fleet.is_unreachable(e, now))
             .map(|e| (self.cost(fleet, e, demand, now), e));
         costs
             .min_by(|(a, _), (b, _)| a.total_cmp(b))
@@ -92,6 +93,7 @@
                 e.takes_work()
                     && !e.is_avoided(now)
                     && !fleet.is_doubted(e, now)
+                    && !fleet.is_unreachable(e, now)
                     && e.spec.id != first.spec.id
             })
             .map(|e| (self.backup_cost(fleet, e, demand, first, now), e));
--- a/src/dispatch/record.rs
+++ b/src/dispatch/record.rs
@@ -62,6 +62,15 @@
         /// The last event that was passed on.
         last_event: Option<u64>,
     },
+    /// The first event of a stream was passed on.
+    Begun {
+        /// The caller's id.
+        request: String,
+        /// The endpoint.
+        endpoint: String,
+        /// Milliseconds since the request's arrival.
+        after_ms: u64,
+    },
     /// A stream goes on at another endpoint: its first event there was passed on.
     Resumed {
         /// The caller's id.
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::dispatch::event::{Arrival, Fault, Outcome, Try};
+use crate::dispatch::event::{Arrival, Fault, NotRunCause, Outcome, Try};
 use crate::dispatch::table::{EngineSpec, KeyHolder, Route};
 use crate::schema::{EndpointId, Micros, ServiceId};
 
@@ -95,8 +95,8 @@
 pub(super) fn outcome_word(outcome: &Outcome) -> &'static str {
     match outcome {
         Outcome::NotSent => "not_sent",
-        Outcome::NotRun { misdirected: true } => "misdirected",
-        Outcome::NotRun { misdirected: false } => "not_run",
+        Outcome::NotRun(NotRunCause::OtherInstance(_)) => "misdirected",
+        Outcome::NotRun(NotRunCause::NoRoom) => "not_run",
         Outcome::Answered { .. } => "answered",
         Outcome::StreamEnded => "stream_ended",
         Outcome::Broken(Fault::Closed) => "closed",
--- a/src/dispatch/sending.rs
+++ b/src/dispatch/sending.rs
@@ -91,6 +91,7 @@
             .flatten()
             .map(|e| (e.spec.id.clone(), e.spec.address));
         let usage = self.fleet.usage(endpoint, now);
+        let spec = endpoint.spec.clone();
         let sending = Sending {
             attempt: Try(request.sendings + 1),
             endpoint: to.clone(),
@@ -116,6 +117,7 @@
             left_ms: u64::try_from(sending.time_left.as_millis()).unwrap_or(u64::MAX),
         };
         self.record(record);
+        self.fleet.on_sending(&spec, now);
         self.note_running(number, &sending, backup.map(|(id, _)| id));
         self.tell(number, Command::Send(Box::new(sending)));
     }
--- a/src/dispatch/silence.rs
+++ b/src/dispatch/silence.rs
@@ -85,6 +85,7 @@
         let asked = endpoint.probe_sent.take().unwrap_or(now);
         if load.is_some() {
             endpoint.heard = now;
+            self.fleet.on_reached(id);
             return;
         }
         // Something else may have been heard of it since it was asked.
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -125,6 +125,10 @@
                 let locating = probes::locate(request, part, among, self.shared.clone());
                 self.traffic.spawn(locating);
             }
+            Action::Identify(spec) => {
+                let identifying = probes::identify(spec, self.shared.clone());
+                self.traffic.spawn(identifying);
+            }
             Action::Disconnect(address) => self.shared.pool.forget(address),
             Action::Gossip { to, state } => {
                 let telling = peers::tell(Arc::clone(&self.gossip), to, *state);
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -8,7 +8,7 @@
 use gotham::hyper::{HeaderMap, StatusCode};
 
 use crate::dispatch::action::{Refusal, Sending};
-use crate::dispatch::event::{Arrival, EndpointLoad, EndpointSpec};
+use crate::dispatch::event::{Arrival, EndpointLoad, EndpointSpec, NotRunCause};
 use crate::dispatch::table::{RoutingTable, TableError};
 
 /// Why a request can't be read.
@@ -19,15 +19,12 @@
 }
 
 /// What the head of an endpoint's answer says.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum AnswerKind {
     /// It answers the request.
     Proper,
     /// The request was not run.
-    NotRun {
-        /// Whether another instance has the address.
-        misdirected: bool,
-    },
+    NotRun(NotRunCause),
     /// It belongs to another request.
     Foreign,
     /// It is no answer of an endpoint.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -195,9 +195,7 @@
         match self.shared.dialect.judge(&head, &self.request.id) {
             AnswerKind::Foreign => return Left::Ended(Outcome::Broken(Fault::Foreign)),
             AnswerKind::Malformed => return Left::Ended(Outcome::Broken(Fault::Malformed)),
-            AnswerKind::NotRun { misdirected } => {
-                return Left::Ended(Outcome::NotRun { misdirected });
-            }
+            AnswerKind::NotRun(cause) => return Left::Ended(Outcome::NotRun(cause)),
             AnswerKind::Proper => {}
         }
         let is_stream = headers::text(&head.headers, header::CONTENT_TYPE)
--- a/src/gateway/probes.rs
+++ b/src/gateway/probes.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use tokio::task::JoinSet;
 
-use crate::dispatch::event::{EndpointLoad, Event, RequestNumber};
+use crate::dispatch::event::{EndpointLoad, EndpointSpec, Event, RequestNumber};
 use crate::gateway::GatewayShared;
 use crate::gateway::control::Input;
 use crate::gateway::pool::{Connection, Pool};
@@ -67,6 +67,17 @@
     shared.tell(Input::Event(event)).await;
 }
 
+/// Finds out whether what has an address now is a model engine.
+pub async fn identify(spec: EndpointSpec, shared: GatewayShared) {
+    let address = spec.address;
+    let path = shared.dialect.load_path();
+    let got = tokio::time::timeout(LOCATE_LIMIT, get(address, path, LOCATE_LIMIT, &shared)).await;
+    let body = got.ok().flatten().flatten();
+    if body.is_some_and(|body| shared.dialect.read_load(&body).is_some()) {
+        shared.tell(Input::Event(Event::Identified(spec))).await;
+    }
+}
+
 async fn ask(address: SocketAddr, limit: Duration, shared: &GatewayShared) -> Option<EndpointLoad> {
     let path = shared.dialect.load_path();
     let body = get(address, path, limit, shared).await?;
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -12,14 +12,14 @@
 };
 use magpiemoor::dispatch::action::{Action, Command, RefusalReason};
 use magpiemoor::dispatch::budget::RetryPolicy;
-use magpiemoor::dispatch::event::{EndpointChange, Event, Fault, Outcome};
+use magpiemoor::dispatch::event::{EndpointChange, Event, Fault, NotRunCause, Outcome};
 use magpiemoor::dispatch::record::Record;
 use magpiemoor::dispatch::table::TableVersion;
 use magpiemoor::schema::{BoxState, Incarnation};
 use rstest::rstest;
 
-const NOT_RUN: Outcome = Outcome::NotRun { misdirected: false };
-const MISDIRECTED: Outcome = Outcome::NotRun { misdirected: true };
+const NOT_RUN: Outcome = Outcome::NotRun(NotRunCause::NoRoom);
+const MISDIRECTED: Outcome = Outcome::NotRun(NotRunCause::OtherInstance(None));
 const CLOSED: Outcome = Outcome::Broken(Fault::Closed);
 
 fn answered(status: u16) -> Outcome {
