--- a/src/cli.rs
+++ b/src/cli.rs
@@ -6,6 +6,7 @@
 pub mod args;
 pub mod bundle;
 pub mod config;
+pub mod explain;
 pub mod observe;
 pub mod platform;
 
@@ -107,6 +108,7 @@
         Some(("config", sub)) => config::run(sub),
         Some(("timeline", sub)) => observe::timeline(sub),
         Some(("status", sub)) => observe::status(sub),
+        Some(("explain", sub)) => explain::run(sub),
         Some(("completions", sub)) => Ok(args::completions(sub)),
         _ => Err(CliError::Invalid(vec![
             "no such command; see `magpiemoor --help`".to_owned(),
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -38,6 +38,22 @@
                 .about("Show how boxes stand")
                 .arg(boxes()),
         )
+        .subcommand(
+            Command::new("explain")
+                .about("Tell the story of a request from the decision logs of the boxes")
+                .arg(
+                    Arg::new("failed")
+                        .long("failed")
+                        .action(ArgAction::SetTrue)
+                        .help("List the requests that failed by cause; all words are then logs"),
+                )
+                .arg(
+                    Arg::new("words")
+                        .value_name("ID|LOG")
+                        .num_args(0..)
+                        .help("The request's id, then logs; without a log, standard input"),
+                ),
+        )
         .subcommand(
             Command::new("completions")
                 .about("Print completions for a shell")
--- /dev/null
+++ b/src/cli/explain.rs
@@ -0,0 +1,79 @@
+//! `magpiemoor explain`: the story of a request from the boxes' decision logs.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::io::Read;
+
+use clap::ArgMatches;
+use serde_json::json;
+
+use crate::cli::{CliError, Output};
+use crate::explain::{Story, read, stories};
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// That a log can't be read, or that the request stands in none.
+pub fn run(matches: &ArgMatches) -> Result<Output, CliError> {
+    let words: Vec<&String> = matches.get_many("words").into_iter().flatten().collect();
+    if matches.get_flag("failed") {
+        let texts = read_logs(&words)?;
+        return Ok(failed(&tell(&texts)));
+    }
+    let Some((request, logs)) = words.split_first() else {
+        let line = "name a request, or use --failed to list those that failed".to_owned();
+        return Err(CliError::Invalid(vec![line]));
+    };
+    let texts = read_logs(logs)?;
+    let story = tell(&texts).into_iter().find(|s| s.request == **request);
+    let story = story.ok_or_else(|| {
+        let line = format!("{request} stands in no log that was given; give those of all boxes");
+        CliError::Invalid(vec![line])
+    })?;
+    Ok(Output::new(story.text(), json!(story)))
+}
+
+fn tell(texts: &[String]) -> Vec<Story> {
+    stories(&read(texts.iter().map(String::as_str)))
+}
+
+/// Reads the logs that were named, or standard input.
+fn read_logs(names: &[&String]) -> Result<Vec<String>, CliError> {
+    if names.is_empty() {
+        let mut text = String::new();
+        let read = std::io::stdin().read_to_string(&mut text);
+        read.map_err(|e| CliError::File(format!("standard input: {e}; give text")))?;
+        return Ok(vec![text]);
+    }
+    let texts = names.iter().map(|name| {
+        let bytes = std::fs::read(name.as_str())
+            .map_err(|e| CliError::File(format!("{name}: {e}; name a readable log")))?;
+        Ok(String::from_utf8_lossy(&bytes).into_owned())
+    });
+    texts.collect()
+}
+
+/// Lists the requests that failed by cause.
+fn failed(stories: &[Story]) -> Output {
+    let mut by_cause: BTreeMap<_, Vec<&str>> = BTreeMap::new();
+    for story in stories.iter().filter(|s| s.cause.is_failure()) {
+        by_cause
+            .entry(story.cause)
+            .or_default()
+            .push(&story.request);
+    }
+    let mut text = String::new();
+    for (cause, requests) in &by_cause {
+        // Writing to a string does not fail.
+        let _ = writeln!(text, "{} {}", requests.len(), cause.sentence());
+        for request in requests {
+            let _ = writeln!(text, "    {request}");
+        }
+    }
+    let causes = by_cause.iter().map(|(cause, requests)| {
+        json!({ "cause": cause, "sentence": cause.sentence(), "requests": requests })
+    });
+    let value = json!(causes.collect::<Vec<_>>());
+    Output::new(text.trim_end(), value)
+}
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -198,7 +198,7 @@
         for id in self.fleet.replace(specs, self.now) {
             self.record(Record::Endpoint {
                 endpoint: id.to_string(),
-                state: "absent",
+                state: "absent".into(),
             });
         }
     }
@@ -212,7 +212,10 @@
                 }
                 event::EndpointChange::Present(spec) => (spec.id.to_string(), "present"),
             };
-            self.record(Record::Endpoint { endpoint, state });
+            self.record(Record::Endpoint {
+                endpoint,
+                state: state.into(),
+            });
             self.fleet.change(change, self.now);
         }
     }
--- a/src/dispatch/action.rs
+++ b/src/dispatch/action.rs
@@ -49,7 +49,7 @@
 }
 
 /// Why a request gets no answer of an endpoint.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RefusalReason {
     /// There is no configuration yet.
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -119,7 +119,7 @@
 }
 
 /// In which way an answer was spoilt.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Fault {
     /// The connection was reset or closed.
--- a/src/dispatch/outcomes.rs
+++ b/src/dispatch/outcomes.rs
@@ -252,7 +252,7 @@
             request: request.arrival.id.clone(),
             attempt: running.attempt.0,
             endpoint: running.endpoint.to_string(),
-            outcome: outcome_word(outcome),
+            outcome: outcome_word(outcome).into(),
             status,
             after_ms: u64::try_from(after).unwrap_or(u64::MAX),
             last_event: request.last_event,
--- a/src/dispatch/record.rs
+++ b/src/dispatch/record.rs
@@ -2,13 +2,15 @@
 //!
 //! Each record becomes one line of the log. Keys of callers never stand in one.
 
-use serde::Serialize;
+use std::borrow::Cow;
+
+use serde::{Deserialize, Serialize};
 
 use crate::dispatch::action::RefusalReason;
 use crate::dispatch::event::Fault;
 
 /// A decision, or a change of what the box believes.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 pub enum Record {
     /// A request was taken in.
@@ -54,7 +56,7 @@
         /// The endpoint.
         endpoint: String,
         /// How.
-        outcome: &'static str,
+        outcome: Cow<'static, str>,
         /// The status of the answer, or 0.
         status: u16,
         /// Milliseconds since the sending began.
@@ -128,13 +130,107 @@
         /// The endpoint.
         endpoint: String,
         /// What is believed of it now.
-        state: &'static str,
+        state: Cow<'static, str>,
     },
     /// Something happened to the process or to what it depends on.
     Process {
         /// What.
-        state: &'static str,
+        state: Cow<'static, str>,
         /// Anything else.
         detail: String,
     },
 }
+
+impl Record {
+    /// The request that it is about.
+    #[must_use]
+    pub fn request(&self) -> Option<&str> {
+        match self {
+            Self::Arrived { request, .. }
+            | Self::Sent { request, .. }
+            | Self::Begun { request, .. }
+            | Self::Ended { request, .. }
+            | Self::Resumed { request, .. }
+            | Self::Suspected { request, .. }
+            | Self::Refused { request, .. }
+            | Self::Answered { request, .. }
+            | Self::CallerGone { request, .. } => Some(request),
+            Self::TableInForce { .. } | Self::Endpoint { .. } | Self::Process { .. } => None,
+        }
+    }
+
+    /// What it says, for a person.
+    #[must_use]
+    pub fn sentence(&self) -> String {
+        match self {
+            Self::Arrived {
+                route,
+                table,
+                prompt,
+                ..
+            } => format!("arrived for route {route}, table {table}, prompt of {prompt} tokens"),
+            Self::Sent { .. } => self.sent_sentence(),
+            Self::Begun {
+                endpoint, after_ms, ..
+            } => format!("first event from {endpoint}, {after_ms} ms after the arrival"),
+            Self::Ended {
+                attempt,
+                endpoint,
+                outcome,
+                status,
+                after_ms,
+                last_event,
+                ..
+            } => format!(
+                "sending {attempt} to {endpoint} ended after {after_ms} ms: {outcome}, status {status}, last event {last_event:?}"
+            ),
+            Self::Resumed {
+                endpoint, pause_ms, ..
+            } => format!("went on at {endpoint} after a pause of {pause_ms} ms"),
+            Self::Suspected {
+                endpoint,
+                silent_ms,
+                ..
+            } => format!("{endpoint} was silent for {silent_ms} ms and did not answer a probe"),
+            Self::Refused {
+                reason,
+                after_ms,
+                attempts,
+                fault,
+                ..
+            } => format!(
+                "given up after {after_ms} ms and {attempts} sendings: {reason:?}, last fault {fault:?}"
+            ),
+            Self::Answered {
+                after_ms, attempts, ..
+            } => format!("answered after {after_ms} ms and {attempts} sendings"),
+            Self::CallerGone { after_ms, .. } => format!("its caller left after {after_ms} ms"),
+            Self::TableInForce { version } => format!("table {version} in force"),
+            Self::Endpoint { endpoint, state } => format!("{endpoint} {state}"),
+            Self::Process { state, detail } => format!("{state} {detail}"),
+        }
+    }
+
+    fn sent_sentence(&self) -> String {
+        let Self::Sent {
+            attempt,
+            endpoint,
+            domain,
+            backup,
+            from_backup,
+            after_event,
+            reading,
+            running,
+            left_ms,
+            ..
+        } = self
+        else {
+            return String::new();
+        };
+        let how = if *from_backup { " from its copy" } else { "" };
+        let backup = backup.as_deref().unwrap_or("nowhere");
+        format!(
+            "sending {attempt} to {endpoint} in {domain}{how} after event {after_event:?}, copied to {backup}; there by the box's count {running} requests and {reading} tokens to read; {left_ms} ms left"
+        )
+    }
+}
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -320,7 +320,7 @@
     let gossip = Arc::new(listeners.gossip);
     let dispatcher = new_dispatcher(&shared);
     shared.log.write(&Record::Process {
-        state: "started",
+        state: "started".into(),
         detail: format!("callers on {}", shared.settings.callers),
     });
     runtime.spawn(peers::hear(Arc::clone(&gossip), shared.clone()));
--- a/src/gateway/decisions.rs
+++ b/src/gateway/decisions.rs
@@ -60,7 +60,7 @@
         let left_out = self.left_out.swap(0, Ordering::Relaxed);
         if left_out > 0 {
             let note = Record::Process {
-                state: "log_lines_left_out",
+                state: "log_lines_left_out".into(),
                 detail: left_out.to_string(),
             };
             if !self.push(&note) {
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -94,5 +94,8 @@
 }
 
 fn record(shared: &GatewayShared, state: &'static str, detail: String) {
-    shared.log.write(&Record::Process { state, detail });
+    shared.log.write(&Record::Process {
+        state: state.into(),
+        detail,
+    });
 }
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -52,7 +52,7 @@
         "store_lost"
     };
     shared.log.write(&Record::Process {
-        state,
+        state: state.into(),
         detail: format!("{source:?}"),
     });
 }
@@ -160,7 +160,7 @@
     match shared.dialect.read_table(entry) {
         None => {}
         Some(Err(e)) => shared.log.write(&Record::Process {
-            state: "table_refused",
+            state: "table_refused".into(),
             detail: e.to_string(),
         }),
         Some(Ok(table)) => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod daemon;
 pub mod digest;
 pub mod dispatch;
+pub mod explain;
 pub mod gateway;
 
 pub mod http;
--- /dev/null
+++ b/tests/explain.rs
@@ -0,0 +1,146 @@
+//! What the decision logs tell of a request, and the command that tells it.
+
+use std::process::Command;
+
+use magpiemoor::dispatch::action::RefusalReason;
+use magpiemoor::dispatch::event::Fault;
+use magpiemoor::dispatch::record::Record;
+use magpiemoor::explain::{Cause, LogLine, read, stories};
+use rstest::rstest;
+
+fn line(at: u64, box_id: &str, record: Record) -> String {
+    let line = LogLine {
+        at: at << 16,
+        r#box: box_id.to_owned(),
+        record,
+    };
+    serde_json::to_string(&line).unwrap()
+}
+
+fn arrived(request: &str) -> Record {
+    Record::Arrived {
+        request: request.to_owned(),
+        route: "r".to_owned(),
+        table: 3,
+        prompt: 5_000,
+    }
+}
+
+fn ended(request: &str, status: u16) -> Record {
+    Record::Ended {
+        request: request.to_owned(),
+        attempt: 1,
+        endpoint: "e".to_owned(),
+        outcome: "answered".into(),
+        status,
+        after_ms: 5,
+        last_event: None,
+    }
+}
+
+fn answered(request: &str) -> Record {
+    Record::Answered {
+        request: request.to_owned(),
+        after_ms: 7,
+        attempts: 1,
+    }
+}
+
+fn refused(request: &str, reason: RefusalReason, fault: Option<Fault>) -> Record {
+    Record::Refused {
+        request: request.to_owned(),
+        reason,
+        after_ms: 7,
+        attempts: 1,
+        fault,
+    }
+}
+
+fn cause_of(records: Vec<Record>) -> Cause {
+    let lines: Vec<String> = (1..)
+        .zip(records)
+        .map(|(at, record)| line(at, "box-1", record))
+        .collect();
+    stories(&read([lines.join("\n").as_str()]))[0].cause
+}
+
+#[rstest]
+#[case::answered(vec![ended("q", 200), answered("q")], Cause::Answered)]
+#[case::error(vec![ended("q", 500), answered("q")], Cause::EndpointError)]
+#[case::no_end(vec![], Cause::NoEnd)]
+#[case::no_endpoint(vec![refused("q", RefusalReason::NoEndpoint, None)], Cause::NoEndpoint)]
+#[case::broken(vec![refused("q", RefusalReason::EndpointFailed, Some(Fault::Closed))], Cause::ConnectionLost)]
+#[case::silent(vec![refused("q", RefusalReason::EndpointFailed, Some(Fault::Silent))], Cause::EndpointSilent)]
+#[case::spoilt(vec![refused("q", RefusalReason::EndpointFailed, Some(Fault::Foreign))], Cause::AnswerSpoilt)]
+#[case::too_late(vec![refused("q", RefusalReason::Expired, None)], Cause::Expired)]
+#[case::no_key(vec![refused("q", RefusalReason::UnknownKey, None)], Cause::UnknownKey)]
+fn the_cause_follows_from_the_last_decision(#[case] more: Vec<Record>, #[case] cause: Cause) {
+    let mut records = vec![arrived("q")];
+    records.extend(more);
+    assert_eq!(cause_of(records), cause);
+}
+
+#[test]
+fn logs_of_several_boxes_are_merged_by_time_and_other_lines_are_left_out() {
+    let first = format!(
+        "noise\n{}\n{{\"at\": 1}}\n",
+        line(20, "box-1", answered("q"))
+    );
+    let second = line(10, "box-2", arrived("q"));
+    let stories = stories(&read([first.as_str(), second.as_str()]));
+    let boxes: Vec<&str> = stories[0]
+        .lines
+        .iter()
+        .map(|l| l.line.r#box.as_str())
+        .collect();
+    assert_eq!(boxes, ["box-2", "box-1"]);
+}
+
+#[test]
+fn a_time_before_the_line_goes_before_the_time_in_it() {
+    let late = format!("  14.2 box-1 {}", line(1, "box-1", answered("q")));
+    let early = format!("  -3.5 box-2 {}", line(9, "box-2", arrived("q")));
+    let lines = read([late.as_str(), early.as_str()]);
+    assert_eq!(lines[0].line.r#box, "box-2");
+    assert!((lines[0].seconds + 3.5).abs() < f64::EPSILON);
+}
+
+fn magpiemoor(args: &[&str]) -> (String, Option<i32>) {
+    let output = Command::new(env!("CARGO_BIN_EXE_magpiemoor"))
+        .args(args)
+        .output()
+        .unwrap();
+    let text = [output.stdout, output.stderr].concat();
+    (String::from_utf8(text).unwrap(), output.status.code())
+}
+
+#[test]
+fn the_command_tells_a_story_and_lists_failures_by_cause() {
+    let name = format!("magpiemoor-{:016x}.log", rand::random::<u64>());
+    let log = std::env::temp_dir().join(name);
+    let lines = [
+        line(1, "box-1", arrived("good")),
+        line(2, "box-1", answered("good")),
+        line(3, "box-1", arrived("bad")),
+        line(4, "box-1", refused("bad", RefusalReason::NoEndpoint, None)),
+    ];
+    std::fs::write(&log, lines.join("\n")).unwrap();
+    let path = log.to_str().unwrap();
+    let (story, code) = magpiemoor(&["explain", "bad", path]);
+    assert_eq!(code, Some(0));
+    assert!(
+        story.ends_with(&format!("{}\n", Cause::NoEndpoint.sentence())),
+        "{story}"
+    );
+    let (failed, _) = magpiemoor(&["explain", "--failed", path]);
+    assert!(
+        failed.starts_with("1 No endpoint") && !failed.contains("good"),
+        "{failed}"
+    );
+    let (json, _) = magpiemoor(&["explain", "--json", "good", path]);
+    assert!(json.contains("\"cause\":\"answered\""), "{json}");
+    let (error, code) = magpiemoor(&["explain", "absent", path]);
+    assert_eq!(code, Some(2));
+    assert!(error.contains("give those of all boxes"), "{error}");
+    std::fs::remove_file(&log).unwrap();
+}
