A roster write that the platform doesn't take is followed by a pause

Cause: after each answer to a write the roster was read again, and a roster that was missing was written again at once. Ruled out: the bundle pointer, which is watched by a timer. Tests of successors and of domains that can't be reached.

--- a/src/node/platform.rs
+++ b/src/node/platform.rs
@@ -9,6 +9,7 @@
 use crate::node::action::{Expect, PlatformOp};
 use crate::node::config::READS_PER_LEASE;
 use crate::node::event::{Object, PlatformAnswer, Timer, roster_name};
+use crate::node::retries::backoff;
 use crate::node::roster;
 use crate::schema::{BatchId, BoxId, DomainId, Epoch, Incarnation, Micros, RequestKey, Roster};
 
@@ -47,6 +48,8 @@
     open: BTreeMap<u64, Purpose>,
     roster_read: Option<u64>,
     roster_write: Option<u64>,
+    write_failures: u32,
+    write_after: Micros,
     listed: bool,
     removals: u32,
     join_after: Micros,
@@ -59,6 +62,8 @@
             open: BTreeMap::new(),
             roster_read: None,
             roster_write: None,
+            write_failures: 0,
+            write_after: Micros::ZERO,
             listed: false,
             removals: 0,
             join_after: Micros::ZERO,
@@ -159,7 +164,7 @@
             Purpose::ReadRoster(domain, known) => {
                 self.on_roster_read(&domain, known, asked, answer);
             }
-            Purpose::WriteRoster => self.read_roster_now(),
+            Purpose::WriteRoster => self.on_roster_written(&answer),
             Purpose::Fleet => self.on_fleet(answer),
             Purpose::Intent(key) => self.on_intent_written(&key, &answer),
             Purpose::Pointer | Purpose::WatchPointer => {
@@ -235,7 +240,7 @@
 
     /// Writes the own roster if its version is still the known one; one write at a time.
     pub(super) fn write_roster(&mut self, roster: &Roster) -> bool {
-        if self.platform.roster_write.is_some() {
+        if self.platform.roster_write.is_some() || self.now < self.platform.write_after {
             return false;
         }
         let epoch = self.membership.epoch();
@@ -254,6 +259,19 @@
         true
     }
 
+    /// Reads the roster back after a write. One that the platform did not take is followed by a
+    /// pause that grows, so that no answer makes this box write and read without end.
+    fn on_roster_written(&mut self, answer: &PlatformAnswer) {
+        if matches!(answer, PlatformAnswer::Written(_)) {
+            self.platform.write_failures = 0;
+        } else {
+            self.platform.write_failures += 1;
+            let pause = backoff(self.platform.write_failures, &mut self.rng);
+            self.platform.write_after = self.now.after(pause);
+        }
+        self.read_roster_now();
+    }
+
     /// A number by which an own write is known.
     pub(super) fn new_mark(&mut self) -> u64 {
         rand::Rng::random(&mut self.rng)
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -495,3 +495,57 @@
     });
     assert!(refused);
 }
+
+#[test]
+fn a_successor_at_an_engines_address_is_used_once_it_is_identified() {
+    let mut world = World::empty(GENEROUS);
+    world.handle(Event::Table(Arc::new(table(1))));
+    world.handle(Event::EndpointsListed(vec![endpoint(
+        "engine-n1",
+        "engines",
+        "north",
+        9_001,
+    )]));
+    let (request, first) = world.arrive(STREAMS);
+    let successor = Some("engine-n1b".parse().unwrap());
+    let cause = NotRunCause::OtherInstance(successor);
+    world.end(request, first.unwrap().attempt, Outcome::NotRun(cause));
+    let spec = world.actions.iter().find_map(|action| match action {
+        Action::Identify(spec) => Some(spec.clone()),
+        _ => None,
+    });
+    let spec = spec.unwrap();
+    assert_eq!(spec.id.as_str(), "engine-n1b");
+    world.handle(Event::Identified(spec));
+    let sent = sending(&world.run(60)).unwrap();
+    assert_eq!(sent.endpoint.as_str(), "engine-n1b");
+}
+
+#[test]
+fn what_has_a_plain_services_address_now_is_never_taken_for_its_successor() {
+    let mut world = World::ready();
+    let (request, first) = world.arrive(PAYMENTS);
+    let cause = NotRunCause::OtherInstance(Some("stranger".parse().unwrap()));
+    world.end(request, first.unwrap().attempt, Outcome::NotRun(cause));
+    let asks = |action: &Action| matches!(action, Action::Identify(_));
+    assert!(!world.actions.iter().any(asks));
+}
+
+#[test]
+fn a_domain_that_can_not_be_reached_is_tried_now_and_then_only() {
+    let mut world = World::empty(GENEROUS);
+    world.handle(Event::Table(Arc::new(table(1))));
+    let far = (0..20).map(|n| endpoint(&format!("engine-s{n}"), "engines", "south", 9_300 + n));
+    world.handle(Event::EndpointsListed(far.collect()));
+    let mut sendings = 0;
+    for _ in 0..30 {
+        world.pass(10);
+        let (request, mut sent) = world.arrive(STREAMS);
+        while let Some(sending_now) = sent {
+            sendings += 1;
+            world.end(request, sending_now.attempt, Outcome::NotSent);
+            sent = sending(&world.actions);
+        }
+    }
+    assert!(sendings <= 6, "{sendings} sendings in 300 ms");
+}
