--- a/src/dispatch/silence.rs
+++ b/src/dispatch/silence.rs
@@ -13,6 +13,7 @@
 use super::record::Record;
 use super::request::Request;
 use super::sending::has_come;
+use super::table::RouteKind;
 use crate::schema::{EndpointId, Micros};
 
 /// The pause of a stream after which its engine is probed.
@@ -22,6 +23,20 @@
 /// How long an engine may take to answer a probe.
 const PROBE_LIMIT: Duration = Duration::from_millis(150);
 
+/// The part of the objective after which a call that may be repeated is tried elsewhere.
+const SLOW_CALL_PART: f64 = 0.6;
+
+/// Whether a call is so slow that another endpoint would probably answer sooner.
+fn is_slow_call(request: &Request, now: Micros) -> bool {
+    let Some(running) = &request.running else {
+        return false;
+    };
+    let is_call = request.route.kind == RouteKind::Repeatable;
+    let has_attempt = request.runs + 1 < request.route.attempts;
+    let limit = request.route.objective.mul_f64(SLOW_CALL_PART);
+    is_call && has_attempt && now.since(running.started) >= limit
+}
+
 impl Dispatcher {
     /// Looks after everything that is overdue.
     pub(super) fn check_requests(&mut self) {
@@ -41,6 +56,8 @@
         } else if has_come(request.next_look, now) {
             request.next_look = None;
             self.send_somewhere(number);
+        } else if is_slow_call(request, now) {
+            self.move_away(number);
         } else if let Some(endpoint) = self.silent_endpoint(number) {
             self.probe(&endpoint);
         }
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -16,6 +16,10 @@
 use crate::gateway::pool::{Connection, Pool};
 use crate::gateway::watcher::{News, Step, StepAnswer, Watcher};
 
+/// How long configurations gather.
+const GATHER_TABLES: Duration = Duration::from_millis(100);
+/// How long changes of endpoints gather.
+const GATHER_ENDPOINTS: Duration = Duration::from_millis(400);
 /// How long a list may take at first; longer after each failure.
 const LIST_LIMIT: Duration = Duration::from_millis(500);
 /// How often that is doubled at the most.
@@ -38,10 +42,20 @@
             was_reached = watcher.is_reached();
             record_reached(source, was_reached, &shared);
         }
+        let mut pause = next.pause;
         if let Some(news) = next.news {
             spread(source, news, &shared).await;
+            pause = pause.max(gathering(source));
         }
-        tokio::time::sleep(next.pause).await;
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// How long changes gather after some were read, so that many at once cost few calls.
+fn gathering(source: Source) -> Duration {
+    match source {
+        Source::Table => GATHER_TABLES,
+        Source::Endpoints => GATHER_ENDPOINTS,
     }
 }
 
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -549,3 +549,18 @@
     }
     assert!(sendings <= 6, "{sendings} sendings in 300 ms");
 }
+
+#[test]
+fn a_slow_call_that_may_be_repeated_is_tried_elsewhere_and_one_that_runs_once_is_not() {
+    let mut world = World::ready();
+    let (_, quote) = world.arrive(QUOTES);
+    let (_, payment) = world.arrive(PAYMENTS);
+    let done = world.run(90);
+    let second = sending(&done).unwrap();
+    assert_ne!(second.endpoint, quote.unwrap().endpoint);
+    let sent = commands(&done)
+        .into_iter()
+        .filter(|c| matches!(c, Command::Send(_)));
+    assert_eq!(sent.count(), 1);
+    assert!(payment.is_some());
+}
