A few boxes of each domain read the platform's store, the others learn from their peers

Boxes now settle among themselves who reads. Ruled out: longer watches alone, which leave a call for each change.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -13,6 +13,7 @@
 pub mod fleet;
 pub mod peers;
 pub mod placement;
+pub mod readers;
 pub mod record;
 pub mod table;
 
@@ -39,6 +40,7 @@
 use fleet::Fleet;
 use peers::Peers;
 use placement::Placer;
+use readers::Readers;
 use record::Record;
 use request::Request;
 use table::{RoutingTable, TableVersion};
@@ -79,6 +81,8 @@
     requests: BTreeMap<RequestNumber, Request>,
     budget: RetryBudget,
     peers: Peers,
+    readers: Readers,
+    endpoints_at: u64,
     next_gossip: Micros,
     ends_at: Option<Micros>,
     actions: Vec<Action>,
@@ -99,6 +103,8 @@
             requests: BTreeMap::new(),
             budget: RetryBudget::new(cfg.retries),
             peers: Peers::new(cfg.me.clone(), cfg.address, &cfg.seeds),
+            readers: Readers::new(cfg.me.clone(), cfg.domain.clone(), now),
+            endpoints_at: 0,
             next_gossip: now,
             ends_at: None,
             actions: Vec::new(),
@@ -125,8 +131,9 @@
             } => self.on_ended(request, attempt, &outcome),
             Event::Probed { endpoint, load } => self.on_probed(&endpoint, load),
             Event::Table(table) => self.on_table(table),
-            Event::EndpointsListed(specs) => self.on_listed(specs),
-            Event::EndpointsChanged(changes) => self.on_changed(changes),
+            Event::EndpointsListed { specs, at } => self.on_listed(specs, at),
+            Event::EndpointsChanged { changes, at } => self.on_changed(changes, at),
+            Event::StoreAnswered => self.readers.on_answer(self.now),
             Event::Peer(state) => self.on_peer(&state),
             Event::Seeds(seeds) => self.peers.set_seeds(&seeds),
             Event::Tick => self.on_tick(),
@@ -192,9 +199,11 @@
             version: table.version().0,
         });
         self.table = Some(table);
+        self.gossip_soon();
     }
 
-    fn on_listed(&mut self, specs: Vec<event::EndpointSpec>) {
+    fn on_listed(&mut self, specs: Vec<event::EndpointSpec>, at: u64) {
+        self.note_endpoints(at);
         for id in self.fleet.replace(specs, self.now) {
             self.record(Record::Endpoint {
                 endpoint: id.to_string(),
@@ -203,7 +212,8 @@
         }
     }
 
-    fn on_changed(&mut self, changes: Vec<event::EndpointChange>) {
+    fn on_changed(&mut self, changes: Vec<event::EndpointChange>, at: u64) {
+        self.note_endpoints(at);
         for change in changes {
             let (endpoint, state) = match &change {
                 event::EndpointChange::Absent(id) => (id.to_string(), "absent"),
@@ -220,8 +230,28 @@
         }
     }
 
+    /// Notes news of the list of endpoints, and tells peers soon.
+    fn note_endpoints(&mut self, at: u64) {
+        if at > self.endpoints_at {
+            self.endpoints_at = at;
+            self.gossip_soon();
+        }
+    }
+
     fn on_tick(&mut self) {
         self.check_requests();
+        if let Some(is_reader) = self.readers.decide(&mut self.rng, self.now) {
+            let state = if is_reader {
+                "reads_store"
+            } else {
+                "reads_peers"
+            };
+            self.record(Record::Process {
+                state: state.into(),
+                detail: String::new(),
+            });
+            self.actions.push(Action::ReadStore(is_reader));
+        }
         self.gossip_if_due();
     }
 
--- a/src/dispatch/action.rs
+++ b/src/dispatch/action.rs
@@ -124,6 +124,8 @@
     Identify(EndpointSpec),
     /// Drop the connections to an endpoint that rest.
     Disconnect(SocketAddr),
+    /// Begin or cease to read the platform's store.
+    ReadStore(bool),
     /// Tell other boxes how this one stands, by UDP.
     Gossip {
         /// Their addresses.
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -179,9 +179,21 @@
     /// A configuration was read.
     Table(Arc<RoutingTable>),
     /// The whole list of endpoints was read.
-    EndpointsListed(Vec<EndpointSpec>),
+    EndpointsListed {
+        /// All endpoints.
+        specs: Vec<EndpointSpec>,
+        /// The store's revision at which the list changed last.
+        at: u64,
+    },
     /// The list of endpoints has changed.
-    EndpointsChanged(Vec<EndpointChange>),
+    EndpointsChanged {
+        /// What has changed.
+        changes: Vec<EndpointChange>,
+        /// The store's revision at which it did.
+        at: u64,
+    },
+    /// The platform's store answered this box.
+    StoreAnswered,
     /// Another box told how it stands.
     Peer(BoxState),
     /// The settings name other boxes to speak to first.
--- a/src/dispatch/gossip.rs
+++ b/src/dispatch/gossip.rs
@@ -1,12 +1,22 @@
 //! What this box tells its peers, and what it takes from what they tell.
 
+use std::time::Duration;
+
 use super::Dispatcher;
 use super::action::Action;
 use super::fleet::Usage;
 use super::table::TableVersion;
 use crate::schema::{BoxState, EndpointUsage, StateRequest};
 
+/// How long news gather before peers are told.
+const NEWS_PAUSE: Duration = Duration::from_millis(10);
+
 impl Dispatcher {
+    /// Tells peers before it is due, since there is news.
+    pub(super) fn gossip_soon(&mut self) {
+        self.next_gossip = self.next_gossip.min(self.now.after(NEWS_PAUSE));
+    }
+
     pub(super) fn gossip_if_due(&mut self) {
         if self.now < self.next_gossip {
             return;
@@ -39,6 +49,8 @@
             usage: usage.collect(),
             lost: self.fleet.lost(self.now).cloned().collect(),
             peers: self.peers.heard_addresses(self.now),
+            endpoints_at: self.endpoints_at,
+            readers: self.readers.told(self.now),
         }
     }
 
@@ -47,15 +59,17 @@
             return;
         }
         self.fleet.on_peer(state, self.now);
+        self.readers.on_told(&state.readers, self.now);
         let own = self.table_version();
-        let offered = TableVersion(state.table_version);
-        if !self.peers.may_fetch(own, offered, self.now) {
+        let has_news =
+            TableVersion(state.table_version) > own || state.endpoints_at > self.endpoints_at;
+        if !has_news || !self.peers.may_fetch(self.now) {
             return;
         }
         if let Ok(from) = state.address.parse() {
             let wanted = StateRequest {
                 table_after: own.0,
-                endpoints: !self.fleet.is_known(),
+                endpoints_after: self.endpoints_at,
             };
             self.actions.push(Action::FetchState { from, wanted });
         }
--- a/src/dispatch/outcomes.rs
+++ b/src/dispatch/outcomes.rs
@@ -1,7 +1,5 @@
 //! What comes of sendings, and what follows from it.
 
-use std::time::Duration;
-
 use super::Dispatcher;
 use super::action::{Action, Command, RefusalReason};
 use super::event::{EndpointSpec, Fault, NotRunCause, Outcome, RequestNumber, Try};
@@ -10,8 +8,6 @@
 use super::sending::Copy;
 use crate::schema::EndpointId;
 
-/// How long losses gather before peers are told.
-const LOSS_GOSSIP_PAUSE: Duration = Duration::from_millis(10);
 /// The least status that tells of a fault of the endpoint.
 const SERVER_ERROR: u16 = 500;
 
@@ -134,7 +130,7 @@
     /// Notes that an endpoint was lost, and tells peers at once.
     pub(super) fn on_loss(&mut self, endpoint: &EndpointId) {
         self.fleet.on_failure(endpoint, self.now);
-        self.next_gossip = self.next_gossip.min(self.now.after(LOSS_GOSSIP_PAUSE));
+        self.gossip_soon();
     }
 
     /// Has an instance looked at that took over an engine's address. The list may not show it for
--- a/src/dispatch/peers.rs
+++ b/src/dispatch/peers.rs
@@ -10,7 +10,6 @@
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 
-use crate::dispatch::table::TableVersion;
 use crate::schema::{BoxId, BoxState, Micros};
 
 /// How many boxes are told each time.
@@ -21,8 +20,8 @@
 const KEPT_FOR: Duration = Duration::from_secs(30);
 /// How many addresses are passed on in one message.
 const ADDRESSES_PASSED: usize = 8;
-/// The least time between two questions for a table.
-const FETCH_PAUSE: Duration = Duration::from_millis(250);
+/// The least time between two questions for what a box knows.
+const FETCH_PAUSE: Duration = Duration::from_millis(100);
 
 #[derive(Debug)]
 struct Peer {
@@ -95,10 +94,9 @@
         true
     }
 
-    /// Whether to ask a box for its table now.
-    pub fn may_fetch(&mut self, own: TableVersion, offered: TableVersion, now: Micros) -> bool {
-        let paused = self.fetched.is_some_and(|at| now.since(at) < FETCH_PAUSE);
-        if offered <= own || paused {
+    /// Whether a box may be asked for what it knows now; notes that it is.
+    pub fn may_fetch(&mut self, now: Micros) -> bool {
+        if self.fetched.is_some_and(|at| now.since(at) < FETCH_PAUSE) {
             return false;
         }
         self.fetched = Some(now);
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -21,7 +21,7 @@
 pub mod store;
 pub mod watcher;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -39,7 +39,7 @@
 use crate::dispatch::table::{CallerLimits, RoutingTable, TableVersion};
 use crate::dispatch::{DispatchConfig, Dispatcher};
 use crate::http::ServeOptions;
-use crate::schema::{Incarnation, StateReply, StateRequest};
+use crate::schema::{Incarnation, StateEntry, StateReply, StateRequest};
 use control::{Control, Input};
 use decisions::DecisionLog;
 use dialect::{Dialect, Entry, Source};
@@ -59,7 +59,81 @@
 struct Read {
     table: Option<(TableVersion, String)>,
     endpoints: BTreeMap<String, String>,
-    has_endpoints: bool,
+    /// The revision at which the list of endpoints changed last.
+    endpoints_at: u64,
+    /// What has changed, the newest last.
+    changes: VecDeque<(u64, String)>,
+    /// The revision after which all changes are kept.
+    changes_after: u64,
+}
+
+/// How many changes of the list of endpoints are kept for peers.
+const CHANGES_KEPT: usize = 2_048;
+
+impl Read {
+    /// Takes entries in; returns whether any of them is news.
+    fn take(&mut self, entries: &[Entry], is_whole: bool, at: u64) -> bool {
+        let mut changed: Vec<&str> = Vec::new();
+        for entry in entries {
+            if self.endpoints.get(&entry.name) != entry.text.as_ref() {
+                changed.push(&entry.name);
+            }
+        }
+        let mut gone: Vec<String> = Vec::new();
+        if is_whole {
+            let is_listed = |name: &String| entries.iter().any(|e| e.name == *name);
+            gone = self
+                .endpoints
+                .keys()
+                .filter(|n| !is_listed(n))
+                .cloned()
+                .collect();
+        }
+        let is_first = self.endpoints_at == 0;
+        if changed.is_empty() && gone.is_empty() && !is_first {
+            return false;
+        }
+        let names = changed.into_iter().map(str::to_owned).chain(gone.clone());
+        self.changes.extend(names.map(|name| (at, name)));
+        for entry in entries {
+            match &entry.text {
+                Some(text) => self.endpoints.insert(entry.name.clone(), text.clone()),
+                None => self.endpoints.remove(&entry.name),
+            };
+        }
+        self.endpoints.retain(|name, _| !gone.contains(name));
+        self.endpoints_at = self.endpoints_at.max(at);
+        if is_first {
+            self.changes_after = at;
+        }
+        while self.changes.len() > CHANGES_KEPT {
+            if let Some((at, _)) = self.changes.pop_front() {
+                self.changes_after = at;
+            }
+        }
+        true
+    }
+
+    /// What has changed after a revision, or all there is; and which of the two.
+    fn since(&self, after: u64) -> (Vec<StateEntry>, bool) {
+        if after >= self.endpoints_at {
+            return (Vec::new(), false);
+        }
+        if after < self.changes_after {
+            let all = self.endpoints.iter().map(|(name, text)| StateEntry {
+                name: name.clone(),
+                text: Some(text.clone()),
+            });
+            return (all.collect(), true);
+        }
+        let newer = self.changes.iter().filter(|(at, _)| *at > after);
+        let names: BTreeSet<&String> = newer.map(|(_, name)| name).collect();
+        let changed = names.into_iter().map(|name| StateEntry {
+            name: name.clone(),
+            text: self.endpoints.get(name).cloned(),
+        });
+        (changed.collect(), false)
+    }
 }
 
 #[derive(Debug, Default)]
@@ -88,6 +162,7 @@
     /// Connections to endpoints.
     pub pool: Arc<Pool>,
     closing: watch::Sender<bool>,
+    reading: watch::Sender<bool>,
     standing: Arc<Standing>,
     read: Arc<RwLock<Read>>,
 }
@@ -135,6 +210,22 @@
         self.closing.send_replace(true);
     }
 
+    /// Begins or ceases to read the platform's store.
+    pub fn set_reading(&self, is_reader: bool) {
+        self.reading.send_replace(is_reader);
+    }
+
+    /// Waits until this box reads the platform's store; returns whether that took a while.
+    pub async fn until_reading(&self) -> bool {
+        let mut reading = self.reading.subscribe();
+        if *reading.borrow() {
+            return false;
+        }
+        // It fails only when the sender is gone, and this holds one.
+        let _ = reading.wait_for(|is_reader| *is_reader).await;
+        true
+    }
+
     /// Bounds on requests, once there is a configuration.
     #[must_use]
     pub fn limits(&self) -> Option<CallerLimits> {
@@ -205,28 +296,13 @@
         }
     }
 
-    /// Keeps entries of the list of endpoints for peers.
-    pub fn keep_endpoints(&self, entries: &[Entry], is_whole: bool) {
-        let mut read = self.write_read();
-        if is_whole {
-            read.endpoints.clear();
-            read.has_endpoints = true;
-        }
-        for entry in entries {
-            match &entry.text {
-                Some(text) => read.endpoints.insert(entry.name.clone(), text.clone()),
-                None => read.endpoints.remove(&entry.name),
-            };
-        }
-    }
-
-    /// Whether a list of endpoints has been read.
+    /// Keeps entries of the list of endpoints for peers; returns the revision at which the list
+    /// changed last, if these entries are news.
     #[must_use]
-    pub fn knows_endpoints(&self) -> bool {
-        self.read
-            .read()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
-            .has_endpoints
+    pub fn keep_endpoints(&self, entries: &[Entry], is_whole: bool, at: u64) -> Option<u64> {
+        let mut read = self.write_read();
+        let is_news = read.take(entries, is_whole, at);
+        is_news.then_some(read.endpoints_at)
     }
 
     /// What a peer asks for.
@@ -240,13 +316,12 @@
             .table
             .as_ref()
             .filter(|(version, _)| version.0 > wanted.table_after);
+        let (endpoints, is_whole) = read.since(wanted.endpoints_after);
         StateReply {
             table: newer.map(|(_, text)| text.clone()),
-            endpoints: if wanted.endpoints {
-                read.endpoints.values().cloned().collect()
-            } else {
-                Vec::new()
-            },
+            endpoints,
+            endpoints_at: read.endpoints_at,
+            is_whole,
         }
     }
 
@@ -362,6 +437,7 @@
         inputs,
         pool: Arc::new(Pool::default()),
         closing: watch::channel(false).0,
+        reading: watch::channel(true).0,
         standing: Arc::default(),
         read: Arc::default(),
     })
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -90,7 +90,7 @@
         }
         let is_belief = matches!(
             event,
-            Event::Table(_) | Event::EndpointsListed(_) | Event::Stop { .. }
+            Event::Table(_) | Event::EndpointsListed { .. } | Event::Stop { .. }
         );
         let actions = self.dispatcher.handle(self.shared.clock.now(), event);
         for action in actions {
@@ -130,6 +130,7 @@
                 self.traffic.spawn(identifying);
             }
             Action::Disconnect(address) => self.shared.pool.forget(address),
+            Action::ReadStore(is_reader) => self.shared.set_reading(is_reader),
             Action::Gossip { to, state } => {
                 let telling = peers::tell(Arc::clone(&self.gossip), to, *state);
                 self.traffic.spawn(telling);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -69,13 +69,21 @@
         };
         store::take_table(&entry, &shared).await;
     }
-    if wanted.endpoints && !reply.endpoints.is_empty() && !shared.knows_endpoints() {
-        let entries = reply.endpoints.into_iter().map(|text| Entry {
-            name: String::new(),
-            text: Some(text),
-        });
-        let news = News::Listed(entries.collect());
-        store::spread(Source::Endpoints, news, &shared).await;
+    let entries: Vec<Entry> = reply
+        .endpoints
+        .into_iter()
+        .map(|entry| Entry {
+            name: entry.name,
+            text: entry.text,
+        })
+        .collect();
+    if reply.endpoints_at > wanted.endpoints_after {
+        let news = if reply.is_whole {
+            News::Listed(entries)
+        } else {
+            News::Changed(entries)
+        };
+        store::spread(Source::Endpoints, news, reply.endpoints_at, &shared).await;
     }
 }
 
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -36,15 +36,22 @@
     let mut link = StoreLink::default();
     let mut was_reached = false;
     loop {
+        if shared.until_reading().await {
+            // Others have read meanwhile; only a list tells where to watch from.
+            watcher = Watcher::default();
+        }
         let answer = link.ask(source, &watcher.step(), &shared).await;
         let next = watcher.on_answer(answer, &mut rng);
         if watcher.is_reached() != was_reached {
             was_reached = watcher.is_reached();
             record_reached(source, was_reached, &shared);
         }
+        if watcher.is_reached() {
+            shared.tell(Input::Event(Event::StoreAnswered)).await;
+        }
         let mut pause = next.pause;
         if let Some(news) = next.news {
-            spread(source, news, &shared).await;
+            spread(source, news, watcher.revision(), &shared).await;
             pause = pause.max(gathering(source));
         }
         tokio::time::sleep(pause).await;
@@ -134,8 +141,8 @@
     }
 }
 
-/// Tells the control thread what is new.
-pub async fn spread(source: Source, news: News, shared: &GatewayShared) {
+/// Tells the control thread what is new at a revision of the store.
+pub async fn spread(source: Source, news: News, at: u64, shared: &GatewayShared) {
     match (source, news) {
         (Source::Table, News::Listed(entries) | News::Changed(entries)) => {
             for entry in entries {
@@ -143,17 +150,25 @@
             }
         }
         (Source::Endpoints, News::Listed(entries)) => {
-            shared.keep_endpoints(&entries, true);
+            let Some(at) = shared.keep_endpoints(&entries, true, at) else {
+                return;
+            };
             let specs = entries
                 .iter()
-                .filter_map(|e| shared.dialect.read_endpoint(e));
-            let event = Event::EndpointsListed(specs.collect());
+                .filter_map(|e| shared.dialect.read_endpoint(e))
+                .collect();
+            let event = Event::EndpointsListed { specs, at };
             shared.tell(Input::Event(event)).await;
         }
         (Source::Endpoints, News::Changed(entries)) => {
-            shared.keep_endpoints(&entries, false);
-            let changes = entries.iter().filter_map(|e| change_of(e, shared));
-            let event = Event::EndpointsChanged(changes.collect());
+            let Some(at) = shared.keep_endpoints(&entries, false, at) else {
+                return;
+            };
+            let changes = entries
+                .iter()
+                .filter_map(|e| change_of(e, shared))
+                .collect();
+            let event = Event::EndpointsChanged { changes, at };
             shared.tell(Input::Event(event)).await;
         }
     }
--- a/src/gateway/watcher.rs
+++ b/src/gateway/watcher.rs
@@ -81,6 +81,12 @@
         }
     }
 
+    /// The store's revision that was read last, or 0.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.at.unwrap_or_default()
+    }
+
     /// Whether the last answer was what was asked for.
     #[must_use]
     pub fn is_reached(&self) -> bool {
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -300,12 +300,16 @@
 pub struct BoxState {
     ///Where the box is reached by its peers.
     pub address: ::std::string::String,
+    ///The store's revision at which the known list of endpoints changed last, or 0.
+    pub endpoints_at: u64,
     pub from: BoxId,
     pub incarnation: Incarnation,
     ///Endpoints that it lost a short while ago.
     pub lost: ::std::vec::Vec<EndpointId>,
     ///Addresses of boxes that it has heard.
     pub peers: ::std::vec::Vec<::std::string::String>,
+    ///Boxes that read the store.
+    pub readers: ::std::vec::Vec<StoreReader>,
     ///Whether the box is about to end.
     pub stopping: bool,
     ///The version of the routing table in force, or 0.
@@ -2575,12 +2579,26 @@
     pub term: u64,
     pub unknown_for: Millis,
 }
+///An entry of the list of endpoints.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct StateEntry {
+    ///Its name.
+    pub name: ::std::string::String,
+    ///Its content, or nothing once it is gone.
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub text: ::std::option::Option<::std::string::String>,
+}
 ///What a box of the gateway read from the platform, as it was read.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct StateReply {
-    ///The entries of the list of endpoints.
-    pub endpoints: ::std::vec::Vec<::std::string::String>,
+    ///Entries of the list of endpoints that have changed, or all of them.
+    pub endpoints: ::std::vec::Vec<StateEntry>,
+    ///The revision at which the list changed last.
+    pub endpoints_at: u64,
+    ///Whether the entries are all there are.
+    pub is_whole: bool,
     ///The configuration.
     #[serde(deserialize_with = "::std::option::Option::deserialize")]
     pub table: ::std::option::Option<::std::string::String>,
@@ -2589,11 +2607,20 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct StateRequest {
-    ///Whether the list of endpoints is wanted.
-    pub endpoints: bool,
+    ///Changes of the list of endpoints are wanted after this revision.
+    pub endpoints_after: u64,
     ///The table is wanted if it is newer than this version.
     pub table_after: u64,
 }
+///A box that reads the platform's store for others.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct StoreReader {
+    ///Milliseconds since the store answered it last.
+    pub age_ms: u32,
+    pub domain: DomainId,
+    pub id: BoxId,
+}
 ///A request handed to its home box.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -7,15 +7,15 @@
 use std::time::Duration;
 
 use fixtures::{
-    GENEROUS, KEY, PAYMENTS, QUOTES, STREAMS, World, commands, domain_of, endpoint, endpoints,
-    probes, records, refusal, sending, table, table_of,
+    GENEROUS, KEY, PAYMENTS, QUOTES, STREAMS, World, changed, commands, domain_of, endpoint,
+    endpoints, listed, probes, records, refusal, sending, table, table_of,
 };
 use magpiemoor::dispatch::action::{Action, Command, RefusalReason};
 use magpiemoor::dispatch::budget::RetryPolicy;
 use magpiemoor::dispatch::event::{EndpointChange, Event, Fault, NotRunCause, Outcome};
 use magpiemoor::dispatch::record::Record;
 use magpiemoor::dispatch::table::TableVersion;
-use magpiemoor::schema::{BoxState, Incarnation};
+use magpiemoor::schema::{BoxState, Incarnation, StoreReader};
 use rstest::rstest;
 
 const NOT_RUN: Outcome = Outcome::NotRun(NotRunCause::NoRoom);
@@ -39,6 +39,8 @@
         usage: Vec::new(),
         lost: lost.iter().map(|id| id.parse().unwrap()).collect(),
         peers: Vec::new(),
+        endpoints_at: 0,
+        readers: Vec::new(),
     }
 }
 
@@ -144,7 +146,7 @@
     };
     let mut world = World::empty(policy);
     world.handle(Event::Table(Arc::new(table(1))));
-    world.handle(Event::EndpointsListed(endpoints()));
+    world.handle(listed(endpoints()));
     let mut retried = 0;
     for _ in 0..100 {
         let (request, first) = world.arrive(QUOTES);
@@ -288,7 +290,7 @@
     for port in 0..6 {
         let id = format!("engine-n{}", port + 3);
         let spec = endpoint(&id, "engines", "north", 9_200 + port);
-        world.handle(Event::EndpointsChanged(vec![EndpointChange::Present(spec)]));
+        world.handle(changed(vec![EndpointChange::Present(spec)]));
     }
     for _ in 0..2 {
         world.pass(10);
@@ -340,7 +342,7 @@
     } else {
         EndpointChange::Absent(first.endpoint.clone())
     };
-    world.handle(Event::EndpointsChanged(vec![change]));
+    world.handle(changed(vec![change]));
     assert!(commands(&world.actions).is_empty());
     for _ in 0..20 {
         let (_, other) = world.arrive(STREAMS);
@@ -357,9 +359,7 @@
     let first = first.unwrap();
     let port = first.address.port();
     let owner = endpoint("till-new", "till", "south", port);
-    world.handle(Event::EndpointsChanged(vec![EndpointChange::Present(
-        owner,
-    )]));
+    world.handle(changed(vec![EndpointChange::Present(owner)]));
     for _ in 0..10 {
         let (_, other) = world.arrive(PAYMENTS);
         assert_ne!(other.unwrap().endpoint, first.endpoint);
@@ -370,7 +370,7 @@
 fn a_request_without_any_endpoint_is_refused_as_not_run_within_a_part_of_its_objective() {
     let mut world = World::empty(GENEROUS);
     world.handle(Event::Table(Arc::new(table(1))));
-    world.handle(Event::EndpointsListed(Vec::new()));
+    world.handle(listed(Vec::new()));
     world.arrive(QUOTES);
     let done = world.run(75);
     assert_eq!(refusal(&done), Some(RefusalReason::NoEndpoint));
@@ -456,10 +456,9 @@
 fn a_box_that_knows_nothing_asks_its_peers_for_endpoints_too() {
     let mut world = World::empty(GENEROUS);
     world.handle(Event::Peer(peer("box-2", 9, &[])));
-    let asked = world
-        .actions
-        .iter()
-        .any(|action| matches!(action, Action::FetchState { wanted, .. } if wanted.endpoints));
+    let asked = world.actions.iter().any(
+        |action| matches!(action, Action::FetchState { wanted, .. } if wanted.endpoints_after == 0),
+    );
     assert!(asked);
 }
 
@@ -500,7 +499,7 @@
 fn a_successor_at_an_engines_address_is_used_once_it_is_identified() {
     let mut world = World::empty(GENEROUS);
     world.handle(Event::Table(Arc::new(table(1))));
-    world.handle(Event::EndpointsListed(vec![endpoint(
+    world.handle(listed(vec![endpoint(
         "engine-n1",
         "engines",
         "north",
@@ -536,7 +535,7 @@
     let mut world = World::empty(GENEROUS);
     world.handle(Event::Table(Arc::new(table(1))));
     let far = (0..20).map(|n| endpoint(&format!("engine-s{n}"), "engines", "south", 9_300 + n));
-    world.handle(Event::EndpointsListed(far.collect()));
+    world.handle(listed(far.collect()));
     let mut sendings = 0;
     for _ in 0..30 {
         world.pass(10);
@@ -564,3 +563,70 @@
     assert_eq!(sent.count(), 1);
     assert!(payment.is_some());
 }
+
+fn reader(id: &str, domain: &str, age_ms: u32) -> StoreReader {
+    StoreReader {
+        id: id.parse().unwrap(),
+        domain: domain.parse().unwrap(),
+        age_ms,
+    }
+}
+
+fn reads_store(actions: &[Action]) -> Option<bool> {
+    actions.iter().find_map(|action| match action {
+        Action::ReadStore(is_reader) => Some(*is_reader),
+        _ => None,
+    })
+}
+
+#[rstest]
+#[case::two_before_it(&["a", "b"], "north", 100, Some(false))]
+#[case::one_before_it(&["a"], "north", 100, None)]
+#[case::after_it(&["x", "y"], "north", 100, None)]
+#[case::of_another_domain(&["a", "b"], "south", 100, None)]
+#[case::not_answered_lately(&["a", "b"], "north", 9_000, None)]
+fn a_box_steps_back_from_reading_the_store_for_two_others_of_its_domain(
+    #[case] readers: &[&str],
+    #[case] domain: &str,
+    #[case] age_ms: u32,
+    #[case] change: Option<bool>,
+) {
+    let mut world = World::ready();
+    let mut done = Vec::new();
+    for _ in 0..8 {
+        let mut state = peer("box-2", 1, &[]);
+        state.readers = readers
+            .iter()
+            .map(|id| reader(id, domain, age_ms))
+            .collect();
+        world.handle(Event::Peer(state));
+        done.extend(world.run(1_000));
+    }
+    assert_eq!(reads_store(&done), change);
+}
+
+#[test]
+fn a_box_reads_the_store_again_when_its_readers_are_gone() {
+    let mut world = World::ready();
+    let mut done = Vec::new();
+    for _ in 0..8 {
+        let mut state = peer("box-2", 1, &[]);
+        state.readers = vec![reader("a", "north", 0), reader("b", "north", 0)];
+        world.handle(Event::Peer(state));
+        done.extend(world.run(1_000));
+    }
+    assert_eq!(reads_store(&done), Some(false));
+    assert_eq!(reads_store(&world.run(6_000)), Some(true));
+}
+
+#[test]
+fn a_peer_that_knows_newer_endpoints_is_asked_for_them() {
+    let mut world = World::ready();
+    let mut state = peer("box-2", 1, &[]);
+    state.endpoints_at = 50;
+    world.handle(Event::Peer(state));
+    let asked = world.actions.iter().any(
+        |action| matches!(action, Action::FetchState { wanted, .. } if wanted.endpoints_after == 1),
+    );
+    assert!(asked);
+}
--- a/tests/gateway/fixtures.rs
+++ b/tests/gateway/fixtures.rs
@@ -7,7 +7,7 @@
 use magpiemoor::dispatch::action::{Action, Command, RefusalReason, Sending};
 use magpiemoor::dispatch::budget::RetryPolicy;
 use magpiemoor::dispatch::event::{
-    Arrival, EndpointLoad, EndpointSpec, Event, Outcome, RequestNumber, Tokens, Try,
+    Arrival, EndpointChange, EndpointLoad, EndpointSpec, Event, Outcome, RequestNumber, Tokens, Try,
 };
 use magpiemoor::dispatch::record::Record;
 use magpiemoor::dispatch::table::{
@@ -167,7 +167,7 @@
     pub fn ready() -> Self {
         let mut world = Self::empty(GENEROUS);
         world.handle(Event::Table(Arc::new(table(1))));
-        world.handle(Event::EndpointsListed(endpoints()));
+        world.handle(listed(endpoints()));
         world
     }
 
@@ -295,3 +295,13 @@
 pub fn domain_of(id: &EndpointId) -> &'static str {
     if id.contains("-n") { "north" } else { "south" }
 }
+
+/// A list of endpoints was read.
+pub fn listed(specs: Vec<EndpointSpec>) -> Event {
+    Event::EndpointsListed { specs, at: 1 }
+}
+
+/// Changes of the list were read.
+pub fn changed(changes: Vec<EndpointChange>) -> Event {
+    Event::EndpointsChanged { changes, at: 2 }
+}
--- a/tests/gateway_parts.rs
+++ b/tests/gateway_parts.rs
@@ -13,7 +13,8 @@
 use magpiemoor::gateway::settings::{GatewaySettings, defaults};
 use magpiemoor::gateway::watcher::{News, Step, StepAnswer, Watcher};
 use magpiemoor::schema::{
-    BoxState, EndpointUsage, GatewaySettingsFile, Incarnation, StateReply, StateRequest,
+    BoxState, EndpointUsage, GatewaySettingsFile, Incarnation, StateEntry, StateReply,
+    StateRequest, StoreReader,
 };
 use magpiemoor::settings::file::parse_as;
 use proptest::prelude::*;
@@ -213,14 +214,25 @@
         }],
         lost: vec!["f".parse().unwrap()],
         peers: vec!["127.0.0.2:7200".to_owned()],
+        endpoints_at: 7,
+        readers: vec![StoreReader {
+            id: "box-3".parse().unwrap(),
+            domain: "north".parse().unwrap(),
+            age_ms: 12,
+        }],
     };
     let request = StateRequest {
         table_after: 3,
-        endpoints: true,
+        endpoints_after: 4,
     };
     let reply = StateReply {
         table: None,
-        endpoints: vec!["x".to_owned()],
+        endpoints: vec![StateEntry {
+            name: "x".to_owned(),
+            text: None,
+        }],
+        endpoints_at: 9,
+        is_whole: false,
     };
     let bytes = postcard::to_stdvec(&(&state, &request, &reply)).unwrap();
     let read: (BoxState, StateRequest, StateReply) = postcard::from_bytes(&bytes).unwrap();
