--- a/src/cli/observe.rs
+++ b/src/cli/observe.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 
 use crate::cli::{CliError, Output, block_on};
-use crate::daemon::control::Status;
+use crate::daemon::input::Status;
 use crate::http::{Call, Client};
 use crate::schema::HybridTime;
 use crate::timeline::{Entry, merge};
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod engines;
 pub mod fetch;
+pub mod input;
 pub mod metrics;
 pub mod operators;
 pub mod peers;
@@ -30,7 +31,8 @@
 use crate::schema::Incarnation;
 use crate::settings::Settings;
 use crate::timeline::Timeline;
-use control::{Control, Input};
+use control::Control;
+use input::Input;
 use metrics::Metrics;
 
 /// How many inputs may wait for the control thread before senders wait.
@@ -156,7 +158,11 @@
     }
 }
 
-async fn listen(setting: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
+/// Listens on an address that a setting names.
+pub(crate) async fn listen(
+    setting: &'static str,
+    address: SocketAddr,
+) -> Result<TcpListener, DaemonError> {
     TcpListener::bind(address)
         .await
         .map_err(|error| DaemonError::Listen {
--- a/src/daemon/callers.rs
+++ b/src/daemon/callers.rs
@@ -20,7 +20,7 @@
 use serde_json::json;
 use tokio::sync::mpsc;
 
-use crate::daemon::control::Input;
+use crate::daemon::input::Input;
 use crate::daemon::{Context, Shared};
 use crate::http::{self, BodyError};
 use crate::node::action::Reply;
--- a/src/daemon/callers/stream.rs
+++ b/src/daemon/callers/stream.rs
@@ -12,7 +12,7 @@
 use crate::daemon::Shared;
 use crate::daemon::callers::parse::event_id;
 use crate::daemon::callers::problem::Problem;
-use crate::daemon::control::Input;
+use crate::daemon::input::Input;
 use crate::http;
 use crate::node::action::Reply;
 use crate::node::event::{CallerEvent, Event};
--- a/src/daemon/engines.rs
+++ b/src/daemon/engines.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::daemon::Shared;
-use crate::daemon::control::Input;
+use crate::daemon::input::Input;
 use crate::http::{Call, HttpError};
 use crate::node::action::{EngineStart, Order};
 use crate::node::event::{CacheChange, EngineEvent, EngineFailure, Event, Load};
--- a/src/daemon/fetch.rs
+++ b/src/daemon/fetch.rs
@@ -10,7 +10,7 @@
 use crate::bundle::sign::verify;
 use crate::bundle::{Bundle, SignedBundle};
 use crate::daemon::Shared;
-use crate::daemon::control::Input;
+use crate::daemon::input::Input;
 use crate::daemon::platform::object_path;
 use crate::http::Call;
 use crate::node::event::Event;
--- a/src/daemon/operators.rs
+++ b/src/daemon/operators.rs
@@ -11,7 +11,7 @@
 use serde::Deserialize;
 use tokio::sync::oneshot;
 
-use crate::daemon::control::{Input, Status};
+use crate::daemon::input::{Input, Status};
 use crate::daemon::{Context, Shared};
 use crate::http;
 
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -16,7 +16,7 @@
 use tokio::sync::mpsc;
 
 use crate::daemon::Shared;
-use crate::daemon::control::Input;
+use crate::daemon::input::Input;
 use crate::node::event::Event;
 use crate::schema::{BoxId, Envelope, Heartbeat, Member, PeerMessage};
 
--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -6,7 +6,7 @@
 use gotham::hyper::{Method, StatusCode};
 
 use crate::daemon::Shared;
-use crate::daemon::control::Input;
+use crate::daemon::input::Input;
 use crate::http::{Answer, Call, HttpError};
 use crate::node::action::{Expect, PlatformOp};
 use crate::node::event::{Event, Object, PlatformAnswer};
--- a/src/daemon/services.rs
+++ b/src/daemon/services.rs
@@ -3,7 +3,7 @@
 use gotham::hyper::{Method, StatusCode};
 
 use crate::daemon::Shared;
-use crate::daemon::control::Input;
+use crate::daemon::input::Input;
 use crate::http::{Call, HttpError};
 use crate::node::action::ServiceCall;
 use crate::node::event::{Event, NotSent, ServiceOutcome};
--- a/src/daemon/timers.rs
+++ b/src/daemon/timers.rs
@@ -9,7 +9,7 @@
 use tokio_util::time::delay_queue::Key;
 
 use crate::daemon::Shared;
-use crate::daemon::control::Input;
+use crate::daemon::input::Input;
 use crate::node::event::{Event, Timer};
 
 /// A subscription: what is to be told, and when.
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -9,26 +9,10 @@
 
 use crate::dispatch::Dispatcher;
 use crate::dispatch::action::{Action, Command};
-use crate::dispatch::event::{Arrival, Event, RequestNumber};
+use crate::dispatch::event::{Event, RequestNumber};
+use crate::gateway::input::Input;
 use crate::gateway::{GatewayShared, peers, probes};
 
-/// Something for the control thread.
-pub enum Input {
-    /// An event for the dispatcher.
-    Event(Event),
-    /// A caller's request, and where the commands for it go.
-    Arrived {
-        /// Its number.
-        request: RequestNumber,
-        /// The request.
-        arrival: Arrival,
-        /// Where commands go.
-        commands: mpsc::UnboundedSender<Command>,
-    },
-    /// The process is about to end.
-    Exit,
-}
-
 /// The control thread's own state.
 pub struct Control {
     dispatcher: Dispatcher,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -5,29 +5,27 @@
 //! before can still be answered properly.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
 use gotham::hyper::body::{Frame, Incoming};
-use gotham::hyper::http::request;
-use gotham::hyper::{HeaderMap, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use gotham::hyper::{HeaderMap, Response, StatusCode, header};
+use http_body_util::{BodyExt, StreamBody};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::dispatch::action::{Command, Refusal, Reuse, Sending};
+use crate::dispatch::action::{Command, Refusal, Sending};
 use crate::dispatch::event::{Event, Fault, Outcome, RequestNumber, Try};
-use crate::gateway::control::Input;
 use crate::gateway::dialect::AnswerKind;
 use crate::gateway::events::EventCutter;
-use crate::gateway::pool::{Connection, Pool, SendError};
+use crate::gateway::input::Input;
+use crate::gateway::pool::Connection;
+use crate::gateway::sending::{CallerRequest, Held, hold, open};
 use crate::gateway::{GatewayShared, headers};
 use crate::http;
 
 /// How many events wait for a slow caller before the engine is read no further.
 const EVENTS_WAITING: usize = 20;
-/// The greatest answer that is held whole, in bytes.
-const MOST_HELD: usize = 8 << 20;
 /// The content type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
 
@@ -42,17 +40,6 @@
 
 type EventSender = mpsc::Sender<Part>;
 
-/// A request as the caller sent it.
-#[derive(Debug)]
-pub struct CallerRequest {
-    /// The caller's id of this sending.
-    pub id: String,
-    /// Its head.
-    pub head: request::Parts,
-    /// Its body.
-    pub body: Bytes,
-}
-
 /// Where the answer goes.
 enum Caller {
     /// Nothing has been answered.
@@ -71,13 +58,6 @@
     }
 }
 
-/// An answer that is held until the dispatcher says what to do with it.
-struct Held {
-    status: StatusCode,
-    headers: HeaderMap,
-    body: Bytes,
-}
-
 /// Why a sending was left.
 enum Left {
     /// It ended.
@@ -409,70 +389,3 @@
         }
     })
 }
-
-/// Sends a request and waits for the head of its answer.
-async fn open(
-    shared: &GatewayShared,
-    request: &CallerRequest,
-    sending: &Sending,
-    after: Option<u64>,
-) -> Result<(Response<Incoming>, Connection), Outcome> {
-    let started = Instant::now();
-    let mut sending = sending.clone();
-    sending.after_event = sending.after_event.max(after);
-    if let Reuse::Rested(rest) = sending.reuse
-        && let Some(mut connection) = shared.pool.take(sending.address, rest)
-    {
-        match connection.send(outgoing(shared, request, &sending)).await {
-            Ok(response) => return Ok((response, connection)),
-            // It was closed before a byte of the request was written.
-            Err(SendError::NotSent) => {}
-            Err(e) => return Err(outcome_of(&e)),
-        }
-    }
-    let mut connection = Pool::connect(sending.address, sending.connect_limit)
-        .await
-        .map_err(|_| Outcome::NotSent)?;
-    sending.time_left = sending.time_left.saturating_sub(started.elapsed());
-    match connection.send(outgoing(shared, request, &sending)).await {
-        Ok(response) => Ok((response, connection)),
-        Err(e) => Err(outcome_of(&e)),
-    }
-}
-
-fn outcome_of(error: &SendError) -> Outcome {
-    match error {
-        SendError::NotSent => Outcome::NotSent,
-        SendError::Broken => Outcome::Broken(Fault::Closed),
-        SendError::Malformed => Outcome::Broken(Fault::Malformed),
-    }
-}
-
-fn outgoing(
-    shared: &GatewayShared,
-    request: &CallerRequest,
-    sending: &Sending,
-) -> Request<Full<Bytes>> {
-    let mut outgoing = Request::new(Full::new(request.body.clone()));
-    *outgoing.method_mut() = request.head.method.clone();
-    *outgoing.uri_mut() = headers::origin_form(&request.head.uri);
-    *outgoing.headers_mut() =
-        shared
-            .dialect
-            .request_headers(&request.head.headers, &request.id, sending);
-    outgoing
-}
-
-/// Reads an answer whole.
-async fn hold(status: StatusCode, headers: &HeaderMap, body: Incoming) -> Result<Held, Fault> {
-    let body = Limited::new(body, MOST_HELD).collect().await;
-    let body = body.map_err(|_| Fault::Closed)?.to_bytes();
-    Ok(Held {
-        status,
-        headers: headers.clone(),
-        body,
-    })
-}
-
-/// How long a caller may take to send its request's body.
-pub const BODY_LIMIT: Duration = Duration::from_secs(10);
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -15,8 +15,9 @@
 
 use crate::dispatch::event::RequestNumber;
 use crate::gateway::GatewayShared;
-use crate::gateway::control::Input;
-use crate::gateway::exchange::{CallerRequest, Exchange};
+use crate::gateway::exchange::Exchange;
+use crate::gateway::input::Input;
+use crate::gateway::sending::CallerRequest;
 use crate::http::{self, BodyError};
 
 /// The greatest body that is read before there is a configuration, in bytes.
--- /dev/null
+++ b/src/gateway/known.rs
@@ -0,0 +1,90 @@
+//! What was read from the platform's store, as it was read, kept for peers that ask.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::dispatch::table::TableVersion;
+use crate::gateway::dialect::Entry;
+use crate::schema::StateEntry;
+
+/// What was read from the platform, as it was read.
+#[derive(Debug, Default)]
+pub(super) struct Known {
+    /// The configuration.
+    pub(super) table: Option<(TableVersion, String)>,
+    endpoints: BTreeMap<String, String>,
+    /// The revision at which the list of endpoints changed last.
+    pub(super) endpoints_at: u64,
+    /// What has changed, the newest last.
+    changes: VecDeque<(u64, String)>,
+    /// The revision after which all changes are kept.
+    changes_after: u64,
+}
+
+/// How many changes of the list of endpoints are kept for peers.
+const CHANGES_KEPT: usize = 2_048;
+
+impl Known {
+    /// Takes entries in; returns whether any of them is news.
+    pub(super) fn take(&mut self, entries: &[Entry], is_whole: bool, at: u64) -> bool {
+        let mut changed: Vec<&str> = Vec::new();
+        for entry in entries {
+            if self.endpoints.get(&entry.name) != entry.text.as_ref() {
+                changed.push(&entry.name);
+            }
+        }
+        let mut gone: Vec<String> = Vec::new();
+        if is_whole {
+            let is_listed = |name: &String| entries.iter().any(|e| e.name == *name);
+            gone = self
+                .endpoints
+                .keys()
+                .filter(|n| !is_listed(n))
+                .cloned()
+                .collect();
+        }
+        let is_first = self.endpoints_at == 0;
+        if changed.is_empty() && gone.is_empty() && !is_first {
+            return false;
+        }
+        let names = changed.into_iter().map(str::to_owned).chain(gone.clone());
+        self.changes.extend(names.map(|name| (at, name)));
+        for entry in entries {
+            match &entry.text {
+                Some(text) => self.endpoints.insert(entry.name.clone(), text.clone()),
+                None => self.endpoints.remove(&entry.name),
+            };
+        }
+        self.endpoints.retain(|name, _| !gone.contains(name));
+        self.endpoints_at = self.endpoints_at.max(at);
+        if is_first {
+            self.changes_after = at;
+        }
+        while self.changes.len() > CHANGES_KEPT {
+            if let Some((at, _)) = self.changes.pop_front() {
+                self.changes_after = at;
+            }
+        }
+        true
+    }
+
+    /// What has changed after a revision, or all there is; and which of the two.
+    pub(super) fn since(&self, after: u64) -> (Vec<StateEntry>, bool) {
+        if after >= self.endpoints_at {
+            return (Vec::new(), false);
+        }
+        if after < self.changes_after {
+            let all = self.endpoints.iter().map(|(name, text)| StateEntry {
+                name: name.clone(),
+                text: Some(text.clone()),
+            });
+            return (all.collect(), true);
+        }
+        let newer = self.changes.iter().filter(|(at, _)| *at > after);
+        let names: BTreeSet<&String> = newer.map(|(_, name)| name).collect();
+        let changed = names.into_iter().map(|name| StateEntry {
+            name: name.clone(),
+            text: self.endpoints.get(name).cloned(),
+        });
+        (changed.collect(), false)
+    }
+}
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -13,8 +13,8 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 use crate::dispatch::event::Event;
-use crate::gateway::control::Input;
 use crate::gateway::dialect::{Entry, Source};
+use crate::gateway::input::Input;
 use crate::gateway::watcher::News;
 use crate::gateway::{GatewayShared, store};
 use crate::schema::{BoxState, StateReply, StateRequest};
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -11,8 +11,8 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use gotham::hyper::body::Incoming;
-use gotham::hyper::{Request, Response};
-use http_body_util::Full;
+use gotham::hyper::{Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -75,6 +75,18 @@
         }
     }
 
+    /// Gets a path and reads the whole answer; `None` if the connection broke.
+    pub async fn get(&mut self, path: &str) -> Option<(StatusCode, Bytes)> {
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = path.parse().ok()?;
+        let host = self.address.to_string().parse().ok()?;
+        request.headers_mut().insert(header::HOST, host);
+        let response = self.send(request).await.ok()?;
+        let status = response.status();
+        let body = response.into_body().collect().await.ok()?;
+        Some((status, body.to_bytes()))
+    }
+
     /// Whether the next request can be sent at once.
     fn is_ready(&mut self) -> bool {
         !self.sender.is_closed() && matches!(self.sender.ready().now_or_never(), Some(Ok(())))
--- a/src/gateway/probes.rs
+++ b/src/gateway/probes.rs
@@ -4,13 +4,12 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use gotham::hyper::{Request, StatusCode, Uri, header};
-use http_body_util::{BodyExt, Full};
+use gotham::hyper::StatusCode;
 use tokio::task::JoinSet;
 
 use crate::dispatch::event::{EndpointLoad, EndpointSpec, Event, RequestNumber};
 use crate::gateway::GatewayShared;
-use crate::gateway::control::Input;
+use crate::gateway::input::Input;
 use crate::gateway::pool::{Connection, Pool};
 use crate::schema::EndpointId;
 
@@ -98,28 +97,21 @@
     shared.metrics.probes.inc();
     let until = Instant::now() + limit;
     if let Some(connection) = shared.pool.take(address, PROBE_REST)
-        && let Some(answer) = get_on(connection, address, path, shared).await
+        && let Some(answer) = get_on(connection, path, shared).await
     {
         return Some(answer);
     }
     let left = until.saturating_duration_since(Instant::now());
     let connection = Pool::connect(address, left).await.ok()?;
-    get_on(connection, address, path, shared).await
+    get_on(connection, path, shared).await
 }
 
 async fn get_on(
     mut connection: Connection,
-    address: SocketAddr,
     path: &'static str,
     shared: &GatewayShared,
 ) -> Option<Option<Bytes>> {
-    let mut request = Request::new(Full::new(Bytes::new()));
-    *request.uri_mut() = Uri::from_static(path);
-    let host = address.to_string().parse().ok()?;
-    request.headers_mut().insert(header::HOST, host);
-    let response = connection.send(request).await.ok()?;
-    let status = response.status();
-    let body = response.into_body().collect().await.ok()?.to_bytes();
+    let (status, body) = connection.get(path).await?;
     shared.pool.put_back(connection);
     Some((status == StatusCode::OK).then_some(body))
 }
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -7,7 +7,7 @@
 
 use crate::dispatch::event::Event;
 use crate::dispatch::record::Record;
-use crate::gateway::control::Input;
+use crate::gateway::input::Input;
 use crate::gateway::{GatewayShared, settings};
 
 /// How long a box that is stopping still takes new connections: until the balancer has noticed.
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -3,16 +3,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gotham::hyper::{Request, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use gotham::hyper::StatusCode;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use crate::dispatch::event::{EndpointChange, Event};
 use crate::dispatch::record::Record;
 use crate::gateway::GatewayShared;
-use crate::gateway::control::Input;
 use crate::gateway::dialect::{Entry, Source};
+use crate::gateway::input::Input;
 use crate::gateway::pool::{Connection, Pool};
 use crate::gateway::watcher::{News, Step, StepAnswer, Watcher};
 
@@ -129,13 +128,7 @@
             Some(kept) => kept,
             None => Pool::connect(address, CONNECT_LIMIT).await.ok()?,
         };
-        let mut request = Request::new(Full::new(Bytes::new()));
-        *request.uri_mut() = path.parse().ok()?;
-        let host = address.to_string().parse().ok()?;
-        request.headers_mut().insert(header::HOST, host);
-        let response = connection.send(request).await.ok()?;
-        let status = response.status();
-        let body = response.into_body().collect().await.ok()?.to_bytes();
+        let (status, body) = connection.get(path).await?;
         self.connection = Some(connection);
         Some((status, body))
     }
