--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use magpiemoor::settings::{Settings, file};
@@ -51,6 +52,13 @@
                 .about("An entry box, as magpiemoord runs it")
                 .arg(Arg::new("settings").long("settings").required(true).value_parser(value_parser!(PathBuf)).help("Settings file")),
         )
+        .subcommand(
+            Command::new("soak")
+                .about("Run real boxes before stand-ins under random faults and check the promises")
+                .arg(Arg::new("seed").long("seed").value_name("N").default_value("1").value_parser(value_parser!(u64)).help("First seed"))
+                .arg(Arg::new("seeds").long("seeds").value_name("N").default_value("1").value_parser(value_parser!(u64)).help("How many seeds, one after the other"))
+                .arg(Arg::new("minutes").long("minutes").value_name("N").default_value("1").value_parser(value_parser!(f64)).help("How long each seed runs")),
+        )
         .subcommand(bench_command())
         .subcommand(load_command())
         .subcommand(Command::new("gen").about("Generate src/schema/generated.rs from schema/"))
@@ -186,6 +194,7 @@
         Some(("load", sub)) => run_load(sub),
         Some(("gen", _)) => write_generated(),
         Some(("box", sub)) => run_box(sub),
+        Some(("soak", sub)) => run_soak(sub),
         Some(("gateway", sub)) => run_gateway(sub),
         Some((stand_in, sub)) => run_stand_in(stand_in, sub),
         None => Err("no command; see --help".to_owned()),
@@ -209,6 +218,31 @@
         .block_on(future)
 }
 
+fn run_soak(matches: &ArgMatches) -> Result<bool, String> {
+    let first = *matches.get_one::<u64>("seed").unwrap_or(&1);
+    let seeds = *matches.get_one::<u64>("seeds").unwrap_or(&1);
+    let minutes = *matches.get_one::<f64>("minutes").unwrap_or(&1.0);
+    let length = Duration::try_from_secs_f64(minutes * 60.0).map_err(|e| e.to_string())?;
+    let launcher = outside::fleet::Launcher::this_program().map_err(|e| e.to_string())?;
+    let mut held = true;
+    for seed in first..first + seeds {
+        let findings = block_on(outside::soak::run(launcher.clone(), seed, length))?;
+        println!(
+            "seed {seed}: {} faults, {:?}",
+            findings.faults.len(),
+            findings.ends
+        );
+        for broken in &findings.broken {
+            println!("  BROKEN {broken}");
+        }
+        if !findings.broken.is_empty() {
+            println!("  faults: {}", findings.faults.join("; "));
+            held = false;
+        }
+    }
+    Ok(held)
+}
+
 fn run_gateway(matches: &ArgMatches) -> Result<bool, String> {
     let path = matches
         .get_one::<PathBuf>("settings")
--- a/lab/src/outside.rs
+++ b/lab/src/outside.rs
@@ -5,5 +5,6 @@
 pub mod demo;
 pub mod fleet;
 pub mod server;
+pub mod soak;
 pub mod store;
 pub mod wire;
--- a/lab/src/outside/demo.rs
+++ b/lab/src/outside/demo.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::caller::{Asked, ask};
-use super::fleet::{BoxPlan, HOST, KEY, Outside, STREAMS, argument, is_ready, until};
+use super::fleet::{BoxPlan, HOST, KEY, Launcher, Outside, STREAMS, is_ready, until};
 use super::server::{Pace, Server, event_text};
 use crate::process::Process;
 
@@ -39,8 +39,9 @@
         .await
         .map_err(|e| e.to_string())?;
     let plans = outside.plan(BOXES).map_err(|e| e.to_string())?;
-    let boxes: Result<Vec<Process>, String> = plans.iter().map(start_box).collect();
-    let _boxes = boxes?;
+    let launcher = Launcher::this_program().map_err(|e| e.to_string())?;
+    let boxes: std::io::Result<Vec<Process>> = plans.iter().map(|p| launcher.start(p)).collect();
+    let _boxes = boxes.map_err(|e| e.to_string())?;
     let ready = until(|| async {
         for plan in &plans {
             if !is_ready(plan).await {
@@ -55,11 +56,6 @@
     show_stream(&outside, &plans[0]).await
 }
 
-fn start_box(plan: &BoxPlan) -> Result<Process, String> {
-    let args = ["gateway", "--settings", argument(&plan.settings)];
-    Process::start(&plan.name, &args, &plan.log).map_err(|e| e.to_string())
-}
-
 async fn show_stream(outside: &Outside, plan: &BoxPlan) -> Result<bool, String> {
     for model in &outside.models {
         model.fall_silent_after(DARK_AFTER);
--- a/lab/src/outside/fleet.rs
+++ b/lab/src/outside/fleet.rs
@@ -2,7 +2,7 @@
 //! gateway boxes.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -10,7 +10,7 @@
 use super::caller::connect;
 use super::server::{Copies, Pace, Server};
 use super::store::Store;
-use crate::process::free_ports;
+use crate::process::{Process, free_ports};
 
 /// The host of all routes.
 pub const HOST: &str = "shop.example";
@@ -33,6 +33,8 @@
     pub models: Vec<Server>,
     /// Plain services, by turns in two zones.
     pub tills: Vec<Server>,
+    /// Copies of runs, shared by all model servers.
+    pub copies: Copies,
     /// Where settings and logs lie.
     pub folder: PathBuf,
 }
@@ -60,6 +62,40 @@
     pub log: PathBuf,
 }
 
+/// How a gateway box is started.
+#[derive(Clone, Debug)]
+pub struct Launcher {
+    /// The program.
+    pub program: PathBuf,
+    /// Its arguments before the settings file.
+    pub args: Vec<&'static str>,
+}
+
+impl Launcher {
+    /// Starts boxes by running this program again.
+    ///
+    /// # Errors
+    ///
+    /// If the system doesn't tell which program this is.
+    pub fn this_program() -> std::io::Result<Self> {
+        Ok(Self {
+            program: std::env::current_exe()?,
+            args: vec!["gateway", "--settings"],
+        })
+    }
+
+    /// Starts a box.
+    ///
+    /// # Errors
+    ///
+    /// What the system says.
+    pub fn start(&self, plan: &BoxPlan) -> std::io::Result<Process> {
+        let mut args = self.args.clone();
+        args.push(plan.settings.to_str().unwrap_or_default());
+        Process::start_program(&self.program, &plan.name, &args, &plan.log)
+    }
+}
+
 /// The zone of the server or box with a number.
 #[must_use]
 pub fn zone(number: usize) -> &'static str {
@@ -125,6 +161,7 @@
             store,
             models: Vec::new(),
             tills: Vec::new(),
+            copies: copies.clone(),
             folder,
         };
         for number in 0..models {
@@ -204,9 +241,3 @@
         tokio::time::sleep(LOOK).await;
     }
 }
-
-/// The path of a settings file as an argument.
-#[must_use]
-pub fn argument(path: &Path) -> &str {
-    path.to_str().unwrap_or_default()
-}
--- a/src/dispatch/arrivals.rs
+++ b/src/dispatch/arrivals.rs
@@ -11,7 +11,9 @@
 use super::record::Record;
 use super::request::Request;
 use super::table::{KeyHolder, NoMatch, Route, RoutingTable};
+use crate::dispatch::fleet::Endpoint;
 use crate::rendezvous;
+use crate::schema::ServiceId;
 
 /// When to come back to a box that has no configuration yet.
 const RETRY_UNCONFIGURED: Duration = Duration::from_millis(300);
@@ -64,7 +66,7 @@
         route: Arc<Route>,
         holder: Option<KeyHolder>,
     ) {
-        let service = route.pick_target(self.rng.random()).clone();
+        let service = self.pick_service(&route);
         let patience = arrival.patience.unwrap_or(route.timeout);
         self.record(Record::Arrived {
             request: arrival.id.clone(),
@@ -102,6 +104,19 @@
         }
     }
 
+    /// Picks a service of the route by weight, among those that have an endpoint if any does.
+    fn pick_service(&mut self, route: &Route) -> ServiceId {
+        let picked = route.pick_target(self.rng.random());
+        let has_endpoint =
+            |service: &ServiceId| self.fleet.of_service(service).any(Endpoint::takes_work);
+        if has_endpoint(picked) {
+            return picked.clone();
+        }
+        let mut others = route.targets.iter().filter(|t| t.weight > 0);
+        let other = others.find(|target| has_endpoint(&target.service));
+        other.map_or_else(|| picked.clone(), |target| target.service.clone())
+    }
+
     /// Whether a stream that begins now would be cut by the end of the process.
     fn would_be_cut(&self, route: &Route) -> bool {
         let Some(ends_at) = self.ends_at else {
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -8,7 +8,7 @@
 
 use fixtures::{
     GENEROUS, KEY, PAYMENTS, QUOTES, STREAMS, World, changed, commands, domain_of, endpoint,
-    endpoints, listed, probes, records, refusal, sending, table, table_of,
+    endpoints, listed, probes, records, refusal, sending, split_table, table, table_of,
 };
 use magpiemoor::dispatch::action::{Action, Command, RefusalReason};
 use magpiemoor::dispatch::budget::RetryPolicy;
@@ -630,3 +630,14 @@
     );
     assert!(asked);
 }
+
+#[test]
+fn a_split_route_leads_to_the_service_that_has_endpoints() {
+    let mut world = World::empty(GENEROUS);
+    world.handle(Event::Table(Arc::new(split_table("engines", "till"))));
+    world.handle(listed(vec![endpoint("till-n1", "till", "north", 9_101)]));
+    for _ in 0..20 {
+        let (_, sent) = world.arrive(QUOTES);
+        assert_eq!(sent.unwrap().endpoint.as_str(), "till-n1");
+    }
+}
--- a/tests/gateway/fixtures.rs
+++ b/tests/gateway/fixtures.rs
@@ -60,10 +60,24 @@
 
 /// A table with some of the routes.
 pub fn table_of(version: u64, paths: &[&str]) -> RoutingTable {
-    let routes = paths.iter().map(|path| route(path));
+    table_with(version, paths.iter().map(|path| route(path)).collect())
+}
+
+/// A table whose calls are split over two services.
+pub fn split_table(first: &str, second: &str) -> RoutingTable {
+    let target = |service: &str| Target {
+        service: service.parse().unwrap(),
+        weight: 1,
+    };
+    let mut split = route(QUOTES);
+    split.targets = vec![target(first), target(second)];
+    table_with(1, vec![split])
+}
+
+fn table_with(version: u64, routes: Vec<Route>) -> RoutingTable {
     RoutingTable::try_from(TableParts {
         version: TableVersion(version),
-        routes: routes.collect(),
+        routes,
         services: vec![
             ServiceSpec {
                 name: "engines".parse().unwrap(),
