--- a/lab/src/outside/soak.rs
+++ b/lab/src/outside/soak.rs
@@ -33,6 +33,11 @@
 const EVENTS: u64 = 30;
 /// Time between events.
 const GAP: Duration = Duration::from_millis(12);
+/// How servers stream.
+const PACE: Pace = Pace {
+    events: EVENTS,
+    gap: GAP,
+};
 /// How often a caller comes back for the rest of a stream.
 const MOST_RETURNS: u32 = 4;
 /// How long a caller waits for one answer.
@@ -124,11 +129,7 @@
 
 impl World {
     async fn start(launcher: Launcher, seed: u64) -> Result<Self, String> {
-        let pace = Pace {
-            events: EVENTS,
-            gap: GAP,
-        };
-        let outside = Outside::start(MODELS, TILLS, pace)
+        let outside = Outside::start(MODELS, TILLS, PACE)
             .await
             .map_err(|e| e.to_string())?;
         let plans = outside.plan(BOXES).map_err(|e| e.to_string())?;
@@ -184,11 +185,8 @@
         let place = self.rng.random_range(0..self.outside.models.len());
         self.next_server += 1;
         let id = format!("model-{}", self.next_server);
-        let pace = Pace {
-            events: EVENTS,
-            gap: GAP,
-        };
-        let Ok(new) = Server::start(&id, self.outside.copies.clone(), pace).await else {
+        let copies = self.outside.copies.clone();
+        let Ok(new) = Server::start(&id, copies, PACE).await else {
             return String::new();
         };
         self.outside.list(&new, "models", zone(place), "ready");
