--- a/src/dispatch/action.rs
+++ b/src/dispatch/action.rs
@@ -122,8 +122,6 @@
     },
     /// Find out whether what has an address now is a model engine.
     Identify(EndpointSpec),
-    /// Drop the connections to an endpoint that rest.
-    Disconnect(SocketAddr),
     /// Begin or cease to read the platform's store.
     ReadStore(bool),
     /// Tell other boxes how this one stands, by UDP.
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -107,8 +107,6 @@
     Answered {
         /// Its status.
         status: u16,
-        /// Whether the endpoint is about to leave.
-        closing: bool,
     },
     /// The stream has ended whole.
     StreamEnded,
--- a/src/dispatch/outcomes.rs
+++ b/src/dispatch/outcomes.rs
@@ -114,7 +114,7 @@
                 self.fleet.on_error_answer(endpoint, self.now);
                 self.retry_not_run(number);
             }
-            Outcome::Answered { status, .. } => self.on_answered(number, running, *status),
+            Outcome::Answered { status } => self.on_answered(number, running, *status),
             Outcome::StreamEnded => {
                 self.fleet.on_success(endpoint, self.now);
                 self.finish(number, Command::Finish);
@@ -240,7 +240,7 @@
             return;
         };
         let status = match outcome {
-            Outcome::Answered { status, .. } => *status,
+            Outcome::Answered { status } => *status,
             _ => 0,
         };
         let after = self.now.since(running.started).as_millis();
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -112,6 +112,7 @@
     runtime.spawn(crate::http::serve(listeners.metrics, operators));
     runtime.spawn(store::follow(Source::Table, shared.clone()));
     runtime.spawn(store::follow(Source::Endpoints, shared.clone()));
+    runtime.spawn(pool::sweep_resting(Arc::clone(&shared.pool)));
     runtime.spawn(stop::stop_on_signal(shared.clone()));
     runtime.spawn(stop::reload_on_change(file, shared.clone()));
     let control = Control::new(dispatcher, shared, runtime.handle().clone(), gossip);
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -113,7 +113,6 @@
                 let identifying = probes::identify(spec, self.shared.clone());
                 self.traffic.spawn(identifying);
             }
-            Action::Disconnect(address) => self.shared.pool.forget(address),
             Action::ReadStore(is_reader) => self.shared.set_reading(is_reader),
             Action::Gossip { to, state } => {
                 let telling = peers::tell(Arc::clone(&self.gossip), to, *state);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -196,7 +196,6 @@
                     self.shared.pool.put_back(connection);
                     let outcome = Outcome::Answered {
                         status: answer.status.as_u16(),
-                        closing: headers::closes(&answer.headers),
                     };
                     self.held = Some(answer);
                     Left::Ended(outcome)
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -93,6 +93,17 @@
     }
 }
 
+/// How long a connection may rest before it is closed.
+const LONGEST_REST: Duration = Duration::from_secs(5);
+
+/// Closes connections that have rested for long, for as long as the process runs.
+pub async fn sweep_resting(pool: std::sync::Arc<Pool>) {
+    loop {
+        tokio::time::sleep(LONGEST_REST / 2).await;
+        pool.sweep(LONGEST_REST);
+    }
+}
+
 /// Connections at rest.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -153,11 +164,6 @@
         }
     }
 
-    /// Closes all connections to an endpoint that rest.
-    pub fn forget(&self, address: SocketAddr) {
-        self.lock().remove(&address);
-    }
-
     /// Closes connections that have rested longer than `rest`.
     pub fn sweep(&self, rest: Duration) {
         self.lock().retain(|_, connections| {
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -23,10 +23,7 @@
 const CLOSED: Outcome = Outcome::Broken(Fault::Closed);
 
 fn answered(status: u16) -> Outcome {
-    Outcome::Answered {
-        status,
-        closing: false,
-    }
+    Outcome::Answered { status }
 }
 
 fn peer(from: &str, version: u64, lost: &[&str]) -> BoxState {
