--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod engine;
 pub mod fleet;
 pub mod r#gen;
+pub mod journal;
 pub mod outside;
 pub mod platform;
 pub mod process;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -9,7 +9,7 @@
 use magpiemoor_lab::engine::{self, Engine};
 use magpiemoor_lab::platform::Platform;
 use magpiemoor_lab::service::{self, Service};
-use magpiemoor_lab::{bench, demo, r#gen, outside};
+use magpiemoor_lab::{bench, demo, r#gen, journal, outside};
 use serde_json::json;
 use tokio::net::TcpListener;
 
@@ -59,6 +59,12 @@
                 .arg(Arg::new("seeds").long("seeds").value_name("N").default_value("1").value_parser(value_parser!(u64)).help("How many seeds, one after the other"))
                 .arg(Arg::new("minutes").long("minutes").value_name("N").default_value("1").value_parser(value_parser!(f64)).help("How long each seed runs")),
         )
+        .subcommand(
+            Command::new("scores")
+                .about("Print and draw the scores of a journal of the users' bench")
+                .arg(Arg::new("journal").long("journal").value_name("FOLDER").default_value("journal").value_parser(value_parser!(PathBuf)).help("The journal"))
+                .arg(Arg::new("out").long("out").value_name("FILE").default_value("docs/scores.svg").help("The picture")),
+        )
         .subcommand(bench_command())
         .subcommand(load_command())
         .subcommand(Command::new("gen").about("Generate src/schema/generated.rs from schema/"))
@@ -194,6 +200,7 @@
         Some(("load", sub)) => run_load(sub),
         Some(("gen", _)) => write_generated(),
         Some(("box", sub)) => run_box(sub),
+        Some(("scores", sub)) => run_scores(sub),
         Some(("soak", sub)) => run_soak(sub),
         Some(("gateway", sub)) => run_gateway(sub),
         Some((stand_in, sub)) => run_stand_in(stand_in, sub),
@@ -218,6 +225,17 @@
         .block_on(future)
 }
 
+fn run_scores(matches: &ArgMatches) -> Result<bool, String> {
+    let folder = matches
+        .get_one::<PathBuf>("journal")
+        .ok_or("no journal; name its folder")?;
+    let out = matches
+        .get_one::<String>("out")
+        .ok_or("no picture; name its file")?;
+    journal::report(folder, out)?;
+    Ok(true)
+}
+
 fn run_soak(matches: &ArgMatches) -> Result<bool, String> {
     let first = *matches.get_one::<u64>("seed").unwrap_or(&1);
     let seeds = *matches.get_one::<u64>("seeds").unwrap_or(&1);
--- a/lab/src/outside/server.rs
+++ b/lab/src/outside/server.rs
@@ -46,6 +46,9 @@
     Silent,
 }
 
+/// The id of a request that nobody sent.
+const OTHER: &str = "someone-else";
+
 /// A run, as the server saw it begin.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -303,8 +306,12 @@
                 return Ok(true);
             }
             Act::Foreign => {
-                wire.send(whole(200, &self.signed("someone-else"), &body))
-                    .await?;
+                wire.send(whole(
+                    200,
+                    &self.signed(OTHER),
+                    &format!("answer to {OTHER}"),
+                ))
+                .await?;
             }
             Act::Unsigned => {
                 let headers = format!("Magpiemoor-Attempt-Id: {id}\r\n");
