--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -138,6 +138,7 @@
             Event::Seeds(seeds) => self.peers.set_seeds(&seeds),
             Event::Tick => self.on_tick(),
             Event::Stop { grace } => self.ends_at = Some(self.now.after(grace)),
+            Event::Named { endpoint, instance } => self.on_named(&endpoint, &instance),
             Event::Identified(spec) => self.fleet.succeed(spec, self.now),
             Event::Located { request, endpoint } => self.on_located(request, endpoint),
         }
@@ -240,6 +241,7 @@
 
     fn on_tick(&mut self) {
         self.check_requests();
+        self.ask_identities();
         if let Some(is_reader) = self.readers.decide(&mut self.rng, self.now) {
             let state = if is_reader {
                 "reads_store"
--- a/src/dispatch/action.rs
+++ b/src/dispatch/action.rs
@@ -120,6 +120,13 @@
         /// Whom to ask.
         among: Vec<(EndpointId, SocketAddr)>,
     },
+    /// Ask what has an endpoint's address who it is.
+    AskIdentity {
+        /// The endpoint that had the address.
+        spec: EndpointSpec,
+        /// Where that is asked.
+        path: String,
+    },
     /// Find out whether what has an address now is a model engine.
     Identify(EndpointSpec),
     /// Begin or cease to read the platform's store.
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -203,6 +203,13 @@
         /// How long it may take.
         grace: Duration,
     },
+    /// What has an endpoint's address said who it is.
+    Named {
+        /// The endpoint that had the address.
+        endpoint: EndpointId,
+        /// Who has it now.
+        instance: EndpointId,
+    },
     /// An endpoint that took over an address turned out to be a model engine.
     Identified(EndpointSpec),
     /// Endpoints were asked which of them keeps a request's prompt.
--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -25,6 +25,10 @@
 /// How long an endpoint that was there before its domain failed is doubted, unless it is heard: a
 /// restarted one is listed under another id by then.
 const DOUBTED_FOR: Duration = Duration::from_millis(4_500);
+/// How long an endpoint is doubted before it is asked who it is.
+const IDENTIFY_AFTER: Duration = Duration::from_millis(1_400);
+/// Time between two such questions.
+const IDENTIFY_AGAIN: Duration = Duration::from_millis(1_500);
 /// How recently this box must have heard an endpoint to trust that more than a peer's word.
 const HEARD_LATELY: Duration = Duration::from_millis(200);
 /// How long a peer's account of its sendings counts.
@@ -61,6 +65,7 @@
     /// Share of requests that failed lately, 0 to 1.
     pub failing: f64,
     first_seen: Micros,
+    identity_asked: Micros,
     avoided_until: Micros,
     failures: u32,
 }
@@ -76,6 +81,7 @@
             last_probe: Micros::ZERO,
             failing: 0.0,
             first_seen: now,
+            identity_asked: Micros::ZERO,
             avoided_until: Micros::ZERO,
             failures: 0,
         }
@@ -356,6 +362,29 @@
         is_unheard && now.since(*failed) < DOUBTED_FOR
     }
 
+    /// The endpoints of a domain that have been doubted for a while and not asked who they are since;
+    /// notes that they are.
+    pub fn to_identify(&mut self, domain: &DomainId, now: Micros) -> Vec<EndpointSpec> {
+        let mut found = Vec::new();
+        for ((service, of), failed) in &self.failed_domains {
+            let doubted_for = now.since(*failed);
+            if of != domain || !(IDENTIFY_AFTER..DOUBTED_FOR).contains(&doubted_for) {
+                continue;
+            }
+            let doubted = self.endpoints.values_mut().filter(|e| {
+                let is_unheard = e.heard < *failed && e.first_seen < *failed;
+                e.listed && is_unheard && e.spec.service == *service && e.spec.domain == *domain
+            });
+            for endpoint in doubted {
+                if now.since(endpoint.identity_asked) >= IDENTIFY_AGAIN {
+                    endpoint.identity_asked = now;
+                    found.push(endpoint.spec.clone());
+                }
+            }
+        }
+        found
+    }
+
     /// Takes in which endpoints a peer lost.
     fn on_peer_losses(&mut self, lost: &[EndpointId], now: Micros) {
         for id in lost {
--- a/src/dispatch/outcomes.rs
+++ b/src/dispatch/outcomes.rs
@@ -133,6 +133,16 @@
         self.gossip_soon();
     }
 
+    /// What has an endpoint's address said who it is.
+    pub(super) fn on_named(&mut self, endpoint: &EndpointId, instance: &EndpointId) {
+        if endpoint == instance {
+            self.fleet.on_success(endpoint, self.now);
+            return;
+        }
+        self.identify(endpoint, Some(instance));
+        self.fleet.replaced(endpoint);
+    }
+
     /// Has an instance looked at that took over an engine's address. The list may not show it for
     /// long when the store is out; but it may also belong to another service by now.
     fn identify(&mut self, before: &EndpointId, instance: Option<&EndpointId>) {
--- a/src/dispatch/silence.rs
+++ b/src/dispatch/silence.rs
@@ -94,6 +94,20 @@
         });
     }
 
+    /// Asks engines of the own domain who they are that may have been lost with it: a restarted one
+    /// is known sooner by its own word than by the list, most of all while the store is out.
+    pub(super) fn ask_identities(&mut self) {
+        let domain = self.cfg.domain.clone();
+        for spec in self.fleet.to_identify(&domain, self.now) {
+            let service = self.table.as_ref().and_then(|t| t.service(&spec.service));
+            let Some(service) = service.filter(|s| s.engine.is_some()) else {
+                continue;
+            };
+            let path = service.health_path.clone();
+            self.actions.push(Action::AskIdentity { spec, path });
+        }
+    }
+
     pub(super) fn on_probed(&mut self, id: &EndpointId, load: Option<EndpointLoad>) {
         let now = self.now;
         let Some(endpoint) = self.fleet.get_mut(id) else {
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -109,6 +109,10 @@
                 let locating = probes::locate(request, part, among, self.shared.clone());
                 self.traffic.spawn(locating);
             }
+            Action::AskIdentity { spec, path } => {
+                let asking = probes::ask_identity(spec, path, self.shared.clone());
+                self.traffic.spawn(asking);
+            }
             Action::Identify(spec) => {
                 let identifying = probes::identify(spec, self.shared.clone());
                 self.traffic.spawn(identifying);
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -10,6 +10,7 @@
 use crate::dispatch::action::{Refusal, Sending};
 use crate::dispatch::event::{Arrival, EndpointLoad, EndpointSpec, NotRunCause};
 use crate::dispatch::table::{RoutingTable, TableError};
+use crate::schema::EndpointId;
 
 /// Why a request can't be read.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -78,6 +79,9 @@
     /// Judges the head of an endpoint's answer.
     fn judge(&self, head: &response::Parts, id: &str) -> AnswerKind;
 
+    /// Who answered a health check.
+    fn instance(&self, headers: &HeaderMap) -> Option<EndpointId>;
+
     /// The path at which an endpoint tells how it stands.
     fn load_path(&self) -> &'static str;
 
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use gotham::hyper::body::Incoming;
+use gotham::hyper::http::response;
 use gotham::hyper::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -77,14 +78,20 @@
 
     /// Gets a path and reads the whole answer; `None` if the connection broke.
     pub async fn get(&mut self, path: &str) -> Option<(StatusCode, Bytes)> {
+        let (head, body) = self.get_with_head(path).await?;
+        Some((head.status, body))
+    }
+
+    /// Gets a path and reads the whole answer with its head; `None` if the connection broke.
+    pub async fn get_with_head(&mut self, path: &str) -> Option<(response::Parts, Bytes)> {
         let mut request = Request::new(Full::new(Bytes::new()));
         *request.uri_mut() = path.parse().ok()?;
         let host = self.address.to_string().parse().ok()?;
         request.headers_mut().insert(header::HOST, host);
         let response = self.send(request).await.ok()?;
-        let status = response.status();
-        let body = response.into_body().collect().await.ok()?;
-        Some((status, body.to_bytes()))
+        let (head, body) = response.into_parts();
+        let body = body.collect().await.ok()?;
+        Some((head, body.to_bytes()))
     }
 
     /// Whether the next request can be sent at once.
--- a/src/gateway/probes.rs
+++ b/src/gateway/probes.rs
@@ -66,6 +66,23 @@
     shared.tell(Input::Event(event)).await;
 }
 
+/// Asks what has an endpoint's address who it is.
+pub async fn ask_identity(spec: EndpointSpec, path: String, shared: GatewayShared) {
+    shared.metrics.probes.inc();
+    let asking = async {
+        let mut connection = Pool::connect(spec.address, LOCATE_LIMIT).await.ok()?;
+        let (head, _) = connection.get_with_head(&path).await?;
+        shared.pool.put_back(connection);
+        shared.dialect.instance(&head.headers)
+    };
+    let named = tokio::time::timeout(LOCATE_LIMIT, asking).await;
+    if let Some(instance) = named.ok().flatten() {
+        let endpoint = spec.id;
+        let event = Event::Named { endpoint, instance };
+        shared.tell(Input::Event(event)).await;
+    }
+}
+
 /// Finds out whether what has an address now is a model engine.
 pub async fn identify(spec: EndpointSpec, shared: GatewayShared) {
     let address = spec.address;
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -638,3 +638,48 @@
         assert_eq!(sent.unwrap().endpoint.as_str(), "till-n1");
     }
 }
+
+#[test]
+fn doubted_engines_of_the_own_domain_are_asked_who_they_are() {
+    let mut world = World::ready();
+    for port in 0..4 {
+        let spec = endpoint(
+            &format!("engine-n{}", port + 3),
+            "engines",
+            "north",
+            9_200 + port,
+        );
+        world.handle(changed(vec![EndpointChange::Present(spec)]));
+    }
+    for _ in 0..2 {
+        world.pass(10);
+        let (request, first) = world.arrive(STREAMS);
+        world.end(request, first.unwrap().attempt, CLOSED);
+    }
+    let asked = |actions: &[Action]| {
+        let named = actions.iter().filter_map(|action| match action {
+            Action::AskIdentity { spec, .. } => Some(spec.clone()),
+            _ => None,
+        });
+        named.collect::<Vec<_>>()
+    };
+    assert!(asked(&world.run(1_000)).is_empty());
+    let named = asked(&world.run(600));
+    assert!(!named.is_empty());
+    assert!(named.iter().all(|spec| domain_of(&spec.id) == "north"));
+    // One that is who it was is trusted again; another one is looked at.
+    let before = named[0].clone();
+    world.handle(Event::Named {
+        endpoint: before.id.clone(),
+        instance: before.id.clone(),
+    });
+    let fleet = world.dispatcher.fleet();
+    assert!(!fleet.is_doubted(fleet.get(&before.id).unwrap(), world.now));
+    let other = named[1].clone();
+    world.handle(Event::Named {
+        endpoint: other.id.clone(),
+        instance: "engine-n9".parse().unwrap(),
+    });
+    let looks_at = |action: &Action| matches!(action, Action::Identify(spec) if spec.id.as_str() == "engine-n9");
+    assert!(world.actions.iter().any(looks_at));
+}
