A stream does not go on from its copy at a server that is leaving

Cause: the endpoint that holds a copy was used unless it was avoided; whether it takes new work was not asked, which breaks DRAIN once its time is over. Found by reading; the test failed first for the leaving case.

--- a/src/dispatch/sending.rs
+++ b/src/dispatch/sending.rs
@@ -55,7 +55,7 @@
     pub(super) fn send_after(&mut self, number: RequestNumber, copy: Option<Copy>) {
         let usable = copy.filter(|copy| {
             let endpoint = self.fleet.get(&copy.endpoint);
-            endpoint.is_some_and(|e| !e.is_avoided(self.now))
+            endpoint.is_some_and(|e| e.takes_work() && !e.is_avoided(self.now))
         });
         match usable {
             Some(copy) => {
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -683,3 +683,29 @@
     let looks_at = |action: &Action| matches!(action, Action::Identify(spec) if spec.id.as_str() == "engine-n9");
     assert!(world.actions.iter().any(looks_at));
 }
+
+#[rstest]
+#[case::leaving(true)]
+#[case::no_longer_listed(false)]
+fn a_copy_at_an_endpoint_that_goes_is_not_gone_on_from(#[case] is_listed: bool) {
+    let mut world = World::ready();
+    let (request, first) = world.arrive(STREAMS);
+    let first = first.unwrap();
+    world.progress(request, first.attempt, 9);
+    let holder = endpoints()
+        .into_iter()
+        .find(|e| Some(e.address) == first.backup_to);
+    let mut holder = holder.unwrap();
+    let id = holder.id.clone();
+    holder.leaving = true;
+    let change = if is_listed {
+        EndpointChange::Present(holder)
+    } else {
+        EndpointChange::Absent(id.clone())
+    };
+    world.handle(changed(vec![change]));
+    world.end(request, first.attempt, CLOSED);
+    let second = sending(&world.actions).unwrap();
+    assert_ne!(second.endpoint, id);
+    assert_eq!(second.resume_from, None);
+}
