--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -25,6 +25,8 @@
 /// How long an endpoint that was there before its domain failed is doubted, unless it is heard: a
 /// restarted one is listed under another id by then.
 const DOUBTED_FOR: Duration = Duration::from_millis(4_500);
+/// How long an endpoint that the list dropped is remembered as gone.
+const DEPARTED_FOR: Duration = Duration::from_secs(60);
 /// How long an endpoint is doubted before it is asked who it is.
 const IDENTIFY_AFTER: Duration = Duration::from_millis(1_400);
 /// Time between two such questions.
@@ -132,6 +134,8 @@
     losses: Vec<Loss>,
     failed_domains: BTreeMap<(ServiceId, DomainId), Micros>,
     unreachable: BTreeMap<(ServiceId, DomainId), Unreachable>,
+    /// Endpoints that the list dropped or showed as leaving, and when.
+    departed: BTreeMap<EndpointId, Micros>,
     is_known: bool,
 }
 
@@ -182,20 +186,32 @@
             .map(|e| e.spec.id.clone())
             .collect();
         for id in &gone {
-            self.absent(id);
+            self.depart(id, now);
         }
         gone
     }
 
+    /// Takes an endpoint off the list, and remembers that for a while.
+    fn depart(&mut self, id: &EndpointId, now: Micros) {
+        self.departed.retain(|_, at| now.since(*at) < DEPARTED_FOR);
+        self.departed.insert(id.clone(), now);
+        self.absent(id);
+    }
+
     /// Takes in one change of the list.
     pub fn change(&mut self, change: EndpointChange, now: Micros) {
         match change {
             EndpointChange::Present(spec) => self.present(spec, now),
-            EndpointChange::Absent(id) => self.absent(&id),
+            EndpointChange::Absent(id) => self.depart(&id, now),
         }
     }
 
     fn present(&mut self, spec: EndpointSpec, now: Micros) {
+        if spec.leaving {
+            self.departed.insert(spec.id.clone(), now);
+        } else {
+            self.departed.remove(&spec.id);
+        }
         if let Some(known) = self.endpoints.get_mut(&spec.id) {
             known.spec = spec;
             known.listed = true;
@@ -230,9 +246,10 @@
         self.absent(id);
     }
 
-    /// Takes in an instance that the list doesn't show yet.
+    /// Takes in an instance that the list doesn't show yet; one that it has dropped stays gone.
     pub fn succeed(&mut self, spec: EndpointSpec, now: Micros) {
-        if !self.endpoints.contains_key(&spec.id) {
+        let is_new = !self.endpoints.contains_key(&spec.id);
+        if is_new && !self.departed.contains_key(&spec.id) {
             self.present(spec, now);
         }
     }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -709,3 +709,14 @@
     assert_ne!(second.endpoint, id);
     assert_eq!(second.resume_from, None);
 }
+
+#[test]
+fn an_engine_that_the_list_dropped_does_not_come_back_by_its_own_word() {
+    let mut world = World::ready();
+    let dropped = endpoints()[0].clone();
+    let gone = EndpointChange::Absent(dropped.id.clone());
+    world.handle(changed(vec![gone]));
+    world.handle(Event::Identified(dropped.clone()));
+    let found = world.dispatcher.fleet().get(&dropped.id);
+    assert!(found.is_none_or(|e| !e.takes_work()));
+}
