--- a/tests/once.rs
+++ b/tests/once.rs
@@ -392,3 +392,43 @@
     assert!(world.run_until(LIMIT, |w| is_settled(w, &key)));
     world.assert_sound();
 }
+
+/// A box that froze while it was its domain's only one has no successor that could withdraw.
+#[rstest]
+fn the_slices_of_a_box_that_froze_alone_are_opened_after_its_lease(
+    #[values(1, 2, 3)] seed: u64,
+    #[values("nothing", "call_sent", "call_answered")] until: &str,
+) {
+    let mut world = fleet(seed, 3, 1);
+    let alone: BoxId = "north-0".parse().unwrap();
+    world.start_box(&alone);
+    assert!(world.run_until(LIMIT, |w| w.is_settled()));
+    let key = key_in("north", "redeem");
+    if until != "nothing" {
+        world.send_request(alone.as_str(), redeem(&key));
+        assert!(world.run_until(LIMIT, |w| w.noted(until) > 0));
+    }
+    world.freeze_box(&alone);
+    for id in world.others("north", &alone) {
+        world.start_box(&id);
+    }
+    world.run(Duration::from_secs(8));
+    if until == "nothing" {
+        world.send_request("north-1", redeem(&key));
+    } else {
+        world.callers.table.get_mut(&key).unwrap().answer = None;
+    }
+    let others = world.others("north", &alone);
+    let nodes = others.iter().filter_map(|id| world.node(id));
+    let open: usize = nodes.map(magpiemoor::node::Node::open_slices).sum();
+    assert_eq!(open, usize::from(magpiemoor::node::roster::SLICES));
+    repeat_until_settled(&mut world, "north-1", &key);
+    let caller = world.callers.get(&key);
+    let refusal = caller.refusal.as_ref();
+    let is_final = refusal.is_none_or(|r| r.retry_after.is_none());
+    assert!(is_final, "no final word but {refusal:?}");
+    world.thaw_box(&alone);
+    world.run(Duration::from_secs(10));
+    world.assert_sound();
+    assert!(world.runs_of(&key) <= 1);
+}
