Runs whose copy is lost are copied anew while they go on

Ruled out: copies too slow to be of use (410 of 410 that were there were gone on from in time).

Change: the dispatcher looks after the copies of each stream that runs; once none stands well the engine copies the run to a better place, renews that each 3 s, and drops it at the end. A stream tries all its copies before a prompt is read again.

--- a/lab/src/outside/fleet.rs
+++ b/lab/src/outside/fleet.rs
@@ -121,7 +121,7 @@
         "routes": routes,
         "services": [
             {"name": "models", "healthPath": "/healthz", "maxConnections": 100, "engine": {
-                "slots": 8, "kvCapacityTokens": 55000, "backups": true, "kvHandleS": 4.0}},
+                "slots": 8, "kvCapacityTokens": 55000, "backups": true, "moves": true, "kvHandleS": 4.0}},
             {"name": "tills", "healthPath": "/healthz", "maxConnections": 100},
         ],
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100_000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
--- a/lab/src/outside/server.rs
+++ b/lab/src/outside/server.rs
@@ -46,6 +46,12 @@
     Silent,
 }
 
+/// How often a stream that waits looks whether it may go on.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// Where copies are dropped by their name.
+const HANDLES: &str = "/v1/kv-handle/";
+
 /// The id of a request that nobody sent.
 const OTHER: &str = "someone-else";
 
@@ -66,8 +72,17 @@
     }
 }
 
-/// Copies of runs: by the address of the holder and the id of the run, the events made.
-pub type Copies = Arc<Mutex<BTreeMap<(String, String), u64>>>;
+/// A copy of a run's memory.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Copy {
+    /// The address of the server that holds it.
+    pub holder: String,
+    /// The events that had been made.
+    pub events: u64,
+}
+
+/// Copies of runs, by the address and the name under which they are gone on from.
+pub type Copies = Arc<Mutex<BTreeMap<(String, String), Copy>>>;
 
 #[derive(Debug, Default)]
 struct State {
@@ -75,7 +90,12 @@
     runs: Vec<Run>,
     is_silent: bool,
     silent_after: Option<u64>,
+    paused_after: Option<u64>,
     kept: Vec<String>,
+    /// Events made by the runs that go on.
+    going: BTreeMap<String, u64>,
+    copies_made: u32,
+    copies_dropped: u32,
 }
 
 /// A server.
@@ -159,6 +179,16 @@
         lock(&self.state).silent_after = Some(event);
     }
 
+    /// Has streams wait once they have sent an event; the server answers questions meanwhile.
+    pub fn pause_after(&self, event: u64) {
+        lock(&self.state).paused_after = Some(event);
+    }
+
+    /// Lets streams that wait go on.
+    pub fn go_on(&self) {
+        lock(&self.state).paused_after = None;
+    }
+
     /// Takes back what was said of falling silent.
     pub fn stay_awake(&self) {
         lock(&self.state).silent_after = None;
@@ -170,6 +200,18 @@
         lock(&self.state).runs.clone()
     }
 
+    /// How many copies of runs were asked for and made.
+    #[must_use]
+    pub fn copies_made(&self) -> u32 {
+        lock(&self.state).copies_made
+    }
+
+    /// How many copies were dropped by their name.
+    #[must_use]
+    pub fn copies_dropped(&self) -> u32 {
+        lock(&self.state).copies_dropped
+    }
+
     /// Ends at once, with all connections.
     pub fn crash(&self) {
         self.task.abort();
@@ -205,6 +247,8 @@
             let is_end = match head.path() {
                 "/v1/report" => self.report(wire).await?,
                 path if path.starts_with("/v1/kv-events") => self.kept(wire).await?,
+                "/v1/kv-move" => self.copy_run(wire, head).await?,
+                path if path.starts_with(HANDLES) => self.drop_copy(wire, head).await?,
                 _ => self.run(wire, head).await?,
             };
             if is_end {
@@ -231,6 +275,46 @@
         Ok(false)
     }
 
+    /// Copies the memory of a run that goes on to another server.
+    async fn copy_run(&self, wire: &mut Wire, head: Message) -> std::io::Result<bool> {
+        let mut ask = head;
+        wire.finish_request(&mut ask).await?;
+        let asked: serde_json::Value = serde_json::from_str(&ask.text()).unwrap_or_default();
+        let run = asked["id"].as_str().unwrap_or_default();
+        let going = lock(&self.state).going.get(run).copied();
+        let Some(events) = going else {
+            wire.send(whole(404, "", "")).await?;
+            return Ok(false);
+        };
+        let name = format!("h-{run}");
+        let copy = Copy {
+            holder: asked["targetVersion"]
+                .as_str()
+                .unwrap_or_default()
+                .to_owned(),
+            events,
+        };
+        self.copies()
+            .insert((self.address.to_string(), name.clone()), copy);
+        lock(&self.state).copies_made += 1;
+        let body = json!({"kvHandle": name, "made": events}).to_string();
+        wire.send(whole(200, "", &body)).await?;
+        Ok(false)
+    }
+
+    async fn drop_copy(&self, wire: &mut Wire, head: Message) -> std::io::Result<bool> {
+        let name = head.path().trim_start_matches(HANDLES).to_owned();
+        let found = self.copies().remove(&(self.address.to_string(), name));
+        lock(&self.state).copies_dropped += u32::from(found.is_some());
+        wire.send(whole(if found.is_some() { 200 } else { 404 }, "", ""))
+            .await?;
+        Ok(false)
+    }
+
+    fn copies(&self) -> MutexGuard<'_, BTreeMap<(String, String), Copy>> {
+        self.copies.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Serves a request; returns whether the connection ends.
     async fn run(&self, wire: &mut Wire, head: Message) -> std::io::Result<bool> {
         let act = lock(&self.state).acts.pop_front().unwrap_or_default();
@@ -277,9 +361,13 @@
         let Some((address, id)) = from.split_once('/') else {
             return false;
         };
-        let copies = self.copies.lock().unwrap_or_else(PoisonError::into_inner);
-        address == self.address.to_string()
-            && copies.contains_key(&(address.to_owned(), id.to_owned()))
+        let mut copies = self.copies();
+        let place = (address.to_owned(), id.to_owned());
+        let is_here = copies
+            .get(&place)
+            .is_some_and(|copy| copy.holder == self.address.to_string());
+        // A copy serves once.
+        is_here && copies.remove(&place).is_some()
     }
 
     fn signed(&self, id: &str) -> String {
@@ -359,13 +447,21 @@
                 _ => wire.send(chunk(&text)).await?,
             }
             if let Some(address) = &backup {
-                let mut copies = self.copies.lock().unwrap_or_else(PoisonError::into_inner);
-                copies.insert((address.clone(), id.to_owned()), event);
+                let copy = Copy {
+                    holder: address.clone(),
+                    events: event,
+                };
+                self.copies().insert((address.clone(), id.to_owned()), copy);
             }
+            lock(&self.state).going.insert(id.to_owned(), event);
             tokio::time::sleep(self.pace.gap).await;
+            while lock(&self.state).paused_after == Some(event) {
+                tokio::time::sleep(LOOK).await;
+            }
             let mut state = lock(&self.state);
             state.is_silent |= state.silent_after == Some(event);
         }
+        lock(&self.state).going.remove(id);
         wire.send("0\r\n\r\n").await?;
         Ok(false)
     }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -18,6 +18,7 @@
 pub mod table;
 
 mod arrivals;
+mod copies;
 mod gossip;
 mod locating;
 mod outcomes;
@@ -141,6 +142,12 @@
             Event::Named { endpoint, instance } => self.on_named(&endpoint, &instance),
             Event::Identified(spec) => self.fleet.succeed(spec, self.now),
             Event::Located { request, endpoint } => self.on_located(request, endpoint),
+            Event::Copied {
+                request,
+                attempt,
+                holder,
+                name,
+            } => self.on_copied(request, attempt, &holder, name),
         }
         std::mem::take(&mut self.actions)
     }
--- a/src/dispatch/action.rs
+++ b/src/dispatch/action.rs
@@ -3,15 +3,17 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::dispatch::event::{EndpointSpec, RequestNumber, Try};
+use crate::dispatch::event::{CopyName, EndpointSpec, RequestNumber, Try};
 use crate::dispatch::record::Record;
 use crate::schema::{BoxState, EndpointId, OrganisationId, StateRequest};
 
 /// Where the memory of a run lies that another endpoint goes on from.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct BackupAt {
-    /// The endpoint that holds the copy.
+    /// The endpoint that holds the copy, or the engine that gave it its name.
     pub address: SocketAddr,
+    /// The copy's name; one that grows with its run goes by the request's id.
+    pub name: Option<CopyName>,
 }
 
 /// One sending of a request.
@@ -120,6 +122,30 @@
         /// Whom to ask.
         among: Vec<(EndpointId, SocketAddr)>,
     },
+    /// Have an engine copy the memory of a run, which goes on meanwhile.
+    CopyRun {
+        /// The request.
+        request: RequestNumber,
+        /// The sending whose run it is.
+        attempt: Try,
+        /// The caller's id, by which the engine knows the run.
+        run: String,
+        /// The engine's address.
+        engine: SocketAddr,
+        /// The endpoint that is to hold the copy.
+        holder: EndpointId,
+        /// The holder's address.
+        to: SocketAddr,
+        /// How long to wait.
+        limit: Duration,
+    },
+    /// Have an engine drop a copy that is not needed any more.
+    DropCopy {
+        /// The engine's address.
+        engine: SocketAddr,
+        /// The copy.
+        name: CopyName,
+    },
     /// Ask what has an endpoint's address who it is.
     AskIdentity {
         /// The endpoint that had the address.
--- a/src/dispatch/arrivals.rs
+++ b/src/dispatch/arrivals.rs
@@ -89,6 +89,7 @@
             sendings: 0,
             runs: 0,
             tried: Vec::new(),
+            copies: Vec::new(),
             last_passed: self.now,
             has_begun: false,
             fault: None,
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -38,6 +38,16 @@
     }
 }
 
+/// The name of a copy of a run's memory, as its engine gave it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CopyName(pub String);
+
+impl fmt::Display for CopyName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
 /// What decisions need to know of a caller's request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Arrival {
@@ -219,6 +229,17 @@
         /// The one that keeps it, if any does.
         endpoint: Option<EndpointId>,
     },
+    /// An engine was asked to copy the memory of a run.
+    Copied {
+        /// The request.
+        request: RequestNumber,
+        /// The sending whose run it is.
+        attempt: Try,
+        /// The endpoint that the copy was meant for.
+        holder: EndpointId,
+        /// The copy's name, if it was made.
+        name: Option<CopyName>,
+    },
 }
 
 /// What an endpoint says of itself.
--- a/src/dispatch/outcomes.rs
+++ b/src/dispatch/outcomes.rs
@@ -5,7 +5,6 @@
 use super::event::{EndpointSpec, Fault, NotRunCause, Outcome, RequestNumber, Try};
 use super::record::Record;
 use super::request::{Request, Running, outcome_word};
-use super::sending::Copy;
 use crate::schema::EndpointId;
 
 /// The least status that tells of a fault of the endpoint.
@@ -22,6 +21,7 @@
         });
         if let Some(running) = &request.running {
             self.note_ended(running);
+            self.drop_copies(running);
         }
     }
 
@@ -45,6 +45,7 @@
         let Some(request) = self.running(number, attempt) else {
             return;
         };
+        request.copies.clear();
         let pause = now.since(request.last_passed);
         let is_resumed = request.has_begun;
         request.last_event = Some(last_event);
@@ -102,13 +103,13 @@
             Outcome::NotSent => {
                 self.on_loss(endpoint);
                 self.fleet.on_unreachable(endpoint, self.now);
-                self.send_somewhere(number);
+                self.send_on(number);
             }
             Outcome::NotRun(NotRunCause::OtherInstance(instance)) => {
                 self.identify(endpoint, instance.as_ref());
                 self.fleet.on_reached(endpoint);
                 self.fleet.replaced(endpoint);
-                self.send_somewhere(number);
+                self.send_on(number);
             }
             Outcome::NotRun(NotRunCause::NoRoom) => {
                 self.fleet.on_error_answer(endpoint, self.now);
@@ -117,6 +118,7 @@
             Outcome::Answered { status } => self.on_answered(number, running, *status),
             Outcome::StreamEnded => {
                 self.fleet.on_success(endpoint, self.now);
+                self.drop_copies(running);
                 self.finish(number, Command::Finish);
             }
             Outcome::Broken(fault) => {
@@ -167,7 +169,7 @@
     /// Sends a request elsewhere that an endpoint had no room for.
     fn retry_not_run(&mut self, number: RequestNumber) {
         if self.take_retry(number) {
-            self.send_somewhere(number);
+            self.send_on(number);
         } else {
             self.give_up_without_retry(number);
         }
@@ -193,10 +195,16 @@
 
     /// Goes on elsewhere after a sending that may have run was lost.
     pub(super) fn go_on(&mut self, number: RequestNumber, running: &Running, fault: Fault) {
+        let Some(request) = self.requests.get(&number) else {
+            return;
+        };
+        let copies = self.copies_of(request, running);
         let Some(request) = self.requests.get_mut(&number) else {
             return;
         };
         request.fault = Some(fault);
+        // Copies of the run before may still be there if this one had none.
+        request.copies.splice(0..0, copies);
         if !request.may_run_again() {
             self.refuse(number, RefusalReason::EndpointFailed);
             return;
@@ -205,10 +213,7 @@
             self.give_up_without_retry(number);
             return;
         }
-        // Memory is copied only once the prompt has been read.
-        let backup = running.backup.clone().filter(|_| running.has_events);
-        let copy = backup.map(|endpoint| Copy { endpoint });
-        self.send_after(number, copy);
+        self.send_on(number);
     }
 
     fn give_up_without_retry(&mut self, number: RequestNumber) {
--- a/src/dispatch/placement.rs
+++ b/src/dispatch/placement.rs
@@ -103,6 +103,26 @@
             .map(|(_, endpoint)| endpoint)
     }
 
+    /// Chooses the endpoint that another copy of a run goes to, among those that stand well.
+    #[must_use]
+    pub fn choose_holder<'a>(
+        &self,
+        fleet: &'a Fleet,
+        demand: Demand<'_>,
+        engine: &Endpoint,
+        stands: impl Fn(&Endpoint) -> bool,
+        now: Micros,
+    ) -> Option<&'a Endpoint> {
+        let others = fleet
+            .of_service(demand.service)
+            .filter(|e| e.spec.id != engine.spec.id && stands(e));
+        let costs = others.map(|e| (self.cost(fleet, e, demand, now), e));
+        costs
+            .min_by(|(a, _), (b, _)| a.total_cmp(b))
+            .filter(|(cost, _)| *cost < NO_MEMORY_COST)
+            .map(|(_, endpoint)| endpoint)
+    }
+
     fn backup_cost(
         &self,
         fleet: &Fleet,
--- a/src/dispatch/record.rs
+++ b/src/dispatch/record.rs
@@ -82,6 +82,17 @@
         /// Milliseconds since the event before.
         pause_ms: u64,
     },
+    /// An engine was asked for another copy of a run's memory.
+    Copied {
+        /// The caller's id.
+        request: String,
+        /// The endpoint that is to hold it.
+        holder: String,
+        /// Whether it was made.
+        is_made: bool,
+        /// Milliseconds that it took.
+        after_ms: u64,
+    },
     /// An endpoint has been silent for too long.
     Suspected {
         /// The caller's id.
@@ -151,6 +162,7 @@
             | Self::Begun { request, .. }
             | Self::Ended { request, .. }
             | Self::Resumed { request, .. }
+            | Self::Copied { request, .. }
             | Self::Suspected { request, .. }
             | Self::Refused { request, .. }
             | Self::Answered { request, .. }
@@ -187,6 +199,19 @@
             Self::Resumed {
                 endpoint, pause_ms, ..
             } => format!("went on at {endpoint} after a pause of {pause_ms} ms"),
+            Self::Copied {
+                holder,
+                is_made,
+                after_ms,
+                ..
+            } => {
+                let made = if *is_made {
+                    "made"
+                } else {
+                    "could not be made"
+                };
+                format!("another copy {made} at {holder} after {after_ms} ms")
+            }
             Self::Suspected {
                 endpoint,
                 silent_ms,
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -1,11 +1,13 @@
 //! What is kept of a request while it is served.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::copies::{Copy, ExtraCopy};
 use crate::dispatch::event::{Arrival, Fault, NotRunCause, Outcome, Try};
 use crate::dispatch::table::{EngineSpec, KeyHolder, Route};
-use crate::schema::{EndpointId, Micros, ServiceId};
+use crate::schema::{DomainId, EndpointId, Micros, ServiceId};
 
 /// The sending that runs.
 #[derive(Clone, Debug)]
@@ -20,8 +22,16 @@
     pub heard: Micros,
     /// Whether an event of it has come.
     pub has_events: bool,
+    /// The endpoint's failure domain.
+    pub domain: DomainId,
+    /// The endpoint's address.
+    pub address: SocketAddr,
     /// Where the memory of the run is copied.
     pub backup: Option<EndpointId>,
+    /// A copy that was asked for while it ran.
+    pub extra: Option<ExtraCopy>,
+    /// When its copies are next looked after.
+    pub next_copy: Micros,
     /// Tokens that are still counted as to be read.
     pub reading: u32,
     /// Tokens of memory that are counted for it.
@@ -55,6 +65,8 @@
     pub runs: u32,
     /// Endpoints that it was sent to.
     pub tried: Vec<EndpointId>,
+    /// Copies of its last run that it can go on from, the best one first.
+    pub copies: Vec<Copy>,
     /// The last event that the caller got.
     pub last_event: Option<u64>,
     /// When the caller got an event last.
--- a/src/dispatch/sending.rs
+++ b/src/dispatch/sending.rs
@@ -1,10 +1,10 @@
 //! Sends requests to endpoints, anew after a failure, and gives them up.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::Dispatcher;
 use super::action::{BackupAt, Command, Refusal, RefusalReason, Reuse, Sending};
+use super::copies::first_look;
 use super::event::{RequestNumber, Tokens, Try};
 use super::placement::{CONNECT_LIMIT, Demand};
 use super::record::Record;
@@ -28,12 +28,6 @@
 /// Sendings after which a request is given up, whatever came of them.
 const MOST_SENDINGS: u32 = 12;
 
-/// A copy of a run's memory and where it lies.
-pub(super) struct Copy {
-    /// The endpoint that holds it.
-    pub endpoint: EndpointId,
-}
-
 impl Dispatcher {
     /// Sends a request to the endpoint that suits it best.
     pub(super) fn send_somewhere(&mut self, number: RequestNumber) {
@@ -51,18 +45,10 @@
         }
     }
 
-    /// Goes on at the endpoint that holds a copy, or elsewhere if that one can't take it.
-    pub(super) fn send_after(&mut self, number: RequestNumber, copy: Option<Copy>) {
-        let usable = copy.filter(|copy| {
-            let endpoint = self.fleet.get(&copy.endpoint);
-            endpoint.is_some_and(|e| e.takes_work() && !e.is_avoided(self.now))
-        });
-        match usable {
-            Some(copy) => {
-                let endpoint = copy.endpoint;
-                let address = self.fleet.get(&endpoint).map(|e| e.spec.address);
-                self.send_to(number, &endpoint, address);
-            }
+    /// Goes on from a copy of the last run if there is one, or else wherever suits best.
+    pub(super) fn send_on(&mut self, number: RequestNumber) {
+        match self.take_copy(number) {
+            Some(copy) => self.send_to(number, &copy.holder, Some(&copy.at)),
             None => self.send_somewhere(number),
         }
     }
@@ -71,7 +57,7 @@
         &mut self,
         number: RequestNumber,
         to: &EndpointId,
-        copy: Option<SocketAddr>,
+        copy: Option<&BackupAt>,
     ) {
         let now = self.now;
         let Some(request) = self.requests.get(&number) else {
@@ -100,7 +86,7 @@
             organisation: request.holder.as_ref().map(|h| h.organisation.clone()),
             after_event: request.last_event,
             backup_to: backup.as_ref().map(|(_, address)| *address),
-            resume_from: copy.map(|address| BackupAt { address }),
+            resume_from: copy.cloned(),
             connect_limit: CONNECT_LIMIT,
             reuse: reuse(request),
         };
@@ -133,6 +119,10 @@
         let Some(request) = self.requests.get_mut(&number) else {
             return;
         };
+        let Some(endpoint) = self.fleet.get(&sending.endpoint) else {
+            return;
+        };
+        let sending_domain = endpoint.spec.domain.clone();
         let memory = memory_of(request).0;
         let is_engine = request.engine.is_some();
         let reads = is_engine && sending.resume_from.is_none();
@@ -147,7 +137,11 @@
             started: now,
             heard: now,
             has_events: false,
+            domain: sending_domain,
+            address: sending.address,
             backup: backup.clone(),
+            extra: None,
+            next_copy: first_look(now),
             reading,
             memory,
         });
@@ -168,6 +162,9 @@
             endpoint.own.reading = endpoint.own.reading.saturating_sub(running.reading);
             endpoint.own.memory = endpoint.own.memory.saturating_sub(running.memory);
         }
+        if let Some(extra) = &running.extra {
+            self.uncount_extra(extra);
+        }
         let backup = running.backup.as_ref();
         if let Some(endpoint) = backup.and_then(|id| self.fleet.get_mut(id)) {
             endpoint.own.memory = endpoint.own.memory.saturating_sub(running.memory);
@@ -233,6 +230,7 @@
         if let Some(running) = &request.running {
             self.tell(number, Command::StopSending(running.attempt));
             self.note_ended(running);
+            self.drop_copies(running);
         }
         let not_run = matches!(
             reason,
@@ -246,7 +244,7 @@
     }
 }
 
-fn demand(request: &Request) -> Demand<'_> {
+pub(super) fn demand(request: &Request) -> Demand<'_> {
     Demand {
         service: &request.service,
         engine: request.engine,
--- a/src/dispatch/silence.rs
+++ b/src/dispatch/silence.rs
@@ -60,6 +60,8 @@
             self.move_away(number);
         } else if let Some(endpoint) = self.silent_endpoint(number) {
             self.probe(&endpoint);
+        } else {
+            self.tend_copies(number);
         }
     }
 
--- a/src/dispatch/table.rs
+++ b/src/dispatch/table.rs
@@ -111,6 +111,8 @@
     pub kv_tokens: u32,
     /// Whether an engine copies the memory of a run to another as it grows.
     pub backups: bool,
+    /// Whether an engine copies the memory of a run when it is asked to.
+    pub moves: bool,
     /// How long a copy is kept after its last part.
     pub backup_kept: Duration,
 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,6 +5,7 @@
 //! [`dialect::Dialect`].
 
 pub mod control;
+pub mod copies;
 pub mod decisions;
 pub mod dialect;
 pub mod events;
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -10,8 +10,9 @@
 use crate::dispatch::Dispatcher;
 use crate::dispatch::action::{Action, Command};
 use crate::dispatch::event::{Event, RequestNumber};
+use crate::gateway::copies::Wanted;
 use crate::gateway::input::Input;
-use crate::gateway::{GatewayShared, peers, probes};
+use crate::gateway::{GatewayShared, copies, peers, probes};
 
 /// The control thread's own state.
 pub struct Control {
@@ -109,6 +110,30 @@
                 let locating = probes::locate(request, part, among, self.shared.clone());
                 self.traffic.spawn(locating);
             }
+            Action::CopyRun {
+                request,
+                attempt,
+                run,
+                engine,
+                holder,
+                to,
+                limit,
+            } => {
+                let wanted = Wanted {
+                    request,
+                    attempt,
+                    run,
+                    engine,
+                    holder,
+                    to,
+                };
+                let copying = copies::copy(wanted, limit, self.shared.clone());
+                self.traffic.spawn(copying);
+            }
+            Action::DropCopy { engine, name } => {
+                let dropping = copies::drop_copy(engine, name, self.shared.clone());
+                self.traffic.spawn(dropping);
+            }
             Action::AskIdentity { spec, path } => {
                 let asking = probes::ask_identity(spec, path, self.shared.clone());
                 self.traffic.spawn(asking);
--- /dev/null
+++ b/src/gateway/copies.rs
@@ -0,0 +1,87 @@
+//! Asks engines to copy the memory of runs, and to drop copies that are not needed any more.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gotham::hyper::header::{CONTENT_TYPE, HeaderValue};
+use gotham::hyper::{Method, Request, StatusCode};
+use http_body_util::Full;
+
+use crate::dispatch::event::{CopyName, Event, RequestNumber, Try};
+use crate::gateway::GatewayShared;
+use crate::gateway::input::Input;
+use crate::gateway::pool::Pool;
+use crate::schema::EndpointId;
+
+/// How long a connection may have rested.
+const LONGEST_REST: Duration = Duration::from_secs(4);
+/// How long an engine may take to drop a copy.
+const DROP_LIMIT: Duration = Duration::from_millis(300);
+
+/// A run whose memory is to be copied.
+#[derive(Debug)]
+pub struct Wanted {
+    /// The request.
+    pub request: RequestNumber,
+    /// The sending whose run it is.
+    pub attempt: Try,
+    /// The id by which the engine knows the run.
+    pub run: String,
+    /// The engine's address.
+    pub engine: SocketAddr,
+    /// The endpoint that is to hold the copy.
+    pub holder: EndpointId,
+    /// The holder's address.
+    pub to: SocketAddr,
+}
+
+/// Has an engine copy the memory of a run and tells what came of it.
+pub async fn copy(wanted: Wanted, limit: Duration, shared: GatewayShared) {
+    let asked = tokio::time::timeout(limit, ask(&wanted, limit, &shared)).await;
+    let event = Event::Copied {
+        request: wanted.request,
+        attempt: wanted.attempt,
+        holder: wanted.holder,
+        name: asked.ok().flatten(),
+    };
+    shared.tell(Input::Event(event)).await;
+}
+
+async fn ask(wanted: &Wanted, limit: Duration, shared: &GatewayShared) -> Option<CopyName> {
+    let (path, body) = shared.dialect.copy_request(&wanted.run, wanted.to);
+    let mut request = Request::new(Full::new(Bytes::from(body)));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = path.parse().ok()?;
+    let json = HeaderValue::from_static("application/json");
+    request.headers_mut().insert(CONTENT_TYPE, json);
+    let body = exchange(wanted.engine, request, limit, shared).await?;
+    shared.dialect.read_copy(&body)
+}
+
+/// Has an engine drop a copy; one that can't be reached forgets it by itself.
+pub async fn drop_copy(engine: SocketAddr, name: CopyName, shared: GatewayShared) {
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.method_mut() = Method::DELETE;
+    let Ok(path) = shared.dialect.drop_copy_path(&name).parse() else {
+        return;
+    };
+    *request.uri_mut() = path;
+    let _ = tokio::time::timeout(DROP_LIMIT, exchange(engine, request, DROP_LIMIT, &shared)).await;
+}
+
+/// The body of a successful answer.
+async fn exchange(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    limit: Duration,
+    shared: &GatewayShared,
+) -> Option<Bytes> {
+    let mut connection = match shared.pool.take(address, LONGEST_REST) {
+        Some(connection) => connection,
+        None => Pool::connect(address, limit).await.ok()?,
+    };
+    let (head, body) = connection.exchange(request).await?;
+    shared.pool.put_back(connection);
+    (head.status == StatusCode::OK).then_some(body)
+}
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -2,13 +2,14 @@
 //!
 //! A dialect only translates. It makes no decision, keeps no state, and does no input or output.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use gotham::hyper::http::{request, response};
 use gotham::hyper::{HeaderMap, StatusCode};
 
 use crate::dispatch::action::{Refusal, Sending};
-use crate::dispatch::event::{Arrival, EndpointLoad, EndpointSpec, NotRunCause};
+use crate::dispatch::event::{Arrival, CopyName, EndpointLoad, EndpointSpec, NotRunCause};
 use crate::dispatch::table::{RoutingTable, TableError};
 use crate::schema::EndpointId;
 
@@ -88,6 +89,15 @@
     /// Reads how an endpoint stands.
     fn read_load(&self, body: &[u8]) -> Option<EndpointLoad>;
 
+    /// The path and body with which an engine is asked to copy the memory of a run.
+    fn copy_request(&self, run: &str, to: SocketAddr) -> (&'static str, String);
+
+    /// Reads the name of the copy that was made.
+    fn read_copy(&self, body: &[u8]) -> Option<CopyName>;
+
+    /// The path whose deletion drops a copy.
+    fn drop_copy_path(&self, name: &CopyName) -> String;
+
     /// The path at which an engine tells which parts of prompts it keeps.
     fn cache_path(&self) -> &'static str;
 
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -86,6 +86,14 @@
     pub async fn get_with_head(&mut self, path: &str) -> Option<(response::Parts, Bytes)> {
         let mut request = Request::new(Full::new(Bytes::new()));
         *request.uri_mut() = path.parse().ok()?;
+        self.exchange(request).await
+    }
+
+    /// Sends a request and reads the whole answer; `None` if the connection broke.
+    pub async fn exchange(
+        &mut self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Option<(response::Parts, Bytes)> {
         let host = self.address.to_string().parse().ok()?;
         request.headers_mut().insert(header::HOST, host);
         let response = self.send(request).await.ok()?;
--- a/tests/gateway/fixtures.rs
+++ b/tests/gateway/fixtures.rs
@@ -1,5 +1,7 @@
 //! A dispatcher on made-up time, with endpoints and routes by name.
 
+#![allow(dead_code)] // Each test file uses a part of it.
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -86,6 +88,7 @@
                 engine: Some(EngineSpec {
                     kv_tokens: 55_000,
                     backups: true,
+                    moves: true,
                     backup_kept: Duration::from_secs(4),
                 }),
             },
