Boxes of a domain are told at once of prompts that were sent

Two thirds of the messages between boxes crossed failure domains, whose bytes are dear.

Change: what was sent to an engine is told to the boxes of the own domain after 10 ms; what was told is taken to be read by and by and to end after 5 s; two of three messages stay in the own domain.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -39,6 +39,7 @@
 use budget::{RetryBudget, RetryPolicy};
 use event::{Event, RequestNumber, Try};
 use fleet::Fleet;
+use gossip::UsageToTell;
 use peers::Peers;
 use placement::Placer;
 use readers::Readers;
@@ -85,6 +86,7 @@
     readers: Readers,
     endpoints_at: u64,
     next_gossip: Micros,
+    usage_news: UsageToTell,
     ends_at: Option<Micros>,
     actions: Vec<Action>,
 }
@@ -103,10 +105,11 @@
             fleet: Fleet::default(),
             requests: BTreeMap::new(),
             budget: RetryBudget::new(cfg.retries),
-            peers: Peers::new(cfg.me.clone(), cfg.address, &cfg.seeds),
+            peers: Peers::new(cfg.me.clone(), cfg.domain.clone(), cfg.address, &cfg.seeds),
             readers: Readers::new(cfg.me.clone(), cfg.domain.clone(), now),
             endpoints_at: 0,
             next_gossip: now,
+            usage_news: UsageToTell::default(),
             ends_at: None,
             actions: Vec::new(),
             cfg,
@@ -136,6 +139,9 @@
             Event::EndpointsChanged { changes, at } => self.on_changed(changes, at),
             Event::StoreAnswered => self.readers.on_answer(self.now),
             Event::Peer(state) => self.on_peer(&state),
+            Event::PeerUsage(news) => {
+                self.fleet.on_peer_usage(&news.from, &news.usage, self.now);
+            }
             Event::Seeds(seeds) => self.peers.set_seeds(&seeds),
             Event::Tick => self.on_tick(),
             Event::Stop { grace } => self.ends_at = Some(self.now.after(grace)),
@@ -155,10 +161,11 @@
     /// When [`Event::Tick`] is due next.
     #[must_use]
     pub fn next_tick(&self) -> Micros {
+        let told = self.next_gossip.min(self.usage_news.due());
         if self.requests.is_empty() {
-            return self.next_gossip;
+            return told;
         }
-        self.now.after(TICK).min(self.next_gossip)
+        self.now.after(TICK).min(told)
     }
 
     /// The table in force.
@@ -261,6 +268,7 @@
             });
             self.actions.push(Action::ReadStore(is_reader));
         }
+        self.tell_usage_if_due();
         self.gossip_if_due();
     }
 
--- a/src/dispatch/action.rs
+++ b/src/dispatch/action.rs
@@ -5,7 +5,7 @@
 
 use crate::dispatch::event::{CopyName, EndpointSpec, RequestNumber, Try};
 use crate::dispatch::record::Record;
-use crate::schema::{BoxState, EndpointId, OrganisationId, StateRequest};
+use crate::schema::{BoxState, EndpointId, OrganisationId, StateRequest, UsageNews};
 
 /// Where the memory of a run lies that another endpoint goes on from.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -164,6 +164,13 @@
         /// How this box stands.
         state: Box<BoxState>,
     },
+    /// Tell other boxes what this one has just sent to endpoints, by UDP.
+    TellUsage {
+        /// Their addresses.
+        to: Vec<SocketAddr>,
+        /// What was sent.
+        news: UsageNews,
+    },
     /// Ask another box for what it read from the platform.
     FetchState {
         /// Its address.
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::dispatch::table::RoutingTable;
-use crate::schema::{BoxState, DomainId, EndpointId, ServiceId};
+use crate::schema::{BoxState, DomainId, EndpointId, ServiceId, UsageNews};
 
 /// A request as this box numbers it.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -204,6 +204,8 @@
     StoreAnswered,
     /// Another box told how it stands.
     Peer(BoxState),
+    /// Another box told what it has just sent to endpoints.
+    PeerUsage(UsageNews),
     /// The settings name other boxes to speak to first.
     Seeds(Vec<SocketAddr>),
     /// Time has passed.
--- a/src/dispatch/gossip.rs
+++ b/src/dispatch/gossip.rs
@@ -1,17 +1,62 @@
 //! What this box tells its peers, and what it takes from what they tell.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::Dispatcher;
 use super::action::Action;
-use super::fleet::Usage;
 use super::table::TableVersion;
-use crate::schema::{BoxState, EndpointUsage, StateRequest};
+use crate::schema::{BoxState, EndpointId, Micros, StateRequest, UsageNews};
 
 /// How long news gather before peers are told.
 const NEWS_PAUSE: Duration = Duration::from_millis(10);
 
+/// How long sendings gather before the boxes of the own failure domain are told of them.
+const USAGE_PAUSE: Duration = Duration::from_millis(10);
+
+/// Engines that something was sent to, of which peers are told soon.
+#[derive(Debug, Default)]
+pub(super) struct UsageToTell {
+    engines: BTreeSet<EndpointId>,
+    due: Option<Micros>,
+}
+
+impl UsageToTell {
+    /// When peers are to be told.
+    pub fn due(&self) -> Micros {
+        self.due.unwrap_or(Micros(u64::MAX))
+    }
+}
+
 impl Dispatcher {
+    /// Lets the boxes of the own failure domain know soon what was sent to an engine, so that they
+    /// choose others for their prompts.
+    pub(super) fn note_usage(&mut self, engine: &EndpointId) {
+        self.usage_news.engines.insert(engine.clone());
+        let due = self.now.after(USAGE_PAUSE);
+        self.usage_news.due.get_or_insert(due);
+    }
+
+    pub(super) fn tell_usage_if_due(&mut self) {
+        if self.now < self.usage_news.due() {
+            return;
+        }
+        let news = std::mem::take(&mut self.usage_news);
+        let to = self.peers.of_own_domain(self.now);
+        if to.is_empty() {
+            return;
+        }
+        let usage = news
+            .engines
+            .iter()
+            .filter_map(|id| self.fleet.own_usage(id));
+        let news = UsageNews {
+            from: self.cfg.me.clone(),
+            usage: usage.collect(),
+        };
+        self.actions.push(Action::TellUsage { to, news });
+    }
+
     /// Tells peers before it is due, since there is news.
     pub(super) fn gossip_soon(&mut self) {
         self.next_gossip = self.next_gossip.min(self.now.after(NEWS_PAUSE));
@@ -33,20 +78,14 @@
     /// How this box stands.
     #[must_use]
     pub fn state(&self) -> BoxState {
-        let used = self.fleet.iter().filter(|e| e.own != Usage::default());
-        let usage = used.map(|e| EndpointUsage {
-            endpoint: e.spec.id.clone(),
-            running: e.own.running,
-            reading: e.own.reading,
-            memory: e.own.memory,
-        });
         BoxState {
             from: self.cfg.me.clone(),
             incarnation: self.cfg.incarnation,
+            domain: self.cfg.domain.clone(),
             address: self.cfg.address.to_string(),
             table_version: self.table_version().0,
             stopping: self.ends_at.is_some(),
-            usage: usage.collect(),
+            usage: self.fleet.all_own_usage(),
             lost: self.fleet.lost(self.now).cloned().collect(),
             peers: self.peers.heard_addresses(self.now),
             endpoints_at: self.endpoints_at,
--- a/src/dispatch/peers.rs
+++ b/src/dispatch/peers.rs
@@ -10,10 +10,12 @@
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 
-use crate::schema::{BoxId, BoxState, Micros};
+use crate::schema::{BoxId, BoxState, DomainId, Micros};
 
 /// How many boxes are told each time.
 const FANOUT: usize = 3;
+/// How many of them are of the own failure domain, if that has so many.
+const NEAR_FANOUT: usize = 2;
 /// How long a box that is not heard counts as running.
 const HEARD_FOR: Duration = Duration::from_secs(3);
 /// How long the address of a box that is not heard is still tried.
@@ -26,6 +28,7 @@
 #[derive(Debug)]
 struct Peer {
     heard: Micros,
+    domain: DomainId,
     address: SocketAddr,
     incarnation: u64,
 }
@@ -34,6 +37,7 @@
 #[derive(Debug)]
 pub struct Peers {
     me: BoxId,
+    domain: DomainId,
     address: SocketAddr,
     seeds: BTreeSet<SocketAddr>,
     boxes: BTreeMap<BoxId, Peer>,
@@ -44,9 +48,10 @@
 impl Peers {
     /// Starts with the seeds only.
     #[must_use]
-    pub fn new(me: BoxId, address: SocketAddr, seeds: &[SocketAddr]) -> Self {
+    pub fn new(me: BoxId, domain: DomainId, address: SocketAddr, seeds: &[SocketAddr]) -> Self {
         Self {
             me,
+            domain,
             address,
             seeds: seeds.iter().copied().filter(|s| *s != address).collect(),
             boxes: BTreeMap::new(),
@@ -82,6 +87,7 @@
         }
         let peer = Peer {
             heard: now,
+            domain: state.domain.clone(),
             address,
             incarnation: state.incarnation.0,
         };
@@ -114,16 +120,32 @@
             .collect()
     }
 
-    /// Chooses the boxes that are told this time.
+    /// The boxes of the own failure domain that run.
+    #[must_use]
+    pub fn of_own_domain(&self, now: Micros) -> Vec<SocketAddr> {
+        let heard = self.boxes.values();
+        heard
+            .filter(|p| p.domain == self.domain && now.since(p.heard) < KEPT_FOR)
+            .map(|p| p.address)
+            .collect()
+    }
+
+    /// Chooses the boxes that are told this time: mostly of the own failure domain, since bytes
+    /// between domains are dear and what endpoints run matters most near them.
     pub fn choose(&mut self, rng: &mut ChaCha8Rng, now: Micros) -> Vec<SocketAddr> {
         self.boxes.retain(|_, p| now.since(p.heard) < KEPT_FOR);
         self.hearsay.retain(|_, at| now.since(*at) < KEPT_FOR);
+        let near: BTreeSet<SocketAddr> = self.of_own_domain(now).into_iter().collect();
         let peers = self.boxes.values().map(|p| p.address);
         let known: BTreeSet<SocketAddr> = peers
             .chain(self.hearsay.keys().copied())
             .chain(self.seeds.iter().copied())
             .collect();
-        let known: Vec<SocketAddr> = known.into_iter().collect();
-        known.choose_multiple(rng, FANOUT).copied().collect()
+        let far: Vec<SocketAddr> = known.difference(&near).copied().collect();
+        let near: Vec<SocketAddr> = near.into_iter().collect();
+        let mut chosen: Vec<SocketAddr> = near.choose_multiple(rng, NEAR_FANOUT).copied().collect();
+        let others = FANOUT - chosen.len();
+        chosen.extend(far.choose_multiple(rng, others).copied());
+        chosen
     }
 }
--- a/src/dispatch/placement.rs
+++ b/src/dispatch/placement.rs
@@ -13,7 +13,7 @@
 use crate::schema::{DomainId, EndpointId, Micros, ServiceId};
 
 /// Tokens of a prompt that an engine reads in a millisecond, as long as nothing better is known.
-const READ_PER_MS: f64 = 5.0;
+pub(super) const READ_PER_MS: f64 = 5.0;
 /// What one request that runs beside it costs a stream, in milliseconds.
 const RUNNING_COST: f64 = 30.0;
 /// What an engine of another failure domain costs, in milliseconds.
--- a/src/dispatch/sending.rs
+++ b/src/dispatch/sending.rs
@@ -76,6 +76,7 @@
             })
             .flatten()
             .map(|e| (e.spec.id.clone(), e.spec.address));
+        let is_engine = request.engine.is_some();
         let usage = self.fleet.usage(endpoint, now);
         let spec = endpoint.spec.clone();
         let sending = Sending {
@@ -105,6 +106,9 @@
         self.record(record);
         self.fleet.on_sending(&spec, now);
         self.note_running(number, &sending, backup.map(|(id, _)| id));
+        if is_engine {
+            self.note_usage(to);
+        }
         self.tell(number, Command::Send(Box::new(sending)));
     }
 
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -147,6 +147,10 @@
                 let telling = peers::tell(Arc::clone(&self.gossip), to, *state);
                 self.traffic.spawn(telling);
             }
+            Action::TellUsage { to, news } => {
+                let telling = peers::tell_usage(Arc::clone(&self.gossip), to, news);
+                self.traffic.spawn(telling);
+            }
             Action::FetchState { from, wanted } => {
                 let fetching = peers::fetch(from, wanted, self.shared.clone());
                 self.traffic.spawn(fetching);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -17,10 +17,12 @@
 use crate::gateway::input::Input;
 use crate::gateway::watcher::News;
 use crate::gateway::{GatewayShared, store};
-use crate::schema::{BoxState, StateReply, StateRequest};
+use crate::schema::{BoxState, StateReply, StateRequest, UsageNews};
 
-/// The first byte of each datagram: the protocol's version.
-const PROTOCOL: u8 = 1;
+/// The first byte of a datagram with a [`BoxState`].
+const STATE: u8 = 3;
+/// The first byte of a datagram with [`UsageNews`].
+const USAGE: u8 = 4;
 /// The longest datagram.
 const LONGEST_DATAGRAM: usize = 32 << 10;
 /// The longest message by TCP.
@@ -30,7 +32,16 @@
 
 /// Tells other boxes how this one stands.
 pub async fn tell(socket: Arc<UdpSocket>, to: Vec<SocketAddr>, state: BoxState) {
-    let Ok(bytes) = postcard::to_extend(&state, vec![PROTOCOL]) else {
+    send(&socket, &to, STATE, &state).await;
+}
+
+/// Tells other boxes what this one has just sent to endpoints.
+pub async fn tell_usage(socket: Arc<UdpSocket>, to: Vec<SocketAddr>, news: UsageNews) {
+    send(&socket, &to, USAGE, &news).await;
+}
+
+async fn send(socket: &UdpSocket, to: &[SocketAddr], kind: u8, message: &impl Serialize) {
+    let Ok(bytes) = postcard::to_extend(message, vec![kind]) else {
         return;
     };
     for address in to {
@@ -47,15 +58,23 @@
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
-        let Some((&PROTOCOL, body)) = buf[..length].split_first() else {
-            continue;
-        };
-        if let Ok(state) = postcard::from_bytes::<BoxState>(body) {
-            shared.tell(Input::Event(Event::Peer(state))).await;
+        if let Some(event) = read_datagram(&buf[..length]) {
+            shared.tell(Input::Event(event)).await;
         }
     }
 }
 
+/// Reads a datagram of another box; `None` if it is of another kind, or spoilt.
+#[must_use]
+pub fn read_datagram(bytes: &[u8]) -> Option<Event> {
+    let (kind, body) = bytes.split_first()?;
+    match *kind {
+        STATE => postcard::from_bytes(body).ok().map(Event::Peer),
+        USAGE => postcard::from_bytes(body).ok().map(Event::PeerUsage),
+        _ => None,
+    }
+}
+
 /// Asks another box for what it read from the platform.
 pub async fn fetch(from: SocketAddr, wanted: StateRequest, shared: GatewayShared) {
     let asked = tokio::time::timeout(FETCH_LIMIT, ask(from, &wanted)).await;
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -300,6 +300,7 @@
 pub struct BoxState {
     ///Where the box is reached by its peers.
     pub address: ::std::string::String,
+    pub domain: DomainId,
     ///The store's revision at which the known list of endpoints changed last, or 0.
     pub endpoints_at: u64,
     pub from: BoxId,
@@ -2736,6 +2737,14 @@
     pub id: KeyId,
     pub public: ::std::string::String,
 }
+///What a box of the gateway has just sent to endpoints, for the boxes of its failure domain.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct UsageNews {
+    pub from: BoxId,
+    ///All that it runs at the endpoints that it sent something to.
+    pub usage: ::std::vec::Vec<EndpointUsage>,
+}
 ///What a second of resume latency and a second of extra engine work cost.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -30,6 +30,7 @@
     BoxState {
         from: from.parse().unwrap(),
         incarnation: Incarnation(1),
+        domain: "north".parse().unwrap(),
         address: "127.0.0.2:7200".to_owned(),
         table_version: version,
         stopping: false,
--- a/tests/gateway_parts.rs
+++ b/tests/gateway_parts.rs
@@ -14,7 +14,7 @@
 use magpiemoor::gateway::watcher::{News, Step, StepAnswer, Watcher};
 use magpiemoor::schema::{
     BoxState, EndpointUsage, GatewaySettingsFile, Incarnation, StateEntry, StateReply,
-    StateRequest, StoreReader,
+    StateRequest, StoreReader, UsageNews,
 };
 use magpiemoor::settings::file::parse_as;
 use proptest::prelude::*;
@@ -203,6 +203,7 @@
     let state = BoxState {
         from: "box-1".parse().unwrap(),
         incarnation: Incarnation(5),
+        domain: "north".parse().unwrap(),
         address: "127.0.0.1:7200".to_owned(),
         table_version: 9,
         stopping: true,
@@ -221,6 +222,10 @@
             age_ms: 12,
         }],
     };
+    let news = UsageNews {
+        from: "box-1".parse().unwrap(),
+        usage: state.usage.clone(),
+    };
     let request = StateRequest {
         table_after: 3,
         endpoints_after: 4,
@@ -234,9 +239,10 @@
         endpoints_at: 9,
         is_whole: false,
     };
-    let bytes = postcard::to_stdvec(&(&state, &request, &reply)).unwrap();
-    let read: (BoxState, StateRequest, StateReply) = postcard::from_bytes(&bytes).unwrap();
-    assert_eq!(read, (state, request, reply));
+    let bytes = postcard::to_stdvec(&(&state, &news, &request, &reply)).unwrap();
+    let read: (BoxState, UsageNews, StateRequest, StateReply) =
+        postcard::from_bytes(&bytes).unwrap();
+    assert_eq!(read, (state, news, request, reply));
 }
 
 /// An output that takes nothing until it is told to.
--- /dev/null
+++ b/tests/usage.rs
@@ -0,0 +1,168 @@
+//! What runs at endpoints by the word of other boxes, on made-up time.
+
+#[path = "gateway/fixtures.rs"]
+mod fixtures;
+
+use std::net::SocketAddr;
+
+use fixtures::{STREAMS, World};
+use magpiemoor::dispatch::action::Action;
+use magpiemoor::dispatch::event::Event;
+use magpiemoor::schema::{BoxState, EndpointId, EndpointUsage, Incarnation, UsageNews};
+use rstest::rstest;
+
+fn usage(endpoint: &str, running: u32, reading: u32) -> EndpointUsage {
+    EndpointUsage {
+        endpoint: endpoint.parse().unwrap(),
+        running,
+        reading,
+        memory: 5_700 * running,
+    }
+}
+
+fn news(from: &str, usage: Vec<EndpointUsage>) -> Event {
+    Event::PeerUsage(UsageNews {
+        from: from.parse().unwrap(),
+        usage,
+    })
+}
+
+fn state(from: &str, domain: &str, port: u16, usage: Vec<EndpointUsage>) -> Event {
+    Event::Peer(BoxState {
+        from: from.parse().unwrap(),
+        incarnation: Incarnation(1),
+        domain: domain.parse().unwrap(),
+        address: format!("127.0.0.9:{port}"),
+        table_version: 1,
+        stopping: false,
+        usage,
+        lost: Vec::new(),
+        peers: Vec::new(),
+        endpoints_at: 0,
+        readers: Vec::new(),
+    })
+}
+
+fn told(actions: &[Action]) -> Vec<(Vec<SocketAddr>, UsageNews)> {
+    let told = actions.iter().filter_map(|action| match action {
+        Action::TellUsage { to, news } => Some((to.clone(), news.clone())),
+        _ => None,
+    });
+    told.collect()
+}
+
+/// The engine that a new stream goes to.
+fn next_engine(world: &mut World) -> EndpointId {
+    world.arrive(STREAMS).1.unwrap().endpoint
+}
+
+fn running_at(world: &World, endpoint: &str) -> (u32, u32) {
+    let fleet = world.dispatcher.fleet();
+    let endpoint = fleet.get(&endpoint.parse().unwrap()).unwrap();
+    let usage = fleet.usage(endpoint, world.now);
+    (usage.running, usage.reading)
+}
+
+#[test]
+fn boxes_of_the_own_domain_are_told_at_once_of_a_prompt_that_was_sent() {
+    let mut world = World::ready();
+    world.handle(state("box-2", "north", 7_200, Vec::new()));
+    world.handle(state("box-3", "south", 7_201, Vec::new()));
+    let engine = next_engine(&mut world);
+    let told = told(&world.run(30));
+    assert_eq!(told.len(), 1);
+    let (to, news) = &told[0];
+    assert_eq!(*to, vec!["127.0.0.9:7200".parse().unwrap()]);
+    assert_eq!(news.usage.len(), 1);
+    assert_eq!(news.usage[0].endpoint, engine);
+    assert_eq!(news.usage[0].reading, 5_000);
+}
+
+#[test]
+fn sendings_of_the_same_moment_are_told_together() {
+    let mut world = World::ready();
+    world.handle(state("box-2", "north", 7_200, Vec::new()));
+    next_engine(&mut world);
+    next_engine(&mut world);
+    let told = told(&world.run(30));
+    assert_eq!(told.len(), 1);
+    assert_eq!(told[0].1.usage.len(), 2);
+}
+
+#[rstest]
+#[case::by_its_news(false)]
+#[case::by_its_account(true)]
+fn an_engine_that_reads_the_prompt_of_another_box_is_left_alone(#[case] whole: bool) {
+    let mut world = World::ready();
+    for (busy, free) in [("engine-n1", "engine-n2"), ("engine-n2", "engine-n1")] {
+        let reads = vec![usage(busy, 1, 5_000)];
+        let event = if whole {
+            state("box-2", "north", 7_200, reads)
+        } else {
+            news("box-2", reads)
+        };
+        world.handle(event);
+        world.handle(news("box-2", vec![usage(free, 0, 0)]));
+        let (request, sent) = world.arrive(STREAMS);
+        assert_eq!(sent.unwrap().endpoint.as_str(), free);
+        world.handle(Event::CallerGone(request));
+    }
+}
+
+#[test]
+fn prompts_of_other_boxes_are_taken_to_be_read_by_and_by() {
+    let mut world = World::ready();
+    world.handle(news("box-2", vec![usage("engine-n1", 1, 5_000)]));
+    world.pass(400);
+    assert_eq!(running_at(&world, "engine-n1"), (1, 3_000));
+    world.pass(700);
+    assert_eq!(running_at(&world, "engine-n1"), (1, 0));
+    world.pass(4_000);
+    assert_eq!(running_at(&world, "engine-n1"), (0, 0));
+}
+
+#[test]
+fn what_a_box_told_last_takes_the_place_of_what_it_told_before() {
+    let mut world = World::ready();
+    world.handle(news("box-2", vec![usage("engine-n1", 2, 9_000)]));
+    world.handle(news("box-3", vec![usage("engine-n1", 1, 100)]));
+    world.handle(news("box-2", vec![usage("engine-n1", 1, 0)]));
+    assert_eq!(running_at(&world, "engine-n1"), (2, 100));
+    // A whole account leaves out what has ended.
+    world.handle(state("box-2", "north", 7_200, Vec::new()));
+    assert_eq!(running_at(&world, "engine-n1"), (1, 100));
+}
+
+#[test]
+fn news_of_an_endpoint_that_is_not_listed_are_no_use() {
+    let mut world = World::ready();
+    world.handle(news("box-2", vec![usage("engine-x9", 1, 5_000)]));
+    assert!(
+        world
+            .dispatcher
+            .fleet()
+            .get(&"engine-x9".parse().unwrap())
+            .is_none()
+    );
+}
+
+#[test]
+fn most_messages_go_to_the_own_domain() {
+    let mut world = World::ready();
+    for number in 0..20 {
+        let domain = if number % 2 == 0 { "north" } else { "south" };
+        let from = format!("box-{}", number + 2);
+        world.handle(state(&from, domain, 7_300 + number, Vec::new()));
+    }
+    let (mut near, mut far) = (0, 0);
+    for action in world.run(2_500) {
+        if let Action::Gossip { to, .. } = action {
+            let ports = to.iter().map(SocketAddr::port);
+            let is_near = ports.map(|port| port >= 7_300 && port % 2 == 0);
+            for is_near in is_near {
+                if is_near { near += 1 } else { far += 1 }
+            }
+        }
+    }
+    assert!(near > far && far > 0, "{near} near, {far} far");
+}
