A box that begins to read the store claims that before its domain

Change: a box that starts waits up to half a second for peers to tell of readers, and is told at once by those that it speaks to first; a box that begins to read says so to its whole domain before the store has answered, which counts for 1.2 s. The age of a reader's last answer no longer runs into the start of a young box's clock.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -95,9 +95,9 @@
     /// Makes a dispatcher that knows nothing yet; `seed` determines its random choices.
     #[must_use]
     pub fn new(cfg: DispatchConfig, seed: u64, now: Micros) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
         Self {
             now,
-            rng: ChaCha8Rng::seed_from_u64(seed),
             placer: Placer {
                 domain: cfg.domain.clone(),
             },
@@ -106,7 +106,8 @@
             requests: BTreeMap::new(),
             budget: RetryBudget::new(cfg.retries),
             peers: Peers::new(cfg.me.clone(), cfg.domain.clone(), cfg.address, &cfg.seeds),
-            readers: Readers::new(cfg.me.clone(), cfg.domain.clone(), now),
+            readers: Readers::new(cfg.me.clone(), cfg.domain.clone(), &mut rng, now),
+            rng,
             endpoints_at: 0,
             next_gossip: now,
             usage_news: UsageToTell::default(),
@@ -161,11 +162,13 @@
     /// When [`Event::Tick`] is due next.
     #[must_use]
     pub fn next_tick(&self) -> Micros {
-        let told = self.next_gossip.min(self.usage_news.due());
+        let first_decision = self.readers.first_decision().unwrap_or(self.next_gossip);
+        let due = self.next_gossip.min(self.usage_news.due());
+        let due = due.min(first_decision);
         if self.requests.is_empty() {
-            return told;
+            return due;
         }
-        self.now.after(TICK).min(told)
+        self.now.after(TICK).min(due)
     }
 
     /// The table in force.
@@ -267,6 +270,9 @@
                 detail: String::new(),
             });
             self.actions.push(Action::ReadStore(is_reader));
+            if is_reader {
+                self.tell_claim();
+            }
         }
         self.tell_usage_if_due();
         self.gossip_if_due();
--- a/src/dispatch/gossip.rs
+++ b/src/dispatch/gossip.rs
@@ -1,10 +1,13 @@
 //! What this box tells its peers, and what it takes from what they tell.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::Dispatcher;
 use super::action::Action;
+use super::peers::Heard;
+use super::readers::Readers;
 use super::table::TableVersion;
 use crate::schema::{BoxState, EndpointId, Micros, StateRequest, UsageNews};
 
@@ -68,11 +71,9 @@
         }
         self.next_gossip = self.now.after(self.cfg.gossip);
         let to = self.peers.choose(&mut self.rng, self.now);
-        if to.is_empty() {
-            return;
+        if !to.is_empty() {
+            self.tell_state(to);
         }
-        let state = Box::new(self.state());
-        self.actions.push(Action::Gossip { to, state });
     }
 
     /// How this box stands.
@@ -93,10 +94,35 @@
         }
     }
 
+    /// Tells a box that has just started how this one stands, so that it needn't ask the store.
+    fn welcome(&mut self, newcomer: &BoxState) {
+        if let Ok(address) = newcomer.address.parse() {
+            self.tell_state(vec![address]);
+        }
+    }
+
+    /// Tells the boxes of the own failure domain that this one reads the store from now on, and
+    /// those of which the domain is not known.
+    pub(super) fn tell_claim(&mut self) {
+        let to = self.peers.near_and_unknown(self.now);
+        if !to.is_empty() {
+            self.tell_state(to);
+        }
+    }
+
+    fn tell_state(&mut self, to: Vec<SocketAddr>) {
+        let state = Box::new(self.state());
+        self.actions.push(Action::Gossip { to, state });
+    }
+
     pub(super) fn on_peer(&mut self, state: &BoxState) {
-        if !self.peers.on_state(state, self.now) {
+        let arrival = self.peers.on_state(state, self.now);
+        if arrival == Heard::Nothing {
             return;
         }
+        if arrival == Heard::NewBox && !Readers::are_enough(&state.readers, &state.domain) {
+            self.welcome(state);
+        }
         self.fleet.on_peer(state, self.now);
         self.readers.on_told(&state.readers, self.now);
         let own = self.table_version();
--- a/src/dispatch/peers.rs
+++ b/src/dispatch/peers.rs
@@ -25,6 +25,17 @@
 /// The least time between two questions for what a box knows.
 const FETCH_PAUSE: Duration = Duration::from_millis(100);
 
+/// What a message of another box was.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Heard {
+    /// No use: it came from this box, from an earlier life, or can't be read.
+    Nothing,
+    /// How a box stands that was heard before.
+    Known,
+    /// How a box stands that is heard for the first time in this life of its.
+    NewBox,
+}
+
 #[derive(Debug)]
 struct Peer {
     heard: Micros,
@@ -73,17 +84,18 @@
         1 + heard.filter(|p| now.since(p.heard) < HEARD_FOR).count()
     }
 
-    /// Takes in how a box stands; returns whether the message is news.
-    pub fn on_state(&mut self, state: &BoxState, now: Micros) -> bool {
+    /// Takes in how a box stands.
+    pub fn on_state(&mut self, state: &BoxState, now: Micros) -> Heard {
         let Ok(address) = state.address.parse() else {
-            return false;
+            return Heard::Nothing;
         };
         if state.from == self.me {
-            return false;
+            return Heard::Nothing;
         }
-        let known = self.boxes.get(&state.from);
-        if known.is_some_and(|p| p.incarnation > state.incarnation.0) {
-            return false;
+        let known = self.boxes.get(&state.from).map(|p| p.incarnation);
+        let life = state.incarnation.0;
+        if known.is_some_and(|known| known > life) {
+            return Heard::Nothing;
         }
         let peer = Peer {
             heard: now,
@@ -97,7 +109,11 @@
                 self.hearsay.insert(address, now);
             }
         }
-        true
+        if known == Some(life) {
+            Heard::Known
+        } else {
+            Heard::NewBox
+        }
     }
 
     /// Whether a box may be asked for what it knows now; notes that it is.
@@ -130,6 +146,24 @@
             .collect()
     }
 
+    /// The boxes of the own failure domain, and those of which the domain is not known.
+    #[must_use]
+    pub fn near_and_unknown(&self, now: Micros) -> Vec<SocketAddr> {
+        let far: BTreeSet<SocketAddr> = self
+            .boxes
+            .values()
+            .filter(|p| p.domain != self.domain)
+            .map(|p| p.address)
+            .collect();
+        let known: BTreeSet<SocketAddr> = self
+            .of_own_domain(now)
+            .into_iter()
+            .chain(self.hearsay.keys().copied())
+            .chain(self.seeds.iter().copied())
+            .collect();
+        known.difference(&far).copied().collect()
+    }
+
     /// Chooses the boxes that are told this time: mostly of the own failure domain, since bytes
     /// between domains are dear and what endpoints run matters most near them.
     pub fn choose(&mut self, rng: &mut ChaCha8Rng, now: Micros) -> Vec<SocketAddr> {
--- a/src/dispatch/readers.rs
+++ b/src/dispatch/readers.rs
@@ -19,6 +19,10 @@
 const FRESH: Duration = Duration::from_millis(4_500);
 /// How long readers that are not heard of are remembered.
 const REMEMBERED: Duration = Duration::from_secs(20);
+/// How long a box that begins to read counts as a reader before the store has answered it.
+const CLAIM: Duration = Duration::from_millis(1_200);
+/// The longest time that a box which starts waits for peers to tell of readers.
+const START_SPREAD: Duration = Duration::from_millis(500);
 /// Time between decisions.
 const DECIDE_EVERY: Duration = Duration::from_millis(400);
 /// The most readers that are told of in one message.
@@ -27,7 +31,15 @@
 #[derive(Clone, Debug)]
 struct Known {
     domain: DomainId,
-    answered: Micros,
+    /// Until when the last answer of the store that is known of counts as fresh. The answer itself
+    /// may be older than this box's clock.
+    fresh_until: Micros,
+}
+
+impl Known {
+    fn is_fresh(&self, now: Micros) -> bool {
+        now < self.fresh_until
+    }
 }
 
 /// What is known of the readers.
@@ -38,21 +50,30 @@
     known: BTreeMap<BoxId, Known>,
     is_reader: bool,
     decide_at: Micros,
+    has_decided: bool,
 }
 
 impl Readers {
-    /// Starts as a reader: a box that starts knows of no other.
+    /// Starts without reading the store: a peer may tell soon what is to be known. Boxes that start
+    /// at the same moment decide at different ones, so that the first of them can tell the others.
     #[must_use]
-    pub fn new(me: BoxId, domain: DomainId, now: Micros) -> Self {
+    pub fn new(me: BoxId, domain: DomainId, rng: &mut ChaCha8Rng, now: Micros) -> Self {
         Self {
             me,
             domain,
             known: BTreeMap::new(),
-            is_reader: true,
-            decide_at: now.after(FRESH),
+            is_reader: false,
+            decide_at: now.after(START_SPREAD.mul_f64(rng.random())),
+            has_decided: false,
         }
     }
 
+    /// When the first decision is due, if it has not been made.
+    #[must_use]
+    pub fn first_decision(&self) -> Option<Micros> {
+        (!self.has_decided).then_some(self.decide_at)
+    }
+
     /// Whether this box reads the store.
     #[must_use]
     pub fn is_reader(&self) -> bool {
@@ -63,24 +84,37 @@
     pub fn on_answer(&mut self, now: Micros) {
         let known = Known {
             domain: self.domain.clone(),
-            answered: now,
+            fresh_until: now.after(FRESH),
         };
         self.known.insert(self.me.clone(), known);
     }
 
+    /// Counts this box as a reader before the store has answered it, so that others hold back.
+    fn claim(&mut self, now: Micros) {
+        let claim = Known {
+            domain: self.domain.clone(),
+            fresh_until: now.after(CLAIM),
+        };
+        self.known.insert(self.me.clone(), claim);
+    }
+
+    /// Whether a box that knows of these readers knows of enough in its failure domain.
+    #[must_use]
+    pub fn are_enough(readers: &[StoreReader], domain: &DomainId) -> bool {
+        let of_domain = readers.iter().filter(|reader| reader.domain == *domain);
+        of_domain.count() >= READERS_PER_DOMAIN
+    }
+
     /// Takes in what a peer knows of the readers.
     pub fn on_told(&mut self, readers: &[StoreReader], now: Micros) {
         for reader in readers.iter().filter(|r| r.id != self.me) {
             let age = Duration::from_millis(reader.age_ms.into());
-            let answered = Micros(now.0.saturating_sub(age.as_micros() as u64));
-            let is_newer = self
-                .known
-                .get(&reader.id)
-                .is_none_or(|known| known.answered < answered);
-            if is_newer {
+            let fresh_until = now.after(FRESH.saturating_sub(age));
+            let known = self.known.get(&reader.id);
+            if known.is_none_or(|known| known.fresh_until < fresh_until) {
                 let known = Known {
                     domain: reader.domain.clone(),
-                    answered,
+                    fresh_until,
                 };
                 self.known.insert(reader.id.clone(), known);
             }
@@ -92,14 +126,16 @@
     pub fn told(&self, now: Micros) -> Vec<StoreReader> {
         let fresh = self.known.iter().filter(|(id, known)| {
             let is_own = **id == self.me;
-            now.since(known.answered) < FRESH && (!is_own || self.is_reader)
+            known.is_fresh(now) && (!is_own || self.is_reader)
         });
         fresh
             .take(MOST_TOLD)
             .map(|(id, known)| StoreReader {
                 id: id.clone(),
                 domain: known.domain.clone(),
-                age_ms: now.since(known.answered).as_millis() as u32,
+                age_ms: FRESH
+                    .saturating_sub(known.fresh_until.since(now))
+                    .as_millis() as u32,
             })
             .collect()
     }
@@ -109,11 +145,12 @@
         if now < self.decide_at {
             return None;
         }
+        self.has_decided = true;
         self.decide_at = now.after(DECIDE_EVERY.mul_f64(rng.random_range(0.5..1.5)));
         self.known
-            .retain(|_, known| now.since(known.answered) < REMEMBERED);
+            .retain(|_, known| now < known.fresh_until.after(REMEMBERED));
         let others = self.known.iter().filter(|(id, known)| {
-            **id != self.me && known.domain == self.domain && now.since(known.answered) < FRESH
+            **id != self.me && known.domain == self.domain && known.is_fresh(now)
         });
         let before_me = others.clone().filter(|(id, _)| **id < self.me).count();
         let is_needed = if self.is_reader {
@@ -123,6 +160,9 @@
         };
         let has_changed = is_needed != self.is_reader;
         self.is_reader = is_needed;
+        if is_needed && has_changed {
+            self.claim(now);
+        }
         has_changed.then_some(is_needed)
     }
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -96,7 +96,7 @@
             inputs,
             pool: Arc::new(Pool::default()),
             closing: watch::channel(false).0,
-            reading: watch::channel(true).0,
+            reading: watch::channel(false).0,
             standing: Arc::default(),
             read: Arc::default(),
         })
