Metrics: counts from the records of decisions; histograms of pauses, resumes, refusals and store calls

Cause: an operator saw no pauses, resumes or store calls in the metrics, and refusals without their reason. What is decided is now counted from the records of the decision log.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -155,7 +155,10 @@
                 let fetching = peers::fetch(from, wanted, self.shared.clone());
                 self.traffic.spawn(fetching);
             }
-            Action::Record(record) => self.shared.log.write(&record),
+            Action::Record(record) => {
+                self.shared.metrics.on_record(&record);
+                self.shared.log.write(&record);
+            }
         }
     }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -78,6 +78,8 @@
     held: Option<Held>,
     last_event: Option<u64>,
     started: Instant,
+    /// When events were passed on last.
+    last_passed: Option<Instant>,
 }
 
 impl Exchange {
@@ -100,6 +102,7 @@
             held: None,
             last_event,
             started: Instant::now(),
+            last_passed: None,
         }
     }
 
@@ -290,6 +293,7 @@
             self.last_event = event.id.or(self.last_event);
         }
         if self.last_event != before {
+            self.observe_pause();
             self.tell(Event::Progress {
                 request: self.number,
                 attempt,
@@ -300,6 +304,15 @@
         Ok(())
     }
 
+    /// Observes the time since the events before.
+    fn observe_pause(&mut self) {
+        let now = Instant::now();
+        if let Some(before) = self.last_passed.replace(now) {
+            let pause = now.duration_since(before).as_secs_f64();
+            self.shared.metrics.pause_seconds.observe(pause);
+        }
+    }
+
     async fn pass(&mut self, attempt: Try, headers: &HeaderMap, bytes: Bytes) -> Result<(), Left> {
         let events = self.begin_stream(headers).ok_or(Left::CallerGone)?;
         let sent = events.send(Part::Event(bytes));
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -1,6 +1,6 @@
 //! Reads configuration and endpoints from the platform's store and keeps what was read for peers.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use gotham::hyper::StatusCode;
@@ -99,7 +99,12 @@
             ),
         };
         shared.metrics.store_calls.inc();
+        let began = Instant::now();
         let got = tokio::time::timeout(limit, self.get(&path, shared)).await;
+        if !is_watch {
+            let took = began.elapsed().as_secs_f64();
+            shared.metrics.store_seconds.observe(took);
+        }
         let answer = match got.ok().flatten() {
             Some((StatusCode::GONE, _)) => StepAnswer::HistoryLost,
             Some((StatusCode::OK, body)) => {
--- /dev/null
+++ b/tests/gateway_metrics.rs
@@ -0,0 +1,84 @@
+//! What the metrics of a gateway count.
+
+use magpiemoor::dispatch::action::RefusalReason;
+use magpiemoor::dispatch::record::Record;
+use magpiemoor::gateway::metrics::GatewayMetrics;
+use rstest::rstest;
+
+fn sent(attempt: u32, from_backup: bool) -> Record {
+    Record::Sent {
+        request: "r".to_owned(),
+        attempt,
+        endpoint: "e".to_owned(),
+        domain: "d".to_owned(),
+        backup: None,
+        from_backup,
+        after_event: None,
+        reading: 0,
+        running: 0,
+        left_ms: 1,
+    }
+}
+
+fn copied(is_made: bool) -> Record {
+    Record::Copied {
+        request: "r".to_owned(),
+        holder: "e".to_owned(),
+        is_made,
+        after_ms: 5,
+    }
+}
+
+fn refused(reason: RefusalReason) -> Record {
+    Record::Refused {
+        request: "r".to_owned(),
+        reason,
+        after_ms: 50,
+        attempts: 1,
+        fault: None,
+    }
+}
+
+fn resumed() -> Record {
+    Record::Resumed {
+        request: "r".to_owned(),
+        endpoint: "e".to_owned(),
+        pause_ms: 300,
+    }
+}
+
+#[rstest]
+#[case::first(sent(1, false), "sendings_total{kind=\"first\"} 1")]
+#[case::anew(sent(2, false), "sendings_total{kind=\"anew\"} 1")]
+#[case::from_a_copy(sent(2, true), "sendings_total{kind=\"copy\"} 1")]
+#[case::copied(copied(true), "copies_total{result=\"made\"} 1")]
+#[case::not_copied(copied(false), "copies_total{result=\"failed\"} 1")]
+#[case::refused(
+    refused(RefusalReason::NoEndpoint),
+    "refusals_total{reason=\"no_endpoint\"} 1"
+)]
+#[case::time_of_a_refusal(
+    refused(RefusalReason::Expired),
+    "refusal_seconds_bucket{le=\"0.06\"} 1"
+)]
+#[case::resumed(resumed(), "resume_seconds_bucket{le=\"0.35\"} 1")]
+fn what_is_decided_is_counted(#[case] record: Record, #[case] line: &str) {
+    let metrics = GatewayMetrics::new().unwrap();
+    metrics.on_record(&record);
+    let text = String::from_utf8(metrics.text()).unwrap();
+    let wanted = format!("magpiemoor_gateway_{line}");
+    assert!(text.lines().any(|l| l == wanted), "{wanted} in\n{text}");
+}
+
+#[rstest]
+#[case("first_event_seconds")]
+#[case("pause_seconds")]
+#[case("resume_seconds")]
+#[case("answer_seconds")]
+#[case("store_call_seconds")]
+#[case("refusal_seconds")]
+fn each_time_has_a_histogram_with_a_help_text(#[case] name: &str) {
+    let text = String::from_utf8(GatewayMetrics::new().unwrap().text()).unwrap();
+    assert!(text.contains(&format!("# TYPE magpiemoor_gateway_{name} histogram")));
+    assert!(text.contains(&format!("# HELP magpiemoor_gateway_{name} ")));
+}
