What comes to a box that has just started waits for routes and endpoints

Change: such a request is held for 0.4 s at most, then refused as before; a box that starts waits for 0.15 s instead of 0.5 s for peers to tell of readers.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -36,6 +36,7 @@
 
 use crate::schema::{BoxId, DomainId, Incarnation, Micros};
 use action::{Action, Command};
+use arrivals::HeldBack;
 use budget::{RetryBudget, RetryPolicy};
 use event::{Event, RequestNumber, Try};
 use fleet::Fleet;
@@ -81,6 +82,7 @@
     table: Option<Arc<RoutingTable>>,
     fleet: Fleet,
     requests: BTreeMap<RequestNumber, Request>,
+    held_back: Vec<HeldBack>,
     budget: RetryBudget,
     peers: Peers,
     readers: Readers,
@@ -104,6 +106,7 @@
             table: None,
             fleet: Fleet::default(),
             requests: BTreeMap::new(),
+            held_back: Vec::new(),
             budget: RetryBudget::new(cfg.retries),
             peers: Peers::new(cfg.me.clone(), cfg.domain.clone(), cfg.address, &cfg.seeds),
             readers: Readers::new(cfg.me.clone(), cfg.domain.clone(), &mut rng, now),
@@ -165,7 +168,7 @@
         let first_decision = self.readers.first_decision().unwrap_or(self.next_gossip);
         let due = self.next_gossip.min(self.usage_news.due());
         let due = due.min(first_decision);
-        if self.requests.is_empty() {
+        if self.active() == 0 {
             return due;
         }
         self.now.after(TICK).min(due)
@@ -192,7 +195,7 @@
     /// How many requests are served.
     #[must_use]
     pub fn active(&self) -> usize {
-        self.requests.len()
+        self.requests.len() + self.held_back.len()
     }
 
     /// What is believed of the endpoints.
@@ -218,6 +221,7 @@
         });
         self.table = Some(table);
         self.gossip_soon();
+        self.take_in_held_back();
     }
 
     fn on_listed(&mut self, specs: Vec<event::EndpointSpec>, at: u64) {
@@ -228,6 +232,7 @@
                 state: "absent".into(),
             });
         }
+        self.take_in_held_back();
     }
 
     fn on_changed(&mut self, changes: Vec<event::EndpointChange>, at: u64) {
@@ -258,6 +263,7 @@
 
     fn on_tick(&mut self) {
         self.check_requests();
+        self.refuse_held_back();
         self.ask_identities();
         if let Some(is_reader) = self.readers.decide(&mut self.rng, self.now) {
             let state = if is_reader {
--- a/src/dispatch/arrivals.rs
+++ b/src/dispatch/arrivals.rs
@@ -13,18 +13,33 @@
 use super::table::{KeyHolder, NoMatch, Route, RoutingTable};
 use crate::dispatch::fleet::Endpoint;
 use crate::rendezvous;
-use crate::schema::ServiceId;
+use crate::schema::{Micros, ServiceId};
 
 /// When to come back to a box that has no configuration yet.
 const RETRY_UNCONFIGURED: Duration = Duration::from_millis(300);
 
+/// How long a request is kept by a box that knows no routes or endpoints yet.
+const LONGEST_HELD_BACK: Duration = Duration::from_millis(400);
+/// How many requests such a box keeps.
+const MOST_HELD_BACK: usize = 500;
+
+/// A request that waits for this box to know routes and endpoints.
+#[derive(Debug)]
+pub(super) struct HeldBack {
+    /// Its number.
+    pub number: RequestNumber,
+    arrival: Arrival,
+    until: Micros,
+}
+
 /// How long a stream takes as a rule.
 const STREAM_TIME: Duration = Duration::from_secs(5);
 
 impl Dispatcher {
     pub(super) fn on_arrival(&mut self, number: RequestNumber, arrival: Arrival) {
-        let Some(table) = self.table.clone() else {
-            self.refuse_new(number, &arrival, RefusalReason::NoConfiguration);
+        let table = self.table.clone().filter(|_| self.fleet.is_known());
+        let Some(table) = table else {
+            self.hold_back(number, arrival);
             return;
         };
         match matching(&table, &arrival) {
@@ -37,6 +52,41 @@
         }
     }
 
+    /// Keeps a request until this box knows routes and endpoints, since a box that has just started
+    /// learns them within a moment.
+    fn hold_back(&mut self, number: RequestNumber, arrival: Arrival) {
+        if self.held_back.len() >= MOST_HELD_BACK {
+            self.refuse_new(number, &arrival, RefusalReason::NoConfiguration);
+            return;
+        }
+        let until = self.now.after(LONGEST_HELD_BACK);
+        self.held_back.push(HeldBack {
+            number,
+            arrival,
+            until,
+        });
+    }
+
+    /// Takes in what was held back, once routes and endpoints are known.
+    pub(super) fn take_in_held_back(&mut self) {
+        if self.table.is_none() || !self.fleet.is_known() {
+            return;
+        }
+        for held in std::mem::take(&mut self.held_back) {
+            self.on_arrival(held.number, held.arrival);
+        }
+    }
+
+    /// Refuses what was held back for too long.
+    pub(super) fn refuse_held_back(&mut self) {
+        let now = self.now;
+        let is_over = |held: &mut HeldBack| now >= held.until;
+        let over: Vec<HeldBack> = self.held_back.extract_if(.., is_over).collect();
+        for held in over {
+            self.refuse_new(held.number, &held.arrival, RefusalReason::NoConfiguration);
+        }
+    }
+
     fn refuse_new(&mut self, number: RequestNumber, arrival: &Arrival, reason: RefusalReason) {
         let retry_after = match reason {
             RefusalReason::NoConfiguration => Some(RETRY_UNCONFIGURED),
--- a/src/dispatch/outcomes.rs
+++ b/src/dispatch/outcomes.rs
@@ -12,6 +12,7 @@
 
 impl Dispatcher {
     pub(super) fn on_caller_gone(&mut self, number: RequestNumber) {
+        self.held_back.retain(|held| held.number != number);
         let Some(request) = self.requests.remove(&number) else {
             return;
         };
--- a/src/dispatch/readers.rs
+++ b/src/dispatch/readers.rs
@@ -22,7 +22,7 @@
 /// How long a box that begins to read counts as a reader before the store has answered it.
 const CLAIM: Duration = Duration::from_millis(1_200);
 /// The longest time that a box which starts waits for peers to tell of readers.
-const START_SPREAD: Duration = Duration::from_millis(500);
+const START_SPREAD: Duration = Duration::from_millis(150);
 /// Time between decisions.
 const DECIDE_EVERY: Duration = Duration::from_millis(400);
 /// The most readers that are told of in one message.
