A box that is cut off from all endpoints of a service says that it isn't ready

Change: a box that can connect to no endpoint of a service, has none in its own domain, and hears no box of another domain for 0.7 s is not ready until it hears one, so that the balancer sends its callers to other domains. Ruled out: silence of other domains alone (a box then serves what it can).

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -22,6 +22,7 @@
 mod gossip;
 mod locating;
 mod outcomes;
+mod reach;
 mod request;
 mod sending;
 mod silence;
@@ -90,6 +91,7 @@
     next_gossip: Micros,
     usage_news: UsageToTell,
     ends_at: Option<Micros>,
+    is_cut_off: bool,
     actions: Vec<Action>,
 }
 
@@ -115,6 +117,7 @@
             next_gossip: now,
             usage_news: UsageToTell::default(),
             ends_at: None,
+            is_cut_off: false,
             actions: Vec::new(),
             cfg,
         }
@@ -189,7 +192,8 @@
     /// Whether the box can answer callers.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.table.is_some() && self.fleet.is_known() && self.ends_at.is_none()
+        let is_configured = self.table.is_some() && self.fleet.is_known();
+        is_configured && self.ends_at.is_none() && !self.is_cut_off
     }
 
     /// How many requests are served.
@@ -264,6 +268,7 @@
     fn on_tick(&mut self) {
         self.check_requests();
         self.refuse_held_back();
+        self.check_reach();
         self.ask_identities();
         if let Some(is_reader) = self.readers.decide(&mut self.rng, self.now) {
             let state = if is_reader {
--- a/src/dispatch/fleet/losses.rs
+++ b/src/dispatch/fleet/losses.rs
@@ -101,6 +101,24 @@
             .is_some_and(|entry| now < entry.next_trial)
     }
 
+    /// Whether a service has endpoints, but none in a failure domain and none elsewhere that could
+    /// be connected to lately.
+    #[must_use]
+    pub fn is_out_of_reach(&self, service: &ServiceId, domain: &DomainId) -> bool {
+        let mut endpoints = self
+            .of_service(service)
+            .filter(|e| e.takes_work())
+            .peekable();
+        let has_any = endpoints.peek().is_some();
+        has_any && endpoints.all(|e| e.spec.domain != *domain && self.fails_to_connect(e))
+    }
+
+    fn fails_to_connect(&self, endpoint: &Endpoint) -> bool {
+        let key = (endpoint.spec.service.clone(), endpoint.spec.domain.clone());
+        let entry = self.losses.unreachable.get(&key);
+        entry.is_some_and(|entry| entry.failures >= UNREACHABLE_AFTER)
+    }
+
     /// Notes a sending, which is the trial if its domain can't be reached.
     pub fn on_sending(&mut self, endpoint: &EndpointSpec, now: Micros) {
         let key = (endpoint.service.clone(), endpoint.domain.clone());
--- a/src/dispatch/peers.rs
+++ b/src/dispatch/peers.rs
@@ -18,6 +18,8 @@
 const NEAR_FANOUT: usize = 2;
 /// How long a box that is not heard counts as running.
 const HEARD_FOR: Duration = Duration::from_secs(3);
+/// How long no box of another failure domain must be heard before they count as silent.
+const OTHERS_SILENT: Duration = Duration::from_millis(700);
 /// How long the address of a box that is not heard is still tried.
 const KEPT_FOR: Duration = Duration::from_secs(30);
 /// How many addresses are passed on in one message.
@@ -136,6 +138,23 @@
             .collect()
     }
 
+    /// Whether boxes of other failure domains are known.
+    #[must_use]
+    pub fn knows_others(&self) -> bool {
+        self.of_other_domains().next().is_some()
+    }
+
+    /// Whether a box of another failure domain was heard lately.
+    #[must_use]
+    pub fn hears_others(&self, now: Micros) -> bool {
+        self.of_other_domains()
+            .any(|p| now.since(p.heard) < OTHERS_SILENT)
+    }
+
+    fn of_other_domains(&self) -> impl Iterator<Item = &Peer> {
+        self.boxes.values().filter(|p| p.domain != self.domain)
+    }
+
     /// The boxes of the own failure domain that run.
     #[must_use]
     pub fn of_own_domain(&self, now: Micros) -> Vec<SocketAddr> {
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -77,11 +77,12 @@
             event,
             Event::Table(_) | Event::EndpointsListed { .. } | Event::Stop { .. }
         );
+        let was_ready = self.dispatcher.is_ready();
         let actions = self.dispatcher.handle(self.shared.clock.now(), event);
         for action in actions {
             self.perform(action);
         }
-        if is_belief {
+        if is_belief || was_ready != self.dispatcher.is_ready() {
             self.shared
                 .set_table(self.dispatcher.table().cloned(), self.dispatcher.is_ready());
         }
