Engines are probed later: after a pause of 200 ms, and each 700 ms while they read

Cause: a stream beside a prompt that is read gets an event each 152 ms, and a pause of 160 ms asked its engine; a prompt takes 1.3 s to read and its engine was asked each 400 ms.

Change: the two times.

--- a/src/dispatch/silence.rs
+++ b/src/dispatch/silence.rs
@@ -17,9 +17,9 @@
 use crate::schema::{EndpointId, Micros};
 
 /// The pause of a stream after which its engine is probed.
-const PAUSE_BEFORE_PROBE: Duration = Duration::from_millis(160);
+const PAUSE_BEFORE_PROBE: Duration = Duration::from_millis(200);
 /// The time without a word after which an engine that reads a prompt is probed.
-const WAIT_BEFORE_PROBE: Duration = Duration::from_millis(400);
+const WAIT_BEFORE_PROBE: Duration = Duration::from_millis(700);
 /// How long an engine may take to answer a probe.
 const PROBE_LIMIT: Duration = Duration::from_millis(150);
 
