--- a/src/dispatch/placement.rs
+++ b/src/dispatch/placement.rs
@@ -165,13 +165,17 @@
             + spread(demand.key, &endpoint.spec.id)
     }
 
-    /// The endpoints where a request with this key was most likely sent before.
+    /// The endpoints where a request with this key was most likely sent before: callers come back
+    /// to a box of the same failure domain as a rule, and that sent it to an engine of its own.
     #[must_use]
     pub fn likely<'a>(&self, fleet: &'a Fleet, service: &ServiceId, key: u64) -> Vec<&'a Endpoint> {
         let mut found: Vec<&Endpoint> = fleet.of_service(service).filter(|e| e.listed).collect();
         found.sort_by_key(|e| std::cmp::Reverse(rendezvous::score(&e.spec.id, key)));
-        found.truncate(MOST_ASKED);
-        found
+        let (near, far): (Vec<_>, Vec<_>) = found
+            .into_iter()
+            .partition(|e| e.spec.domain == self.domain);
+        let near = near.into_iter().take(MOST_ASKED_NEAR);
+        near.chain(far).take(MOST_ASKED).collect()
     }
 }
 
@@ -200,3 +204,5 @@
 pub const CONNECT_LIMIT: Duration = Duration::from_millis(120);
 /// How many endpoints are asked for a prompt.
 const MOST_ASKED: usize = 24;
+/// How many of them are of the own failure domain, if that has so many.
+const MOST_ASKED_NEAR: usize = 18;
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -875,3 +875,22 @@
     let found = world.dispatcher.fleet().get(&dropped.id);
     assert!(found.is_none_or(|e| !e.takes_work()));
 }
+
+#[test]
+fn a_caller_that_comes_back_has_mostly_engines_of_the_own_domain_asked() {
+    let mut world = World::empty(GENEROUS);
+    world.handle(Event::Table(Arc::new(table(1))));
+    let near = (0..60).map(|n| endpoint(&format!("engine-n{n}"), "engines", "north", 9_000 + n));
+    let far = (0..60).map(|n| endpoint(&format!("engine-s{n}"), "engines", "south", 9_200 + n));
+    world.handle(listed(near.chain(far).collect()));
+    let mut arrival = world.arrival(STREAMS);
+    arrival.after_event = Some(5);
+    world.arrive_as(arrival);
+    let asked = world.actions.iter().find_map(|action| match action {
+        Action::Locate { among, .. } => Some(among.clone()),
+        _ => None,
+    });
+    let asked = asked.unwrap();
+    let near = asked.iter().filter(|(id, _)| domain_of(id) == "north");
+    assert_eq!((near.count(), asked.len()), (18, 24));
+}
