Boxes ask each other for tables and endpoints apart, one question of a kind at a time

A box that starts asked a peer for table and endpoints at once; the list of 3,000 endpoints takes longer than the 0.8 s that was allowed over a link of 10 Mbit/s, and a new question was begun each 0.1 s, so questions piled up and the table waited behind the list.

Change: the table is asked for by itself; of each kind one question is under way; a list may take 3 s; a box sends endpoints to three others at a time and turns more away.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -149,6 +149,7 @@
             Event::PeerUsage(news) => {
                 self.fleet.on_peer_usage(&news.from, &news.usage, self.now);
             }
+            Event::Fetched(kind) => self.peers.on_fetched(kind, self.now),
             Event::Seeds(seeds) => self.peers.set_seeds(&seeds),
             Event::Tick => self.on_tick(),
             Event::Stop { grace } => self.ends_at = Some(self.now.after(grace)),
--- a/src/dispatch/action.rs
+++ b/src/dispatch/action.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::dispatch::event::{CopyName, EndpointSpec, RequestNumber, Try};
+use crate::dispatch::peers::FetchKind;
 use crate::dispatch::record::Record;
 use crate::schema::{BoxState, EndpointId, OrganisationId, StateRequest, UsageNews};
 
@@ -175,7 +176,9 @@
     FetchState {
         /// Its address.
         from: SocketAddr,
-        /// What is wanted.
+        /// What it is asked for.
+        kind: FetchKind,
+        /// What is wanted of that.
         wanted: StateRequest,
     },
     /// Write a line of the decision log.
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::dispatch::peers::FetchKind;
 use crate::dispatch::table::RoutingTable;
 use crate::schema::{BoxState, DomainId, EndpointId, ServiceId, UsageNews};
 
@@ -206,6 +207,8 @@
     Peer(BoxState),
     /// Another box told what it has just sent to endpoints.
     PeerUsage(UsageNews),
+    /// Another box answered what it was asked for, or didn't.
+    Fetched(FetchKind),
     /// The settings name other boxes to speak to first.
     Seeds(Vec<SocketAddr>),
     /// Time has passed.
--- a/src/dispatch/gossip.rs
+++ b/src/dispatch/gossip.rs
@@ -6,7 +6,7 @@
 
 use super::Dispatcher;
 use super::action::Action;
-use super::peers::Heard;
+use super::peers::{FetchKind, Heard};
 use super::readers::Readers;
 use super::table::TableVersion;
 use crate::schema::{BoxState, EndpointId, Micros, StateRequest, UsageNews};
@@ -125,18 +125,29 @@
         }
         self.fleet.on_peer(state, self.now);
         self.readers.on_told(&state.readers, self.now);
-        let own = self.table_version();
-        let has_news =
-            TableVersion(state.table_version) > own || state.endpoints_at > self.endpoints_at;
-        if !has_news || !self.peers.may_fetch(self.now) {
-            return;
+        if TableVersion(state.table_version) > self.table_version() {
+            self.fetch(FetchKind::Table, state);
         }
-        if let Ok(from) = state.address.parse() {
-            let wanted = StateRequest {
-                table_after: own.0,
-                endpoints_after: self.endpoints_at,
-            };
-            self.actions.push(Action::FetchState { from, wanted });
+        if state.endpoints_at > self.endpoints_at {
+            self.fetch(FetchKind::Endpoints, state);
         }
     }
+
+    fn fetch(&mut self, kind: FetchKind, from: &BoxState) {
+        let Ok(from) = from.address.parse() else {
+            return;
+        };
+        if !self.peers.may_fetch(kind, self.now) {
+            return;
+        }
+        let (table_after, endpoints_after) = match kind {
+            FetchKind::Table => (self.table_version().0, u64::MAX),
+            FetchKind::Endpoints => (u64::MAX, self.endpoints_at),
+        };
+        let wanted = StateRequest {
+            table_after,
+            endpoints_after,
+        };
+        self.actions.push(Action::FetchState { from, kind, wanted });
+    }
 }
--- a/src/dispatch/peers.rs
+++ b/src/dispatch/peers.rs
@@ -24,9 +24,46 @@
 const KEPT_FOR: Duration = Duration::from_secs(30);
 /// How many addresses are passed on in one message.
 const ADDRESSES_PASSED: usize = 8;
-/// The least time between two questions for what a box knows.
+/// The least time between two questions of the same kind for what a box knows.
 const FETCH_PAUSE: Duration = Duration::from_millis(100);
 
+/// What one box can ask another for. The two are asked for apart, since a table is small and must
+/// not wait behind a list of thousands of endpoints.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FetchKind {
+    /// The routing table.
+    Table,
+    /// Changes of the list of endpoints, or the whole of it.
+    Endpoints,
+}
+
+impl FetchKind {
+    /// How long an exchange may take: a whole list may have to pass a slow link.
+    #[must_use]
+    pub fn limit(self) -> Duration {
+        match self {
+            Self::Table => Duration::from_millis(800),
+            Self::Endpoints => Duration::from_secs(3),
+        }
+    }
+}
+
+/// When the next question of each kind may be asked.
+#[derive(Debug)]
+struct NextFetch {
+    table: Micros,
+    endpoints: Micros,
+}
+
+impl NextFetch {
+    fn of(&mut self, kind: FetchKind) -> &mut Micros {
+        match kind {
+            FetchKind::Table => &mut self.table,
+            FetchKind::Endpoints => &mut self.endpoints,
+        }
+    }
+}
+
 /// What a message of another box was.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Heard {
@@ -55,7 +92,7 @@
     seeds: BTreeSet<SocketAddr>,
     boxes: BTreeMap<BoxId, Peer>,
     hearsay: BTreeMap<SocketAddr, Micros>,
-    fetched: Option<Micros>,
+    next_fetch: NextFetch,
 }
 
 impl Peers {
@@ -69,7 +106,10 @@
             seeds: seeds.iter().copied().filter(|s| *s != address).collect(),
             boxes: BTreeMap::new(),
             hearsay: BTreeMap::new(),
-            fetched: None,
+            next_fetch: NextFetch {
+                table: Micros::ZERO,
+                endpoints: Micros::ZERO,
+            },
         }
     }
 
@@ -118,13 +158,20 @@
         }
     }
 
-    /// Whether a box may be asked for what it knows now; notes that it is.
-    pub fn may_fetch(&mut self, now: Micros) -> bool {
-        if self.fetched.is_some_and(|at| now.since(at) < FETCH_PAUSE) {
-            return false;
+    /// Whether a box may be asked for something now; notes that it is. One question of a kind is
+    /// under way at a time.
+    pub fn may_fetch(&mut self, kind: FetchKind, now: Micros) -> bool {
+        let next = self.next_fetch.of(kind);
+        let may = now >= *next;
+        if may {
+            *next = now.after(kind.limit());
         }
-        self.fetched = Some(now);
-        true
+        may
+    }
+
+    /// Notes that a question has been answered, or has failed.
+    pub fn on_fetched(&mut self, kind: FetchKind, now: Micros) {
+        *self.next_fetch.of(kind) = now.after(FETCH_PAUSE);
     }
 
     /// The addresses to pass on.
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -152,8 +152,8 @@
                 let telling = peers::tell_usage(Arc::clone(&self.gossip), to, news);
                 self.traffic.spawn(telling);
             }
-            Action::FetchState { from, wanted } => {
-                let fetching = peers::fetch(from, wanted, self.shared.clone());
+            Action::FetchState { from, kind, wanted } => {
+                let fetching = peers::fetch(from, kind, wanted, self.shared.clone());
                 self.traffic.spawn(fetching);
             }
             Action::Record(record) => {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -11,8 +11,10 @@
 use serde::de::DeserializeOwned;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::Semaphore;
 
 use crate::dispatch::event::Event;
+use crate::dispatch::peers::FetchKind;
 use crate::gateway::dialect::{Entry, Source};
 use crate::gateway::input::Input;
 use crate::gateway::watcher::News;
@@ -27,8 +29,10 @@
 const LONGEST_DATAGRAM: usize = 32 << 10;
 /// The longest message by TCP.
 const LONGEST_MESSAGE: u32 = 16 << 20;
-/// How long an exchange by TCP may take.
-const FETCH_LIMIT: Duration = Duration::from_millis(800);
+/// How long a connection to another box may take.
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+/// How many peers are sent endpoints at once; others are turned away and ask somebody else.
+const MOST_LISTS: usize = 3;
 
 /// Tells other boxes how this one stands.
 pub async fn tell(socket: Arc<UdpSocket>, to: Vec<SocketAddr>, state: BoxState) {
@@ -76,17 +80,21 @@
 }
 
 /// Asks another box for what it read from the platform.
-pub async fn fetch(from: SocketAddr, wanted: StateRequest, shared: GatewayShared) {
-    let asked = tokio::time::timeout(FETCH_LIMIT, ask(from, &wanted)).await;
-    let Ok(Ok(reply)) = asked else {
-        return;
-    };
+pub async fn fetch(from: SocketAddr, kind: FetchKind, wanted: StateRequest, shared: GatewayShared) {
+    let asked = tokio::time::timeout(kind.limit(), ask(from, &wanted)).await;
+    if let Ok(Ok(reply)) = asked {
+        take_in(reply, &wanted, &shared).await;
+    }
+    shared.tell(Input::Event(Event::Fetched(kind))).await;
+}
+
+async fn take_in(reply: StateReply, wanted: &StateRequest, shared: &GatewayShared) {
     if let Some(text) = reply.table {
         let entry = Entry {
             name: String::new(),
             text: Some(text),
         };
-        store::take_table(&entry, &shared).await;
+        store::take_table(&entry, shared).await;
     }
     let entries: Vec<Entry> = reply
         .endpoints
@@ -102,33 +110,46 @@
         } else {
             News::Changed(entries)
         };
-        store::spread(Source::Endpoints, news, reply.endpoints_at, &shared).await;
+        store::spread(Source::Endpoints, news, reply.endpoints_at, shared).await;
     }
 }
 
 async fn ask(from: SocketAddr, wanted: &StateRequest) -> std::io::Result<StateReply> {
-    let mut socket = TcpStream::connect(from).await?;
+    let connecting = tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(from));
+    let mut socket = connecting.await??;
     write(&mut socket, wanted).await?;
     read(&mut socket).await
 }
 
 /// Answers other boxes, for as long as the process runs.
 pub async fn accept(listener: TcpListener, shared: GatewayShared) {
+    let lists = Arc::new(Semaphore::new(MOST_LISTS));
     loop {
         let Ok((socket, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
         let shared = shared.clone();
+        let lists = Arc::clone(&lists);
         tokio::spawn(async move {
-            // The asker asks again if this fails.
-            let _ = tokio::time::timeout(FETCH_LIMIT, answer(socket, shared)).await;
+            // The asker asks again, or somebody else, if this fails.
+            let limit = FetchKind::Endpoints.limit();
+            let _ = tokio::time::timeout(limit, answer(socket, &lists, shared)).await;
         });
     }
 }
 
-async fn answer(mut socket: TcpStream, shared: GatewayShared) -> std::io::Result<()> {
+async fn answer(
+    mut socket: TcpStream,
+    lists: &Semaphore,
+    shared: GatewayShared,
+) -> std::io::Result<()> {
     let wanted: StateRequest = read(&mut socket).await?;
+    let wants_endpoints = wanted.endpoints_after != u64::MAX;
+    let permit = wants_endpoints.then(|| lists.try_acquire());
+    if let Some(Err(_)) = permit {
+        return Ok(());
+    }
     let reply = shared.state_for(&wanted);
     write(&mut socket, &reply).await
 }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -14,6 +14,7 @@
 use magpiemoor::dispatch::action::{Action, Command, RefusalReason};
 use magpiemoor::dispatch::budget::RetryPolicy;
 use magpiemoor::dispatch::event::{EndpointChange, Event, Fault, NotRunCause, Outcome};
+use magpiemoor::dispatch::peers::FetchKind;
 use magpiemoor::dispatch::record::Record;
 use magpiemoor::dispatch::table::TableVersion;
 use magpiemoor::schema::{BoxState, Incarnation, Micros, StoreReader};
@@ -480,7 +481,7 @@
     let mut world = World::ready();
     world.handle(Event::Peer(peer("box-2", 9, &[])));
     let asked = world.actions.iter().find_map(|action| match action {
-        Action::FetchState { from, wanted } => Some((*from, wanted.table_after)),
+        Action::FetchState { from, wanted, .. } => Some((*from, wanted.table_after)),
         _ => None,
     });
     assert_eq!(asked, Some(("127.0.0.2:7200".parse().unwrap(), 1)));
@@ -489,13 +490,69 @@
 #[test]
 fn a_box_that_knows_nothing_asks_its_peers_for_endpoints_too() {
     let mut world = World::empty(GENEROUS);
-    world.handle(Event::Peer(peer("box-2", 9, &[])));
+    let mut state = peer("box-2", 9, &[]);
+    state.endpoints_at = 7;
+    world.handle(Event::Peer(state));
     let asked = world.actions.iter().any(
         |action| matches!(action, Action::FetchState { wanted, .. } if wanted.endpoints_after == 0),
     );
     assert!(asked);
 }
 
+fn fetched(actions: &[Action]) -> Vec<FetchKind> {
+    let kinds = actions.iter().filter_map(|action| match action {
+        Action::FetchState { kind, .. } => Some(*kind),
+        _ => None,
+    });
+    kinds.collect()
+}
+
+/// Hears of a newer table and newer endpoints from box after box.
+fn hear_of_news(world: &mut World, number: u64) -> Vec<FetchKind> {
+    let mut state = peer(&format!("box-{number}"), 10 + number, &[]);
+    state.endpoints_at = 10 + number;
+    world.handle(Event::Peer(state));
+    fetched(&world.actions)
+}
+
+#[test]
+fn a_table_is_asked_for_apart_from_endpoints() {
+    let mut world = World::empty(GENEROUS);
+    assert_eq!(
+        hear_of_news(&mut world, 2),
+        vec![FetchKind::Table, FetchKind::Endpoints]
+    );
+    // A list of thousands of endpoints may be under way for long; the table doesn't wait for it.
+    world.handle(Event::Fetched(FetchKind::Table));
+    world.pass(150);
+    assert_eq!(hear_of_news(&mut world, 3), vec![FetchKind::Table]);
+}
+
+#[test]
+fn one_question_of_a_kind_is_under_way_at_a_time() {
+    let mut world = World::empty(GENEROUS);
+    hear_of_news(&mut world, 2);
+    for number in 3..30 {
+        world.pass(20);
+        assert_eq!(hear_of_news(&mut world, number), Vec::new());
+    }
+    world.handle(Event::Fetched(FetchKind::Endpoints));
+    assert_eq!(hear_of_news(&mut world, 40), Vec::new(), "a pause follows");
+    world.pass(100);
+    assert_eq!(hear_of_news(&mut world, 41), vec![FetchKind::Endpoints]);
+}
+
+#[test]
+fn a_question_that_nobody_answers_is_given_up_after_a_while() {
+    let mut world = World::empty(GENEROUS);
+    hear_of_news(&mut world, 2);
+    world.pass(3_000);
+    assert_eq!(
+        hear_of_news(&mut world, 3),
+        vec![FetchKind::Table, FetchKind::Endpoints]
+    );
+}
+
 #[test]
 fn a_loss_is_told_to_peers_at_once() {
     let mut world = World::ready();
