--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -23,6 +23,7 @@
 pub mod stop;
 pub mod store;
 mod store_cache;
+pub mod transfer;
 pub mod watcher;
 
 use std::path::PathBuf;
@@ -102,7 +103,7 @@
         detail: format!("callers on {}", shared.settings.callers),
     });
     runtime.spawn(peers::hear(Arc::clone(&gossip), shared.clone()));
-    runtime.spawn(peers::accept(listeners.peers, shared.clone()));
+    runtime.spawn(transfer::accept(listeners.peers, shared.clone()));
     runtime.spawn(serve_callers(listeners.callers, shared.clone()));
     let operators = operators::Operators::new(shared.clone());
     runtime.spawn(crate::http::serve(listeners.health, operators.clone()));
--- a/src/gateway/shell/control.rs
+++ b/src/gateway/shell/control.rs
@@ -14,7 +14,7 @@
 use crate::gateway::dispatch::action::{Action, Command};
 use crate::gateway::dispatch::event::{Event, RequestNumber};
 use crate::gateway::shell::input::Input;
-use crate::gateway::shell::{GatewayShared, peers, probes, snapshots};
+use crate::gateway::shell::{GatewayShared, peers, probes, snapshots, transfer};
 
 /// The control thread's own state.
 pub struct Control {
@@ -138,7 +138,7 @@
                 self.traffic.spawn(telling);
             }
             Action::FetchState { from, kind, wanted } => {
-                let fetching = peers::fetch(from, kind, wanted, self.shared.clone());
+                let fetching = transfer::fetch(from, kind, wanted, self.shared.clone());
                 self.traffic.spawn(fetching);
             }
             Action::Record(record) => {
