Sight: each fetch of a table leaves a record with bytes, time and outcome, also if it failed

Cause: a fetch that failed left a line without the bytes that had arrived, at most one a second, and nothing told where a table came from, how large it was and how long its check took, so the hypotheses on the late table could not be told apart. Records table_fetched and table_read; metrics table_version, table_fetches_total, table_fetch_seconds, peer_bytes_total. No logic is changed.

--- a/src/gateway/dispatch/record.rs
+++ b/src/gateway/dispatch/record.rs
@@ -10,6 +10,9 @@
 use crate::gateway::dispatch::event::Fault;
 use crate::gateway::dispatch::refusal::RefusalReason;
 
+/// The outcome of a fetch that brought all that was asked for.
+pub const FETCHED_WHOLE: &str = "whole";
+
 /// A decision, or a change of what the box believes.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -137,6 +140,30 @@
         /// Its version.
         version: u64,
     },
+    /// A table was read and checked, whether or not it is newer than the one in force.
+    TableRead {
+        /// Its version.
+        version: u64,
+        /// Where it was read: `store`, or the address of a peer.
+        from: String,
+        /// Bytes of its text.
+        bytes: u64,
+        /// Milliseconds that reading its text and checking it took, without the way here.
+        check_ms: u64,
+    },
+    /// A peer was asked for its table, and that ended.
+    TableFetched {
+        /// The peer's address.
+        from: String,
+        /// The version that this box had.
+        after: u64,
+        /// Bytes that arrived, also where the fetch failed.
+        bytes: u64,
+        /// Milliseconds since it was asked.
+        after_ms: u64,
+        /// `whole`, or why it failed.
+        outcome: Cow<'static, str>,
+    },
     /// An endpoint joined, changed, or left the list.
     Endpoint {
         /// The endpoint.
@@ -168,7 +195,11 @@
             | Self::Refused { request, .. }
             | Self::Answered { request, .. }
             | Self::CallerGone { request, .. } => Some(request),
-            Self::TableInForce { .. } | Self::Endpoint { .. } | Self::Process { .. } => None,
+            Self::TableInForce { .. }
+            | Self::TableRead { .. }
+            | Self::TableFetched { .. }
+            | Self::Endpoint { .. }
+            | Self::Process { .. } => None,
         }
     }
 
@@ -187,6 +218,21 @@
             | Self::Copied { .. }
             | Self::Suspected { .. } => self.attempt_sentence(),
             Self::TableInForce { version } => format!("table {version} in force"),
+            Self::TableRead {
+                version,
+                from,
+                bytes,
+                check_ms,
+            } => format!("table {version} from {from}, {bytes} bytes, checked in {check_ms} ms"),
+            Self::TableFetched {
+                from,
+                after,
+                bytes,
+                after_ms,
+                outcome,
+            } => format!(
+                "fetch of a table after {after} from {from}: {outcome}, {bytes} bytes in {after_ms} ms"
+            ),
             Self::Endpoint { endpoint, state } => format!("{endpoint} {state}"),
             Self::Process { state, detail } => format!("{state} {detail}"),
         }
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -95,7 +95,7 @@
         .map_err(DaemonError::Threads)?;
     let listeners = runtime.block_on(Listeners::bind(&settings))?;
     let (inputs, received) = mpsc::channel(DISPATCHER_INPUTS);
-    let shared = GatewayShared::start(settings, dialect, inputs)?;
+    let shared = GatewayShared::start(settings, dialect, inputs, std::io::stdout())?;
     let gossip = Arc::new(listeners.gossip);
     let dispatcher = new_dispatcher(&shared);
     shared.log.write(&Record::Process {
--- a/src/gateway/shell/control.rs
+++ b/src/gateway/shell/control.rs
@@ -142,8 +142,7 @@
                 self.traffic.spawn(fetching);
             }
             Action::Record(record) => {
-                self.shared.metrics.on_record(&record);
-                self.shared.log.write(&record);
+                self.shared.record(&record);
             }
         }
     }
--- a/src/gateway/shell/metrics.rs
+++ b/src/gateway/shell/metrics.rs
@@ -5,7 +5,8 @@
 
 use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
 
-use crate::gateway::dispatch::record::Record;
+use crate::gateway::dispatch::peers::FetchKind;
+use crate::gateway::dispatch::record::{FETCHED_WHOLE, Record};
 use crate::metrics::MetricSet;
 
 /// Upper bounds of the buckets for what callers, the store and losses take, in seconds. Chosen
@@ -40,6 +41,10 @@
     sendings: IntCounterVec,
     copies: IntCounterVec,
     suspected: IntCounter,
+    table_version: IntGauge,
+    table_fetches: IntCounterVec,
+    table_fetch_seconds: Histogram,
+    peer_bytes: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -91,6 +96,21 @@
                 "suspected_total",
                 "Runs that were left since their endpoint was silent",
             ),
+            table_version: set.gauge("table_version", "The version of the table in force"),
+            table_fetches: set.counters(
+                "table_fetches_total",
+                "Fetches of a table from a peer, by how they ended",
+                "result",
+            ),
+            table_fetch_seconds: times(
+                "table_fetch_seconds",
+                "Seconds that fetches of a table from a peer took, failed ones included",
+            ),
+            peer_bytes: set.counters(
+                "peer_bytes_total",
+                "Bytes that peers sent when asked, by what they were asked for",
+                "kind",
+            ),
             set,
         }
     }
@@ -116,6 +136,21 @@
                 self.copies.with_label_values(&[result]).inc();
             }
             Record::Suspected { .. } => self.suspected.inc(),
+            Record::TableInForce { version } => {
+                self.table_version
+                    .set(i64::try_from(*version).unwrap_or(i64::MAX));
+            }
+            Record::TableFetched {
+                outcome, after_ms, ..
+            } => {
+                let result = if outcome == FETCHED_WHOLE {
+                    "whole"
+                } else {
+                    "failed"
+                };
+                self.table_fetches.with_label_values(&[result]).inc();
+                self.table_fetch_seconds.observe(seconds(*after_ms));
+            }
             Record::Refused {
                 reason, after_ms, ..
             } => {
@@ -126,6 +161,16 @@
         }
     }
 
+    /// Bytes that peers sent when asked for something.
+    #[must_use]
+    pub fn peer_bytes_of(&self, kind: FetchKind) -> IntCounter {
+        let word = match kind {
+            FetchKind::Table => "table",
+            FetchKind::Endpoints => "endpoints",
+        };
+        self.peer_bytes.with_label_values(&[word])
+    }
+
     /// All of them, to be written out.
     #[must_use]
     pub fn set(&self) -> &MetricSet {
--- a/src/gateway/shell/shared.rs
+++ b/src/gateway/shell/shared.rs
@@ -1,6 +1,7 @@
 //! What all parts of a gateway's shell share: settings, clock, log, metrics, connections, and the
 //! state that traffic threads look at without asking the control thread.
 
+use std::io::Write;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, RwLock};
 
@@ -9,6 +10,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::clock::Monotonic;
+use crate::gateway::dispatch::record::Record;
 use crate::gateway::dispatch::refusal::Refusal;
 use crate::gateway::dispatch::table::{CallerLimits, RoutingTable, TableVersion};
 use crate::gateway::settings::GatewaySettings;
@@ -75,7 +77,7 @@
 }
 
 impl GatewayShared {
-    /// Starts what all parts share.
+    /// Starts what all parts share; the decision log goes to `log`.
     ///
     /// # Errors
     ///
@@ -88,9 +90,9 @@
         settings: GatewaySettings,
         dialect: Arc<dyn Dialect>,
         inputs: mpsc::Sender<Input>,
+        log: impl Write + Send + 'static,
     ) -> Result<Self, DaemonError> {
-        let log = DecisionLog::start(settings.box_id.clone(), std::io::stdout())
-            .map_err(DaemonError::Threads)?;
+        let log = DecisionLog::start(settings.box_id.clone(), log).map_err(DaemonError::Threads)?;
         let metrics = GatewayMetrics::new();
         Ok(Self {
             settings: Arc::new(settings),
@@ -109,6 +111,12 @@
         })
     }
 
+    /// Writes a record and counts what it says.
+    pub fn record(&self, record: &Record) {
+        self.metrics.on_record(record);
+        self.log.write(record);
+    }
+
     /// Hands something to the control thread, waiting if it is busy.
     pub async fn send(&self, input: Input) {
         // It fails only when the control thread has ended, and then the process is about to.
--- a/src/gateway/shell/store.rs
+++ b/src/gateway/shell/store.rs
@@ -169,7 +169,7 @@
     match (source, change) {
         (ObjectKind::Table, StoreChange::Listed(entries) | StoreChange::Changed(entries)) => {
             for entry in entries {
-                take_table(&entry, shared).await;
+                take_table(&entry, "store", shared).await;
             }
         }
         (ObjectKind::Endpoints, StoreChange::Listed(entries)) => {
@@ -221,8 +221,9 @@
     }
 }
 
-/// Takes a configuration in, wherever it was read.
-pub async fn take_table(entry: &Entry, shared: &GatewayShared) {
+/// Takes a configuration in, wherever it was read; `from` says where that was.
+pub async fn take_table(entry: &Entry, from: &str, shared: &GatewayShared) {
+    let began = Instant::now();
     match shared.dialect.read_table(entry) {
         None => {}
         Some(Err(e)) => shared.log.write(&Record::Process {
@@ -230,6 +231,12 @@
             detail: e.to_string(),
         }),
         Some(Ok(table)) => {
+            shared.record(&Record::TableRead {
+                version: table.version().0,
+                from: from.to_owned(),
+                bytes: entry.text.as_ref().map_or(0, |text| text.len() as u64),
+                check_ms: began.elapsed().as_millis() as u64,
+            });
             shared.keep_table(entry, table.version());
             let event = Event::Table(std::sync::Arc::new(table));
             shared.send(Input::Event(event)).await;
--- a/src/gateway/shell/transfer.rs
+++ b/src/gateway/shell/transfer.rs
@@ -6,7 +6,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -16,6 +17,7 @@
 
 use crate::gateway::dispatch::event::Event;
 use crate::gateway::dispatch::peers::FetchKind;
+use crate::gateway::dispatch::record::{FETCHED_WHOLE, Record};
 use crate::gateway::shell::dialect::{Entry, ObjectKind};
 use crate::gateway::shell::faults::FaultKind;
 use crate::gateway::shell::input::Input;
@@ -33,28 +35,49 @@
 
 /// Asks another box for what it read from the platform.
 pub async fn fetch(from: SocketAddr, kind: FetchKind, wanted: StateRequest, shared: GatewayShared) {
-    let asked = tokio::time::timeout(kind.limit(), ask(from, &wanted)).await;
+    let began = Instant::now();
+    let received = AtomicU64::new(0);
+    let asked = tokio::time::timeout(kind.limit(), ask(from, &wanted, &received)).await;
+    let asked = asked.unwrap_or_else(|_| {
+        let limit = kind.limit();
+        Err(std::io::Error::other(format!("no answer in {limit:?}")))
+    });
+    let bytes = received.into_inner();
+    shared.metrics.peer_bytes_of(kind).inc_by(bytes);
+    if kind == FetchKind::Table {
+        shared.record(&Record::TableFetched {
+            from: from.to_string(),
+            after: wanted.table_after,
+            bytes,
+            after_ms: began.elapsed().as_millis() as u64,
+            outcome: match &asked {
+                Ok(_) => FETCHED_WHOLE.into(),
+                Err(e) => e.to_string().into(),
+            },
+        });
+    }
     match asked {
-        Ok(Ok(reply)) => take_in(reply, &wanted, &shared).await,
-        Ok(Err(e)) => {
+        Ok(reply) => take_in(reply, from, &wanted, &shared).await,
+        Err(e) => {
             let detail = format_args!("{kind:?} from {from}: {e}");
             shared.faults.note(FaultKind::PeerFetch, &detail);
         }
-        Err(_) => {
-            let detail = format_args!("{kind:?} from {from}: no answer in {:?}", kind.limit());
-            shared.faults.note(FaultKind::PeerFetch, &detail);
-        }
     }
     shared.send(Input::Event(Event::Fetched(kind))).await;
 }
 
-async fn take_in(reply: StateReply, wanted: &StateRequest, shared: &GatewayShared) {
+async fn take_in(
+    reply: StateReply,
+    from: SocketAddr,
+    wanted: &StateRequest,
+    shared: &GatewayShared,
+) {
     if let Some(text) = reply.table {
         let entry = Entry {
             name: String::new(),
             text: Some(text),
         };
-        store::take_table(&entry, shared).await;
+        store::take_table(&entry, &from.to_string(), shared).await;
     }
     let entries: Vec<Entry> = reply
         .endpoints
@@ -74,11 +97,16 @@
     }
 }
 
-async fn ask(from: SocketAddr, wanted: &StateRequest) -> std::io::Result<StateReply> {
+/// Asks another box; counts the bytes that arrive in `received`, also if it fails or is given up.
+async fn ask(
+    from: SocketAddr,
+    wanted: &StateRequest,
+    received: &AtomicU64,
+) -> std::io::Result<StateReply> {
     let connecting = tokio::time::timeout(FETCH_CONNECT_LIMIT, TcpStream::connect(from));
     let mut socket = connecting.await??;
     write(&mut socket, wanted).await?;
-    read(&mut socket).await
+    read(&mut socket, received).await
 }
 
 /// Answers other boxes, for as long as the process runs.
@@ -108,7 +136,7 @@
     lists: &Semaphore,
     shared: GatewayShared,
 ) -> std::io::Result<()> {
-    let wanted: StateRequest = read(&mut socket).await?;
+    let wanted: StateRequest = read(&mut socket, &AtomicU64::new(0)).await?;
     let wants_endpoints = wanted.endpoints_after != u64::MAX;
     let permit = wants_endpoints.then(|| lists.try_acquire());
     if let Some(Err(_)) = permit {
@@ -125,12 +153,21 @@
     socket.write_all(&bytes).await
 }
 
-async fn read<T: DeserializeOwned>(socket: &mut TcpStream) -> std::io::Result<T> {
+async fn read<T: DeserializeOwned>(
+    socket: &mut TcpStream,
+    received: &AtomicU64,
+) -> std::io::Result<T> {
     let length = socket.read_u32_le().await?;
     if length > LONGEST_MESSAGE {
         return Err(std::io::ErrorKind::InvalidData.into());
     }
     let mut bytes = Vec::new();
-    socket.take(length.into()).read_to_end(&mut bytes).await?;
+    let mut socket = socket.take(length.into());
+    loop {
+        match socket.read_buf(&mut bytes).await? {
+            0 => break,
+            more => received.fetch_add(more as u64, Ordering::Relaxed),
+        };
+    }
     postcard::from_bytes(&bytes).map_err(std::io::Error::other)
 }
--- a/tests/gateway_metrics.rs
+++ b/tests/gateway_metrics.rs
@@ -1,6 +1,6 @@
 //! What the metrics of a gateway count.
 
-use magpiemoor::gateway::dispatch::record::Record;
+use magpiemoor::gateway::dispatch::record::{FETCHED_WHOLE, Record};
 use magpiemoor::gateway::dispatch::refusal::RefusalReason;
 use magpiemoor::gateway::shell::faults::{FaultKind, Faults};
 use magpiemoor::gateway::shell::metrics::GatewayMetrics;
@@ -48,6 +48,16 @@
     }
 }
 
+fn fetched(outcome: &'static str) -> Record {
+    Record::TableFetched {
+        from: "127.0.0.2:7200".to_owned(),
+        after: 3,
+        bytes: 1_000,
+        after_ms: 300,
+        outcome: outcome.into(),
+    }
+}
+
 #[rstest]
 #[case::first(sent(1, false), "sendings_total{kind=\"first\"} 1")]
 #[case::anew(sent(2, false), "sendings_total{kind=\"anew\"} 1")]
@@ -62,6 +72,9 @@
     refused(RefusalReason::Expired),
     "refusal_seconds_bucket{le=\"0.06\"} 1"
 )]
+#[case::table(Record::TableInForce { version: 7 }, "table_version 7")]
+#[case::fetched(fetched(FETCHED_WHOLE), "table_fetches_total{result=\"whole\"} 1")]
+#[case::not_fetched(fetched("timed out"), "table_fetches_total{result=\"failed\"} 1")]
 #[case::resumed(resumed(), "resume_seconds_bucket{le=\"0.35\"} 1")]
 fn what_is_decided_is_counted(#[case] record: Record, #[case] line: &str) {
     let metrics = GatewayMetrics::new();
@@ -78,6 +91,7 @@
 #[case("answer_seconds")]
 #[case("store_call_seconds")]
 #[case("refusal_seconds")]
+#[case("table_fetch_seconds")]
 fn each_time_has_a_histogram_with_a_help_text(#[case] name: &str) {
     let text = String::from_utf8(GatewayMetrics::new().set().text()).unwrap();
     assert!(text.contains(&format!("# TYPE magpiemoor_gateway_{name} histogram")));
