Failing test: a large table reaches all boxes over thin links

32 boxes with the real transfer between them, each box's way out limited to 1.25 MB a second, engines replaced; given 1,400 and 2,800 routes, and 14,000.

--- a/lab/src/gateway.rs
+++ b/lab/src/gateway.rs
@@ -6,5 +6,6 @@
 pub mod fleet;
 pub mod server;
 pub mod soak;
+pub mod spread;
 pub mod store;
 pub mod wire;
