--- a/src/gateway/dispatch/fetches.rs
+++ b/src/gateway/dispatch/fetches.rs
@@ -2,16 +2,18 @@
 //!
 //! The rule: a box that has heard of something newer asks one peer that has it: the newest first,
 //! then who was heard just now, since others may be gone; then the own failure domain, since bytes
-//! between domains are dear; and among these any. A peer that is busy or failed is left alone for a while, and another one is asked; where nobody is left, an older
-//! version than the newest will do. One question of a kind is under way at a time, until it takes
-//! longer than [`FETCH_PATIENCE`]: then another peer is asked too, and the first is not disturbed.
+//! between domains are dear; and among these any. A peer that is busy or failed is left alone for a
+//! while, and another one is asked; where nobody is left, an older version than the newest will do.
+//! One question of a kind is under way at a time, until it takes longer than [`FETCH_PATIENCE`]:
+//! then another peer is asked too, and the first is not disturbed.
 //! A table that no peer has brought within [`STORE_AFTER`] is read from the store as well, so that a
 //! box which doesn't watch it has two ways to each change.
 //!
 //! Inputs: what peers told, with its age; how questions ended. Owns: which questions are under way,
-//! and whom not to ask. A peer limits how many it answers at once (`shell/transfer.rs`), since a
-//! link that is shared by many brings none of them all in good time: with 14 askers a box and no
-//! such limit, 82 of 88 boxes had no new table for 10 to 18 s (docs/incidents/late-table.md).
+//! and whom not to ask. A peer limits how much it sends at once (`shell/transfer.rs`), since a link
+//! that is shared by many brings none of them all in good time, and none can pass it on meanwhile.
+//! Without that, with a fixed limit of 0.8 s and 2.3 askers a box, 82 of 88 boxes had no new table
+//! for 10 to 18 s (docs/incidents/late-table.md).
 //!
 //! Table and endpoints are asked for apart: at 300 boxes a list of 3,000 endpoints kept the table
 //! waiting up to 11.8 s (commit 8de6a5d).
--- a/src/gateway/dispatch/record.rs
+++ b/src/gateway/dispatch/record.rs
@@ -243,7 +243,8 @@
                 after_ms,
                 outcome,
             } => format!(
-                "fetch of a table after {after} from {from}: {outcome}, {bytes} bytes in {after_ms} ms"
+                "fetch of a table after {after} from {from}: {outcome}, {bytes} bytes in \
+                 {after_ms} ms"
             ),
             Self::Endpoint { endpoint, state } => format!("{endpoint} {state}"),
             Self::Process { state, detail } => format!("{state} {detail}"),
--- a/src/gateway/shell/control.rs
+++ b/src/gateway/shell/control.rs
@@ -94,62 +94,70 @@
     fn perform(&mut self, action: Action) {
         match action {
             Action::Command { request, command } => self.command(request, command),
+            Action::WatchStore(is_watching) => self.shared.set_watching_store(is_watching),
+            Action::Record(record) => self.shared.record(&record),
+            Action::Gossip { .. }
+            | Action::GossipUsage { .. }
+            | Action::FetchState { .. }
+            | Action::ReadTable => self.speak_to_boxes(action),
+            Action::Probe { .. }
+            | Action::Locate { .. }
+            | Action::TakeSnapshot(_)
+            | Action::DropSnapshot { .. }
+            | Action::AskIdentity { .. }
+            | Action::Identify(_) => self.speak_to_endpoints(action),
+        }
+    }
+
+    /// What goes to other boxes and to the store.
+    fn speak_to_boxes(&self, action: Action) {
+        let shared = self.shared.clone();
+        let gossip = Arc::clone(&self.gossip);
+        match action {
+            Action::Gossip { to, state } => {
+                self.spawn(peers::send_state(gossip, to, *state, shared));
+            }
+            Action::GossipUsage { to, news } => {
+                self.spawn(peers::send_usage(gossip, to, news, shared));
+            }
+            Action::FetchState { from, kind, wanted } => {
+                self.spawn(transfer::fetch(from, kind, wanted, shared));
+            }
+            Action::ReadTable => self.spawn(store::read_table(shared)),
+            _ => {}
+        }
+    }
+
+    /// What endpoints are asked beside requests.
+    fn speak_to_endpoints(&self, action: Action) {
+        let shared = self.shared.clone();
+        match action {
             Action::Probe {
                 endpoint,
                 address,
                 limit,
-            } => {
-                let probe = probes::probe(endpoint, address, limit, self.shared.clone());
-                self.traffic.spawn(probe);
-            }
+            } => self.spawn(probes::probe(endpoint, address, limit, shared)),
             Action::Locate {
                 request,
                 part,
                 among,
-            } => {
-                let locating = probes::locate(request, part, among, self.shared.clone());
-                self.traffic.spawn(locating);
-            }
-            Action::TakeSnapshot(request) => {
-                let taking = snapshots::take(request, self.shared.clone());
-                self.traffic.spawn(taking);
-            }
+            } => self.spawn(probes::locate(request, part, among, shared)),
+            Action::TakeSnapshot(request) => self.spawn(snapshots::take(request, shared)),
             Action::DropSnapshot { engine, name } => {
-                let dropping = snapshots::discard(engine, name, self.shared.clone());
-                self.traffic.spawn(dropping);
+                self.spawn(snapshots::discard(engine, name, shared));
             }
             Action::AskIdentity { spec, path } => {
-                let asking = probes::ask_identity(spec, path, self.shared.clone());
-                self.traffic.spawn(asking);
-            }
-            Action::Identify(spec) => {
-                let identifying = probes::identify(spec, self.shared.clone());
-                self.traffic.spawn(identifying);
-            }
-            Action::WatchStore(is_watching) => self.shared.set_watching_store(is_watching),
-            Action::Gossip { to, state } => {
-                let telling =
-                    peers::send_state(Arc::clone(&self.gossip), to, *state, self.shared.clone());
-                self.traffic.spawn(telling);
-            }
-            Action::GossipUsage { to, news } => {
-                let telling =
-                    peers::send_usage(Arc::clone(&self.gossip), to, news, self.shared.clone());
-                self.traffic.spawn(telling);
-            }
-            Action::FetchState { from, kind, wanted } => {
-                let fetching = transfer::fetch(from, kind, wanted, self.shared.clone());
-                self.traffic.spawn(fetching);
-            }
-            Action::ReadTable => {
-                self.traffic.spawn(store::read_table(self.shared.clone()));
-            }
-            Action::Record(record) => {
-                self.shared.record(&record);
+                self.spawn(probes::ask_identity(spec, path, shared));
             }
+            Action::Identify(spec) => self.spawn(probes::identify(spec, shared)),
+            _ => {}
         }
     }
 
+    fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.traffic.spawn(task);
+    }
+
     fn command(&mut self, request: RequestNumber, command: Command) {
         let is_last = matches!(
             command,
--- a/src/gateway/shell/metrics.rs
+++ b/src/gateway/shell/metrics.rs
@@ -141,6 +141,18 @@
                 self.copies.with_label_values(&[result]).inc();
             }
             Record::Suspected { .. } => self.suspected.inc(),
+            Record::Refused {
+                reason, after_ms, ..
+            } => {
+                self.refusals.with_label_values(&[reason.word()]).inc();
+                self.refusal_seconds.observe(seconds(*after_ms));
+            }
+            _ => self.on_table_record(record),
+        }
+    }
+
+    fn on_table_record(&self, record: &Record) {
+        match record {
             Record::TableInForce { version } => {
                 self.table_version
                     .set(i64::try_from(*version).unwrap_or(i64::MAX));
@@ -160,12 +172,6 @@
                 self.table_fetches.with_label_values(&[result]).inc();
                 self.table_fetch_seconds.observe(seconds(*after_ms));
             }
-            Record::Refused {
-                reason, after_ms, ..
-            } => {
-                self.refusals.with_label_values(&[reason.word()]).inc();
-                self.refusal_seconds.observe(seconds(*after_ms));
-            }
             _ => {}
         }
     }
--- a/src/gateway/shell/store.rs
+++ b/src/gateway/shell/store.rs
@@ -31,8 +31,8 @@
 /// How long changes of endpoints gather. Chosen under the bound for a leaving endpoint (2 s), not
 /// measured.
 const GATHER_ENDPOINTS: Duration = Duration::from_millis(400);
-/// How long a list's answer may take to begin at first; longer after each failure. The store answers in 4 ms when it
-/// is well. Chosen, not measured.
+/// How long a list's answer may take to begin at first; longer after each failure. The store
+/// answers in 4 ms when it is well. Chosen, not measured.
 const LIST_LIMIT: Duration = Duration::from_millis(500);
 /// How often that is doubled at the most. Chosen, not measured.
 const MOST_LIST_DOUBLINGS: u32 = 3;
