--- a/tests/packed.rs
+++ b/tests/packed.rs
@@ -45,9 +45,9 @@
         // Names that are as hard to pack as random ones.
         let word = n.wrapping_mul(0x9e37_79b9_7f4a_7c15);
         format!(
-            "{{\"name\":\"r-{word:016x}\",\"host\":\"shop.example\",\"pathPrefix\":\"/{n}/\",\
-             \"timeoutMs\":800,\"targetLatencyMs\":120,\"maxAttempts\":2,\"anonymous\":false,\
-             \"service\":\"tills\",\"type\":\"safe\",\"priority\":2}},"
+            "{{\"name\":\"r-{word:016x}\",\"host\":\"shop.example\",\"path_prefix\":\"/{n}/\",\
+             \"timeout_ms\":800,\"objective_ms\":120,\"attempts\":2,\"anonymous\":false,\
+             \"service\":\"tills\",\"kind\":\"safe\",\"rank\":2}},"
         )
     };
     let text: String = (0..1_400).map(route).collect();
