--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -47,6 +47,13 @@
                         .action(ArgAction::SetTrue)
                         .help("List the requests that failed by cause; all words are then logs"),
                 )
+                .arg(
+                    Arg::new("streams")
+                        .long("streams")
+                        .action(ArgAction::SetTrue)
+                        .conflicts_with("failed")
+                        .help("Report how streams went over all requests; all words are then logs"),
+                )
                 .arg(
                     Arg::new("words")
                         .value_name("ID|LOG")
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -1,4 +1,5 @@
-//! `magpiemoor explain`: the story of a request from the boxes' decision logs.
+//! `magpiemoor explain`: the story of a request, or how all streams went, from the boxes' decision
+//! logs.
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -9,6 +10,7 @@
 
 use crate::cli::{CliError, Output};
 use crate::gateway::explain::{Story, read, stories};
+use crate::gateway::stream_report;
 
 /// Runs the command.
 ///
@@ -21,8 +23,13 @@
         let texts = read_logs(&words)?;
         return Ok(failed(&tell(&texts)));
     }
+    if matches.get_flag("streams") {
+        let texts = read_logs(&words)?;
+        let report = stream_report::report(&tell(&texts));
+        return Ok(Output::new(report.text(), json!(report)));
+    }
     let Some((request, logs)) = words.split_first() else {
-        let line = "name a request, or use --failed to list those that failed".to_owned();
+        let line = "name a request, or use --failed or --streams".to_owned();
         return Err(CliError::Invalid(vec![line]));
     };
     let texts = read_logs(logs)?;
