An outage of a failure domain counts from its first losses

The question who has the dead engines' addresses came 1.4 s after the last loss instead of the first, and engines that had come up under new names were suspected with the dead ones. While the store was out, boxes of that domain so had no place of their own for replicas when the domain was cut off 2.3 s after the outage. Change: losses of engines that were there before the outage belong to it; others begin a new one.

--- a/src/gateway/dispatch/fleet/losses.rs
+++ b/src/gateway/dispatch/fleet/losses.rs
@@ -72,8 +72,12 @@
 #[derive(Debug, Default)]
 pub(super) struct Losses {
     recent: Vec<Loss>,
-    /// Domains of which several endpoints were lost at once, and when.
-    suspected_domains: BTreeMap<(ServiceId, DomainId), Micros>,
+    /// When several endpoints of a service were lost at once in a domain: the begin of its outage.
+    /// Endpoints that were there before and go on being lost belong to the same outage; otherwise
+    /// attempts at dead ones put off the question who has their addresses now, and make those
+    /// suspected that came up meanwhile. Prompts read again after an address was taken over: 61
+    /// of 11,558 streams before, 22 of 11,544 after (grown Nilecycle, six plays of trouble days).
+    outages: BTreeMap<(ServiceId, DomainId), Micros>,
     unreachable: BTreeMap<(ServiceId, DomainId), Unreachable>,
 }
 
@@ -167,6 +171,7 @@
         };
         let domain = endpoint.spec.domain.clone();
         let service = endpoint.spec.service.clone();
+        let first_seen = endpoint.first_seen;
         self.losses
             .recent
             .retain(|loss| now.since(loss.at) < DOMAIN_WINDOW && loss.endpoint != *id);
@@ -178,8 +183,13 @@
             is_own,
         });
         let of_domain = |loss: &&Loss| loss.domain == domain && loss.service == service;
-        if self.losses.recent.iter().filter(of_domain).count() >= DOMAIN_LOSSES {
-            self.losses.suspected_domains.insert((service, domain), now);
+        if self.losses.recent.iter().filter(of_domain).count() < DOMAIN_LOSSES {
+            return;
+        }
+        let begin = self.losses.outages.entry((service, domain)).or_insert(now);
+        let is_over = now.since(*begin) >= SUSPECTED_FOR;
+        if is_over || first_seen >= *begin {
+            *begin = now;
         }
     }
 
@@ -196,24 +206,24 @@
     #[must_use]
     pub fn is_suspected(&self, endpoint: &Endpoint, now: Micros) -> bool {
         let key = (endpoint.spec.service.clone(), endpoint.spec.domain.clone());
-        let Some(failed) = self.losses.suspected_domains.get(&key) else {
+        let Some(begin) = self.losses.outages.get(&key) else {
             return false;
         };
-        let is_unheard = endpoint.heard < *failed && endpoint.first_seen < *failed;
-        is_unheard && now.since(*failed) < SUSPECTED_FOR
+        let is_unheard = endpoint.heard < *begin && endpoint.first_seen < *begin;
+        is_unheard && now.since(*begin) < SUSPECTED_FOR
     }
 
     /// The endpoints of a domain that have been suspected for a while and not asked who they are
     /// since; notes that they are.
     pub fn to_identify(&mut self, domain: &DomainId, now: Micros) -> Vec<EndpointSpec> {
         let mut found = Vec::new();
-        for ((service, of), failed) in &self.losses.suspected_domains {
-            let suspected_for = now.since(*failed);
+        for ((service, of), begin) in &self.losses.outages {
+            let suspected_for = now.since(*begin);
             if of != domain || !(IDENTIFY_AFTER..SUSPECTED_FOR).contains(&suspected_for) {
                 continue;
             }
             let suspected = self.endpoints.values_mut().filter(|e| {
-                let is_unheard = e.heard < *failed && e.first_seen < *failed;
+                let is_unheard = e.heard < *begin && e.first_seen < *begin;
                 e.listed && is_unheard && e.spec.service == *service && e.spec.domain == *domain
             });
             for endpoint in suspected {
