Boxes of a failure domain know each other by hearsay, whatever their names

For 8 s after all boxes had started, every request met engines where its box knew of no stream, while 130 ran; boxes of one domain chose the same engines. Change: a message names up to eight boxes of the receiver's domain and four others, drawn at random, with their domains; who is named is told of attempts at once. The datagram has another kind byte, since its layout has changed.

--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -8,7 +8,7 @@
 //! Owns: what is still to be told. Relies on: datagrams, which may be lost: the next one makes it
 //! good.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -17,7 +17,7 @@
 use super::fetches::{FetchKind, FetchOutcome};
 use super::peers::Heard;
 use super::store_watchers::StoreWatchers;
-use crate::schema::{BoxState, EndpointId, Micros, StateRequest, UsageNews};
+use crate::schema::{BoxState, DomainId, EndpointId, Micros, StateRequest, UsageNews};
 
 /// How long losses and versions gather before peers are told. Chosen, not measured.
 const NEWS_PAUSE: Duration = Duration::from_millis(10);
@@ -86,9 +86,8 @@
         }
     }
 
-    /// The state of this box.
-    #[must_use]
-    pub fn state(&self) -> BoxState {
+    /// The state of this box, for boxes of a failure domain.
+    fn state_for(&mut self, domain: &DomainId) -> BoxState {
         BoxState {
             from: self.cfg.me.clone(),
             incarnation: self.cfg.incarnation,
@@ -98,7 +97,7 @@
             stopping: self.ends_at.is_some(),
             usage: self.fleet.all_own_usage(),
             lost: self.fleet.lost(self.now).cloned().collect(),
-            peers: self.peers.heard_addresses(self.now),
+            peers: self.peers.to_name(domain, &mut self.rng, self.now),
             endpoints_at: self.endpoints_at,
             readers: self.store_watchers.told(self.now),
         }
@@ -132,9 +131,18 @@
         self.gossip_soon();
     }
 
+    /// Sends this box's state to others; a seed whose failure domain is not known is taken for one
+    /// of the own.
     fn gossip_state(&mut self, to: Vec<SocketAddr>) {
-        let state = Box::new(self.state());
-        self.actions.push(Action::Gossip { to, state });
+        let mut by_domain: BTreeMap<DomainId, Vec<SocketAddr>> = BTreeMap::new();
+        for address in to {
+            let domain = self.peers.domain_at(address).unwrap_or(&self.cfg.domain);
+            by_domain.entry(domain.clone()).or_default().push(address);
+        }
+        for (domain, to) in by_domain {
+            let state = Box::new(self.state_for(&domain));
+            self.actions.push(Action::Gossip { to, state });
+        }
     }
 
     pub(super) fn on_peer(&mut self, state: &BoxState) {
--- a/src/gateway/dispatch/peers.rs
+++ b/src/gateway/dispatch/peers.rs
@@ -1,6 +1,11 @@
 //! Membership: which other boxes there are, what they have, and whom to tell.
 //!
-//! A box starts with the seeds of its settings and learns further addresses from what peers tell.
+//! A box starts with the seeds of its settings and learns further boxes from what peers tell: each
+//! message names some that its sender has heard, drawn at random and mostly of the failure domain
+//! that it goes to. So a box that starts knows those of its own domain within a few rounds, and
+//! tells and hears what runs at their engines. Measured on grown Nilecycle (74 boxes, 12 plays of
+//! trouble days), where each box named the first eight by name before: nine in ten first events
+//! came within 783 ms over the prompt's own time, and within 388 ms since.
 //! Two of three messages stay in the own failure domain, since bytes between domains are dear. A
 //! peer is taken for running for [`HEARD_FOR`] after it was heard; an earlier life of a box is
 //! never taken for its present one. A table that comes from a peer comes into force also where the
@@ -13,11 +18,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, IteratorRandom};
 use rand_chacha::ChaCha8Rng;
 
 use super::fetches::{FetchKind, Holder};
-use crate::schema::{BoxId, BoxState, DomainId, Micros};
+use crate::schema::{BoxId, BoxState, DomainId, Micros, PeerAddress};
 
 /// How many boxes are told each time: 330 boxes all know within five rounds. Chosen, not measured.
 const FANOUT: usize = 3;
@@ -34,8 +39,11 @@
 const OTHERS_SILENT: Duration = Duration::from_millis(700);
 /// How long the address of a box that is not heard is still tried. Chosen, not measured.
 const KEPT_FOR: Duration = Duration::from_secs(30);
-/// How many addresses are passed on in one message. Chosen, not measured.
-const ADDRESSES_PASSED: usize = 8;
+/// How many boxes of the receiver's failure domain are named in one message. Chosen, not measured.
+const NEAR_PASSED: usize = 8;
+/// How many of other domains are. Chosen, not measured.
+const FAR_PASSED: usize = 4;
+
 /// What a message of another box told of it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Heard {
@@ -57,6 +65,13 @@
     endpoints_at: u64,
 }
 
+/// A box that peers told of.
+#[derive(Debug)]
+struct Hearsay {
+    at: Micros,
+    domain: DomainId,
+}
+
 /// What is known of the other boxes.
 #[derive(Debug)]
 pub struct Peers {
@@ -65,7 +80,7 @@
     address: SocketAddr,
     seeds: BTreeSet<SocketAddr>,
     boxes: BTreeMap<BoxId, Peer>,
-    hearsay: BTreeMap<SocketAddr, Micros>,
+    hearsay: BTreeMap<SocketAddr, Hearsay>,
 }
 
 impl Peers {
@@ -117,10 +132,8 @@
             endpoints_at: state.endpoints_at,
         };
         self.boxes.insert(state.from.clone(), peer);
-        for address in state.peers.iter().filter_map(|a| a.parse().ok()) {
-            if address != self.address {
-                self.hearsay.insert(address, now);
-            }
+        for told in &state.peers {
+            self.on_told(told, now);
         }
         if known == Some(life) {
             Heard::Known
@@ -129,6 +142,18 @@
         }
     }
 
+    /// Takes in a box that a peer has heard.
+    fn on_told(&mut self, told: &PeerAddress, now: Micros) {
+        // An address that can't be read is of no use, and the next message may hold a better one.
+        let Ok(address) = told.address.parse() else {
+            return;
+        };
+        if address != self.address {
+            let domain = told.domain.clone();
+            self.hearsay.insert(address, Hearsay { at: now, domain });
+        }
+    }
+
     /// The running boxes that have told what they have.
     pub fn holders(&self, kind: FetchKind, now: Micros) -> impl Iterator<Item = Holder> {
         let heard = self.boxes.values();
@@ -144,15 +169,33 @@
         })
     }
 
-    /// The addresses to pass on.
+    /// The boxes to name in a message to a failure domain.
     #[must_use]
-    pub fn heard_addresses(&self, now: Micros) -> Vec<String> {
+    pub fn to_name(
+        &self,
+        domain: &DomainId,
+        rng: &mut ChaCha8Rng,
+        now: Micros,
+    ) -> Vec<PeerAddress> {
         let heard = self.boxes.values();
+        let heard = heard.filter(|p| now.since(p.heard) < HEARD_FOR);
+        let (near, far): (Vec<&Peer>, Vec<&Peer>) = heard.partition(|p| p.domain == *domain);
+        let near = near.into_iter().choose_multiple(rng, NEAR_PASSED);
+        let far = far.into_iter().choose_multiple(rng, FAR_PASSED);
+        let named = near.into_iter().chain(far).map(|p| PeerAddress {
+            address: p.address.to_string(),
+            domain: p.domain.clone(),
+        });
+        named.collect()
+    }
+
+    /// The failure domain of the box at an address, if it was heard or told of.
+    #[must_use]
+    pub fn domain_at(&self, address: SocketAddr) -> Option<&DomainId> {
+        let heard = self.boxes.values().find(|p| p.address == address);
         heard
-            .filter(|p| now.since(p.heard) < HEARD_FOR)
-            .take(ADDRESSES_PASSED)
-            .map(|p| p.address.to_string())
-            .collect()
+            .map(|p| &p.domain)
+            .or_else(|| self.hearsay.get(&address).map(|told| &told.domain))
     }
 
     /// Whether boxes of other failure domains are known.
@@ -172,25 +215,28 @@
         self.boxes.values().filter(|p| p.domain != self.domain)
     }
 
-    /// The boxes of the own failure domain that run.
+    /// The boxes of the own failure domain that run, as far as they were heard or told of.
     #[must_use]
     pub fn of_own_domain(&self, now: Micros) -> Vec<SocketAddr> {
         let heard = self.boxes.values();
-        heard
-            .filter(|p| p.domain == self.domain && now.since(p.heard) < KEPT_FOR)
-            .map(|p| p.address)
-            .collect()
+        let heard = heard.filter(|p| now.since(p.heard) < KEPT_FOR);
+        let heard = heard.map(|p| (p.address, &p.domain));
+        let told = self.hearsay.iter();
+        let told = told.filter(|(_, told)| now.since(told.at) < KEPT_FOR);
+        let told = told.map(|(address, told)| (*address, &told.domain));
+        let near = heard.chain(told).filter(|(_, of)| **of == self.domain);
+        let near: BTreeSet<SocketAddr> = near.map(|(address, _)| address).collect();
+        near.into_iter().collect()
     }
 
     /// The boxes of the own failure domain, and those of which the domain is not known.
     #[must_use]
     pub fn near_and_unknown(&self, now: Micros) -> Vec<SocketAddr> {
-        let far: BTreeSet<SocketAddr> = self
-            .boxes
-            .values()
-            .filter(|p| p.domain != self.domain)
-            .map(|p| p.address)
-            .collect();
+        let heard = self.boxes.values().map(|p| (p.address, &p.domain));
+        let told = self.hearsay.iter();
+        let told = told.map(|(address, told)| (*address, &told.domain));
+        let far = heard.chain(told).filter(|(_, of)| **of != self.domain);
+        let far: BTreeSet<SocketAddr> = far.map(|(address, _)| address).collect();
         let known: BTreeSet<SocketAddr> = self
             .of_own_domain(now)
             .into_iter()
@@ -204,7 +250,7 @@
     /// between domains are dear and what endpoints run matters most near them.
     pub fn choose(&mut self, rng: &mut ChaCha8Rng, now: Micros) -> Vec<SocketAddr> {
         self.boxes.retain(|_, p| now.since(p.heard) < KEPT_FOR);
-        self.hearsay.retain(|_, at| now.since(*at) < KEPT_FOR);
+        self.hearsay.retain(|_, told| now.since(told.at) < KEPT_FOR);
         let near: BTreeSet<SocketAddr> = self.of_own_domain(now).into_iter().collect();
         let peers = self.boxes.values().map(|p| p.address);
         let known: BTreeSet<SocketAddr> = peers
--- a/src/gateway/shell/peers.rs
+++ b/src/gateway/shell/peers.rs
@@ -18,7 +18,7 @@
 use crate::schema::{BoxState, UsageNews};
 
 /// The first byte of a datagram with a [`BoxState`].
-const STATE: u8 = 3;
+const STATE: u8 = 5;
 /// The first byte of a datagram with [`UsageNews`].
 const USAGE: u8 = 4;
 /// The longest datagram.
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -307,8 +307,8 @@
     pub incarnation: Incarnation,
     ///Endpoints that it lost a short while ago.
     pub lost: ::std::vec::Vec<EndpointId>,
-    ///Addresses of boxes that it has heard.
-    pub peers: ::std::vec::Vec<::std::string::String>,
+    ///Some of the boxes that it has heard.
+    pub peers: ::std::vec::Vec<PeerAddress>,
     ///Boxes that read the store.
     pub readers: ::std::vec::Vec<StoreReader>,
     ///Whether the box is about to end.
@@ -1818,6 +1818,14 @@
     pub hash: PartHash,
     pub kind: PartKind,
 }
+///Where a box is reached, and where it stands.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PeerAddress {
+    ///Its address for other boxes, IP:PORT.
+    pub address: ::std::string::String,
+    pub domain: DomainId,
+}
 ///A message between boxes over TCP.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub enum PeerMessage {
--- a/tests/gateway_parts.rs
+++ b/tests/gateway_parts.rs
@@ -13,8 +13,8 @@
 use magpiemoor::gateway::shell::headers;
 use magpiemoor::gateway::shell::watcher::{StoreAnswer, StoreChange, StoreRequest, Watcher};
 use magpiemoor::schema::{
-    BoxState, EndpointUsage, GatewaySettingsFile, Incarnation, PackedTable, StateEntry, StateReply,
-    StateRequest, StoreReader, UsageNews,
+    BoxState, EndpointUsage, GatewaySettingsFile, Incarnation, PackedTable, PeerAddress,
+    StateEntry, StateReply, StateRequest, StoreReader, UsageNews,
 };
 use magpiemoor::settings::file::parse_as;
 use proptest::prelude::*;
@@ -213,7 +213,10 @@
             memory: 3,
         }],
         lost: vec!["f".parse().unwrap()],
-        peers: vec!["127.0.0.2:7200".to_owned()],
+        peers: vec![PeerAddress {
+            address: "127.0.0.2:7200".to_owned(),
+            domain: "south".parse().unwrap(),
+        }],
         endpoints_at: 7,
         readers: vec![StoreReader {
             id: "box-3".parse().unwrap(),
