--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -54,6 +54,16 @@
                         .conflicts_with("failed")
                         .help("Report how streams went over all requests; all words are then logs"),
                 )
+                .arg(
+                    Arg::new("placement")
+                        .long("placement")
+                        .action(ArgAction::SetTrue)
+                        .conflicts_with_all(["failed", "streams"])
+                        .help(
+                            "Report what boxes believed of endpoints when they placed attempts, and \
+                             who watched the store; all words are then logs",
+                        ),
+                )
                 .arg(
                     Arg::new("words")
                         .value_name("ID|LOG")
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -10,7 +10,7 @@
 
 use crate::cli::{CliError, Output};
 use crate::gateway::explain::{Story, read, stories};
-use crate::gateway::stream_report;
+use crate::gateway::{placement_report, stream_report};
 
 /// Runs the command.
 ///
@@ -28,8 +28,14 @@
         let report = stream_report::report(&tell(&texts));
         return Ok(Output::new(report.text(), json!(report)));
     }
+    if matches.get_flag("placement") {
+        let texts = read_logs(&words)?;
+        let lines = read(texts.iter().map(String::as_str));
+        let report = placement_report::report(&lines);
+        return Ok(Output::new(report.text(), json!(report)));
+    }
     let Some((request, logs)) = words.split_first() else {
-        let line = "name a request, or use --failed or --streams".to_owned();
+        let line = "name a request, or use --failed, --streams or --placement".to_owned();
         return Err(CliError::Invalid(vec![line]));
     };
     let texts = read_logs(logs)?;
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,6 +7,7 @@
 
 pub mod dispatch;
 pub mod explain;
+pub mod placement_report;
 pub mod settings;
 pub mod shell;
 pub mod stream_report;
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -57,7 +57,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::schema::{BoxId, DomainId, Incarnation, Micros};
+use crate::schema::{BoxId, DomainId, EndpointId, Incarnation, Micros};
 use action::{Action, Command};
 use admission::HeldBack;
 use event::{AttemptNumber, Event, RequestNumber};
@@ -66,7 +66,7 @@
 use gossip::PendingUsage;
 use peers::Peers;
 use placement::Placer;
-use record::Record;
+use record::{EndpointState, Record, WATCHES_STORE};
 use request::Request;
 use retry_budget::{RetryBudget, RetryPolicy};
 use store_watchers::StoreWatchers;
@@ -303,33 +303,41 @@
 
     fn on_listed(&mut self, specs: Vec<event::EndpointSpec>, at: u64) {
         self.note_endpoints(at);
-        for id in self.fleet.replace(specs, self.now) {
-            self.record(Record::Endpoint {
-                endpoint: id.to_string(),
-                state: "absent".into(),
-            });
-        }
+        let gone = self.fleet.replace(specs, self.now);
+        let gone = gone.into_iter().map(|id| (id, EndpointState::Absent));
+        self.record_endpoints(at, &gone.collect::<Vec<_>>());
         self.release_held_back();
     }
 
     fn on_changed(&mut self, changes: Vec<event::EndpointChange>, at: u64) {
         self.note_endpoints(at);
+        let states = changes.iter().map(EndpointState::of);
+        self.record_endpoints(at, &states.collect::<Vec<_>>());
         for change in changes {
-            let (endpoint, state) = match &change {
-                event::EndpointChange::Absent(id) => (id.to_string(), "absent"),
-                event::EndpointChange::Present(spec) if spec.leaving => {
-                    (spec.id.to_string(), "leaving")
-                }
-                event::EndpointChange::Present(spec) => (spec.id.to_string(), "present"),
-            };
-            self.record(Record::Endpoint {
-                endpoint,
-                state: state.into(),
-            });
             self.fleet.change(change, self.now);
         }
     }
 
+    /// Records changes of the list: one by one if this box watches the store, else their number.
+    fn record_endpoints(&mut self, at: u64, changes: &[(EndpointId, EndpointState)]) {
+        if self.store_watchers.is_watching() {
+            for (id, state) in changes {
+                self.record(Record::Endpoint {
+                    endpoint: id.to_string(),
+                    state: state.word().into(),
+                });
+            }
+            return;
+        }
+        let count = |of| changes.iter().filter(|(_, state)| *state == of).count();
+        self.record(Record::Endpoints {
+            at,
+            present: count(EndpointState::Present),
+            leaving: count(EndpointState::Leaving),
+            absent: count(EndpointState::Absent),
+        });
+    }
+
     /// Notes a change of the list of endpoints, and tells peers soon.
     fn note_endpoints(&mut self, at: u64) {
         if at > self.endpoints_at {
@@ -348,14 +356,13 @@
             let roster = self.peers.roster();
             self.store_watchers.decide(roster, &mut self.rng, self.now)
         } {
-            let state = if is_watching {
-                "reads_store"
-            } else {
-                "reads_peers"
-            };
             self.record(Record::Process {
-                state: state.into(),
-                detail: String::new(),
+                state: if is_watching {
+                    WATCHES_STORE.into()
+                } else {
+                    "reads_peers".into()
+                },
+                detail: self.store_watchers.others_fresh(self.now),
             });
             self.actions.push(Action::WatchStore(is_watching));
             if is_watching {
--- a/src/gateway/dispatch/record.rs
+++ b/src/gateway/dispatch/record.rs
@@ -7,8 +7,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::dispatch::event::Fault;
+use crate::gateway::dispatch::event::{EndpointChange, Fault};
 use crate::gateway::dispatch::refusal::RefusalReason;
+use crate::schema::EndpointId;
 
 /// The outcome of a fetch that brought all that was asked for.
 pub const FETCHED_WHOLE: &str = "whole";
@@ -16,6 +17,45 @@
 /// The outcome of a fetch from a box that answers as many others as it can.
 pub const FETCH_BUSY: &str = "busy";
 
+/// The state of a process that has just started; its detail is the box's failure domain.
+pub const STARTED: &str = "started";
+
+/// The state of a box that begins to watch the platform's store; its detail tells why.
+pub const WATCHES_STORE: &str = "reads_store";
+
+/// What the list says of an endpoint.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EndpointState {
+    /// It is there.
+    Present,
+    /// It is about to leave.
+    Leaving,
+    /// It is not listed any more.
+    Absent,
+}
+
+impl EndpointState {
+    /// The endpoint that a change is about, and what it says.
+    #[must_use]
+    pub fn of(change: &EndpointChange) -> (EndpointId, Self) {
+        match change {
+            EndpointChange::Absent(id) => (id.clone(), Self::Absent),
+            EndpointChange::Present(spec) if spec.leaving => (spec.id.clone(), Self::Leaving),
+            EndpointChange::Present(spec) => (spec.id.clone(), Self::Present),
+        }
+    }
+
+    /// The word for it in the decision log.
+    #[must_use]
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Present => "present",
+            Self::Leaving => "leaving",
+            Self::Absent => "absent",
+        }
+    }
+}
+
 /// A decision, or a change of what the box believes.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -39,8 +79,14 @@
         attempt: u32,
         /// The endpoint.
         endpoint: String,
+        /// Its service.
+        service: String,
         /// The endpoint's failure domain.
         domain: String,
+        /// Whether that is the box's own.
+        is_near: bool,
+        /// Requests that the endpoint runs at once.
+        slots: u32,
         /// The host of the mirror.
         backup: Option<String>,
         /// Whether it goes on from a replica, mirror or snapshot.
@@ -178,6 +224,18 @@
         /// What is believed of it now.
         state: Cow<'static, str>,
     },
+    /// The list of endpoints has changed, as a peer told it; boxes that watch the store write of each
+    /// endpoint. 295 boxes that all did so wrote 275,000 lines on a calm day.
+    Endpoints {
+        /// The store's revision.
+        at: u64,
+        /// Endpoints that joined or changed.
+        present: usize,
+        /// Those that are about to leave.
+        leaving: usize,
+        /// Those that left.
+        absent: usize,
+    },
     /// Something happened to the process or to what it depends on.
     Process {
         /// What.
@@ -206,6 +264,7 @@
             | Self::TableRead { .. }
             | Self::TableFetched { .. }
             | Self::Endpoint { .. }
+            | Self::Endpoints { .. }
             | Self::Process { .. } => None,
         }
     }
@@ -247,6 +306,14 @@
                  {after_ms} ms"
             ),
             Self::Endpoint { endpoint, state } => format!("{endpoint} {state}"),
+            Self::Endpoints {
+                at,
+                present,
+                leaving,
+                absent,
+            } => {
+                format!("endpoints at {at}: {present} present, {leaving} leaving, {absent} absent")
+            }
             Self::Process { state, detail } => format!("{state} {detail}"),
         }
     }
--- a/src/gateway/dispatch/store_watchers.rs
+++ b/src/gateway/dispatch/store_watchers.rs
@@ -198,6 +198,15 @@
         has_changed.then_some(is_needed)
     }
 
+    /// How many others watch, as this box knows, in words for the decision log.
+    #[must_use]
+    pub fn others_fresh(&self, now: Micros) -> String {
+        let others = self.known.iter().filter(|(id, known)| {
+            **id != self.me && known.domain == self.domain && known.is_fresh(now)
+        });
+        format!("others that watch: {}", others.count())
+    }
+
     fn is_needed(&mut self, roster: &Roster, now: Micros) -> bool {
         let others = self.known.iter().filter(|(id, known)| {
             let is_of_domain = **id != self.me && known.domain == self.domain;
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -35,7 +35,7 @@
 use tokio::sync::mpsc;
 
 use crate::clock;
-use crate::gateway::dispatch::record::Record;
+use crate::gateway::dispatch::record::{Record, STARTED};
 use crate::gateway::dispatch::{DispatchConfig, Dispatcher};
 use crate::gateway::settings::GatewaySettings;
 use crate::http::{ServeOptions, pool};
@@ -101,8 +101,8 @@
     let gossip = Arc::new(listeners.gossip);
     let dispatcher = new_dispatcher(&shared);
     shared.log.write(&Record::Process {
-        state: "started".into(),
-        detail: format!("callers on {}", shared.settings.callers),
+        state: STARTED.into(),
+        detail: shared.settings.domain.to_string(),
     });
     runtime.spawn(peers::hear(Arc::clone(&gossip), shared.clone()));
     runtime.spawn(transfer::accept(listeners.peers, shared.clone()));
