Sums of other domains pass on inside a domain; a box that starts again looks for the prompts of all streams

Change: messages inside a domain carry the newest sums of the others with their age; within 5 s of a start that is not the fleet's first (new setting first_start, from the platform's bootstrap) the prompts of all streams are searched. A server is compared with the best of its service, not with all.

--- a/lab/src/gateway/spread.rs
+++ b/lab/src/gateway/spread.rs
@@ -371,6 +371,7 @@
         domain: settings.domain.clone(),
         address: settings.peers_address,
         seeds,
+        first_start: true,
         gossip: settings.gossip,
         fleet_boxes: settings.fleet_boxes,
         retries: settings.retries,
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -97,6 +97,8 @@
     pub address: SocketAddr,
     /// Boxes to speak to first.
     pub seeds: Vec<SocketAddr>,
+    /// Whether the fleet starts for the first time, so that no caller can have lost a box before.
+    pub first_start: bool,
     /// Time between messages to peers.
     pub gossip: Duration,
     /// How many boxes share the retry budget at least.
--- a/src/gateway/dispatch/admission.rs
+++ b/src/gateway/dispatch/admission.rs
@@ -35,6 +35,10 @@
 /// the time in which a box learns them from a peer (150 ms and an exchange) and the shortest
 /// latency objectives; trials of commit 364c22e were made with it.
 pub(super) const LONGEST_HELD_BACK: Duration = Duration::from_millis(400);
+/// How long after its start a box takes each stream for one of a caller that lost its box, though it
+/// names no event: whoever lost it before the first event has none to name, and the prompt has been
+/// read at some engine. Callers come back within some seconds. Chosen, not measured.
+const CALLERS_RETURN_FOR: Duration = Duration::from_secs(5);
 /// How many requests such a box holds back: what arrives in 400 ms at some 1,200 a second. Chosen,
 /// not measured.
 const MOST_HELD_BACK: usize = 500;
@@ -158,7 +162,8 @@
         self.budget.on_request(&service, self.now);
         let engine = table.service(&service).and_then(|s| s.engine);
         let request = Request::new(arrival, route, service, engine, key_owner, self.now);
-        let is_return = request.engine.is_some() && request.last_event.is_some();
+        let may_return = request.last_event.is_some() || self.has_just_started();
+        let is_return = request.engine.is_some() && may_return;
         self.requests.insert(number, request);
         if is_return {
             self.locate(number);
@@ -167,6 +172,11 @@
         }
     }
 
+    /// Whether callers that come may have lost their box when this one was lost.
+    fn has_just_started(&self) -> bool {
+        !self.cfg.first_start && self.now.since(self.started) < CALLERS_RETURN_FOR
+    }
+
     /// Picks a service of the route by weight, among those that have an endpoint if any does.
     fn pick_service(&mut self, route: &Route) -> ServiceId {
         let picked = route.pick_target(self.rng.random());
--- a/src/gateway/dispatch/fleet.rs
+++ b/src/gateway/dispatch/fleet.rs
@@ -14,10 +14,10 @@
 use std::time::Duration;
 
 use crate::gateway::dispatch::event::{EndpointChange, EndpointSpec};
-use crate::schema::{BoxState, EndpointAnswers, EndpointId, Micros, ServiceId};
+use crate::schema::{BoxState, DomainId, EndpointAnswers, EndpointId, Micros, ServiceId};
 use losses::Losses;
 use standing::Standing;
-use usage::PeerUsage;
+use usage::{PeerUsage, ToldUsage};
 
 pub use usage::Usage;
 
@@ -98,6 +98,8 @@
     departed: BTreeMap<EndpointId, Micros>,
     /// How attempts of this box ended that peers have not been told of.
     untold: BTreeMap<EndpointId, Answers>,
+    /// What other failure domains run at plain services.
+    domain_usage: BTreeMap<DomainId, ToldUsage>,
     is_known: bool,
 }
 
@@ -260,11 +262,11 @@
         }
     }
 
-    /// The share of attempts that fail at all endpoints of a service together.
+    /// The least share of attempts that fails at an endpoint of a service.
     #[must_use]
-    pub fn failing_share(&self, service: &ServiceId, now: Micros) -> f64 {
-        let all = self.of_service(service).map(|e| &e.standing);
-        Standing::share_of_all(all, now)
+    pub fn least_failing(&self, service: &ServiceId, now: Micros) -> f64 {
+        let shares = self.of_service(service).map(|e| e.standing.failing(now));
+        shares.fold(1.0, f64::min)
     }
 
     /// Notes an answer that was no success, though the endpoint is there.
@@ -276,13 +278,13 @@
         self.note_answer(id, false, now);
     }
 
-    /// Takes in a peer's losses and what it runs, or what its failure domain runs.
-    pub fn on_peer(&mut self, state: &BoxState, is_near: bool, now: Micros) {
+    /// Takes in a peer's losses, what it runs if it is of the own failure domain, and what other
+    /// domains run.
+    pub fn on_peer(&mut self, state: &BoxState, own: &DomainId, now: Micros) {
         self.on_peer_losses(&state.lost, now);
-        if is_near {
+        if state.domain == *own {
             self.on_peer_state(&state.from, &state.usage, now);
-        } else {
-            self.on_domain_usage(&state.domain, &state.domain_usage, now);
         }
+        self.on_domain_usage(&state.domain_usage, own, now);
     }
 }
--- a/src/gateway/dispatch/fleet/standing.rs
+++ b/src/gateway/dispatch/fleet/standing.rs
@@ -4,8 +4,8 @@
 //! sound one in time; 59 boxes that put their counts together know it after some twenty calls of all
 //! of them. Answers count for [`MEMORY`], and less the older they are, so an endpoint that is left
 //! alone is trusted again by and by. What a service fails everywhere, such as errors that callers
-//! cause, is no fault of an endpoint: only what lies [`TOLERANCE`] beyond the service's own share
-//! counts.
+//! cause, is no fault of an endpoint: only what lies [`TOLERANCE`] beyond the best endpoint of the
+//! service counts. The best one, not all of them, since a fault may hold half of a small service.
 //!
 //! Inputs: ends of this box's attempts, and those that peers tell. Weighed: the share of a box's own
 //! last answers (one error in five answers made it leave its server for one of another domain until
@@ -50,24 +50,16 @@
         (self.served * weight, self.failed * weight)
     }
 
-    fn share(served: f64, failed: f64) -> f64 {
-        failed / (served + failed + CREDIT)
-    }
-
-    /// The share of attempts that fail at all endpoints of a service together.
+    /// The share of attempts that fail.
     #[must_use]
-    pub fn share_of_all<'a>(all: impl Iterator<Item = &'a Self>, now: Micros) -> f64 {
-        let (served, failed) = all.fold((0.0, 0.0), |(served, failed), standing| {
-            let (more_served, more_failed) = standing.weighted(now);
-            (served + more_served, failed + more_failed)
-        });
-        Self::share(served, failed)
+    pub fn failing(&self, now: Micros) -> f64 {
+        let (served, failed) = self.weighted(now);
+        failed / (served + failed + CREDIT)
     }
 
-    /// The share that fails here beyond that of the service, 0 where that may be chance.
+    /// The share that fails beyond the least of the service's endpoints, 0 where that may be chance.
     #[must_use]
-    pub fn failing(&self, share_of_service: f64, now: Micros) -> f64 {
-        let (served, failed) = self.weighted(now);
-        (Self::share(served, failed) - share_of_service - TOLERANCE).max(0.0)
+    pub fn failing_beyond(&self, least: f64, now: Micros) -> f64 {
+        (self.failing(now) - least - TOLERANCE).max(0.0)
     }
 }
--- a/src/gateway/dispatch/fleet/usage.rs
+++ b/src/gateway/dispatch/fleet/usage.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use super::{Endpoint, Fleet};
-use crate::schema::{BoxId, DomainId, EndpointId, EndpointUsage, Micros};
+use crate::schema::{BoxId, DomainId, DomainUsage, EndpointId, EndpointUsage, Micros};
 
 /// Tokens of a prompt that an engine prefills in a millisecond, by the users' site sheets.
 pub const PREFILL_TOKENS_PER_MS: f64 = 5.0;
@@ -19,8 +19,8 @@
 /// measured.
 const PLAIN_USAGE: Duration = Duration::from_millis(1_500);
 
-/// How long what a box of another failure domain told of all boxes there counts: such a message
-/// comes each 1.2 s from each of four domains. Chosen, not measured.
+/// How long what a box of another failure domain told of all boxes there counts. Chosen, not
+/// measured.
 const DOMAIN_USAGE: Duration = Duration::from_secs(3);
 
 /// What runs at an endpoint, by one box's count.
@@ -51,6 +51,13 @@
     usage: Usage,
 }
 
+/// What the boxes of a failure domain were last told to run.
+#[derive(Debug)]
+pub(super) struct ToldUsage {
+    at: Micros,
+    usage: Vec<EndpointUsage>,
+}
+
 impl PeerUsage {
     /// What is left of it by now, if it still counts.
     fn left(&self, now: Micros) -> Option<Usage> {
@@ -82,16 +89,36 @@
         self.on_told(&Teller::Box(from.clone()), usage, now);
     }
 
-    /// Takes in what the boxes of another failure domain run at plain services.
-    pub(super) fn on_domain_usage(
-        &mut self,
-        domain: &DomainId,
-        usage: &[EndpointUsage],
-        now: Micros,
-    ) {
-        let from = Teller::Domain(domain.clone());
-        self.forget_told_by(&from);
-        self.on_told(&from, usage, now);
+    /// Takes in what the boxes of other failure domains than the own one run at plain services, by
+    /// whoever told it; what is older than what is known is of no use.
+    pub(super) fn on_domain_usage(&mut self, told: &[DomainUsage], own: &DomainId, now: Micros) {
+        for told in told.iter().filter(|told| told.domain != *own) {
+            let at = now.before(Duration::from_millis(told.age_ms.into()));
+            let known = self.domain_usage.get(&told.domain);
+            if known.is_some_and(|known| known.at >= at) {
+                continue;
+            }
+            let from = Teller::Domain(told.domain.clone());
+            self.forget_told_by(&from);
+            self.on_told(&from, &told.usage, at);
+            let usage = told.usage.clone();
+            self.domain_usage
+                .insert(told.domain.clone(), ToldUsage { at, usage });
+        }
+    }
+
+    /// What other failure domains run at plain services, to be told inside the own one: each box
+    /// hears one of them each 1.2 s, all boxes of a domain together each 20 ms.
+    #[must_use]
+    pub fn usage_of_others(&self, now: Micros) -> Vec<DomainUsage> {
+        let told = self.domain_usage.iter();
+        let fresh = told.filter(|(_, told)| now.since(told.at) < DOMAIN_USAGE);
+        let told = fresh.map(|(domain, told)| DomainUsage {
+            domain: domain.clone(),
+            age_ms: now.since(told.at).as_millis() as u32,
+            usage: told.usage.clone(),
+        });
+        told.collect()
     }
 
     fn forget_told_by(&mut self, from: &Teller) {
@@ -122,7 +149,7 @@
 
     /// What this box and those of its failure domain run at plain services, to be told to others.
     #[must_use]
-    pub fn domain_usage(&self, now: Micros) -> Vec<EndpointUsage> {
+    pub fn usage_of_domain(&self, domain: &DomainId, now: Micros) -> DomainUsage {
         let mut found = Vec::new();
         for endpoint in self.endpoints.values() {
             let told = endpoint.others.iter();
@@ -141,7 +168,11 @@
                 });
             }
         }
-        found
+        DomainUsage {
+            domain: domain.clone(),
+            age_ms: 0,
+            usage: found,
+        }
     }
 
     /// What runs at an endpoint by the count of all boxes that told of it lately.
--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -130,9 +130,11 @@
         // What this box itself runs matters near it only, and bytes between domains are dear.
         let (usage, domain_usage, totals) = if *domain == self.cfg.domain {
             let usage = self.fleet.all_own_usage().collect();
-            (usage, Vec::new(), self.budget.totals(now))
+            let others = self.fleet.usage_of_others(now);
+            (usage, others, self.budget.totals(now))
         } else {
-            (Vec::new(), self.fleet.domain_usage(now), Vec::new())
+            let of_domain = self.fleet.usage_of_domain(&self.cfg.domain, now);
+            (Vec::new(), vec![of_domain], Vec::new())
         };
         BoxState {
             from: self.cfg.me.clone(),
@@ -211,7 +213,7 @@
         if is_near {
             self.store_watchers.on_contact(&mut self.rng, self.now);
         }
-        self.fleet.on_peer(state, is_near, self.now);
+        self.fleet.on_peer(state, &self.cfg.domain, self.now);
         self.budget.on_told(&state.from, &state.totals, self.now);
         self.store_watchers.on_told(&state.readers, self.now);
         if state.table_version < self.table_version().0 {
--- a/src/gateway/dispatch/placement.rs
+++ b/src/gateway/dispatch/placement.rs
@@ -66,13 +66,13 @@
         demand: Demand<'_>,
         now: Micros,
     ) -> Option<&'a Endpoint> {
-        let failing = fleet.failing_share(demand.service, now);
+        let least = fleet.least_failing(demand.service, now);
         let costs = fleet
             .of_service(demand.service)
             .filter(|e| e.takes_work() && !demand.tried.contains(&e.spec.id))
             .filter(|e| !fleet.is_unreachable(e, now))
             .map(|e| {
-                let failing = e.standing.failing(failing, now) * costs::FAILING;
+                let failing = e.standing.failing_beyond(least, now) * costs::FAILING;
                 (self.cost(fleet, e, demand, now) + failing, e)
             });
         costs
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -35,6 +35,8 @@
     pub retries: RetryPolicy,
     /// How long a stop may take.
     pub stop_grace: Duration,
+    /// Whether the fleet starts for the first time.
+    pub first_start: bool,
     /// Time between messages to peers.
     pub gossip: Duration,
     /// How long a watch waits.
@@ -64,6 +66,7 @@
         retry_reserve: Some(50.0),
         retry_window_s: Some(10.0),
         stop_grace_s: Some(8.0),
+        first_start: Some(true),
         gossip_ms: Some(300),
         watch_ms: Some(3_000),
         held_bytes: Some(64 << 20),
@@ -105,6 +108,7 @@
         retry_reserve: upper.retry_reserve.or(lower.retry_reserve),
         retry_window_s: upper.retry_window_s.or(lower.retry_window_s),
         stop_grace_s: upper.stop_grace_s.or(lower.stop_grace_s),
+        first_start: upper.first_start.or(lower.first_start),
         gossip_ms: upper.gossip_ms.or(lower.gossip_ms),
         watch_ms: upper.watch_ms.or(lower.watch_ms),
         held_bytes: upper.held_bytes.or(lower.held_bytes),
@@ -163,6 +167,7 @@
                 file.stop_grace_s,
                 (0.0, 3_600.0),
             ),
+            first_start: file.first_start.unwrap_or(true),
             gossip: millis(&mut check, "gossip_ms", file.gossip_ms, (20, 60_000)),
             watch: millis(&mut check, "watch_ms", file.watch_ms, (100, 30_000)),
             held_bytes: check.size("held_bytes", file.held_bytes, 1 << 16, 1 << 40),
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -138,6 +138,7 @@
         domain: settings.domain.clone(),
         address: settings.peers_address,
         seeds: settings.seeds.clone(),
+        first_start: settings.first_start,
         gossip: settings.gossip,
         fleet_boxes: settings.fleet_boxes,
         retries: settings.retries,
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -303,8 +303,8 @@
     ///Counts the box's messages, and is greater in each later life of it.
     pub beat: u64,
     pub domain: DomainId,
-    ///What all boxes of its failure domain run at plain services, for other failure domains.
-    pub domain_usage: ::std::vec::Vec<EndpointUsage>,
+    ///What failure domains run: the own one for other domains, the others for the own one.
+    pub domain_usage: ::std::vec::Vec<DomainUsage>,
     ///How many boxes run in each failure domain, its own with them.
     pub domains: ::std::vec::Vec<DomainSize>,
     ///The store's revision at which the known list of endpoints changed last, or 0.
@@ -659,6 +659,16 @@
     pub boxes: u32,
     pub domain: DomainId,
 }
+///What all boxes of a failure domain run at plain services.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct DomainUsage {
+    ///Milliseconds since a box of that domain summed it up.
+    pub age_ms: u32,
+    pub domain: DomainId,
+    ///The sums.
+    pub usage: ::std::vec::Vec<EndpointUsage>,
+}
 ///How attempts at an endpoint ended since a box told it last.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -977,6 +987,9 @@
     ///The failure domain that this box stands in.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub domain: ::std::option::Option<::std::string::String>,
+    ///Whether the fleet starts for the first time, so that no caller can have lost a box before.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub first_start: ::std::option::Option<bool>,
     ///How many boxes share the retry budget until peers are known.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub fleet_boxes: ::std::option::Option<u64>,
--- a/tests/gateway/fixtures.rs
+++ b/tests/gateway/fixtures.rs
@@ -51,6 +51,7 @@
         domain: "north".parse().unwrap(),
         address: "127.0.0.1:7200".parse().unwrap(),
         seeds: vec!["127.0.0.2:7200".parse().unwrap()],
+        first_start: true,
         gossip: Duration::from_millis(300),
         fleet_boxes: 1,
         retries,
--- a/tests/gateway_parts.rs
+++ b/tests/gateway_parts.rs
@@ -13,9 +13,9 @@
 use magpiemoor::gateway::shell::headers;
 use magpiemoor::gateway::shell::watcher::{StoreAnswer, StoreChange, StoreRequest, Watcher};
 use magpiemoor::schema::{
-    BoxState, DomainSize, EndpointAnswers, EndpointUsage, GatewaySettingsFile, Incarnation,
-    PackedTable, PeerAddress, RunningBox, ServiceTotals, StateEntry, StateReply, StateRequest,
-    StoreReader, UsageNews,
+    BoxState, DomainSize, DomainUsage, EndpointAnswers, EndpointUsage, GatewaySettingsFile,
+    Incarnation, PackedTable, PeerAddress, RunningBox, ServiceTotals, StateEntry, StateReply,
+    StateRequest, StoreReader, UsageNews,
 };
 use magpiemoor::settings::file::parse_as;
 use proptest::prelude::*;
@@ -214,11 +214,15 @@
             memory: 3,
         }],
         lost: vec!["f".parse().unwrap()],
-        domain_usage: vec![EndpointUsage {
-            endpoint: "t".parse().unwrap(),
-            running: 4,
-            reading: 0,
-            memory: 0,
+        domain_usage: vec![DomainUsage {
+            domain: "south".parse().unwrap(),
+            age_ms: 70,
+            usage: vec![EndpointUsage {
+                endpoint: "t".parse().unwrap(),
+                running: 4,
+                reading: 0,
+                memory: 0,
+            }],
         }],
         totals: vec![ServiceTotals {
             service: "s".parse().unwrap(),
--- a/tests/usage.rs
+++ b/tests/usage.rs
@@ -5,10 +5,12 @@
 
 use std::net::SocketAddr;
 
-use fixtures::{STREAMS, World};
+use fixtures::{QUOTES, STREAMS, World};
 use magpiemoor::gateway::dispatch::action::Action;
-use magpiemoor::gateway::dispatch::event::Event;
-use magpiemoor::schema::{BoxState, EndpointId, EndpointUsage, Incarnation, UsageNews};
+use magpiemoor::gateway::dispatch::event::{Event, Outcome};
+use magpiemoor::schema::{
+    BoxState, DomainUsage, EndpointAnswers, EndpointId, EndpointUsage, Incarnation, UsageNews,
+};
 use rstest::rstest;
 
 fn usage(endpoint: &str, running: u32, reading: u32) -> EndpointUsage {
@@ -174,3 +176,103 @@
     }
     assert!(near > far && far > 0, "{near} near, {far} far");
 }
+
+#[test]
+fn calls_at_plain_services_are_told_when_they_begin_and_when_they_end() {
+    let mut world = World::ready();
+    world.handle(state("box-2", "north", 7_200, Vec::new()));
+    let (request, attempt) = world.arrive(QUOTES);
+    let attempt = attempt.unwrap();
+    let begun = told(&world.run(5));
+    assert_eq!(begun.len(), 1, "{begun:?}");
+    assert_eq!(begun[0].1.usage[0].running, 1);
+    world.end(request, attempt.attempt, Outcome::Answered { status: 200 });
+    let ended = told(&world.run(5));
+    assert_eq!(ended.len(), 1, "{ended:?}");
+    assert_eq!(ended[0].1.usage[0].running, 0);
+    let answers = &ended[0].1.answers;
+    assert_eq!((answers[0].served, answers[0].failed), (1, 0));
+}
+
+/// 84 requests a second on a box of 25 peers would make 2,000 datagrams a second.
+#[test]
+fn news_of_attempts_keep_to_a_rate() {
+    let mut world = World::ready();
+    for number in 0..24 {
+        let from = format!("box-{}", number + 2);
+        world.handle(state(&from, "north", 7_300 + number, Vec::new()));
+    }
+    let mut datagrams = 0;
+    for _ in 0..84 {
+        let (request, attempt) = world.arrive(QUOTES);
+        datagrams += told(&world.run(6))
+            .iter()
+            .map(|(to, _)| to.len())
+            .sum::<usize>();
+        let attempt = attempt.unwrap().attempt;
+        world.end(request, attempt, Outcome::Answered { status: 200 });
+        datagrams += told(&world.run(6))
+            .iter()
+            .map(|(to, _)| to.len())
+            .sum::<usize>();
+    }
+    // 300 a second, and a burst of four messages.
+    assert!((250..=400).contains(&datagrams), "{datagrams}");
+}
+
+fn far(from: &str, domain: &str, age_ms: u32, running: u32) -> Event {
+    let Event::Peer(mut state) = state(from, "south", 7_400, Vec::new()) else {
+        unreachable!("it is a state");
+    };
+    state.domain_usage = vec![DomainUsage {
+        domain: domain.parse().unwrap(),
+        age_ms,
+        usage: vec![EndpointUsage {
+            memory: 0,
+            ..usage("till-s1", running, 0)
+        }],
+    }];
+    Event::Peer(state)
+}
+
+#[test]
+fn the_newest_sum_of_another_domain_counts_whoever_tells_it() {
+    let mut world = World::ready();
+    world.run(1_000);
+    world.handle(far("box-7", "south", 0, 5));
+    world.handle(far("box-8", "south", 300, 2));
+    assert_eq!(running_at(&world, "till-s1").0, 5);
+    world.run(200);
+    world.handle(far("box-8", "south", 10, 3));
+    assert_eq!(running_at(&world, "till-s1").0, 3);
+    // What is told of the own domain is counted by its boxes' own accounts.
+    world.handle(far("box-9", "north", 0, 4));
+    assert_eq!(running_at(&world, "till-s1").0, 3);
+}
+
+#[test]
+fn a_server_that_fails_for_other_boxes_is_left_alone() {
+    let mut world = World::ready();
+    let answers = |endpoint: &str, served, failed| EndpointAnswers {
+        endpoint: endpoint.parse().unwrap(),
+        served,
+        failed,
+    };
+    let first = |world: &mut World| world.arrive(QUOTES).1.unwrap().endpoint;
+    // One error in five answers of the same service everywhere is no fault of a server.
+    let told = |near, far| {
+        Event::PeerUsage(UsageNews {
+            from: "box-2".parse().unwrap(),
+            usage: Vec::new(),
+            answers: vec![near, far],
+            totals: Vec::new(),
+        })
+    };
+    world.handle(told(answers("till-n1", 16, 4), answers("till-s1", 16, 4)));
+    assert_eq!(first(&mut world).as_str(), "till-n1");
+    world.handle(told(answers("till-n1", 12, 8), answers("till-s1", 20, 0)));
+    world.handle(told(answers("till-n1", 12, 8), answers("till-s1", 20, 0)));
+    assert_eq!(first(&mut world).as_str(), "till-s1");
+    world.run(9_000);
+    assert_eq!(first(&mut world).as_str(), "till-n1", "it is tried again");
+}
