--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -274,6 +274,14 @@
         self.requests.len() + self.held_back.len()
     }
 
+    /// How many boxes run, as far as this one knows and with it: in its failure domain, and in all.
+    #[must_use]
+    pub fn known_boxes(&self) -> (usize, usize) {
+        let roster = self.peers.roster();
+        let near = roster.domain_size(self.now);
+        (near, near + roster.boxes_of_others())
+    }
+
     /// What is believed of the endpoints.
     #[must_use]
     pub fn fleet(&self) -> &Fleet {
--- a/src/gateway/dispatch/roster.rs
+++ b/src/gateway/dispatch/roster.rs
@@ -151,7 +151,8 @@
     }
 
     /// How many boxes run in other domains.
-    fn boxes_of_others(&self) -> usize {
+    #[must_use]
+    pub fn boxes_of_others(&self) -> usize {
         self.sizes.values().map(|size| size.boxes).sum()
     }
 
--- a/src/gateway/shell/control.rs
+++ b/src/gateway/shell/control.rs
@@ -79,6 +79,7 @@
             event,
             Event::Table(_) | Event::EndpointsListed { .. } | Event::Stop { .. }
         );
+        let is_tick = matches!(event, Event::Tick);
         let was_ready = self.dispatcher.is_ready();
         let actions = self.dispatcher.handle(self.shared.clock.now(), event);
         for action in actions {
@@ -89,6 +90,16 @@
                 .set_table(self.dispatcher.table().cloned(), self.dispatcher.is_ready());
         }
         self.shared.set_active(self.dispatcher.active());
+        if is_tick {
+            self.count_boxes();
+        }
+    }
+
+    fn count_boxes(&self) {
+        let (near, all) = self.dispatcher.known_boxes();
+        let gauge = |boxes| i64::try_from(boxes).unwrap_or(i64::MAX);
+        self.shared.metrics.boxes_near.set(gauge(near));
+        self.shared.metrics.boxes.set(gauge(all));
     }
 
     fn perform(&mut self, action: Action) {
--- a/src/gateway/shell/metrics.rs
+++ b/src/gateway/shell/metrics.rs
@@ -7,6 +7,7 @@
 
 use crate::gateway::dispatch::fetches::FetchKind;
 use crate::gateway::dispatch::record::{FETCH_BUSY, FETCHED_WHOLE, Record};
+use crate::gateway::shell::watcher::StoreRequest;
 use crate::metrics::MetricSet;
 
 /// Upper bounds of the buckets for what callers, the store and losses take, in seconds. Chosen
@@ -21,8 +22,11 @@
     set: MetricSet,
     /// Requests that are served.
     pub active: IntGauge,
-    /// Calls to the platform's store.
-    pub store_calls: IntCounter,
+    /// Running boxes of the own failure domain that are known, this one with them.
+    pub boxes_near: IntGauge,
+    /// Running boxes of all failure domains that are known, this one with them.
+    pub boxes: IntGauge,
+    store_calls: IntCounterVec,
     /// Probes of endpoints.
     pub probes: IntCounter,
     /// Requests that got no answer of an endpoint.
@@ -60,7 +64,19 @@
         let times = |name: &str, help: &str| set.times(name, help, &CALLER_TIME_BUCKETS);
         Self {
             active: set.gauge("requests_active", "Requests that are served"),
-            store_calls: set.counter("store_calls_total", "Calls to the platform's store"),
+            boxes_near: set.gauge(
+                "boxes_near",
+                "Running boxes of the own failure domain that are known",
+            ),
+            boxes: set.gauge(
+                "boxes",
+                "Running boxes of all failure domains that are known",
+            ),
+            store_calls: set.counters(
+                "store_calls_total",
+                "Calls to the platform's store, by what was asked",
+                "kind",
+            ),
             probes: set.counter("probes_total", "Probes of endpoints"),
             refused: set.counter("refused_total", "Requests that no endpoint answered"),
             first_event_seconds: times(
@@ -176,6 +192,16 @@
         }
     }
 
+    /// Calls to the platform's store that ask for something.
+    #[must_use]
+    pub fn store_calls_of(&self, request: &StoreRequest) -> IntCounter {
+        let word = match request {
+            StoreRequest::List { .. } => "list",
+            StoreRequest::Watch { .. } => "watch",
+        };
+        self.store_calls.with_label_values(&[word])
+    }
+
     /// Bytes that peers sent when asked for something.
     #[must_use]
     pub fn peer_bytes_of(&self, kind: FetchKind) -> IntCounter {
--- a/src/gateway/shell/store.rs
+++ b/src/gateway/shell/store.rs
@@ -134,7 +134,7 @@
                 true,
             ),
         };
-        shared.metrics.store_calls.inc();
+        shared.metrics.store_calls_of(request).inc();
         let began = Instant::now();
         let got = tokio::time::timeout(LONGEST_ANSWER, self.get(&path, head_limit, shared)).await;
         if !is_watch {
--- a/tests/gateway_metrics.rs
+++ b/tests/gateway_metrics.rs
@@ -4,6 +4,7 @@
 use magpiemoor::gateway::dispatch::refusal::RefusalReason;
 use magpiemoor::gateway::shell::faults::{FaultKind, Faults};
 use magpiemoor::gateway::shell::metrics::GatewayMetrics;
+use magpiemoor::gateway::shell::watcher::StoreRequest;
 use rstest::rstest;
 
 fn sent(attempt: u32, from_backup: bool) -> Record {
@@ -131,3 +132,17 @@
         assert!(text.contains(&line), "{line} is not in {text}");
     }
 }
+
+#[test]
+fn calls_to_the_store_are_told_apart() {
+    let metrics = GatewayMetrics::new();
+    metrics
+        .store_calls_of(&StoreRequest::List { after: None })
+        .inc();
+    metrics.store_calls_of(&StoreRequest::Watch { at: 7 }).inc();
+    let text = String::from_utf8(metrics.set().text()).unwrap();
+    for kind in ["list", "watch"] {
+        let line = format!("magpiemoor_gateway_store_calls_total{{kind=\"{kind}\"}} 1");
+        assert!(text.contains(&line), "{text}");
+    }
+}
