Lists of endpoints go packed between boxes

Change: the list is deflated once for all that ask. The test of an endpoint that goes reads the packed entries.

--- a/src/gateway/shell/shared.rs
+++ b/src/gateway/shell/shared.rs
@@ -265,8 +265,11 @@
     }
 
     /// What a peer asks for.
-    #[must_use]
-    pub fn state_for(&self, wanted: &StateRequest) -> StateReply {
+    ///
+    /// # Errors
+    ///
+    /// If the list of endpoints is too long to be packed.
+    pub fn state_for(&self, wanted: &StateRequest) -> std::io::Result<StateReply> {
         let cache = self
             .store_cache
             .read()
@@ -275,8 +278,8 @@
             .table
             .as_ref()
             .filter(|kept| kept.version.0 > wanted.table_after);
-        let (endpoints, is_whole) = cache.since(wanted.endpoints_after);
-        StateReply {
+        let (endpoints, is_whole) = cache.packed_since(wanted.endpoints_after)?;
+        Ok(StateReply {
             is_busy: false,
             table: newer.map(|kept| PackedTable {
                 age_ms: u32::try_from(kept.age().as_millis()).unwrap_or(u32::MAX),
@@ -286,7 +289,7 @@
             endpoints,
             endpoints_at: cache.endpoints_at,
             is_whole,
-        }
+        })
     }
 
     fn write_cache(&self) -> std::sync::RwLockWriteGuard<'_, StoreCache> {
--- a/src/gateway/shell/store_cache.rs
+++ b/src/gateway/shell/store_cache.rs
@@ -2,15 +2,18 @@
 //!
 //! Owns: the last table, packed; the list of endpoints, and which of them changed at which
 //! revision. A peer that is behind by no more than [`CHANGES_KEPT`] changes gets those, another one
-//! the whole list.
+//! the whole list, packed: 326 endpoints are some 90 KB of text, and at 20 Mbit/s it took 0.28 s
+//! until the median box of 59 had them all from the two that read the store.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io::{Error, Result};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use crate::gateway::dispatch::table::TableVersion;
 use crate::gateway::shell::dialect::Entry;
 use crate::gateway::shell::packed::PackedText;
-use crate::schema::StateEntry;
+use crate::schema::{PackedEntries, StateEntry};
 
 /// A configuration that was read.
 #[derive(Clone, Debug)]
@@ -42,6 +45,8 @@
     changes: VecDeque<(u64, String)>,
     /// The revision after which all changes are kept.
     changes_after: u64,
+    /// The whole list at a revision, packed.
+    whole: Mutex<Option<(u64, PackedEntries)>>,
 }
 
 /// How many changes of the list of endpoints are kept for peers. Chosen, not measured.
@@ -96,17 +101,17 @@
         true
     }
 
-    /// What has changed after a revision, or all there is; and which of the two.
-    pub(super) fn since(&self, after: u64) -> (Vec<StateEntry>, bool) {
+    /// What has changed after a revision, or all there is, packed; and which of the two.
+    ///
+    /// # Errors
+    ///
+    /// If it is too long.
+    pub(super) fn packed_since(&self, after: u64) -> Result<(PackedEntries, bool)> {
         if after >= self.endpoints_at {
-            return (Vec::new(), false);
+            return Ok((pack(&[])?, false));
         }
         if after < self.changes_after {
-            let all = self.endpoints.iter().map(|(name, text)| StateEntry {
-                name: name.clone(),
-                text: Some(text.clone()),
-            });
-            return (all.collect(), true);
+            return Ok((self.packed_whole()?, true));
         }
         let newer = self.changes.iter().filter(|(at, _)| *at > after);
         let names: BTreeSet<&String> = newer.map(|(_, name)| name).collect();
@@ -114,6 +119,48 @@
             name: name.clone(),
             text: self.endpoints.get(name).cloned(),
         });
-        (changed.collect(), false)
+        Ok((pack(&changed.collect::<Vec<_>>())?, false))
     }
+
+    /// The whole list, packed once for all that ask before it changes.
+    fn packed_whole(&self) -> Result<PackedEntries> {
+        let mut kept = self
+            .whole
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        if let Some((at, packed)) = &*kept
+            && *at == self.endpoints_at
+        {
+            return Ok(packed.clone());
+        }
+        let all = self.endpoints.iter().map(|(name, text)| StateEntry {
+            name: name.clone(),
+            text: Some(text.clone()),
+        });
+        let packed = pack(&all.collect::<Vec<_>>())?;
+        *kept = Some((self.endpoints_at, packed.clone()));
+        Ok(packed)
+    }
+}
+
+fn pack(entries: &[StateEntry]) -> Result<PackedEntries> {
+    let text = serde_json::to_string(entries).map_err(Error::other)?;
+    let packed = PackedText::pack(&text)?;
+    Ok(PackedEntries {
+        text_bytes: packed.text_bytes,
+        packed: packed.bytes.to_vec(),
+    })
+}
+
+/// Reads entries that a peer packed.
+///
+/// # Errors
+///
+/// If they are no packed entries.
+pub fn unpack(packed: PackedEntries) -> Result<Vec<StateEntry>> {
+    let text = PackedText {
+        text_bytes: packed.text_bytes,
+        bytes: packed.packed.into(),
+    };
+    serde_json::from_str(&text.unpack()?).map_err(Error::other)
 }
--- a/src/gateway/shell/transfer.rs
+++ b/src/gateway/shell/transfer.rs
@@ -26,8 +26,8 @@
 use crate::gateway::shell::peers::SOCKET_PAUSE;
 use crate::gateway::shell::table_reader::{self, TableSource, TableText};
 use crate::gateway::shell::watcher::StoreChange;
-use crate::gateway::shell::{GatewayShared, store};
-use crate::schema::{StateReply, StateRequest};
+use crate::gateway::shell::{GatewayShared, store, store_cache};
+use crate::schema::{PackedEntries, StateReply, StateRequest};
 
 /// The longest message by TCP.
 const LONGEST_MESSAGE: u32 = 16 << 20;
@@ -108,15 +108,19 @@
         };
         table_reader::take_table(TableText::Packed(text), source, shared).await;
     }
-    let entries: Vec<Entry> = reply
-        .endpoints
-        .into_iter()
-        .map(|entry| Entry {
+    if reply.endpoints_at > wanted.endpoints_after {
+        let entries = match store_cache::unpack(reply.endpoints) {
+            Ok(entries) => entries,
+            Err(e) => {
+                let detail = format_args!("endpoints from {from}: {e}");
+                return shared.faults.note(FaultKind::PeerFetch, &detail);
+            }
+        };
+        let entries = entries.into_iter().map(|entry| Entry {
             name: entry.name,
             text: entry.text,
-        })
-        .collect();
-    if reply.endpoints_at > wanted.endpoints_after {
+        });
+        let entries = entries.collect();
         let change = if reply.is_whole {
             StoreChange::Listed(entries)
         } else {
@@ -186,7 +190,7 @@
     } else {
         &room.lists
     };
-    let reply = encode(&shared.state_for(&wanted))?;
+    let reply = encode(&shared.state_for(&wanted)?)?;
     let kilobytes = u32::try_from(reply.len() >> 10).unwrap_or(u32::MAX);
     let Ok(_room) = of_kind.try_acquire_many(kilobytes.min(KILOBYTES_ON_THE_WAY)) else {
         return write(&mut socket, &encode(&busy())?).await;
@@ -201,7 +205,10 @@
     StateReply {
         is_busy: true,
         table: None,
-        endpoints: Vec::new(),
+        endpoints: PackedEntries {
+            text_bytes: 0,
+            packed: Vec::new(),
+        },
         endpoints_at: 0,
         is_whole: false,
     }
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -1720,6 +1720,15 @@
     pub subscription: u64,
     pub tokens: ::std::vec::Vec<Token>,
 }
+///Entries of the list of endpoints on their way between boxes of the gateway.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PackedEntries {
+    ///A JSON array of StateEntry, deflated (RFC 1951).
+    pub packed: ::std::vec::Vec<u8>,
+    ///Bytes of their text.
+    pub text_bytes: u32,
+}
 ///A configuration on its way between boxes of the gateway.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -2681,8 +2690,7 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct StateReply {
-    ///Entries of the list of endpoints that have changed, or all of them.
-    pub endpoints: ::std::vec::Vec<StateEntry>,
+    pub endpoints: PackedEntries,
     ///The revision at which the list changed last.
     pub endpoints_at: u64,
     ///Whether it answers as many boxes as it can, so that this one has to ask another; the rest is empty then.
--- a/tests/gateway_parts.rs
+++ b/tests/gateway_parts.rs
@@ -14,7 +14,7 @@
 use magpiemoor::gateway::shell::watcher::{StoreAnswer, StoreChange, StoreRequest, Watcher};
 use magpiemoor::schema::{
     BoxState, DomainSize, DomainUsage, EndpointAnswers, EndpointUsage, GatewaySettingsFile,
-    Incarnation, PackedTable, PeerAddress, RunningBox, ServiceTotals, StateEntry, StateReply,
+    Incarnation, PackedEntries, PackedTable, PeerAddress, RunningBox, ServiceTotals, StateReply,
     StateRequest, StoreReader, UsageNews,
 };
 use magpiemoor::settings::file::parse_as;
@@ -275,10 +275,10 @@
             text_bytes: 7,
             packed: vec![0, 255, 3],
         }),
-        endpoints: vec![StateEntry {
-            name: "x".to_owned(),
-            text: None,
-        }],
+        endpoints: PackedEntries {
+            text_bytes: 2,
+            packed: vec![1, 2],
+        },
         endpoints_at: 9,
         is_whole: false,
     };
