--- a/src/gateway/dispatch/placement/costs.rs
+++ b/src/gateway/dispatch/placement/costs.rs
@@ -8,7 +8,7 @@
 //! | [`PLAIN_RUNNING`] | 10 | one call at a plain service delays the next by less than a hop to another domain |
 //! | [`TIE_BREAK_PLAIN`] | 15 | sets apart servers that differ by one call; must not outweigh a domain |
 //! | [`ENGINE_RUNNING`] | 30 | one stream slows another a little, less than any prefill |
-//! | [`OTHER_DOMAIN_PLAIN`] | 70 | a free slot of the own domain, known by the ms, is worth more than one elsewhere, known by tenths of a second |
+//! | [`OTHER_DOMAIN_PLAIN`] | 40 | a hop to another domain is worth avoiding four running calls |
 //! | [`TIE_BREAK`] | 100 | sets apart engines that differ by three streams or less; must not outweigh a domain |
 //! | [`OTHER_DOMAIN_ENGINE`] | 300 | bytes between domains are dear, but less so than a third of a prefill |
 //! | [`FAILING`] | 1,500 | an endpoint that fails everything costs a second attempt, and more than waiting for a prompt |
@@ -27,9 +27,8 @@
 pub const PLAIN_RUNNING: f64 = 10.0;
 /// What an engine of another failure domain costs.
 pub const OTHER_DOMAIN_ENGINE: f64 = 300.0;
-/// What a plain service of another failure domain costs: more than six running calls, the slots of
-/// the users' plain servers.
-pub const OTHER_DOMAIN_PLAIN: f64 = 70.0;
+/// What a plain service of another failure domain costs.
+pub const OTHER_DOMAIN_PLAIN: f64 = 40.0;
 /// What an endpoint without a free slot costs.
 pub const FULL: f64 = 2_000.0;
 /// What an endpoint costs that failed all its requests lately; one that failed a part of them costs
