Failing engines are no hosts of replicas; the reserve of retries is known 0.6 s after a start

With the roster, no box had a part of the reserve for 2 s after a loss of power, when retries are needed most; boxes know each other after 0.5 s. Test: a mirror at a failing engine (fails without the change).

--- a/src/gateway/dispatch/placement.rs
+++ b/src/gateway/dispatch/placement.rs
@@ -66,15 +66,12 @@
         demand: Demand<'_>,
         now: Micros,
     ) -> Option<&'a Endpoint> {
-        let least = fleet.least_failing(demand.service, now);
+        let weighing = Weighing::new(fleet, demand, now);
         let costs = fleet
             .of_service(demand.service)
             .filter(|e| e.takes_work() && !demand.tried.contains(&e.spec.id))
             .filter(|e| !fleet.is_unreachable(e, now))
-            .map(|e| {
-                let failing = e.standing.failing_beyond(least, now) * costs::FAILING;
-                (self.cost(fleet, e, demand, now) + failing, e)
-            });
+            .map(|e| (self.cost(&weighing, e), e));
         costs
             .min_by(|(a, _), (b, _)| a.total_cmp(b))
             .map(|(_, endpoint)| endpoint)
@@ -90,6 +87,7 @@
         first: &Endpoint,
         now: Micros,
     ) -> Option<&'a Endpoint> {
+        let weighing = Weighing::new(fleet, demand, now);
         let costs = fleet
             .of_service(demand.service)
             .filter(|e| {
@@ -99,7 +97,7 @@
                     && !fleet.is_unreachable(e, now)
                     && e.spec.id != first.spec.id
             })
-            .map(|e| (self.mirror_cost(fleet, e, demand, first, now), e));
+            .map(|e| (self.mirror_cost(&weighing, e, first), e));
         costs
             .min_by(|(a, _), (b, _)| a.total_cmp(b))
             .filter(|(cost, _)| *cost < costs::AVOIDED)
@@ -116,36 +114,33 @@
         stands: impl Fn(&Endpoint) -> bool,
         now: Micros,
     ) -> Option<&'a Endpoint> {
+        let weighing = Weighing::new(fleet, demand, now);
         let others = fleet
             .of_service(demand.service)
             .filter(|e| e.spec.id != engine.spec.id && stands(e));
-        let costs = others.map(|e| (self.cost(fleet, e, demand, now), e));
+        let costs = others.map(|e| (self.cost(&weighing, e), e));
         costs
             .min_by(|(a, _), (b, _)| a.total_cmp(b))
             .filter(|(cost, _)| *cost < costs::NO_MEMORY)
             .map(|(_, endpoint)| endpoint)
     }
 
-    fn mirror_cost(
-        &self,
-        fleet: &Fleet,
-        endpoint: &Endpoint,
-        demand: Demand<'_>,
-        first: &Endpoint,
-        now: Micros,
-    ) -> f64 {
+    fn mirror_cost(&self, weighing: &Weighing<'_>, endpoint: &Endpoint, first: &Endpoint) -> f64 {
         let same = endpoint.spec.domain == first.spec.domain;
         let with_first = if same {
             costs::SAME_DOMAIN_AS_ATTEMPT
         } else {
             0.0
         };
-        let tried = demand.tried.contains(&endpoint.spec.id);
+        let tried = weighing.demand.tried.contains(&endpoint.spec.id);
         let again = if tried { costs::AVOIDED } else { 0.0 };
-        self.cost(fleet, endpoint, demand, now) + with_first + again
+        self.cost(weighing, endpoint) + with_first + again
     }
 
-    fn cost(&self, fleet: &Fleet, endpoint: &Endpoint, demand: Demand<'_>, now: Micros) -> f64 {
+    fn cost(&self, weighing: &Weighing<'_>, endpoint: &Endpoint) -> f64 {
+        let Weighing {
+            fleet, demand, now, ..
+        } = *weighing;
         let usage = fleet.usage(endpoint, now);
         let work = match demand.engine {
             Some(engine) => {
@@ -168,7 +163,7 @@
             (true, None) => costs::OTHER_DOMAIN_PLAIN,
         };
         work + distance
-            + standing_cost(fleet, endpoint, usage.running, now)
+            + weighing.standing_cost(endpoint, usage.running)
             + tie_break(demand, &endpoint.spec.id)
     }
 
@@ -187,19 +182,42 @@
     }
 }
 
-/// What an endpoint costs whatever the request.
-fn standing_cost(fleet: &Fleet, endpoint: &Endpoint, running: u32, now: Micros) -> f64 {
-    let spec = &endpoint.spec;
-    let mut cost = 0.0;
-    if running >= spec.slots {
-        cost += costs::FULL;
+/// What endpoints are weighed by.
+#[derive(Clone, Copy, Debug)]
+struct Weighing<'a> {
+    fleet: &'a Fleet,
+    demand: Demand<'a>,
+    /// The least share that fails at an endpoint of the service.
+    least_failing: f64,
+    now: Micros,
+}
+
+impl<'a> Weighing<'a> {
+    fn new(fleet: &'a Fleet, demand: Demand<'a>, now: Micros) -> Self {
+        Self {
+            fleet,
+            demand,
+            least_failing: fleet.least_failing(demand.service, now),
+            now,
+        }
     }
-    if endpoint.is_avoided(now) {
-        cost += costs::AVOIDED;
-    } else if fleet.is_suspected(endpoint, now) {
-        cost += costs::SUSPECTED;
+
+    /// What an endpoint costs whatever the request.
+    fn standing_cost(&self, endpoint: &Endpoint, running: u32) -> f64 {
+        let failing = endpoint
+            .standing
+            .failing_beyond(self.least_failing, self.now);
+        let mut cost = failing * costs::FAILING;
+        if running >= endpoint.spec.slots {
+            cost += costs::FULL;
+        }
+        if endpoint.is_avoided(self.now) {
+            cost += costs::AVOIDED;
+        } else if self.fleet.is_suspected(endpoint, self.now) {
+            cost += costs::SUSPECTED;
+        }
+        cost
     }
-    cost
 }
 
 /// Tie-breaking jitter per request and endpoint.
--- a/src/gateway/dispatch/roster.rs
+++ b/src/gateway/dispatch/roster.rs
@@ -34,7 +34,7 @@
 const MOST_FOR: Duration = Duration::from_secs(10);
 /// How long a box that starts and hears others takes their number for unknown: by then it knows all
 /// that run (`tests/large_fleet.rs`).
-const SETTLED_AFTER: Duration = Duration::from_secs(2);
+const SETTLED_AFTER: Duration = Duration::from_millis(600);
 
 #[derive(Clone, Copy, Debug)]
 struct Beat {
--- a/src/gateway/placement_report.rs
+++ b/src/gateway/placement_report.rs
@@ -197,54 +197,64 @@
         else {
             return;
         };
-        for endpoint in self.endpoints.values_mut() {
-            endpoint.runs.retain(|_, run| now - run.since < LONGEST_RUN);
-        }
-        let has_prompt = self.prompts.get(request).is_some_and(|tokens| *tokens > 0);
-        let reads_prompt = has_prompt && !from_backup;
         let chosen = self.endpoints.entry(id.clone()).or_default();
         chosen.service.clone_from(service);
         chosen.domain.clone_from(domain);
         chosen.slots = *slots as usize;
-        let running = chosen.running();
-        let (is_full, is_beside) = (running >= chosen.slots, chosen.reads_prompt());
-        let home = if *is_near { Some(domain) } else { None };
-        let home = home.or_else(|| self.domains.get(r#box));
-        let is_home = |endpoint: &Endpoint| home.is_some_and(|home| endpoint.domain == *home);
-        let others = || {
-            let others = self.endpoints.iter();
-            let others = others.filter(|(other, e)| **other != *id && e.service == *service);
-            others.map(|(_, e)| e).filter(|e| e.is_there(now))
+        chosen.runs.retain(|_, run| now - run.since < LONGEST_RUN);
+        let has_prompt = self.prompts.get(request).is_some_and(|tokens| *tokens > 0);
+        let reads_prompt = has_prompt && !from_backup;
+        let home = if *is_near {
+            Some(domain)
+        } else {
+            self.domains.get(r#box)
         };
-        let has_room = |e: &Endpoint| e.running() < e.slots;
+        let others = self.others(id, service, home, now);
         let placement = self.report.services.entry(service.clone()).or_default();
         placement.sent += 1;
         placement.near += u64::from(*is_near);
-        placement.running += running as f64;
         placement.running_believed += f64::from(*believed);
-        placement.full += u64::from(is_full);
-        if is_full && others().any(has_room) {
-            placement.full_with_room_elsewhere += 1;
-            let has_room_near = others().any(|e| is_home(e) && has_room(e));
-            placement.full_with_room_near += u64::from(has_room_near);
-        }
-        placement.prompts += u64::from(reads_prompt);
-        if reads_prompt && is_beside {
-            placement.beside_a_prompt += 1;
-            let has_idle_near = others().any(|e| is_home(e) && !e.reads_prompt());
-            placement.beside_a_prompt_with_room_near += u64::from(has_idle_near);
-        }
+        let Some(chosen) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        placement.count(chosen, others, reads_prompt);
         let run = Run {
             r#box: r#box.to_owned(),
             since: now,
             reads_prompt,
         };
-        if let Some(endpoint) = self.endpoints.get_mut(id) {
-            endpoint.runs.insert((request.clone(), *attempt), run);
+        chosen.runs.insert((request.clone(), *attempt), run);
+    }
+
+    /// What the endpoints of a service had to offer besides the chosen one.
+    fn others(&self, chosen: &str, service: &str, home: Option<&String>, now: f64) -> Others {
+        let mut found = Others::default();
+        let others = self
+            .endpoints
+            .iter()
+            .filter(|(id, e)| id.as_str() != chosen && e.service == service && e.is_there(now));
+        for (_, endpoint) in others {
+            let is_home = home.is_some_and(|home| endpoint.domain == *home);
+            let has_room = endpoint.running() < endpoint.slots;
+            found.has_room |= has_room;
+            found.has_room_near |= has_room && is_home;
+            found.reads_none_near |= is_home && !endpoint.reads_prompt();
         }
+        found
     }
 }
 
+/// What other endpoints had to offer.
+#[derive(Clone, Copy, Debug, Default)]
+struct Others {
+    /// One of them had a free slot.
+    has_room: bool,
+    /// One of the box's own failure domain had.
+    has_room_near: bool,
+    /// One of the box's own failure domain read no prompt.
+    reads_none_near: bool,
+}
+
 impl PlacementReport {
     /// The report as a table for a person.
     #[must_use]
@@ -274,6 +284,21 @@
 }
 
 impl ServicePlacement {
+    /// Counts an attempt at an endpoint, as that was before it.
+    fn count(&mut self, chosen: &Endpoint, others: Others, reads_prompt: bool) {
+        self.running += chosen.running() as f64;
+        if chosen.running() >= chosen.slots {
+            self.full += 1;
+            self.full_with_room_elsewhere += u64::from(others.has_room);
+            self.full_with_room_near += u64::from(others.has_room_near);
+        }
+        self.prompts += u64::from(reads_prompt);
+        if reads_prompt && chosen.reads_prompt() {
+            self.beside_a_prompt += 1;
+            self.beside_a_prompt_with_room_near += u64::from(others.reads_none_near);
+        }
+    }
+
     fn write(&self, text: &mut String) {
         let share = |part: u64, of: u64| 100.0 * part as f64 / of.max(1) as f64;
         let rows = [
--- a/tests/usage.rs
+++ b/tests/usage.rs
@@ -276,3 +276,27 @@
     world.run(9_000);
     assert_eq!(first(&mut world).as_str(), "till-n1", "it is tried again");
 }
+
+/// A mirror at an engine that fails is a mirror less.
+#[test]
+fn a_mirror_does_not_stand_at_an_engine_that_fails_for_other_boxes() {
+    let mut world = World::ready();
+    for (failing, sound) in [("engine-s1", 9_004), ("engine-s2", 9_003)] {
+        let answers = EndpointAnswers {
+            endpoint: failing.parse().unwrap(),
+            served: 0,
+            failed: 20,
+        };
+        world.handle(Event::PeerUsage(UsageNews {
+            from: "box-2".parse().unwrap(),
+            usage: Vec::new(),
+            answers: vec![answers],
+            totals: Vec::new(),
+        }));
+        let (request, attempt) = world.arrive(STREAMS);
+        let mirror = attempt.unwrap().mirror_to.unwrap();
+        assert_eq!(mirror.port(), sound);
+        world.handle(Event::CallerGone(request));
+        world.run(20_000);
+    }
+}
