--- a/src/gateway/dispatch/fleet.rs
+++ b/src/gateway/dispatch/fleet.rs
@@ -16,7 +16,7 @@
 use crate::gateway::dispatch::event::{EndpointChange, EndpointSpec};
 use crate::schema::{BoxState, DomainId, EndpointAnswers, EndpointId, Micros, ServiceId};
 use losses::Losses;
-use standing::Standing;
+use standing::{Answers, Failing, Standing};
 use usage::{PeerUsage, ToldUsage};
 
 pub use usage::Usage;
@@ -82,11 +82,22 @@
     }
 }
 
-/// Attempts by how they ended.
-#[derive(Clone, Copy, Debug, Default)]
-struct Answers {
-    served: u32,
-    failed: u32,
+/// How an attempt ended, as far as its endpoint is judged by it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum AnswerKind {
+    Served,
+    Error,
+    Broken,
+}
+
+impl From<&EndpointAnswers> for Answers {
+    fn from(told: &EndpointAnswers) -> Self {
+        Self {
+            served: told.served.into(),
+            errors: told.errors.into(),
+            broken: told.broken.into(),
+        }
+    }
 }
 
 /// All endpoints.
@@ -97,7 +108,7 @@
     /// Endpoints that the list dropped or showed as leaving, and when.
     departed: BTreeMap<EndpointId, Micros>,
     /// How attempts of this box ended that peers have not been told of.
-    untold: BTreeMap<EndpointId, Answers>,
+    untold: BTreeMap<EndpointId, EndpointAnswers>,
     /// What other failure domains run at plain services.
     domain_usage: BTreeMap<DomainId, ToldUsage>,
     is_known: bool,
@@ -227,46 +238,53 @@
         endpoint.heard = now;
         endpoint.failures = 0;
         endpoint.avoided_until = Micros::ZERO;
-        self.note_answer(id, true, now);
+        self.note_answer(id, AnswerKind::Served, now);
     }
 
     /// Counts how an attempt of this box ended.
-    fn note_answer(&mut self, id: &EndpointId, is_served: bool, now: Micros) {
+    fn note_answer(&mut self, id: &EndpointId, kind: AnswerKind, now: Micros) {
+        let count = |of| u32::from(of == kind);
+        let answers = EndpointAnswers {
+            endpoint: id.clone(),
+            served: count(AnswerKind::Served),
+            errors: count(AnswerKind::Error),
+            broken: count(AnswerKind::Broken),
+        };
         let Some(endpoint) = self.endpoints.get_mut(id) else {
             return;
         };
-        let (served, failed) = (u32::from(is_served), u32::from(!is_served));
-        endpoint.standing.add(served, failed, now);
-        let untold = self.untold.entry(id.clone()).or_default();
-        untold.served += served;
-        untold.failed += failed;
+        endpoint.standing.add((&answers).into(), now);
+        match self.untold.get_mut(id) {
+            Some(untold) => {
+                untold.served += answers.served;
+                untold.errors += answers.errors;
+                untold.broken += answers.broken;
+            }
+            None => {
+                self.untold.insert(id.clone(), answers);
+            }
+        }
     }
 
     /// How attempts of this box ended since this was asked last, to be told.
     pub fn take_untold(&mut self) -> Vec<EndpointAnswers> {
-        let untold = std::mem::take(&mut self.untold).into_iter();
-        let told = untold.map(|(endpoint, answers)| EndpointAnswers {
-            endpoint,
-            served: answers.served,
-            failed: answers.failed,
-        });
-        told.collect()
+        std::mem::take(&mut self.untold).into_values().collect()
     }
 
     /// Takes in how attempts of a peer ended.
     pub fn on_peer_answers(&mut self, answers: &[EndpointAnswers], now: Micros) {
         for told in answers {
             if let Some(endpoint) = self.endpoints.get_mut(&told.endpoint) {
-                endpoint.standing.add(told.served, told.failed, now);
+                endpoint.standing.add(told.into(), now);
             }
         }
     }
 
-    /// The least share of attempts that fails at an endpoint of a service.
+    /// The least shares of attempts that fail at an endpoint of a service.
     #[must_use]
-    pub fn least_failing(&self, service: &ServiceId, now: Micros) -> f64 {
+    pub fn least_failing(&self, service: &ServiceId, now: Micros) -> Failing {
         let shares = self.of_service(service).map(|e| e.standing.failing(now));
-        shares.fold(1.0, f64::min)
+        shares.fold(Failing::ALL, Failing::min)
     }
 
     /// Notes an answer that was no success, though the endpoint is there.
@@ -275,16 +293,13 @@
         if let Some(endpoint) = self.endpoints.get_mut(id) {
             endpoint.heard = now;
         }
-        self.note_answer(id, false, now);
+        self.note_answer(id, AnswerKind::Error, now);
     }
 
-    /// Takes in a peer's losses, what it runs if it is of the own failure domain, and what other
-    /// domains run.
+    /// Takes in a peer's losses, what it runs, and what other failure domains run.
     pub fn on_peer(&mut self, state: &BoxState, own: &DomainId, now: Micros) {
         self.on_peer_losses(&state.lost, now);
-        if state.domain == *own {
-            self.on_peer_state(&state.from, &state.usage, now);
-        }
+        self.on_peer_state(&state.from, &state.usage, now);
         self.on_domain_usage(&state.domain_usage, own, now);
     }
 }
--- a/src/gateway/dispatch/fleet/losses.rs
+++ b/src/gateway/dispatch/fleet/losses.rs
@@ -17,7 +17,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{Endpoint, Fleet};
+use super::{AnswerKind, Endpoint, Fleet};
 use crate::backoff::doubled;
 use crate::gateway::dispatch::event::EndpointSpec;
 use crate::schema::{DomainId, EndpointId, Micros, ServiceId};
@@ -151,7 +151,7 @@
 
     /// Notes that a connection to an endpoint broke or can't be made.
     pub fn on_failure(&mut self, id: &EndpointId, now: Micros) {
-        self.note_answer(id, false, now);
+        self.note_answer(id, AnswerKind::Broken, now);
         let Some(endpoint) = self.endpoints.get_mut(id) else {
             return;
         };
--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -127,14 +127,16 @@
     /// The state of this box, for boxes of a failure domain.
     fn state_for(&mut self, domain: &DomainId) -> BoxState {
         let now = self.now;
-        // What this box itself runs matters near it only, and bytes between domains are dear.
+        // Of plain services the sums over a domain matter elsewhere; of engines what this box runs
+        // there and mirrors to them, since mirrors stand in other domains and need memory there.
         let (usage, domain_usage, totals) = if *domain == self.cfg.domain {
             let usage = self.fleet.all_own_usage().collect();
             let others = self.fleet.usage_of_others(now);
             (usage, others, self.budget.totals(now))
         } else {
             let of_domain = self.fleet.usage_of_domain(&self.cfg.domain, now);
-            (Vec::new(), vec![of_domain], Vec::new())
+            let engines = self.fleet.all_own_usage().filter(|told| told.memory > 0);
+            (engines.collect(), vec![of_domain], Vec::new())
         };
         BoxState {
             from: self.cfg.me.clone(),
@@ -210,9 +212,8 @@
             self.tell(state);
         }
         let is_near = state.domain == self.cfg.domain;
-        if is_near {
-            self.store_watchers.on_contact(&mut self.rng, self.now);
-        }
+        self.store_watchers
+            .on_contact(is_near, &mut self.rng, self.now);
         self.fleet.on_peer(state, &self.cfg.domain, self.now);
         self.budget.on_told(&state.from, &state.totals, self.now);
         self.store_watchers.on_told(&state.readers, self.now);
--- a/src/gateway/dispatch/placement.rs
+++ b/src/gateway/dispatch/placement.rs
@@ -19,6 +19,7 @@
 use std::time::Duration;
 
 use crate::gateway::dispatch::event::Tokens;
+use crate::gateway::dispatch::fleet::standing::Failing;
 use crate::gateway::dispatch::fleet::usage::PREFILL_TOKENS_PER_MS;
 use crate::gateway::dispatch::fleet::{Endpoint, Fleet};
 use crate::gateway::dispatch::table::EngineSpec;
@@ -187,8 +188,8 @@
 struct Weighing<'a> {
     fleet: &'a Fleet,
     demand: Demand<'a>,
-    /// The least share that fails at an endpoint of the service.
-    least_failing: f64,
+    /// The least shares that fail at an endpoint of the service.
+    least_failing: Failing,
     now: Micros,
 }
 
@@ -204,10 +205,8 @@
 
     /// What an endpoint costs whatever the request.
     fn standing_cost(&self, endpoint: &Endpoint, running: u32) -> f64 {
-        let failing = endpoint
-            .standing
-            .failing_beyond(self.least_failing, self.now);
-        let mut cost = failing * costs::FAILING;
+        let failing = endpoint.standing.failing(self.now);
+        let mut cost = failing.beyond(self.least_failing) * costs::FAILING;
         if running >= endpoint.spec.slots {
             cost += costs::FULL;
         }
--- a/src/gateway/dispatch/store_watchers.rs
+++ b/src/gateway/dispatch/store_watchers.rs
@@ -46,9 +46,12 @@
 /// watchers: two rounds of first messages. Time until all of 295 boxes are ready after a loss of
 /// power, with at most four readers a domain: 380 ms, and 680 ms where all wait [`START_ALONE`]
 /// (`tests/large_fleet.rs`).
-const START_SETTLED: Duration = Duration::from_millis(120);
+const START_SETTLED: Duration = Duration::from_millis(50);
+/// The same once it has heard one of another domain, which may know none of its own yet: a domain of
+/// one or two boxes must not wait for others that don't come.
+const START_SETTLED_FAR: Duration = Duration::from_millis(100);
 /// By how much those waits differ, so that the first to ask can tell the others.
-const START_SPREAD: Duration = Duration::from_millis(100);
+const START_SPREAD: Duration = Duration::from_millis(60);
 /// How much longer each further box waits before it steps in for a watcher that is missing: a
 /// claim comes round meanwhile. Chosen, not measured.
 const STEP: Duration = Duration::from_millis(500);
@@ -83,6 +86,7 @@
     decide_at: Micros,
     has_decided: bool,
     has_contact: bool,
+    has_far_contact: bool,
     /// Since when too few boxes watch.
     lacking_since: Option<Micros>,
 }
@@ -102,6 +106,7 @@
             decide_at: now.after(START_ALONE + START_SPREAD.mul_f64(rng.random())),
             has_decided: false,
             has_contact: false,
+            has_far_contact: false,
         }
     }
 
@@ -117,11 +122,23 @@
         self.is_watching
     }
 
-    /// Notes that this box, which starts, has heard another one of its domain.
-    pub fn on_contact(&mut self, rng: &mut ChaCha8Rng, now: Micros) {
-        if !self.has_decided && !self.has_contact {
-            self.has_contact = true;
-            let at = now.after(START_SETTLED + START_SPREAD.mul_f64(rng.random()) / 2);
+    /// Notes that this box, which starts, has heard another one.
+    pub fn on_contact(&mut self, is_near: bool, rng: &mut ChaCha8Rng, now: Micros) {
+        if self.has_decided {
+            return;
+        }
+        let settled = if is_near {
+            START_SETTLED
+        } else {
+            START_SETTLED_FAR
+        };
+        let has_contact = if is_near {
+            &mut self.has_contact
+        } else {
+            &mut self.has_far_contact
+        };
+        if !std::mem::replace(has_contact, true) {
+            let at = now.after(settled + START_SPREAD.mul_f64(rng.random()) / 2);
             self.decide_at = self.decide_at.min(at);
         }
     }
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -326,7 +326,7 @@
     pub table_version: u64,
     ///What it has counted for services, for boxes of its own failure domain.
     pub totals: ::std::vec::Vec<ServiceTotals>,
-    ///What it runs, for boxes of its own failure domain.
+    ///What it runs: all of it for boxes of its own failure domain, at engines for others.
     pub usage: ::std::vec::Vec<EndpointUsage>,
 }
 ///Asks a peer for a bundle.
@@ -673,9 +673,11 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct EndpointAnswers {
+    ///Those whose connection or answer broke.
+    pub broken: u32,
     pub endpoint: EndpointId,
-    ///Those that failed, were refused, or had an error for an answer.
-    pub failed: u32,
+    ///Those that were refused, or had an error for an answer.
+    pub errors: u32,
     ///Those that were answered well.
     pub served: u32,
 }
--- a/tests/gateway_parts.rs
+++ b/tests/gateway_parts.rs
@@ -260,7 +260,8 @@
         answers: vec![EndpointAnswers {
             endpoint: "e".parse().unwrap(),
             served: 4,
-            failed: 1,
+            errors: 1,
+            broken: 2,
         }],
         totals: state.totals.clone(),
     };
--- a/tests/usage.rs
+++ b/tests/usage.rs
@@ -191,7 +191,8 @@
     assert_eq!(ended.len(), 1, "{ended:?}");
     assert_eq!(ended[0].1.usage[0].running, 0);
     let answers = &ended[0].1.answers;
-    assert_eq!((answers[0].served, answers[0].failed), (1, 0));
+    let ended = (answers[0].served, answers[0].errors, answers[0].broken);
+    assert_eq!(ended, (1, 0, 0));
 }
 
 /// 84 requests a second on a box of 25 peers would make 2,000 datagrams a second.
@@ -235,6 +236,27 @@
     Event::Peer(state)
 }
 
+/// A mirror stands in another domain and takes memory there, which the boxes there must know of.
+#[test]
+fn boxes_of_other_domains_are_told_of_engines_and_of_sums_of_plain_services() {
+    let mut world = World::ready();
+    world.handle(state("box-2", "south", 7_200, Vec::new()));
+    let attempt = world.arrive(STREAMS).1.unwrap();
+    world.arrive(QUOTES);
+    let told = world.run(600).into_iter().find_map(|action| match action {
+        Action::Gossip { state, .. } if state.members_of.as_str() == "south" => Some(*state),
+        _ => None,
+    });
+    let told = told.unwrap();
+    let engines: Vec<&str> = told.usage.iter().map(|u| u.endpoint.as_str()).collect();
+    assert!(engines.contains(&attempt.endpoint.as_str()), "{told:?}");
+    assert_eq!(engines.len(), 2, "the engine and the host of its mirror");
+    let sums = &told.domain_usage[0];
+    assert_eq!(sums.domain.as_str(), "north");
+    assert_eq!(sums.usage.len(), 1);
+    assert_eq!(sums.usage[0].running, 1);
+}
+
 #[test]
 fn the_newest_sum_of_another_domain_counts_whoever_tells_it() {
     let mut world = World::ready();
@@ -253,10 +275,11 @@
 #[test]
 fn a_server_that_fails_for_other_boxes_is_left_alone() {
     let mut world = World::ready();
-    let answers = |endpoint: &str, served, failed| EndpointAnswers {
+    let answers = |endpoint: &str, served, errors| EndpointAnswers {
         endpoint: endpoint.parse().unwrap(),
         served,
-        failed,
+        errors,
+        broken: 0,
     };
     let first = |world: &mut World| world.arrive(QUOTES).1.unwrap().endpoint;
     // One error in five answers of the same service everywhere is no fault of a server.
@@ -285,7 +308,8 @@
         let answers = EndpointAnswers {
             endpoint: failing.parse().unwrap(),
             served: 0,
-            failed: 20,
+            errors: 0,
+            broken: 20,
         };
         world.handle(Event::PeerUsage(UsageNews {
             from: "box-2".parse().unwrap(),
