--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -38,39 +38,7 @@
                 .about("Show how boxes stand")
                 .arg(boxes()),
         )
-        .subcommand(
-            Command::new("explain")
-                .about("Tell the story of a request from the decision logs of the boxes")
-                .arg(
-                    Arg::new("failed")
-                        .long("failed")
-                        .action(ArgAction::SetTrue)
-                        .help("List the requests that failed by cause; all words are then logs"),
-                )
-                .arg(
-                    Arg::new("streams")
-                        .long("streams")
-                        .action(ArgAction::SetTrue)
-                        .conflicts_with("failed")
-                        .help("Report how streams went over all requests; all words are then logs"),
-                )
-                .arg(
-                    Arg::new("placement")
-                        .long("placement")
-                        .action(ArgAction::SetTrue)
-                        .conflicts_with_all(["failed", "streams"])
-                        .help(
-                            "Report what boxes believed of endpoints when they placed attempts, and \
-                             who watched the store; all words are then logs",
-                        ),
-                )
-                .arg(
-                    Arg::new("words")
-                        .value_name("ID|LOG")
-                        .num_args(0..)
-                        .help("The request's id, then logs; without a log, standard input"),
-                ),
-        )
+        .subcommand(explain())
         .subcommand(
             Command::new("completions")
                 .about("Print completions for a shell")
@@ -82,6 +50,40 @@
         )
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Tell the story of a request from the decision logs of the boxes")
+        .arg(
+            Arg::new("failed")
+                .long("failed")
+                .action(ArgAction::SetTrue)
+                .help("List the requests that failed by cause; all words are then logs"),
+        )
+        .arg(
+            Arg::new("streams")
+                .long("streams")
+                .action(ArgAction::SetTrue)
+                .conflicts_with("failed")
+                .help("Report how streams went over all requests; all words are then logs"),
+        )
+        .arg(
+            Arg::new("placement")
+                .long("placement")
+                .action(ArgAction::SetTrue)
+                .conflicts_with_all(["failed", "streams"])
+                .help(
+                    "Report what boxes believed of endpoints when they placed attempts, and \
+                     who watched the store; all words are then logs",
+                ),
+        )
+        .arg(
+            Arg::new("words")
+                .value_name("ID|LOG")
+                .num_args(0..)
+                .help("The request's id, then logs; without a log, standard input"),
+        )
+}
+
 fn bundle() -> Command {
     Command::new("bundle")
         .about("Check, sign and roll bundles")
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -198,11 +198,28 @@
                 attempt,
                 outcome,
             } => self.on_ended(request, attempt, &outcome),
-            Event::Probed {
-                endpoint,
-                is_answered,
-                born,
-            } => self.on_probed(&endpoint, is_answered, born),
+            Event::Tick => self.on_tick(),
+            Event::Stop { grace } => self.ends_at = Some(self.now.after(grace)),
+            Event::Table(_)
+            | Event::EndpointsListed { .. }
+            | Event::EndpointsChanged { .. }
+            | Event::StoreAnswered
+            | Event::Peer(_)
+            | Event::PeerUsage(_)
+            | Event::Fetched { .. }
+            | Event::Seeds(_) => self.handle_news(event),
+            Event::Probed { .. }
+            | Event::Named { .. }
+            | Event::Identified(_)
+            | Event::Located { .. }
+            | Event::SnapshotTaken { .. } => self.handle_answer(event),
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// What the store, peers and the settings tell.
+    fn handle_news(&mut self, event: Event) {
+        match event {
             Event::Table(table) => self.on_table(table),
             Event::EndpointsListed {
                 specs,
@@ -221,8 +238,18 @@
                 outcome,
             } => self.on_fetched(kind, from, outcome),
             Event::Seeds(seeds) => self.peers.set_seeds(&seeds),
-            Event::Tick => self.on_tick(),
-            Event::Stop { grace } => self.ends_at = Some(self.now.after(grace)),
+            _ => {}
+        }
+    }
+
+    /// What endpoints answer beside requests.
+    fn handle_answer(&mut self, event: Event) {
+        match event {
+            Event::Probed {
+                endpoint,
+                is_answered,
+                born,
+            } => self.on_probed(&endpoint, is_answered, born),
             Event::Named {
                 endpoint,
                 instance,
@@ -236,8 +263,8 @@
                 host,
                 name,
             } => self.on_snapshot_taken(request, attempt, &host, name),
+            _ => {}
         }
-        std::mem::take(&mut self.actions)
     }
 
     /// Notes a time in which this box stood still: it could hear nobody, so what it knows of other
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -14,6 +14,7 @@
 use super::Dispatcher;
 use super::action::{Attempt, Command};
 use super::event::{AttemptNumber, EndpointSpec, RequestNumber};
+use super::fleet::Usage;
 use super::placement::ATTEMPT_CONNECT_LIMIT;
 use super::record::Record;
 use super::refusal::{HasRun, Refusal, RefusalReason};
@@ -108,25 +109,39 @@
             longest_rest: longest_rest(request),
         };
         let mirror = mirror.map(|(host, _)| host);
-        self.record(Record::Sent {
+        let backup = mirror.as_ref().map(|host| host.id.to_string());
+        let sent = self.sent(request, &attempt, &spec, backup, usage);
+        self.record(sent);
+        self.fleet.on_sending(&spec, now);
+        self.count_attempt(number, &attempt, mirror);
+        self.report_usage_soon(to);
+        self.command(number, Command::Send(Box::new(attempt)));
+    }
+
+    /// The record of an attempt that begins.
+    fn sent(
+        &self,
+        request: &Request,
+        attempt: &Attempt,
+        spec: &EndpointSpec,
+        backup: Option<String>,
+        usage: Usage,
+    ) -> Record {
+        Record::Sent {
             request: request.arrival.id.clone(),
             attempt: attempt.attempt.0,
-            endpoint: to.to_string(),
+            endpoint: spec.id.to_string(),
             service: spec.service.to_string(),
             domain: spec.domain.to_string(),
             is_near: spec.domain == self.cfg.domain,
             slots: spec.slots,
-            backup: mirror.as_ref().map(|host| host.id.to_string()),
-            from_backup: replica.is_some(),
+            backup,
+            from_backup: attempt.resume_from.is_some(),
             after_event: request.last_event,
             reading: usage.prefill,
             running: usage.running,
             left_ms: millis(attempt.time_left),
-        });
-        self.fleet.on_sending(&spec, now);
-        self.count_attempt(number, &attempt, mirror);
-        self.report_usage_soon(to);
-        self.command(number, Command::Send(Box::new(attempt)));
+        }
     }
 
     /// Counts an attempt at its endpoint and at the host of its mirror.
--- a/src/gateway/shell/exchange.rs
+++ b/src/gateway/shell/exchange.rs
@@ -317,7 +317,7 @@
         let now = Instant::now();
         if let Some(before) = self.last_passed.replace(now) {
             let pause = now.duration_since(before).as_secs_f64();
-            self.shared.metrics.pause_seconds.observe(pause);
+            self.shared.metrics.requests.pause_seconds.observe(pause);
         }
     }
 
@@ -345,6 +345,7 @@
         };
         self.shared
             .metrics
+            .requests
             .first_event_seconds
             .observe(self.started.elapsed().as_secs_f64());
         let (events, received) = mpsc::channel(EVENTS_WAITING);
@@ -378,6 +379,7 @@
         };
         self.shared
             .metrics
+            .requests
             .answer_seconds
             .observe(self.started.elapsed().as_secs_f64());
         let mut response = Response::new(http::full(held.body));
--- a/src/gateway/shell/metrics.rs
+++ b/src/gateway/shell/metrics.rs
@@ -20,8 +20,9 @@
 #[derive(Debug)]
 pub struct GatewayMetrics {
     set: MetricSet,
-    /// Requests that are served.
-    pub active: IntGauge,
+    /// What becomes of requests.
+    pub requests: RequestMetrics,
+    tables: TableMetrics,
     /// Running boxes of the own failure domain that are known, this one with them.
     pub boxes_near: IntGauge,
     /// Running boxes of all failure domains that are known, this one with them.
@@ -29,6 +30,17 @@
     store_calls: IntCounterVec,
     /// Probes of endpoints.
     pub probes: IntCounter,
+    reborn: IntCounter,
+    /// Seconds that the platform's store took to answer, watches left out.
+    pub store_seconds: Histogram,
+    peer_bytes: IntCounterVec,
+}
+
+/// What becomes of requests.
+#[derive(Debug)]
+pub struct RequestMetrics {
+    /// Requests that are served.
+    pub active: IntGauge,
     /// Requests that got no answer of an endpoint.
     pub refused: IntCounter,
     /// Seconds until a stream's first event.
@@ -37,47 +49,28 @@
     pub pause_seconds: Histogram,
     /// Seconds until an answer that is no stream.
     pub answer_seconds: Histogram,
-    /// Seconds that the platform's store took to answer, watches left out.
-    pub store_seconds: Histogram,
     resume_seconds: Histogram,
     refusal_seconds: Histogram,
     refusals: IntCounterVec,
     sendings: IntCounterVec,
     copies: IntCounterVec,
     suspected: IntCounter,
-    table_version: IntGauge,
-    table_fetches: IntCounterVec,
-    table_fetch_seconds: Histogram,
-    table_age_seconds: Histogram,
-    peer_bytes: IntCounterVec,
 }
 
-impl GatewayMetrics {
-    /// Registers all metrics.
-    ///
-    /// # Panics
-    ///
-    /// If two metrics have the same name, which is a mistake in this program.
-    #[must_use]
-    pub fn new() -> Self {
-        let set = MetricSet::new("magpiemoor_gateway");
+/// How configurations come into force.
+#[derive(Debug)]
+struct TableMetrics {
+    version: IntGauge,
+    fetches: IntCounterVec,
+    fetch_seconds: Histogram,
+    age_seconds: Histogram,
+}
+
+impl RequestMetrics {
+    fn new(set: &MetricSet) -> Self {
         let times = |name: &str, help: &str| set.times(name, help, &CALLER_TIME_BUCKETS);
         Self {
             active: set.gauge("requests_active", "Requests that are served"),
-            boxes_near: set.gauge(
-                "boxes_near",
-                "Running boxes of the own failure domain that are known",
-            ),
-            boxes: set.gauge(
-                "boxes",
-                "Running boxes of all failure domains that are known",
-            ),
-            store_calls: set.counters(
-                "store_calls_total",
-                "Calls to the platform's store, by what was asked",
-                "kind",
-            ),
-            probes: set.counter("probes_total", "Probes of endpoints"),
             refused: set.counter("refused_total", "Requests that no endpoint answered"),
             first_event_seconds: times(
                 "first_event_seconds",
@@ -85,10 +78,6 @@
             ),
             pause_seconds: times("pause_seconds", "Seconds between two parts of a stream"),
             answer_seconds: times("answer_seconds", "Seconds until a whole answer"),
-            store_seconds: times(
-                "store_call_seconds",
-                "Seconds until the platform's store answered, watches left out",
-            ),
             resume_seconds: times(
                 "resume_seconds",
                 "Seconds between two events of a stream that went on elsewhere",
@@ -113,31 +102,10 @@
                 "suspected_total",
                 "Runs that were left since their endpoint was silent",
             ),
-            table_version: set.gauge("table_version", "The version of the table in force"),
-            table_fetches: set.counters(
-                "table_fetches_total",
-                "Fetches of a table from a peer, by how they ended",
-                "result",
-            ),
-            table_fetch_seconds: times(
-                "table_fetch_seconds",
-                "Seconds that fetches of a table from a peer took, failed ones included",
-            ),
-            table_age_seconds: times(
-                "table_age_seconds",
-                "Seconds from the store's answer until a newer table was read by this box",
-            ),
-            peer_bytes: set.counters(
-                "peer_bytes_total",
-                "Bytes that peers sent when asked, by what they were asked for",
-                "kind",
-            ),
-            set,
         }
     }
 
-    /// Counts what a record says.
-    pub fn on_record(&self, record: &Record) {
+    fn on_record(&self, record: &Record) {
         match record {
             Record::Sent {
                 attempt,
@@ -163,21 +131,43 @@
                 self.refusals.with_label_values(&[reason.word()]).inc();
                 self.refusal_seconds.observe(seconds(*after_ms));
             }
-            _ => self.on_table_record(record),
+            _ => {}
+        }
+    }
+}
+
+impl TableMetrics {
+    fn new(set: &MetricSet) -> Self {
+        let times = |name: &str, help: &str| set.times(name, help, &CALLER_TIME_BUCKETS);
+        Self {
+            version: set.gauge("table_version", "The version of the table in force"),
+            fetches: set.counters(
+                "table_fetches_total",
+                "Fetches of a table from a peer, by how they ended",
+                "result",
+            ),
+            fetch_seconds: times(
+                "table_fetch_seconds",
+                "Seconds that fetches of a table from a peer took, failed ones included",
+            ),
+            age_seconds: times(
+                "table_age_seconds",
+                "Seconds from the store's answer until a newer table was read by this box",
+            ),
         }
     }
 
-    fn on_table_record(&self, record: &Record) {
+    fn on_record(&self, record: &Record) {
         match record {
             Record::TableInForce { version } => {
-                self.table_version
+                self.version
                     .set(i64::try_from(*version).unwrap_or(i64::MAX));
             }
             Record::TableRead {
                 age_ms,
                 is_newer: true,
                 ..
-            } => self.table_age_seconds.observe(seconds(*age_ms)),
+            } => self.age_seconds.observe(seconds(*age_ms)),
             Record::TableFetched {
                 outcome, after_ms, ..
             } => {
@@ -185,12 +175,66 @@
                     FETCHED_WHOLE | FETCH_BUSY => outcome.as_ref(),
                     _ => "failed",
                 };
-                self.table_fetches.with_label_values(&[result]).inc();
-                self.table_fetch_seconds.observe(seconds(*after_ms));
+                self.fetches.with_label_values(&[result]).inc();
+                self.fetch_seconds.observe(seconds(*after_ms));
             }
             _ => {}
         }
     }
+}
+
+impl GatewayMetrics {
+    /// Registers all metrics.
+    ///
+    /// # Panics
+    ///
+    /// If two metrics have the same name, which is a mistake in this program.
+    #[must_use]
+    pub fn new() -> Self {
+        let set = MetricSet::new("magpiemoor_gateway");
+        let times = |name: &str, help: &str| set.times(name, help, &CALLER_TIME_BUCKETS);
+        Self {
+            requests: RequestMetrics::new(&set),
+            tables: TableMetrics::new(&set),
+            boxes_near: set.gauge(
+                "boxes_near",
+                "Running boxes of the own failure domain that are known",
+            ),
+            boxes: set.gauge(
+                "boxes",
+                "Running boxes of all failure domains that are known",
+            ),
+            store_calls: set.counters(
+                "store_calls_total",
+                "Calls to the platform's store, by what was asked",
+                "kind",
+            ),
+            probes: set.counter("probes_total", "Probes of endpoints"),
+            reborn: set.counter(
+                "reborn_total",
+                "Endpoints that started again under their id",
+            ),
+            store_seconds: times(
+                "store_call_seconds",
+                "Seconds until the platform's store answered, watches left out",
+            ),
+            peer_bytes: set.counters(
+                "peer_bytes_total",
+                "Bytes that peers sent when asked, by what they were asked for",
+                "kind",
+            ),
+            set,
+        }
+    }
+
+    /// Counts what a record says.
+    pub fn on_record(&self, record: &Record) {
+        if matches!(record, Record::Reborn { .. }) {
+            self.reborn.inc();
+        }
+        self.requests.on_record(record);
+        self.tables.on_record(record);
+    }
 
     /// Calls to the platform's store that ask for something.
     #[must_use]
--- a/src/gateway/shell/shared.rs
+++ b/src/gateway/shell/shared.rs
@@ -153,6 +153,7 @@
     /// Notes how many requests are served.
     pub fn set_active(&self, requests: usize) {
         self.metrics
+            .requests
             .active
             .set(i64::try_from(requests).unwrap_or(i64::MAX));
         self.active.send_if_modified(|active| {
@@ -225,7 +226,7 @@
     /// The final answer to a request that no endpoint answered.
     #[must_use]
     pub fn refusal(&self, id: &str, refusal: Refusal) -> Response<Body> {
-        self.metrics.refused.inc();
+        self.metrics.requests.refused.inc();
         let (status, headers) = self.dialect.refusal(id, refusal);
         let mut response = Response::new(crate::http::full(""));
         *response.status_mut() = status;
--- a/src/gateway/shell/store.rs
+++ b/src/gateway/shell/store.rs
@@ -106,6 +106,29 @@
     });
 }
 
+fn read_page(
+    source: ObjectKind,
+    is_watch: bool,
+    body: &[u8],
+    shared: &GatewayShared,
+) -> StoreAnswer {
+    let page = if is_watch {
+        shared.dialect.read_watch(body)
+    } else {
+        shared.dialect.read_list(body)
+    };
+    match page {
+        Ok(page) => {
+            note_unnamed(source, &page, shared);
+            StoreAnswer::Page(page)
+        }
+        Err(e) => {
+            shared.faults.note(FaultKind::StoreAnswer, &e);
+            StoreAnswer::Failed
+        }
+    }
+}
+
 /// Tells of objects that nobody can name; the others of the page hold.
 fn note_unnamed(source: ObjectKind, page: &StorePage, shared: &GatewayShared) {
     for object in &page.unnamed {
@@ -153,23 +176,7 @@
         }
         let answer = match got.ok().flatten() {
             Some((StatusCode::GONE, _)) => StoreAnswer::HistoryLost,
-            Some((StatusCode::OK, body)) => {
-                let page = if is_watch {
-                    dialect.read_watch(&body)
-                } else {
-                    dialect.read_list(&body)
-                };
-                match page {
-                    Ok(page) => {
-                        note_unnamed(source, &page, shared);
-                        StoreAnswer::Page(page)
-                    }
-                    Err(e) => {
-                        shared.faults.note(FaultKind::StoreAnswer, &e);
-                        StoreAnswer::Failed
-                    }
-                }
-            }
+            Some((StatusCode::OK, body)) => read_page(source, is_watch, &body, shared),
             None | Some(_) => StoreAnswer::Failed,
         };
         if answer == StoreAnswer::Failed {
--- a/src/gateway/shell/store_cache.rs
+++ b/src/gateway/shell/store_cache.rs
@@ -60,32 +60,17 @@
         if at < self.endpoints_at {
             return false;
         }
-        let is_news = at > self.endpoints_at;
-        let mut changed: Vec<&str> = Vec::new();
-        for entry in entries {
-            // An endpoint that came and went between two reads is known to some boxes by its own
-            // word, so its going is passed on though it was never listed here. Without that one sent
-            // a request 3.9 s after it had said that it leaves (docs/FINDINGS.md).
-            let is_going = is_news && entry.text.is_none();
-            if is_going || self.endpoints.get(&entry.name) != entry.text.as_ref() {
-                changed.push(&entry.name);
-            }
-        }
-        let mut gone: Vec<String> = Vec::new();
-        if is_whole {
-            let is_listed = |name: &String| entries.iter().any(|e| e.name == *name);
-            gone = self
-                .endpoints
-                .keys()
-                .filter(|n| !is_listed(n))
-                .cloned()
-                .collect();
-        }
+        let changed = self.changed(entries, at);
+        let gone = if is_whole {
+            self.missing_from(entries)
+        } else {
+            Vec::new()
+        };
         let is_first = self.endpoints_at == 0;
         if changed.is_empty() && gone.is_empty() && !is_first {
             return false;
         }
-        let names = changed.into_iter().map(str::to_owned).chain(gone.clone());
+        let names = changed.into_iter().chain(gone.clone());
         self.changes.extend(names.map(|name| (at, name)));
         for entry in entries {
             match &entry.text {
@@ -106,6 +91,29 @@
         true
     }
 
+    /// The entries that tell something new.
+    fn changed(&self, entries: &[Entry], at: u64) -> Vec<String> {
+        let is_news = at > self.endpoints_at;
+        let changed = entries.iter().filter(|entry| {
+            // An endpoint that came and went between two reads is known to some boxes by its own
+            // word, so its going is passed on though it was never listed here. Without that one sent
+            // a request 3.9 s after it had said that it leaves (docs/FINDINGS.md).
+            let is_going = is_news && entry.text.is_none();
+            is_going || self.endpoints.get(&entry.name) != entry.text.as_ref()
+        });
+        changed.map(|entry| entry.name.clone()).collect()
+    }
+
+    /// What is known and doesn't stand in a whole list.
+    fn missing_from(&self, entries: &[Entry]) -> Vec<String> {
+        let listed: BTreeSet<&String> = entries.iter().map(|entry| &entry.name).collect();
+        let known = self.endpoints.keys();
+        known
+            .filter(|name| !listed.contains(name))
+            .cloned()
+            .collect()
+    }
+
     /// What has changed after a revision, or all there is, packed; and which of the two.
     ///
     /// # Errors
--- a/src/keyed/node/copies.rs
+++ b/src/keyed/node/copies.rs
@@ -65,47 +65,53 @@
         }
     }
 
+    /// Takes in tokens of another box's answer, if they follow what is held.
     fn apply_copy(&mut self, from: &BoxId, copy: TokenCopy) -> Result<TokenAck, TokenRefused> {
-        let key = copy.key.clone();
+        self.begin_copy(from, &copy)?;
         let offset = copy.offset.0 as usize;
-        let lacking = TokenRefused {
-            key: key.clone(),
-            generation: copy.generation,
-            held: TokenOffset(0),
-        };
-        if !self.answers.contains_key(&key) {
-            let (Some(request), Some(bundle)) = (copy.request, self.bundles.current()) else {
-                return Err(lacking);
-            };
-            if offset != 0 {
-                return Err(lacking);
-            }
-            let role = Role::CopyOf(from.clone());
-            let answer = Answer::new(request, bundle, role, copy.generation, self.now);
-            self.answers.insert(key.clone(), answer);
-        }
-        let Some(answer) = self.answers.get(&key) else {
-            return Err(lacking);
+        let Some(answer) = self.answers.get(&copy.key) else {
+            return Err(refused(&copy, 0));
         };
         if copy.generation < answer.generation {
             return Err(TokenRefused {
                 generation: answer.generation,
-                ..lacking
+                ..refused(&copy, 0)
             });
         }
         let newer = copy.generation > answer.generation;
         if (newer && offset != 0) || offset > answer.len() {
-            let held = if newer { 0 } else { answer.len() };
-            return Err(TokenRefused {
-                held: TokenOffset(held as u32),
-                ..lacking
-            });
+            return Err(refused(&copy, if newer { 0 } else { answer.len() }));
         }
         if newer && answer.role == Role::Producer {
-            self.step_down(&key, from);
+            self.step_down(&copy.key, from);
         }
-        let Some(answer) = self.answers.get_mut(&key) else {
-            return Err(lacking);
+        self.merge_copy(from, copy, newer)
+    }
+
+    /// Begins the copy of an answer that is not known yet.
+    fn begin_copy(&mut self, from: &BoxId, copy: &TokenCopy) -> Result<(), TokenRefused> {
+        if self.answers.contains_key(&copy.key) {
+            return Ok(());
+        }
+        let request = copy.request.clone().filter(|_| copy.offset.0 == 0);
+        let (Some(request), Some(bundle)) = (request, self.bundles.current()) else {
+            return Err(refused(copy, 0));
+        };
+        let role = Role::CopyOf(from.clone());
+        let answer = Answer::new(request, bundle, role, copy.generation, self.now);
+        self.answers.insert(copy.key.clone(), answer);
+        Ok(())
+    }
+
+    /// Adds the tokens that are new to an answer.
+    fn merge_copy(
+        &mut self,
+        from: &BoxId,
+        copy: TokenCopy,
+        newer: bool,
+    ) -> Result<TokenAck, TokenRefused> {
+        let Some(answer) = self.answers.get_mut(&copy.key) else {
+            return Err(refused(&copy, 0));
         };
         let before = answer.len();
         if newer {
@@ -113,7 +119,7 @@
             answer.generation = copy.generation;
         }
         answer.role = Role::CopyOf(from.clone());
-        let known = answer.len() - offset;
+        let known = answer.len() - copy.offset.0 as usize;
         if known < copy.tokens.len() {
             answer.extend(&copy.tokens[known..]);
         }
@@ -121,7 +127,7 @@
         answer.finish = copy.finish.or(answer.finish);
         answer.touched = self.now;
         let ack = TokenAck {
-            key,
+            key: copy.key,
             generation: answer.generation,
             held: TokenOffset(answer.len() as u32),
             finished: answer.finish.is_some(),
@@ -238,3 +244,12 @@
         }
     }
 }
+
+/// Refuses a copy, with how many tokens are held.
+fn refused(copy: &TokenCopy, held: usize) -> TokenRefused {
+    TokenRefused {
+        key: copy.key.clone(),
+        generation: copy.generation,
+        held: TokenOffset(held as u32),
+    }
+}
--- a/src/keyed/node/ingress.rs
+++ b/src/keyed/node/ingress.rs
@@ -157,6 +157,11 @@
         let Some(home) = self.home_for(connection, &domain) else {
             return self.on_homeless(connection);
         };
+        self.send_home(connection, &home);
+    }
+
+    /// Sends a request to its home.
+    fn send_home(&mut self, connection: u64, home: &Member) {
         let Some(inbound) = self.inbound.table.get_mut(&connection) else {
             return;
         };
@@ -169,36 +174,37 @@
         inbound.homeless_since = None;
         let receiver = self.cfg.me.clone();
         let cursor = inbound.cursor();
+        let subscription = connection;
         match inbound.wanted.clone() {
-            Wanted::Answer(request) => self.out.send(
-                &home,
-                Submit {
+            Wanted::Answer(request) => {
+                let submit = Submit {
                     request,
                     cursor,
                     receiver,
-                    subscription: connection,
+                    subscription,
                     repeated,
                     hops: 0,
-                },
-            ),
-            Wanted::Acceptance(request) => self.out.send(
-                &home,
-                Defer {
+                };
+                self.out.send(home, submit);
+            }
+            Wanted::Acceptance(request) => {
+                let defer = Defer {
                     receiver,
-                    subscription: connection,
+                    subscription,
                     request,
                     hops: 0,
-                },
-            ),
-            Wanted::Result(key) => self.out.send(
-                &home,
-                Lookup {
+                };
+                self.out.send(home, defer);
+            }
+            Wanted::Result(key) => {
+                let lookup = Lookup {
                     receiver,
-                    subscription: connection,
+                    subscription,
                     key,
                     hops: 0,
-                },
-            ),
+                };
+                self.out.send(home, lookup);
+            }
         }
     }
 
--- a/src/keyed/node/runs.rs
+++ b/src/keyed/node/runs.rs
@@ -64,9 +64,33 @@
         let Some(endpoint) = self.choose_engine(key, &generate) else {
             return false;
         };
-        let Some(answer) = self.answers.get_mut(key) else {
+        let Some(stream) = self.add_run(key, &endpoint, generate.prompt.len()) else {
+            return false;
+        };
+        self.count_run(&stream, &endpoint, &generate);
+        let Some(start) = self.engine_start(&stream, endpoint, generate, import_from) else {
             return false;
         };
+        self.out.note(
+            "run_started",
+            key,
+            format!("{} from token {}", start.endpoint, start.tokens.len()),
+        );
+        self.out.push(Action::StartEngine(Box::new(start)));
+        self.arm_suspicion(&stream);
+        self.push_copy(key);
+        true
+    }
+
+    /// Notes another run of an answer; returns its stream.
+    fn add_run(
+        &mut self,
+        key: &RequestKey,
+        endpoint: &EndpointId,
+        prompt_bytes: usize,
+    ) -> Option<StreamId> {
+        let now = self.now;
+        let answer = self.answers.get_mut(key)?;
         let attempt = Attempt(answer.next_attempt);
         answer.next_attempt += 1;
         let stream = StreamId {
@@ -74,54 +98,57 @@
             generation: answer.generation,
             attempt,
         };
-        let bytes = generate.prompt.len() + answer.len() * TEXT_BYTES_PER_TOKEN;
-        let tokens = match self.cfg.recovery {
-            Recovery::Restart => Vec::new(),
-            Recovery::Resume | Recovery::Timeout | Recovery::Hedge => answer.tokens().to_vec(),
-        };
-        let mark = AttemptMark {
+        answer.mark = Some(AttemptMark {
             attempt,
             endpoint: endpoint.clone(),
             stream: stream.to_string(),
-        };
+        });
+        let bytes = prompt_bytes + answer.len() * TEXT_BYTES_PER_TOKEN;
         answer.runs.push(Run {
             attempt,
             endpoint: endpoint.clone(),
             stream: stream.to_string(),
-            started: self.now,
-            last: self.now,
+            started: now,
+            last: now,
             has_token: false,
             suspected: false,
             bytes,
         });
-        answer.mark = Some(mark);
-        let first = attempt == Attempt(1);
-        let import_from = import_from
-            .and_then(|id| self.endpoints.get(id))
-            .map(|e| e.address.clone());
-        let address = self
-            .endpoints
-            .get(&endpoint)
-            .map(|e| e.address.clone())
-            .unwrap_or_default();
-        if first {
+        Some(stream)
+    }
+
+    /// Counts a run at its engine, and an answer's first run for the budget of retries.
+    fn count_run(&mut self, stream: &StreamId, endpoint: &EndpointId, generate: &GenerateRequest) {
+        if let Some(answer) = self.answers.get(&stream.key)
+            && stream.attempt == Attempt(1)
+        {
             let percent = answer.bundle.policy().retry_percent;
             self.budgets
-                .on_first_try(&answer.request.organisation, &endpoint, percent);
+                .on_first_try(&answer.request.organisation, endpoint, percent);
         }
-        let priority = answer.request.priority;
         let blocks = prefixes::blocks(&generate.prompt);
-        self.endpoints.prefixes.stored(&endpoint, &blocks);
-        self.endpoints.on_start(&endpoint, self.now);
+        self.endpoints.prefixes.stored(endpoint, &blocks);
+        self.endpoints.on_start(endpoint, self.now);
         self.stats.runs += 1;
-        self.out.note(
-            "run_started",
-            key,
-            format!("{endpoint} from token {}", tokens.len()),
-        );
-        self.out.push(Action::StartEngine(Box::new(EngineStart {
+    }
+
+    /// What an engine is told of a run that begins.
+    fn engine_start(
+        &self,
+        stream: &StreamId,
+        endpoint: EndpointId,
+        generate: GenerateRequest,
+        import_from: Option<&EndpointId>,
+    ) -> Option<EngineStart> {
+        let answer = self.answers.get(&stream.key)?;
+        let tokens = match self.cfg.recovery {
+            Recovery::Restart => Vec::new(),
+            Recovery::Resume | Recovery::Timeout | Recovery::Hedge => answer.tokens().to_vec(),
+        };
+        let address_of = |id: &EndpointId| self.endpoints.get(id).map(|e| e.address.clone());
+        Some(EngineStart {
+            address: address_of(&endpoint).unwrap_or_default(),
             endpoint,
-            address,
             stream: stream.clone(),
             attach: None,
             model: generate.model,
@@ -129,12 +156,9 @@
             prompt: generate.prompt,
             tokens,
             max_tokens: generate.max_tokens,
-            priority,
-            import_from,
-        })));
-        self.arm_suspicion(&stream);
-        self.push_copy(key);
-        true
+            priority: answer.request.priority,
+            import_from: import_from.and_then(address_of),
+        })
     }
 
     fn choose_engine(
--- a/src/keyed/node/slices.rs
+++ b/src/keyed/node/slices.rs
@@ -13,8 +13,8 @@
 use crate::keyed::node::Node;
 use crate::keyed::node::roster::slice_of;
 use crate::schema::{
-    BoxId, Epoch, FleetState, Holding, Incarnation, Micros, OnceCopy, PeerMessage, RequestKey,
-    SliceAsk, SliceId, SliceNote,
+    BoxId, Epoch, FleetState, Holding, Incarnation, Member, Micros, OnceCopy, PeerMessage,
+    RequestKey, Slice, SliceAsk, SliceId, SliceNote,
 };
 
 /// How long the successor may take to confirm that it has a slice's records.
@@ -123,6 +123,47 @@
     }
 }
 
+/// The former holders of a slice that a box has to clear; itself in this life needs no clearing.
+fn former_of(slice: &Slice, me: &Member, before: Option<&Held>) -> Vec<Former> {
+    let others = slice
+        .former
+        .iter()
+        .filter(|h| h.home != me.id || h.incarnation != me.incarnation);
+    let former = others.map(|holding| Former {
+        holding: holding.clone(),
+        cleared: before.is_some_and(|b| b.has_cleared(holding)),
+    });
+    former.collect()
+}
+
+/// How a slice is held under a new roster, given how it was held under the one before.
+fn held_under(slice: &Slice, seen: Micros, before: Option<Held>, former: Vec<Former>) -> Held {
+    let term = slice.term;
+    match before {
+        Some(before) if former.is_empty() => Held {
+            term,
+            former,
+            ..before
+        },
+        Some(before) => Held {
+            open: before.open && former.iter().all(|f| f.cleared),
+            term,
+            seen: if before.open { seen } else { before.seen },
+            former,
+            ..before
+        },
+        None => Held {
+            seen,
+            term,
+            open: false,
+            lost: false,
+            former,
+            synced_term: None,
+            sync_sent: None,
+        },
+    }
+}
+
 impl Node {
     /// Takes in a new roster of this box's own failure domain.
     pub(super) fn on_new_epoch(&mut self) {
@@ -145,42 +186,9 @@
                 }
                 continue;
             }
-            let mut former: Vec<Former> = slice
-                .former
-                .iter()
-                .filter(|h| h.home != me.id || h.incarnation != me.incarnation)
-                .map(|h| Former {
-                    holding: h.clone(),
-                    cleared: false,
-                })
-                .collect();
             let before = self.slices.held.remove(&id);
-            for f in &mut former {
-                f.cleared = before.as_ref().is_some_and(|b| b.has_cleared(&f.holding));
-            }
-            let held = match before {
-                Some(before) if former.is_empty() => Held {
-                    former,
-                    term: slice.term,
-                    ..before
-                },
-                Some(before) => Held {
-                    open: before.open && former.iter().all(|f| f.cleared),
-                    term: slice.term,
-                    seen: if before.open { view.seen } else { before.seen },
-                    former,
-                    ..before
-                },
-                None => Held {
-                    seen: view.seen,
-                    term: slice.term,
-                    open: false,
-                    lost: false,
-                    former,
-                    synced_term: None,
-                    sync_sent: None,
-                },
-            };
+            let former = former_of(slice, &me, before.as_ref());
+            let held = held_under(slice, view.seen, before, former);
             self.slices.settle_wanted |= held.open && !slice.former.is_empty();
             self.slices.held.insert(id, held);
         }
