--- a/lab/src/ports.rs
+++ b/lab/src/ports.rs
@@ -9,6 +9,8 @@
 use std::ops::Range;
 use std::sync::{Mutex, PoisonError};
 
+use crate::process::hold_starts;
+
 /// The ports that are handed out: below those that the system gives to outgoing connections, which
 /// could otherwise take the port of a process that is about to be started again.
 const PORTS: Range<u16> = 10_000..32_000;
@@ -40,6 +42,8 @@
 
     /// The next port of the block on which nobody listens.
     pub fn next_free(&mut self) -> Option<u16> {
+        // A process that is started meanwhile would hold the port a little longer.
+        let _no_starts = hold_starts();
         self.left
             .find(|port| TcpListener::bind(("127.0.0.1", *port)).is_ok())
     }
