--- a/lab/src/gateway.rs
+++ b/lab/src/gateway.rs
@@ -5,6 +5,7 @@
 pub mod demo;
 pub mod fleet;
 pub mod foreign;
+pub mod rollout;
 pub mod server;
 pub mod soak;
 pub mod spread;
--- a/lab/src/gateway/fleet.rs
+++ b/lab/src/gateway/fleet.rs
@@ -183,9 +183,21 @@
 
     /// Lists a server in the store.
     pub fn list(&self, server: &Server, service: &str, zone: &str, state: &str) {
+        self.list_version(server, service, zone, state, "v1");
+    }
+
+    /// Lists a server of a version in the store.
+    pub fn list_version(
+        &self,
+        server: &Server,
+        service: &str,
+        zone: &str,
+        state: &str,
+        version: &str,
+    ) {
         let spec = json!({
             "service": service, "address": server.address().to_string(), "zone": zone,
-            "version": "v1", "slots": 8, "state": state, "coldRemainingMs": 0, "sequence": 1,
+            "version": version, "slots": 8, "state": state, "coldRemainingMs": 0, "sequence": 1,
             "born": server.born,
         });
         self.store.put("servers", &server.id, &spec);
--- /dev/null
+++ b/lab/src/gateway/rollout.rs
@@ -0,0 +1,208 @@
+//! Orders of roll-outs on made-up time: a fleet of the real decision code before endpoints of two
+//! versions, good and bad ones, with a fault beside or none; seeded, and judged by what endpoints saw.
+//!
+//! [`fleet`] holds the boxes, their links and the store, [`endpoints`] what endpoints do, [`score`]
+//! what is counted, [`picture`] draws it. A [`Case`] is one order; the same case plays the same way each time.
+
+pub mod endpoints;
+pub mod fleet;
+pub mod picture;
+pub mod score;
+
+use std::fmt;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+pub use score::{Outcome, Report};
+
+/// How a version is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Version {
+    /// As the one before.
+    Good,
+    /// A part of its answers fail.
+    Failing(f64),
+    /// It takes several times as long.
+    Slow(f64),
+}
+
+/// When a bad version shows that it is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Shows {
+    /// From the beginning.
+    AtOnce,
+    /// So many seconds after the order.
+    Later(f64),
+    /// On one route only.
+    OnOneRoute,
+    /// Where an endpoint has this many requests or more at once.
+    UnderLoad(u32),
+}
+
+/// What goes wrong beside the order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// Nothing.
+    None,
+    /// One endpoint of each version fails four in ten of its requests for some seconds.
+    Grey,
+    /// One endpoint of each version takes three and a half times as long for some seconds.
+    Slow,
+    /// The endpoints of one failure domain fail all requests for a while, in all versions.
+    Domain,
+    /// The store is down for four seconds.
+    StoreDown,
+    /// The store does what it is asked and doesn't answer, late.
+    StoreLate,
+    /// The box that wrote to the store last is killed, and comes back after three seconds.
+    WriterKilled,
+    /// All boxes are killed, and come back after a second.
+    AllKilled,
+}
+
+impl Fault {
+    /// All of them.
+    pub const ALL: [Self; 8] = [
+        Self::None,
+        Self::Grey,
+        Self::Slow,
+        Self::Domain,
+        Self::StoreDown,
+        Self::StoreLate,
+        Self::WriterKilled,
+        Self::AllKilled,
+    ];
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Self::None => "none",
+            Self::Grey => "grey",
+            Self::Slow => "slow",
+            Self::Domain => "domain",
+            Self::StoreDown => "store down",
+            Self::StoreLate => "store late",
+            Self::WriterKilled => "writer killed",
+            Self::AllKilled => "all killed",
+        })
+    }
+}
+
+/// A decider that is wrong on purpose, to see whether the judge finds it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Decider {
+    /// The real one.
+    #[default]
+    Real,
+    /// It sends all requests to the target at once.
+    AllAtOnce,
+    /// It takes no version for bad.
+    NeverBad,
+    /// It sees failures at the target only, and takes those of a failure domain for its version's.
+    BlamesDomain,
+}
+
+/// One order.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Case {
+    /// What everything random follows from.
+    pub seed: u64,
+    /// Boxes in all, in three failure domains.
+    pub boxes: usize,
+    /// Whether the service has model engines.
+    pub engines: bool,
+    /// How the version is.
+    pub version: Version,
+    /// When that shows.
+    pub shows: Shows,
+    /// What goes wrong beside.
+    pub fault: Fault,
+    /// Who decides.
+    pub decider: Decider,
+}
+
+impl Case {
+    /// A case drawn by a seed.
+    #[must_use]
+    pub fn draw(seed: u64, boxes: usize) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let version = match rng.random_range(0..4) {
+            0 | 1 => Version::Good,
+            2 => Version::Failing(rng.random_range(0.25..0.9)),
+            _ => Version::Slow(rng.random_range(3.0..6.0)),
+        };
+        let shows = match rng.random_range(0..4) {
+            0 => Shows::AtOnce,
+            1 => Shows::Later(rng.random_range(1.0..6.0)),
+            2 => Shows::OnOneRoute,
+            _ => Shows::UnderLoad(1),
+        };
+        let fault = Fault::ALL[rng.random_range(0..Fault::ALL.len())];
+        Self {
+            seed,
+            boxes,
+            engines: rng.random_bool(0.25),
+            version,
+            shows,
+            fault: if rng.random_bool(0.5) {
+                Fault::None
+            } else {
+                fault
+            },
+            decider: Decider::Real,
+        }
+    }
+
+    /// Whether the version is bad.
+    #[must_use]
+    pub fn is_bad(&self) -> bool {
+        self.version != Version::Good
+    }
+
+    /// Plays the order.
+    #[must_use]
+    pub fn play(&self) -> Outcome {
+        fleet::Fleet::new(*self).play()
+    }
+}
+
+impl fmt::Display for Case {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let service = if self.engines { "engines" } else { "plain" };
+        write!(
+            f,
+            "seed {} boxes {} {service} {:?} {:?} fault {}",
+            self.seed, self.boxes, self.version, self.shows, self.fault
+        )
+    }
+}
+
+/// Plays orders on several threads; the order of the outcomes is that of the cases.
+#[must_use]
+pub fn play_all(cases: &[Case], threads: usize) -> Vec<Outcome> {
+    let next = std::sync::atomic::AtomicUsize::new(0);
+    let outcomes = std::sync::Mutex::new(vec![None; cases.len()]);
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| {
+                loop {
+                    let place = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                    let Some(case) = cases.get(place) else {
+                        return;
+                    };
+                    let outcome = case.play();
+                    let mut outcomes = outcomes
+                        .lock()
+                        .unwrap_or_else(std::sync::PoisonError::into_inner);
+                    outcomes[place] = Some(outcome);
+                }
+            });
+        }
+    });
+    let outcomes = outcomes
+        .into_inner()
+        .unwrap_or_else(std::sync::PoisonError::into_inner);
+    outcomes.into_iter().flatten().collect()
+}
--- a/lab/src/gateway/server.rs
+++ b/lab/src/gateway/server.rs
@@ -88,6 +88,7 @@
 #[derive(Debug, Default)]
 struct State {
     acts: VecDeque<Act>,
+    always: Option<Act>,
     runs: Vec<Run>,
     is_silent: bool,
     silent_after: Option<u64>,
@@ -202,6 +203,11 @@
         self.address
     }
 
+    /// Has all requests from now on met with an act.
+    pub fn act_always(&self, act: Act) {
+        lock(&self.state).always = Some(act);
+    }
+
     /// Has the next requests met with these acts.
     pub fn act(&self, acts: &[Act]) {
         lock(&self.state).acts.extend(acts);
@@ -378,7 +384,11 @@
 
     /// Serves a request; returns whether the connection ends.
     async fn run(&self, wire: &mut Wire, head: Message) -> std::io::Result<bool> {
-        let act = lock(&self.state).acts.pop_front().unwrap_or_default();
+        let act = {
+            let mut state = lock(&self.state);
+            let next = state.acts.pop_front();
+            next.or(state.always).unwrap_or_default()
+        };
         let id = head
             .header("magpiemoor-attempt-id")
             .unwrap_or_default()
--- a/lab/src/gateway/spread.rs
+++ b/lab/src/gateway/spread.rs
@@ -375,6 +375,7 @@
         gossip: settings.gossip,
         fleet_boxes: settings.fleet_boxes,
         retries: settings.retries,
+        rollout_share: 0.1,
     };
     Dispatcher::new(cfg, seed, shared.clock.now())
 }
--- a/lab/src/gateway/store.rs
+++ b/lab/src/gateway/store.rs
@@ -213,9 +213,12 @@
             Mood::Silent => return None,
             Mood::Well => {}
         }
-        let Start::Request(_, path) = &ask.start else {
+        let Start::Request(method, path) = &ask.start else {
             return Some((400, Vec::new()));
         };
+        if method == "PUT" {
+            return Some(self.put_status(path, &ask.text()));
+        }
         let (path, query) = path.split_once('?').unwrap_or((path, ""));
         let Some(kind) = path.strip_prefix("/v1/objects/") else {
             return Some((404, Vec::new()));
@@ -233,6 +236,38 @@
         }
     }
 
+    /// Replaces an object's status, if it still has the revision that the caller names.
+    fn put_status(&self, path: &str, body: &str) -> (u16, Vec<u8>) {
+        let place = path.strip_prefix("/v1/objects/");
+        let place = place.and_then(|place| place.strip_suffix("/status"));
+        let Some((kind, name)) = place.and_then(|place| place.split_once('/')) else {
+            return (404, Vec::new());
+        };
+        let Some(known) = self.object(kind, name) else {
+            return (404, Vec::new());
+        };
+        let asked: Value = serde_json::from_str(body).unwrap_or_default();
+        if asked["metadata"]["revision"] != known["metadata"]["revision"] {
+            return (409, known.to_string().into_bytes());
+        }
+        let mut object = known;
+        object["status"] = asked["status"].clone();
+        self.put_with(kind, name, |revision| {
+            object["metadata"]["revision"] = json!(revision);
+            object.to_string().into_bytes()
+        });
+        let written = self.object(kind, name).unwrap_or_default();
+        (200, written.to_string().into_bytes())
+    }
+
+    /// An object as it is, if it is there and can be read.
+    #[must_use]
+    pub fn object(&self, kind: &str, name: &str) -> Option<Value> {
+        let key = (kind.to_owned(), name.to_owned());
+        let state = self.lock();
+        serde_json::from_slice(state.objects.get(&key)?).ok()
+    }
+
     fn list(&self, kind: &str) -> (u16, Vec<u8>) {
         let state = self.lock();
         let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind);
--- a/lab/src/gen.rs
+++ b/lab/src/gen.rs
@@ -11,9 +11,10 @@
 const SCHEMAS: [&str; 5] = ["ids", "messages", "bundle", "settings", "gateway"];
 
 /// Types that are plain numbers and so can be copied, compared and hashed.
-const COPYABLE: [&str; 17] = [
+const COPYABLE: [&str; 18] = [
     "Incarnation",
     "Birth",
+    "RolloutPhase",
     "Epoch",
     "Generation",
     "Attempt",
@@ -31,6 +32,9 @@
     "Finish",
 ];
 
+/// Types that have an empty value.
+const WITH_DEFAULT: [&str; 1] = ["AnswerTimes"];
+
 const HEADER: &str =
     "// Generated from schema/*.schema.json by `magpiemoor-lab gen`; do not edit.\n\n";
 
@@ -49,6 +53,11 @@
         }
         settings.with_patch(number, &patch);
     }
+    for name in WITH_DEFAULT {
+        let mut patch = TypeSpacePatch::default();
+        patch.with_derive("Default");
+        settings.with_patch(name, &patch);
+    }
     let mut space = TypeSpace::new(&settings);
     let mut definitions: Vec<(String, Schema)> = Vec::new();
     for name in SCHEMAS {
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use magpiemoor_lab::gateway::rollout::{self, Case, Report};
 use magpiemoor_lab::gateway::spread::{Plan, spread};
 use magpiemoor_lab::keyed::engine::{self, Engine};
 use magpiemoor_lab::keyed::platform::Platform;
@@ -69,9 +70,40 @@
         )
         .subcommand(measure_command())
         .subcommand(spread_command())
+        .subcommand(rollout_command())
         .subcommand(Command::new("gen").about("Generate src/schema/generated.rs from schema/"))
 }
 
+fn rollout_command() -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("N")
+            .default_value(default)
+            .value_parser(value_parser!(u64))
+            .help(help)
+    };
+    Command::new("rollout")
+        .about("Play orders of roll-outs on made-up time and judge what came of them")
+        .arg(number("seed", "1", "Seed of the first order"))
+        .arg(number("orders", "100", "How many orders"))
+        .arg(number("boxes", "90", "Boxes, in three failure domains"))
+        .arg(number("threads", "4", "Orders that are played at once"))
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Print the report as JSON"),
+        )
+        .arg(
+            Arg::new("out")
+                .long("out")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Draw exposure and time to the verdict as SVG"),
+        )
+}
+
 fn measure_command() -> Command {
     let number = |name: &'static str, default: &'static str, help: &'static str| {
         Arg::new(name)
@@ -183,6 +215,7 @@
         Some(("demo", sub)) => run_demo(sub),
         Some(("measure", sub)) => run_measure(sub),
         Some(("spread", sub)) => run_spread(sub),
+        Some(("rollout", sub)) => run_rollout(sub),
         Some(("gen", _)) => write_generated(),
         Some(("box", sub)) => run_box(sub),
         Some(("scores", sub)) => run_scores(sub),
@@ -210,6 +243,24 @@
         .block_on(future)
 }
 
+fn run_rollout(matches: &ArgMatches) -> Result<bool, String> {
+    let number = |name: &str| *matches.get_one::<u64>(name).unwrap_or(&1);
+    let boxes = number("boxes") as usize;
+    let seeds = number("seed")..number("seed") + number("orders");
+    let cases: Vec<Case> = seeds.map(|seed| Case::draw(seed, boxes)).collect();
+    let outcomes = rollout::play_all(&cases, number("threads") as usize);
+    let report = Report::new(&outcomes);
+    if matches.get_flag("json") {
+        println!("{}", json!(report));
+    } else {
+        print!("{}", report.text());
+    }
+    if let Some(out) = matches.get_one::<PathBuf>("out") {
+        rollout::picture::draw(&outcomes, out)?;
+    }
+    Ok(!outcomes.iter().any(rollout::Outcome::is_broken))
+}
+
 fn run_scores(matches: &ArgMatches) -> Result<bool, String> {
     let folder = matches
         .get_one::<PathBuf>("journal")
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -76,6 +76,13 @@
                      who watched the store; all words are then logs",
                 ),
         )
+        .arg(
+            Arg::new("rollouts")
+                .long("rollouts")
+                .action(ArgAction::SetTrue)
+                .conflicts_with_all(["failed", "streams", "placement"])
+                .help("Tell how roll-outs went; all words are then logs"),
+        )
         .arg(
             Arg::new("words")
                 .value_name("ID|LOG")
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -10,7 +10,7 @@
 
 use crate::cli::{CliError, Output};
 use crate::gateway::explain::{Story, read, stories};
-use crate::gateway::{placement_report, stream_report};
+use crate::gateway::{placement_report, rollout_report, stream_report};
 
 /// Runs the command.
 ///
@@ -34,8 +34,15 @@
         let report = placement_report::report(&lines);
         return Ok(Output::new(report.text(), json!(report)));
     }
+    if matches.get_flag("rollouts") {
+        let texts = read_logs(&words)?;
+        let lines = read(texts.iter().map(String::as_str));
+        let report = rollout_report::report(&lines);
+        return Ok(Output::new(report.text(), json!(report)));
+    }
     let Some((request, logs)) = words.split_first() else {
-        let line = "name a request, or use --failed, --streams or --placement".to_owned();
+        let line =
+            "name a request, or use --failed, --streams, --placement or --rollouts".to_owned();
         return Err(CliError::Invalid(vec![line]));
     };
     let texts = read_logs(logs)?;
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -8,6 +8,7 @@
 pub mod dispatch;
 pub mod explain;
 pub mod placement_report;
+pub mod rollout_report;
 pub mod settings;
 pub mod shell;
 pub mod stream_report;
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -20,6 +20,7 @@
 //! | what runs at endpoints | [`fleet::usage`] |
 //! | which boxes watch the store | [`store_watchers`] |
 //! | what boxes tell each other | [`gossip`], [`peers`] |
+//! | how a service moves to another version | [`rollout`], carried out by [`rollouts`] |
 //! | who runs | [`roster`] |
 //! | from whom a newer table or list is fetched | [`fetches`] |
 //! | when the box is ready | [`readiness`] |
@@ -34,6 +35,7 @@
 pub mod refusal;
 pub mod replica;
 pub mod retry_budget;
+pub mod rollout;
 pub mod roster;
 pub mod store_watchers;
 pub mod stream_time;
@@ -49,6 +51,7 @@
 mod replicas;
 mod request;
 pub mod retry;
+mod rollouts;
 mod suspicion;
 
 use std::collections::BTreeMap;
@@ -71,6 +74,7 @@
 use record::{EndpointState, Record, WATCHES_STORE};
 use request::Request;
 use retry_budget::{RetryBudget, RetryPolicy};
+use rollout::Rollouts;
 use store_watchers::StoreWatchers;
 use stream_time::StreamTime;
 use table::{RoutingTable, TableVersion};
@@ -107,6 +111,9 @@
     pub fleet_boxes: usize,
     /// How retries are bounded.
     pub retries: RetryPolicy,
+    /// The greatest share of a service's requests that a version may get before it is known to be
+    /// sound.
+    pub rollout_share: f64,
 }
 
 /// The beat with which a life begins.
@@ -137,6 +144,9 @@
     pending_usage: PendingUsage,
     ends_at: Option<Micros>,
     stream_time: StreamTime,
+    rollouts: Rollouts,
+    watches_rollouts: bool,
+    next_note: Micros,
     is_cut_off: bool,
     actions: Vec<Action>,
 }
@@ -174,6 +184,9 @@
             pending_usage: PendingUsage::default(),
             ends_at: None,
             stream_time: StreamTime::default(),
+            rollouts: Rollouts::new(cfg.rollout_share),
+            watches_rollouts: false,
+            next_note: now,
             is_cut_off: false,
             actions: Vec::new(),
             cfg,
@@ -203,6 +216,7 @@
             Event::Table(_)
             | Event::EndpointsListed { .. }
             | Event::EndpointsChanged { .. }
+            | Event::Rollouts { .. }
             | Event::StoreAnswered
             | Event::Peer(_)
             | Event::PeerUsage(_)
@@ -227,6 +241,11 @@
                 at,
             } => self.on_listed(specs, &unreadable, at),
             Event::EndpointsChanged { changes, at } => self.on_changed(changes, at),
+            Event::Rollouts {
+                objects,
+                gone,
+                is_whole,
+            } => self.on_rollouts(objects, &gone, is_whole),
             Event::StoreAnswered => {
                 self.store_watchers.on_answer(self.cfg.address, self.now);
             }
@@ -286,6 +305,11 @@
             .unwrap_or(self.next_gossip);
         let due = self.next_gossip.min(self.pending_usage.due());
         let due = due.min(first_decision);
+        let due = if self.rollouts.is_empty() {
+            due
+        } else {
+            due.min(self.now.after(TICK))
+        };
         let fetches = [self.table_fetches.due(), self.endpoint_fetches.due()];
         let due = fetches.into_iter().flatten().fold(due, Micros::min);
         if self.active() == 0 {
@@ -320,6 +344,12 @@
         (near, near + roster.boxes_of_others())
     }
 
+    /// The roll-outs that this box knows of.
+    #[must_use]
+    pub fn rollouts(&self) -> &Rollouts {
+        &self.rollouts
+    }
+
     /// What is believed of the endpoints.
     #[must_use]
     pub fn fleet(&self) -> &Fleet {
@@ -417,6 +447,7 @@
                 self.gossip_claim();
             }
         }
+        self.check_rollouts();
         self.fetch_if_behind();
         self.gossip_usage_if_due();
         self.gossip_if_due();
--- a/src/gateway/dispatch/action.rs
+++ b/src/gateway/dispatch/action.rs
@@ -8,6 +8,7 @@
 use crate::gateway::dispatch::record::Record;
 use crate::gateway::dispatch::refusal::Refusal;
 use crate::gateway::dispatch::replica::ReplicaLocation;
+use crate::gateway::dispatch::rollout::status::StatusWrite;
 use crate::schema::{BoxState, EndpointId, OrganisationId, StateRequest, UsageNews};
 
 /// One attempt of a request at an endpoint.
@@ -119,6 +120,10 @@
     CloseResting(SocketAddr),
     /// Begin or cease to watch the platform's store.
     WatchStore(bool),
+    /// Begin or cease to watch the store's objects that order roll-outs.
+    WatchRollouts(bool),
+    /// Write the status of such an object.
+    WriteRollout(StatusWrite),
     /// Send this box's state to other boxes, by UDP.
     Gossip {
         /// Their addresses.
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -22,6 +22,7 @@
 use super::replicas::first_replica_check;
 use super::request::{ActiveAttempt, Request, millis};
 use super::retry::MOST_ATTEMPTS;
+use super::rollout::evidence::Sampled;
 use crate::schema::{EndpointId, EndpointIncarnation, Micros};
 
 /// How long to wait before looking for an endpoint again. Chosen, not measured.
@@ -61,13 +62,24 @@
             self.give_up_expired(number);
             return;
         }
-        let chosen = self.placer.choose(&self.fleet, request.demand(), self.now);
-        match chosen.map(|e| e.spec.id.clone()) {
+        self.draw_canary(number);
+        match self.choose_endpoint(number) {
             Some(endpoint) => self.start_attempt(number, &endpoint, None),
             None => self.wait_for_endpoint(number),
         }
     }
 
+    fn choose_endpoint(&self, number: RequestNumber) -> Option<EndpointId> {
+        let request = self.requests.get(&number)?;
+        let choose = |rules| {
+            let demand = request.demand(rules);
+            self.placer.choose(&self.fleet, demand, self.now)
+        };
+        let chosen = choose(self.rules_for(request));
+        let chosen = chosen.or_else(|| choose(self.other_rules_for(request)?));
+        chosen.map(|e| e.spec.id.clone())
+    }
+
     /// Makes an attempt that goes on from a replica if there is one, or else one anywhere.
     pub(super) fn start_next_attempt(&mut self, number: RequestNumber) {
         match self.take_replica(number) {
@@ -113,7 +125,7 @@
         let sent = self.sent(request, &attempt, &spec, backup, usage);
         self.record(sent);
         self.fleet.on_sending(&spec, now);
-        self.count_attempt(number, &attempt, mirror);
+        self.count_attempt(number, &attempt, mirror, usage.prefill);
         self.report_usage_soon(to);
         self.command(number, Command::Send(Box::new(attempt)));
     }
@@ -150,6 +162,7 @@
         number: RequestNumber,
         attempt: &Attempt,
         mirror: Option<EndpointIncarnation>,
+        prompts_before: u32,
     ) {
         let Some(request) = self.requests.get_mut(&number) else {
             return;
@@ -157,7 +170,8 @@
         let Some(endpoint) = self.fleet.get_mut(&attempt.endpoint) else {
             return;
         };
-        let active = active_attempt(request, attempt, &endpoint.spec, mirror, self.now);
+        let mut active = active_attempt(request, attempt, &endpoint.spec, mirror, self.now);
+        active.sampled = Sampled::behind(prompts_before);
         endpoint.own.running += 1;
         endpoint.own.prefill += active.prefill;
         endpoint.own.memory += active.memory;
@@ -229,6 +243,7 @@
 
     /// Gives a request its final answer, and stops its attempt.
     pub(super) fn give_up(&mut self, number: RequestNumber, reason: RefusalReason) {
+        self.sample_given_up(number);
         let Some(request) = self.requests.remove(&number) else {
             return;
         };
@@ -262,6 +277,8 @@
         started: now,
         heard: now,
         has_events: false,
+        begun: None,
+        sampled: Sampled::default(),
         domain: spec.domain.clone(),
         address: attempt.address,
         mirror,
--- a/src/gateway/dispatch/event.rs
+++ b/src/gateway/dispatch/event.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use crate::gateway::dispatch::fetches::{FetchKind, FetchOutcome};
+use crate::gateway::dispatch::rollout::status::ObjectState;
 use crate::gateway::dispatch::table::RoutingTable;
 use crate::schema::{
-    Birth, BoxState, DomainId, EndpointId, EndpointIncarnation, ServiceId, UsageNews,
+    Birth, BoxState, DomainId, EndpointId, EndpointIncarnation, ServiceId, UsageNews, VersionId,
 };
 
 /// A request as this box numbers it.
@@ -85,6 +86,8 @@
     pub revision: u64,
     /// The service that it belongs to.
     pub service: ServiceId,
+    /// The version of its software.
+    pub version: VersionId,
     /// Its address.
     pub address: SocketAddr,
     /// Its failure domain.
@@ -246,6 +249,15 @@
         /// The store's revision at which it did.
         at: u64,
     },
+    /// Objects of the store that order roll-outs were read.
+    Rollouts {
+        /// Those that are there, or that have changed.
+        objects: Vec<ObjectState>,
+        /// Services whose object is gone.
+        gone: Vec<ServiceId>,
+        /// Whether they are all there are.
+        is_whole: bool,
+    },
     /// The platform's store answered this box.
     StoreAnswered,
     /// Another box sent its state.
--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -71,6 +71,13 @@
         pending.due.get_or_insert(due);
     }
 
+    /// Lets the boxes of the own failure domain know at once how far this one is with roll-outs.
+    pub(super) fn report_rollouts_soon(&mut self) {
+        let pending = &mut self.pending_usage;
+        let due = self.now.max(pending.allowed);
+        pending.due = Some(pending.due.map_or(due, |known| known.min(due)));
+    }
+
     pub(super) fn gossip_usage_if_due(&mut self) {
         if self.now < self.pending_usage.due() {
             return;
@@ -78,6 +85,7 @@
         let endpoints = std::mem::take(&mut self.pending_usage.endpoints);
         self.pending_usage.due = None;
         let answers = self.fleet.take_untold();
+        let samples = self.take_rollout_samples();
         let to = self.peers.of_own_domain(self.now);
         if to.is_empty() {
             return;
@@ -89,6 +97,8 @@
             usage: usage.collect(),
             answers,
             totals: self.budget.totals(self.now),
+            samples,
+            rollouts: self.rollout_notes(),
         };
         self.actions.push(Action::GossipUsage { to, news });
     }
@@ -97,6 +107,7 @@
         self.fleet.on_peer_usage(&news.from, &news.usage, self.now);
         self.fleet.on_peer_answers(&news.answers, self.now);
         self.budget.on_told(&news.from, &news.totals, self.now);
+        self.on_rollout_news(news);
     }
 
     /// Has peers told before it is due.
@@ -157,6 +168,7 @@
             domains: self.peers.sizes_to_tell(now),
             endpoints_at: self.endpoints_at,
             readers: self.store_watchers.told(domain, now),
+            rollouts: self.rollouts_for(domain),
         }
     }
 
@@ -190,7 +202,7 @@
 
     /// Sends this box's state to others; a seed whose failure domain is not known is taken for one
     /// of the own.
-    fn gossip_state(&mut self, to: Vec<SocketAddr>) {
+    pub(super) fn gossip_state(&mut self, to: Vec<SocketAddr>) {
         let mut by_domain: BTreeMap<DomainId, Vec<SocketAddr>> = BTreeMap::new();
         for address in to {
             let domain = self.peers.domain_at(address).unwrap_or(&self.cfg.domain);
@@ -219,6 +231,7 @@
         self.fleet.on_peer(state, &self.cfg.domain, self.now);
         self.budget.on_told(&state.from, &state.totals, self.now);
         self.store_watchers.on_told(&state.readers, self.now);
+        self.on_told_rollouts(state);
         if state.table_version < self.table_version().0 {
             self.tell(state);
         }
--- a/src/gateway/dispatch/outcomes.rs
+++ b/src/gateway/dispatch/outcomes.rs
@@ -74,13 +74,16 @@
         };
         active.heard = now;
         let is_first = !std::mem::replace(&mut active.has_events, true);
+        active.begun.get_or_insert((now, last_event));
         let prefilled = std::mem::take(&mut active.prefill);
         let endpoint = active.endpoint.clone();
         if let Some(endpoint) = self.fleet.living_mut(&endpoint) {
             endpoint.heard = now;
             endpoint.own.prefill = endpoint.own.prefill.saturating_sub(prefilled);
         }
+        self.sample_events(number, attempt);
         if is_first {
+            self.sample_first_event(number, attempt, prefilled);
             self.record_first_event(id, &endpoint.id, is_resumed.then_some(pause), age);
         }
     }
@@ -125,6 +128,7 @@
             request.maybe_run += 1;
         }
         self.record_end(number, &active, outcome);
+        self.sample_end(number, &active, outcome);
         self.uncount_attempt(&active);
         if self.fleet.living(&active.endpoint).is_some() {
             self.believe(&active.endpoint.id, outcome);
@@ -189,7 +193,12 @@
     }
 
     /// Notes the replicas of an attempt that was lost, for the next one.
-    fn keep_replicas(&mut self, number: RequestNumber, active: &ActiveAttempt, fault: Fault) {
+    pub(super) fn keep_replicas(
+        &mut self,
+        number: RequestNumber,
+        active: &ActiveAttempt,
+        fault: Fault,
+    ) {
         let Some(request) = self.requests.get(&number) else {
             return;
         };
@@ -248,7 +257,7 @@
         }
     }
 
-    fn take_retry(&mut self, number: RequestNumber) -> bool {
+    pub(super) fn take_retry(&mut self, number: RequestNumber) -> bool {
         let roster = self.peers.roster();
         let all = roster.fleet_size(self.now);
         let sharers = Sharers {
--- a/src/gateway/dispatch/placement.rs
+++ b/src/gateway/dispatch/placement.rs
@@ -22,6 +22,7 @@
 use crate::gateway::dispatch::fleet::standing::Failing;
 use crate::gateway::dispatch::fleet::usage::PREFILL_TOKENS_PER_MS;
 use crate::gateway::dispatch::fleet::{Endpoint, Fleet};
+use crate::gateway::dispatch::rollout::VersionRules;
 use crate::gateway::dispatch::table::EngineSpec;
 use crate::rendezvous;
 use crate::schema::{DomainId, EndpointId, EndpointIncarnation, Micros, ServiceId};
@@ -56,6 +57,8 @@
     pub tried: &'a [EndpointIncarnation],
     /// What sets endpoints of equal cost apart: the same for each attempt of a request at any box.
     pub key: u64,
+    /// Which endpoints it may use while its service moves to another version.
+    pub rules: VersionRules<'a>,
 }
 
 impl Demand<'_> {
@@ -78,6 +81,7 @@
         let costs = fleet
             .of_service(demand.service)
             .filter(|e| e.takes_work() && !demand.was_tried(e))
+            .filter(|e| demand.rules.attempts.admits(e))
             .filter(|e| !fleet.is_unreachable(e, now))
             .map(|e| (self.cost(&weighing, e), e));
         costs
@@ -100,6 +104,7 @@
             .of_service(demand.service)
             .filter(|e| {
                 e.takes_work()
+                    && demand.rules.replicas.admits(e)
                     && !e.is_avoided(now)
                     && !fleet.is_suspected(e, now)
                     && !fleet.is_unreachable(e, now)
@@ -125,7 +130,8 @@
         let weighing = Weighing::new(fleet, demand, now);
         let others = fleet
             .of_service(demand.service)
-            .filter(|e| e.spec.id != engine.spec.id && stands(e));
+            .filter(|e| e.spec.id != engine.spec.id && demand.rules.replicas.admits(e))
+            .filter(|e| stands(e));
         let costs = others.map(|e| (self.cost(&weighing, e), e));
         costs
             .min_by(|(a, _), (b, _)| a.total_cmp(b))
--- a/src/gateway/dispatch/prompt_search.rs
+++ b/src/gateway/dispatch/prompt_search.rs
@@ -74,7 +74,8 @@
         }
         let usable = endpoint.filter(|id| {
             let found = self.fleet.get(id);
-            found.is_some_and(|e| e.takes_work() && !e.is_avoided(self.now))
+            found
+                .is_some_and(|e| e.takes_work() && !e.is_avoided(self.now) && self.may_resume_at(e))
         });
         match usable {
             Some(id) => self.start_attempt(number, &id, None),
--- a/src/gateway/dispatch/record.rs
+++ b/src/gateway/dispatch/record.rs
@@ -23,6 +23,9 @@
 /// The state of a box that begins to watch the platform's store; its detail tells why.
 pub const WATCHES_STORE: &str = "reads_store";
 
+/// The state of a process that wrote the status of a roll-out; its detail tells what came of it.
+pub const ROLLOUT_STATUS: &str = "rollout_status";
+
 /// What the list says of an endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EndpointState {
@@ -252,6 +255,17 @@
         /// When it has started now.
         born: Option<u64>,
     },
+    /// A roll-out has entered a phase.
+    Rollout {
+        /// The service.
+        service: String,
+        /// The version that it moves to.
+        target: String,
+        /// The phase.
+        phase: String,
+        /// Why.
+        why: String,
+    },
     /// Something happened to the process or to what it depends on.
     Process {
         /// What.
@@ -282,6 +296,7 @@
             | Self::Endpoint { .. }
             | Self::Endpoints { .. }
             | Self::Reborn { .. }
+            | Self::Rollout { .. }
             | Self::Process { .. } => None,
         }
     }
@@ -339,6 +354,12 @@
                     born.unwrap_or_default()
                 )
             }
+            Self::Rollout {
+                service,
+                target,
+                phase,
+                why,
+            } => format!("roll-out of {service} to {target}: {phase}, {why}"),
             Self::Process { state, detail } => format!("{state} {detail}"),
         }
     }
--- a/src/gateway/dispatch/replicas.rs
+++ b/src/gateway/dispatch/replicas.rs
@@ -64,7 +64,7 @@
             return None;
         }
         self.placer
-            .choose_mirror(&self.fleet, request.demand(), endpoint, self.now)
+            .choose_mirror(&self.fleet, self.demand_of(request), endpoint, self.now)
     }
 
     /// Asks for a snapshot of a stream if no replica is independent of it, or if the snapshot is
@@ -104,6 +104,17 @@
         }
     }
 
+    /// Whether an attempt has a replica that it could go on from now.
+    pub(super) fn has_replica(&self, active: &ActiveAttempt) -> bool {
+        let taken = active.snapshot.as_ref().filter(|s| s.name.is_some());
+        let hosts = [
+            active.mirror.as_ref().filter(|_| active.has_events),
+            taken.map(|snapshot| &snapshot.host),
+        ];
+        let mut hosts = hosts.into_iter().flatten();
+        hosts.any(|host| self.independence(Some(host), active) > Independence::Lost)
+    }
+
     /// A host where a replica would be more independent than the best one there is.
     fn better_host(
         &self,
@@ -129,7 +140,7 @@
             };
             self.placer.choose_snapshot_host(
                 &self.fleet,
-                request.demand(),
+                self.demand_of(request),
                 engine,
                 stands,
                 self.now,
@@ -174,6 +185,7 @@
         let now = self.now;
         // A single failed connection does not tell that its replicas are lost.
         let seems_lost = !host.takes_work()
+            || self.is_left(host)
             || self.fleet.is_suspected(host, now)
             || self.fleet.is_unreachable(host, now);
         if seems_lost {
@@ -337,14 +349,18 @@
         replicas
     }
 
+    fn next_replica(&mut self, number: RequestNumber) -> Option<Replica> {
+        let request = self.requests.get_mut(&number)?;
+        (!request.replicas.is_empty()).then(|| request.replicas.remove(0))
+    }
+
     /// Takes the next replica that a request can go on from.
     pub(super) fn take_replica(&mut self, number: RequestNumber) -> Option<Replica> {
         let now = self.now;
-        let request = self.requests.get_mut(&number)?;
-        while !request.replicas.is_empty() {
-            let replica = request.replicas.remove(0);
+        while let Some(replica) = self.next_replica(number) {
             let host = self.fleet.living(&replica.host);
-            let is_usable = host.is_some_and(|e| e.takes_work() && !e.is_avoided(now));
+            let is_usable =
+                host.is_some_and(|e| e.takes_work() && !e.is_avoided(now) && self.may_resume_at(e));
             if is_usable && now < replica.until {
                 return Some(replica);
             }
--- a/src/gateway/dispatch/request.rs
+++ b/src/gateway/dispatch/request.rs
@@ -12,6 +12,8 @@
 use super::placement::Demand;
 use super::refusal::HasRun;
 use super::replica::{Replica, Snapshot};
+use super::rollout::VersionRules;
+use super::rollout::evidence::Sampled;
 use super::table::{EngineSpec, KeyOwner, Route};
 use crate::rendezvous;
 use crate::schema::{DomainId, EndpointId, EndpointIncarnation, Micros, ServiceId};
@@ -29,6 +31,11 @@
     pub heard: Micros,
     /// Whether an event of it has come.
     pub has_events: bool,
+    /// When its first event came, and which that was.
+    pub begun: Option<(Micros, u64)>,
+    /// What of it was counted for a roll-out. Its first event is not where other prompts were before
+    /// it: few endpoints of a version that is tried out have them more often than many others.
+    pub sampled: Sampled,
     /// The endpoint's failure domain.
     pub domain: DomainId,
     /// The endpoint's address.
@@ -69,6 +76,8 @@
     pub active: Option<ActiveAttempt>,
     /// Attempts so far.
     pub attempts: u32,
+    /// Whether its first attempt tries a version that is not known to be sound, once that is decided.
+    pub is_canary: Option<bool>,
     /// Attempts that have ended and may have run.
     pub maybe_run: u32,
     /// Endpoints that the next attempt avoids, since earlier ones went there.
@@ -114,6 +123,7 @@
             key_owner,
             active: None,
             attempts: 0,
+            is_canary: None,
             maybe_run: 0,
             tried: Vec::new(),
             replicas: Vec::new(),
@@ -164,13 +174,14 @@
     }
 
     /// What is to be placed.
-    pub fn demand(&self) -> Demand<'_> {
+    pub fn demand<'a>(&'a self, rules: VersionRules<'a>) -> Demand<'a> {
         Demand {
             service: &self.service,
             engine: self.engine,
             memory: self.memory(),
             tried: &self.tried,
             key: self.key,
+            rules,
         }
     }
 }
--- /dev/null
+++ b/src/gateway/dispatch/rollout.rs
@@ -0,0 +1,644 @@
+//! Roll-outs: how a service moves to endpoints of another version, and back if that one is bad.
+//!
+//! An operator's order names a service, a version and a time. The endpoints of that version stand
+//! beside the others already. All boxes take part in the decision and none keeps it: what endpoints
+//! answered is pooled ([`evidence`]), each box judges it by itself ([`verdict`]), and a phase that one
+//! box has entered is told to all, who enter it too. A later phase is never left for an earlier one.
+//!
+//! | phase | new work goes to | entered when |
+//! |---|---|---|
+//! | `canary` | endpoints of other versions, a small share to the target ([`canary`]) | the order is seen |
+//! | `switch` | the target; streams elsewhere go on there | a box that watches roll-outs finds nothing held against the target shortly before the time is over |
+//! | `bad` | endpoints of other versions only | any box finds the target bad, unless it is committed |
+//! | `committed` | the target | no box has work elsewhere, and the store is asked to say so |
+//! | `completed`, `rolled_back` | the target; others | the store's object says so |
+//!
+//! The store's object is the only memory: a fleet that starts anew finds orders there, and which of
+//! them are finished. Its status is written under the revision that was read, so of two that write one
+//! wins, and a write that comes late changes nothing. Boxes that don't watch the store believe in an
+//! order for [`VOUCHED_FOR`] after a box that does has vouched for it.
+//!
+//! Weighed in docs/design/rollouts.md.
+
+pub mod canary;
+pub mod evidence;
+pub mod status;
+pub mod verdict;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::fleet::{Endpoint, Fleet};
+use super::roster::unpack_address;
+use crate::schema::{
+    DomainId, DomainTally, EndpointId, Micros, RolloutNote, RolloutPhase, RolloutState, ServiceId,
+    VersionId,
+};
+use canary::Canaries;
+use evidence::Evidence;
+use status::{ObjectState, StatusWrites};
+use verdict::Verdict;
+
+/// How long a box believes in an order that no box which watches roll-outs vouches for: longer than
+/// new ones need to step in for watchers that died (some 5 s). Chosen, not measured.
+const VOUCHED_FOR: Duration = Duration::from_secs(30);
+/// How long before the end of its time an order for plain endpoints switches: a call ends within its
+/// route's time limit, and the status is to be in the store then. Until it is, each request goes to
+/// a version that may still turn bad, so it is as late as it can be. Chosen, not measured.
+const SWITCH_BEFORE_END: Duration = Duration::from_millis(1_500);
+/// The same for model engines, whose streams have to go on elsewhere. Chosen, not measured.
+const SWITCH_ENGINES_BEFORE_END: Duration = Duration::from_millis(4_500);
+/// How long before the end of its time streams elsewhere leave for the target: those that began
+/// before the switch have mostly ended by then, and each that moves is a request to a version that
+/// may still turn bad. Chosen over the time of a snapshot and of a message around all boxes, not
+/// measured.
+const LEAVE_BEFORE_END: Duration = Duration::from_secs(1);
+/// How long the target has all requests before the roll-out is committed: what fails under the whole
+/// load only shows by then. Figures in docs/design/rollouts.md.
+const LEAST_SWITCH: Duration = Duration::from_millis(450);
+/// The part of an order's time for which a box must have looked on before it takes the target for sound:
+/// one that has just started knows little, and after a loss of all boxes nobody knows more.
+const LEAST_OBSERVED: f64 = 0.5;
+/// How long a phase has lasted before a box says that it has nothing left elsewhere: requests that
+/// were placed before are counted by then. Chosen, not measured.
+const SETTLED_AFTER: Duration = Duration::from_millis(100);
+/// Least time between two looks at the evidence.
+const JUDGE_EVERY: Duration = Duration::from_millis(100);
+
+/// What an operator ordered.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RolloutOrder {
+    /// The service.
+    pub service: ServiceId,
+    /// The version that it moves to.
+    pub target: VersionId,
+    /// How long that may take.
+    pub duration: Duration,
+    /// What tells this order from others for the service: a hash of its content and of when its object
+    /// was made.
+    pub id: u64,
+}
+
+impl RolloutOrder {
+    /// An order whose object was made at a revision of the store.
+    #[must_use]
+    pub fn new(service: ServiceId, target: VersionId, duration: Duration, made: u64) -> Self {
+        let content = format!("{service} {target} {}", duration.as_millis());
+        Self {
+            id: xxh3_64_with_seed(content.as_bytes(), made),
+            service,
+            target,
+            duration,
+        }
+    }
+}
+
+/// Which endpoints an attempt or a replica may be placed at.
+#[derive(Clone, Copy, Debug, Default)]
+pub enum VersionRule<'a> {
+    /// Any.
+    #[default]
+    Any,
+    /// Those of a version.
+    Only(&'a VersionId),
+    /// Those of other versions than one.
+    Except(&'a VersionId),
+    /// These.
+    Among(&'a BTreeSet<EndpointId>),
+}
+
+impl VersionRule<'_> {
+    /// Whether an endpoint may be used.
+    #[must_use]
+    pub fn admits(self, endpoint: &Endpoint) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(version) => endpoint.spec.version == *version,
+            Self::Except(version) => endpoint.spec.version != *version,
+            Self::Among(ids) => ids.contains(&endpoint.spec.id),
+        }
+    }
+}
+
+/// Which endpoints a request may use.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct VersionRules<'a> {
+    /// For attempts.
+    pub attempts: VersionRule<'a>,
+    /// For replicas of them.
+    pub replicas: VersionRule<'a>,
+}
+
+/// How far another box is.
+#[derive(Clone, Copy, Debug)]
+struct Noted {
+    phase: RolloutPhase,
+    is_clear: bool,
+}
+
+/// What follows for the box when roll-outs are looked at.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// A roll-out has entered a phase.
+    Entered {
+        /// The service.
+        service: ServiceId,
+        /// The version.
+        target: VersionId,
+        /// The phase.
+        phase: RolloutPhase,
+        /// Why, for operators.
+        why: String,
+    },
+    /// The status of an object is to be written.
+    Write(status::StatusWrite),
+}
+
+/// One roll-out.
+#[derive(Debug)]
+pub struct Rollout {
+    order: RolloutOrder,
+    /// When the order was first seen by any box, as far as this one knows.
+    seen_first: Micros,
+    /// When a box that watches roll-outs vouched for it last.
+    vouched: Micros,
+    phase: RolloutPhase,
+    phase_since: Micros,
+    judged: Micros,
+    canaries: Canaries,
+    evidence: Evidence,
+    boxes: BTreeMap<SocketAddr, Noted>,
+    /// Whether other domains have nothing left elsewhere, and when they said so.
+    clear_domains: BTreeMap<DomainId, (Micros, bool)>,
+    object: Option<ObjectState>,
+    writes: StatusWrites,
+}
+
+/// What a box knows beyond the roll-out when it decides.
+#[derive(Clone, Copy, Debug)]
+pub struct Surroundings<'a> {
+    /// The endpoints.
+    pub fleet: &'a Fleet,
+    /// The own failure domain.
+    pub domain: &'a DomainId,
+    /// The running boxes of it, this one left out.
+    pub near: &'a [SocketAddr],
+    /// The failure domains with running boxes, the own one left out.
+    pub others: &'a [DomainId],
+    /// Whether this box watches roll-outs for its domain.
+    pub is_watching: bool,
+    /// Whether the service has model engines.
+    pub has_engines: bool,
+    /// Attempts of this box at endpoints of the service with other versions than the target.
+    pub elsewhere: usize,
+}
+
+impl Rollout {
+    fn new(order: RolloutOrder, seen_first: Micros, now: Micros) -> Self {
+        Self {
+            order,
+            seen_first,
+            vouched: now,
+            phase: RolloutPhase::Canary,
+            phase_since: now,
+            judged: Micros::ZERO,
+            canaries: Canaries::default(),
+            evidence: Evidence::default(),
+            boxes: BTreeMap::new(),
+            clear_domains: BTreeMap::new(),
+            object: None,
+            writes: StatusWrites::default(),
+        }
+    }
+
+    /// The order.
+    #[must_use]
+    pub fn order(&self) -> &RolloutOrder {
+        &self.order
+    }
+
+    /// How far it is.
+    #[must_use]
+    pub fn phase(&self) -> RolloutPhase {
+        self.phase
+    }
+
+    /// Since when it is that far.
+    #[must_use]
+    pub fn phase_since(&self) -> Micros {
+        self.phase_since
+    }
+
+    /// Since when streams at other versions are to leave, if they are.
+    #[must_use]
+    pub fn leaving_since(&self) -> Option<Micros> {
+        let before_end = self.order.duration.saturating_sub(LEAVE_BEFORE_END);
+        let at = self.seen_first.after(before_end);
+        self.leaves_others().then(|| at.max(self.phase_since))
+    }
+
+    /// What is known of its endpoints' answers.
+    #[must_use]
+    pub fn evidence(&self) -> &Evidence {
+        &self.evidence
+    }
+
+    /// What is known of its endpoints' answers, to add to it.
+    pub fn evidence_mut(&mut self) -> &mut Evidence {
+        &mut self.evidence
+    }
+
+    /// Whether its endpoints' answers are of interest.
+    #[must_use]
+    pub fn is_judged(&self) -> bool {
+        matches!(self.phase, RolloutPhase::Canary | RolloutPhase::Switch)
+    }
+
+    /// Whether new work is to leave other versions than the target.
+    #[must_use]
+    pub fn leaves_others(&self) -> bool {
+        use RolloutPhase::{Committed, Completed, Switch};
+        matches!(self.phase, Switch | Committed | Completed)
+    }
+
+    /// The probability with which a request that comes now goes to the target.
+    #[must_use]
+    pub fn canary_share(&self, now: Micros) -> f64 {
+        if self.phase != RolloutPhase::Canary {
+            return 0.0;
+        }
+        self.canaries.share(now.since(self.seen_first))
+    }
+
+    /// Where a request may go.
+    #[must_use]
+    pub fn rules(&self, is_canary: bool) -> VersionRules<'_> {
+        let target = &self.order.target;
+        let attempts = match self.phase {
+            RolloutPhase::Canary if is_canary => VersionRule::Among(self.canaries.endpoints()),
+            RolloutPhase::Canary | RolloutPhase::Bad | RolloutPhase::RolledBack => {
+                VersionRule::Except(target)
+            }
+            RolloutPhase::Switch | RolloutPhase::Committed | RolloutPhase::Completed => {
+                VersionRule::Only(target)
+            }
+        };
+        let replicas = if self.leaves_others() {
+            VersionRule::Only(target)
+        } else {
+            VersionRule::Except(target)
+        };
+        VersionRules { attempts, replicas }
+    }
+
+    /// Enters a phase if it is a later one.
+    fn enter(&mut self, phase: RolloutPhase, why: String, now: Micros, steps: &mut Vec<Step>) {
+        if phase <= self.phase {
+            return;
+        }
+        self.phase = phase;
+        self.phase_since = now;
+        steps.push(Step::Entered {
+            service: self.order.service.clone(),
+            target: self.order.target.clone(),
+            phase,
+            why,
+        });
+    }
+
+    /// Looks at the evidence, the time and the other boxes.
+    fn look(&mut self, share: f64, around: &Surroundings<'_>, now: Micros) -> Vec<Step> {
+        let mut steps = Vec::new();
+        if around.is_watching && self.object.is_some() {
+            self.vouched = now;
+        }
+        if self.is_judged() && now.since(self.judged) >= JUDGE_EVERY {
+            self.judged = now;
+            self.canaries
+                .choose(share, &self.order, around.fleet, around.domain);
+            self.judge(around, now, &mut steps);
+        }
+        let is_tried = now.since(self.phase_since) >= LEAST_SWITCH;
+        let is_switched = self.phase == RolloutPhase::Switch && is_tried;
+        if is_switched && around.is_watching && self.is_clear(around, now) {
+            let why = "no box has work at other versions".to_owned();
+            self.enter(RolloutPhase::Committed, why, now, &mut steps);
+        }
+        if let Some(object) = self.object.as_ref().filter(|_| around.is_watching) {
+            let write = self.writes.next(self.phase, object, around, now);
+            steps.extend(write.map(Step::Write));
+        }
+        steps
+    }
+
+    fn judge(&mut self, around: &Surroundings<'_>, now: Micros, steps: &mut Vec<Step>) {
+        let verdict = self.evidence.verdict(around.domain, now);
+        if let Verdict::Bad { why } = &verdict {
+            self.enter(RolloutPhase::Bad, why.clone(), now, steps);
+            return;
+        }
+        let before_end = if around.has_engines {
+            SWITCH_ENGINES_BEFORE_END
+        } else {
+            SWITCH_BEFORE_END
+        };
+        let at = self.order.duration.saturating_sub(before_end);
+        let observed = now.since(self.phase_since);
+        let is_time = now.since(self.seen_first) >= at
+            && observed >= self.order.duration.mul_f64(LEAST_OBSERVED);
+        let has_target = self.canaries.has_target();
+        if let Verdict::Sound { why } = verdict
+            && self.phase == RolloutPhase::Canary
+            && around.is_watching
+            && is_time
+            && has_target
+        {
+            self.enter(RolloutPhase::Switch, why, now, steps);
+        }
+    }
+
+    /// Whether this box has nothing left at other versions.
+    fn is_own_clear(&self, elsewhere: usize, now: Micros) -> bool {
+        let is_settled = now.since(self.phase_since) >= SETTLED_AFTER;
+        self.leaves_others() && is_settled && elsewhere == 0
+    }
+
+    /// Whether no running box of the own domain has anything left at other versions.
+    fn is_domain_clear(&self, around: &Surroundings<'_>, now: Micros) -> bool {
+        let is_clear = |address: &SocketAddr| {
+            let noted = self.boxes.get(address);
+            noted.is_some_and(|noted| noted.is_clear && noted.phase >= RolloutPhase::Switch)
+        };
+        self.is_own_clear(around.elsewhere, now) && around.near.iter().all(is_clear)
+    }
+
+    /// Whether no running box of any domain has.
+    fn is_clear(&self, around: &Surroundings<'_>, now: Micros) -> bool {
+        let is_clear = |domain: &DomainId| {
+            let told = self.clear_domains.get(domain);
+            told.is_some_and(|(_, is_clear)| *is_clear)
+        };
+        self.is_domain_clear(around, now) && around.others.iter().all(is_clear)
+    }
+
+    /// What the boxes of a failure domain are told of it.
+    fn told_to(&self, domain: &DomainId, around: &Surroundings<'_>, now: Micros) -> RolloutState {
+        let age = |at: Micros| now.since(at).as_millis() as u32;
+        let mut tallies = Vec::new();
+        if domain == around.domain {
+            tallies.extend(self.evidence.of_others(now));
+        } else if self.is_judged() || self.leaves_others() {
+            tallies.push(self.evidence.of_own(around.domain));
+        }
+        for tally in &mut tallies {
+            tally.is_clear = if tally.domain == *around.domain {
+                self.is_domain_clear(around, now)
+            } else {
+                let told = self.clear_domains.get(&tally.domain);
+                told.is_some_and(|(_, is_clear)| *is_clear)
+            };
+        }
+        RolloutState {
+            service: self.order.service.clone(),
+            order: self.order.id,
+            target: self.order.target.clone(),
+            duration_ms: self.order.duration.as_millis() as u32,
+            age_ms: age(self.seen_first),
+            seen_ms: age(self.vouched),
+            phase: self.phase,
+            tallies,
+        }
+    }
+
+    /// Takes in what a box told of this order.
+    fn on_told(&mut self, told: &RolloutState, own: &DomainId, now: Micros) -> Vec<Step> {
+        let mut steps = Vec::new();
+        let at = |age_ms: u32| now.before(Duration::from_millis(age_ms.into()));
+        self.seen_first = self.seen_first.min(at(told.age_ms));
+        self.vouched = self.vouched.max(at(told.seen_ms));
+        for tally in told.tallies.iter().filter(|tally| tally.domain != *own) {
+            self.on_tally(tally, at(tally.age_ms));
+        }
+        self.enter(told.phase, "told by a peer".to_owned(), now, &mut steps);
+        steps
+    }
+
+    fn on_tally(&mut self, tally: &DomainTally, at: Micros) {
+        let known = self.clear_domains.get(&tally.domain);
+        if known.is_none_or(|(known, _)| *known < at) {
+            let clear = (at, tally.is_clear);
+            self.clear_domains.insert(tally.domain.clone(), clear);
+        }
+        self.evidence.on_tally(tally, at);
+    }
+}
+
+/// All roll-outs that a box knows of: one for a service.
+#[derive(Debug)]
+pub struct Rollouts {
+    share: f64,
+    known: BTreeMap<ServiceId, Rollout>,
+}
+
+impl Rollouts {
+    /// None yet; a version gets at most `share` of its service's requests before it is known to be
+    /// sound.
+    #[must_use]
+    pub fn new(share: f64) -> Self {
+        Self {
+            share,
+            known: BTreeMap::new(),
+        }
+    }
+
+    /// Whether there is none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    /// The roll-out of a service.
+    #[must_use]
+    pub fn of(&self, service: &ServiceId) -> Option<&Rollout> {
+        self.known.get(service)
+    }
+
+    /// The roll-out of a service, to add to its evidence.
+    pub fn of_mut(&mut self, service: &ServiceId) -> Option<&mut Rollout> {
+        self.known.get_mut(service)
+    }
+
+    /// Iterates over all.
+    pub fn iter(&self) -> impl Iterator<Item = &Rollout> {
+        self.known.values()
+    }
+
+    /// Takes in objects of the store: all there are, or those that changed and those that are gone.
+    pub fn on_objects(
+        &mut self,
+        objects: Vec<ObjectState>,
+        gone: &[ServiceId],
+        is_whole: bool,
+        now: Micros,
+    ) -> Vec<Step> {
+        if is_whole {
+            let named: BTreeSet<&ServiceId> = objects.iter().map(|o| &o.order.service).collect();
+            self.known.retain(|service, _| named.contains(service));
+        }
+        for service in gone {
+            self.known.remove(service);
+        }
+        let steps = objects
+            .into_iter()
+            .map(|object| self.on_object(object, now));
+        steps.flatten().collect()
+    }
+
+    fn on_object(&mut self, object: ObjectState, now: Micros) -> Vec<Step> {
+        let mut steps = Vec::new();
+        // Whoever began it is gone, and nobody tells when that was: all boxes have started again.
+        let is_begun = object.status == Some(status::RolloutStatus::InProgress);
+        let half = if is_begun {
+            object.order.duration / 2
+        } else {
+            Duration::ZERO
+        };
+        let known = self.begin(&object.order, now.before(half), now);
+        known.vouched = now;
+        known.writes.on_object(object.revision);
+        if let Some(phase) = object.final_phase() {
+            let why = "by the store".to_owned();
+            known.enter(phase, why, now, &mut steps);
+        }
+        known.object = Some(object);
+        steps
+    }
+
+    /// The roll-out of an order, which takes the place of an earlier order for the service.
+    fn begin(&mut self, order: &RolloutOrder, seen_first: Micros, now: Micros) -> &mut Rollout {
+        let service = order.service.clone();
+        let is_known = self
+            .known
+            .get(&service)
+            .is_some_and(|known| known.order.id == order.id);
+        if !is_known {
+            let new = Rollout::new(order.clone(), seen_first, now);
+            self.known.insert(service.clone(), new);
+        }
+        // It was inserted just now if it was not there.
+        self.known
+            .entry(service)
+            .or_insert_with(|| Rollout::new(order.clone(), seen_first, now))
+    }
+
+    /// Takes in what a box told of roll-outs. An order that this box reads from the store itself is not
+    /// replaced by a peer's word.
+    pub fn on_told(&mut self, told: &[RolloutState], own: &DomainId, now: Micros) -> Vec<Step> {
+        let mut steps = Vec::new();
+        for told in told {
+            let vouched = Duration::from_millis(told.seen_ms.into());
+            let known = self.known.get(&told.service);
+            let is_other = known.is_some_and(|known| {
+                let is_older = now.before(vouched) <= known.vouched;
+                known.order.id != told.order && (known.object.is_some() || is_older)
+            });
+            if is_other || vouched >= VOUCHED_FOR {
+                continue;
+            }
+            let order = RolloutOrder {
+                service: told.service.clone(),
+                target: told.target.clone(),
+                duration: Duration::from_millis(told.duration_ms.into()),
+                id: told.order,
+            };
+            let seen_first = now.before(Duration::from_millis(told.age_ms.into()));
+            let is_new = known.is_none_or(|known| known.order.id != told.order);
+            let known = self.begin(&order, seen_first, now);
+            if is_new {
+                known.vouched = now.before(vouched);
+            }
+            steps.extend(known.on_told(told, own, now));
+        }
+        steps
+    }
+
+    /// Takes in how far boxes of the own domain are.
+    pub fn on_notes(&mut self, notes: &[RolloutNote], now: Micros) -> Vec<Step> {
+        let mut steps = Vec::new();
+        for note in notes {
+            let known = self.known.get_mut(&note.service);
+            let Some(known) = known.filter(|known| known.order.id == note.order) else {
+                continue;
+            };
+            known.enter(note.phase, "told by a peer".to_owned(), now, &mut steps);
+            if let Some(address) = unpack_address(&note.address) {
+                let far = Noted {
+                    phase: note.phase,
+                    is_clear: note.is_clear,
+                };
+                known.boxes.insert(address, far);
+            }
+        }
+        steps
+    }
+
+    /// Looks at a roll-out, with what the box knows around it.
+    pub fn look(
+        &mut self,
+        service: &ServiceId,
+        around: &Surroundings<'_>,
+        now: Micros,
+    ) -> Vec<Step> {
+        let share = self.share;
+        let known = self.known.get_mut(service);
+        known.map_or_else(Vec::new, |known| known.look(share, around, now))
+    }
+
+    /// Forgets the orders that nobody vouches for.
+    pub fn forget_old(&mut self, now: Micros) {
+        self.known
+            .retain(|_, known| known.object.is_some() || now.since(known.vouched) < VOUCHED_FOR);
+    }
+
+    /// Forgets what was read from the store, since another box reads it now.
+    pub fn stop_watching(&mut self) {
+        for known in self.known.values_mut() {
+            known.object = None;
+        }
+    }
+
+    /// What the boxes of a failure domain are told of a roll-out.
+    #[must_use]
+    pub fn told_to(
+        &self,
+        service: &ServiceId,
+        domain: &DomainId,
+        around: &Surroundings<'_>,
+        now: Micros,
+    ) -> Option<RolloutState> {
+        let known = self.known.get(service)?;
+        Some(known.told_to(domain, around, now))
+    }
+
+    /// How far this box is with a roll-out that leaves other versions, or was found bad.
+    #[must_use]
+    pub fn note(
+        &self,
+        service: &ServiceId,
+        elsewhere: usize,
+        address: &[u8],
+        now: Micros,
+    ) -> Option<RolloutNote> {
+        let known = self.known.get(service)?;
+        (known.phase != RolloutPhase::Canary).then(|| RolloutNote {
+            service: service.clone(),
+            order: known.order.id,
+            phase: known.phase,
+            is_clear: known.is_own_clear(elsewhere, now),
+            address: address.to_vec(),
+        })
+    }
+}
--- /dev/null
+++ b/src/gateway/dispatch/rollouts.rs
@@ -0,0 +1,509 @@
+//! Carries roll-outs out: which endpoints requests may use, what their answers tell, streams that leave
+//! a version, and what boxes tell each other of it.
+//!
+//! What is decided, and when, is in [`super::rollout`]. A request is a canary or not from its first
+//! attempt on, and no second attempt of it goes to a version that is not known to be sound. Where no
+//! endpoint of another version is left, the target serves all the same, unless it was found bad.
+//!
+//! Once a service switches, a stream elsewhere goes on at the target as soon as a replica lies there:
+//! [`super::replicas`] takes replicas at other versions for lost and has new ones made. One that has
+//! none after [`LEAVE_ANYWAY_AFTER`] reads its prompt again.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::Dispatcher;
+use super::action::{Action, Command};
+use super::event::{AttemptNumber, Fault, NotRunCause, Outcome, RequestNumber};
+use super::fleet::Endpoint;
+use super::placement::Demand;
+use super::record::Record;
+use super::request::{ActiveAttempt, Request};
+use super::rollout::evidence::{FAILED, Timed, series_of, step_of};
+use super::rollout::status::ObjectState;
+use super::rollout::{Step, Surroundings, VersionRule, VersionRules};
+use super::roster::pack_address;
+use super::table::RouteKind;
+use crate::schema::{
+    BoxState, DomainId, Micros, RolloutNote, RolloutPhase, RolloutSample, RolloutState, ServiceId,
+    UsageNews,
+};
+
+/// The least status of an answer that counts as failed: a sound version answers the same requests
+/// beside it.
+const LEAST_FAILED_STATUS: u16 = 400;
+/// How long after streams were to leave one without a replica at the target leaves all the same. Chosen
+/// over the time of a snapshot, not measured.
+const LEAVE_ANYWAY_AFTER: Duration = Duration::from_millis(700);
+/// Events of a stream over which their time is taken. Chosen, not measured.
+const TIMED_EVENTS: u64 = 8;
+/// Time between two notes of how far this box is while a service switches: datagrams get lost.
+const NOTE_EVERY: Duration = Duration::from_millis(300);
+
+/// What this box knows around roll-outs, apart from a single one.
+struct Around {
+    near: Vec<SocketAddr>,
+    others: Vec<DomainId>,
+    /// For each service with a roll-out: attempts of this box elsewhere, and whether it has engines.
+    services: Vec<(ServiceId, usize, bool)>,
+}
+
+impl Dispatcher {
+    /// Objects of the store that order roll-outs were read.
+    pub(super) fn on_rollouts(
+        &mut self,
+        objects: Vec<ObjectState>,
+        gone: &[ServiceId],
+        is_whole: bool,
+    ) {
+        let steps = self.rollouts.on_objects(objects, gone, is_whole, self.now);
+        self.carry_out(steps);
+        self.gossip_soon();
+    }
+
+    /// Looks at all roll-outs, and at whether this box watches them for its domain.
+    pub(super) fn check_rollouts(&mut self) {
+        let roster = self.peers.roster();
+        let watches = self.store_watchers.is_first(roster, self.now);
+        if watches != self.watches_rollouts {
+            self.watches_rollouts = watches;
+            self.actions.push(Action::WatchRollouts(watches));
+            if !watches {
+                self.rollouts.stop_watching();
+            }
+        }
+        if self.rollouts.is_empty() {
+            return;
+        }
+        self.rollouts.forget_old(self.now);
+        let around = self.around();
+        let mut steps = Vec::new();
+        for (service, elsewhere, has_engines) in &around.services {
+            let surroundings = Surroundings {
+                fleet: &self.fleet,
+                domain: &self.cfg.domain,
+                near: &around.near,
+                others: &around.others,
+                is_watching: self.watches_rollouts,
+                has_engines: *has_engines,
+                elsewhere: *elsewhere,
+            };
+            steps.extend(self.rollouts.look(service, &surroundings, self.now));
+        }
+        self.carry_out(steps);
+        self.note_if_due();
+    }
+
+    fn around(&self) -> Around {
+        let roster = self.peers.roster();
+        let services = self.rollouts.iter().map(|rollout| {
+            let service = &rollout.order().service;
+            let has_engines = self
+                .table
+                .as_ref()
+                .and_then(|table| table.service(service))
+                .is_some_and(|service| service.engine.is_some());
+            (service.clone(), self.elsewhere(service), has_engines)
+        });
+        Around {
+            near: roster.running(self.now).collect(),
+            others: roster.other_domains(),
+            services: services.collect(),
+        }
+    }
+
+    /// Attempts of this box at endpoints of a service that its roll-out leaves.
+    fn elsewhere(&self, service: &ServiceId) -> usize {
+        let Some(rollout) = self.rollouts.of(service).filter(|r| r.leaves_others()) else {
+            return 0;
+        };
+        let target = &rollout.order().target;
+        let of_service = self.requests.values().filter(|r| r.service == *service);
+        let active = of_service.filter_map(|r| r.active.as_ref());
+        let is_elsewhere = |active: &&ActiveAttempt| {
+            let endpoint = self.fleet.get(&active.endpoint.id);
+            endpoint.is_some_and(|e| e.spec.version != *target)
+        };
+        active.filter(is_elsewhere).count()
+    }
+
+    fn carry_out(&mut self, steps: Vec<Step>) {
+        let mut has_entered = false;
+        for step in steps {
+            match step {
+                Step::Entered {
+                    service,
+                    target,
+                    phase,
+                    why,
+                } => {
+                    has_entered = true;
+                    self.record(Record::Rollout {
+                        service: service.to_string(),
+                        target: target.to_string(),
+                        phase: phase.to_string(),
+                        why,
+                    });
+                }
+                Step::Write(write) => self.actions.push(Action::WriteRollout(write)),
+            }
+        }
+        if has_entered {
+            self.tell_rollouts();
+        }
+    }
+
+    /// Tells the own domain and the boxes that watch the store elsewhere at once.
+    fn tell_rollouts(&mut self) {
+        self.next_note = self.now;
+        self.note_if_due();
+        let watchers = self.store_watchers.addresses(self.now);
+        if !watchers.is_empty() {
+            self.gossip_state(watchers);
+        }
+        self.gossip_soon();
+    }
+
+    /// Tells the own domain how far this box is, while a service leaves a version.
+    fn note_if_due(&mut self) {
+        let is_leaving = |phase| phase != RolloutPhase::Canary && phase < RolloutPhase::Completed;
+        let is_wanted = self.rollouts.iter().any(|r| is_leaving(r.phase()));
+        if is_wanted && self.now >= self.next_note {
+            self.next_note = self.now.after(NOTE_EVERY);
+            self.report_rollouts_soon();
+        }
+    }
+
+    /// What this box tells of how far it is with roll-outs.
+    pub(super) fn rollout_notes(&self) -> Vec<RolloutNote> {
+        let address = pack_address(self.cfg.address);
+        let notes = self.rollouts.iter().filter_map(|rollout| {
+            let service = &rollout.order().service;
+            let elsewhere = self.elsewhere(service);
+            self.rollouts.note(service, elsewhere, &address, self.now)
+        });
+        notes.collect()
+    }
+
+    /// Answers since the last message, of endpoints of services with a roll-out.
+    pub(super) fn take_rollout_samples(&mut self) -> Vec<RolloutSample> {
+        let services = self.rollouts.iter().map(|r| r.order().service.clone());
+        let services: Vec<ServiceId> = services.collect();
+        let mut samples = Vec::new();
+        for service in services {
+            if let Some(rollout) = self.rollouts.of_mut(&service) {
+                samples.extend(rollout.evidence_mut().take_untold());
+            }
+        }
+        samples
+    }
+
+    /// What the boxes of a failure domain are told of roll-outs.
+    pub(super) fn rollouts_for(&self, domain: &DomainId) -> Vec<RolloutState> {
+        if self.rollouts.is_empty() {
+            return Vec::new();
+        }
+        let around = self.around();
+        let told = around
+            .services
+            .iter()
+            .filter_map(|(service, elsewhere, has_engines)| {
+                let surroundings = Surroundings {
+                    fleet: &self.fleet,
+                    domain: &self.cfg.domain,
+                    near: &around.near,
+                    others: &around.others,
+                    is_watching: self.watches_rollouts,
+                    has_engines: *has_engines,
+                    elsewhere: *elsewhere,
+                };
+                self.rollouts
+                    .told_to(service, domain, &surroundings, self.now)
+            });
+        told.collect()
+    }
+
+    /// A box told its state.
+    pub(super) fn on_told_rollouts(&mut self, state: &BoxState) {
+        if state.rollouts.is_empty() {
+            return;
+        }
+        let own = self.cfg.domain.clone();
+        let steps = self.rollouts.on_told(&state.rollouts, &own, self.now);
+        self.carry_out(steps);
+    }
+
+    /// A box of the own domain told of its answers and of how far it is.
+    pub(super) fn on_rollout_news(&mut self, news: &UsageNews) {
+        for sample in &news.samples {
+            let Some(endpoint) = self.fleet.get(&sample.endpoint) else {
+                continue;
+            };
+            if let Some(rollout) = self.rollouts.of_mut(&endpoint.spec.service) {
+                let is_target = endpoint.spec.version == rollout.order().target;
+                rollout.evidence_mut().on_sample(sample, is_target);
+            }
+        }
+        let steps = self.rollouts.on_notes(&news.rollouts, self.now);
+        self.carry_out(steps);
+    }
+
+    /// Decides whether a request that was not placed yet is a canary.
+    pub(super) fn draw_canary(&mut self, number: RequestNumber) {
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
+        let Some(rollout) = self.rollouts.of(&request.service) else {
+            return;
+        };
+        if request.attempts == 0 && request.is_canary.is_none() {
+            let draw = rand::Rng::random::<f64>(&mut self.rng);
+            request.is_canary = Some(draw < rollout.canary_share(self.now));
+        }
+    }
+
+    /// Which endpoints a request may use.
+    pub(super) fn rules_for(&self, request: &Request) -> VersionRules<'_> {
+        let rollout = self.rollouts.of(&request.service);
+        let is_canary = request.is_canary == Some(true) && request.attempts == 0;
+        rollout.map_or_else(VersionRules::default, |r| r.rules(is_canary))
+    }
+
+    /// Where an attempt may go if nothing that [`Self::rules_for`] admits takes it.
+    pub(super) fn other_rules_for(&self, request: &Request) -> Option<VersionRules<'_>> {
+        let rollout = self.rollouts.of(&request.service)?;
+        let rules = rollout.rules(false);
+        let is_refused = |e: &Endpoint| e.spec.version == rollout.order().target;
+        let has_others = self
+            .fleet
+            .of_service(&request.service)
+            .any(|e| e.takes_work() && !is_refused(e));
+        match rollout.phase() {
+            RolloutPhase::Bad | RolloutPhase::RolledBack => None,
+            RolloutPhase::Canary if has_others => {
+                (request.is_canary == Some(true)).then_some(rules)
+            }
+            _ => Some(VersionRules {
+                attempts: VersionRule::Any,
+                ..rules
+            }),
+        }
+    }
+
+    /// What is to be placed for a request.
+    pub(super) fn demand_of<'a>(&'a self, request: &'a Request) -> Demand<'a> {
+        request.demand(self.rules_for(request))
+    }
+
+    /// Whether a request may go on at an endpoint that holds a replica.
+    pub(super) fn may_resume_at(&self, endpoint: &Endpoint) -> bool {
+        let Some(rollout) = self.rollouts.of(&endpoint.spec.service) else {
+            return true;
+        };
+        rollout.leaves_others() || endpoint.spec.version != rollout.order().target
+    }
+
+    /// Whether an endpoint's service leaves its version.
+    pub(super) fn is_left(&self, endpoint: &Endpoint) -> bool {
+        let rollout = self.rollouts.of(&endpoint.spec.service);
+        rollout.is_some_and(|r| r.leaves_others() && endpoint.spec.version != r.order().target)
+    }
+
+    /// Counts what the end of an attempt tells of its endpoint's version.
+    pub(super) fn sample_end(
+        &mut self,
+        number: RequestNumber,
+        active: &ActiveAttempt,
+        outcome: &Outcome,
+    ) {
+        let Some(request) = self.requests.get(&number) else {
+            return;
+        };
+        let is_stream = request.route.kind.is_stream();
+        let timed = if is_stream { Timed::Event } else { Timed::Call };
+        let step = match outcome {
+            Outcome::Answered { status } if *status < LEAST_FAILED_STATUS => {
+                step_of(millis(self.now.since(active.started)))
+            }
+            Outcome::Answered { .. }
+            | Outcome::Broken(_)
+            | Outcome::NotRun(NotRunCause::NoRoom)
+            | Outcome::Stopped => FAILED,
+            // Events of a stream were counted while it went on; the others met no server.
+            Outcome::StreamEnded
+            | Outcome::NotSent
+            | Outcome::NotRun(NotRunCause::OtherInstance(_)) => return,
+        };
+        // A stream that breaks off has been counted for the events that came.
+        let mut sampled = active.sampled;
+        if is_stream || sampled.take(timed) {
+            self.sample(number, active, timed, step);
+        }
+    }
+
+    /// Counts an attempt whose request is given up while it runs.
+    pub(super) fn sample_given_up(&mut self, number: RequestNumber) {
+        let request = self.requests.get(&number);
+        if let Some(active) = request.and_then(|r| r.active.clone()) {
+            self.sample_end(number, &active, &Outcome::Broken(Fault::Silent));
+        }
+    }
+
+    /// Counts what a stream's first event tells of its engine's version.
+    pub(super) fn sample_first_event(
+        &mut self,
+        number: RequestNumber,
+        attempt: AttemptNumber,
+        prompt: u32,
+    ) {
+        if prompt == 0 || self.rollouts.is_empty() {
+            return;
+        }
+        let now = self.now;
+        let request = self.with_active(number, attempt);
+        let Some(active) = request.and_then(|r| r.active.as_mut()) else {
+            return;
+        };
+        if active.sampled.take(Timed::FirstEvent) {
+            let active = active.clone();
+            let time = per_thousand(now.since(active.started), prompt);
+            self.sample(number, &active, Timed::FirstEvent, step_of(time));
+        }
+    }
+
+    /// Counts how long a stream's events take, once some have come.
+    pub(super) fn sample_events(&mut self, number: RequestNumber, attempt: AttemptNumber) {
+        if self.rollouts.is_empty() {
+            return;
+        }
+        let now = self.now;
+        let Some(request) = self.with_active(number, attempt) else {
+            return;
+        };
+        let last = request.last_event;
+        let Some(active) = request.active.as_mut() else {
+            return;
+        };
+        let Some((events, time)) = events_so_far(last, active, now) else {
+            return;
+        };
+        if events >= TIMED_EVENTS && active.sampled.take(Timed::Event) {
+            let active = active.clone();
+            let step = step_of(time / events as f64);
+            self.sample(number, &active, Timed::Event, step);
+        }
+    }
+
+    /// Counts what is slow already though it has not come yet: a version that takes several times as
+    /// long would be known that much later otherwise.
+    pub(super) fn sample_overdue(&mut self, number: RequestNumber) {
+        if self.rollouts.is_empty() {
+            return;
+        }
+        let now = self.now;
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
+        let rollout = self.rollouts.of(&request.service);
+        let Some(rollout) = rollout.filter(|r| r.is_judged()) else {
+            return;
+        };
+        let (last, prompt) = (request.last_event, request.arrival.prompt.0);
+        let is_stream = request.route.kind.is_stream();
+        let route = request.route.name.clone();
+        let Some(active) = request.active.as_mut() else {
+            return;
+        };
+        let waited = now.since(active.started);
+        let (timed, time) = match (is_stream, events_so_far(last, active, now)) {
+            (false, _) => (Timed::Call, millis(waited)),
+            (true, None) => (Timed::FirstEvent, per_thousand(waited, prompt.max(1))),
+            // So slow that the next few can't make it good.
+            (true, Some((events, time))) => (Timed::Event, time / (events + TIMED_EVENTS) as f64),
+        };
+        let step = step_of(time);
+        let reads = active.prefill > 0 || timed != Timed::FirstEvent;
+        let is_slow = rollout.evidence().is_slow(series_of(&route, timed), step);
+        if reads && is_slow && active.sampled.take(timed) {
+            let active = active.clone();
+            self.sample(number, &active, timed, step);
+        }
+    }
+
+    fn sample(&mut self, number: RequestNumber, active: &ActiveAttempt, timed: Timed, step: u8) {
+        let Some(request) = self.requests.get(&number) else {
+            return;
+        };
+        let Some(rollout) = self.rollouts.of_mut(&request.service) else {
+            return;
+        };
+        let endpoint = self.fleet.living(&active.endpoint);
+        let Some(endpoint) = endpoint.filter(|_| rollout.is_judged()) else {
+            return;
+        };
+        let is_target = endpoint.spec.version == rollout.order().target;
+        let sample = RolloutSample {
+            endpoint: active.endpoint.id.clone(),
+            series: series_of(&request.route.name, timed),
+            step,
+        };
+        rollout.evidence_mut().on_own_sample(sample, is_target);
+        self.report_usage_soon(&active.endpoint.id);
+    }
+
+    /// Whether a stream is to go on at the version that its service moves to now.
+    pub(super) fn is_to_leave(&self, number: RequestNumber) -> bool {
+        let Some(request) = self.requests.get(&number) else {
+            return false;
+        };
+        let is_stream = matches!(request.route.kind, RouteKind::Stream { resumable: true });
+        let rollout = self.rollouts.of(&request.service);
+        let (Some(active), Some(rollout)) = (request.active.as_ref(), rollout) else {
+            return false;
+        };
+        let endpoint = self.fleet.get(&active.endpoint.id);
+        let is_left = endpoint.is_some_and(|e| self.is_left(e));
+        if !is_stream || !is_left || !request.may_run_after_active() {
+            return false;
+        }
+        let Some(since) = rollout.leaving_since().filter(|at| self.now >= *at) else {
+            return false;
+        };
+        self.has_replica(active) || self.now.since(since) >= LEAVE_ANYWAY_AFTER
+    }
+
+    /// Has a stream go on at the version that its service moves to, if the budget has a retry.
+    pub(super) fn leave_version(&mut self, number: RequestNumber) {
+        if !self.take_retry(number) {
+            return;
+        }
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
+        let Some(active) = request.active.take() else {
+            return;
+        };
+        request.maybe_run += 1;
+        self.command(number, Command::StopAttempt(active.attempt));
+        self.record_end(number, &active, &Outcome::Stopped);
+        self.uncount_attempt(&active);
+        self.keep_replicas(number, &active, Fault::Closed);
+        self.start_next_attempt(number);
+    }
+}
+
+/// How many events have come after a stream's first one, and in how many milliseconds.
+fn events_so_far(last: Option<u64>, active: &ActiveAttempt, now: Micros) -> Option<(u64, f64)> {
+    let (begun, first) = active.begun?;
+    let events = last?.saturating_sub(first);
+    Some((events, millis(now.since(begun))))
+}
+
+/// Milliseconds for a thousand tokens of a prompt.
+fn per_thousand(time: Duration, prompt: u32) -> f64 {
+    millis(time) * 1_000.0 / f64::from(prompt)
+}
+
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1_000.0
+}
--- a/src/gateway/dispatch/roster.rs
+++ b/src/gateway/dispatch/roster.rs
@@ -150,6 +150,13 @@
         self.me
     }
 
+    /// The other domains in which boxes run.
+    #[must_use]
+    pub fn other_domains(&self) -> Vec<DomainId> {
+        let running = self.sizes.iter().filter(|(_, size)| size.boxes > 0);
+        running.map(|(domain, _)| domain.clone()).collect()
+    }
+
     /// How many boxes run in other domains.
     #[must_use]
     pub fn boxes_of_others(&self) -> usize {
--- a/src/gateway/dispatch/store_watchers.rs
+++ b/src/gateway/dispatch/store_watchers.rs
@@ -232,6 +232,25 @@
         has_changed.then_some(is_needed)
     }
 
+    /// Whether this box is the first of those of its domain that watch the store: it watches what one
+    /// box of a domain is enough for.
+    #[must_use]
+    pub fn is_first(&self, roster: &Roster, now: Micros) -> bool {
+        let is_before = |id: &BoxId, known: &SeenWatcher| {
+            let is_watcher = known.domain == self.domain && known.is_fresh(now);
+            *id < self.me && is_watcher && !roster.is_lost(known.address, now)
+        };
+        self.is_watching && !self.known.iter().any(|(id, known)| is_before(id, known))
+    }
+
+    /// The boxes that watch the store in any domain, this one left out.
+    #[must_use]
+    pub fn addresses(&self, now: Micros) -> Vec<SocketAddr> {
+        let others = self.known.iter().filter(|(id, _)| **id != self.me);
+        let fresh = others.filter(|(_, known)| known.is_fresh(now));
+        fresh.map(|(_, known)| known.address).collect()
+    }
+
     /// How many others watch, as this box knows, in words for the decision log.
     #[must_use]
     pub fn others_fresh(&self, now: Micros) -> String {
--- a/src/gateway/dispatch/suspicion.rs
+++ b/src/gateway/dispatch/suspicion.rs
@@ -59,6 +59,7 @@
     pub(super) fn check_requests(&mut self) {
         let numbers: Vec<RequestNumber> = self.requests.keys().copied().collect();
         for number in numbers {
+            self.sample_overdue(number);
             self.check_request(number);
         }
     }
@@ -75,6 +76,8 @@
             self.start_attempt_anywhere(number);
         } else if is_slow_call(request, now) || self.is_stranded(number) {
             self.move_away(number);
+        } else if self.is_to_leave(number) {
+            self.leave_version(number);
         } else if let Some(endpoint) = self.silent_endpoint(number) {
             self.probe(&endpoint);
         } else {
@@ -187,6 +190,7 @@
         self.record(record);
         self.command(number, Command::StopAttempt(active.attempt));
         self.record_end(number, &active, &Outcome::Stopped);
+        self.sample_end(number, &active, &Outcome::Stopped);
         self.uncount_attempt(&active);
         self.follow(number, &active, &Outcome::Stopped);
     }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -37,6 +37,9 @@
     pub stop_grace: Duration,
     /// Whether the fleet starts for the first time.
     pub first_start: bool,
+    /// The greatest share of a service's requests that a version may get before it is known to be
+    /// sound.
+    pub rollout_share: f64,
     /// Time between messages to peers.
     pub gossip: Duration,
     /// How long a watch waits.
@@ -67,6 +70,7 @@
         retry_window_s: Some(10.0),
         stop_grace_s: Some(8.0),
         first_start: Some(true),
+        rollout_share: Some(0.1),
         gossip_ms: Some(300),
         watch_ms: Some(3_000),
         held_bytes: Some(64 << 20),
@@ -109,6 +113,7 @@
         retry_window_s: upper.retry_window_s.or(lower.retry_window_s),
         stop_grace_s: upper.stop_grace_s.or(lower.stop_grace_s),
         first_start: upper.first_start.or(lower.first_start),
+        rollout_share: upper.rollout_share.or(lower.rollout_share),
         gossip_ms: upper.gossip_ms.or(lower.gossip_ms),
         watch_ms: upper.watch_ms.or(lower.watch_ms),
         held_bytes: upper.held_bytes.or(lower.held_bytes),
@@ -168,6 +173,7 @@
                 (0.0, 3_600.0),
             ),
             first_start: file.first_start.unwrap_or(true),
+            rollout_share: check.number("rollout_share", file.rollout_share, 0.0, 1.0),
             gossip: millis(&mut check, "gossip_ms", file.gossip_ms, (20, 60_000)),
             watch: millis(&mut check, "watch_ms", file.watch_ms, (100, 30_000)),
             held_bytes: check.size("held_bytes", file.held_bytes, 1 << 16, 1 << 40),
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -20,6 +20,7 @@
 pub mod packed;
 pub mod peers;
 pub mod probes;
+mod rollouts;
 pub mod shared;
 pub mod snapshots;
 pub mod stop;
@@ -113,6 +114,7 @@
     runtime.spawn(crate::http::serve(listeners.metrics, operators));
     runtime.spawn(store::follow(ObjectKind::Table, shared.clone()));
     runtime.spawn(store::follow(ObjectKind::Endpoints, shared.clone()));
+    runtime.spawn(store::follow(ObjectKind::Rollouts, shared.clone()));
     runtime.spawn(pool::sweep_resting(
         Arc::clone(&shared.pool),
         REST_BEFORE_CLOSE,
@@ -143,6 +145,7 @@
         gossip: settings.gossip,
         fleet_boxes: settings.fleet_boxes,
         retries: settings.retries,
+        rollout_share: settings.rollout_share,
     };
     Dispatcher::new(cfg, rand::random(), shared.clock.now())
 }
--- a/src/gateway/shell/control.rs
+++ b/src/gateway/shell/control.rs
@@ -13,8 +13,9 @@
 use crate::gateway::dispatch::Dispatcher;
 use crate::gateway::dispatch::action::{Action, Command};
 use crate::gateway::dispatch::event::{Event, RequestNumber};
+use crate::gateway::shell::dialect::ObjectKind;
 use crate::gateway::shell::input::Input;
-use crate::gateway::shell::{GatewayShared, peers, probes, snapshots, store, transfer};
+use crate::gateway::shell::{GatewayShared, peers, probes, rollouts, snapshots, store, transfer};
 
 /// The control thread's own state.
 pub struct Control {
@@ -105,13 +106,20 @@
     fn perform(&mut self, action: Action) {
         match action {
             Action::Command { request, command } => self.command(request, command),
-            Action::WatchStore(is_watching) => self.shared.set_watching_store(is_watching),
+            Action::WatchStore(is_watching) => {
+                self.shared.set_watching(ObjectKind::Table, is_watching);
+                self.shared.set_watching(ObjectKind::Endpoints, is_watching);
+            }
+            Action::WatchRollouts(is_watching) => {
+                self.shared.set_watching(ObjectKind::Rollouts, is_watching);
+            }
             Action::CloseResting(address) => self.shared.pool.close_resting_at(address),
             Action::Record(record) => self.shared.record(&record),
             Action::Gossip { .. }
             | Action::GossipUsage { .. }
             | Action::FetchState { .. }
-            | Action::ReadTable => self.speak_to_boxes(action),
+            | Action::ReadTable
+            | Action::WriteRollout(_) => self.speak_to_boxes(action),
             Action::Probe { .. }
             | Action::Locate { .. }
             | Action::TakeSnapshot(_)
@@ -136,6 +144,7 @@
                 self.spawn(transfer::fetch(from, kind, wanted, shared));
             }
             Action::ReadTable => self.spawn(store::read_table(shared)),
+            Action::WriteRollout(write) => self.spawn(rollouts::write_status(write, shared)),
             _ => {}
         }
     }
--- a/src/gateway/shell/dialect.rs
+++ b/src/gateway/shell/dialect.rs
@@ -12,6 +12,7 @@
 use crate::gateway::dispatch::action::Attempt;
 use crate::gateway::dispatch::event::{Arrival, EndpointSpec, NotRunCause, SnapshotName};
 use crate::gateway::dispatch::refusal::Refusal;
+use crate::gateway::dispatch::rollout::status::{ObjectState, StatusWrite};
 use crate::gateway::dispatch::table::{RoutingTable, TableError};
 use crate::schema::{Birth, EndpointId};
 
@@ -57,6 +58,13 @@
     Table,
     /// The list of endpoints.
     Endpoints,
+    /// Orders of roll-outs.
+    Rollouts,
+}
+
+impl ObjectKind {
+    /// All kinds, in the order of their numbers.
+    pub const ALL: [Self; 3] = [Self::Table, Self::Endpoints, Self::Rollouts];
 }
 
 /// An object of the store.
@@ -166,4 +174,14 @@
     ///
     /// Says why it can't be read.
     fn read_endpoint(&self, entry: &Entry) -> Result<EndpointSpec, Unreadable>;
+
+    /// Reads an object that orders a roll-out.
+    ///
+    /// # Errors
+    ///
+    /// Says why it can't be read.
+    fn read_rollout(&self, entry: &Entry) -> Result<ObjectState, Unreadable>;
+
+    /// The path and body of the call that writes such an object's status.
+    fn rollout_status(&self, write: &StatusWrite) -> (String, String);
 }
--- a/src/gateway/shell/faults.rs
+++ b/src/gateway/shell/faults.rs
@@ -28,6 +28,8 @@
     EndpointEntry,
     /// An object of the store has no name that can be read.
     UnnamedObject,
+    /// An object that orders a roll-out can't be read; it orders nothing.
+    RolloutObject,
     /// A datagram of another box can't be read.
     PeerMessage,
     /// Datagrams to other boxes can't be made, sent or received.
@@ -40,10 +42,11 @@
 
 impl FaultKind {
     /// All kinds, in the order of their numbers.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::StoreAnswer,
         Self::EndpointEntry,
         Self::UnnamedObject,
+        Self::RolloutObject,
         Self::PeerMessage,
         Self::PeerSocket,
         Self::PeerFetch,
@@ -57,6 +60,7 @@
             Self::StoreAnswer => "store_answer",
             Self::EndpointEntry => "endpoint_entry",
             Self::UnnamedObject => "unnamed_object",
+            Self::RolloutObject => "rollout_object",
             Self::PeerMessage => "peer_message",
             Self::PeerSocket => "peer_socket",
             Self::PeerFetch => "peer_fetch",
--- a/src/gateway/shell/metrics.rs
+++ b/src/gateway/shell/metrics.rs
@@ -31,6 +31,7 @@
     /// Probes of endpoints.
     pub probes: IntCounter,
     reborn: IntCounter,
+    rollouts: IntCounterVec,
     /// Seconds that the platform's store took to answer, watches left out.
     pub store_seconds: Histogram,
     peer_bytes: IntCounterVec,
@@ -214,6 +215,11 @@
                 "reborn_total",
                 "Endpoints that started again under their id",
             ),
+            rollouts: set.counters(
+                "rollout_phases_total",
+                "Phases of roll-outs that this box entered",
+                "phase",
+            ),
             store_seconds: times(
                 "store_call_seconds",
                 "Seconds until the platform's store answered, watches left out",
@@ -232,6 +238,9 @@
         if matches!(record, Record::Reborn { .. }) {
             self.reborn.inc();
         }
+        if let Record::Rollout { phase, .. } = record {
+            self.rollouts.with_label_values(&[phase]).inc();
+        }
         self.requests.on_record(record);
         self.tables.on_record(record);
     }
@@ -246,6 +255,12 @@
         self.store_calls.with_label_values(&[word])
     }
 
+    /// Writing calls to the platform's store.
+    #[must_use]
+    pub fn store_writes(&self) -> IntCounter {
+        self.store_calls.with_label_values(&["write"])
+    }
+
     /// Bytes that peers sent when asked for something.
     #[must_use]
     pub fn peer_bytes_of(&self, kind: FetchKind) -> IntCounter {
--- a/src/gateway/shell/shared.rs
+++ b/src/gateway/shell/shared.rs
@@ -15,7 +15,7 @@
 use crate::gateway::dispatch::table::{CallerLimits, RoutingTable};
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::shell::decision_log::DecisionLog;
-use crate::gateway::shell::dialect::{Dialect, Entry};
+use crate::gateway::shell::dialect::{Dialect, Entry, ObjectKind};
 use crate::gateway::shell::faults::Faults;
 use crate::gateway::shell::headers;
 use crate::gateway::shell::input::Input;
@@ -56,7 +56,7 @@
     /// Connections to endpoints.
     pub pool: Arc<Pool>,
     pub(super) closing: watch::Sender<bool>,
-    watching_store: watch::Sender<bool>,
+    watching: Arc<[watch::Sender<bool>; ObjectKind::ALL.len()]>,
     active: watch::Sender<usize>,
     state: Arc<SharedState>,
     store_cache: Arc<RwLock<StoreCache>>,
@@ -104,7 +104,7 @@
             inputs,
             pool: Arc::new(Pool::new(KEPT_PER_ENDPOINT)),
             closing: watch::channel(false).0,
-            watching_store: watch::channel(false).0,
+            watching: Arc::new(ObjectKind::ALL.map(|_| watch::channel(false).0)),
             active: watch::channel(0).0,
             state: Arc::default(),
             store_cache: Arc::default(),
@@ -145,9 +145,9 @@
         self.closing.send_replace(true);
     }
 
-    /// Begins or ceases to watch the platform's store.
-    pub fn set_watching_store(&self, is_watching: bool) {
-        self.watching_store.send_replace(is_watching);
+    /// Begins or ceases to watch a kind of objects of the platform's store.
+    pub fn set_watching(&self, kind: ObjectKind, is_watching: bool) {
+        self.watching[kind as usize].send_replace(is_watching);
     }
 
     /// Notes how many requests are served.
@@ -176,9 +176,10 @@
         let _ = active.wait_for(|requests| *requests == 0).await;
     }
 
-    /// Waits until this box watches the platform's store; returns whether that took a while.
-    pub async fn until_watching_store(&self) -> bool {
-        let mut watching = self.watching_store.subscribe();
+    /// Waits until this box watches a kind of objects of the platform's store; returns whether that
+    /// took a while.
+    pub async fn until_watching(&self, kind: ObjectKind) -> bool {
+        let mut watching = self.watching[kind as usize].subscribe();
         if *watching.borrow() {
             return false;
         }
--- a/src/gateway/shell/store.rs
+++ b/src/gateway/shell/store.rs
@@ -2,7 +2,7 @@
 //! for peers, and hands it to the control thread.
 //!
 //! One task for each kind of objects, each with a connection of its own, and only while this box
-//! watches the store ([`crate::gateway::dispatch::store_watchers`]). [`super::watcher`] decides
+//! watches that kind ([`crate::gateway::dispatch::store_watchers`]). [`super::watcher`] decides
 //! what is asked next, and how long to wait after a failure. Changes gather after some were read,
 //! so that many at once cost few calls.
 
@@ -18,11 +18,11 @@
 use crate::gateway::dispatch::record::Record;
 use crate::gateway::shell::GatewayShared;
 use crate::gateway::shell::dialect::{ObjectKind, StorePage};
-use crate::gateway::shell::endpoint_reader;
 use crate::gateway::shell::faults::FaultKind;
 use crate::gateway::shell::input::Input;
 use crate::gateway::shell::table_reader::{self, TableSource, TableText};
 use crate::gateway::shell::watcher::{StoreAnswer, StoreChange, StoreRequest, Watcher};
+use crate::gateway::shell::{endpoint_reader, rollouts};
 use crate::http::pool::{Connection, Pool};
 
 /// How long configurations gather. Chosen under the bound for a configuration to come into force,
@@ -37,7 +37,7 @@
 /// How often that is doubled at the most. Chosen, not measured.
 const MOST_LIST_DOUBLINGS: u32 = 3;
 /// How long a connection may take. Chosen, not measured.
-const STORE_CONNECT_LIMIT: Duration = Duration::from_millis(500);
+pub(super) const STORE_CONNECT_LIMIT: Duration = Duration::from_millis(500);
 /// How much longer than asked for a watch's answer may take to begin. Chosen, not measured.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 /// How long an answer that has begun may stand still. One that goes on is read to its end, since
@@ -53,7 +53,7 @@
     let mut link = StoreLink::default();
     let mut was_reached = false;
     loop {
-        if shared.until_watching_store().await {
+        if shared.until_watching(source).await {
             // Others have read meanwhile; only a list tells where to watch from.
             watcher = Watcher::default();
         }
@@ -80,6 +80,7 @@
     match source {
         ObjectKind::Table => GATHER_TABLES,
         ObjectKind::Endpoints => GATHER_ENDPOINTS,
+        ObjectKind::Rollouts => Duration::ZERO,
     }
 }
 
@@ -219,6 +220,10 @@
                 table_reader::take_table(TableText::Plain(entry), source, shared).await;
             }
         }
+        (ObjectKind::Rollouts, change) => {
+            let event = rollouts::read_objects(change, shared);
+            shared.send(Input::Event(event)).await;
+        }
         (ObjectKind::Endpoints, change) => {
             if let Some(event) = endpoint_reader::take_endpoints(change, at, shared) {
                 shared.send(Input::Event(event)).await;
--- a/src/schema.rs
+++ b/src/schema.rs
@@ -38,6 +38,7 @@
     PartHash,
     RequestKey,
     ServiceId,
+    VersionId,
 );
 
 impl From<Millis> for Duration {
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -111,6 +111,15 @@
         value.parse()
     }
 }
+///Answers by how long they took.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct AnswerTimes {
+    ///Those that failed.
+    pub failed: u32,
+    ///The others, by steps of their time, the shortest first.
+    pub took: ::std::vec::Vec<u32>,
+}
 ///A service's answer on its way to the caller.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -374,6 +383,8 @@
     pub peers: ::std::vec::Vec<PeerAddress>,
     ///Boxes of the receiver's failure domain that read the store.
     pub readers: ::std::vec::Vec<StoreReader>,
+    ///Roll-outs that it knows of.
+    pub rollouts: ::std::vec::Vec<RolloutState>,
     ///Whether the box is about to end.
     pub stopping: bool,
     ///The version of the routing table in force, or 0.
@@ -713,6 +724,18 @@
     pub boxes: u32,
     pub domain: DomainId,
 }
+///What a failure domain knows of a roll-out.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct DomainTally {
+    ///Milliseconds since a box of that domain summed it up.
+    pub age_ms: u32,
+    pub domain: DomainId,
+    ///Whether no box there has work at endpoints of other versions, or sends any.
+    pub is_clear: bool,
+    ///What its endpoints answered.
+    pub series: ::std::vec::Vec<SeriesTally>,
+}
 ///What all boxes of a failure domain run at plain services.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -1088,6 +1111,9 @@
     ///The window of the retry budget, in seconds.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub retry_window_s: ::std::option::Option<f64>,
+    ///The greatest share of a service's requests that a version may get before it is known to be good.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub rollout_share: ::std::option::Option<f64>,
     ///IP numbers, with or without a port, of boxes to speak to first.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub seeds: ::std::vec::Vec<::std::string::String>,
@@ -2445,6 +2471,118 @@
         Self::Call(value)
     }
 }
+///How far a box is with a roll-out.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RolloutNote {
+    ///Its address for other boxes: the bytes of its IP number, then two of its port.
+    pub address: ::std::vec::Vec<u8>,
+    ///Whether it has no work at endpoints of other versions, and sends none.
+    pub is_clear: bool,
+    ///The order, by its content.
+    pub order: u64,
+    pub phase: RolloutPhase,
+    pub service: ServiceId,
+}
+///How far a roll-out is; boxes that are told of a later phase enter it.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum RolloutPhase {
+    #[serde(rename = "canary")]
+    Canary,
+    #[serde(rename = "switch")]
+    Switch,
+    #[serde(rename = "bad")]
+    Bad,
+    #[serde(rename = "committed")]
+    Committed,
+    #[serde(rename = "completed")]
+    Completed,
+    #[serde(rename = "rolled_back")]
+    RolledBack,
+}
+impl ::std::fmt::Display for RolloutPhase {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Canary => f.write_str("canary"),
+            Self::Switch => f.write_str("switch"),
+            Self::Bad => f.write_str("bad"),
+            Self::Committed => f.write_str("committed"),
+            Self::Completed => f.write_str("completed"),
+            Self::RolledBack => f.write_str("rolled_back"),
+        }
+    }
+}
+impl ::std::str::FromStr for RolloutPhase {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "canary" => Ok(Self::Canary),
+            "switch" => Ok(Self::Switch),
+            "bad" => Ok(Self::Bad),
+            "committed" => Ok(Self::Committed),
+            "completed" => Ok(Self::Completed),
+            "rolled_back" => Ok(Self::RolledBack),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for RolloutPhase {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for RolloutPhase {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///One answer of an endpoint while a roll-out is in force.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RolloutSample {
+    pub endpoint: EndpointId,
+    ///The route, and what of the answer was timed.
+    pub series: u32,
+    ///The step of its time, or 255 if it failed.
+    pub step: u8,
+}
+///A roll-out, as boxes tell it each other.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RolloutState {
+    ///Milliseconds since it was first seen.
+    pub age_ms: u32,
+    ///Milliseconds that it may take.
+    pub duration_ms: u32,
+    ///The order, by its content.
+    pub order: u64,
+    pub phase: RolloutPhase,
+    ///Milliseconds since a box that watches roll-outs vouched for it.
+    pub seen_ms: u32,
+    pub service: ServiceId,
+    ///What failure domains know: the own one for other domains, the others for the own one.
+    pub tallies: ::std::vec::Vec<DomainTally>,
+    pub target: VersionId,
+}
 ///The boxes of a failure domain and the slices they hold.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -2471,6 +2609,18 @@
     ///The last of its beats that the sender knows of.
     pub beat: u64,
 }
+///Answers of one kind in a failure domain while a roll-out is in force.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SeriesTally {
+    pub baseline: AnswerTimes,
+    ///The route, and what of an answer was timed.
+    pub series: u32,
+    ///Endpoints of the target that answered.
+    pub servers: u32,
+    pub target: AnswerTimes,
+    pub worst: AnswerTimes,
+}
 ///A plain service's answer.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -2908,11 +3058,72 @@
     ///How its attempts ended since it told that last.
     pub answers: ::std::vec::Vec<EndpointAnswers>,
     pub from: BoxId,
+    ///How far it is with roll-outs that switch.
+    pub rollouts: ::std::vec::Vec<RolloutNote>,
+    ///Answers of endpoints of services with a roll-out.
+    pub samples: ::std::vec::Vec<RolloutSample>,
     ///What it has counted for the services that it runs something of.
     pub totals: ::std::vec::Vec<ServiceTotals>,
     ///All that it runs at the endpoints where it began or ended something.
     pub usage: ::std::vec::Vec<EndpointUsage>,
 }
+///The version of an endpoint's software.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct VersionId(::std::string::String);
+impl ::std::ops::Deref for VersionId {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<VersionId> for ::std::string::String {
+    fn from(value: VersionId) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for VersionId {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        if value.chars().count() > 128usize {
+            return Err("longer than 128 characters".into());
+        }
+        if value.chars().count() < 1usize {
+            return Err("shorter than 1 characters".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for VersionId {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for VersionId {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for VersionId {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
 ///What a second of resume latency and a second of extra engine work cost.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/tests/gateway/fixtures.rs
+++ b/tests/gateway/fixtures.rs
@@ -55,6 +55,7 @@
         gossip: Duration::from_millis(300),
         fleet_boxes: 1,
         retries,
+        rollout_share: 0.1,
     }
 }
 
@@ -143,6 +144,7 @@
         born: None,
         revision: 0,
         service: service.parse().unwrap(),
+        version: "v1".parse().unwrap(),
         address: format!("127.0.0.1:{port}").parse().unwrap(),
         domain: domain.parse().unwrap(),
         slots: 8,
@@ -334,6 +336,7 @@
         domains: Vec::new(),
         endpoints_at: 0,
         readers: Vec::new(),
+        rollouts: Vec::new(),
     }
 }
 
--- a/tests/gateway_parts.rs
+++ b/tests/gateway_parts.rs
@@ -13,8 +13,9 @@
 use magpiemoor::gateway::shell::headers;
 use magpiemoor::gateway::shell::watcher::{StoreAnswer, StoreChange, StoreRequest, Watcher};
 use magpiemoor::schema::{
-    BoxState, DomainSize, DomainUsage, EndpointAnswers, EndpointUsage, GatewaySettingsFile,
-    Incarnation, PackedEntries, PackedTable, PeerAddress, RunningBox, ServiceTotals, StateReply,
+    AnswerTimes, BoxState, DomainSize, DomainTally, DomainUsage, EndpointAnswers, EndpointUsage,
+    GatewaySettingsFile, Incarnation, PackedEntries, PackedTable, PeerAddress, RolloutNote,
+    RolloutPhase, RolloutSample, RolloutState, RunningBox, SeriesTally, ServiceTotals, StateReply,
     StateRequest, StoreReader, UsageNews,
 };
 use magpiemoor::settings::file::parse_as;
@@ -82,6 +83,35 @@
     }
 }
 
+/// A roll-out with something in each of its fields.
+fn rollout_state() -> RolloutState {
+    let times = |failed| AnswerTimes {
+        failed,
+        took: vec![0, 3, 70_000],
+    };
+    RolloutState {
+        service: "s".parse().unwrap(),
+        order: u64::MAX,
+        target: "v2".parse().unwrap(),
+        duration_ms: 12_000,
+        age_ms: 1_500,
+        seen_ms: 20,
+        phase: RolloutPhase::Switch,
+        tallies: vec![DomainTally {
+            domain: "d".parse().unwrap(),
+            age_ms: 300,
+            is_clear: true,
+            series: vec![SeriesTally {
+                series: u32::MAX,
+                baseline: times(1),
+                target: times(2),
+                worst: times(3),
+                servers: 2,
+            }],
+        }],
+    }
+}
+
 fn page(names: &[&str], more: bool, at: u64) -> StoreAnswer {
     StoreAnswer::Page(StorePage {
         entries: names.iter().map(|n| entry(n)).collect(),
@@ -254,6 +284,7 @@
             age_ms: 12,
             address: "127.0.0.4:7200".to_owned(),
         }],
+        rollouts: vec![rollout_state()],
     };
     let news = UsageNews {
         from: "box-1".parse().unwrap(),
@@ -265,6 +296,18 @@
             broken: 2,
         }],
         totals: state.totals.clone(),
+        samples: vec![RolloutSample {
+            endpoint: "e".parse().unwrap(),
+            series: 7,
+            step: 255,
+        }],
+        rollouts: vec![RolloutNote {
+            service: "s".parse().unwrap(),
+            order: 9,
+            phase: RolloutPhase::Bad,
+            is_clear: false,
+            address: vec![10, 0, 0, 1, 28, 32],
+        }],
     };
     let request = StateRequest {
         table_after: 3,
--- a/tests/incarnations.rs
+++ b/tests/incarnations.rs
@@ -186,6 +186,8 @@
         usage: vec![usage],
         answers: vec![answers],
         totals: Vec::new(),
+        samples: Vec::new(),
+        rollouts: Vec::new(),
     }));
     world.handle(Event::Peer(BoxState {
         lost: vec![old],
@@ -214,6 +216,8 @@
             usage: vec![usage],
             answers: Vec::new(),
             totals: Vec::new(),
+            samples: Vec::new(),
+            rollouts: Vec::new(),
         })
     };
     world.handle(news(2));
--- a/tests/usage.rs
+++ b/tests/usage.rs
@@ -28,6 +28,8 @@
         usage,
         answers: Vec::new(),
         totals: Vec::new(),
+        samples: Vec::new(),
+        rollouts: Vec::new(),
     })
 }
 
@@ -274,6 +276,8 @@
             usage: Vec::new(),
             answers: vec![near, far],
             totals: Vec::new(),
+            samples: Vec::new(),
+            rollouts: Vec::new(),
         })
     };
     world.handle(told(answers("till-n1", 16, 4), answers("till-s1", 16, 4)));
@@ -301,6 +305,8 @@
             usage: Vec::new(),
             answers: vec![answers],
             totals: Vec::new(),
+            samples: Vec::new(),
+            rollouts: Vec::new(),
         }));
         let (request, attempt) = world.arrive(STREAMS);
         let mirror = attempt.unwrap().mirror_to.unwrap();
