--- a/src/gateway/dispatch/rollout.rs
+++ b/src/gateway/dispatch/rollout.rs
@@ -64,7 +64,7 @@
 const LEAST_OBSERVED: f64 = 0.5;
 /// How long a phase has lasted before a box says that it has nothing left elsewhere: requests that
 /// were placed before are counted by then. Chosen, not measured.
-const SETTLED_AFTER: Duration = Duration::from_millis(100);
+const PHASE_SETTLED_AFTER: Duration = Duration::from_millis(100);
 /// Least time between two looks at the evidence.
 const JUDGE_EVERY: Duration = Duration::from_millis(100);
 
@@ -362,7 +362,7 @@
 
     /// Whether this box has nothing left at other versions.
     fn is_own_clear(&self, elsewhere: usize, now: Micros) -> bool {
-        let is_settled = now.since(self.phase_since) >= SETTLED_AFTER;
+        let is_settled = now.since(self.phase_since) >= PHASE_SETTLED_AFTER;
         self.leaves_others() && is_settled && elsewhere == 0
     }
 
--- a/src/gateway/dispatch/rollout/status.rs
+++ b/src/gateway/dispatch/rollout/status.rs
@@ -1,9 +1,9 @@
 //! The status of a roll-out's object in the store: what it says, and when it is to be written.
 //!
 //! A write names the revision that was read, so that of several boxes one wins. One that failed, or
-//! whose answer was lost, is made again after [`WRITE_AGAIN`]; one that met another revision waits for
+//! whose answer was lost, is made again after [`WRITE_STATUS_AGAIN`]; one that met another revision waits for
 //! the object to be read. Of the boxes that watch roll-outs, one in each failure domain, the first by
-//! domain writes at once and each further one [`STEP`] later, so that mostly one writes.
+//! domain writes at once and each further one [`WRITE_STEP`] later, so that mostly one writes.
 //!
 //! Owns: which write is under way. Weighed: one elected writer (needs the store or a consensus), and
 //! all of them at once (a write for each domain instead of one; the same end).
@@ -15,10 +15,10 @@
 
 /// Time after which a write without an answer is made again. Chosen longer than the store takes when
 /// it is slow (240 ms), not measured.
-const WRITE_AGAIN: Duration = Duration::from_millis(800);
+const WRITE_STATUS_AGAIN: Duration = Duration::from_millis(800);
 /// How much later each further domain's box writes: some messages between domains. Chosen, not
 /// measured.
-const STEP: Duration = Duration::from_millis(250);
+const WRITE_STEP: Duration = Duration::from_millis(250);
 
 /// What the status of an object says.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -112,12 +112,12 @@
             return None;
         }
         let before_me = around.others.iter().filter(|of| *of < around.domain);
-        let turn = STEP * before_me.count() as u32;
+        let turn = WRITE_STEP * before_me.count() as u32;
         if now.since(self.wanted_since) < turn {
             return None;
         }
         let is_under_way = self.written.is_some_and(|(at, of, what)| {
-            of == object.revision && what == status && now.since(at) < WRITE_AGAIN
+            of == object.revision && what == status && now.since(at) < WRITE_STATUS_AGAIN
         });
         if is_under_way {
             return None;
