--- a/src/gateway/dispatch/rollout/status.rs
+++ b/src/gateway/dispatch/rollout/status.rs
@@ -3,7 +3,7 @@
 //! A write names the revision that was read, so that of several boxes one wins. One that failed, or
 //! whose answer was lost, is made again after [`WRITE_STATUS_AGAIN`]; one that met another revision waits for
 //! the object to be read. Of the boxes that watch roll-outs, one in each failure domain, the first by
-//! domain writes at once and each further one [`WRITE_STEP`] later, so that mostly one writes.
+//! domain writes at once and each further one [`TURN_STEP`] later, so that mostly one writes.
 //!
 //! Owns: which write is under way. Weighed: one elected writer (needs the store or a consensus), and
 //! all of them at once (a write for each domain instead of one; the same end).
@@ -18,7 +18,7 @@
 const WRITE_STATUS_AGAIN: Duration = Duration::from_millis(800);
 /// How much later each further domain's box writes: some messages between domains. Chosen, not
 /// measured.
-const WRITE_STEP: Duration = Duration::from_millis(250);
+const TURN_STEP: Duration = Duration::from_millis(250);
 
 /// What the status of an object says.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -112,7 +112,7 @@
             return None;
         }
         let before_me = around.others.iter().filter(|of| *of < around.domain);
-        let turn = WRITE_STEP * before_me.count() as u32;
+        let turn = TURN_STEP * before_me.count() as u32;
         if now.since(self.wanted_since) < turn {
             return None;
         }
