--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -51,6 +51,7 @@
 mod replicas;
 mod request;
 pub mod retry;
+mod rollout_samples;
 mod rollouts;
 mod suspicion;
 
--- a/src/gateway/dispatch/rollouts.rs
+++ b/src/gateway/dispatch/rollouts.rs
@@ -1,5 +1,5 @@
-//! Carries roll-outs out: which endpoints requests may use, what their answers tell, streams that leave
-//! a version, and what boxes tell each other of it.
+//! Carries roll-outs out: which endpoints requests may use, streams that leave a version, and what
+//! boxes tell each other of it. What answers tell of a version is counted in [`super::rollout_samples`].
 //!
 //! What is decided, and when, is in [`super::rollout`]. A request is a canary or not from its first
 //! attempt on, and no second attempt of it goes to a version that is not known to be sound. Where no
@@ -14,29 +14,23 @@
 
 use super::Dispatcher;
 use super::action::{Action, Command};
-use super::event::{AttemptNumber, Fault, NotRunCause, Outcome, RequestNumber};
-use super::fleet::Endpoint;
+use super::event::{Fault, Outcome, RequestNumber};
+use super::fleet::{Endpoint, Fleet};
 use super::placement::Demand;
 use super::record::Record;
 use super::request::{ActiveAttempt, Request};
-use super::rollout::evidence::{FAILED, Timed, series_of, step_of};
 use super::rollout::status::ObjectState;
 use super::rollout::{Step, Surroundings, VersionRule, VersionRules};
 use super::roster::pack_address;
 use super::table::RouteKind;
 use crate::schema::{
-    BoxState, DomainId, Micros, RolloutNote, RolloutPhase, RolloutSample, RolloutState, ServiceId,
+    BoxState, DomainId, RolloutNote, RolloutPhase, RolloutSample, RolloutState, ServiceId,
     UsageNews,
 };
 
-/// The least status of an answer that counts as failed: a sound version answers the same requests
-/// beside it.
-const LEAST_FAILED_STATUS: u16 = 400;
 /// How long after streams were to leave one without a replica at the target leaves all the same. Chosen
 /// over the time of a snapshot, not measured.
 const LEAVE_ANYWAY_AFTER: Duration = Duration::from_millis(700);
-/// Events of a stream over which their time is taken. Chosen, not measured.
-const TIMED_EVENTS: u64 = 8;
 /// Time between two notes of how far this box is while a service switches: datagrams get lost.
 const NOTE_EVERY: Duration = Duration::from_millis(300);
 
@@ -44,8 +38,35 @@
 struct Around {
     near: Vec<SocketAddr>,
     others: Vec<DomainId>,
-    /// For each service with a roll-out: attempts of this box elsewhere, and whether it has engines.
-    services: Vec<(ServiceId, usize, bool)>,
+    is_watching: bool,
+    services: Vec<MovingService>,
+}
+
+/// A service with a roll-out.
+struct MovingService {
+    name: ServiceId,
+    /// Attempts of this box at endpoints that the roll-out leaves.
+    elsewhere: usize,
+    has_engines: bool,
+}
+
+impl Around {
+    fn of<'a>(
+        &'a self,
+        service: &MovingService,
+        fleet: &'a Fleet,
+        domain: &'a DomainId,
+    ) -> Surroundings<'a> {
+        Surroundings {
+            fleet,
+            domain,
+            near: &self.near,
+            others: &self.others,
+            is_watching: self.is_watching,
+            has_engines: service.has_engines,
+            elsewhere: service.elsewhere,
+        }
+    }
 }
 
 impl Dispatcher {
@@ -78,17 +99,9 @@
         self.rollouts.forget_old(self.now);
         let around = self.around();
         let mut steps = Vec::new();
-        for (service, elsewhere, has_engines) in &around.services {
-            let surroundings = Surroundings {
-                fleet: &self.fleet,
-                domain: &self.cfg.domain,
-                near: &around.near,
-                others: &around.others,
-                is_watching: self.watches_rollouts,
-                has_engines: *has_engines,
-                elsewhere: *elsewhere,
-            };
-            steps.extend(self.rollouts.look(service, &surroundings, self.now));
+        for service in &around.services {
+            let surroundings = around.of(service, &self.fleet, &self.cfg.domain);
+            steps.extend(self.rollouts.look(&service.name, &surroundings, self.now));
         }
         self.carry_out(steps);
         self.note_if_due();
@@ -103,11 +116,16 @@
                 .as_ref()
                 .and_then(|table| table.service(service))
                 .is_some_and(|service| service.engine.is_some());
-            (service.clone(), self.elsewhere(service), has_engines)
+            MovingService {
+                name: service.clone(),
+                elsewhere: self.elsewhere(service),
+                has_engines,
+            }
         });
         Around {
             near: roster.running(self.now).collect(),
             others: roster.other_domains(),
+            is_watching: self.watches_rollouts,
             services: services.collect(),
         }
     }
@@ -204,22 +222,11 @@
             return Vec::new();
         }
         let around = self.around();
-        let told = around
-            .services
-            .iter()
-            .filter_map(|(service, elsewhere, has_engines)| {
-                let surroundings = Surroundings {
-                    fleet: &self.fleet,
-                    domain: &self.cfg.domain,
-                    near: &around.near,
-                    others: &around.others,
-                    is_watching: self.watches_rollouts,
-                    has_engines: *has_engines,
-                    elsewhere: *elsewhere,
-                };
-                self.rollouts
-                    .told_to(service, domain, &surroundings, self.now)
-            });
+        let told = around.services.iter().filter_map(|service| {
+            let surroundings = around.of(service, &self.fleet, &self.cfg.domain);
+            self.rollouts
+                .told_to(&service.name, domain, &surroundings, self.now)
+        });
         told.collect()
     }
 
@@ -309,148 +316,6 @@
         rollout.is_some_and(|r| r.leaves_others() && endpoint.spec.version != r.order().target)
     }
 
-    /// Counts what the end of an attempt tells of its endpoint's version.
-    pub(super) fn sample_end(
-        &mut self,
-        number: RequestNumber,
-        active: &ActiveAttempt,
-        outcome: &Outcome,
-    ) {
-        let Some(request) = self.requests.get(&number) else {
-            return;
-        };
-        let is_stream = request.route.kind.is_stream();
-        let timed = if is_stream { Timed::Event } else { Timed::Call };
-        let step = match outcome {
-            Outcome::Answered { status } if *status < LEAST_FAILED_STATUS => {
-                step_of(millis(self.now.since(active.started)))
-            }
-            Outcome::Answered { .. }
-            | Outcome::Broken(_)
-            | Outcome::NotRun(NotRunCause::NoRoom)
-            | Outcome::Stopped => FAILED,
-            // Events of a stream were counted while it went on; the others met no server.
-            Outcome::StreamEnded
-            | Outcome::NotSent
-            | Outcome::NotRun(NotRunCause::OtherInstance(_)) => return,
-        };
-        // A stream that breaks off has been counted for the events that came.
-        let mut sampled = active.sampled;
-        if is_stream || sampled.take(timed) {
-            self.sample(number, active, timed, step);
-        }
-    }
-
-    /// Counts an attempt whose request is given up while it runs.
-    pub(super) fn sample_given_up(&mut self, number: RequestNumber) {
-        let request = self.requests.get(&number);
-        if let Some(active) = request.and_then(|r| r.active.clone()) {
-            self.sample_end(number, &active, &Outcome::Broken(Fault::Silent));
-        }
-    }
-
-    /// Counts what a stream's first event tells of its engine's version.
-    pub(super) fn sample_first_event(
-        &mut self,
-        number: RequestNumber,
-        attempt: AttemptNumber,
-        prompt: u32,
-    ) {
-        if prompt == 0 || self.rollouts.is_empty() {
-            return;
-        }
-        let now = self.now;
-        let request = self.with_active(number, attempt);
-        let Some(active) = request.and_then(|r| r.active.as_mut()) else {
-            return;
-        };
-        if active.sampled.take(Timed::FirstEvent) {
-            let active = active.clone();
-            let time = per_thousand(now.since(active.started), prompt);
-            self.sample(number, &active, Timed::FirstEvent, step_of(time));
-        }
-    }
-
-    /// Counts how long a stream's events take, once some have come.
-    pub(super) fn sample_events(&mut self, number: RequestNumber, attempt: AttemptNumber) {
-        if self.rollouts.is_empty() {
-            return;
-        }
-        let now = self.now;
-        let Some(request) = self.with_active(number, attempt) else {
-            return;
-        };
-        let last = request.last_event;
-        let Some(active) = request.active.as_mut() else {
-            return;
-        };
-        let Some((events, time)) = events_so_far(last, active, now) else {
-            return;
-        };
-        if events >= TIMED_EVENTS && active.sampled.take(Timed::Event) {
-            let active = active.clone();
-            let step = step_of(time / events as f64);
-            self.sample(number, &active, Timed::Event, step);
-        }
-    }
-
-    /// Counts what is slow already though it has not come yet: a version that takes several times as
-    /// long would be known that much later otherwise.
-    pub(super) fn sample_overdue(&mut self, number: RequestNumber) {
-        if self.rollouts.is_empty() {
-            return;
-        }
-        let now = self.now;
-        let Some(request) = self.requests.get_mut(&number) else {
-            return;
-        };
-        let rollout = self.rollouts.of(&request.service);
-        let Some(rollout) = rollout.filter(|r| r.is_judged()) else {
-            return;
-        };
-        let (last, prompt) = (request.last_event, request.arrival.prompt.0);
-        let is_stream = request.route.kind.is_stream();
-        let route = request.route.name.clone();
-        let Some(active) = request.active.as_mut() else {
-            return;
-        };
-        let waited = now.since(active.started);
-        let (timed, time) = match (is_stream, events_so_far(last, active, now)) {
-            (false, _) => (Timed::Call, millis(waited)),
-            (true, None) => (Timed::FirstEvent, per_thousand(waited, prompt.max(1))),
-            // So slow that the next few can't make it good.
-            (true, Some((events, time))) => (Timed::Event, time / (events + TIMED_EVENTS) as f64),
-        };
-        let step = step_of(time);
-        let reads = active.prefill > 0 || timed != Timed::FirstEvent;
-        let is_slow = rollout.evidence().is_slow(series_of(&route, timed), step);
-        if reads && is_slow && active.sampled.take(timed) {
-            let active = active.clone();
-            self.sample(number, &active, timed, step);
-        }
-    }
-
-    fn sample(&mut self, number: RequestNumber, active: &ActiveAttempt, timed: Timed, step: u8) {
-        let Some(request) = self.requests.get(&number) else {
-            return;
-        };
-        let Some(rollout) = self.rollouts.of_mut(&request.service) else {
-            return;
-        };
-        let endpoint = self.fleet.living(&active.endpoint);
-        let Some(endpoint) = endpoint.filter(|_| rollout.is_judged()) else {
-            return;
-        };
-        let is_target = endpoint.spec.version == rollout.order().target;
-        let sample = RolloutSample {
-            endpoint: active.endpoint.id.clone(),
-            series: series_of(&request.route.name, timed),
-            step,
-        };
-        rollout.evidence_mut().on_own_sample(sample, is_target);
-        self.report_usage_soon(&active.endpoint.id);
-    }
-
     /// Whether a stream is to go on at the version that its service moves to now.
     pub(super) fn is_to_leave(&self, number: RequestNumber) -> bool {
         let Some(request) = self.requests.get(&number) else {
@@ -491,19 +356,3 @@
         self.start_next_attempt(number);
     }
 }
-
-/// How many events have come after a stream's first one, and in how many milliseconds.
-fn events_so_far(last: Option<u64>, active: &ActiveAttempt, now: Micros) -> Option<(u64, f64)> {
-    let (begun, first) = active.begun?;
-    let events = last?.saturating_sub(first);
-    Some((events, millis(now.since(begun))))
-}
-
-/// Milliseconds for a thousand tokens of a prompt.
-fn per_thousand(time: Duration, prompt: u32) -> f64 {
-    millis(time) * 1_000.0 / f64::from(prompt)
-}
-
-fn millis(time: Duration) -> f64 {
-    time.as_secs_f64() * 1_000.0
-}
