--- /dev/null
+++ b/lab/src/gateway/rollout/fleet/store.rs
@@ -0,0 +1,103 @@
+//! The store of the emulated fleet: the object that orders the roll-out, and its status.
+
+use std::time::Duration;
+
+use magpiemoor::gateway::dispatch::event::Event;
+use magpiemoor::gateway::dispatch::rollout::RolloutOrder;
+use magpiemoor::gateway::dispatch::rollout::status::{ObjectState, RolloutStatus, StatusWrite};
+
+use super::{FAULT_AT, Fleet, Mail, ORDER_AFTER, ORDER_FOR, START};
+use crate::gateway::rollout::Fault;
+use crate::gateway::rollout::endpoints::{NEW, SERVICE};
+
+/// How long the store takes for a call, and until a watch tells of a change.
+pub(super) const STORE_CALL: Duration = Duration::from_millis(4);
+/// How long the store is out or late.
+const STORE_FAULT_FOR: Duration = Duration::from_secs(4);
+/// How late a write is applied whose answer is lost.
+const LATE: Duration = Duration::from_millis(3_500);
+
+impl Fleet {
+    /// Whether the store can't be reached.
+    fn store_is_out(&self) -> bool {
+        let begin = START.after(ORDER_AFTER + FAULT_AT);
+        let lasts = self.now >= begin && self.now.since(begin) < STORE_FAULT_FOR;
+        self.case.fault == Fault::StoreDown && lasts
+    }
+
+    fn store_is_late(&self) -> bool {
+        let begin = START.after(ORDER_AFTER + FAULT_AT);
+        let lasts = self.now >= begin && self.now.since(begin) < STORE_FAULT_FOR * 2;
+        self.case.fault == Fault::StoreLate && lasts
+    }
+
+    pub(super) fn order(&mut self) {
+        let order = RolloutOrder::new(
+            SERVICE.parse().expect("a short name"),
+            NEW.parse().expect("a short name"),
+            ORDER_FOR,
+            1,
+        );
+        self.object = Some(ObjectState {
+            order,
+            revision: 10,
+            status: None,
+            text: "{}".to_owned(),
+        });
+        self.tell_watchers();
+    }
+
+    fn tell_watchers(&mut self) {
+        for at in 0..self.boxes.len() {
+            if self.boxes[at].watches_rollouts {
+                self.post(at, STORE_CALL, Mail::Objects);
+            }
+        }
+    }
+
+    pub(super) fn read_objects(&mut self, at: usize) {
+        if self.store_is_out() {
+            self.post(at, Duration::from_millis(300), Mail::Objects);
+            return;
+        }
+        self.handle(at, Event::StoreAnswered);
+        let event = Event::Rollouts {
+            objects: self.object.clone().into_iter().collect(),
+            gone: Vec::new(),
+            is_whole: true,
+        };
+        self.handle(at, event);
+    }
+
+    pub(super) fn write(&mut self, at: usize, write: StatusWrite) {
+        self.counts.writes += 1;
+        self.last_writer = Some(at);
+        let way = if self.store_is_out() {
+            return;
+        } else if self.store_is_late() {
+            LATE
+        } else {
+            STORE_CALL
+        };
+        self.post(at, way, Mail::Write(Box::new(write)));
+    }
+
+    pub(super) fn apply(&mut self, write: &StatusWrite) {
+        let Some(object) = self.object.as_mut() else {
+            return;
+        };
+        if object.revision != write.revision {
+            return;
+        }
+        object.revision += 1;
+        object.status = Some(write.status);
+        if self.counts.ended.is_none() && write.status != RolloutStatus::InProgress {
+            let is_completed = write.status == RolloutStatus::Completed;
+            self.counts.ended = Some((self.now, is_completed));
+            if is_completed {
+                self.stop_old();
+            }
+        }
+        self.tell_watchers();
+    }
+}
