--- a/lab/src/gateway/rollout/fleet.rs
+++ b/lab/src/gateway/rollout/fleet.rs
@@ -53,6 +53,7 @@
     cfg: DispatchConfig,
     is_running: bool,
     life: u64,
+    watches_store: bool,
     watches_rollouts: bool,
     tick_at: Micros,
     next_request: u64,
@@ -65,6 +66,8 @@
     Event(Box<Event>),
     /// A caller's request.
     Call,
+    /// A watch of tables and endpoints is answered, without a change.
+    NoChange,
     /// Objects are read by a box that watches them.
     Objects,
     /// A write reaches the store.
@@ -109,6 +112,7 @@
                 cfg,
                 is_running: false,
                 life: 0,
+                watches_store: false,
                 watches_rollouts: false,
                 tick_at: START,
                 next_request: 0,
@@ -179,6 +183,7 @@
             }
             Mail::Event(event) => self.handle(to, *event),
             Mail::Call => self.call(),
+            Mail::NoChange => self.answer_watch(to),
             Mail::Objects => self.read_objects(to),
             Mail::Write(write) => self.apply(&write),
             Mail::Step(running) => self.step(to, running),
@@ -193,6 +198,7 @@
         found.cfg.incarnation = Incarnation(self.now.0);
         found.dispatcher = Dispatcher::new(found.cfg.clone(), seed, self.now);
         found.is_running = true;
+        found.watches_store = false;
         found.watches_rollouts = false;
         found.tick_at = self.now;
         let specs = self.endpoints.specs();
@@ -240,7 +246,7 @@
             Action::Gossip { to, state } => self.send(at, &to, &Event::Peer(*state)),
             Action::GossipUsage { to, news } => self.send(at, &to, &Event::PeerUsage(news)),
             Action::FetchState { from, kind, .. } => self.fetch(at, from, kind),
-            Action::WatchStore(true) => self.answer(at, Event::StoreAnswered),
+            Action::WatchStore(is_watching) => self.watch_store(at, is_watching),
             Action::WatchRollouts(is_watching) => {
                 self.boxes[at].watches_rollouts = is_watching;
                 if is_watching {
--- a/lab/src/gateway/rollout/fleet/store.rs
+++ b/lab/src/gateway/rollout/fleet/store.rs
@@ -12,6 +12,9 @@
 
 /// How long the store takes for a call, and until a watch tells of a change.
 pub(super) const STORE_CALL: Duration = Duration::from_millis(4);
+/// How long a watch waits, and how soon a store that is out is asked again.
+const WATCH: Duration = Duration::from_secs(3);
+const ASKED_AGAIN: Duration = Duration::from_millis(300);
 /// How long the store is out or late.
 const STORE_FAULT_FOR: Duration = Duration::from_secs(4);
 /// How late a write is applied whose answer is lost.
@@ -47,6 +50,26 @@
         self.tell_watchers();
     }
 
+    /// A box begins or ceases to watch tables and endpoints.
+    pub(super) fn watch_store(&mut self, at: usize, is_watching: bool) {
+        let did = std::mem::replace(&mut self.boxes[at].watches_store, is_watching);
+        if is_watching && !did {
+            self.post(at, STORE_CALL, Mail::NoChange);
+        }
+    }
+
+    /// A watch of tables and endpoints ends, and the next one begins.
+    pub(super) fn answer_watch(&mut self, at: usize) {
+        if !self.boxes[at].watches_store {
+            return;
+        }
+        if self.store_is_out() {
+            return self.post(at, ASKED_AGAIN, Mail::NoChange);
+        }
+        self.post(at, WATCH, Mail::NoChange);
+        self.handle(at, Event::StoreAnswered);
+    }
+
     fn tell_watchers(&mut self) {
         for at in 0..self.boxes.len() {
             if self.boxes[at].watches_rollouts {
@@ -57,10 +80,9 @@
 
     pub(super) fn read_objects(&mut self, at: usize) {
         if self.store_is_out() {
-            self.post(at, Duration::from_millis(300), Mail::Objects);
+            self.post(at, ASKED_AGAIN, Mail::Objects);
             return;
         }
-        self.handle(at, Event::StoreAnswered);
         let event = Event::Rollouts {
             objects: self.object.clone().into_iter().collect(),
             gone: Vec::new(),
--- a/src/gateway/dispatch/rollouts.rs
+++ b/src/gateway/dispatch/rollouts.rs
@@ -77,8 +77,12 @@
         gone: &[ServiceId],
         is_whole: bool,
     ) {
+        let nothing_known = self.rollouts.is_empty();
         let steps = self.rollouts.on_objects(objects, gone, is_whole, self.now);
         self.carry_out(steps);
+        if nothing_known && self.rollouts.is_empty() {
+            return;
+        }
         self.gossip_soon();
     }
 
--- a/src/gateway/shell/dialect.rs
+++ b/src/gateway/shell/dialect.rs
@@ -51,6 +51,12 @@
     Malformed,
 }
 
+/// How many times as long a watch of roll-outs waits. Chosen for 7 calls a minute and failure domain
+/// instead of 20, not measured.
+const ROLLOUT_WATCHES: u32 = 3;
+/// The longest that a watch waits, as for the setting.
+const LONGEST_WATCH: Duration = Duration::from_secs(30);
+
 /// What is read from the platform's store.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum ObjectKind {
@@ -65,6 +71,28 @@
 impl ObjectKind {
     /// All kinds, in the order of their numbers.
     pub const ALL: [Self; 3] = [Self::Table, Self::Endpoints, Self::Rollouts];
+
+    /// How long a watch waits, where one of what every box needs waits for `watch`.
+    ///
+    /// Orders of roll-outs are rare, and the first box of each failure domain watches them: a silent
+    /// connection keeps an order from one domain, and the others tell it.
+    #[must_use]
+    pub fn watch_wait(self, watch: Duration) -> Duration {
+        match self {
+            Self::Table | Self::Endpoints => watch,
+            Self::Rollouts => (watch * ROLLOUT_WATCHES).min(LONGEST_WATCH),
+        }
+    }
+
+    /// Whether an answer shows that a box can tell others what they need of the store. One with
+    /// orders of roll-outs does not: tables and endpoints have connections of their own.
+    #[must_use]
+    pub fn makes_a_watcher(self) -> bool {
+        match self {
+            Self::Table | Self::Endpoints => true,
+            Self::Rollouts => false,
+        }
+    }
 }
 
 /// An object of the store.
--- a/src/gateway/shell/store.rs
+++ b/src/gateway/shell/store.rs
@@ -63,7 +63,7 @@
             was_reached = watcher.is_reached();
             record_reached(source, was_reached, &shared);
         }
-        if watcher.is_reached() {
+        if watcher.is_reached() && source.makes_a_watcher() {
             shared.send(Input::Event(Event::StoreAnswered)).await;
         }
         let mut pause = next.pause;
@@ -156,7 +156,7 @@
         shared: &GatewayShared,
     ) -> StoreAnswer {
         let dialect = &shared.dialect;
-        let watch = shared.settings.watch;
+        let watch = source.watch_wait(shared.settings.watch);
         let patience = doubled(LIST_LIMIT, self.failures, MOST_LIST_DOUBLINGS);
         let (path, head_limit, is_watch) = match request {
             StoreRequest::List { after } => {
--- a/tests/gateway_parts.rs
+++ b/tests/gateway_parts.rs
@@ -8,7 +8,7 @@
 use magpiemoor::gateway::dispatch::record::Record;
 use magpiemoor::gateway::settings::{GatewaySettings, defaults};
 use magpiemoor::gateway::shell::decision_log::DecisionLog;
-use magpiemoor::gateway::shell::dialect::{Entry, StorePage};
+use magpiemoor::gateway::shell::dialect::{Entry, ObjectKind, StorePage};
 use magpiemoor::gateway::shell::events::{EventCutter, RawEvent};
 use magpiemoor::gateway::shell::headers;
 use magpiemoor::gateway::shell::watcher::{StoreAnswer, StoreChange, StoreRequest, Watcher};
@@ -36,6 +36,23 @@
     (events, cutter)
 }
 
+/// A box whose lists and tables are stuck must not count as a watcher by what it hears of roll-outs.
+#[rstest]
+#[case::table(ObjectKind::Table, true, 3, 30)]
+#[case::endpoints(ObjectKind::Endpoints, true, 3, 30)]
+#[case::rollouts(ObjectKind::Rollouts, false, 9, 30)]
+fn orders_of_rollouts_are_watched_longer_and_make_no_watcher(
+    #[case] kind: ObjectKind,
+    #[case] makes_a_watcher: bool,
+    #[case] seconds_of_three: u64,
+    #[case] seconds_of_thirty: u64,
+) {
+    let wait = |seconds| kind.watch_wait(Duration::from_secs(seconds)).as_secs();
+    assert_eq!(kind.makes_a_watcher(), makes_a_watcher);
+    assert_eq!(wait(3), seconds_of_three);
+    assert_eq!(wait(30), seconds_of_thirty);
+}
+
 #[rstest]
 #[case::one(&[&b"id: 3\ndata: a\n\n"[..]], &[Some(3)], false)]
 #[case::torn(&[&b"id: 1\nda"[..], &b"ta: a\n"[..], &b"\nid: 2\n"[..]], &[Some(1)], true)]
--- a/tests/rollouts.rs
+++ b/tests/rollouts.rs
@@ -17,6 +17,9 @@
 use magpiemoor_lab::gateway::rollout::{Case, Decider, Fault, Outcome as Played, Shows, Version};
 use rstest::rstest;
 
+/// Longer than news gather before peers are told.
+const LONG_PAUSE: Duration = Duration::from_millis(50);
+
 /// A till of a version.
 fn till(version: &str, number: u16) -> EndpointSpec {
     EndpointSpec {
@@ -112,6 +115,28 @@
     (sent_to, done)
 }
 
+/// Sites without roll-outs read an empty list each time that a watcher begins.
+#[test]
+fn an_empty_list_of_orders_has_nobody_told() {
+    let mut world = before_tills();
+    world.run(10_000);
+    // Just after a message to peers the next one is not due for long.
+    let is_due_later = |world: &World| world.dispatcher.next_tick() > world.now.after(LONG_PAUSE);
+    let is_settled = (0..1_000).any(|_| {
+        world.run(1);
+        is_due_later(&world)
+    });
+    assert!(is_settled);
+    let due = world.dispatcher.next_tick();
+    world.handle(Event::Rollouts {
+        objects: Vec::new(),
+        gone: Vec::new(),
+        is_whole: true,
+    });
+    assert!(world.actions.is_empty(), "{:?}", world.actions);
+    assert_eq!(world.dispatcher.next_tick(), due);
+}
+
 #[test]
 fn without_an_order_versions_are_served_alike() {
     let mut world = before_tills();
