Roll-outs: finished orders rest, a route that fails for every version holds nothing against one, bounds of counts and of the share

The test of the greatest counts then showed another fault: where the old version fails every answer of a route the expected share was cut to 0.95, so that 270 failed of 270 spoke against the new one. Such a domain tells nothing now. `shell::run` and `Record::sentence` are shorter by a function each.

--- a/lab/src/gateway/rollout/endpoints.rs
+++ b/lab/src/gateway/rollout/endpoints.rs
@@ -31,8 +31,9 @@
 pub const EVENTS: u64 = 100;
 /// Events that are told together.
 pub const EVENTS_TOGETHER: u64 = 4;
-/// When a fault beside the order begins, after it, and how long it lasts.
-const FAULT_AT: Duration = Duration::from_secs(3);
+/// When a fault beside the order begins, after it.
+pub const FAULT_AT: Duration = Duration::from_secs(3);
+/// How long it lasts at endpoints.
 const FAULT_FOR: Duration = Duration::from_secs(5);
 /// How long the endpoints of a domain fail.
 const DOMAIN_FAULT_FOR: Duration = Duration::from_millis(2_500);
--- a/lab/src/gateway/rollout/fleet.rs
+++ b/lab/src/gateway/rollout/fleet.rs
@@ -1,6 +1,7 @@
 //! Boxes of the real decision code on made-up time, and the links between them.
 //!
-//! [`traffic`] holds what callers and endpoints do, [`store`] the store with the order.
+//! `setup` makes them, `traffic` holds what callers and endpoints do, `store` the store with the
+//! order.
 
 mod setup;
 mod store;
@@ -23,7 +24,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::endpoints::Endpoints;
+use super::endpoints::{Endpoints, FAULT_AT};
 use super::score::{Counts, Outcome};
 use super::{Case, Fault};
 use setup::{address, config, table};
@@ -42,8 +43,6 @@
 const OUTSIDE: Duration = Duration::from_millis(1);
 /// The share of datagrams that are lost.
 const LOST: f64 = 0.002;
-/// When a fault beside the order begins, after it.
-const FAULT_AT: Duration = Duration::from_secs(3);
 /// How long a killed box is away, and all of them.
 const AWAY: Duration = Duration::from_secs(3);
 const ALL_AWAY: Duration = Duration::from_secs(1);
--- a/lab/src/gateway/rollout/fleet/store.rs
+++ b/lab/src/gateway/rollout/fleet/store.rs
@@ -6,9 +6,9 @@
 use magpiemoor::gateway::dispatch::rollout::RolloutOrder;
 use magpiemoor::gateway::dispatch::rollout::status::{ObjectState, RolloutStatus, StatusWrite};
 
-use super::{FAULT_AT, Fleet, Mail, ORDER_AFTER, ORDER_FOR, START};
+use super::{Fleet, Mail, ORDER_AFTER, ORDER_FOR, START};
 use crate::gateway::rollout::Fault;
-use crate::gateway::rollout::endpoints::{NEW, SERVICE};
+use crate::gateway::rollout::endpoints::{FAULT_AT, NEW, SERVICE};
 
 /// How long the store takes for a call, and until a watch tells of a change.
 pub(super) const STORE_CALL: Duration = Duration::from_millis(4);
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -306,14 +306,9 @@
             .unwrap_or(self.next_gossip);
         let due = self.next_gossip.min(self.pending_usage.due());
         let due = due.min(first_decision);
-        let due = if self.rollouts.is_empty() {
-            due
-        } else {
-            due.min(self.now.after(TICK))
-        };
         let fetches = [self.table_fetches.due(), self.endpoint_fetches.due()];
         let due = fetches.into_iter().flatten().fold(due, Micros::min);
-        if self.active() == 0 {
+        if self.active() == 0 && self.rollouts.is_at_rest() {
             return due;
         }
         self.now.after(TICK).min(due)
--- a/src/gateway/dispatch/record.rs
+++ b/src/gateway/dispatch/record.rs
@@ -315,28 +315,9 @@
             | Self::Ended { .. }
             | Self::Copied { .. }
             | Self::Suspected { .. } => self.attempt_sentence(),
-            Self::TableInForce { version } => format!("table {version} in force"),
-            Self::TableRead {
-                version,
-                from,
-                bytes,
-                check_ms,
-                age_ms,
-                ..
-            } => format!(
-                "table {version} from {from}, {bytes} bytes, checked in {check_ms} ms, \
-                 {age_ms} ms after the store's answer"
-            ),
-            Self::TableFetched {
-                from,
-                after,
-                bytes,
-                after_ms,
-                outcome,
-            } => format!(
-                "fetch of a table after {after} from {from}: {outcome}, {bytes} bytes in \
-                 {after_ms} ms"
-            ),
+            Self::TableInForce { .. } | Self::TableRead { .. } | Self::TableFetched { .. } => {
+                self.table_sentence()
+            }
             Self::Endpoint { endpoint, state } => format!("{endpoint} {state}"),
             Self::Endpoints {
                 at,
@@ -364,6 +345,34 @@
         }
     }
 
+    fn table_sentence(&self) -> String {
+        match self {
+            Self::TableInForce { version } => format!("table {version} in force"),
+            Self::TableRead {
+                version,
+                from,
+                bytes,
+                check_ms,
+                age_ms,
+                ..
+            } => format!(
+                "table {version} from {from}, {bytes} bytes, checked in {check_ms} ms, \
+                 {age_ms} ms after the store's answer"
+            ),
+            Self::TableFetched {
+                from,
+                after,
+                bytes,
+                after_ms,
+                outcome,
+            } => format!(
+                "fetch of a table after {after} from {from}: {outcome}, {bytes} bytes in \
+                 {after_ms} ms"
+            ),
+            _ => String::new(),
+        }
+    }
+
     fn request_sentence(&self) -> String {
         match self {
             Self::Arrived {
--- a/src/gateway/dispatch/rollout.rs
+++ b/src/gateway/dispatch/rollout.rs
@@ -158,6 +158,11 @@
     Write(status::StatusWrite),
 }
 
+/// A time in whole milliseconds, as peers tell it; one over 49 days counts as 49 days.
+fn whole_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// One roll-out.
 #[derive(Debug)]
 pub struct Rollout {
@@ -258,6 +263,15 @@
         matches!(self.phase, RolloutPhase::Canary | RolloutPhase::Switch)
     }
 
+    /// Whether the store says how it ended: nothing is to be found out or done any more.
+    #[must_use]
+    pub fn is_finished(&self) -> bool {
+        matches!(
+            self.phase,
+            RolloutPhase::Completed | RolloutPhase::RolledBack
+        )
+    }
+
     /// Whether new work is to leave other versions than the target.
     #[must_use]
     pub fn leaves_others(&self) -> bool {
@@ -387,8 +401,32 @@
 
     /// What the boxes of a failure domain are told of it.
     fn told_to(&self, domain: &DomainId, around: &Surroundings<'_>, now: Micros) -> RolloutState {
-        let age = |at: Micros| now.since(at).as_millis() as u32;
+        let age = |at: Micros| whole_millis(now.since(at));
+        RolloutState {
+            service: self.order.service.clone(),
+            order: self.order.id,
+            target: self.order.target.clone(),
+            duration_ms: whole_millis(self.order.duration),
+            age_ms: age(self.seen_first),
+            seen_ms: age(self.vouched),
+            phase: self.phase,
+            tallies: self.tallies_for(domain, around, now),
+        }
+    }
+
+    /// The answers that the boxes of a failure domain are told of. Of a finished roll-out there are
+    /// none: its object may stay in the store for weeks, and some 60 bytes for each series and domain
+    /// would go with each message.
+    fn tallies_for(
+        &self,
+        domain: &DomainId,
+        around: &Surroundings<'_>,
+        now: Micros,
+    ) -> Vec<DomainTally> {
         let mut tallies = Vec::new();
+        if self.is_finished() {
+            return tallies;
+        }
         if domain == around.domain {
             tallies.extend(self.evidence.of_others(now));
         } else if self.is_judged() || self.leaves_others() {
@@ -402,16 +440,7 @@
                 told.is_some_and(|(_, is_clear)| *is_clear)
             };
         }
-        RolloutState {
-            service: self.order.service.clone(),
-            order: self.order.id,
-            target: self.order.target.clone(),
-            duration_ms: self.order.duration.as_millis() as u32,
-            age_ms: age(self.seen_first),
-            seen_ms: age(self.vouched),
-            phase: self.phase,
-            tallies,
-        }
+        tallies
     }
 
     /// Takes in what a box told of this order.
--- a/src/gateway/dispatch/rollout/evidence.rs
+++ b/src/gateway/dispatch/rollout/evidence.rs
@@ -232,7 +232,7 @@
     pub fn of_others(&self, now: Micros) -> Vec<DomainTally> {
         let told = self.others.iter().map(|(domain, told)| DomainTally {
             domain: domain.clone(),
-            age_ms: now.since(told.at).as_millis() as u32,
+            age_ms: super::whole_millis(now.since(told.at)),
             is_clear: false,
             series: told.series.clone(),
         });
--- a/src/gateway/dispatch/rollout/known.rs
+++ b/src/gateway/dispatch/rollout/known.rs
@@ -35,6 +35,12 @@
         self.known.is_empty()
     }
 
+    /// Whether anything is to be found out or done for any of them.
+    #[must_use]
+    pub fn is_at_rest(&self) -> bool {
+        self.known.values().all(Rollout::is_finished)
+    }
+
     /// The roll-out of a service.
     #[must_use]
     pub fn of(&self, service: &ServiceId) -> Option<&Rollout> {
@@ -198,7 +204,8 @@
         Some(known.told_to(domain, around, now))
     }
 
-    /// How far this box is with a roll-out that leaves other versions, or was found bad.
+    /// How far this box is with a roll-out that leaves other versions, or was found bad; none of one
+    /// that is finished.
     #[must_use]
     pub fn note(
         &self,
@@ -208,7 +215,8 @@
         now: Micros,
     ) -> Option<RolloutNote> {
         let known = self.known.get(service)?;
-        (known.phase != RolloutPhase::Canary).then(|| RolloutNote {
+        let is_wanted = known.phase != RolloutPhase::Canary && !known.is_finished();
+        is_wanted.then(|| RolloutNote {
             service: service.clone(),
             order: known.order.id,
             phase: known.phase,
--- a/src/gateway/dispatch/rollout/verdict.rs
+++ b/src/gateway/dispatch/rollout/verdict.rs
@@ -47,6 +47,9 @@
 const LEAST_BASELINE: u32 = 12;
 /// How many answers the share over all domains weighs in the share of one.
 const POOLED_ANSWERS: f64 = 10.0;
+/// The expected share of bad answers from which a domain tells nothing of a version: where nearly all
+/// answers of the baseline are bad, those of any version are. Chosen, not measured.
+const MOST_EXPECTED: f64 = 0.95;
 /// What is taken off a score where the version has one endpoint only, so that its fault and the
 /// version's can't be told apart.
 const SINGLE_ENDPOINT: f64 = 3.0;
@@ -127,10 +130,10 @@
     } else {
         SLOW_STEPS
     };
-    let answered = baseline.all() - baseline.failed;
+    let answered = u64::from(baseline.all() - baseline.failed);
     let mut before = 0;
     for (step, count) in baseline.took.iter().enumerate() {
-        before += count;
+        before += u64::from(*count);
         if before * 2 > answered {
             return step + steps;
         }
@@ -178,7 +181,7 @@
 /// A series with the shares that its scores follow from.
 struct Scored {
     strata: Vec<Weighed>,
-    servers: u32,
+    servers: u64,
 }
 
 impl Scored {
@@ -193,14 +196,14 @@
             let expected = (own.bad + POOLED_ANSWERS * share) / weight;
             let error = (expected * (1.0 - expected) / weight).sqrt();
             Weighed {
-                expected: (expected + error).min(0.95),
+                expected: expected + error,
                 target: Share::of(&stratum.target, slow_from),
                 worst: Share::of(&stratum.worst, slow_from),
             }
         });
         Some(Self {
             strata: strata.collect(),
-            servers: series.strata.iter().map(|s| s.servers).sum(),
+            servers: series.strata.iter().map(|s| u64::from(s.servers)).sum(),
         })
     }
 
@@ -238,8 +241,12 @@
     }
 }
 
-/// The logarithm of how much likelier answers are with an excess of bad ones than without.
+/// The logarithm of how much likelier answers are with an excess of bad ones than without; 0 where the
+/// baseline is no measure.
 fn ratio(answers: Share, expected: f64, excess: f64) -> f64 {
+    if expected >= MOST_EXPECTED {
+        return 0.0;
+    }
     let with = expected + excess * (1.0 - expected);
     let fine = answers.all - answers.bad;
     answers.bad * (with / expected).ln() + fine * ((1.0 - with) / (1.0 - expected)).ln()
--- a/src/gateway/dispatch/rollouts.rs
+++ b/src/gateway/dispatch/rollouts.rs
@@ -20,7 +20,7 @@
 use super::record::Record;
 use super::request::{ActiveAttempt, Request};
 use super::rollout::status::ObjectState;
-use super::rollout::{Step, Surroundings, VersionRule, VersionRules};
+use super::rollout::{Rollout, Step, Surroundings, VersionRule, VersionRules};
 use super::roster::pack_address;
 use super::table::RouteKind;
 use crate::schema::{
@@ -188,8 +188,8 @@
 
     /// Tells the own domain how far this box is, while a service leaves a version.
     fn note_if_due(&mut self) {
-        let is_leaving = |phase| phase != RolloutPhase::Canary && phase < RolloutPhase::Completed;
-        let is_wanted = self.rollouts.iter().any(|r| is_leaving(r.phase()));
+        let is_leaving = |r: &Rollout| r.phase() != RolloutPhase::Canary && !r.is_finished();
+        let is_wanted = self.rollouts.iter().any(is_leaving);
         if is_wanted && self.now >= self.next_note {
             self.next_note = self.now.after(NOTE_EVERY);
             self.report_rollouts_soon();
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -10,6 +10,10 @@
 use crate::schema::{BoxId, DomainId, GatewaySettingsFile};
 use crate::settings::{Checker, SettingsError, file};
 
+/// The least share of requests that a version may be tried with: with a share of 0 a roll-out would
+/// stay unjudged for ever. Chosen, not measured.
+const LEAST_ROLLOUT_SHARE: f64 = 0.001;
+
 /// The checked settings of a gateway box.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -173,7 +177,12 @@
                 (0.0, 3_600.0),
             ),
             first_start: file.first_start.unwrap_or(true),
-            rollout_share: check.number("rollout_share", file.rollout_share, 0.0, 1.0),
+            rollout_share: check.number(
+                "rollout_share",
+                file.rollout_share,
+                LEAST_ROLLOUT_SHARE,
+                1.0,
+            ),
             gossip: millis(&mut check, "gossip_ms", file.gossip_ms, (20, 60_000)),
             watch: millis(&mut check, "watch_ms", file.watch_ms, (100, 30_000)),
             held_bytes: check.size("held_bytes", file.held_bytes, 1 << 16, 1 << 40),
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -34,6 +34,7 @@
 use std::sync::Arc;
 
 use tokio::net::{TcpListener, UdpSocket};
+use tokio::runtime::Runtime;
 use tokio::sync::mpsc;
 
 use crate::clock;
@@ -61,7 +62,7 @@
     health: TcpListener,
     metrics: TcpListener,
     peers: TcpListener,
-    gossip: UdpSocket,
+    gossip: Arc<UdpSocket>,
 }
 
 impl Listeners {
@@ -72,7 +73,7 @@
             health: listen("health", settings.health).await?,
             metrics: listen("metrics", settings.metrics).await?,
             peers: listen("peers_address", peers).await?,
-            gossip: listen_udp("peers_address", peers).await?,
+            gossip: Arc::new(listen_udp("peers_address", peers).await?),
         })
     }
 }
@@ -100,13 +101,33 @@
     let listeners = runtime.block_on(Listeners::bind(&settings))?;
     let (inputs, received) = mpsc::channel(DISPATCHER_INPUTS);
     let shared = GatewayShared::start(settings, dialect, inputs, std::io::stdout())?;
-    let gossip = Arc::new(listeners.gossip);
+    let gossip = Arc::clone(&listeners.gossip);
     let dispatcher = new_dispatcher(&shared);
     shared.log.write(&Record::Process {
         state: STARTED.into(),
         detail: shared.settings.domain.to_string(),
     });
-    runtime.spawn(peers::hear(Arc::clone(&gossip), shared.clone()));
+    spawn_tasks(&runtime, listeners, file, &shared);
+    let control = Control::new(dispatcher, shared, runtime.handle().clone(), gossip);
+    let thread = std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || control_runtime.block_on(control.run(received)))
+        .map_err(DaemonError::Threads)?;
+    if thread.join().is_err() {
+        log::error!("the control thread ended by a fault; the process ends");
+    }
+    runtime.shutdown_timeout(std::time::Duration::from_millis(100));
+    Ok(())
+}
+
+/// Starts what runs beside the control thread.
+fn spawn_tasks(
+    runtime: &Runtime,
+    listeners: Listeners,
+    file: Option<PathBuf>,
+    shared: &GatewayShared,
+) {
+    runtime.spawn(peers::hear(listeners.gossip, shared.clone()));
     runtime.spawn(transfer::accept(listeners.peers, shared.clone()));
     runtime.spawn(serve_callers(listeners.callers, shared.clone()));
     let operators = operators::Operators::new(shared.clone());
@@ -121,16 +142,6 @@
     ));
     runtime.spawn(stop::stop_on_signal(shared.clone()));
     runtime.spawn(stop::reload_on_change(file, shared.clone()));
-    let control = Control::new(dispatcher, shared, runtime.handle().clone(), gossip);
-    let thread = std::thread::Builder::new()
-        .name("control".to_owned())
-        .spawn(move || control_runtime.block_on(control.run(received)))
-        .map_err(DaemonError::Threads)?;
-    if thread.join().is_err() {
-        log::error!("the control thread ended by a fault; the process ends");
-    }
-    runtime.shutdown_timeout(std::time::Duration::from_millis(100));
-    Ok(())
 }
 
 fn new_dispatcher(shared: &GatewayShared) -> Dispatcher {
--- a/tests/gateway_parts.rs
+++ b/tests/gateway_parts.rs
@@ -204,6 +204,7 @@
 #[case::no_address("callers", r#"{"callers": "localhost"}"#)]
 #[case::bad_seed("seeds", r#"{"seeds": ["box-2"]}"#)]
 #[case::ratio_out_of_range("retry_ratio", r#"{"retry_ratio": -1}"#)]
+#[case::no_share("rollout_share", r#"{"rollout_share": 0}"#)]
 #[case::too_fast("gossip_ms", r#"{"gossip_ms": 1}"#)]
 #[case::no_level("log_level", r#"{"log_level": "loud"}"#)]
 fn a_wrong_setting_is_named_with_its_value_and_the_remedy(#[case] field: &str, #[case] text: &str) {
--- a/tests/rollout_verdict.rs
+++ b/tests/rollout_verdict.rs
@@ -147,3 +147,28 @@
     let newer = all.since(&times(3, 1, 2));
     assert_eq!((newer.all(), newer.failed), (2, 1));
 }
+
+/// A route on which each version fails every request, as with a back end of theirs that is down.
+#[test]
+fn a_version_that_fails_where_all_fail_is_not_bad() {
+    let strata = || three(&times(0, 400, 0), [0, 1, 2].map(|_| times(0, 300, 0)));
+    assert!(!is_bad(&[series("down", strata())]));
+    let bad = three(&times(400, 0, 0), [0, 1, 2].map(|_| times(30, 30, 0)));
+    assert!(is_bad(&[series("down", strata()), series("up", bad)]));
+}
+
+/// Counts come from peers, in 32 bits.
+#[test]
+fn counts_as_great_as_can_be_told_are_judged() {
+    let greatest = AnswerTimes {
+        failed: u32::MAX,
+        took: vec![u32::MAX; 31],
+    };
+    let strata = [0, 1].map(|_| Stratum {
+        baseline: greatest.clone(),
+        target: greatest.clone(),
+        worst: greatest.clone(),
+        servers: u32::MAX,
+    });
+    assert!(!is_bad(&[series("a", strata.into())]));
+}
--- a/tests/rollouts.rs
+++ b/tests/rollouts.rs
@@ -227,6 +227,60 @@
     assert_eq!(writes(&done), []);
 }
 
+/// What was told to peers of roll-outs.
+fn told_states(actions: &[Action]) -> Vec<RolloutState> {
+    let states = actions.iter().filter_map(|action| match action {
+        Action::Gossip { state, .. } => Some(state.rollouts.clone()),
+        _ => None,
+    });
+    states.flatten().collect()
+}
+
+/// What the own domain was told of how far boxes are.
+fn told_notes(actions: &[Action]) -> usize {
+    let news = actions.iter().filter_map(|action| match action {
+        Action::GossipUsage { news, .. } => Some(news.rollouts.len()),
+        _ => None,
+    });
+    news.sum()
+}
+
+/// Objects of finished orders stay in the store for weeks.
+#[rstest]
+#[case::completed(RolloutStatus::Completed)]
+#[case::rolled_back(RolloutStatus::RolledBack)]
+fn a_finished_order_is_told_without_answers_and_needs_no_ticks(#[case] status: RolloutStatus) {
+    let mut world = before_tills();
+    world.handle(Event::Peer(box_state("box-3", "north", "127.0.0.8:7200")));
+    world.handle(Event::Peer(box_state("box-2", "south", "127.0.0.9:7200")));
+    read(&mut world, object(order("v2", 12), 10, None));
+    let (_, done) = call(&mut world, 2_000, 0);
+    let told = told_states(&done);
+    assert!(told.iter().any(|state| !state.tallies.is_empty()));
+    read(&mut world, object(order("v2", 12), 11, Some(status)));
+    let (_, done) = call(&mut world, 1_000, 0);
+    let told = told_states(&done);
+    assert!(!told.is_empty());
+    assert!(told.iter().all(|state| state.tallies.is_empty()));
+    assert_eq!(told_notes(&done), 0);
+    let is_idle = (0..1_000).any(|_| {
+        world.run(1);
+        world.dispatcher.next_tick() > world.now.after(LONG_PAUSE)
+    });
+    assert!(is_idle);
+}
+
+/// Times go to peers as milliseconds in 32 bits.
+#[test]
+fn an_order_for_months_is_told_as_no_shorter_one() {
+    let mut world = before_tills();
+    world.handle(Event::Peer(box_state("box-2", "south", "127.0.0.9:7200")));
+    read(&mut world, object(order("v2", 5_000_000), 10, None));
+    let told = told_states(&world.run(1_000));
+    assert!(!told.is_empty());
+    assert!(told.iter().all(|state| state.duration_ms == u32::MAX));
+}
+
 #[test]
 fn a_decision_once_told_never_goes_back() {
     let mut world = before_tills();
