--- a/lab/src/gateway/demo.rs
+++ b/lab/src/gateway/demo.rs
@@ -1,6 +1,8 @@
 //! The demonstration of the whole path in the platform's protocol: boxes, stand-ins, and a model
 //! server that goes dark in the middle of a stream.
 
+pub mod rollout;
+
 use std::time::Duration;
 
 use super::caller::{Asked, ask};
@@ -35,13 +37,33 @@
         events: EVENTS,
         gap: GAP,
     };
-    let outside = Outside::start(MODELS, TILLS, pace)
+    let deployment = start(BOXES, MODELS, TILLS, pace).await?;
+    println!("{BOXES} boxes before {MODELS} model servers and {TILLS} plain services are ready");
+    show_stream(&deployment.outside, &deployment.plans[0]).await
+}
+
+/// What a demonstration runs before.
+struct Deployment {
+    outside: Outside,
+    plans: Vec<BoxPlan>,
+    launcher: Launcher,
+    boxes: Vec<Process>,
+}
+
+/// Starts stand-ins and boxes, and waits until the boxes are ready.
+async fn start(
+    boxes: usize,
+    models: usize,
+    tills: usize,
+    pace: Pace,
+) -> Result<Deployment, String> {
+    let outside = Outside::start(models, tills, pace)
         .await
         .map_err(|e| e.to_string())?;
-    let plans = outside.plan(BOXES).map_err(|e| e.to_string())?;
+    let plans = outside.plan(boxes).map_err(|e| e.to_string())?;
     let launcher = Launcher::this_program().map_err(|e| e.to_string())?;
     let boxes: std::io::Result<Vec<Process>> = plans.iter().map(|p| launcher.start(p)).collect();
-    let _boxes = boxes.map_err(|e| e.to_string())?;
+    let boxes = boxes.map_err(|e| e.to_string())?;
     let ready = until(|| async {
         for plan in &plans {
             if !is_ready(plan).await {
@@ -52,8 +74,12 @@
     });
     let in_time = tokio::time::timeout(PATIENCE, ready).await;
     in_time.map_err(|_| format!("the boxes were not ready in {PATIENCE:?}; see their logs"))?;
-    println!("{BOXES} boxes before {MODELS} model servers and {TILLS} plain services are ready");
-    show_stream(&outside, &plans[0]).await
+    Ok(Deployment {
+        outside,
+        plans,
+        launcher,
+        boxes,
+    })
 }
 
 async fn show_stream(outside: &Outside, plan: &BoxPlan) -> Result<bool, String> {
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -41,7 +41,8 @@
             Command::new("demo")
                 .about("Kill an engine and an entry box in the middle of an answer, and check what comes of it")
                 .arg(Arg::new("json").long("json").action(ArgAction::SetTrue).help("Print the findings as JSON"))
-                .arg(Arg::new("platform").long("platform").action(ArgAction::SetTrue).help("Show the whole path in the users' platform's protocol instead")),
+                .arg(Arg::new("platform").long("platform").action(ArgAction::SetTrue).help("Show the whole path in the users' platform's protocol instead"))
+                .arg(Arg::new("rollout").long("rollout").action(ArgAction::SetTrue).conflicts_with_all(["json", "platform"]).help("Show a bad and a good version being rolled out instead")),
         )
         .subcommand(
             Command::new("gateway")
@@ -325,6 +326,9 @@
     if matches.get_flag("platform") {
         return block_on(gateway::demo::run());
     }
+    if matches.get_flag("rollout") {
+        return block_on(gateway::demo::rollout::run());
+    }
     let as_json = matches.get_flag("json");
     let outcome = block_on(demo::run(as_json))?;
     if as_json {
