--- a/lab/src/gateway/demo/rollout.rs
+++ b/lab/src/gateway/demo/rollout.rs
@@ -167,12 +167,15 @@
     let tills = add_tills(&deployment.outside, "v3").await?;
     println!("\nv3 is ordered; it is as good as v1, and a box is killed meanwhile");
     let failed = traffic.failed();
-    let last = BOXES - 1;
-    let (plan, launcher) = (deployment.plans[last].clone(), deployment.launcher.clone());
-    let doomed = &mut deployment.boxes[last];
+    let doomed_at = BOXES - 1;
+    let (plan, launcher) = (
+        deployment.plans[doomed_at].clone(),
+        deployment.launcher.clone(),
+    );
+    let doomed = &mut deployment.boxes[doomed_at];
     let box_dies = async {
         tokio::time::sleep(FAULT_AFTER).await;
-        traffic.away.store(last, Relaxed);
+        traffic.away.store(doomed_at, Relaxed);
         doomed.kill();
         println!("{} is killed", plan.name);
         tokio::time::sleep(FAULT_FOR).await;
@@ -236,8 +239,8 @@
 
 fn state(outside: &Outside) -> String {
     let object = outside.store.object("rollouts", "tills");
-    let state = object.and_then(|o| o["status"]["state"].as_str().map(str::to_owned));
-    state.unwrap_or_else(|| "nothing".to_owned())
+    let told = object.and_then(|o| o["status"]["state"].as_str().map(str::to_owned));
+    told.unwrap_or_else(|| "nothing".to_owned())
 }
 
 fn runs(tills: &[Server]) -> u32 {
