--- a/src/keyed/node.rs
+++ b/src/keyed/node.rs
@@ -41,15 +41,13 @@
 mod slices;
 mod stopping;
 
-use std::collections::BTreeMap;
-
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::schema::{BoxId, Member, Micros, PeerMessage, RequestKey};
+use crate::schema::{BoxId, Member, Micros, PeerMessage};
 use action::Action;
 use admission::Admission;
-use answers::Answer;
+use answers::held::Answers;
 use config::NodeConfig;
 use endpoints::Endpoints;
 use event::{Event, Timer};
@@ -74,8 +72,7 @@
     endpoints: Endpoints,
     admission: Admission,
     budgets: RetryBudgets,
-    answers: BTreeMap<RequestKey, Answer>,
-    tokens_held: usize,
+    answers: Answers,
     calls: calls::Calls,
     inbound: ingress::Inbounds,
     deferred: deferred::Deferred,
@@ -117,8 +114,7 @@
             endpoints: Endpoints::default(),
             admission: Admission::default(),
             budgets: RetryBudgets::default(),
-            answers: BTreeMap::new(),
-            tokens_held: 0,
+            answers: Answers::default(),
             calls: calls::Calls::default(),
             inbound: ingress::Inbounds::default(),
             deferred: deferred::Deferred::new(cfg.me.incarnation),
@@ -200,7 +196,7 @@
             answers: self.answers.len(),
             calls: self.calls.active(),
             call_records: self.calls.records(),
-            tokens: self.tokens_held,
+            tokens: self.answers.tokens(),
             waiting: self.admission.len(),
             callers: self.inbound.len(),
         }
--- a/src/keyed/node/answers.rs
+++ b/src/keyed/node/answers.rs
@@ -3,6 +3,8 @@
 //! An answer belongs to one generation at a time. Its tokens only ever grow within a generation;
 //! a newer generation may replace them, and then the digest tells a caller's cursor from it.
 
+pub mod held;
+
 use std::sync::Arc;
 
 use crate::keyed::bundle::Bundle;
@@ -209,7 +211,7 @@
     }
 
     /// Adds tokens to the end.
-    pub fn extend(&mut self, tokens: &[Token]) {
+    fn extend(&mut self, tokens: &[Token]) {
         for token in tokens {
             let last = self.digests[self.digests.len() - 1];
             self.digests.push(digest::extend(last, token));
@@ -218,7 +220,7 @@
     }
 
     /// Forgets the tokens, for a newer generation.
-    pub fn clear(&mut self) {
+    fn clear(&mut self) {
         self.tokens.clear();
         self.digests.truncate(1);
         self.finish = None;
--- a/src/keyed/node/copies.rs
+++ b/src/keyed/node/copies.rs
@@ -90,7 +90,7 @@
 
     /// Begins the copy of an answer that is not known yet.
     fn begin_copy(&mut self, from: &BoxId, copy: &TokenCopy) -> Result<(), TokenRefused> {
-        if self.answers.contains_key(&copy.key) {
+        if self.answers.contains(&copy.key) {
             return Ok(());
         }
         let request = copy.request.clone().filter(|_| copy.offset.0 == 0);
@@ -99,7 +99,7 @@
         };
         let role = Role::CopyOf(from.clone());
         let answer = Answer::new(request, bundle, role, copy.generation, self.now);
-        self.answers.insert(copy.key.clone(), answer);
+        self.answers.insert(answer);
         Ok(())
     }
 
@@ -110,19 +110,19 @@
         copy: TokenCopy,
         newer: bool,
     ) -> Result<TokenAck, TokenRefused> {
-        let Some(answer) = self.answers.get_mut(&copy.key) else {
+        if newer {
+            self.answers.clear(&copy.key);
+        }
+        let known = self.answers.get(&copy.key).map_or(0, Answer::len);
+        let skipped = known.checked_sub(copy.offset.0 as usize);
+        let fresh = skipped.and_then(|skipped| copy.tokens.get(skipped..));
+        let Some(answer) = self.answers.extend(&copy.key, fresh.unwrap_or_default()) else {
             return Err(refused(&copy, 0));
         };
-        let before = answer.len();
         if newer {
-            answer.clear();
             answer.generation = copy.generation;
         }
         answer.role = Role::CopyOf(from.clone());
-        let known = answer.len() - copy.offset.0 as usize;
-        if known < copy.tokens.len() {
-            answer.extend(&copy.tokens[known..]);
-        }
         answer.mark = copy.mark;
         answer.finish = copy.finish.or(answer.finish);
         answer.touched = self.now;
@@ -132,7 +132,6 @@
             held: TokenOffset(answer.len() as u32),
             finished: answer.finish.is_some(),
         };
-        self.tokens_held = (self.tokens_held + answer.len()).saturating_sub(before);
         Ok(ack)
     }
 
--- a/src/keyed/node/generate.rs
+++ b/src/keyed/node/generate.rs
@@ -113,7 +113,7 @@
         self.out.note("generation_started", &key, generation);
         let mut answer = answer;
         answer.waiting = true;
-        self.answers.insert(key.clone(), answer);
+        self.answers.insert(answer);
         self.ensure_copy(&key);
         self.dispatch(&pool);
         Ok(())
@@ -122,7 +122,8 @@
     /// Makes room for one more request, or says that there is none.
     pub(super) fn make_room(&mut self) -> Result<(), Refusal> {
         let held = self.answers.len() + self.calls.active();
-        let crowded = held >= self.cfg.max_requests || self.tokens_held >= self.cfg.max_tokens_held;
+        let crowded =
+            held >= self.cfg.max_requests || self.answers.tokens() >= self.cfg.max_tokens_held;
         if !crowded {
             return Ok(());
         }
@@ -262,7 +263,6 @@
         let Some(answer) = self.answers.remove(key) else {
             return;
         };
-        self.tokens_held = self.tokens_held.saturating_sub(answer.len());
         if answer.waiting {
             self.admission.remove(&pool_of(&answer), key);
         }
--- a/src/keyed/node/queueing.rs
+++ b/src/keyed/node/queueing.rs
@@ -53,7 +53,7 @@
     /// Starts waiting requests of a pool for as long as endpoints take them.
     pub(super) fn dispatch(&mut self, pool: &Pool) {
         while let Some(waiting) = self.admission.next(pool, self.now) {
-            let started = if self.answers.contains_key(&waiting.key) {
+            let started = if self.answers.contains(&waiting.key) {
                 self.start_runs(&waiting.key)
             } else {
                 self.start_call(&waiting.key)
--- a/src/keyed/node/runs.rs
+++ b/src/keyed/node/runs.rs
@@ -284,13 +284,11 @@
             return;
         }
         self.keep_only(stream);
-        let Some(answer) = self.answers.get_mut(&stream.key) else {
+        let Some(answer) = self.answers.extend(&stream.key, &fresh) else {
             return;
         };
-        answer.extend(&fresh);
         answer.touched = self.now;
         answer.first_token.get_or_insert(self.now);
-        self.tokens_held += fresh.len();
         self.stats.tokens += fresh.len() as u64;
         if let Some(lost) = answer.lost_at.take() {
             let took = self.now.since(lost);
