--- a/src/gateway/dispatch/record.rs
+++ b/src/gateway/dispatch/record.rs
@@ -408,44 +408,8 @@
 
     fn attempt_sentence(&self) -> String {
         match self {
-            Self::Sent {
-                attempt,
-                endpoint,
-                domain,
-                backup,
-                from_backup,
-                after_event,
-                reading,
-                running,
-                left_ms,
-                ..
-            } => {
-                let from = if *from_backup { " from a replica" } else { "" };
-                let after = after_event.map_or(String::new(), |e| format!(" after event {e}"));
-                let mirror = backup.as_deref().unwrap_or("none");
-                format!(
-                    "attempt {attempt} at {endpoint} in {domain}{from}{after}, mirror: {mirror}; \
-                     running there: {running}, prompt tokens waiting: {reading}; {left_ms} ms left"
-                )
-            }
-            Self::Ended {
-                attempt,
-                endpoint,
-                outcome,
-                status,
-                after_ms,
-                last_event,
-                ..
-            } => {
-                let status = match status {
-                    0 => String::new(),
-                    status => format!(", status {status}"),
-                };
-                let last = last_event.map_or(String::new(), |e| format!(", last event {e}"));
-                format!(
-                    "attempt {attempt} at {endpoint} ended after {after_ms} ms: {outcome}{status}{last}"
-                )
-            }
+            Self::Sent { .. } => self.sent_sentence(),
+            Self::Ended { .. } => self.ended_sentence(),
             Self::Copied {
                 holder,
                 is_made,
@@ -463,4 +427,52 @@
             _ => String::new(),
         }
     }
+
+    fn sent_sentence(&self) -> String {
+        let Self::Sent {
+            attempt,
+            endpoint,
+            domain,
+            backup,
+            from_backup,
+            after_event,
+            reading,
+            running,
+            left_ms,
+            ..
+        } = self
+        else {
+            return String::new();
+        };
+        let from = if *from_backup { " from a replica" } else { "" };
+        let after = after_event.map_or(String::new(), |e| format!(" after event {e}"));
+        let mirror = backup.as_deref().unwrap_or("none");
+        format!(
+            "attempt {attempt} at {endpoint} in {domain}{from}{after}, mirror: {mirror}; \
+             running there: {running}, prompt tokens waiting: {reading}; {left_ms} ms left"
+        )
+    }
+
+    fn ended_sentence(&self) -> String {
+        let Self::Ended {
+            attempt,
+            endpoint,
+            outcome,
+            status,
+            after_ms,
+            last_event,
+            ..
+        } = self
+        else {
+            return String::new();
+        };
+        let status = match status {
+            0 => String::new(),
+            status => format!(", status {status}"),
+        };
+        let last = last_event.map_or(String::new(), |e| format!(", last event {e}"));
+        format!(
+            "attempt {attempt} at {endpoint} ended after {after_ms} ms: {outcome}{status}{last}"
+        )
+    }
 }
--- a/src/gateway/dispatch/rollout.rs
+++ b/src/gateway/dispatch/rollout.rs
@@ -23,18 +23,18 @@
 pub mod canary;
 pub mod evidence;
 mod known;
+mod order;
+mod rules;
 pub mod status;
 pub mod verdict;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
-use super::fleet::{Endpoint, Fleet};
+use super::fleet::Fleet;
 use crate::schema::{
-    DomainId, DomainTally, EndpointId, Micros, RolloutPhase, RolloutState, ServiceId, VersionId,
+    DomainId, DomainTally, Micros, RolloutPhase, RolloutState, ServiceId, VersionId,
 };
 use canary::Canaries;
 use evidence::Evidence;
@@ -42,6 +42,8 @@
 use verdict::Verdict;
 
 pub use known::Rollouts;
+pub use order::RolloutOrder;
+pub use rules::{VersionRule, VersionRules};
 
 /// How long a box believes in an order that no box which watches roll-outs vouches for: longer than
 /// new ones need to step in for watchers that died (some 5 s). Chosen, not measured.
@@ -63,7 +65,7 @@
 /// The part of an order's time for which a box must have looked on before it takes the target for sound:
 /// one that has just started knows little, and after a loss of all boxes nobody knows more.
 const LEAST_OBSERVED: f64 = 0.5;
-/// How long a phase has lasted before a box says that it has nothing left elsewhere: requests that
+/// How long a phase has lasted before a box says that it has left the other versions: requests that
 /// were placed before are counted by then. Chosen, not measured.
 const PHASE_SETTLED_AFTER: Duration = Duration::from_millis(100);
 /// How long a box that had to send a request to another version, since no endpoint of the target took
@@ -72,70 +74,6 @@
 /// Least time between two looks at the evidence.
 const JUDGE_EVERY: Duration = Duration::from_millis(100);
 
-/// What an operator ordered.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct RolloutOrder {
-    /// The service.
-    pub service: ServiceId,
-    /// The version that it moves to.
-    pub target: VersionId,
-    /// How long that may take.
-    pub duration: Duration,
-    /// What tells this order from others for the service: a hash of its content and of when its object
-    /// was made.
-    pub id: u64,
-}
-
-impl RolloutOrder {
-    /// An order whose object was made at a revision of the store.
-    #[must_use]
-    pub fn new(service: ServiceId, target: VersionId, duration: Duration, made: u64) -> Self {
-        let content = format!("{service} {target} {}", duration.as_millis());
-        Self {
-            id: xxh3_64_with_seed(content.as_bytes(), made),
-            service,
-            target,
-            duration,
-        }
-    }
-}
-
-/// Which endpoints an attempt or a replica may be placed at.
-#[derive(Clone, Copy, Debug, Default)]
-pub enum VersionRule<'a> {
-    /// Any.
-    #[default]
-    Any,
-    /// Those of a version.
-    Only(&'a VersionId),
-    /// Those of other versions than one.
-    Except(&'a VersionId),
-    /// These.
-    Among(&'a BTreeSet<EndpointId>),
-}
-
-impl VersionRule<'_> {
-    /// Whether an endpoint may be used.
-    #[must_use]
-    pub fn admits(self, endpoint: &Endpoint) -> bool {
-        match self {
-            Self::Any => true,
-            Self::Only(version) => endpoint.spec.version == *version,
-            Self::Except(version) => endpoint.spec.version != *version,
-            Self::Among(ids) => ids.contains(&endpoint.spec.id),
-        }
-    }
-}
-
-/// Which endpoints a request may use.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct VersionRules<'a> {
-    /// For attempts.
-    pub attempts: VersionRule<'a>,
-    /// For replicas of them.
-    pub replicas: VersionRule<'a>,
-}
-
 /// How far another box is.
 #[derive(Clone, Copy, Debug)]
 struct Noted {
@@ -186,7 +124,7 @@
     /// When a request went to another version last, since no endpoint of the target took it.
     fell_back: Option<Micros>,
     boxes: BTreeMap<SocketAddr, Noted>,
-    /// Whether other domains have nothing left elsewhere, and when they said so.
+    /// Whether all boxes of other domains have left the other versions, and when they said so.
     clear_domains: BTreeMap<DomainId, (Micros, bool)>,
     object: Option<ObjectState>,
     writes: StatusWrites,
@@ -320,6 +258,23 @@
         VersionRules { attempts, replicas }
     }
 
+    /// Where an attempt may go if nothing that [`Self::rules`] admits takes it. `has_others` tells
+    /// whether an endpoint of another version than the target takes work.
+    #[must_use]
+    pub fn fallback(&self, is_canary: bool, has_others: bool) -> Option<VersionRules<'_>> {
+        let rules = self.rules(false);
+        let any = VersionRules {
+            attempts: VersionRule::Any,
+            ..rules
+        };
+        match self.phase {
+            RolloutPhase::Canary if has_others => is_canary.then_some(rules),
+            RolloutPhase::Switch => (!self.has_left).then_some(any),
+            RolloutPhase::Canary | RolloutPhase::Completed => Some(any),
+            RolloutPhase::Bad | RolloutPhase::Committed | RolloutPhase::RolledBack => None,
+        }
+    }
+
     /// Enters a phase if it is a later one.
     fn enter(&mut self, phase: RolloutPhase, why: String, now: Micros, steps: &mut Vec<Step>) {
         if phase <= self.phase {
@@ -387,7 +342,7 @@
         }
     }
 
-    /// Whether this box has nothing left at other versions and can do without them.
+    /// Whether this box runs nothing at other versions and can do without them.
     fn may_leave(&self, elsewhere: usize, now: Micros) -> bool {
         let is_settled = now.since(self.phase_since) >= PHASE_SETTLED_AFTER;
         let needs_others = self
@@ -396,15 +351,6 @@
         self.leaves_others() && is_settled && elsewhere == 0 && !needs_others
     }
 
-    /// Whether a request that no endpoint of the target takes may go to another version, which is left.
-    #[must_use]
-    pub fn may_fall_back(&self) -> bool {
-        match self.phase {
-            RolloutPhase::Switch => !self.has_left,
-            phase => phase != RolloutPhase::Committed,
-        }
-    }
-
     /// Notes that an attempt begins at an endpoint of a version.
     pub fn on_attempt(&mut self, version: &VersionId, now: Micros) {
         if self.leaves_others() && *version != self.order.target {
@@ -412,7 +358,7 @@
         }
     }
 
-    /// Whether no running box of the own domain has anything left at other versions.
+    /// Whether all running boxes of the own domain have left the other versions.
     fn is_domain_clear(&self, around: &Surroundings<'_>) -> bool {
         let is_clear = |address: &SocketAddr| {
             let noted = self.boxes.get(address);
@@ -421,7 +367,7 @@
         self.has_left && around.near.iter().all(is_clear)
     }
 
-    /// Whether no running box of any domain has.
+    /// Whether all running boxes of all domains have.
     fn is_clear(&self, around: &Surroundings<'_>) -> bool {
         let is_clear = |domain: &DomainId| {
             let told = self.clear_domains.get(domain);
--- a/src/gateway/dispatch/rollouts.rs
+++ b/src/gateway/dispatch/rollouts.rs
@@ -20,7 +20,7 @@
 use super::record::Record;
 use super::request::{ActiveAttempt, Request};
 use super::rollout::status::ObjectState;
-use super::rollout::{Rollout, Step, Surroundings, VersionRule, VersionRules};
+use super::rollout::{Rollout, Step, Surroundings, VersionRules};
 use super::roster::pack_address;
 use super::table::RouteKind;
 use crate::schema::{
@@ -282,22 +282,10 @@
     /// Where an attempt may go if nothing that [`Self::rules_for`] admits takes it.
     pub(super) fn other_rules_for(&self, request: &Request) -> Option<VersionRules<'_>> {
         let rollout = self.rollouts.of(&request.service)?;
-        let rules = rollout.rules(false);
-        let is_refused = |e: &Endpoint| e.spec.version == rollout.order().target;
-        let has_others = self
-            .fleet
-            .of_service(&request.service)
-            .any(|e| e.takes_work() && !is_refused(e));
-        match rollout.phase() {
-            RolloutPhase::Bad | RolloutPhase::RolledBack => None,
-            RolloutPhase::Canary if has_others => {
-                (request.is_canary == Some(true)).then_some(rules)
-            }
-            _ => rollout.may_fall_back().then_some(VersionRules {
-                attempts: VersionRule::Any,
-                ..rules
-            }),
-        }
+        let is_other = |e: &Endpoint| e.spec.version != rollout.order().target;
+        let mut endpoints = self.fleet.of_service(&request.service);
+        let has_others = endpoints.any(|e| e.takes_work() && is_other(e));
+        rollout.fallback(request.is_canary == Some(true), has_others)
     }
 
     /// What is to be placed for a request.
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -146,17 +146,10 @@
         let file = overlay(file, defaults());
         let mut check = Checker::default();
         let peers_address = check.address("peers_address", file.peers_address);
+        let name = "give a name of 1 to 128 characters";
         let settings = Self {
-            box_id: check.or_placeholder(
-                "box_id",
-                file.box_id,
-                "give the box a name of 1 to 128 characters",
-            ),
-            domain: check.or_placeholder(
-                "domain",
-                file.domain,
-                "give the failure domain a name of 1 to 128 characters",
-            ),
+            box_id: check.or_placeholder("box_id", file.box_id, name),
+            domain: check.or_placeholder("domain", file.domain, name),
             callers: check.address("callers", file.callers),
             health: check.address("health", file.health),
             metrics: check.address("metrics", file.metrics),
@@ -183,17 +176,11 @@
                 LEAST_ROLLOUT_SHARE,
                 1.0,
             ),
-            gossip: millis(&mut check, "gossip_ms", file.gossip_ms, (20, 60_000)),
-            watch: millis(&mut check, "watch_ms", file.watch_ms, (100, 30_000)),
+            gossip: check.millis("gossip_ms", file.gossip_ms, (20, 60_000)),
+            watch: check.millis("watch_ms", file.watch_ms, (100, 30_000)),
             held_bytes: check.size("held_bytes", file.held_bytes, 1 << 16, 1 << 40),
             traffic_threads: check.size("traffic_threads", file.traffic_threads, 1, 64),
-            log_level: check
-                .parse(
-                    "log_level",
-                    file.log_level,
-                    "use off, error, warn, info, debug or trace",
-                )
-                .unwrap_or(LevelFilter::Info),
+            log_level: check.log_level(file.log_level),
         };
         if check.errors.is_empty() {
             Ok(settings)
@@ -203,15 +190,6 @@
     }
 }
 
-fn millis(
-    check: &mut Checker,
-    field: &str,
-    value: Option<u64>,
-    (least, most): (u64, u64),
-) -> Duration {
-    Duration::from_millis(check.range(field, value, least, most))
-}
-
 fn seconds(
     check: &mut Checker,
     field: &str,
--- a/src/keyed/bundle.rs
+++ b/src/keyed/bundle.rs
@@ -74,27 +74,35 @@
     policy: Policy,
 }
 
-impl Bundle {
-    /// Indexes a checked source under the hash of its manifest.
-    fn index(source: BundleSource, hash: PartHash) -> Self {
-        let mut by_model: BTreeMap<ModelId, Vec<EndpointId>> = BTreeMap::new();
-        let mut by_service: BTreeMap<ServiceId, Vec<EndpointId>> = BTreeMap::new();
-        for endpoint in &source.endpoints {
-            match &endpoint.serves {
-                EndpointKind::Engine(engine) => {
-                    for model in &engine.models {
-                        by_model
-                            .entry(model.clone())
-                            .or_default()
-                            .push(endpoint.id.clone());
-                    }
-                }
-                EndpointKind::Service(service) => {
-                    let list = by_service.entry(service.service.clone()).or_default();
-                    list.push(endpoint.id.clone());
+/// The endpoints of each model and of each service.
+type EndpointsByUse = (
+    BTreeMap<ModelId, Vec<EndpointId>>,
+    BTreeMap<ServiceId, Vec<EndpointId>>,
+);
+
+fn endpoints_by_use(endpoints: &[EndpointSpec]) -> EndpointsByUse {
+    let (mut by_model, mut by_service) = EndpointsByUse::default();
+    for endpoint in endpoints {
+        let id = &endpoint.id;
+        match &endpoint.serves {
+            EndpointKind::Engine(engine) => {
+                for model in &engine.models {
+                    by_model.entry(model.clone()).or_default().push(id.clone());
                 }
             }
+            EndpointKind::Service(service) => {
+                let service = service.service.clone();
+                by_service.entry(service).or_default().push(id.clone());
+            }
         }
+    }
+    (by_model, by_service)
+}
+
+impl Bundle {
+    /// Indexes a checked source under the hash of its manifest.
+    fn index(source: BundleSource, hash: PartHash) -> Self {
+        let (by_model, by_service) = endpoints_by_use(&source.endpoints);
         let mut calls = BTreeMap::new();
         for service in source.services {
             for call in service.calls {
--- a/src/keyed/daemon.rs
+++ b/src/keyed/daemon.rs
@@ -19,6 +19,7 @@
 use std::sync::{Arc, RwLock};
 
 use tokio::net::{TcpListener, UdpSocket};
+use tokio::runtime::Runtime;
 use tokio::sync::mpsc;
 
 use crate::clock::{self, Monotonic};
@@ -99,7 +100,7 @@
     callers: TcpListener,
     operators: TcpListener,
     peers: TcpListener,
-    heartbeats: UdpSocket,
+    heartbeats: Arc<UdpSocket>,
 }
 
 impl Listeners {
@@ -108,7 +109,7 @@
             callers: listen("callers", settings.callers).await?,
             operators: listen("operators", settings.operators).await?,
             peers: listen("peers_address", settings.peers_address).await?,
-            heartbeats: listen_udp("peers_address", settings.peers_address).await?,
+            heartbeats: Arc::new(listen_udp("peers_address", settings.peers_address).await?),
         })
     }
 }
@@ -139,22 +140,8 @@
         client,
     };
     let node = new_node(&shared);
-    let heartbeats = Arc::new(listeners.heartbeats);
-    runtime.spawn(peers::receive_heartbeats(
-        Arc::clone(&heartbeats),
-        shared.clone(),
-    ));
-    runtime.spawn(peers::accept(listeners.peers, shared.clone()));
-    runtime.spawn(crate::http::serve(
-        listeners.callers,
-        callers::router(shared.clone()),
-    ));
-    runtime.spawn(crate::http::serve(
-        listeners.operators,
-        operators::router(shared.clone()),
-    ));
-    runtime.spawn(shared.client.clone().sweep_resting());
-    runtime.spawn(stop_on_signal(shared.clone()));
+    let heartbeats = Arc::clone(&listeners.heartbeats);
+    spawn_tasks(&runtime, listeners, &shared);
     log::info!(
         "box {} listens for callers on {}",
         shared.settings.box_id,
@@ -172,6 +159,25 @@
     Ok(())
 }
 
+/// Starts what runs beside the control thread.
+fn spawn_tasks(runtime: &Runtime, listeners: Listeners, shared: &Shared) {
+    runtime.spawn(peers::receive_heartbeats(
+        listeners.heartbeats,
+        shared.clone(),
+    ));
+    runtime.spawn(peers::accept(listeners.peers, shared.clone()));
+    runtime.spawn(crate::http::serve(
+        listeners.callers,
+        callers::router(shared.clone()),
+    ));
+    runtime.spawn(crate::http::serve(
+        listeners.operators,
+        operators::router(shared.clone()),
+    ));
+    runtime.spawn(shared.client.clone().sweep_resting());
+    runtime.spawn(stop_on_signal(shared.clone()));
+}
+
 fn new_node(shared: &Shared) -> Node {
     let incarnation = Incarnation(clock::incarnation());
     let address = shared.settings.peers_address.to_string();
--- a/src/keyed/node/calls.rs
+++ b/src/keyed/node/calls.rs
@@ -207,16 +207,7 @@
         }
         let pool = Pool::Service(call.service.clone());
         let deadline = request.deadline.map(|d| self.now.after(d.into()));
-        let waiting = Waiting {
-            key: request.key.clone(),
-            organisation: request.organisation.clone(),
-            weight: bundle
-                .organisation(&request.organisation)
-                .map_or(1, |o| o.weight),
-            priority: request.priority,
-            cost: 1.0,
-            deadline,
-        };
+        let waiting = waiting_for(request, &bundle, deadline);
         let entry = Call {
             record: OnceRecord {
                 key: request.key.clone(),
@@ -490,3 +481,16 @@
     };
     Ok(spec.clone())
 }
+
+/// What waits for an endpoint on behalf of a call.
+fn waiting_for(request: &Request, bundle: &Bundle, deadline: Option<Micros>) -> Waiting {
+    let organisation = bundle.organisation(&request.organisation);
+    Waiting {
+        key: request.key.clone(),
+        organisation: request.organisation.clone(),
+        weight: organisation.map_or(1, |o| o.weight),
+        priority: request.priority,
+        cost: 1.0,
+        deadline,
+    }
+}
--- a/src/keyed/node/heartbeats.rs
+++ b/src/keyed/node/heartbeats.rs
@@ -78,17 +78,12 @@
     }
 
     fn send_heartbeats(&mut self) {
-        let mut near = Vec::new();
-        let mut far = Vec::new();
-        for peer in self.membership.peers() {
-            if peer.domain == self.cfg.domain {
-                near.push(peer.member.address.clone());
-            }
-        }
-        if self.beats.sequence % REMOTE_HEARTBEATS == 1 {
-            far = self.remote_contacts();
-        }
-        near.sort();
+        let near = self.near_contacts();
+        let far = if self.beats.sequence % REMOTE_HEARTBEATS == 1 {
+            self.remote_contacts()
+        } else {
+            Vec::new()
+        };
         let ask = self.membership.promise_ask(self.now);
         let kept = self.beats.loads.len().min(LOADS_PER_HEARTBEAT);
         let heartbeat = Heartbeat {
@@ -126,6 +121,15 @@
         }
     }
 
+    /// All other boxes of the own failure domain.
+    fn near_contacts(&self) -> Vec<String> {
+        let peers = self.membership.peers();
+        let near = peers.filter(|peer| peer.domain == self.cfg.domain);
+        let mut near: Vec<String> = near.map(|peer| peer.member.address.clone()).collect();
+        near.sort();
+        near
+    }
+
     /// One box of each other failure domain, spread so that each box there hears some of ours.
     fn remote_contacts(&self) -> Vec<String> {
         let item =
--- a/src/keyed/node/roster.rs
+++ b/src/keyed/node/roster.rs
@@ -126,15 +126,10 @@
     } else {
         slice.former.clone()
     };
-    let term = if moved || succeeded {
-        slice.term + 1
-    } else {
-        slice.term
-    };
     Slice {
         home: home.id.clone(),
         successor,
-        term,
+        term: slice.term + u64::from(moved || succeeded),
         former,
     }
 }
--- a/src/keyed/settings.rs
+++ b/src/keyed/settings.rs
@@ -163,22 +163,11 @@
             ),
             max_requests: check.size("max_requests", file.max_requests, 1, 1_000_000),
             max_tokens_held: check.size("max_tokens_held", file.max_tokens_held, 1_000, 1 << 30),
-            stop_grace: Duration::from_millis(check.range(
-                "stop_grace_ms",
-                file.stop_grace_ms,
-                0,
-                3_600_000,
-            )),
+            stop_grace: check.millis("stop_grace_ms", file.stop_grace_ms, (0, 3_600_000)),
             timeline_events: check.size("timeline_events", file.timeline_events, 1, 1_000_000),
             traffic_threads: check.size("traffic_threads", file.traffic_threads, 1, 64),
             log_file: file.log_file.filter(|f| !f.is_empty()),
-            log_level: check
-                .parse(
-                    "log_level",
-                    file.log_level,
-                    "use off, error, warn, info, debug or trace",
-                )
-                .unwrap_or(LevelFilter::Info),
+            log_level: check.log_level(file.log_level),
             recovery: check.recovery(file.recovery),
             routing: check.routing(file.routing),
         };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,6 +9,9 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr;
+use std::time::Duration;
+
+use log::LevelFilter;
 
 /// The exit code of a daemon whose settings or log can't be used.
 pub const BAD_SETTINGS: u8 = 2;
@@ -115,6 +118,21 @@
             .unwrap_or_else(|| placeholder("placeholder"))
     }
 
+    pub(crate) fn millis(
+        &mut self,
+        field: &str,
+        value: Option<u64>,
+        (least, most): (u64, u64),
+    ) -> Duration {
+        Duration::from_millis(self.range(field, value, least, most))
+    }
+
+    pub(crate) fn log_level(&mut self, value: Option<String>) -> LevelFilter {
+        let remedy = "use off, error, warn, info, debug or trace";
+        self.parse("log_level", value, remedy)
+            .unwrap_or(LevelFilter::Info)
+    }
+
     pub(crate) fn address(&mut self, field: &str, value: Option<String>) -> SocketAddr {
         self.parse(
             field,
