--- a/src/keyed/node/calls.rs
+++ b/src/keyed/node/calls.rs
@@ -5,6 +5,7 @@
 //! is kept for the callers' retry horizon, so that a repeated call gets the stored answer or is
 //! told that the outcome is unknown. "Not run" is said only where that is certain.
 
+mod intents;
 mod outcomes;
 mod records;
 
@@ -13,18 +14,15 @@
 
 use crate::keyed::bundle::Bundle;
 use crate::keyed::node::Node;
-use crate::keyed::node::action::{Action, Expect, PlatformOp, ServiceCall};
+use crate::keyed::node::action::{Action, ServiceCall};
 use crate::keyed::node::admission::{Pool, Waiting};
-use crate::keyed::node::config::{INTENT_LIMIT, MAX_HOPS, RETRY_AFTER};
-use crate::keyed::node::event::{PlatformAnswer, Timer};
+use crate::keyed::node::config::{MAX_HOPS, RETRY_AFTER};
 use crate::keyed::node::generate::{key_reused, no_bundle, not_served};
-use crate::keyed::node::platform::Purpose;
 use crate::keyed::node::roster::slice_of;
 use crate::keyed::node::routing::{self, Need};
 use crate::schema::{
-    Answered, Attempt, BoxId, CallRequest, CallSpec, Detach, EndpointId, Member, Micros, OnceAck,
-    OnceCopy, OnceRecord, OnceState, Reason, Refusal, Request, RequestKey, RequestKind, SliceId,
-    Submit,
+    Answered, Attempt, BoxId, CallRequest, CallSpec, Detach, EndpointId, Member, Micros,
+    OnceRecord, OnceState, Reason, Refusal, Request, RequestKey, RequestKind, SliceId, Submit,
 };
 
 /// How many records of calls are kept for each request that may be held at once.
@@ -285,104 +283,6 @@
         )
     }
 
-    /// Has the intent held by the successor, or by the platform where there is none.
-    fn hold_intent(&mut self, key: &RequestKey, endpoint: EndpointId) {
-        self.endpoints.on_start(&endpoint, self.now);
-        let Some(call) = self.calls.table.get_mut(key) else {
-            return;
-        };
-        call.phase = Phase::Intent(endpoint);
-        let record = OnceRecord {
-            state: OnceState::Intent,
-            ..call.record.clone()
-        };
-        self.out
-            .timer(Timer::Intent(key.clone()), self.now.after(INTENT_LIMIT));
-        if let Some(successor) = self.membership.successor(slice_of(key)) {
-            let epoch = self.membership.epoch();
-            self.out.send(
-                &successor,
-                OnceCopy {
-                    record,
-                    epoch,
-                    batch: false,
-                },
-            );
-            return;
-        }
-        let op = PlatformOp::Put {
-            name: self.intent_name(key),
-            expect: Expect::Absent,
-            value: serde_json::to_string(&record).unwrap_or_default(),
-        };
-        self.call_platform(op, Purpose::Intent(key.clone()));
-    }
-
-    fn intent_name(&self, key: &RequestKey) -> String {
-        format!("intents/{}/{key}", self.cfg.domain)
-    }
-
-    /// The platform answered to an intent.
-    pub(super) fn on_intent_written(&mut self, key: &RequestKey, answer: &PlatformAnswer) {
-        match answer {
-            PlatformAnswer::Written(_) => self.intent_held(key),
-            PlatformAnswer::Conflict => {
-                let refusal = Refusal::unknown(Reason::OutcomeUnknown, UNKNOWN_DETAIL);
-                self.settle_unknown(key, &refusal);
-            }
-            _ => self.intent_failed(key),
-        }
-    }
-
-    /// The successor answered to a record.
-    pub(super) fn on_once_ack(&mut self, from: &BoxId, ack: &OnceAck) {
-        let is_successor = self
-            .membership
-            .successor(slice_of(&ack.key))
-            .is_some_and(|m| &m.id == from);
-        if ack.answered || !is_successor {
-            return;
-        }
-        if ack.accepted {
-            self.intent_held(&ack.key);
-        } else {
-            self.intent_failed(&ack.key);
-        }
-    }
-
-    fn intent_held(&mut self, key: &RequestKey) {
-        let Some(call) = self.calls.table.get_mut(key) else {
-            return;
-        };
-        let Phase::Intent(endpoint) = call.phase.clone() else {
-            return;
-        };
-        call.record.state = OnceState::Intent;
-        call.phase = Phase::Backoff;
-        self.endpoints.on_end(&endpoint);
-        self.send_call(key, endpoint);
-    }
-
-    /// The successor has not answered in time.
-    pub(super) fn on_intent_overdue(&mut self, key: &RequestKey) {
-        self.intent_failed(key);
-    }
-
-    fn intent_failed(&mut self, key: &RequestKey) {
-        let Some(call) = self.calls.table.get(key) else {
-            return;
-        };
-        if let Phase::Intent(endpoint) = call.phase.clone() {
-            self.endpoints.on_end(&endpoint);
-            let detail =
-                "the call could not be made safe against a failure; come back with the same key";
-            self.refuse_call(
-                key,
-                &Refusal::not_run(Reason::NotDurable, RETRY_AFTER, detail),
-            );
-        }
-    }
-
     /// Hands a call to an endpoint.
     fn send_call(&mut self, key: &RequestKey, endpoint: EndpointId) {
         let slice = slice_of(key);
