Sight: records tell which tries of callers are the same request

The record `arrived` has a fingerprint of method, host, path, body and organisation. No change of logic.

--- a/lab/src/gateway/rollout/fleet/traffic.rs
+++ b/lab/src/gateway/rollout/fleet/traffic.rs
@@ -6,7 +6,7 @@
 use magpiemoor::gateway::dispatch::event::{
     Arrival, AttemptNumber, Event, Fault as Broken, Outcome as Ended, RequestNumber, Tokens,
 };
-use magpiemoor::schema::EndpointId;
+use magpiemoor::schema::{EndpointId, Fingerprint};
 use rand::Rng;
 
 use super::{Fleet, Mail, ORDER_AFTER, OUTSIDE, START};
@@ -71,6 +71,7 @@
             parts: vec![format!("part-{at}-{number}")],
             prompt: Tokens(if self.case.engines { 8_000 } else { 0 }),
             output: Tokens(if self.case.engines { 500 } else { 0 }),
+            content: Fingerprint(number),
         };
         self.handle(
             at,
--- a/lab/src/gen.rs
+++ b/lab/src/gen.rs
@@ -11,9 +11,10 @@
 const SCHEMAS: [&str; 5] = ["ids", "messages", "bundle", "settings", "gateway"];
 
 /// Types that are plain numbers and so can be copied, compared and hashed.
-const COPYABLE: [&str; 18] = [
+const COPYABLE: [&str; 19] = [
     "Incarnation",
     "Birth",
+    "Fingerprint",
     "RolloutPhase",
     "Epoch",
     "Generation",
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -7,6 +7,7 @@
 //!
 //! | question | module |
 //! |---|---|
+//! | which tries of callers are the same request | `fingerprint` |
 //! | which requests are admitted, which refused at once | [`admission`] |
 //! | where an attempt is made | [`placement`], its costs in [`placement::costs`] |
 //! | how an attempt is begun and counted, how long a request waits for an endpoint | [`attempts`] |
@@ -28,6 +29,7 @@
 pub mod action;
 pub mod event;
 pub mod fetches;
+mod fingerprint;
 pub mod fleet;
 pub mod peers;
 pub mod placement;
--- a/src/gateway/dispatch/admission.rs
+++ b/src/gateway/dispatch/admission.rs
@@ -153,15 +153,16 @@
         key_owner: Option<KeyOwner>,
     ) {
         let service = self.pick_service(&route);
-        self.record(Record::Arrived {
-            request: arrival.id.clone(),
-            route: route.name.clone(),
-            table: table.version().0,
-            prompt: arrival.prompt.0,
-        });
         self.budget.on_request(&service, self.now);
         let engine = table.service(&service).and_then(|s| s.engine);
         let request = Request::new(arrival, route, service, engine, key_owner, self.now);
+        self.record(Record::Arrived {
+            request: request.arrival.id.clone(),
+            route: request.route.name.clone(),
+            table: table.version().0,
+            prompt: request.arrival.prompt.0,
+            fingerprint: request.fingerprint.hex(),
+        });
         let may_return = request.last_event.is_some() || self.has_just_started();
         let is_return = request.engine.is_some() && may_return;
         self.requests.insert(number, request);
--- a/src/gateway/dispatch/event.rs
+++ b/src/gateway/dispatch/event.rs
@@ -9,7 +9,8 @@
 use crate::gateway::dispatch::rollout::status::ObjectState;
 use crate::gateway::dispatch::table::RoutingTable;
 use crate::schema::{
-    Birth, BoxState, DomainId, EndpointId, EndpointIncarnation, ServiceId, UsageNews, VersionId,
+    Birth, BoxState, DomainId, EndpointId, EndpointIncarnation, Fingerprint, ServiceId, UsageNews,
+    VersionId,
 };
 
 /// A request as this box numbers it.
@@ -73,6 +74,8 @@
     pub prompt: Tokens,
     /// The most tokens that may come out.
     pub output: Tokens,
+    /// What is asked for, whoever asks.
+    pub content: Fingerprint,
 }
 
 /// What the list of endpoints says of one of them.
--- a/src/gateway/dispatch/record.rs
+++ b/src/gateway/dispatch/record.rs
@@ -77,6 +77,9 @@
         table: u64,
         /// Tokens of the prompt.
         prompt: u32,
+        /// What it is known by when it is sent again; empty in logs of earlier versions.
+        #[serde(default)]
+        fingerprint: String,
     },
     /// An attempt was begun.
     Sent {
@@ -379,8 +382,12 @@
                 route,
                 table,
                 prompt,
+                fingerprint,
                 ..
-            } => format!("arrived for route {route}, table {table}, prompt of {prompt} tokens"),
+            } => format!(
+                "arrived for route {route}, table {table}, prompt of {prompt} tokens, as \
+                 {fingerprint}"
+            ),
             Self::Begun {
                 endpoint, after_ms, ..
             } => format!("first event from {endpoint}, {after_ms} ms after the arrival"),
--- a/src/gateway/dispatch/request.rs
+++ b/src/gateway/dispatch/request.rs
@@ -16,7 +16,7 @@
 use super::rollout::evidence::Sampled;
 use super::table::{EngineSpec, KeyOwner, Route};
 use crate::rendezvous;
-use crate::schema::{DomainId, EndpointId, EndpointIncarnation, Micros, ServiceId};
+use crate::schema::{DomainId, EndpointId, EndpointIncarnation, Fingerprint, Micros, ServiceId};
 
 /// The attempt that runs.
 #[derive(Clone, Debug)]
@@ -70,6 +70,8 @@
     pub key: u64,
     /// The organisation that asks.
     pub key_owner: Option<KeyOwner>,
+    /// What it is known by when it is sent again.
+    pub fingerprint: Fingerprint,
     /// When it arrived.
     pub arrived: Micros,
     /// When it gets its final answer at the latest.
@@ -113,7 +115,9 @@
         now: Micros,
     ) -> Self {
         let patience = arrival.patience.unwrap_or(route.timeout);
+        let organisation = key_owner.as_ref().map(|owner| &owner.organisation);
         Self {
+            fingerprint: arrival.content.asked_by(organisation),
             deadline: now.after(patience.min(route.timeout)),
             arrived: now,
             last_event: arrival.after_event,
--- a/src/gateway/shell/callers.rs
+++ b/src/gateway/shell/callers.rs
@@ -12,16 +12,18 @@
 use gotham::handler::{Handler, HandlerFuture, NewHandler};
 use gotham::helpers::http::Body;
 use gotham::hyper::http::request;
+use gotham::hyper::http::uri::PathAndQuery;
 use gotham::hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use gotham::state::{FromState, State};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::gateway::dispatch::event::RequestNumber;
+use crate::gateway::dispatch::event::{Arrival, RequestNumber};
 use crate::gateway::shell::GatewayShared;
 use crate::gateway::shell::attempt::CallerRequest;
 use crate::gateway::shell::exchange::Exchange;
 use crate::gateway::shell::input::Input;
 use crate::http::{self, BodyError};
+use crate::schema::Fingerprint;
 
 /// The greatest body that is read before there is a configuration, in bytes.
 const UNCONFIGURED_BODY: usize = 1 << 20;
@@ -63,7 +65,7 @@
 
 async fn serve(state: &mut State, shared: &GatewayShared) -> Response<Body> {
     let head = head_of(state);
-    let arrival = match shared.dialect.read_request(&head) {
+    let mut arrival = match shared.dialect.read_request(&head) {
         Ok(arrival) => arrival,
         Err(bad) => return mistake(StatusCode::BAD_REQUEST, &bad.message),
     };
@@ -77,6 +79,7 @@
         Ok(body) => body,
         Err(e) => return body_mistake(&e, most),
     };
+    arrival.content = content_of(&arrival, &head, &body);
     let number = RequestNumber(NEXT_REQUEST.fetch_add(1, Ordering::Relaxed));
     let (commands, received) = mpsc::unbounded_channel();
     let (reply, replied) = oneshot::channel();
@@ -113,6 +116,13 @@
     head
 }
 
+/// What a request asks for, so that it is known when it is sent again.
+fn content_of(arrival: &Arrival, head: &request::Parts, body: &[u8]) -> Fingerprint {
+    let target = head.uri.path_and_query();
+    let target = target.map_or(arrival.path.as_str(), PathAndQuery::as_str);
+    Fingerprint::of_content(head.method.as_str(), &arrival.host, target, body)
+}
+
 fn body_mistake(error: &BodyError, most: usize) -> Response<Body> {
     match error {
         BodyError::TooLong => {
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -933,6 +933,60 @@
         value.parse()
     }
 }
+///What a request asks for and who asks, as one number: the same whenever a caller sends it again.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct Fingerprint(pub u64);
+impl ::std::ops::Deref for Fingerprint {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<Fingerprint> for u64 {
+    fn from(value: Fingerprint) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<u64> for Fingerprint {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+impl ::std::str::FromStr for Fingerprint {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for Fingerprint {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for Fingerprint {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
 ///How an answer ended.
 #[derive(
     ::serde::Deserialize,
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -23,6 +23,7 @@
         request: request.to_owned(),
         route: "r".to_owned(),
         table: 3,
+        fingerprint: String::new(),
         prompt: 5_000,
     }
 }
--- a/tests/gateway/fixtures.rs
+++ b/tests/gateway/fixtures.rs
@@ -18,7 +18,7 @@
     TableVersion, Target,
 };
 use magpiemoor::gateway::dispatch::{DispatchConfig, Dispatcher};
-use magpiemoor::schema::{BoxState, EndpointId, Incarnation, Micros};
+use magpiemoor::schema::{BoxState, EndpointId, Fingerprint, Incarnation, Micros};
 
 /// The streams' path.
 pub const STREAMS: &str = "/streams/";
@@ -222,6 +222,7 @@
             parts: vec![format!("part-{}", self.next)],
             prompt: Tokens(if is_stream { 5_000 } else { 0 }),
             output: Tokens(if is_stream { 700 } else { 0 }),
+            content: Fingerprint(self.next),
         }
     }
 
--- a/tests/placement_report.rs
+++ b/tests/placement_report.rs
@@ -59,6 +59,7 @@
             request: request.to_owned(),
             route: "r".to_owned(),
             table: 1,
+            fingerprint: String::new(),
             prompt,
         };
         self.write(seconds, "box-1", arrived);
--- a/tests/stream_report.rs
+++ b/tests/stream_report.rs
@@ -13,6 +13,7 @@
         request: request.to_owned(),
         route: "r".to_owned(),
         table: 3,
+        fingerprint: String::new(),
         prompt: 5_000,
     }
 }
@@ -178,6 +179,7 @@
         request: "q".to_owned(),
         route: "r".to_owned(),
         table: 3,
+        fingerprint: String::new(),
         prompt: 0,
     };
     let report = report_of(vec![vec![(0, call), (30, answered("q", 30))]]);
