--- a/lab/src/gateway.rs
+++ b/lab/src/gateway.rs
@@ -2,6 +2,7 @@
 //! servers, plain services, and callers. They have faults on command, down to single bytes.
 
 pub mod caller;
+pub mod crashes;
 pub mod demo;
 pub mod fleet;
 pub mod foreign;
--- a/src/gateway/shell/peers.rs
+++ b/src/gateway/shell/peers.rs
@@ -34,7 +34,7 @@
     state: BoxState,
     shared: GatewayShared,
 ) {
-    send(&socket, &to, STATE, &state, &shared.faults).await;
+    send(&socket, &to, write_state(&state), &shared.faults).await;
 }
 
 /// Tells other boxes of the attempts that this one has just made.
@@ -44,17 +44,16 @@
     news: UsageNews,
     shared: GatewayShared,
 ) {
-    send(&socket, &to, USAGE, &news, &shared.faults).await;
+    send(&socket, &to, write_usage(&news), &shared.faults).await;
 }
 
 async fn send(
     socket: &UdpSocket,
     to: &[SocketAddr],
-    kind: u8,
-    message: &impl Serialize,
+    datagram: Result<Vec<u8>, postcard::Error>,
     faults: &Faults,
 ) {
-    let bytes = match postcard::to_extend(message, vec![kind]) {
+    let bytes = match datagram {
         Ok(bytes) => bytes,
         Err(e) => return faults.note(FaultKind::PeerSocket, &e),
     };
@@ -84,6 +83,28 @@
     }
 }
 
+/// The datagram with a box's state.
+///
+/// # Errors
+///
+/// If it can't be encoded.
+pub fn write_state(state: &BoxState) -> Result<Vec<u8>, postcard::Error> {
+    write(STATE, state)
+}
+
+/// The datagram with what a box has just begun and ended.
+///
+/// # Errors
+///
+/// If it can't be encoded.
+pub fn write_usage(news: &UsageNews) -> Result<Vec<u8>, postcard::Error> {
+    write(USAGE, news)
+}
+
+fn write(kind: u8, message: &impl Serialize) -> Result<Vec<u8>, postcard::Error> {
+    postcard::to_extend(message, vec![kind])
+}
+
 /// Reads a datagram of another box.
 ///
 /// # Errors
