--- a/lab/src/gateway.rs
+++ b/lab/src/gateway.rs
@@ -6,6 +6,7 @@
 pub mod demo;
 pub mod fleet;
 pub mod foreign;
+pub mod parallel;
 pub mod rollout;
 pub mod server;
 pub mod soak;
--- a/lab/src/gateway/crashes.rs
+++ b/lab/src/gateway/crashes.rs
@@ -2,11 +2,14 @@
 //! before servers that end under such a request, with callers who send it again and innocent ones
 //! beside; seeded, and judged by what servers and callers saw.
 //!
-//! [`fleet`] holds the boxes and their links, [`servers`] what servers do, [`score`] what is counted. A
-//! [`Case`] is one play; the same case plays the same way each time.
+//! [`fleet`] holds the boxes and their links, [`servers`] what servers do, [`score`] what is counted in
+//! a play, [`report`] and [`picture`] what many came to, [`command`] the command line. A [`Case`] is one play; the same case plays the same way each time.
 
+pub mod command;
 pub mod fleet;
 mod mailbox;
+pub mod picture;
+pub mod report;
 pub mod score;
 pub mod servers;
 
@@ -131,6 +134,20 @@
     pub fn play(&self) -> Outcome {
         fleet::Fleet::new(*self).play()
     }
+
+    /// Plays it, and again without crashing requests.
+    #[must_use]
+    pub fn play_paired(&self) -> Outcome {
+        let without = Self {
+            culprits: 0,
+            ..*self
+        };
+        let without = without.play();
+        Outcome {
+            without: (without.availability(), without.bytes_a_second),
+            ..self.play()
+        }
+    }
 }
 
 impl fmt::Display for Case {
--- a/lab/src/gateway/crashes/fleet.rs
+++ b/lab/src/gateway/crashes/fleet.rs
@@ -15,15 +15,15 @@
 use magpiemoor::gateway::dispatch::event::{EndpointChange, Event, RequestNumber, SnapshotName};
 use magpiemoor::gateway::dispatch::fetches::FetchOutcome;
 use magpiemoor::gateway::dispatch::{DispatchConfig, Dispatcher};
-use magpiemoor::gateway::shell::peers;
-use magpiemoor::schema::{EndpointId, Incarnation, Micros};
+use magpiemoor::gateway::shell::datagram;
+use magpiemoor::schema::{EndpointId, EndpointIncarnation, Incarnation, Micros};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use super::mailbox::Mailbox;
 use super::score::{Counts, Culprit, Outcome};
 use super::servers::{RunId, Servers};
-use super::{Beside, Case};
+use super::{Beside, Case, servers};
 use callers::{Caller, CallerId};
 use runs::Run;
 use setup::{address, config, table};
@@ -236,6 +236,22 @@
         self.lose_callers_of(at, life);
     }
 
+    /// Notes which crashing requests a box knows of.
+    fn note_known(&mut self, at: usize) {
+        let now = self.now();
+        for number in 0..self.case.culprits {
+            let counts = &mut self.counts.culprits[number];
+            let Some(third) = counts.third() else {
+                continue;
+            };
+            let fingerprint = callers::content_of(number).asked_by(None);
+            let quarantine = self.boxes[at].dispatcher.quarantine();
+            if !counts.known.contains_key(&at) && quarantine.is_quarantined(fingerprint) {
+                counts.known.insert(at, now.since(third));
+            }
+        }
+    }
+
     /// Whether a box has run, and reached all others, for long enough to be judged.
     fn is_in_touch(&self, at: usize) -> bool {
         let found = &self.boxes[at];
@@ -255,6 +271,7 @@
         }
         let now = self.now();
         let actions = self.boxes[at].dispatcher.handle(now, event);
+        self.note_known(at);
         for action in actions {
             self.perform(at, action);
         }
@@ -270,13 +287,21 @@
 
     fn perform(&mut self, at: usize, action: Action) {
         match action {
-            Action::Gossip { to, state } => {
-                self.count_bytes(peers::write_state(&state), to.len());
-                self.send(at, &to, &Event::Peer(*state));
+            Action::Gossip { to, state, crashes } => {
+                self.send(at, &to, &datagram::write_state(&state, &crashes));
+            }
+            Action::GossipUsage { to, news, crashes } => {
+                self.send(at, &to, &datagram::write_usage(&news, &crashes));
             }
-            Action::GossipUsage { to, news } => {
-                self.count_bytes(peers::write_usage(&news), to.len());
-                self.send(at, &to, &Event::PeerUsage(news));
+            Action::CheckEnded {
+                endpoint, address, ..
+            } => {
+                let has_ended = self.has_ended(at, &endpoint, address);
+                let event = Event::Checked {
+                    endpoint,
+                    has_ended,
+                };
+                self.answer(at, event);
             }
             Action::FetchState { from, kind, .. } => {
                 let outcome = FetchOutcome::Whole;
@@ -316,15 +341,16 @@
         }
     }
 
-    fn count_bytes<E>(&mut self, datagram: Result<Vec<u8>, E>, receivers: usize) {
-        let bytes = datagram.map_or(0, |bytes| bytes.len());
-        self.counts.bytes += (bytes * receivers) as u64;
+    /// Whether a box sees that nothing listens at an address of a failure domain.
+    fn has_ended(&self, at: usize, life: &EndpointIncarnation, address: SocketAddr) -> bool {
+        let domain = servers::domain_number(&life.id);
+        !self.is_cut_between(at % DOMAINS, domain) && self.servers.listening_at(address).is_none()
     }
 
     /// The server that a box reaches under an id.
     fn reach(&self, at: usize, id: &EndpointId) -> Option<usize> {
         let place = self.servers.find(id)?;
-        let domain = setup::domain_number(&self.servers.at(place).spec.domain);
+        let domain = servers::domain_number(id);
         (!self.is_cut_between(at % DOMAINS, domain)).then_some(place)
     }
 
@@ -339,7 +365,10 @@
         self.post_event(at, OUTSIDE * 2, event);
     }
 
-    fn send(&mut self, from: usize, to: &[SocketAddr], event: &Event) {
+    fn send<E>(&mut self, from: usize, to: &[SocketAddr], datagram: &Result<Vec<u8>, E>) {
+        let bytes = datagram.as_ref().map_or(&[][..], Vec::as_slice);
+        self.counts.bytes += (bytes.len() * to.len()) as u64;
+        let events = datagram::read(bytes).unwrap_or_default();
         for address in to {
             let Some(to) = self.by_address.get(address).copied() else {
                 continue;
@@ -351,7 +380,9 @@
             }
             let way = if near == far { NEAR } else { FAR };
             let way = way.mul_f64(self.rng.random_range(0.5..2.0));
-            self.post_event(to, way, event.clone());
+            for event in &events {
+                self.post_event(to, way, event.clone());
+            }
         }
     }
 
--- a/lab/src/gateway/crashes/fleet/callers.rs
+++ b/lab/src/gateway/crashes/fleet/callers.rs
@@ -4,7 +4,7 @@
 
 use magpiemoor::gateway::dispatch::action::Command;
 use magpiemoor::gateway::dispatch::event::{Arrival, Event, RequestNumber, Tokens};
-use magpiemoor::gateway::dispatch::refusal::Refusal;
+use magpiemoor::gateway::dispatch::refusal::{Refusal, RefusalReason};
 use magpiemoor::schema::Fingerprint;
 use rand::Rng;
 
@@ -45,6 +45,11 @@
     is_over: bool,
 }
 
+/// What a crashing request asks for.
+pub(super) fn content_of(number: usize) -> Fingerprint {
+    Fingerprint(number as u64 + 1)
+}
+
 impl Fleet {
     /// Has the crashing requests sent for the first time.
     pub(super) fn invite_culprits(&mut self) {
@@ -53,7 +58,7 @@
             for _ in 0..copies {
                 let first = self.rng.random_range(0.0..FIRST_WITHIN);
                 let first = CALLERS_AFTER + Duration::from_secs_f64(first);
-                let caller = self.add_caller(Fingerprint(number as u64 + 1), Some(number));
+                let caller = self.add_caller(content_of(number), Some(number));
                 self.mail.post(first, Mail::Try(caller));
             }
         }
@@ -148,7 +153,7 @@
         if asking.culprit.is_some() {
             return self.come_again(caller);
         }
-        if self.is_blamed(refusal) {
+        if refusal.reason == RefusalReason::Quarantined {
             self.counts.blamed += 1;
         }
         if asking.tries < TRIES {
--- a/lab/src/gateway/crashes/fleet/runs.rs
+++ b/lab/src/gateway/crashes/fleet/runs.rs
@@ -6,7 +6,6 @@
 use magpiemoor::gateway::dispatch::event::{
     AttemptNumber, EndpointChange, Event, Fault, NotRunCause, Outcome,
 };
-use magpiemoor::gateway::dispatch::refusal::Refusal;
 use rand::Rng;
 
 use super::callers::CallerId;
@@ -202,10 +201,4 @@
         let spec = self.servers.restart(place, now);
         self.tell_change(&EndpointChange::Present(spec));
     }
-
-    /// Whether a refusal is for a crash that the request is blamed for.
-    #[allow(clippy::unused_self)] // No refusal is, so far.
-    pub(super) fn is_blamed(&self, _refusal: Refusal) -> bool {
-        false
-    }
 }
--- a/lab/src/gateway/crashes/fleet/setup.rs
+++ b/lab/src/gateway/crashes/fleet/setup.rs
@@ -28,14 +28,6 @@
     format!("domain-{number}").parse().expect("a short name")
 }
 
-/// The number of a failure domain.
-pub(super) fn domain_number(domain: &DomainId) -> usize {
-    let number = domain.rsplit('-').next();
-    number
-        .and_then(|number| number.parse().ok())
-        .unwrap_or_default()
-}
-
 /// The configuration of a box; one in three belongs to each failure domain.
 pub(super) fn config(number: usize, case: &Case) -> DispatchConfig {
     DispatchConfig {
--- a/lab/src/gateway/crashes/score.rs
+++ b/lab/src/gateway/crashes/score.rs
@@ -1,5 +1,6 @@
 //! What a play came to, by what servers and callers saw.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use magpiemoor::schema::Micros;
@@ -23,12 +24,20 @@
     pub arrivals: Vec<Micros>,
     /// How often callers sent it.
     pub tries: usize,
+    /// How long after the third crash each box knew of it.
+    pub known: BTreeMap<usize, Duration>,
 }
 
 impl Culprit {
+    /// When it crashed the third server.
+    #[must_use]
+    pub fn third(&self) -> Option<Micros> {
+        self.crashes.get(BLAMED_AT - 1).copied()
+    }
+
     /// Arrivals that come too late.
     fn late(&self) -> usize {
-        let Some(third) = self.crashes.get(BLAMED_AT - 1) else {
+        let Some(third) = self.third() else {
             return 0;
         };
         let from = third.after(KNOWN_AFTER);
@@ -67,8 +76,13 @@
     pub lost: usize,
     /// Other callers that were refused for a crash that they did not cause.
     pub blamed: usize,
+    /// Milliseconds after the third crash of a request until each box knew of it.
+    pub known_ms: Vec<u64>,
     /// Bytes between boxes, of one box in a second.
     pub bytes_a_second: f64,
+    /// The share of other callers that was served without crashing requests, and the bytes then; 0
+    /// where that was not played.
+    pub without: (f64, f64),
 }
 
 impl Outcome {
@@ -85,7 +99,14 @@
             served: counts.served,
             lost: counts.lost,
             blamed: counts.blamed,
+            known_ms: counts
+                .culprits
+                .iter()
+                .flat_map(|c| c.known.values())
+                .map(|after| after.as_millis() as u64)
+                .collect(),
             bytes_a_second: counts.bytes as f64 / box_seconds,
+            without: (0.0, 0.0),
         }
     }
 
--- a/lab/src/gateway/crashes/servers.rs
+++ b/lab/src/gateway/crashes/servers.rs
@@ -180,6 +180,14 @@
     }
 }
 
+/// The number of the failure domain of a server.
+#[must_use]
+pub fn domain_number(id: &EndpointId) -> usize {
+    let number = id.split('-').nth(1);
+    let number = number.and_then(|number| number.parse().ok());
+    number.unwrap_or_default()
+}
+
 /// When a process started, by its own clock.
 fn birth(now: Micros) -> Birth {
     Birth(1_700_000_000_000 + now.0 / 1_000)
--- a/lab/src/gateway/rollout.rs
+++ b/lab/src/gateway/rollout.rs
@@ -14,6 +14,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::parallel;
 pub use score::{Outcome, Report};
 
 /// How a version is.
@@ -204,27 +205,5 @@
 /// Plays orders on several threads; the order of the outcomes is that of the cases.
 #[must_use]
 pub fn play_all(cases: &[Case], threads: usize) -> Vec<Outcome> {
-    let next = std::sync::atomic::AtomicUsize::new(0);
-    let outcomes = std::sync::Mutex::new(vec![None; cases.len()]);
-    std::thread::scope(|scope| {
-        for _ in 0..threads {
-            scope.spawn(|| {
-                loop {
-                    let place = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-                    let Some(case) = cases.get(place) else {
-                        return;
-                    };
-                    let outcome = case.play();
-                    let mut outcomes = outcomes
-                        .lock()
-                        .unwrap_or_else(std::sync::PoisonError::into_inner);
-                    outcomes[place] = Some(outcome);
-                }
-            });
-        }
-    });
-    let outcomes = outcomes
-        .into_inner()
-        .unwrap_or_else(std::sync::PoisonError::into_inner);
-    outcomes.into_iter().flatten().collect()
+    parallel::map(cases, threads, Case::play)
 }
--- a/lab/src/gateway/rollout/fleet.rs
+++ b/lab/src/gateway/rollout/fleet.rs
@@ -247,8 +247,8 @@
 
     fn perform(&mut self, at: usize, action: Action) {
         match action {
-            Action::Gossip { to, state } => self.send(at, &to, &Event::Peer(*state)),
-            Action::GossipUsage { to, news } => self.send(at, &to, &Event::PeerUsage(news)),
+            Action::Gossip { to, state, .. } => self.send(at, &to, &Event::Peer(*state)),
+            Action::GossipUsage { to, news, .. } => self.send(at, &to, &Event::PeerUsage(news)),
             Action::FetchState { from, kind, .. } => self.fetch(at, from, kind),
             Action::WatchStore(is_watching) => self.watch_store(at, is_watching),
             Action::WatchRollouts(is_watching) => {
--- a/lab/src/gateway/spread.rs
+++ b/lab/src/gateway/spread.rs
@@ -407,7 +407,7 @@
 
 fn perform(action: Action, shared: &GatewayShared, notes: &Notes, wires: &Wires) {
     match action {
-        Action::Gossip { to, state } => {
+        Action::Gossip { to, state, .. } => {
             for inputs in to.iter().filter_map(|address| wires.get(address)) {
                 // A datagram that finds no room is lost.
                 let _ = inputs.try_send(Input::Event(Event::Peer((*state).clone())));
--- a/lab/src/gen.rs
+++ b/lab/src/gen.rs
@@ -33,8 +33,11 @@
     "Finish",
 ];
 
+/// Types that name something and so can be compared and hashed.
+const COMPARABLE: [&str; 1] = ["EndpointIncarnation"];
+
 /// Types that have an empty value.
-const WITH_DEFAULT: [&str; 1] = ["AnswerTimes"];
+const WITH_DEFAULT: [&str; 2] = ["AnswerTimes", "CrashNews"];
 
 const HEADER: &str =
     "// Generated from schema/*.schema.json by `magpiemoor-lab gen`; do not edit.\n\n";
@@ -54,6 +57,13 @@
         }
         settings.with_patch(number, &patch);
     }
+    for name in COMPARABLE {
+        let mut patch = TypeSpacePatch::default();
+        for derive in ["Eq", "Ord", "PartialOrd", "Hash"] {
+            patch.with_derive(derive);
+        }
+        settings.with_patch(name, &patch);
+    }
     for name in WITH_DEFAULT {
         let mut patch = TypeSpacePatch::default();
         patch.with_derive("Default");
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -14,6 +14,7 @@
 //! | when a request is tried again, how often | [`retry`], at whose cost: [`retry_budget`] |
 //! | when it is given up, why, and when its caller may come back | [`refusal`] |
 //! | when an endpoint is suspected | [`suspicion`], avoided and trusted again: `fleet::losses` |
+//! | which requests crash their endpoints and are held back | [`quarantine`], made sure of: `crashes` |
 //! | how long streams take, which a stop must leave them | [`stream_time`] |
 //! | what follows when an endpoint starts again under its id | [`rebirth`], `fleet::incarnations` |
 //! | where replicas of KV memory lie | [`replicas`] |
@@ -33,6 +34,7 @@
 pub mod fleet;
 pub mod peers;
 pub mod placement;
+pub mod quarantine;
 pub mod record;
 pub mod refusal;
 pub mod replica;
@@ -45,6 +47,7 @@
 
 mod admission;
 mod attempts;
+mod crashes;
 mod gossip;
 mod outcomes;
 mod prompt_search;
@@ -68,12 +71,14 @@
 use crate::schema::{BoxId, DomainId, EndpointId, Incarnation, Micros};
 use action::{Action, Command};
 use admission::HeldBack;
+use crashes::PendingCrashes;
 use event::{AttemptNumber, EndpointChange, EndpointSpec, Event, RequestNumber};
 use fetches::{FetchKind, Fetches};
 use fleet::Fleet;
 use gossip::PendingUsage;
 use peers::Peers;
 use placement::Placer;
+use quarantine::Quarantine;
 use record::{EndpointState, Record, WATCHES_STORE};
 use request::Request;
 use retry_budget::{RetryBudget, RetryPolicy};
@@ -151,6 +156,8 @@
     watches_rollouts: bool,
     next_note: Micros,
     is_cut_off: bool,
+    quarantine: Quarantine,
+    pending_crashes: PendingCrashes,
     actions: Vec<Action>,
 }
 
@@ -191,6 +198,8 @@
             watches_rollouts: false,
             next_note: now,
             is_cut_off: false,
+            quarantine: Quarantine::default(),
+            pending_crashes: PendingCrashes::default(),
             actions: Vec::new(),
             cfg,
         }
@@ -224,9 +233,11 @@
             | Event::StoreAnswered
             | Event::Peer(_)
             | Event::PeerUsage(_)
+            | Event::PeerCrashes { .. }
             | Event::Fetched { .. }
             | Event::Seeds(_) => self.handle_news(event),
             Event::Probed { .. }
+            | Event::Checked { .. }
             | Event::Named { .. }
             | Event::Identified(_)
             | Event::Located { .. }
@@ -255,6 +266,7 @@
             }
             Event::Peer(state) => self.on_peer(&state),
             Event::PeerUsage(news) => self.on_peer_usage(&news),
+            Event::PeerCrashes { domain, news } => self.on_peer_crashes(domain.as_ref(), &news),
             Event::Fetched {
                 kind,
                 from,
@@ -273,6 +285,10 @@
                 is_answered,
                 born,
             } => self.on_probed(&endpoint, is_answered, born),
+            Event::Checked {
+                endpoint,
+                has_ended,
+            } => self.on_checked(&endpoint, has_ended),
             Event::Named {
                 endpoint,
                 instance,
@@ -309,8 +325,12 @@
             .unwrap_or(self.next_gossip);
         let due = self.next_gossip.min(self.pending_usage.due());
         let due = due.min(first_decision);
-        let fetches = [self.table_fetches.due(), self.endpoint_fetches.due()];
-        let due = fetches.into_iter().flatten().fold(due, Micros::min);
+        let others = [
+            self.table_fetches.due(),
+            self.endpoint_fetches.due(),
+            self.pending_crashes.due(),
+        ];
+        let due = others.into_iter().flatten().fold(due, Micros::min);
         if self.active() == 0 && self.rollouts.is_at_rest() {
             return due;
         }
@@ -349,6 +369,12 @@
         &self.rollouts
     }
 
+    /// Which requests crash their endpoints.
+    #[must_use]
+    pub fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
     /// What is believed of the endpoints.
     #[must_use]
     pub fn fleet(&self) -> &Fleet {
@@ -425,6 +451,7 @@
     }
 
     fn on_tick(&mut self) {
+        self.settle_crashes();
         self.check_requests();
         self.refuse_held_back();
         self.check_reach();
@@ -448,6 +475,7 @@
         }
         self.check_rollouts();
         self.fetch_if_behind();
+        self.forget_crashes();
         self.gossip_usage_if_due();
         self.gossip_if_due();
     }
--- a/src/gateway/dispatch/action.rs
+++ b/src/gateway/dispatch/action.rs
@@ -9,7 +9,9 @@
 use crate::gateway::dispatch::refusal::Refusal;
 use crate::gateway::dispatch::replica::ReplicaLocation;
 use crate::gateway::dispatch::rollout::status::StatusWrite;
-use crate::schema::{BoxState, EndpointId, OrganisationId, StateRequest, UsageNews};
+use crate::schema::{
+    BoxState, CrashNews, EndpointId, EndpointIncarnation, OrganisationId, StateRequest, UsageNews,
+};
 
 /// One attempt of a request at an endpoint.
 #[derive(Clone, Debug, PartialEq)]
@@ -91,6 +93,15 @@
         /// How long to wait.
         limit: Duration,
     },
+    /// Make a connection to an endpoint, to see whether it has ended.
+    CheckEnded {
+        /// The endpoint, in the life that is in question.
+        endpoint: EndpointIncarnation,
+        /// Its address.
+        address: SocketAddr,
+        /// How long to wait.
+        limit: Duration,
+    },
     /// Ask engines which of them keeps a part of a prompt.
     Locate {
         /// The request.
@@ -132,6 +143,8 @@
         to: Vec<SocketAddr>,
         /// The state of this box.
         state: Box<BoxState>,
+        /// What it knows of requests that crash endpoints.
+        crashes: CrashNews,
     },
     /// Tell other boxes of the attempts that this one has just made, by UDP.
     GossipUsage {
@@ -139,6 +152,8 @@
         to: Vec<SocketAddr>,
         /// What runs there now.
         news: UsageNews,
+        /// What it knows of requests that crash endpoints.
+        crashes: CrashNews,
     },
     /// Ask another box for what it read from the platform.
     FetchState {
--- a/src/gateway/dispatch/admission.rs
+++ b/src/gateway/dispatch/admission.rs
@@ -166,6 +166,9 @@
         let may_return = request.last_event.is_some() || self.has_just_started();
         let is_return = request.engine.is_some() && may_return;
         self.requests.insert(number, request);
+        if self.give_up_quarantined(number) {
+            return;
+        }
         if is_return {
             self.locate(number);
         } else {
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -71,8 +71,9 @@
 
     fn choose_endpoint(&self, number: RequestNumber) -> Option<EndpointId> {
         let request = self.requests.get(&number)?;
+        let alone = self.runs_alone(number);
         let choose = |rules| {
-            let demand = request.demand(rules);
+            let demand = request.demand(rules, alone);
             self.placer.choose(&self.fleet, demand, self.now)
         };
         let chosen = choose(self.rules_for(request));
@@ -95,6 +96,9 @@
         to: &EndpointId,
         replica: Option<&ReplicaLocation>,
     ) {
+        if self.give_up_quarantined(number) {
+            return;
+        }
         let now = self.now;
         let Some(request) = self.requests.get(&number) else {
             return;
@@ -168,6 +172,7 @@
         mirror: Option<EndpointIncarnation>,
         prompts_before: u32,
     ) {
+        let alone = self.runs_alone(number);
         let Some(request) = self.requests.get_mut(&number) else {
             return;
         };
@@ -176,7 +181,11 @@
         };
         let mut active = active_attempt(request, attempt, &endpoint.spec, mirror, self.now);
         active.sampled = Sampled::behind(prompts_before);
-        endpoint.own.running += 1;
+        if alone {
+            // Nothing is placed beside it, by boxes of earlier versions either.
+            active.slots = endpoint.spec.slots.max(1);
+        }
+        endpoint.own.running += active.slots;
         endpoint.own.prefill += active.prefill;
         endpoint.own.memory += active.memory;
         let host = active.mirror.as_ref();
@@ -194,7 +203,7 @@
     pub(super) fn uncount_attempt(&mut self, active: &ActiveAttempt) {
         self.report_usage_soon(&active.endpoint.id);
         if let Some(endpoint) = self.fleet.living_mut(&active.endpoint) {
-            endpoint.own.running = endpoint.own.running.saturating_sub(1);
+            endpoint.own.running = endpoint.own.running.saturating_sub(active.slots);
             endpoint.own.prefill = endpoint.own.prefill.saturating_sub(active.prefill);
             endpoint.own.memory = endpoint.own.memory.saturating_sub(active.memory);
         }
@@ -295,6 +304,7 @@
             0
         },
         memory: request.memory().0,
+        slots: 1,
     }
 }
 
--- /dev/null
+++ b/src/gateway/dispatch/crashes.rs
@@ -0,0 +1,242 @@
+//! Endpoints that end under requests: how this box makes sure of it, and what follows for requests.
+//!
+//! A connection that breaks may only have been closed, so what listens at the address is asked for by
+//! a connection ([`Action::CheckEnded`]); an endpoint whose port refuses it has ended. Others of its
+//! failure domain may have ended with it, which is known [`CRASH_SETTLING`] later. Then the crash is noted
+//! ([`super::quarantine`]) and told. A request that this crash may have quarantined waits for that before
+//! its next attempt; any other one goes on at once.
+//!
+//! Owns: crashes that are not made sure of. Relies on: [`super::fleet`] for what ran beside and for
+//! losses of the domain.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::Dispatcher;
+use super::action::Action;
+use super::event::{Fault, Outcome, RequestNumber};
+use super::quarantine::{ALONE_AT, Crash};
+use super::record::Record;
+use super::refusal::RefusalReason;
+use super::request::ActiveAttempt;
+use crate::schema::{CrashNews, DomainId, EndpointIncarnation, Fingerprint, Micros, ServiceId};
+
+/// How long a connection may take that shows whether an endpoint has ended. Chosen over the slowest
+/// sound connection of the users' sites (some 3 ms) and under [`CRASH_SETTLING`], not measured.
+const CHECK_LIMIT: Duration = Duration::from_millis(40);
+/// How long after a crash it is noted: by then losses of others of the domain have been told. Chosen
+/// over the pause before news of losses (10 ms) and a way between boxes, not measured.
+const CRASH_SETTLING: Duration = Duration::from_millis(50);
+/// How long a request waits that the crash may have quarantined.
+const VERDICT_AFTER: Duration = Duration::from_millis(60);
+
+/// A crash that is not noted yet.
+#[derive(Clone, Debug)]
+struct Pending {
+    request: Fingerprint,
+    /// The caller's id, for records.
+    id: String,
+    service: ServiceId,
+    domain: DomainId,
+    crash: Crash,
+}
+
+/// Crashes that are not noted yet.
+#[derive(Debug, Default)]
+pub(super) struct PendingCrashes {
+    /// Endpoints that are being checked, with what broke off there.
+    checked: BTreeMap<EndpointIncarnation, Vec<Pending>>,
+    /// What broke off at endpoints that have ended.
+    settling: Vec<Pending>,
+}
+
+impl PendingCrashes {
+    /// When the next one is to be noted.
+    pub fn due(&self) -> Option<Micros> {
+        let due = self.settling.iter().map(|pending| pending.crash.at);
+        due.min().map(|at| at.after(CRASH_SETTLING))
+    }
+}
+
+/// Whether an endpoint may have ended by how an attempt there did.
+fn may_be_crash(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::Broken(Fault::Closed | Fault::Malformed))
+}
+
+impl Dispatcher {
+    /// Suspects a request whose attempt broke off, before the attempt is taken off the counts.
+    pub(super) fn suspect_crash(
+        &mut self,
+        number: RequestNumber,
+        active: &ActiveAttempt,
+        outcome: &Outcome,
+    ) {
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
+        if !may_be_crash(outcome) {
+            return;
+        }
+        let ran = active.begun.map(|(begun, _)| self.now.since(begun));
+        let endpoint = self.fleet.living(&active.endpoint);
+        let running = endpoint.map_or(0, |e| self.fleet.usage(e, self.now).running);
+        let pending = Pending {
+            request: request.fingerprint,
+            id: request.arrival.id.clone(),
+            service: request.service.clone(),
+            domain: active.domain.clone(),
+            crash: Crash {
+                endpoint: active.endpoint.clone(),
+                at: self.now,
+                last_event: request.last_event.unwrap_or_default(),
+                ran: ran.unwrap_or_default(),
+                beside: running.saturating_sub(active.slots),
+                is_passed: false,
+                fell_with_domain: false,
+            },
+        };
+        if self.quarantine.crashes_of(request.fingerprint) >= ALONE_AT {
+            request.verdict_at = Some(self.now.after(VERDICT_AFTER));
+        }
+        self.check_ended(active.endpoint.clone(), active.address, pending);
+    }
+
+    fn check_ended(&mut self, life: EndpointIncarnation, address: SocketAddr, pending: Pending) {
+        let of_life = self
+            .pending_crashes
+            .checked
+            .entry(life.clone())
+            .or_default();
+        if of_life.is_empty() {
+            self.actions.push(Action::CheckEnded {
+                endpoint: life,
+                address,
+                limit: CHECK_LIMIT,
+            });
+        }
+        of_life.push(pending);
+    }
+
+    /// An endpoint was checked whose connection broke.
+    pub(super) fn on_checked(&mut self, life: &EndpointIncarnation, has_ended: bool) {
+        let pending = self.pending_crashes.checked.remove(life);
+        if has_ended {
+            self.pending_crashes
+                .settling
+                .extend(pending.unwrap_or_default());
+        }
+    }
+
+    /// Notes the crashes of which enough is known.
+    pub(super) fn settle_crashes(&mut self) {
+        let now = self.now;
+        let is_due = |pending: &mut Pending| now >= pending.crash.at.after(CRASH_SETTLING);
+        let due: Vec<_> = self
+            .pending_crashes
+            .settling
+            .extract_if(.., is_due)
+            .collect();
+        for pending in due {
+            self.note_crash(pending);
+        }
+        if self.quarantine.has_untold() {
+            self.report_crashes_soon();
+        }
+    }
+
+    fn note_crash(&mut self, pending: Pending) {
+        let Pending {
+            request,
+            id,
+            service,
+            domain,
+            mut crash,
+        } = pending;
+        crash.fell_with_domain =
+            self.fleet
+                .fell_with_domain(&crash.endpoint, &service, &domain, crash.at);
+        let endpoint = crash.endpoint.to_string();
+        let (beside, fell_with_domain) = (crash.beside, crash.fell_with_domain);
+        let is_quarantined = self.quarantine.on_crash(request, crash, self.now);
+        self.record(Record::Crashed {
+            request: id,
+            fingerprint: request.hex(),
+            endpoint,
+            beside,
+            fell_with_domain,
+            counted: self.quarantine.crashes_of(request),
+        });
+        self.gossip_soon();
+        if is_quarantined {
+            self.quarantine_request(request);
+        }
+    }
+
+    /// Other boxes told of crashes.
+    pub(super) fn on_peer_crashes(&mut self, domain: Option<&DomainId>, news: &CrashNews) {
+        let is_near = domain.is_none_or(|domain| *domain == self.cfg.domain);
+        for request in self.quarantine.on_told(news, is_near, self.now) {
+            self.gossip_soon();
+            self.quarantine_request(request);
+        }
+        if self.quarantine.has_untold() {
+            self.report_crashes_soon();
+        }
+    }
+
+    /// Gives up what is served of a request that is quarantined from now on: an attempt that has not
+    /// begun to run yet costs no endpoint.
+    fn quarantine_request(&mut self, fingerprint: Fingerprint) {
+        self.record(Record::Quarantined {
+            fingerprint: fingerprint.hex(),
+            crashes: self.quarantine.crashes_of(fingerprint),
+        });
+        let requests = self.requests.iter();
+        let quarantined = requests.filter(|(_, request)| request.fingerprint == fingerprint);
+        let quarantined: Vec<RequestNumber> = quarantined.map(|(number, _)| *number).collect();
+        for number in quarantined {
+            self.give_up(number, RefusalReason::Quarantined);
+        }
+    }
+
+    /// Gives a request up that is quarantined; returns whether it is.
+    pub(super) fn give_up_quarantined(&mut self, number: RequestNumber) -> bool {
+        let request = self.requests.get(&number);
+        let is_quarantined =
+            request.is_some_and(|request| self.quarantine.is_quarantined(request.fingerprint));
+        if is_quarantined {
+            self.give_up(number, RefusalReason::Quarantined);
+        }
+        is_quarantined
+    }
+
+    /// Whether a request is to run where nothing else does: one more crash decides about it.
+    pub(super) fn runs_alone(&self, number: RequestNumber) -> bool {
+        let request = self.requests.get(&number);
+        request.is_some_and(|r| self.quarantine.crashes_of(r.fingerprint) >= ALONE_AT)
+    }
+
+    /// Forgets old crashes.
+    pub(super) fn forget_crashes(&mut self) {
+        for fingerprint in self.quarantine.forget_old(self.now) {
+            self.record(Record::Released {
+                fingerprint: fingerprint.hex(),
+            });
+        }
+    }
+
+    /// Notes how far a stream has come, for crashes that it may be past.
+    pub(super) fn note_crash_progress(&mut self, number: RequestNumber) {
+        let Some(request) = self.requests.get(&number) else {
+            return;
+        };
+        let begun = request.active.as_ref().and_then(|active| active.begun);
+        if let Some((begun, _)) = begun {
+            let ran = self.now.since(begun);
+            let last_event = request.last_event.unwrap_or_default();
+            self.quarantine
+                .on_progress(request.fingerprint, last_event, ran, self.now);
+        }
+    }
+}
--- a/src/gateway/dispatch/event.rs
+++ b/src/gateway/dispatch/event.rs
@@ -9,8 +9,8 @@
 use crate::gateway::dispatch::rollout::status::ObjectState;
 use crate::gateway::dispatch::table::RoutingTable;
 use crate::schema::{
-    Birth, BoxState, DomainId, EndpointId, EndpointIncarnation, Fingerprint, ServiceId, UsageNews,
-    VersionId,
+    Birth, BoxState, CrashNews, DomainId, EndpointId, EndpointIncarnation, Fingerprint, ServiceId,
+    UsageNews, VersionId,
 };
 
 /// A request as this box numbers it.
@@ -241,6 +241,13 @@
         /// When its process started, if the answer says so.
         born: Option<Birth>,
     },
+    /// An endpoint was checked whose connection broke.
+    Checked {
+        /// The endpoint, in the life that was in question.
+        endpoint: EndpointIncarnation,
+        /// Whether nothing listens at its address any more.
+        has_ended: bool,
+    },
     /// A configuration was read.
     Table(Arc<RoutingTable>),
     /// The whole list of endpoints was read.
@@ -274,6 +281,13 @@
     Peer(BoxState),
     /// Another box told of the attempts that it has just made.
     PeerUsage(UsageNews),
+    /// Another box told of requests that crash endpoints.
+    PeerCrashes {
+        /// Its failure domain, if that is not the own one for sure.
+        domain: Option<DomainId>,
+        /// What it told.
+        news: CrashNews,
+    },
     /// A fetch from another box has ended, with an answer or without.
     Fetched {
         /// What it was asked for.
--- a/src/gateway/dispatch/fleet/losses.rs
+++ b/src/gateway/dispatch/fleet/losses.rs
@@ -33,6 +33,13 @@
 const DOMAIN_LOSSES: usize = 2;
 /// The time within which these losses must lie. Chosen, not measured.
 const DOMAIN_WINDOW: Duration = Duration::from_millis(1_500);
+/// Other losses in a domain with which an endpoint has fallen, and one over the part of the domain's
+/// endpoints that they must be. A domain that falls loses nine in ten on the users' days. Chosen, not
+/// measured.
+const FALL_LOSSES: usize = 2;
+const FALL_PART: usize = 3;
+/// How far apart they may lie. Chosen, not measured.
+const FALL_WINDOW: Duration = Duration::from_secs(1);
 /// Connections to a domain that must fail in a row before it counts as unreachable. A request burnt
 /// twelve connections on dead instances before this bound (lundavik scale-2, docs/FINDINGS.md).
 /// Chosen, not measured.
@@ -203,6 +210,29 @@
         }
     }
 
+    /// Whether others of a service ended in a failure domain at about the time when one of them did:
+    /// two at least, and with it a third of those there.
+    #[must_use]
+    pub fn fell_with_domain(
+        &self,
+        life: &EndpointIncarnation,
+        service: &ServiceId,
+        domain: &DomainId,
+        at: Micros,
+    ) -> bool {
+        let is_beside = |loss: &&Loss| {
+            let apart = at.since(loss.at).max(loss.at.since(at));
+            loss.domain == *domain
+                && loss.service == *service
+                && loss.endpoint.id != life.id
+                && apart < FALL_WINDOW
+        };
+        let lost = self.losses.recent.iter().filter(is_beside).count();
+        let all = self.of_service(service);
+        let all = all.filter(|e| e.listed && e.spec.domain == *domain).count();
+        lost >= FALL_LOSSES && (lost + 1) * FALL_PART >= all
+    }
+
     /// The endpoints that this box itself lost a short while ago.
     pub fn lost(&self, now: Micros) -> impl Iterator<Item = &EndpointIncarnation> {
         self.losses
--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -71,6 +71,11 @@
         pending.due.get_or_insert(due);
     }
 
+    /// Lets the boxes of the own failure domain know at once of crashes.
+    pub(super) fn report_crashes_soon(&mut self) {
+        self.report_rollouts_soon();
+    }
+
     /// Lets the boxes of the own failure domain know at once how far this one is with roll-outs.
     pub(super) fn report_rollouts_soon(&mut self) {
         let pending = &mut self.pending_usage;
@@ -82,6 +87,7 @@
         if self.now < self.pending_usage.due() {
             return;
         }
+        let crashes = self.quarantine.take_untold(self.now);
         let endpoints = std::mem::take(&mut self.pending_usage.endpoints);
         self.pending_usage.due = None;
         let answers = self.fleet.take_untold();
@@ -100,7 +106,10 @@
             samples,
             rollouts: self.rollout_notes(),
         };
-        self.actions.push(Action::GossipUsage { to, news });
+        self.actions.push(Action::GossipUsage { to, news, crashes });
+        if self.quarantine.has_untold() {
+            self.report_crashes_soon();
+        }
     }
 
     pub(super) fn on_peer_usage(&mut self, news: &UsageNews) {
@@ -211,7 +220,8 @@
         self.beat += 1;
         for (domain, to) in by_domain {
             let state = Box::new(self.state_for(&domain));
-            self.actions.push(Action::Gossip { to, state });
+            let crashes = self.quarantine.news_for_state(self.now);
+            self.actions.push(Action::Gossip { to, state, crashes });
         }
     }
 
--- a/src/gateway/dispatch/outcomes.rs
+++ b/src/gateway/dispatch/outcomes.rs
@@ -83,6 +83,7 @@
             endpoint.heard = now;
             endpoint.own.prefill = endpoint.own.prefill.saturating_sub(prefilled);
         }
+        self.note_crash_progress(number);
         self.sample_events(number, attempt);
         if is_first {
             self.sample_first_event(number, attempt, prefilled);
@@ -131,6 +132,7 @@
         }
         self.record_end(number, &active, outcome);
         self.sample_end(number, &active, outcome);
+        self.suspect_crash(number, &active, outcome);
         self.uncount_attempt(&active);
         if self.fleet.living(&active.endpoint).is_some() {
             self.believe(&active.endpoint.id, outcome);
@@ -180,20 +182,30 @@
             return;
         };
         match after_attempt(outcome, request.may_run_again()) {
-            AfterAttempt::Finish => self.finish(number, Command::Finish),
+            AfterAttempt::Finish => self.finish(number, Command::Finish, true),
             AfterAttempt::TryAgain => self.start_next_attempt(number),
-            AfterAttempt::Retry if self.take_retry(number) => self.start_next_attempt(number),
-            AfterAttempt::Retry => self.give_up_without_attempt(number),
+            // It is known soon whether it may run at all.
+            AfterAttempt::Retry if request.verdict_at.is_some() => {}
+            AfterAttempt::Retry => self.retry(number),
             AfterAttempt::RetryOrDeliver if self.take_retry(number) => {
                 self.start_attempt_anywhere(number);
             }
             AfterAttempt::Deliver | AfterAttempt::RetryOrDeliver => {
-                self.finish(number, Command::Deliver);
+                self.finish(number, Command::Deliver, is_answer(outcome));
             }
             AfterAttempt::GiveUp => self.give_up(number, RefusalReason::EndpointFailed),
         }
     }
 
+    /// Makes another attempt if the budget has a retry.
+    pub(super) fn retry(&mut self, number: RequestNumber) {
+        if self.take_retry(number) {
+            self.start_next_attempt(number);
+        } else {
+            self.give_up_without_attempt(number);
+        }
+    }
+
     /// Notes the replicas of an attempt that was lost, for the next one.
     pub(super) fn keep_replicas(
         &mut self,
@@ -272,8 +284,12 @@
         self.budget.take(&request.service, sharers, self.now)
     }
 
-    fn finish(&mut self, number: RequestNumber, command: Command) {
+    /// Gives a request its answer; `is_served` says that this is no error of the endpoint's own.
+    fn finish(&mut self, number: RequestNumber, command: Command, is_served: bool) {
         if let Some(request) = self.requests.remove(&number) {
+            if is_served {
+                self.quarantine.on_served(request.fingerprint, self.now);
+            }
             let is_whole_stream =
                 command == Command::Finish && request.arrival.after_event.is_none();
             if is_whole_stream {
@@ -308,6 +324,11 @@
     }
 }
 
+/// Whether an endpoint answered without a fault of its own.
+fn is_answer(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::Answered { status } if *status < LEAST_ERROR_STATUS)
+}
+
 fn end_of(request: &Request, active: &ActiveAttempt, outcome: &Outcome, after_ms: u64) -> Record {
     Record::Ended {
         request: request.arrival.id.clone(),
--- a/src/gateway/dispatch/placement.rs
+++ b/src/gateway/dispatch/placement.rs
@@ -57,6 +57,8 @@
     pub tried: &'a [EndpointIncarnation],
     /// What sets endpoints of equal cost apart: the same for each attempt of a request at any box.
     pub key: u64,
+    /// Whether it is to run where nothing else does.
+    pub alone: bool,
     /// Which endpoints it may use while its service moves to another version.
     pub rules: VersionRules<'a>,
 }
@@ -176,7 +178,13 @@
             (true, Some(_)) => costs::OTHER_DOMAIN_ENGINE,
             (true, None) => costs::OTHER_DOMAIN_PLAIN,
         };
+        let beside = if demand.alone && usage.running > 0 {
+            costs::BESIDE_OTHERS
+        } else {
+            0.0
+        };
         work + distance
+            + beside
             + weighing.standing_cost(endpoint, usage.running)
             + tie_break(demand, &endpoint.spec.id)
     }
--- a/src/gateway/dispatch/placement/costs.rs
+++ b/src/gateway/dispatch/placement/costs.rs
@@ -13,6 +13,7 @@
 //! | [`OTHER_DOMAIN_ENGINE`] | 300 | bytes between domains are dear, but less so than a third of a prefill |
 //! | [`FAILING`] | 1,500 | an endpoint that fails everything costs a second attempt, and more than waiting for a prompt |
 //! | [`FULL`] | 2,000 | without a free slot a request waits for another to end |
+//! | [`BESIDE_OTHERS`] | 2,500 | what may crash its endpoint runs alone wherever a sound one is free |
 //! | [`SUSPECTED`], [`SAME_DOMAIN_AS_ATTEMPT`] | 3,000 | worse than a full one, better than nothing |
 //! | [`NO_MEMORY`] | 4,000 | the engine would evict what others need; worse than a suspected one |
 //! | [`AVOIDED`] | 20,000 | only where nothing else is left |
@@ -31,6 +32,8 @@
 pub const OTHER_DOMAIN_PLAIN: f64 = 40.0;
 /// What an endpoint without a free slot costs.
 pub const FULL: f64 = 2_000.0;
+/// What an endpoint costs that runs anything, for a request under which endpoints ended.
+pub const BESIDE_OTHERS: f64 = 2_500.0;
 /// What an endpoint costs that failed all its requests lately; one that failed a part of them costs
 /// that part.
 pub const FAILING: f64 = 1_500.0;
--- /dev/null
+++ b/src/gateway/dispatch/quarantine.rs
@@ -0,0 +1,271 @@
+//! Which requests crash the endpoints that run them (queries of death), and are quarantined for it.
+//!
+//! Callers send a failed request again, at any box, and each try gets all attempts of its route: two
+//! such requests ended 75 engines in a minute. So boxes remember under which requests endpoints ended,
+//! by [`Fingerprint`], tell each other, and send a request that is to blame nowhere any more.
+//!
+//! The difficulty is who is to blame. All that runs at an endpoint breaks off with it: of 74 engines
+//! 46 ran up to eight innocent streams beside, and some of these met four crashes in a row. A crash
+//! counts against a request unless
+//!
+//! - it was served since, or has got past the point of the crash at another endpoint: a crash of its
+//!   own doing comes at the same point each time;
+//! - a request that is quarantined ran there too: that explains it;
+//! - others of the endpoint's failure domain ended at the same time ([`super::fleet`]).
+//!
+//! A request is quarantined after [`QUARANTINE_AT`] crashes that count, if at one of them it alone can be to
+//! blame: all that ran beside it has been served since or got on. After two crashes it is placed where
+//! nothing else runs, and nothing is placed beside it ([`super::attempts`]), so that the third one
+//! tells, and costs nobody else. Where that can't be had it is quarantined after [`QUARANTINE_ANYWAY_AT`]
+//! crashes, whatever ran beside it or fell with it. It is forgotten [`KEPT_FOR`] after its last crash, so a
+//! server that was mended meanwhile gets it again.
+//!
+//! Owns: crashes and who was there. Relies on: endpoints that were checked to have ended, since a
+//! connection that breaks alone is no crash ([`super::crashes`]). Weighed in docs/design/quarantine.md:
+//! counting per box, blaming all that ran, and asking the store.
+
+mod news;
+mod suspect;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::schema::{EndpointIncarnation, Fingerprint, Micros};
+pub use suspect::Crash;
+use suspect::Suspect;
+
+/// Crashes after which a request is quarantined that alone can be to blame for one of them: the users'
+/// rule allows three more arrivals from then on.
+pub const QUARANTINE_AT: usize = 3;
+/// Crashes after which it is quarantined in any case. Two more than above, so that it stays within that
+/// rule; chosen, not measured.
+const QUARANTINE_ANYWAY_AT: usize = 5;
+/// Crashes after which a request is placed where nothing else runs: the next one decides.
+pub const ALONE_AT: usize = QUARANTINE_AT - 1;
+/// How long a crash counts, and so how long a request is quarantined after its last one. Chosen: an
+/// operator notices and mends the servers meanwhile; not measured.
+const KEPT_FOR: Duration = Duration::from_secs(30 * 60);
+/// How many requests are remembered: some 300 bytes each. Chosen, not measured.
+const MOST_SUSPECTS: usize = 2_000;
+
+/// Who ran at a life of an endpoint when it ended.
+#[derive(Debug, Default)]
+struct Witnesses {
+    at: Micros,
+    requests: BTreeSet<Fingerprint>,
+}
+
+/// Requests under which endpoints ended.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    suspects: BTreeMap<Fingerprint, Suspect>,
+    lives: BTreeMap<EndpointIncarnation, Witnesses>,
+    /// What boxes of the own failure domain have not been told.
+    untold: BTreeSet<Fingerprint>,
+    /// Which of the requests that are quarantined was told last for its own sake.
+    last_told: Option<Fingerprint>,
+}
+
+impl Quarantine {
+    /// Whether a request is quarantined.
+    #[must_use]
+    pub fn is_quarantined(&self, request: Fingerprint) -> bool {
+        let suspect = self.suspects.get(&request);
+        suspect.is_some_and(|suspect| suspect.quarantined.is_some())
+    }
+
+    /// How many crashes count against a request.
+    #[must_use]
+    pub fn crashes_of(&self, request: Fingerprint) -> usize {
+        let suspect = self.suspects.get(&request);
+        suspect.map_or(0, |suspect| self.counted(request, suspect).count())
+    }
+
+    /// The requests that are quarantined, and since when.
+    pub fn quarantined(&self) -> impl Iterator<Item = (Fingerprint, Micros)> {
+        let suspects = self.suspects.iter();
+        suspects.filter_map(|(request, suspect)| Some((*request, suspect.quarantined?)))
+    }
+
+    /// Notes that an endpoint ended under a request; returns whether the request is quarantined from now
+    /// on.
+    pub fn on_crash(&mut self, request: Fingerprint, crash: Crash, now: Micros) -> bool {
+        self.untold.insert(request);
+        self.take_crash(request, crash, now);
+        self.judge(request, now)
+    }
+
+    /// Notes how far a request has come at an endpoint.
+    pub fn on_progress(
+        &mut self,
+        request: Fingerprint,
+        last_event: u64,
+        ran: Duration,
+        now: Micros,
+    ) {
+        let Some(suspect) = self.suspects.get_mut(&request) else {
+            return;
+        };
+        if suspect.on_progress(last_event, ran) {
+            suspect.changed = now;
+            self.untold.insert(request);
+        }
+    }
+
+    /// Notes that a request was answered.
+    pub fn on_served(&mut self, request: Fingerprint, now: Micros) {
+        let Some(suspect) = self.suspects.get_mut(&request) else {
+            return;
+        };
+        if !suspect.crashes.is_empty() {
+            suspect.on_served(now);
+            suspect.changed = now;
+            self.untold.insert(request);
+        }
+    }
+
+    /// Takes in a crash; returns whether it is news.
+    fn take_crash(&mut self, request: Fingerprint, crash: Crash, now: Micros) -> bool {
+        if now.since(crash.at) >= KEPT_FOR {
+            return false;
+        }
+        let witnesses = self.lives.entry(crash.endpoint.clone()).or_default();
+        witnesses.at = witnesses.at.max(crash.at);
+        witnesses.requests.insert(request);
+        let suspect = self.suspects.entry(request).or_default();
+        let is_news = suspect.on_crash(crash);
+        if is_news {
+            suspect.changed = now;
+            self.forget_beyond(MOST_SUSPECTS);
+        }
+        is_news
+    }
+
+    /// Decides about a request; returns whether it is quarantined from now on.
+    fn judge(&mut self, request: Fingerprint, now: Micros) -> bool {
+        let Some(suspect) = self.suspects.get(&request) else {
+            return false;
+        };
+        if suspect.quarantined.is_some() || !self.is_to_blame(request, suspect) {
+            return false;
+        }
+        if let Some(suspect) = self.suspects.get_mut(&request) {
+            suspect.quarantined = Some(now);
+            suspect.changed = now;
+        }
+        self.untold.insert(request);
+        true
+    }
+
+    /// The rule at the head of this module.
+    fn is_to_blame(&self, request: Fingerprint, suspect: &Suspect) -> bool {
+        if self.unexplained(request, suspect).count() >= QUARANTINE_ANYWAY_AT {
+            return true;
+        }
+        let alone = |crash: &Crash| self.is_alone_to_blame(request, crash);
+        self.counted(request, suspect).count() >= QUARANTINE_AT
+            && self.counted(request, suspect).any(alone)
+    }
+
+    /// Crashes that the request may have caused, those among them that fell with their domain too.
+    fn unexplained<'a>(
+        &'a self,
+        request: Fingerprint,
+        suspect: &'a Suspect,
+    ) -> impl Iterator<Item = &'a Crash> {
+        let open = suspect.crashes.iter().filter(|crash| !crash.is_passed);
+        open.filter(move |crash| !self.is_explained(request, crash))
+    }
+
+    /// Crashes that count against the request.
+    fn counted<'a>(
+        &'a self,
+        request: Fingerprint,
+        suspect: &'a Suspect,
+    ) -> impl Iterator<Item = &'a Crash> {
+        let unexplained = self.unexplained(request, suspect);
+        unexplained.filter(|crash| !crash.fell_with_domain)
+    }
+
+    /// Whether a request that is quarantined ran there too.
+    fn is_explained(&self, request: Fingerprint, crash: &Crash) -> bool {
+        let mut others = self.others_at(request, crash);
+        others.any(|other| self.is_quarantined(other) && self.is_suspected_of(other, crash))
+    }
+
+    /// Whether all that ran beside a request is known, and is not suspected any more.
+    fn is_alone_to_blame(&self, request: Fingerprint, crash: &Crash) -> bool {
+        let known = self.others_at(request, crash).count();
+        let mut others = self.others_at(request, crash);
+        known >= crash.beside as usize && others.all(|other| !self.is_suspected_of(other, crash))
+    }
+
+    fn is_suspected_of(&self, request: Fingerprint, crash: &Crash) -> bool {
+        let suspect = self.suspects.get(&request);
+        suspect.is_some_and(|suspect| suspect.is_suspected_of(&crash.endpoint))
+    }
+
+    /// Others that ran at an endpoint when it ended.
+    fn others_at<'a>(
+        &'a self,
+        request: Fingerprint,
+        crash: &Crash,
+    ) -> impl Iterator<Item = Fingerprint> + use<'a> {
+        let witnesses = self.lives.get(&crash.endpoint);
+        let requests = witnesses
+            .into_iter()
+            .flat_map(|w| w.requests.iter().copied());
+        requests.filter(move |other| *other != request)
+    }
+
+    /// Forgets what is old; returns the requests that are quarantined no more.
+    pub fn forget_old(&mut self, now: Micros) -> Vec<Fingerprint> {
+        let is_old = |at: Micros| now.since(at) >= KEPT_FOR;
+        self.lives.retain(|_, witnesses| !is_old(witnesses.at));
+        let suspects = self.suspects.iter();
+        let old: Vec<_> = suspects
+            .filter(|(_, suspect)| is_old(suspect.last()))
+            .map(|(request, suspect)| (*request, suspect.quarantined.is_some()))
+            .collect();
+        for (request, _) in &old {
+            self.suspects.remove(request);
+        }
+        let released = old
+            .into_iter()
+            .filter(|(_, was_quarantined)| *was_quarantined);
+        released.map(|(request, _)| request).collect()
+    }
+
+    /// Forgets the oldest of those that fewest crashes count against, so that no more are left.
+    fn forget_beyond(&mut self, most: usize) {
+        while self.suspects.len() > most {
+            let suspects = self.suspects.iter();
+            let least = suspects.min_by_key(|(_, suspect)| {
+                (
+                    suspect.quarantined.is_some(),
+                    suspect.crashes.len(),
+                    suspect.last(),
+                )
+            });
+            let Some(request) = least.map(|(request, _)| *request) else {
+                return;
+            };
+            if let Some(forgotten) = self.suspects.remove(&request) {
+                self.forget_lives_of(request, &forgotten);
+            }
+        }
+    }
+
+    fn forget_lives_of(&mut self, request: Fingerprint, forgotten: &Suspect) {
+        self.untold.remove(&request);
+        for crash in &forgotten.crashes {
+            let Some(witnesses) = self.lives.get_mut(&crash.endpoint) else {
+                continue;
+            };
+            witnesses.requests.remove(&request);
+            if witnesses.requests.is_empty() {
+                self.lives.remove(&crash.endpoint);
+            }
+        }
+    }
+}
--- a/src/gateway/dispatch/rebirth.rs
+++ b/src/gateway/dispatch/rebirth.rs
@@ -82,7 +82,7 @@
         }
         active.endpoint = endpoint.spec.incarnation();
         active.prefill = 0;
-        endpoint.own.running += 1;
+        endpoint.own.running += active.slots;
         endpoint.own.memory += active.memory;
     }
 }
--- a/src/gateway/dispatch/record.rs
+++ b/src/gateway/dispatch/record.rs
@@ -3,6 +3,8 @@
 //! The names of events and fields are those of the log and stay as they are; where one misleads,
 //! its comment says what the field holds. Keys of callers never stand in a record.
 
+mod sentence;
+
 use std::borrow::Cow;
 
 use serde::{Deserialize, Serialize};
@@ -258,6 +260,33 @@
         /// When it has started now.
         born: Option<u64>,
     },
+    /// An endpoint ended under a request.
+    Crashed {
+        /// The caller's id.
+        request: String,
+        /// What it is known by when it is sent again.
+        fingerprint: String,
+        /// The endpoint.
+        endpoint: String,
+        /// Requests that ran beside it.
+        beside: u32,
+        /// Whether others of the endpoint's failure domain ended at the same time.
+        fell_with_domain: bool,
+        /// Crashes that count against the request, with this one.
+        counted: usize,
+    },
+    /// A request is sent to no endpoint any more.
+    Quarantined {
+        /// What it is known by when it is sent again.
+        fingerprint: String,
+        /// Crashes that count against it.
+        crashes: usize,
+    },
+    /// A request that was held back may be sent again.
+    Released {
+        /// What it is known by when it is sent again.
+        fingerprint: String,
+    },
     /// A roll-out has entered a phase.
     Rollout {
         /// The service.
@@ -290,6 +319,7 @@
             | Self::Resumed { request, .. }
             | Self::Copied { request, .. }
             | Self::Suspected { request, .. }
+            | Self::Crashed { request, .. }
             | Self::Refused { request, .. }
             | Self::Answered { request, .. }
             | Self::CallerGone { request, .. } => Some(request),
@@ -299,187 +329,10 @@
             | Self::Endpoint { .. }
             | Self::Endpoints { .. }
             | Self::Reborn { .. }
+            | Self::Quarantined { .. }
+            | Self::Released { .. }
             | Self::Rollout { .. }
             | Self::Process { .. } => None,
         }
     }
-
-    /// What it says, for a person.
-    #[must_use]
-    pub fn sentence(&self) -> String {
-        match self {
-            Self::Arrived { .. }
-            | Self::Begun { .. }
-            | Self::Resumed { .. }
-            | Self::Answered { .. }
-            | Self::CallerGone { .. }
-            | Self::Refused { .. } => self.request_sentence(),
-            Self::Sent { .. }
-            | Self::Ended { .. }
-            | Self::Copied { .. }
-            | Self::Suspected { .. } => self.attempt_sentence(),
-            Self::TableInForce { .. } | Self::TableRead { .. } | Self::TableFetched { .. } => {
-                self.table_sentence()
-            }
-            Self::Endpoint { endpoint, state } => format!("{endpoint} {state}"),
-            Self::Endpoints {
-                at,
-                present,
-                leaving,
-                absent,
-                unreadable,
-            } => format!(
-                "endpoints at {at}: {present} present, {leaving} leaving, {absent} absent, \
-                 {unreadable} unreadable"
-            ),
-            Self::Reborn { endpoint, born, .. } => {
-                format!(
-                    "{endpoint} has started again, born {}",
-                    born.unwrap_or_default()
-                )
-            }
-            Self::Rollout {
-                service,
-                target,
-                phase,
-                why,
-            } => format!("roll-out of {service} to {target}: {phase}, {why}"),
-            Self::Process { state, detail } => format!("{state} {detail}"),
-        }
-    }
-
-    fn table_sentence(&self) -> String {
-        match self {
-            Self::TableInForce { version } => format!("table {version} in force"),
-            Self::TableRead {
-                version,
-                from,
-                bytes,
-                check_ms,
-                age_ms,
-                ..
-            } => format!(
-                "table {version} from {from}, {bytes} bytes, checked in {check_ms} ms, \
-                 {age_ms} ms after the store's answer"
-            ),
-            Self::TableFetched {
-                from,
-                after,
-                bytes,
-                after_ms,
-                outcome,
-            } => format!(
-                "fetch of a table after {after} from {from}: {outcome}, {bytes} bytes in \
-                 {after_ms} ms"
-            ),
-            _ => String::new(),
-        }
-    }
-
-    fn request_sentence(&self) -> String {
-        match self {
-            Self::Arrived {
-                route,
-                table,
-                prompt,
-                fingerprint,
-                ..
-            } => format!(
-                "arrived for route {route}, table {table}, prompt of {prompt} tokens, as \
-                 {fingerprint}"
-            ),
-            Self::Begun {
-                endpoint, after_ms, ..
-            } => format!("first event from {endpoint}, {after_ms} ms after the arrival"),
-            Self::Resumed {
-                endpoint, pause_ms, ..
-            } => format!("resumed at {endpoint} after a pause of {pause_ms} ms"),
-            Self::Answered {
-                after_ms, attempts, ..
-            } => format!("answered after {after_ms} ms, attempts: {attempts}"),
-            Self::CallerGone { after_ms, .. } => format!("its caller left after {after_ms} ms"),
-            Self::Refused {
-                reason,
-                after_ms,
-                attempts,
-                fault,
-                ..
-            } => {
-                let fault = fault.map_or(String::new(), |f| format!(", last fault: {f:?}"));
-                let reason = reason.word();
-                format!("given up after {after_ms} ms: {reason}, attempts: {attempts}{fault}")
-            }
-            _ => String::new(),
-        }
-    }
-
-    fn attempt_sentence(&self) -> String {
-        match self {
-            Self::Sent { .. } => self.sent_sentence(),
-            Self::Ended { .. } => self.ended_sentence(),
-            Self::Copied {
-                holder,
-                is_made,
-                after_ms,
-                ..
-            } => {
-                let taken = if *is_made { "taken" } else { "not taken" };
-                format!("snapshot {taken} at {holder} after {after_ms} ms")
-            }
-            Self::Suspected {
-                endpoint,
-                silent_ms,
-                ..
-            } => format!("left {endpoint} after {silent_ms} ms without a word"),
-            _ => String::new(),
-        }
-    }
-
-    fn sent_sentence(&self) -> String {
-        let Self::Sent {
-            attempt,
-            endpoint,
-            domain,
-            backup,
-            from_backup,
-            after_event,
-            reading,
-            running,
-            left_ms,
-            ..
-        } = self
-        else {
-            return String::new();
-        };
-        let from = if *from_backup { " from a replica" } else { "" };
-        let after = after_event.map_or(String::new(), |e| format!(" after event {e}"));
-        let mirror = backup.as_deref().unwrap_or("none");
-        format!(
-            "attempt {attempt} at {endpoint} in {domain}{from}{after}, mirror: {mirror}; \
-             running there: {running}, prompt tokens waiting: {reading}; {left_ms} ms left"
-        )
-    }
-
-    fn ended_sentence(&self) -> String {
-        let Self::Ended {
-            attempt,
-            endpoint,
-            outcome,
-            status,
-            after_ms,
-            last_event,
-            ..
-        } = self
-        else {
-            return String::new();
-        };
-        let status = match status {
-            0 => String::new(),
-            status => format!(", status {status}"),
-        };
-        let last = last_event.map_or(String::new(), |e| format!(", last event {e}"));
-        format!(
-            "attempt {attempt} at {endpoint} ended after {after_ms} ms: {outcome}{status}{last}"
-        )
-    }
 }
--- /dev/null
+++ b/src/gateway/dispatch/record/sentence.rs
@@ -0,0 +1,206 @@
+//! What a record says, for a person.
+
+use super::Record;
+
+impl Record {
+    /// What it says, for a person.
+    #[must_use]
+    pub fn sentence(&self) -> String {
+        match self {
+            Self::Arrived { .. }
+            | Self::Begun { .. }
+            | Self::Resumed { .. }
+            | Self::Answered { .. }
+            | Self::CallerGone { .. }
+            | Self::Refused { .. } => self.request_sentence(),
+            Self::Sent { .. }
+            | Self::Ended { .. }
+            | Self::Copied { .. }
+            | Self::Suspected { .. }
+            | Self::Crashed { .. } => self.attempt_sentence(),
+            Self::TableInForce { .. } | Self::TableRead { .. } | Self::TableFetched { .. } => {
+                self.table_sentence()
+            }
+            Self::Endpoint { endpoint, state } => format!("{endpoint} {state}"),
+            Self::Endpoints {
+                at,
+                present,
+                leaving,
+                absent,
+                unreadable,
+            } => format!(
+                "endpoints at {at}: {present} present, {leaving} leaving, {absent} absent, \
+                 {unreadable} unreadable"
+            ),
+            Self::Reborn { endpoint, born, .. } => {
+                format!(
+                    "{endpoint} has started again, born {}",
+                    born.unwrap_or_default()
+                )
+            }
+            Self::Quarantined {
+                fingerprint,
+                crashes,
+            } => format!("{fingerprint} is quarantined, crashes that count: {crashes}"),
+            Self::Released { fingerprint } => format!("{fingerprint} is quarantined no more"),
+            Self::Rollout {
+                service,
+                target,
+                phase,
+                why,
+            } => format!("roll-out of {service} to {target}: {phase}, {why}"),
+            Self::Process { state, detail } => format!("{state} {detail}"),
+        }
+    }
+
+    fn table_sentence(&self) -> String {
+        match self {
+            Self::TableInForce { version } => format!("table {version} in force"),
+            Self::TableRead {
+                version,
+                from,
+                bytes,
+                check_ms,
+                age_ms,
+                ..
+            } => format!(
+                "table {version} from {from}, {bytes} bytes, checked in {check_ms} ms, \
+                 {age_ms} ms after the store's answer"
+            ),
+            Self::TableFetched {
+                from,
+                after,
+                bytes,
+                after_ms,
+                outcome,
+            } => format!(
+                "fetch of a table after {after} from {from}: {outcome}, {bytes} bytes in \
+                 {after_ms} ms"
+            ),
+            _ => String::new(),
+        }
+    }
+
+    fn request_sentence(&self) -> String {
+        match self {
+            Self::Arrived {
+                route,
+                table,
+                prompt,
+                fingerprint,
+                ..
+            } => format!(
+                "arrived for route {route}, table {table}, prompt of {prompt} tokens, as \
+                 {fingerprint}"
+            ),
+            Self::Begun {
+                endpoint, after_ms, ..
+            } => format!("first event from {endpoint}, {after_ms} ms after the arrival"),
+            Self::Resumed {
+                endpoint, pause_ms, ..
+            } => format!("resumed at {endpoint} after a pause of {pause_ms} ms"),
+            Self::Answered {
+                after_ms, attempts, ..
+            } => format!("answered after {after_ms} ms, attempts: {attempts}"),
+            Self::CallerGone { after_ms, .. } => format!("its caller left after {after_ms} ms"),
+            Self::Refused {
+                reason,
+                after_ms,
+                attempts,
+                fault,
+                ..
+            } => {
+                let fault = fault.map_or(String::new(), |f| format!(", last fault: {f:?}"));
+                let reason = reason.word();
+                format!("given up after {after_ms} ms: {reason}, attempts: {attempts}{fault}")
+            }
+            _ => String::new(),
+        }
+    }
+
+    fn attempt_sentence(&self) -> String {
+        match self {
+            Self::Sent { .. } => self.sent_sentence(),
+            Self::Ended { .. } => self.ended_sentence(),
+            Self::Copied {
+                holder,
+                is_made,
+                after_ms,
+                ..
+            } => {
+                let taken = if *is_made { "taken" } else { "not taken" };
+                format!("snapshot {taken} at {holder} after {after_ms} ms")
+            }
+            Self::Suspected {
+                endpoint,
+                silent_ms,
+                ..
+            } => format!("left {endpoint} after {silent_ms} ms without a word"),
+            Self::Crashed {
+                endpoint,
+                beside,
+                fell_with_domain,
+                counted,
+                ..
+            } => {
+                let fell = if *fell_with_domain {
+                    ", with its domain"
+                } else {
+                    ""
+                };
+                format!(
+                    "{endpoint} ended under it{fell}; beside it ran: {beside}, crashes that count: {counted}"
+                )
+            }
+            _ => String::new(),
+        }
+    }
+
+    fn sent_sentence(&self) -> String {
+        let Self::Sent {
+            attempt,
+            endpoint,
+            domain,
+            backup,
+            from_backup,
+            after_event,
+            reading,
+            running,
+            left_ms,
+            ..
+        } = self
+        else {
+            return String::new();
+        };
+        let from = if *from_backup { " from a replica" } else { "" };
+        let after = after_event.map_or(String::new(), |e| format!(" after event {e}"));
+        let mirror = backup.as_deref().unwrap_or("none");
+        format!(
+            "attempt {attempt} at {endpoint} in {domain}{from}{after}, mirror: {mirror}; \
+             running there: {running}, prompt tokens waiting: {reading}; {left_ms} ms left"
+        )
+    }
+
+    fn ended_sentence(&self) -> String {
+        let Self::Ended {
+            attempt,
+            endpoint,
+            outcome,
+            status,
+            after_ms,
+            last_event,
+            ..
+        } = self
+        else {
+            return String::new();
+        };
+        let status = match status {
+            0 => String::new(),
+            status => format!(", status {status}"),
+        };
+        let last = last_event.map_or(String::new(), |e| format!(", last event {e}"));
+        format!(
+            "attempt {attempt} at {endpoint} ended after {after_ms} ms: {outcome}{status}{last}"
+        )
+    }
+}
--- a/src/gateway/dispatch/refusal.rs
+++ b/src/gateway/dispatch/refusal.rs
@@ -10,7 +10,8 @@
 //! The adapter makes the status of a reason: for the users' platform 503 for
 //! [`RefusalReason::NoConfiguration`], [`RefusalReason::NoEndpoint`] and
 //! [`RefusalReason::ExpiredNotRun`], 404, 401, 504 for [`RefusalReason::Expired`] and 502 for
-//! [`RefusalReason::EndpointFailed`] (`platform/src/dialect.rs`).
+//! [`RefusalReason::EndpointFailed`] and [`RefusalReason::Quarantined`] (`platform/src/dialect.rs`).
+//! The last one promises nothing about having run, and asks nobody back.
 
 use std::time::Duration;
 
@@ -49,6 +50,8 @@
     Expired,
     /// The endpoint failed and it may have run.
     EndpointFailed,
+    /// Endpoints ended under it, here or at other boxes, so it is sent to no more.
+    Quarantined,
 }
 
 impl RefusalReason {
@@ -63,6 +66,7 @@
             Self::ExpiredNotRun => "expired_not_run",
             Self::Expired => "expired",
             Self::EndpointFailed => "endpoint_failed",
+            Self::Quarantined => "quarantined",
         }
     }
 
@@ -113,7 +117,8 @@
             RefusalReason::NoRoute
             | RefusalReason::UnknownKey
             | RefusalReason::Expired
-            | RefusalReason::EndpointFailed => None,
+            | RefusalReason::EndpointFailed
+            | RefusalReason::Quarantined => None,
         };
         Self {
             reason,
--- a/src/gateway/dispatch/replicas.rs
+++ b/src/gateway/dispatch/replicas.rs
@@ -357,10 +357,13 @@
     /// Takes the next replica that a request can go on from.
     pub(super) fn take_replica(&mut self, number: RequestNumber) -> Option<Replica> {
         let now = self.now;
+        let alone = self.runs_alone(number);
         while let Some(replica) = self.next_replica(number) {
             let host = self.fleet.living(&replica.host);
-            let is_usable =
-                host.is_some_and(|e| e.takes_work() && !e.is_avoided(now) && self.may_resume_at(e));
+            let is_usable = host.is_some_and(|e| {
+                let is_free = !alone || self.fleet.usage(e, now).running == 0;
+                is_free && e.takes_work() && !e.is_avoided(now) && self.may_resume_at(e)
+            });
             if is_usable && now < replica.until {
                 return Some(replica);
             }
--- a/src/gateway/dispatch/request.rs
+++ b/src/gateway/dispatch/request.rs
@@ -52,6 +52,8 @@
     pub prefill: u32,
     /// Tokens of KV memory that count as taken by it, at the endpoint and at each replica's host.
     pub memory: u32,
+    /// Slots that count as taken by it: all of the endpoint's, if nothing is to run beside it.
+    pub slots: u32,
 }
 
 /// A request that is served.
@@ -102,6 +104,8 @@
     pub next_look: Option<Micros>,
     /// Since when no endpoint was found.
     pub without_endpoint: Option<Micros>,
+    /// When it is known whether the crash of its last endpoint has it held back.
+    pub verdict_at: Option<Micros>,
 }
 
 impl Request {
@@ -139,6 +143,7 @@
             fault: None,
             next_look: None,
             without_endpoint: None,
+            verdict_at: None,
         }
     }
 
@@ -180,8 +185,9 @@
     }
 
     /// What is to be placed.
-    pub fn demand<'a>(&'a self, rules: VersionRules<'a>) -> Demand<'a> {
+    pub fn demand<'a>(&'a self, rules: VersionRules<'a>, alone: bool) -> Demand<'a> {
         Demand {
+            alone,
             service: &self.service,
             engine: self.engine,
             memory: self.memory(),
--- a/src/gateway/dispatch/rollouts.rs
+++ b/src/gateway/dispatch/rollouts.rs
@@ -290,7 +290,7 @@
 
     /// What is to be placed for a request.
     pub(super) fn demand_of<'a>(&'a self, request: &'a Request) -> Demand<'a> {
-        request.demand(self.rules_for(request))
+        request.demand(self.rules_for(request), false)
     }
 
     /// Whether a request may go on at an endpoint that holds a replica.
--- a/src/gateway/dispatch/suspicion.rs
+++ b/src/gateway/dispatch/suspicion.rs
@@ -14,7 +14,7 @@
 //! two engines for each stream (twice the prefill).
 //!
 //! A request has these checks, the first that holds is carried out: its deadline is over (given
-//! up); it waits for an endpoint and the pause is over (looks again); a call is slow (moves); its
+//! up); it waits to be quarantined or not, and that is known (goes on, [`super::crashes`]); it waits for an endpoint and the pause is over (looks again); a call is slow (moves); its
 //! engine has started again, and nothing of the attempt was heard since (moves, [`super::rebirth`]); its
 //! engine is silent (probe); its replicas are due ([`super::replicas`]).
 
@@ -74,6 +74,9 @@
         } else if has_come(request.next_look, now) {
             request.next_look = None;
             self.start_attempt_anywhere(number);
+        } else if has_come(request.verdict_at, now) {
+            request.verdict_at = None;
+            self.retry(number);
         } else if is_slow_call(request, now) || self.is_stranded(number) {
             self.move_away(number);
         } else if self.is_to_leave(number) {
--- a/src/gateway/explain.rs
+++ b/src/gateway/explain.rs
@@ -64,6 +64,8 @@
     EndpointSilent,
     /// The endpoint's answer was spoilt, and it may not be repeated or no retry was left.
     AnswerSpoilt,
+    /// Endpoints ended under it, so it was sent to no more.
+    Quarantined,
     /// Its box wrote no end: it was killed, lost power, or still serves it.
     NoEnd,
 }
@@ -77,6 +79,7 @@
             Self::EndpointError => "The endpoint answered with an error of its own.",
             Self::CallerGone => "The caller left before the answer was complete.",
             Self::NoConfiguration => "The box had read no configuration yet.",
+            Self::Quarantined => "Endpoints ended under it, so it is quarantined.",
             Self::NoRoute => "No route of the configuration in force has its host and path.",
             Self::UnknownKey => "Nobody holds its key in the configuration in force.",
             Self::NoEndpoint => "No endpoint of its service could take it; it has not run.",
@@ -177,6 +180,7 @@
         (RefusalReason::NoEndpoint, _) => Cause::NoEndpoint,
         (RefusalReason::ExpiredNotRun, _) => Cause::ExpiredNotRun,
         (RefusalReason::Expired, _) => Cause::Expired,
+        (RefusalReason::Quarantined, _) => Cause::Quarantined,
         (RefusalReason::EndpointFailed, Some(Fault::Silent)) => Cause::EndpointSilent,
         (RefusalReason::EndpointFailed, Some(Fault::Malformed | Fault::Foreign)) => {
             Cause::AnswerSpoilt
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -7,6 +7,7 @@
 pub mod attempt;
 pub mod callers;
 pub mod control;
+pub mod datagram;
 pub mod decision_log;
 pub mod dialect;
 mod endpoint_reader;
--- a/src/gateway/shell/control.rs
+++ b/src/gateway/shell/control.rs
@@ -15,7 +15,9 @@
 use crate::gateway::dispatch::event::{Event, RequestNumber};
 use crate::gateway::shell::dialect::ObjectKind;
 use crate::gateway::shell::input::Input;
-use crate::gateway::shell::{GatewayShared, peers, probes, rollouts, snapshots, store, transfer};
+use crate::gateway::shell::{
+    GatewayShared, datagram, peers, probes, rollouts, snapshots, store, transfer,
+};
 
 /// The control thread's own state.
 pub struct Control {
@@ -121,6 +123,7 @@
             | Action::ReadTable
             | Action::WriteRollout(_) => self.speak_to_boxes(action),
             Action::Probe { .. }
+            | Action::CheckEnded { .. }
             | Action::Locate { .. }
             | Action::TakeSnapshot(_)
             | Action::DropSnapshot { .. }
@@ -134,11 +137,13 @@
         let shared = self.shared.clone();
         let gossip = Arc::clone(&self.gossip);
         match action {
-            Action::Gossip { to, state } => {
-                self.spawn(peers::send_state(gossip, to, *state, shared));
+            Action::Gossip { to, state, crashes } => {
+                let datagram = datagram::write_state(&state, &crashes);
+                self.spawn(peers::send(gossip, to, datagram, shared));
             }
-            Action::GossipUsage { to, news } => {
-                self.spawn(peers::send_usage(gossip, to, news, shared));
+            Action::GossipUsage { to, news, crashes } => {
+                let datagram = datagram::write_usage(&news, &crashes);
+                self.spawn(peers::send(gossip, to, datagram, shared));
             }
             Action::FetchState { from, kind, wanted } => {
                 self.spawn(transfer::fetch(from, kind, wanted, shared));
@@ -158,6 +163,11 @@
                 address,
                 limit,
             } => self.spawn(probes::probe(endpoint, address, limit, shared)),
+            Action::CheckEnded {
+                endpoint,
+                address,
+                limit,
+            } => self.spawn(probes::check_ended(endpoint, address, limit, shared)),
             Action::Locate {
                 request,
                 part,
--- a/src/gateway/shell/probes.rs
+++ b/src/gateway/shell/probes.rs
@@ -5,18 +5,20 @@
 //! answer too, so failures here are reported as such and are no faults. Relies on:
 //! [`super::dialect`] for paths and bodies.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use gotham::hyper::StatusCode;
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 use crate::gateway::dispatch::event::{EndpointSpec, Event, RequestNumber};
 use crate::gateway::shell::GatewayShared;
 use crate::gateway::shell::input::Input;
 use crate::http::pool::{Connection, Pool};
-use crate::schema::EndpointId;
+use crate::schema::{EndpointId, EndpointIncarnation};
 
 /// How long a connection may have rested for a probe. Chosen, not measured.
 const PROBE_REST: Duration = Duration::from_secs(4);
@@ -44,6 +46,27 @@
     shared.send(Input::Event(event)).await;
 }
 
+/// Makes a connection to an endpoint and reports whether nothing listens there any more. One that
+/// can't be made in time tells nothing: the link may be cut.
+pub async fn check_ended(
+    endpoint: EndpointIncarnation,
+    address: SocketAddr,
+    limit: Duration,
+    shared: GatewayShared,
+) {
+    shared.metrics.probes.inc();
+    let connecting = tokio::time::timeout(limit, TcpStream::connect(address)).await;
+    let has_ended = match connecting {
+        Ok(Err(e)) => e.kind() == ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => false,
+    };
+    let event = Event::Checked {
+        endpoint,
+        has_ended,
+    };
+    shared.send(Input::Event(event)).await;
+}
+
 /// Asks engines which of them keeps a part of a prompt, and reports the first that does.
 pub async fn locate(
     request: RequestNumber,
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -572,6 +572,34 @@
     pub name: CallName,
     pub repeatable: bool,
 }
+///What a box knows of requests under which endpoints ended.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct CrashNews {
+    ///Lives that ended.
+    pub crashes: ::std::vec::Vec<CrashNote>,
+    ///Requests that are not to blame.
+    pub served: ::std::vec::Vec<ServedNote>,
+}
+///A life of an endpoint that ended while it ran a request.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct CrashNote {
+    ///Milliseconds since it ended.
+    pub age_ms: u32,
+    ///Requests that ran beside it.
+    pub beside: u32,
+    pub endpoint: EndpointIncarnation,
+    ///Whether others of the endpoint's failure domain ended at the same time.
+    pub fell_with_domain: bool,
+    ///Whether the request has since got past that point at another endpoint.
+    pub is_passed: bool,
+    ///The last event that the caller had got, or 0.
+    pub last_event: u64,
+    ///Milliseconds since the first event there, or 0.
+    pub ran_ms: u32,
+    pub request: Fingerprint,
+}
 ///A caller's place in an answer.
 #[derive(
     ::serde::Deserialize,
@@ -591,6 +619,15 @@
     pub generation: Generation,
     pub offset: TokenOffset,
 }
+///What stands behind the message of a datagram; a box passes over kinds that it doesn't know.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct DatagramSection {
+    ///Its bytes.
+    pub content: ::std::vec::Vec<u8>,
+    ///What it is.
+    pub kind: u16,
+}
 ///Asks the domain's scribe to keep a request.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -816,7 +853,17 @@
     }
 }
 ///One life of an endpoint, from a start of its process to its end.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
 #[serde(deny_unknown_fields)]
 pub struct EndpointIncarnation {
     ///When that life began, if the endpoint says so.
@@ -2675,6 +2722,14 @@
     pub target: AnswerTimes,
     pub worst: AnswerTimes,
 }
+///A request that was answered though endpoints had ended under it.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ServedNote {
+    ///Milliseconds since it was answered.
+    pub age_ms: u32,
+    pub request: Fingerprint,
+}
 ///A plain service's answer.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -257,11 +257,11 @@
 
     fn perform(&mut self, at: usize, action: Action) {
         match action {
-            Action::Gossip { to, state } => {
+            Action::Gossip { to, state, .. } => {
                 self.bytes += encoded(&*state) * to.len() as u64;
                 self.send(at, &to, &Event::Peer(*state));
             }
-            Action::GossipUsage { to, news } => {
+            Action::GossipUsage { to, news, .. } => {
                 self.bytes += encoded(&news) * to.len() as u64;
                 self.send(at, &to, &Event::PeerUsage(news));
             }
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -46,7 +46,7 @@
 fn named_to(world: &mut World, receivers: std::ops::Range<u16>) -> Vec<Vec<u16>> {
     let mut found = Vec::new();
     for action in world.run(2_500) {
-        if let Action::Gossip { to, state } = action
+        if let Action::Gossip { to, state, .. } = action
             && to.iter().any(|to| receivers.contains(&to.port()))
         {
             let members = state.members.iter();
--- a/tests/store_watchers.rs
+++ b/tests/store_watchers.rs
@@ -116,7 +116,7 @@
     let claims = done[began.unwrap()..]
         .iter()
         .filter_map(|action| match action {
-            Action::Gossip { to, state } => Some((to, state)),
+            Action::Gossip { to, state, .. } => Some((to, state)),
             _ => None,
         });
     let (to, state) = claims.into_iter().next().unwrap();
@@ -151,7 +151,7 @@
             for action in boxes[to].handle(now, event) {
                 match action {
                     Action::WatchStore(true) => reading += 1,
-                    Action::Gossip { to, state } => {
+                    Action::Gossip { to, state, .. } => {
                         let numbers = to.iter().map(|address| match address.ip() {
                             std::net::IpAddr::V4(ip) => usize::from(ip.octets()[3]),
                             std::net::IpAddr::V6(_) => 0,
--- a/tests/usage.rs
+++ b/tests/usage.rs
@@ -42,7 +42,7 @@
 
 fn told(actions: &[Action]) -> Vec<(Vec<SocketAddr>, UsageNews)> {
     let told = actions.iter().filter_map(|action| match action {
-        Action::GossipUsage { to, news } => Some((to.clone(), news.clone())),
+        Action::GossipUsage { to, news, .. } => Some((to.clone(), news.clone())),
         _ => None,
     });
     told.collect()
