Quarantine: verdicts are told and kept by the platform, and crashes must come at one point of the request

Verdicts are told as such, and an object of the store keeps each (one write a verdict, one list by a box that begins to watch the store after a restart). Innocent streams that met three sole crashes of other servers were taken to blame: crashes count only together if they come at the same event, or as long after the first one.

--- a/lab/src/gateway/crashes/fleet.rs
+++ b/lab/src/gateway/crashes/fleet.rs
@@ -16,7 +16,9 @@
 use magpiemoor::gateway::dispatch::fetches::FetchOutcome;
 use magpiemoor::gateway::dispatch::{DispatchConfig, Dispatcher};
 use magpiemoor::gateway::shell::datagram;
-use magpiemoor::schema::{EndpointId, EndpointIncarnation, Incarnation, Micros};
+use magpiemoor::schema::{
+    EndpointId, EndpointIncarnation, Fingerprint, Incarnation, Micros, RequestAge,
+};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -38,6 +40,8 @@
 const NEAR: Duration = Duration::from_micros(600);
 const FAR: Duration = Duration::from_millis(2);
 const OUTSIDE: Duration = Duration::from_millis(1);
+/// How long the store takes for a call.
+const STORE_CALL: Duration = Duration::from_millis(6);
 /// The share of datagrams that are lost.
 const LOST: f64 = 0.002;
 /// How long a killed box is away.
@@ -96,6 +100,8 @@
     Fault(usize),
     /// A server ends by itself.
     ServerEnds,
+    /// The store keeps that a request is quarantined, or is so no more.
+    Keep(Fingerprint, bool),
 }
 
 /// A request at a box, in a life of it.
@@ -114,6 +120,8 @@
     runs: BTreeMap<RunId, Run>,
     next_run: u64,
     revision: u64,
+    /// Which requests the store keeps as quarantined, and since when.
+    kept: BTreeMap<Fingerprint, Micros>,
     cut_until: Micros,
     counts: Counts,
     rng: ChaCha8Rng,
@@ -146,6 +154,7 @@
             runs: BTreeMap::new(),
             next_run: 0,
             revision: 1,
+            kept: BTreeMap::new(),
             cut_until: START,
             counts: Counts {
                 culprits: vec![Culprit::default(); case.culprits],
@@ -204,6 +213,13 @@
             Mail::Unlist(id) => self.tell_change(&EndpointChange::Absent(id)),
             Mail::Fault(number) => self.bring_fault(number),
             Mail::ServerEnds => self.end_some_server(),
+            Mail::Keep(request, true) => {
+                let now = self.now();
+                self.kept.entry(request).or_insert(now);
+            }
+            Mail::Keep(request, false) => {
+                self.kept.remove(&request);
+            }
         }
     }
 
@@ -224,7 +240,6 @@
         };
         self.handle(at, Event::Table(Arc::new(table(&self.case))));
         self.handle(at, listed);
-        self.handle(at, Event::StoreAnswered);
         self.handle(at, Event::Tick);
     }
 
@@ -293,6 +308,23 @@
             Action::GossipUsage { to, news, crashes } => {
                 self.send(at, &to, &datagram::write_usage(&news, &crashes));
             }
+            Action::KeepQuarantine {
+                request,
+                is_quarantined,
+            } => self
+                .mail
+                .post(STORE_CALL, Mail::Keep(request, is_quarantined)),
+            Action::ReadQuarantine => {
+                let kept = self.kept.iter().map(|(request, since)| RequestAge {
+                    request: *request,
+                    age_ms: self.now().since(*since).as_millis() as u32,
+                });
+                let event = Event::QuarantineRead(kept.collect());
+                self.post_event(at, STORE_CALL, event);
+            }
+            Action::WatchStore(true) => {
+                self.post_event(at, STORE_CALL, Event::StoreAnswered);
+            }
             Action::CheckEnded {
                 endpoint, address, ..
             } => {
--- a/lab/src/gateway/store.rs
+++ b/lab/src/gateway/store.rs
@@ -216,8 +216,11 @@
         let Start::Request(method, path) = &ask.start else {
             return Some((400, Vec::new()));
         };
-        if method == "PUT" {
-            return Some(self.put_status(path, &ask.text()));
+        match method.as_str() {
+            "PUT" => return Some(self.put_status(path, &ask.text())),
+            "POST" => return Some(self.make(path, &ask.text())),
+            "DELETE" => return Some(self.delete(path)),
+            _ => {}
         }
         let (path, query) = path.split_once('?').unwrap_or((path, ""));
         let Some(kind) = path.strip_prefix("/v1/objects/") else {
@@ -236,6 +239,38 @@
         }
     }
 
+    /// Makes an object, unless there is one of its name.
+    fn make(&self, path: &str, body: &str) -> (u16, Vec<u8>) {
+        let asked: Value = serde_json::from_str(body).unwrap_or_default();
+        let kind = path.strip_prefix("/v1/objects/");
+        let Some((kind, name)) = kind.zip(asked["metadata"]["name"].as_str()) else {
+            return (400, Vec::new());
+        };
+        if let Some(known) = self.object(kind, name) {
+            return (409, known.to_string().into_bytes());
+        }
+        self.put(kind, name, &asked["spec"]);
+        (
+            201,
+            self.object(kind, name)
+                .unwrap_or_default()
+                .to_string()
+                .into_bytes(),
+        )
+    }
+
+    fn delete(&self, path: &str) -> (u16, Vec<u8>) {
+        let place = path.strip_prefix("/v1/objects/");
+        let Some((kind, name)) = place.and_then(|place| place.split_once('/')) else {
+            return (404, Vec::new());
+        };
+        if self.object(kind, name).is_none() {
+            return (404, Vec::new());
+        }
+        self.remove(kind, name);
+        (200, Vec::new())
+    }
+
     /// Replaces an object's status, if it still has the revision that the caller names.
     fn put_status(&self, path: &str, body: &str) -> (u16, Vec<u8>) {
         let place = path.strip_prefix("/v1/objects/");
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -158,6 +158,7 @@
     is_cut_off: bool,
     quarantine: Quarantine,
     pending_crashes: PendingCrashes,
+    has_asked_quarantine: bool,
     actions: Vec<Action>,
 }
 
@@ -200,6 +201,7 @@
             is_cut_off: false,
             quarantine: Quarantine::default(),
             pending_crashes: PendingCrashes::default(),
+            has_asked_quarantine: cfg.first_start,
             actions: Vec::new(),
             cfg,
         }
@@ -230,6 +232,7 @@
             | Event::EndpointsListed { .. }
             | Event::EndpointsChanged { .. }
             | Event::Rollouts { .. }
+            | Event::QuarantineRead(_)
             | Event::StoreAnswered
             | Event::Peer(_)
             | Event::PeerUsage(_)
@@ -261,6 +264,7 @@
                 gone,
                 is_whole,
             } => self.on_rollouts(objects, &gone, is_whole),
+            Event::QuarantineRead(kept) => self.on_quarantine_read(&kept),
             Event::StoreAnswered => {
                 self.store_watchers.on_answer(self.cfg.address, self.now);
             }
@@ -470,6 +474,7 @@
             });
             self.actions.push(Action::WatchStore(is_watching));
             if is_watching {
+                self.read_quarantine_once();
                 self.gossip_claim();
             }
         }
--- a/src/gateway/dispatch/action.rs
+++ b/src/gateway/dispatch/action.rs
@@ -10,7 +10,8 @@
 use crate::gateway::dispatch::replica::ReplicaLocation;
 use crate::gateway::dispatch::rollout::status::StatusWrite;
 use crate::schema::{
-    BoxState, CrashNews, EndpointId, EndpointIncarnation, OrganisationId, StateRequest, UsageNews,
+    BoxState, CrashNews, EndpointId, EndpointIncarnation, Fingerprint, OrganisationId,
+    StateRequest, UsageNews,
 };
 
 /// One attempt of a request at an endpoint.
@@ -137,6 +138,15 @@
     WatchRollouts(bool),
     /// Write the status of such an object.
     WriteRollout(StatusWrite),
+    /// Read from the platform's store which requests are quarantined, until that succeeds.
+    ReadQuarantine,
+    /// Have the platform's store keep that a request is quarantined, or is so no more.
+    KeepQuarantine {
+        /// The request.
+        request: Fingerprint,
+        /// Whether it is.
+        is_quarantined: bool,
+    },
     /// Send this box's state to other boxes, by UDP.
     Gossip {
         /// Their addresses.
--- a/src/gateway/dispatch/crashes.rs
+++ b/src/gateway/dispatch/crashes.rs
@@ -20,7 +20,9 @@
 use super::record::Record;
 use super::refusal::RefusalReason;
 use super::request::ActiveAttempt;
-use crate::schema::{CrashNews, DomainId, EndpointIncarnation, Fingerprint, Micros, ServiceId};
+use crate::schema::{
+    CrashNews, DomainId, EndpointIncarnation, Fingerprint, Micros, RequestAge, ServiceId,
+};
 
 /// How long a connection may take that shows whether an endpoint has ended. Chosen over the slowest
 /// sound connection of the users' sites (some 3 ms) and under [`CRASH_SETTLING`], not measured.
@@ -169,10 +171,37 @@
         });
         self.gossip_soon();
         if is_quarantined {
+            self.keep_quarantine(request, true);
             self.quarantine_request(request);
         }
     }
 
+    fn keep_quarantine(&mut self, request: Fingerprint, is_quarantined: bool) {
+        self.actions.push(Action::KeepQuarantine {
+            request,
+            is_quarantined,
+        });
+    }
+
+    /// Has the store asked which requests are quarantined, once in a life of this box: where all boxes
+    /// were lost at once no other one can tell. Few boxes begin to watch the store.
+    pub(super) fn read_quarantine_once(&mut self) {
+        if !std::mem::replace(&mut self.has_asked_quarantine, true) {
+            self.actions.push(Action::ReadQuarantine);
+        }
+    }
+
+    /// The store told which requests are quarantined.
+    pub(super) fn on_quarantine_read(&mut self, kept: &[RequestAge]) {
+        for request in self.quarantine.on_kept(kept, self.now) {
+            self.quarantine_request(request);
+        }
+        if self.quarantine.has_untold() {
+            self.gossip_soon();
+            self.report_crashes_soon();
+        }
+    }
+
     /// Other boxes told of crashes.
     pub(super) fn on_peer_crashes(&mut self, domain: Option<&DomainId>, news: &CrashNews) {
         let is_near = domain.is_none_or(|domain| *domain == self.cfg.domain);
@@ -217,9 +246,19 @@
         request.is_some_and(|r| self.quarantine.crashes_of(r.fingerprint) >= ALONE_AT)
     }
 
+    /// Notes that a request was answered.
+    pub(super) fn clear_suspicion(&mut self, fingerprint: Fingerprint) {
+        let was_quarantined = self.quarantine.is_quarantined(fingerprint);
+        self.quarantine.on_served(fingerprint, self.now);
+        if was_quarantined {
+            self.keep_quarantine(fingerprint, false);
+        }
+    }
+
     /// Forgets old crashes.
     pub(super) fn forget_crashes(&mut self) {
         for fingerprint in self.quarantine.forget_old(self.now) {
+            self.keep_quarantine(fingerprint, false);
             self.record(Record::Released {
                 fingerprint: fingerprint.hex(),
             });
--- a/src/gateway/dispatch/event.rs
+++ b/src/gateway/dispatch/event.rs
@@ -9,8 +9,8 @@
 use crate::gateway::dispatch::rollout::status::ObjectState;
 use crate::gateway::dispatch::table::RoutingTable;
 use crate::schema::{
-    Birth, BoxState, CrashNews, DomainId, EndpointId, EndpointIncarnation, Fingerprint, ServiceId,
-    UsageNews, VersionId,
+    Birth, BoxState, CrashNews, DomainId, EndpointId, EndpointIncarnation, Fingerprint, RequestAge,
+    ServiceId, UsageNews, VersionId,
 };
 
 /// A request as this box numbers it.
@@ -275,6 +275,8 @@
         /// Whether they are all there are.
         is_whole: bool,
     },
+    /// Which requests are quarantined was read from the platform's store.
+    QuarantineRead(Vec<RequestAge>),
     /// The platform's store answered this box.
     StoreAnswered,
     /// Another box sent its state.
--- a/src/gateway/dispatch/fingerprint.rs
+++ b/src/gateway/dispatch/fingerprint.rs
@@ -44,4 +44,12 @@
     pub fn hex(self) -> String {
         format!("{:016x}", self.0)
     }
+
+    /// Reads what [`Self::hex`] wrote.
+    #[must_use]
+    pub fn from_hex(text: &str) -> Option<Self> {
+        let is_whole = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+        let number = u64::from_str_radix(text, 16).ok().filter(|_| is_whole);
+        number.map(Self)
+    }
 }
--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -17,7 +17,7 @@
 use super::fetches::{FetchKind, FetchOutcome};
 use super::peers::Heard;
 use super::store_watchers::{Contact, StoreWatchers};
-use crate::schema::{BoxState, DomainId, EndpointId, Micros, StateRequest, UsageNews};
+use crate::schema::{BoxState, CrashNews, DomainId, EndpointId, Micros, StateRequest, UsageNews};
 
 /// How long losses and versions gather before peers are told. Chosen, not measured.
 const NEWS_PAUSE: Duration = Duration::from_millis(10);
@@ -181,6 +181,18 @@
         }
     }
 
+    /// Tells a box that has just started what it can't know: then it needn't ask the store.
+    fn tell_new_box(&mut self, peer: &BoxState) {
+        let verdicts = self.quarantine.verdicts(self.now);
+        if !verdicts.quarantined.is_empty()
+            && let Ok(address) = peer.address.parse()
+        {
+            self.gossip_with(vec![address], &verdicts);
+        } else if self.knows_more_than(peer) {
+            self.tell(peer);
+        }
+    }
+
     /// Sends this box's state to one that has just told its own.
     fn tell(&mut self, peer: &BoxState) {
         if let Ok(address) = peer.address.parse() {
@@ -212,6 +224,12 @@
     /// Sends this box's state to others; a seed whose failure domain is not known is taken for one
     /// of the own.
     pub(super) fn gossip_state(&mut self, to: Vec<SocketAddr>) {
+        let crashes = self.quarantine.news_for_state(self.now);
+        self.gossip_with(to, &crashes);
+    }
+
+    /// Sends this box's state to others, with what it knows of crashing requests.
+    fn gossip_with(&mut self, to: Vec<SocketAddr>, crashes: &CrashNews) {
         let mut by_domain: BTreeMap<DomainId, Vec<SocketAddr>> = BTreeMap::new();
         for address in to {
             let domain = self.peers.domain_at(address).unwrap_or(&self.cfg.domain);
@@ -220,7 +238,7 @@
         self.beat += 1;
         for (domain, to) in by_domain {
             let state = Box::new(self.state_for(&domain));
-            let crashes = self.quarantine.news_for_state(self.now);
+            let crashes = crashes.clone();
             self.actions.push(Action::Gossip { to, state, crashes });
         }
     }
@@ -230,9 +248,8 @@
         if arrival == Heard::Nothing {
             return;
         }
-        if arrival == Heard::NewBox && self.knows_more_than(state) {
-            // It has just started, and so needn't ask the store.
-            self.tell(state);
+        if arrival == Heard::NewBox {
+            self.tell_new_box(state);
         }
         let is_near = state.domain == self.cfg.domain;
         let contact = if is_near { Contact::Near } else { Contact::Far };
--- a/src/gateway/dispatch/outcomes.rs
+++ b/src/gateway/dispatch/outcomes.rs
@@ -288,7 +288,7 @@
     fn finish(&mut self, number: RequestNumber, command: Command, is_served: bool) {
         if let Some(request) = self.requests.remove(&number) {
             if is_served {
-                self.quarantine.on_served(request.fingerprint, self.now);
+                self.clear_suspicion(request.fingerprint);
             }
             let is_whole_stream =
                 command == Command::Finish && request.arrival.after_event.is_none();
--- a/src/gateway/dispatch/quarantine.rs
+++ b/src/gateway/dispatch/quarantine.rs
@@ -8,8 +8,9 @@
 //! 46 ran up to eight innocent streams beside, and some of these met four crashes in a row. A crash
 //! counts against a request unless
 //!
-//! - it was served since, or has got past the point of the crash at another endpoint: a crash of its
-//!   own doing comes at the same point each time;
+//! - it was served since, or has got past the point of the crash at another endpoint;
+//! - it came at another point than the others: a crash of the request's own doing comes at the same
+//!   event, or as long after its first one, each time;
 //! - a request that is quarantined ran there too: that explains it;
 //! - others of the endpoint's failure domain ended at the same time ([`super::fleet`]).
 //!
@@ -17,7 +18,7 @@
 //! blame: all that ran beside it has been served since or got on. After two crashes it is placed where
 //! nothing else runs, and nothing is placed beside it ([`super::attempts`]), so that the third one
 //! tells, and costs nobody else. Where that can't be had it is quarantined after [`QUARANTINE_ANYWAY_AT`]
-//! crashes, whatever ran beside it or fell with it. It is forgotten [`KEPT_FOR`] after its last crash, so a
+//! crashes that it is not past, whatever they came from. It is forgotten [`CRASHES_KEPT_FOR`] after its last crash, so a
 //! server that was mended meanwhile gets it again.
 //!
 //! Owns: crashes and who was there. Relies on: endpoints that were checked to have ended, since a
@@ -44,7 +45,7 @@
 pub const ALONE_AT: usize = QUARANTINE_AT - 1;
 /// How long a crash counts, and so how long a request is quarantined after its last one. Chosen: an
 /// operator notices and mends the servers meanwhile; not measured.
-const KEPT_FOR: Duration = Duration::from_secs(30 * 60);
+pub const CRASHES_KEPT_FOR: Duration = Duration::from_secs(30 * 60);
 /// How many requests are remembered: some 300 bytes each. Chosen, not measured.
 const MOST_SUSPECTS: usize = 2_000;
 
@@ -78,7 +79,7 @@
     #[must_use]
     pub fn crashes_of(&self, request: Fingerprint) -> usize {
         let suspect = self.suspects.get(&request);
-        suspect.map_or(0, |suspect| self.counted(request, suspect).count())
+        suspect.map_or(0, |suspect| self.counted(request, suspect).len())
     }
 
     /// The requests that are quarantined, and since when.
@@ -126,7 +127,7 @@
 
     /// Takes in a crash; returns whether it is news.
     fn take_crash(&mut self, request: Fingerprint, crash: Crash, now: Micros) -> bool {
-        if now.since(crash.at) >= KEPT_FOR {
+        if now.since(crash.at) >= CRASHES_KEPT_FOR {
             return false;
         }
         let witnesses = self.lives.entry(crash.endpoint.clone()).or_default();
@@ -159,32 +160,28 @@
 
     /// The rule at the head of this module.
     fn is_to_blame(&self, request: Fingerprint, suspect: &Suspect) -> bool {
-        if self.unexplained(request, suspect).count() >= QUARANTINE_ANYWAY_AT {
+        if suspect.open().count() >= QUARANTINE_ANYWAY_AT {
             return true;
         }
-        let alone = |crash: &Crash| self.is_alone_to_blame(request, crash);
-        self.counted(request, suspect).count() >= QUARANTINE_AT
-            && self.counted(request, suspect).any(alone)
+        let counted = self.counted(request, suspect);
+        let mut alone = counted
+            .iter()
+            .filter(|crash| self.is_alone_to_blame(request, crash));
+        counted.len() >= QUARANTINE_AT && alone.next().is_some()
     }
 
-    /// Crashes that the request may have caused, those among them that fell with their domain too.
-    fn unexplained<'a>(
-        &'a self,
-        request: Fingerprint,
-        suspect: &'a Suspect,
-    ) -> impl Iterator<Item = &'a Crash> {
-        let open = suspect.crashes.iter().filter(|crash| !crash.is_passed);
-        open.filter(move |crash| !self.is_explained(request, crash))
-    }
-
-    /// Crashes that count against the request.
-    fn counted<'a>(
-        &'a self,
-        request: Fingerprint,
-        suspect: &'a Suspect,
-    ) -> impl Iterator<Item = &'a Crash> {
-        let unexplained = self.unexplained(request, suspect);
-        unexplained.filter(|crash| !crash.fell_with_domain)
+    /// Crashes that count against the request: the most that came at one point of it.
+    fn counted<'a>(&self, request: Fingerprint, suspect: &'a Suspect) -> Vec<&'a Crash> {
+        let open = suspect.open().filter(|crash| !crash.fell_with_domain);
+        let open: Vec<&Crash> = open
+            .filter(|crash| !self.is_explained(request, crash))
+            .collect();
+        let at_point_of = |one: &Crash| -> Vec<&'a Crash> {
+            let same = open.iter().filter(|other| one.agrees_with(other));
+            same.copied().collect()
+        };
+        let points = open.iter().map(|one| at_point_of(one));
+        points.max_by_key(Vec::len).unwrap_or_default()
     }
 
     /// Whether a request that is quarantined ran there too.
@@ -220,7 +217,7 @@
 
     /// Forgets what is old; returns the requests that are quarantined no more.
     pub fn forget_old(&mut self, now: Micros) -> Vec<Fingerprint> {
-        let is_old = |at: Micros| now.since(at) >= KEPT_FOR;
+        let is_old = |at: Micros| now.since(at) >= CRASHES_KEPT_FOR;
         self.lives.retain(|_, witnesses| !is_old(witnesses.at));
         let suspects = self.suspects.iter();
         let old: Vec<_> = suspects
--- a/src/gateway/dispatch/quarantine/news.rs
+++ b/src/gateway/dispatch/quarantine/news.rs
@@ -2,19 +2,22 @@
 //!
 //! News go to all boxes of the own failure domain at once, and with the next states to some of other
 //! domains, whose boxes pass them on in theirs. A request that is quarantined is told now and then as
-//! long as it is, for boxes that were cut off or have started since.
+//! long as it is, for boxes that were cut off, and all of them to a box that has started.
 
 use std::time::Duration;
 
 use super::suspect::Crash;
-use super::{Quarantine, Suspect};
-use crate::schema::{CrashNews, CrashNote, Fingerprint, Micros, ServedNote};
+use super::{CRASHES_KEPT_FOR, MOST_SUSPECTS, Quarantine, Suspect};
+use crate::schema::{CrashNews, CrashNote, Fingerprint, Micros, RequestAge};
 
 /// How long after a change a request is told with each state. Chosen over the time in which all of
 /// 295 boxes hear of it, not measured by itself.
 const FRESH_FOR: Duration = Duration::from_secs(3);
 /// How many crashes are told with a datagram, some 40 bytes each. Chosen, not measured.
-const MOST_TOLD: usize = 16;
+const MOST_CRASHES_TOLD: usize = 16;
+
+/// How many verdicts a box is told that has just started, some 13 bytes each. Chosen, not measured.
+const MOST_VERDICTS_TOLD: usize = 200;
 
 impl Quarantine {
     /// Takes in what another box told; returns the requests that are quarantined from now on. News from
@@ -27,6 +30,14 @@
                 changed.push(note.request);
             }
         }
+        let mut quarantined = Vec::new();
+        for told in &news.quarantined {
+            let at = now.before(Duration::from_millis(told.age_ms.into()));
+            if self.take_verdict(told.request, at, now) {
+                quarantined.push(told.request);
+            }
+        }
+        changed.extend(&quarantined);
         for note in &news.crashes {
             if self.take_crash(note.request, Crash::told(note, now), now) {
                 changed.push(note.request);
@@ -38,7 +49,25 @@
         // Others may be to blame alone by what was told of these.
         let mut judged = self.beside_all(&changed);
         judged.retain(|request| self.judge_told(*request, is_near, now));
-        judged
+        quarantined.extend(judged);
+        quarantined
+    }
+
+    /// Takes in that another box quarantined a request; returns whether that is news. Who has started
+    /// since doesn't know who ran beside it, and could not come to the same verdict.
+    fn take_verdict(&mut self, request: Fingerprint, at: Micros, now: Micros) -> bool {
+        if now.since(at) >= CRASHES_KEPT_FOR {
+            return false;
+        }
+        let suspect = self.suspects.entry(request).or_default();
+        let was_served = suspect.served.is_some_and(|served| served >= at);
+        if was_served || suspect.quarantined.is_some() {
+            return false;
+        }
+        suspect.quarantined = Some(at);
+        suspect.changed = now;
+        self.forget_beyond(MOST_SUSPECTS);
+        true
     }
 
     fn take_served(&mut self, request: Fingerprint, at: Micros, now: Micros) -> bool {
@@ -46,10 +75,20 @@
         let is_news = suspect.on_served(at);
         if is_news {
             suspect.changed = now;
+            self.forget_beyond(MOST_SUSPECTS);
         }
         is_news
     }
 
+    /// Takes in what the platform keeps; returns the requests that are quarantined from now on.
+    pub fn on_kept(&mut self, kept: &[RequestAge], now: Micros) -> Vec<Fingerprint> {
+        let news = CrashNews {
+            quarantined: kept.to_vec(),
+            ..CrashNews::default()
+        };
+        self.on_told(&news, false, now)
+    }
+
     /// Requests, and those that ran beside them when an endpoint ended.
     fn beside_all(&self, requests: &[Fingerprint]) -> Vec<Fingerprint> {
         let suspects = requests.iter().filter_map(|r| self.suspects.get(r));
@@ -81,7 +120,7 @@
     /// What boxes of the own failure domain have not been told, as much as a datagram holds.
     pub fn take_untold(&mut self, now: Micros) -> CrashNews {
         let mut news = CrashNews::default();
-        while news.crashes.len() + news.served.len() < MOST_TOLD
+        while size(&news) < MOST_CRASHES_TOLD
             && let Some(request) = self.untold.pop_first()
         {
             if let Some(suspect) = self.suspects.get(&request) {
@@ -100,35 +139,35 @@
         }
         if let Some(request) = self.next_quarantined() {
             self.last_told = Some(request);
-            tell(&mut news, request, &self.suspects[&request], now);
+            tell_verdict(&mut news, request, &self.suspects[&request], now);
         }
         let is_fresh = |suspect: &Suspect| now.since(suspect.changed) < FRESH_FOR;
         let suspects = self.suspects.iter();
         let mut fresh: Vec<_> = suspects.filter(|(_, suspect)| is_fresh(suspect)).collect();
         fresh.sort_by_key(|(_, s)| std::cmp::Reverse((s.crashes.len(), s.changed)));
         for (request, suspect) in fresh {
-            if news.crashes.len() + news.served.len() >= MOST_TOLD {
+            if size(&news) >= MOST_CRASHES_TOLD {
                 break;
             }
-            if Some(*request) != self.last_told || suspect.quarantined.is_none() {
-                tell(&mut news, *request, suspect, now);
-            }
+            tell(&mut news, *request, suspect, now);
         }
         news
     }
 
-    /// All that is quarantined, for a box that has just started.
+    /// What is quarantined, the latest first and as much as a datagram holds, for a box that has just
+    /// started.
     #[must_use]
-    pub fn quarantined_news(&self, now: Micros) -> CrashNews {
-        let mut news = CrashNews::default();
-        let quarantined = self
-            .suspects
-            .iter()
-            .filter(|(_, s)| s.quarantined.is_some());
-        for (request, suspect) in quarantined {
-            tell(&mut news, *request, suspect, now);
+    pub fn verdicts(&self, now: Micros) -> CrashNews {
+        let mut quarantined: Vec<_> = self
+            .quarantined()
+            .map(|(request, since)| request_age(request, since, now))
+            .collect();
+        quarantined.sort_by_key(|told| told.age_ms);
+        quarantined.truncate(MOST_VERDICTS_TOLD);
+        CrashNews {
+            quarantined,
+            ..CrashNews::default()
         }
-        news
     }
 
     fn next_quarantined(&self) -> Option<Fingerprint> {
@@ -142,11 +181,31 @@
 }
 
 fn tell(news: &mut CrashNews, request: Fingerprint, suspect: &Suspect, now: Micros) {
+    let age = |at| request_age(request, at, now);
     let crashes = suspect.crashes.iter();
     let notes = crashes.map(|crash| -> CrashNote { crash.note(request, now) });
     news.crashes.extend(notes);
-    news.served.extend(suspect.served.map(|at| ServedNote {
-        request,
-        age_ms: now.since(at).as_millis() as u32,
-    }));
+    news.served.extend(suspect.served.map(age));
+    tell_verdict(news, request, suspect, now);
+}
+
+fn tell_verdict(news: &mut CrashNews, request: Fingerprint, suspect: &Suspect, now: Micros) {
+    let is_told = news.quarantined.iter().any(|told| told.request == request);
+    if !is_told {
+        let since = suspect.quarantined;
+        news.quarantined
+            .extend(since.map(|at| request_age(request, at, now)));
+    }
+}
+
+fn request_age(request: Fingerprint, at: Micros, now: Micros) -> RequestAge {
+    let age_ms = now.since(at).as_millis() as u32;
+    RequestAge { request, age_ms }
+}
+
+/// How much of a datagram is taken.
+fn size(news: &CrashNews) -> usize {
+    // The others are half as long.
+    let short = news.served.len() + news.quarantined.len();
+    news.crashes.len() + short / 2
 }
--- a/src/gateway/dispatch/quarantine/suspect.rs
+++ b/src/gateway/dispatch/quarantine/suspect.rs
@@ -9,6 +9,11 @@
 /// after its first token on the users' days.
 const PASSED_BY: Duration = Duration::from_secs(1);
 
+/// How far two crashes at the same point of a request lie apart, in events and in time: those of the
+/// users' days 80 ms; events on their way are lost with a connection. Chosen, not measured.
+const SAME_EVENT: u64 = 3;
+const SAME_RUN: Duration = Duration::from_millis(300);
+
 /// How far two accounts of one time may lie apart: each way between boxes adds to its age.
 const SAME_TIME: Duration = Duration::from_secs(1);
 
@@ -72,6 +77,14 @@
         *self != before
     }
 
+    /// Whether both can be of the request's own doing: at the same event, or as long after the first
+    /// event there.
+    #[must_use]
+    pub fn agrees_with(&self, other: &Self) -> bool {
+        let is_same_event = self.last_event.abs_diff(other.last_event) <= SAME_EVENT;
+        is_same_event || self.ran.abs_diff(other.ran) <= SAME_RUN
+    }
+
     /// Whether a run that has come so far is past it.
     fn is_passed_by(&self, last_event: u64, ran: Duration) -> bool {
         last_event > self.last_event && ran > self.ran + PASSED_BY
@@ -129,15 +142,21 @@
         has_passed
     }
 
+    /// The crashes that it is not past.
+    pub fn open(&self) -> impl Iterator<Item = &Crash> {
+        self.crashes.iter().filter(|crash| !crash.is_passed)
+    }
+
     /// Whether it is still suspected for the end of a life.
     pub fn is_suspected_of(&self, life: &EndpointIncarnation) -> bool {
-        let mut crashes = self.crashes.iter();
-        crashes.any(|crash| !crash.is_passed && crash.endpoint == *life)
+        self.open().any(|crash| crash.endpoint == *life)
     }
 
     /// When it was last suspected or served.
     pub fn last(&self) -> Micros {
         let crashes = self.crashes.iter().map(|crash| crash.at);
-        crashes.chain(self.served).max().unwrap_or_default()
+        let others = [self.served, self.quarantined];
+        let all = crashes.chain(others.into_iter().flatten());
+        all.max().unwrap_or_default()
     }
 }
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -21,6 +21,7 @@
 pub mod packed;
 pub mod peers;
 pub mod probes;
+mod quarantine;
 mod rollouts;
 pub mod shared;
 pub mod snapshots;
--- a/src/gateway/shell/control.rs
+++ b/src/gateway/shell/control.rs
@@ -16,7 +16,7 @@
 use crate::gateway::shell::dialect::ObjectKind;
 use crate::gateway::shell::input::Input;
 use crate::gateway::shell::{
-    GatewayShared, datagram, peers, probes, rollouts, snapshots, store, transfer,
+    GatewayShared, datagram, peers, probes, quarantine, rollouts, snapshots, store, transfer,
 };
 
 /// The control thread's own state.
@@ -121,6 +121,8 @@
             | Action::GossipUsage { .. }
             | Action::FetchState { .. }
             | Action::ReadTable
+            | Action::ReadQuarantine
+            | Action::KeepQuarantine { .. }
             | Action::WriteRollout(_) => self.speak_to_boxes(action),
             Action::Probe { .. }
             | Action::CheckEnded { .. }
@@ -149,6 +151,11 @@
                 self.spawn(transfer::fetch(from, kind, wanted, shared));
             }
             Action::ReadTable => self.spawn(store::read_table(shared)),
+            Action::ReadQuarantine => self.spawn(quarantine::read(shared)),
+            Action::KeepQuarantine {
+                request,
+                is_quarantined,
+            } => self.spawn(quarantine::keep(request, is_quarantined, shared)),
             Action::WriteRollout(write) => self.spawn(rollouts::write_status(write, shared)),
             _ => {}
         }
--- a/src/gateway/shell/dialect.rs
+++ b/src/gateway/shell/dialect.rs
@@ -14,7 +14,11 @@
 use crate::gateway::dispatch::refusal::Refusal;
 use crate::gateway::dispatch::rollout::status::{ObjectState, StatusWrite};
 use crate::gateway::dispatch::table::{RoutingTable, TableError};
-use crate::schema::{Birth, EndpointId};
+use crate::schema::{Birth, EndpointId, Fingerprint};
+
+/// A time of day, in milliseconds since 1970.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct UnixMillis(pub u64);
 
 /// Why a request can't be read.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -67,11 +71,18 @@
     Endpoints,
     /// Orders of roll-outs.
     Rollouts,
+    /// Requests that are quarantined; they are never watched.
+    Quarantine,
 }
 
 impl ObjectKind {
     /// All kinds, in the order of their numbers.
-    pub const ALL: [Self; 3] = [Self::Table, Self::Endpoints, Self::Rollouts];
+    pub const ALL: [Self; 4] = [
+        Self::Table,
+        Self::Endpoints,
+        Self::Rollouts,
+        Self::Quarantine,
+    ];
 
     /// How long a watch waits, where one of what every box needs waits for `watch`.
     ///
@@ -80,7 +91,7 @@
     #[must_use]
     pub fn watch_wait(self, watch: Duration) -> Duration {
         match self {
-            Self::Table | Self::Endpoints => watch,
+            Self::Table | Self::Endpoints | Self::Quarantine => watch,
             Self::Rollouts => (watch * ROLLOUT_WATCHES).min(LONGEST_WATCH),
         }
     }
@@ -91,7 +102,7 @@
     pub fn makes_a_watcher(self) -> bool {
         match self {
             Self::Table | Self::Endpoints => true,
-            Self::Rollouts => false,
+            Self::Rollouts | Self::Quarantine => false,
         }
     }
 }
@@ -204,6 +215,19 @@
     /// Says why it can't be read.
     fn read_endpoint(&self, entry: &Entry) -> Result<EndpointSpec, Unreadable>;
 
+    /// The path and body of the call that keeps that a request is quarantined since a time of day.
+    fn quarantine_object(&self, request: Fingerprint, since: UnixMillis) -> (String, String);
+
+    /// The path of such an object.
+    fn quarantine_object_path(&self, request: Fingerprint) -> String;
+
+    /// Reads such an object.
+    ///
+    /// # Errors
+    ///
+    /// Says why it can't be read.
+    fn read_quarantine(&self, entry: &Entry) -> Result<(Fingerprint, UnixMillis), Unreadable>;
+
     /// Reads an object that orders a roll-out.
     ///
     /// # Errors
--- a/src/gateway/shell/faults.rs
+++ b/src/gateway/shell/faults.rs
@@ -30,6 +30,8 @@
     UnnamedObject,
     /// An object that orders a roll-out can't be read; it orders nothing.
     RolloutObject,
+    /// An object that says that a request is quarantined can't be read; it quarantines nothing.
+    QuarantineObject,
     /// A datagram of another box can't be read.
     PeerMessage,
     /// Datagrams to other boxes can't be made, sent or received.
@@ -42,11 +44,12 @@
 
 impl FaultKind {
     /// All kinds, in the order of their numbers.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::StoreAnswer,
         Self::EndpointEntry,
         Self::UnnamedObject,
         Self::RolloutObject,
+        Self::QuarantineObject,
         Self::PeerMessage,
         Self::PeerSocket,
         Self::PeerFetch,
@@ -61,6 +64,7 @@
             Self::EndpointEntry => "endpoint_entry",
             Self::UnnamedObject => "unnamed_object",
             Self::RolloutObject => "rollout_object",
+            Self::QuarantineObject => "quarantine_object",
             Self::PeerMessage => "peer_message",
             Self::PeerSocket => "peer_socket",
             Self::PeerFetch => "peer_fetch",
--- /dev/null
+++ b/src/gateway/shell/quarantine.rs
@@ -0,0 +1,125 @@
+//! The platform's store keeps which requests are quarantined, since a loss of all boxes would forget
+//! it: an object for each, made by the box that came to the verdict.
+//!
+//! They are listed once by a box that begins to watch the store in a fleet that has run before, and
+//! never watched, since boxes tell each other. One that has come of age is removed by who lists it.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use gotham::hyper::header::{CONTENT_TYPE, HeaderValue};
+use gotham::hyper::{Method, Request, StatusCode};
+use http_body_util::Full;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::backoff::Backoff;
+use crate::clock::wall_millis;
+use crate::gateway::dispatch::event::Event;
+use crate::gateway::dispatch::quarantine::CRASHES_KEPT_FOR;
+use crate::gateway::dispatch::record::Record;
+use crate::gateway::shell::GatewayShared;
+use crate::gateway::shell::dialect::{Entry, ObjectKind, UnixMillis};
+use crate::gateway::shell::faults::FaultKind;
+use crate::gateway::shell::input::Input;
+use crate::gateway::shell::store::{self, STORE_CONNECT_LIMIT};
+use crate::http::pool::Pool;
+use crate::schema::{Fingerprint, RequestAge};
+
+/// How long a call may take. Chosen longer than the store takes when it is slow, not measured.
+const CALL_LIMIT: Duration = Duration::from_millis(1_500);
+/// Pauses between calls that fail: a verdict is to be kept before the boxes may be lost, but a store
+/// that is out is not to be pressed. Chosen, not measured.
+const CALL_BACKOFF: Backoff = Backoff {
+    first: Duration::from_millis(300),
+    longest: Duration::from_secs(5),
+    most_doublings: 5,
+    jitter: 0.5..1.0,
+};
+/// How often a call is made at most: with the pauses above for some two minutes.
+const MOST_CALLS: u32 = 30;
+
+/// Reads which requests are quarantined.
+pub async fn read(shared: GatewayShared) {
+    store::list_whole(ObjectKind::Quarantine, &shared).await;
+}
+
+/// Takes in the objects that were listed.
+pub async fn take_entries(entries: &[Entry], shared: &GatewayShared) {
+    let now = wall_millis();
+    let mut kept = Vec::new();
+    for entry in entries.iter().filter(|entry| entry.text.is_some()) {
+        let (request, since) = match shared.dialect.read_quarantine(entry) {
+            Ok(read) => read,
+            Err(e) => {
+                let content = format!("{} {:?}", entry.name, entry.text);
+                let kind = FaultKind::QuarantineObject;
+                shared.faults.note_once(kind, &content, &e);
+                continue;
+            }
+        };
+        let age = Duration::from_millis(now.saturating_sub(since.0));
+        if age < CRASHES_KEPT_FOR {
+            let age_ms = age.as_millis() as u32;
+            kept.push(RequestAge { request, age_ms });
+        } else {
+            tokio::spawn(keep(request, false, shared.clone()));
+        }
+    }
+    shared.send(Input::Event(Event::QuarantineRead(kept))).await;
+}
+
+/// Has the store keep that a request is quarantined, or is so no more.
+pub async fn keep(request: Fingerprint, is_quarantined: bool, shared: GatewayShared) {
+    let mut rng = ChaCha8Rng::seed_from_u64(rand::random());
+    let since = UnixMillis(wall_millis());
+    for calls in 0..MOST_CALLS {
+        let call = call(request, is_quarantined, since, &shared);
+        let answer = tokio::time::timeout(CALL_LIMIT, call).await;
+        // Another box may have made or removed it.
+        let is_done = match answer.ok().flatten() {
+            Some(status) if status.is_success() => true,
+            Some(status) if is_quarantined => status == StatusCode::CONFLICT,
+            Some(status) => status == StatusCode::NOT_FOUND,
+            None => false,
+        };
+        if is_done {
+            return record(request, is_quarantined, calls + 1, &shared);
+        }
+        tokio::time::sleep(CALL_BACKOFF.pause(calls, &mut rng)).await;
+    }
+}
+
+fn record(request: Fingerprint, is_quarantined: bool, calls: u32, shared: &GatewayShared) {
+    let did = if is_quarantined { "kept" } else { "removed" };
+    let detail = format!("{} {did}, calls: {calls}", request.hex());
+    shared.record(&Record::Process {
+        state: "quarantine_store".into(),
+        detail,
+    });
+}
+
+async fn call(
+    request: Fingerprint,
+    is_quarantined: bool,
+    since: UnixMillis,
+    shared: &GatewayShared,
+) -> Option<StatusCode> {
+    shared.metrics.store_writes().inc();
+    let (method, path, body) = if is_quarantined {
+        let (path, body) = shared.dialect.quarantine_object(request, since);
+        (Method::POST, path, body)
+    } else {
+        let path = shared.dialect.quarantine_object_path(request);
+        (Method::DELETE, path, String::new())
+    };
+    let mut call = Request::new(Full::new(Bytes::from(body)));
+    *call.method_mut() = method;
+    *call.uri_mut() = path.parse().ok()?;
+    let json = HeaderValue::from_static("application/json");
+    call.headers_mut().insert(CONTENT_TYPE, json);
+    let address = shared.settings.platform;
+    let mut connection = Pool::connect(address, STORE_CONNECT_LIMIT).await.ok()?;
+    let (head, _) = connection.exchange(call).await?;
+    Some(head.status)
+}
--- a/src/gateway/shell/store.rs
+++ b/src/gateway/shell/store.rs
@@ -22,7 +22,7 @@
 use crate::gateway::shell::input::Input;
 use crate::gateway::shell::table_reader::{self, TableSource, TableText};
 use crate::gateway::shell::watcher::{StoreAnswer, StoreChange, StoreRequest, Watcher};
-use crate::gateway::shell::{endpoint_reader, rollouts};
+use crate::gateway::shell::{endpoint_reader, quarantine, rollouts};
 use crate::http::pool::{Connection, Pool};
 
 /// How long configurations gather. Chosen under the bound for a configuration to come into force,
@@ -80,7 +80,22 @@
     match source {
         ObjectKind::Table => GATHER_TABLES,
         ObjectKind::Endpoints => GATHER_ENDPOINTS,
-        ObjectKind::Rollouts => Duration::ZERO,
+        ObjectKind::Rollouts | ObjectKind::Quarantine => Duration::ZERO,
+    }
+}
+
+/// Lists all objects of a kind once, with pauses while the store fails.
+pub(super) async fn list_whole(source: ObjectKind, shared: &GatewayShared) {
+    let mut watcher = Watcher::default();
+    let mut rng = ChaCha8Rng::seed_from_u64(rand::random());
+    let mut link = StoreLink::default();
+    loop {
+        let answer = link.ask(source, &watcher.next_request(), shared).await;
+        let next = watcher.on_answer(answer, &mut rng);
+        if let Some(change) = next.change {
+            return take_in(source, change, watcher.revision(), shared).await;
+        }
+        tokio::time::sleep(next.pause).await;
     }
 }
 
@@ -220,6 +235,9 @@
                 table_reader::take_table(TableText::Plain(entry), source, shared).await;
             }
         }
+        (ObjectKind::Quarantine, StoreChange::Listed(entries) | StoreChange::Changed(entries)) => {
+            quarantine::take_entries(&entries, shared).await;
+        }
         (ObjectKind::Rollouts, change) => {
             let event = rollouts::read_objects(change, shared);
             shared.send(Input::Event(event)).await;
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -578,8 +578,10 @@
 pub struct CrashNews {
     ///Lives that ended.
     pub crashes: ::std::vec::Vec<CrashNote>,
-    ///Requests that are not to blame.
-    pub served: ::std::vec::Vec<ServedNote>,
+    ///Requests that are to blame.
+    pub quarantined: ::std::vec::Vec<RequestAge>,
+    ///Requests that were answered, and so are not to blame.
+    pub served: ::std::vec::Vec<RequestAge>,
 }
 ///A life of an endpoint that ended while it ran a request.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -2499,6 +2501,14 @@
     pub organisation: OrganisationId,
     pub priority: Priority,
 }
+///A request, and how long ago something became of it.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RequestAge {
+    ///Milliseconds since then.
+    pub age_ms: u32,
+    pub request: Fingerprint,
+}
 ///The idempotency key of a request.
 #[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[serde(transparent)]
@@ -2722,14 +2732,6 @@
     pub target: AnswerTimes,
     pub worst: AnswerTimes,
 }
-///A request that was answered though endpoints had ended under it.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-#[serde(deny_unknown_fields)]
-pub struct ServedNote {
-    ///Milliseconds since it was answered.
-    pub age_ms: u32,
-    pub request: Fingerprint,
-}
 ///A plain service's answer.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/tests/gateway_parts.rs
+++ b/tests/gateway_parts.rs
@@ -41,6 +41,7 @@
 #[case::table(ObjectKind::Table, true, 3, 30)]
 #[case::endpoints(ObjectKind::Endpoints, true, 3, 30)]
 #[case::rollouts(ObjectKind::Rollouts, false, 9, 30)]
+#[case::quarantine(ObjectKind::Quarantine, false, 3, 30)]
 fn orders_of_rollouts_are_watched_longer_and_make_no_watcher(
     #[case] kind: ObjectKind,
     #[case] makes_a_watcher: bool,
