--- a/src/gateway/dispatch/crashes.rs
+++ b/src/gateway/dispatch/crashes.rs
@@ -2,9 +2,10 @@
 //!
 //! A connection that breaks may only have been closed, so what listens at the address is asked for by
 //! a connection ([`Action::CheckEnded`]); an endpoint whose port refuses it has ended. Others of its
-//! failure domain may have ended with it, which is known [`CRASH_SETTLING`] later. Then the crash is noted
-//! and told, and [`DECIDED_AFTER`] it the request is decided about ([`super::quarantine`]). A request that the crash may have quarantined, or after which it is
-//! to run alone, waits for that before its next attempt; any other one goes on at once.
+//! failure domain may have ended with it, which is known [`CRASH_SETTLING`] later. Then the crash is
+//! noted and told, and [`DECIDED_AFTER`] it the request is decided about ([`super::quarantine`]). A
+//! request that the crash may have quarantined, or after which it is to run alone, waits for that
+//! before its next attempt; any other one goes on at once.
 //!
 //! Owns: crashes that are not made sure of. Relies on: [`super::fleet`] for what ran beside and for
 //! losses of the domain.
@@ -169,7 +170,7 @@
         }
         self.decide_crashes();
         if self.quarantine.has_untold() {
-            self.report_crashes_soon();
+            self.report_at_once();
         }
     }
 
@@ -229,7 +230,7 @@
         }
         if self.quarantine.has_untold() {
             self.gossip_soon();
-            self.report_crashes_soon();
+            self.report_at_once();
         }
     }
 
@@ -241,7 +242,7 @@
             self.quarantine_request(request);
         }
         if self.quarantine.has_untold() {
-            self.report_crashes_soon();
+            self.report_at_once();
         }
     }
 
@@ -291,8 +292,11 @@
 
     /// Forgets old crashes.
     pub(super) fn forget_crashes(&mut self) {
-        for fingerprint in self.quarantine.forget_old(self.now) {
-            self.keep_quarantine(fingerprint, false);
+        for (fingerprint, is_noted_here) in self.quarantine.forget_old(self.now) {
+            // One box of all has the store forget it.
+            if is_noted_here {
+                self.keep_quarantine(fingerprint, false);
+            }
             self.record(Record::Released {
                 fingerprint: fingerprint.hex(),
             });
--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -71,13 +71,9 @@
         pending.due.get_or_insert(due);
     }
 
-    /// Lets the boxes of the own failure domain know at once of crashes.
-    pub(super) fn report_crashes_soon(&mut self) {
-        self.report_rollouts_soon();
-    }
-
-    /// Lets the boxes of the own failure domain know at once how far this one is with roll-outs.
-    pub(super) fn report_rollouts_soon(&mut self) {
+    /// Lets the boxes of the own failure domain know at once of crashes, and how far this one is with
+    /// roll-outs.
+    pub(super) fn report_at_once(&mut self) {
         let pending = &mut self.pending_usage;
         let due = self.now.max(pending.allowed);
         pending.due = Some(pending.due.map_or(due, |known| known.min(due)));
@@ -108,7 +104,7 @@
         };
         self.actions.push(Action::GossipUsage { to, news, crashes });
         if self.quarantine.has_untold() {
-            self.report_crashes_soon();
+            self.report_at_once();
         }
     }
 
--- a/src/gateway/dispatch/quarantine.rs
+++ b/src/gateway/dispatch/quarantine.rs
@@ -291,22 +291,20 @@
         requests.filter(move |other| *other != request)
     }
 
-    /// Forgets what is old; returns the requests that are quarantined no more.
-    pub fn forget_old(&mut self, now: Micros) -> Vec<Fingerprint> {
+    /// Forgets what is old; returns the requests that are quarantined no more, and whether this box
+    /// noted the last crash of each.
+    pub fn forget_old(&mut self, now: Micros) -> Vec<(Fingerprint, bool)> {
         let is_old = |at: Micros| now.since(at) >= CRASHES_KEPT_FOR;
         self.lives.retain(|_, witnesses| !is_old(witnesses.at));
-        let suspects = self.suspects.iter();
-        let old: Vec<_> = suspects
-            .filter(|(_, suspect)| is_old(suspect.last()))
-            .map(|(request, suspect)| (*request, suspect.quarantined.is_some()))
-            .collect();
-        for (request, _) in &old {
-            self.suspects.remove(request);
-        }
-        let released = old
-            .into_iter()
-            .filter(|(_, was_quarantined)| *was_quarantined);
-        released.map(|(request, _)| request).collect()
+        let mut released = Vec::new();
+        self.suspects.retain(|request, suspect| {
+            let is_kept = !is_old(suspect.last());
+            if !is_kept && suspect.quarantined.is_some() {
+                released.push((*request, suspect.is_noted_here));
+            }
+            is_kept
+        });
+        released
     }
 
     /// Forgets the oldest of those that fewest crashes count against once there are too many, a tenth of
--- a/src/gateway/dispatch/rollouts.rs
+++ b/src/gateway/dispatch/rollouts.rs
@@ -192,7 +192,7 @@
         let is_wanted = self.rollouts.iter().any(is_leaving);
         if is_wanted && self.now >= self.next_note {
             self.next_note = self.now.after(NOTE_EVERY);
-            self.report_rollouts_soon();
+            self.report_at_once();
         }
     }
 
--- a/src/gateway/dispatch/suspicion.rs
+++ b/src/gateway/dispatch/suspicion.rs
@@ -14,7 +14,7 @@
 //! two engines for each stream (twice the prefill).
 //!
 //! A request has these checks, the first that holds is carried out: its deadline is over (given
-//! up); it waits to be quarantined or not, and that is known (goes on, [`super::crashes`]); it waits for an endpoint and the pause is over (looks again); a call is slow (moves); its
+//! up); it waits for what follows from a crash, and that is known (goes on, [`super::crashes`]); it waits for an endpoint and the pause is over (looks again); a call is slow (moves); its
 //! engine has started again, and nothing of the attempt was heard since (moves, [`super::rebirth`]); its
 //! engine is silent (probe); its replicas are due ([`super::replicas`]).
 
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -202,7 +202,7 @@
     let before = at(2).after(CRASHES_KEPT_FOR);
     assert!(quarantine.forget_old(before).is_empty());
     let after = at(4).after(CRASHES_KEPT_FOR);
-    assert_eq!(quarantine.forget_old(after), [GUILTY]);
+    assert_eq!(quarantine.forget_old(after), [(GUILTY, true)]);
     assert!(!quarantine.is_quarantined(GUILTY));
 }
 
@@ -257,6 +257,12 @@
     };
     assert_eq!(told, [GUILTY]);
     assert!(started.is_quarantined(GUILTY));
+    let later = at(10).after(CRASHES_KEPT_FOR);
+    assert_eq!(
+        started.forget_old(later),
+        [(GUILTY, false)],
+        "another box sees to the store"
+    );
 }
 
 #[test]
