--- a/lab/src/gateway/crashes/fleet.rs
+++ b/lab/src/gateway/crashes/fleet.rs
@@ -1,8 +1,10 @@
 //! Boxes of the real decision code on made-up time, the links between them, and what goes wrong.
 //!
-//! `setup` makes them, `callers` holds those who send requests, `runs` what becomes of attempts.
+//! `setup` makes them, `callers` holds those who send requests, `runs` what becomes of attempts, `faults`
+//! what goes wrong beside.
 
 mod callers;
+mod faults;
 mod runs;
 mod setup;
 
@@ -50,17 +52,11 @@
 const SERVER_AWAY: (f64, f64) = (2.0, 4.0);
 /// How long its entry stays: it goes after three heartbeats.
 const ENTRY_STAYS: Duration = Duration::from_millis(3_600);
-/// The time until boxes hear of a change of entries, at most.
-const LISTED_WITHIN: f64 = 0.5;
 /// When the faults beside begin, and the pauses between them.
 const FAULT_AFTER: Duration = Duration::from_secs(9);
 const FAULT_PAUSE: Duration = Duration::from_secs(9);
 /// How often.
 const FAULTS: usize = 3;
-/// The share of a domain's servers that fall.
-const FALLING: f64 = 0.9;
-/// Time between two servers that end by themselves.
-const SERVER_ENDS_EACH: Duration = Duration::from_millis(700);
 /// How long a failure domain is cut off, and which.
 const CUT_FOR: Duration = Duration::from_secs(5);
 const CUT_DOMAIN: usize = 1;
@@ -417,54 +413,4 @@
             }
         }
     }
-
-    /// Has all boxes hear of a change of entries, each after its own time.
-    fn tell_change(&mut self, change: &EndpointChange) {
-        self.revision += 1;
-        for at in 0..self.boxes.len() {
-            let after = Duration::from_secs_f64(self.rng.random_range(0.05..LISTED_WITHIN));
-            let changes = vec![change.clone()];
-            let event = Event::EndpointsChanged {
-                changes,
-                at: self.revision,
-            };
-            self.post_event(at, after, event);
-        }
-    }
-
-    fn bring_fault(&mut self, number: usize) {
-        match self.case.beside {
-            Beside::DomainsFall => self.drop_domain(number % DOMAINS),
-            Beside::BoxesKilled => {
-                for at in (number % DOMAINS..self.boxes.len()).step_by(DOMAINS) {
-                    self.kill_box(at);
-                }
-            }
-            Beside::AllBoxesKilled if number == 0 => {
-                for at in 0..self.boxes.len() {
-                    self.kill_box(at);
-                }
-            }
-            Beside::DomainCut if number == 0 => self.cut_until = self.now().after(CUT_FOR),
-            _ => {}
-        }
-    }
-
-    fn drop_domain(&mut self, domain: usize) {
-        let name = setup::domain_name(domain);
-        for place in self.servers.up(Some(&name)) {
-            if self.rng.random_bool(FALLING) {
-                self.end_server(place);
-            }
-        }
-    }
-
-    fn end_some_server(&mut self) {
-        self.mail.post(SERVER_ENDS_EACH, Mail::ServerEnds);
-        let up = self.servers.up(None);
-        if !up.is_empty() {
-            let place = up[self.rng.random_range(0..up.len())];
-            self.end_server(place);
-        }
-    }
 }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -14,6 +14,7 @@
 //! | when a request is tried again, how often | [`retry`], at whose cost: [`retry_budget`] |
 //! | when it is given up, why, and when its caller may come back | [`refusal`] |
 //! | when an endpoint is suspected | [`suspicion`], avoided and trusted again: `fleet::losses` |
+//! | what follows from a table or a list that was read | `intake` |
 //! | which requests crash their endpoints and are held back | [`quarantine`], made sure of: `crashes` |
 //! | how long streams take, which a stop must leave them | [`stream_time`] |
 //! | what follows when an endpoint starts again under its id | [`rebirth`], `fleet::incarnations` |
@@ -49,6 +50,7 @@
 mod attempts;
 mod crashes;
 mod gossip;
+mod intake;
 mod outcomes;
 mod prompt_search;
 mod readiness;
@@ -68,18 +70,18 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::schema::{BoxId, DomainId, EndpointId, Incarnation, Micros};
+use crate::schema::{BoxId, DomainId, Incarnation, Micros};
 use action::{Action, Command};
 use admission::HeldBack;
 use crashes::PendingCrashes;
-use event::{AttemptNumber, EndpointChange, EndpointSpec, Event, RequestNumber};
+use event::{AttemptNumber, Event, RequestNumber};
 use fetches::{FetchKind, Fetches};
 use fleet::Fleet;
 use gossip::PendingUsage;
 use peers::Peers;
 use placement::Placer;
 use quarantine::Quarantine;
-use record::{EndpointState, Record, WATCHES_STORE};
+use record::{Record, WATCHES_STORE};
 use request::Request;
 use retry_budget::{RetryBudget, RetryPolicy};
 use rollout::Rollouts;
@@ -394,67 +396,6 @@
         self.actions.push(Action::Record(record));
     }
 
-    fn on_table(&mut self, table: Arc<RoutingTable>) {
-        if self.table.is_some() && table.version() <= self.table_version() {
-            return;
-        }
-        self.record(Record::TableInForce {
-            version: table.version().0,
-        });
-        self.table_fetches.on_progress(table.version().0, self.now);
-        self.fleet.set_services(table.services().map(|s| &s.name));
-        self.table = Some(table);
-        self.gossip_table();
-        self.release_held_back();
-    }
-
-    fn on_listed(&mut self, specs: Vec<EndpointSpec>, unreadable: &[EndpointId], at: u64) {
-        self.note_endpoints(at);
-        let gone = self.fleet.replace(specs, unreadable, self.now);
-        let gone = gone.into_iter().map(|id| (id, EndpointState::Absent));
-        self.record_endpoints(at, &gone.collect::<Vec<_>>());
-        self.note_ended_lives();
-        self.release_held_back();
-    }
-
-    fn on_changed(&mut self, changes: Vec<EndpointChange>, at: u64) {
-        self.note_endpoints(at);
-        let states = changes.iter().map(EndpointState::of);
-        self.record_endpoints(at, &states.collect::<Vec<_>>());
-        self.fleet.change_all(changes, self.now);
-        self.note_ended_lives();
-    }
-
-    /// Records changes of the list: one by one if this box watches the store, else their number.
-    fn record_endpoints(&mut self, at: u64, changes: &[(EndpointId, EndpointState)]) {
-        if self.store_watchers.is_watching() {
-            for (id, state) in changes {
-                self.record(Record::Endpoint {
-                    endpoint: id.to_string(),
-                    state: state.word().into(),
-                });
-            }
-            return;
-        }
-        let count = |of| changes.iter().filter(|(_, state)| *state == of).count();
-        self.record(Record::Endpoints {
-            at,
-            present: count(EndpointState::Present),
-            leaving: count(EndpointState::Leaving),
-            absent: count(EndpointState::Absent),
-            unreadable: count(EndpointState::Unreadable),
-        });
-    }
-
-    /// Notes a change of the list of endpoints, and tells peers soon.
-    fn note_endpoints(&mut self, at: u64) {
-        if at > self.endpoints_at {
-            self.endpoints_at = at;
-            self.endpoint_fetches.on_progress(at, self.now);
-            self.gossip_soon();
-        }
-    }
-
     fn on_tick(&mut self) {
         self.settle_crashes();
         self.check_requests();
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -111,19 +111,10 @@
             .map(|host| (host.spec.incarnation(), host.spec.address));
         let usage = self.fleet.usage(endpoint, now);
         let spec = endpoint.spec.clone();
-        let owner = request.key_owner.as_ref();
         let attempt = Attempt {
-            attempt: AttemptNumber(request.attempts + 1),
-            endpoint: to.clone(),
-            address: spec.address,
-            time_left: request.time_left(now),
-            organisation: owner.map(|owner| owner.organisation.clone()),
-            after_event: request.last_event,
             mirror_to: mirror.as_ref().map(|(_, address)| *address),
             resume_from: replica.cloned(),
-            connect_limit: ATTEMPT_CONNECT_LIMIT,
-            longest_rest: longest_rest(request),
-            reports_connection: self.is_judged(&request.service),
+            ..self.attempt_at(request, &spec)
         };
         let mirror = mirror.map(|(host, _)| host);
         let backup = mirror.as_ref().map(|host| host.id.to_string());
@@ -138,6 +129,24 @@
         self.command(number, Command::Send(Box::new(attempt)));
     }
 
+    /// The next attempt of a request, at an endpoint, from the prompt and without a mirror.
+    fn attempt_at(&self, request: &Request, spec: &EndpointSpec) -> Attempt {
+        let owner = request.key_owner.as_ref();
+        Attempt {
+            attempt: AttemptNumber(request.attempts + 1),
+            endpoint: spec.id.clone(),
+            address: spec.address,
+            time_left: request.time_left(self.now),
+            organisation: owner.map(|owner| owner.organisation.clone()),
+            after_event: request.last_event,
+            mirror_to: None,
+            resume_from: None,
+            connect_limit: ATTEMPT_CONNECT_LIMIT,
+            longest_rest: longest_rest(request),
+            reports_connection: self.is_judged(&request.service),
+        }
+    }
+
     /// The record of an attempt that begins.
     fn sent(
         &self,
--- /dev/null
+++ b/src/gateway/dispatch/intake.rs
@@ -0,0 +1,80 @@
+//! What follows from a table, or a list of endpoints, that was read from the store or a peer.
+//!
+//! A table comes into force only if its version is greater, so that none ever reverts. Peers are told
+//! of both soon, and requests that waited for them are decided about.
+
+use std::sync::Arc;
+
+use super::Dispatcher;
+use super::event::{EndpointChange, EndpointSpec};
+use super::record::{EndpointState, Record};
+use super::table::RoutingTable;
+use crate::schema::EndpointId;
+
+impl Dispatcher {
+    pub(super) fn on_table(&mut self, table: Arc<RoutingTable>) {
+        if self.table.is_some() && table.version() <= self.table_version() {
+            return;
+        }
+        self.record(Record::TableInForce {
+            version: table.version().0,
+        });
+        self.table_fetches.on_progress(table.version().0, self.now);
+        self.fleet.set_services(table.services().map(|s| &s.name));
+        self.table = Some(table);
+        self.gossip_table();
+        self.release_held_back();
+    }
+
+    pub(super) fn on_listed(
+        &mut self,
+        specs: Vec<EndpointSpec>,
+        unreadable: &[EndpointId],
+        at: u64,
+    ) {
+        self.note_endpoints(at);
+        let gone = self.fleet.replace(specs, unreadable, self.now);
+        let gone = gone.into_iter().map(|id| (id, EndpointState::Absent));
+        self.record_endpoints(at, &gone.collect::<Vec<_>>());
+        self.note_ended_lives();
+        self.release_held_back();
+    }
+
+    pub(super) fn on_changed(&mut self, changes: Vec<EndpointChange>, at: u64) {
+        self.note_endpoints(at);
+        let states = changes.iter().map(EndpointState::of);
+        self.record_endpoints(at, &states.collect::<Vec<_>>());
+        self.fleet.change_all(changes, self.now);
+        self.note_ended_lives();
+    }
+
+    /// Records changes of the list: one by one if this box watches the store, else their number.
+    fn record_endpoints(&mut self, at: u64, changes: &[(EndpointId, EndpointState)]) {
+        if self.store_watchers.is_watching() {
+            for (id, state) in changes {
+                self.record(Record::Endpoint {
+                    endpoint: id.to_string(),
+                    state: state.word().into(),
+                });
+            }
+            return;
+        }
+        let count = |of| changes.iter().filter(|(_, state)| *state == of).count();
+        self.record(Record::Endpoints {
+            at,
+            present: count(EndpointState::Present),
+            leaving: count(EndpointState::Leaving),
+            absent: count(EndpointState::Absent),
+            unreadable: count(EndpointState::Unreadable),
+        });
+    }
+
+    /// Notes a change of the list of endpoints, and tells peers soon.
+    fn note_endpoints(&mut self, at: u64) {
+        if at > self.endpoints_at {
+            self.endpoints_at = at;
+            self.endpoint_fetches.on_progress(at, self.now);
+            self.gossip_soon();
+        }
+    }
+}
