--- a/src/gateway/dispatch/crashes.rs
+++ b/src/gateway/dispatch/crashes.rs
@@ -19,7 +19,7 @@
 use super::event::{Fault, Outcome, RequestNumber};
 #[cfg(doc)]
 use super::quarantine::DECIDED_AFTER;
-use super::quarantine::{ALONE_AT, Crash};
+use super::quarantine::{ALONE_AT, Crash, QUARANTINE_AT};
 use super::record::Record;
 use super::refusal::RefusalReason;
 use super::request::ActiveAttempt;
@@ -109,18 +109,18 @@
                 fell_with_domain: false,
             },
         };
-        // With this crash it may have to run alone, or nowhere. Endpoints that end as soon as they are
-        // asked took all five attempts before the first crash was noted.
         let noted = self.quarantine.crashes_of(request.fingerprint);
-        let with_this = noted + self.pending_crashes.of(request.fingerprint) + 1;
-        if with_this >= ALONE_AT {
-            let wait = if with_this > ALONE_AT {
-                VERDICT_AFTER
-            } else {
-                NOTED_AFTER
-            };
-            request.goes_on_at = Some(self.now.after(wait));
-        }
+        let pending_before = self.pending_crashes.of(request.fingerprint);
+        // Endpoints that end as soon as they are asked took all five attempts before the first crash was
+        // noted, so those that are not noted yet count too.
+        let wait = if noted + pending_before + 1 >= QUARANTINE_AT {
+            Some(VERDICT_AFTER)
+        } else if noted + 1 >= ALONE_AT {
+            Some(NOTED_AFTER)
+        } else {
+            None
+        };
+        request.goes_on_at = wait.map(|wait| self.now.after(wait));
         self.check_ended(active.endpoint.clone(), active.address, pending);
     }
 
