--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -60,11 +60,15 @@
     assert_eq!(played.blamed, 0, "{played:?}");
 }
 
-/// Eight and more crashing requests at once, or servers that end by themselves each 0.7 s: an innocent
-/// stream that met three such ends at one point, and alone at the last, is taken for the cause.
+/// Many crashing requests at once, or servers that end by themselves each 0.7 s: an innocent request that
+/// met three such ends at one point, and alone at the last, is taken for the cause.
 #[rstest]
 #[case::s117(117, 9)]
 #[case::s158(158, 9)]
+#[case::s242(242, 9)]
+#[case::s248(248, 9)]
+#[case::s265(265, 9)]
+#[case::s277(277, 9)]
 #[case::s42_30(42, 30)]
 fn among_many_crashes_no_innocent_is_blamed(#[case] seed: u64, #[case] boxes: usize) {
     let played = Case::draw(seed, boxes).play();
