--- a/src/gateway/dispatch/quarantine.rs
+++ b/src/gateway/dispatch/quarantine.rs
@@ -14,12 +14,12 @@
 //! - a request that is quarantined ran there too: that explains it;
 //! - others of the endpoint's failure domain ended at the same time ([`super::fleet`]).
 //!
-//! A request is quarantined after [`QUARANTINE_AT`] crashes that count, if at one of them it alone can be to
-//! blame: all that ran beside it has been served since or got on. After two crashes it is placed where
-//! nothing else runs, and nothing is placed beside it ([`super::attempts`]), so that the third one
-//! tells, and costs nobody else. Where that can't be had it is quarantined after [`QUARANTINE_ANYWAY_AT`]
-//! crashes that it is not past, whatever they came from. It is forgotten [`CRASHES_KEPT_FOR`] after its last crash, so a
-//! server that was mended meanwhile gets it again.
+//! A request is quarantined after [`QUARANTINE_AT`] crashes that count, if at one of them it alone can
+//! be to blame: all that ran beside it has been served since or got on. After two crashes it is placed
+//! where nothing else runs, and nothing is placed beside it ([`super::attempts`]), so that the third one
+//! tells, and costs nobody else. Where that can't be had it is quarantined after
+//! [`QUARANTINE_ANYWAY_AT`] crashes that it is not past, whatever they came from. It is forgotten
+//! [`CRASHES_KEPT_FOR`] after its last crash, so a server that was mended meanwhile gets it again.
 //!
 //! Owns: crashes and who was there. Relies on: endpoints that were checked to have ended, since a
 //! connection that breaks alone is no crash ([`super::crashes`]). Weighed in docs/design/quarantine.md:
--- a/src/gateway/dispatch/suspicion.rs
+++ b/src/gateway/dispatch/suspicion.rs
@@ -14,9 +14,10 @@
 //! two engines for each stream (twice the prefill).
 //!
 //! A request has these checks, the first that holds is carried out: its deadline is over (given
-//! up); it waits for what follows from a crash, and that is known (goes on, [`super::crashes`]); it waits for an endpoint and the pause is over (looks again); a call is slow (moves); its
-//! engine has started again, and nothing of the attempt was heard since (moves, [`super::rebirth`]); its
-//! engine is silent (probe); its replicas are due ([`super::replicas`]).
+//! up); it waits for what follows from a crash, and that is known (goes on, [`super::crashes`]); it
+//! waits for an endpoint and the pause is over (looks again); a call is slow (moves); its engine has
+//! started again, and nothing of the attempt was heard since (moves, [`super::rebirth`]); its engine is
+//! silent (probe); its replicas are due ([`super::replicas`]).
 
 use std::time::Duration;
 
