Duties: usage is reported by one box at a time, under a lease with a fencing token kept by the platform's store

Boxes tell the first watchers of their domain what began, these tell the holder the sums of the domain; who holds the duty goes with the state of each box, behind the message. Nothing is counted, sent or called where no address is set.

Three holders that are wrong on purpose are found.

--- a/lab/src/gateway/crashes/fleet.rs
+++ b/lab/src/gateway/crashes/fleet.rs
@@ -298,7 +298,9 @@
 
     fn perform(&mut self, at: usize, action: Action) {
         match action {
-            Action::Gossip { to, state, crashes } => {
+            Action::Gossip {
+                to, state, crashes, ..
+            } => {
                 self.send(at, &to, &datagram::write_state(&state, &crashes));
             }
             Action::GossipUsage { to, news, crashes } => {
--- a/lab/src/gateway/crashes/fleet/setup.rs
+++ b/lab/src/gateway/crashes/fleet/setup.rs
@@ -49,6 +49,7 @@
             share: 0.1,
             reserve: 50.0,
         },
+        duty: None,
     }
 }
 
--- a/lab/src/gateway/rollout/fleet/setup.rs
+++ b/lab/src/gateway/rollout/fleet/setup.rs
@@ -53,6 +53,7 @@
             share,
             reserve: EXPOSURE_SLACK,
         },
+        duty: None,
     }
 }
 
--- a/lab/src/gateway/spread.rs
+++ b/lab/src/gateway/spread.rs
@@ -380,6 +380,7 @@
             share: 0.1,
             reserve: 50.0,
         },
+        duty: None,
     };
     Dispatcher::new(cfg, seed, shared.clock.now())
 }
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -6,6 +6,10 @@
 
 use crate::schema::{HybridTime, Micros};
 
+/// A time of day, in milliseconds since 1970.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct UnixMillis(pub u64);
+
 /// Bits of a hybrid reading that count events within a millisecond.
 const COUNTER_BITS: u32 = 16;
 
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -29,6 +29,8 @@
 //! | when the box is ready | [`readiness`] |
 
 pub mod action;
+mod duties;
+pub mod duty;
 pub mod event;
 pub mod fetches;
 mod fingerprint;
@@ -74,6 +76,8 @@
 use action::{Action, Command};
 use admission::HeldBack;
 use crashes::PendingCrashes;
+use duties::DutyClock;
+use duty::{DutyPolicy, Holder, UsageDuty};
 use event::{AttemptNumber, Event, RequestNumber};
 use fetches::{FetchKind, Fetches};
 use fleet::Fleet;
@@ -124,6 +128,8 @@
     pub retries: RetryPolicy,
     /// What a version may get before its order's time is over.
     pub exposure: ExposureLimit,
+    /// How usage is reported, if it is.
+    pub duty: Option<DutyPolicy>,
 }
 
 /// The beat with which a life begins.
@@ -161,6 +167,8 @@
     quarantine: Quarantine,
     pending_crashes: PendingCrashes,
     has_asked_quarantine: bool,
+    duty: Option<UsageDuty>,
+    duty_clock: DutyClock,
     actions: Vec<Action>,
 }
 
@@ -204,6 +212,15 @@
             quarantine: Quarantine::default(),
             pending_crashes: PendingCrashes::default(),
             has_asked_quarantine: cfg.first_start,
+            duty: cfg.duty.map(|policy| {
+                let me = Holder {
+                    id: cfg.me.clone(),
+                    incarnation: cfg.incarnation,
+                    address: cfg.address,
+                };
+                UsageDuty::new(me, policy)
+            }),
+            duty_clock: DutyClock::new(now),
             actions: Vec::new(),
             cfg,
         }
@@ -239,8 +256,13 @@
             | Event::Peer(_)
             | Event::PeerUsage(_)
             | Event::PeerCrashes { .. }
+            | Event::PeerBegan(_)
+            | Event::PeerHolder(_)
             | Event::Fetched { .. }
             | Event::Seeds(_) => self.handle_news(event),
+            Event::TimeOfDay(day) => self.on_time_of_day(day),
+            Event::DutyAnswered { call, answer } => self.on_duty_answered(call, answer),
+            Event::UsageReported { window, outcome } => self.on_usage_reported(window, outcome),
             Event::Probed { .. }
             | Event::Checked { .. }
             | Event::Named { .. }
@@ -273,6 +295,8 @@
             Event::Peer(state) => self.on_peer(&state),
             Event::PeerUsage(news) => self.on_peer_usage(&news),
             Event::PeerCrashes { domain, news } => self.on_peer_crashes(domain.as_ref(), &news),
+            Event::PeerBegan(news) => self.on_peer_began(&news),
+            Event::PeerHolder(holder) => self.on_peer_holder(&holder),
             Event::Fetched {
                 kind,
                 from,
--- a/src/gateway/dispatch/action.rs
+++ b/src/gateway/dispatch/action.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::gateway::dispatch::duty::SettledWindow;
+use crate::gateway::dispatch::duty::lease::StoreCall;
 use crate::gateway::dispatch::event::{AttemptNumber, EndpointSpec, RequestNumber, SnapshotName};
 use crate::gateway::dispatch::fetches::FetchKind;
 use crate::gateway::dispatch::record::Record;
@@ -10,8 +12,8 @@
 use crate::gateway::dispatch::replica::ReplicaLocation;
 use crate::gateway::dispatch::rollout::status::StatusWrite;
 use crate::schema::{
-    BoxState, CrashNews, EndpointId, EndpointIncarnation, Fingerprint, OrganisationId,
-    StateRequest, UsageNews,
+    BeganNews, BoxState, CrashNews, DutyHolder, EndpointId, EndpointIncarnation, Fingerprint,
+    OrganisationId, StateRequest, UsageNews,
 };
 
 /// One attempt of a request at an endpoint.
@@ -155,6 +157,8 @@
         state: Box<BoxState>,
         /// What it knows of requests that crash endpoints.
         crashes: CrashNews,
+        /// Who holds the duty to report usage, as it knows.
+        holder: Option<DutyHolder>,
     },
     /// Tell other boxes of the attempts that this one has just made, by UDP.
     GossipUsage {
@@ -165,6 +169,22 @@
         /// What it knows of requests that crash endpoints.
         crashes: CrashNews,
     },
+    /// Tell boxes that may hold the duty how many requests began here, by UDP.
+    TellBegan {
+        /// Their addresses.
+        to: Vec<SocketAddr>,
+        /// What began.
+        news: BeganNews,
+    },
+    /// Call the store for a duty.
+    CallForDuty(StoreCall),
+    /// Report the usage of a window.
+    ReportUsage {
+        /// The fencing token.
+        token: u64,
+        /// The window and its counts.
+        window: SettledWindow,
+    },
     /// Ask another box for what it read from the platform.
     FetchState {
         /// Its address.
--- a/src/gateway/dispatch/event.rs
+++ b/src/gateway/dispatch/event.rs
@@ -5,12 +5,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::clock::UnixMillis;
+use crate::gateway::dispatch::duty::ReportOutcome;
+use crate::gateway::dispatch::duty::began::Window;
+use crate::gateway::dispatch::duty::lease::DutyAnswer;
 use crate::gateway::dispatch::fetches::{FetchKind, FetchOutcome};
 use crate::gateway::dispatch::rollout::status::ObjectState;
 use crate::gateway::dispatch::table::RoutingTable;
 use crate::schema::{
-    Birth, BoxState, CrashNews, DomainId, EndpointId, EndpointIncarnation, Fingerprint, RequestAge,
-    ServiceId, UsageNews, VersionId,
+    BeganNews, Birth, BoxState, CrashNews, DomainId, DutyHolder, EndpointId, EndpointIncarnation,
+    Fingerprint, RequestAge, ServiceId, UsageNews, VersionId,
 };
 
 /// A request as this box numbers it.
@@ -279,6 +283,26 @@
     QuarantineRead(Vec<RequestAge>),
     /// The platform's store answered this box.
     StoreAnswered,
+    /// The time of day, now and then, where a duty asks for it.
+    TimeOfDay(UnixMillis),
+    /// Another box told how many requests began there.
+    PeerBegan(BeganNews),
+    /// Another box told who holds the duty.
+    PeerHolder(DutyHolder),
+    /// The store answered a call that a duty made, or did not.
+    DutyAnswered {
+        /// The call's number.
+        call: u64,
+        /// The answer.
+        answer: DutyAnswer,
+    },
+    /// A report of usage came to its end.
+    UsageReported {
+        /// The window.
+        window: Window,
+        /// How.
+        outcome: ReportOutcome,
+    },
     /// Another box sent its state.
     Peer(BoxState),
     /// Another box told of the attempts that it has just made.
--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -14,6 +14,7 @@
 
 use super::Dispatcher;
 use super::action::Action;
+use super::duty::UsageDuty;
 use super::fetches::{FetchKind, FetchOutcome};
 use super::peers::Heard;
 use super::store_watchers::{Contact, StoreWatchers};
@@ -234,8 +235,12 @@
         self.beat += 1;
         for (domain, to) in by_domain {
             let state = Box::new(self.state_for(&domain));
-            let crashes = crashes.clone();
-            self.actions.push(Action::Gossip { to, state, crashes });
+            self.actions.push(Action::Gossip {
+                to,
+                state,
+                crashes: crashes.clone(),
+                holder: self.duty.as_ref().and_then(UsageDuty::holder),
+            });
         }
     }
 
--- a/src/gateway/dispatch/request.rs
+++ b/src/gateway/dispatch/request.rs
@@ -98,6 +98,8 @@
     pub last_passed: Micros,
     /// Whether the caller got an event of this answer.
     pub has_begun: bool,
+    /// Whether it is counted among the requests that began to run.
+    pub is_counted: bool,
     /// The last fault that was met.
     pub fault: Option<Fault>,
     /// When to look for an endpoint again, if there was none.
@@ -140,6 +142,7 @@
             unasked: Vec::new(),
             last_passed: now,
             has_begun: false,
+            is_counted: false,
             fault: None,
             next_look: None,
             without_endpoint: None,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -6,6 +6,7 @@
 
 use log::LevelFilter;
 
+use crate::gateway::dispatch::duty::DutyPolicy;
 use crate::gateway::dispatch::retry_budget::RetryPolicy;
 use crate::gateway::dispatch::rollout::exposure::ExposureLimit;
 use crate::schema::{BoxId, DomainId, GatewaySettingsFile};
@@ -17,6 +18,15 @@
 /// The greatest number of requests that a version may get beyond its share.
 const MOST_ROLLOUT_RESERVE: f64 = 1e6;
 
+/// How usage is reported.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct UsageSettings {
+    /// Where.
+    pub address: SocketAddr,
+    /// When, and by whom.
+    pub policy: DutyPolicy,
+}
+
 /// The checked settings of a gateway box.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -46,6 +56,8 @@
     pub first_start: bool,
     /// What a version may get of its service's requests before its order's time is over.
     pub exposure: ExposureLimit,
+    /// How usage is reported, if it is.
+    pub usage: Option<UsageSettings>,
     /// Time between messages to peers.
     pub gossip: Duration,
     /// How long a watch waits.
@@ -78,6 +90,10 @@
         first_start: Some(true),
         rollout_share: Some(0.1),
         rollout_reserve: Some(50.0),
+        usage_reports: None,
+        usage_window_s: Some(5.0),
+        usage_late_s: Some(10.0),
+        lease_ms: Some(3_000),
         gossip_ms: Some(300),
         watch_ms: Some(3_000),
         held_bytes: Some(64 << 20),
@@ -122,6 +138,10 @@
         first_start: upper.first_start.or(lower.first_start),
         rollout_share: upper.rollout_share.or(lower.rollout_share),
         rollout_reserve: upper.rollout_reserve.or(lower.rollout_reserve),
+        usage_reports: upper.usage_reports.or(lower.usage_reports),
+        usage_window_s: upper.usage_window_s.or(lower.usage_window_s),
+        usage_late_s: upper.usage_late_s.or(lower.usage_late_s),
+        lease_ms: upper.lease_ms.or(lower.lease_ms),
         gossip_ms: upper.gossip_ms.or(lower.gossip_ms),
         watch_ms: upper.watch_ms.or(lower.watch_ms),
         held_bytes: upper.held_bytes.or(lower.held_bytes),
@@ -188,6 +208,24 @@
                     MOST_ROLLOUT_RESERVE,
                 ),
             },
+            usage: file.usage_reports.map(|address| UsageSettings {
+                address: check.address("usage_reports", Some(address)),
+                policy: DutyPolicy {
+                    window: seconds(
+                        &mut check,
+                        "usage_window_s",
+                        file.usage_window_s,
+                        (0.1, 86_400.0),
+                    ),
+                    late: seconds(
+                        &mut check,
+                        "usage_late_s",
+                        file.usage_late_s,
+                        (0.1, 86_400.0),
+                    ),
+                    lease: check.millis("lease_ms", file.lease_ms, (500, 600_000)),
+                },
+            }),
             gossip: check.millis("gossip_ms", file.gossip_ms, (20, 60_000)),
             watch: check.millis("watch_ms", file.watch_ms, (100, 30_000)),
             held_bytes: check.size("held_bytes", file.held_bytes, 1 << 16, 1 << 40),
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -10,6 +10,7 @@
 pub mod datagram;
 pub mod decision_log;
 pub mod dialect;
+mod duties;
 mod endpoint_reader;
 pub mod events;
 pub mod exchange;
@@ -138,6 +139,7 @@
     runtime.spawn(store::follow(ObjectKind::Table, shared.clone()));
     runtime.spawn(store::follow(ObjectKind::Endpoints, shared.clone()));
     runtime.spawn(store::follow(ObjectKind::Rollouts, shared.clone()));
+    runtime.spawn(duties::tell_time(shared.clone()));
     runtime.spawn(pool::sweep_resting(
         Arc::clone(&shared.pool),
         REST_BEFORE_CLOSE,
@@ -159,6 +161,7 @@
         fleet_boxes: settings.fleet_boxes,
         retries: settings.retries,
         exposure: settings.exposure,
+        duty: settings.usage.map(|usage| usage.policy),
     };
     Dispatcher::new(cfg, rand::random(), shared.clock.now())
 }
--- a/src/gateway/shell/control.rs
+++ b/src/gateway/shell/control.rs
@@ -16,7 +16,8 @@
 use crate::gateway::shell::dialect::ObjectKind;
 use crate::gateway::shell::input::Input;
 use crate::gateway::shell::{
-    GatewayShared, datagram, peers, probes, quarantine, rollouts, snapshots, store, transfer,
+    GatewayShared, datagram, duties, peers, probes, quarantine, rollouts, snapshots, store,
+    transfer,
 };
 
 /// The control thread's own state.
@@ -123,6 +124,9 @@
             | Action::ReadTable
             | Action::ReadQuarantine
             | Action::KeepQuarantine { .. }
+            | Action::TellBegan { .. }
+            | Action::CallForDuty(_)
+            | Action::ReportUsage { .. }
             | Action::WriteRollout(_) => self.speak_to_boxes(action),
             Action::Probe { .. }
             | Action::CheckEnded { .. }
@@ -139,8 +143,14 @@
         let shared = self.shared.clone();
         let gossip = Arc::clone(&self.gossip);
         match action {
-            Action::Gossip { to, state, crashes } => {
+            Action::Gossip {
+                to,
+                state,
+                crashes,
+                holder,
+            } => {
                 let datagram = datagram::write_state(&state, &crashes);
+                let datagram = datagram.and_then(|message| datagram::with_holder(message, holder));
                 self.spawn(peers::send(gossip, to, datagram, shared));
             }
             Action::GossipUsage { to, news, crashes } => {
@@ -157,6 +167,14 @@
                 is_quarantined,
             } => self.spawn(quarantine::keep(request, is_quarantined, shared)),
             Action::WriteRollout(write) => self.spawn(rollouts::write_status(write, shared)),
+            Action::TellBegan { to, news } => {
+                let datagram = datagram::write_began(&news);
+                self.spawn(peers::send(gossip, to, datagram, shared));
+            }
+            Action::CallForDuty(call) => self.spawn(duties::call_store(call, shared)),
+            Action::ReportUsage { token, window } => {
+                self.spawn(duties::report(token, window, shared));
+            }
             _ => {}
         }
     }
--- a/src/gateway/shell/datagram.rs
+++ b/src/gateway/shell/datagram.rs
@@ -10,7 +10,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::gateway::dispatch::event::Event;
-use crate::schema::{BoxState, CrashNews, DatagramSection, UsageNews};
+use crate::schema::{BeganNews, BoxState, CrashNews, DatagramSection, DutyHolder, UsageNews};
 
 /// The first byte of a datagram with a [`BoxState`].
 const STATE: u8 = 5;
@@ -18,6 +18,10 @@
 const USAGE: u8 = 4;
 /// The kind of a section with [`CrashNews`].
 const CRASHES: u16 = 1;
+/// The kind of a section with [`BeganNews`].
+const BEGAN: u16 = 2;
+/// The kind of a section with a [`DutyHolder`].
+const HOLDER: u16 = 3;
 
 /// The datagram with a box's state.
 ///
@@ -39,6 +43,39 @@
     with_crashes(message, crashes)
 }
 
+/// Adds who holds the duty to report usage to a datagram with a box's state.
+///
+/// # Errors
+///
+/// If it can't be encoded.
+pub fn with_holder(
+    message: Vec<u8>,
+    holder: Option<DutyHolder>,
+) -> Result<Vec<u8>, postcard::Error> {
+    match holder {
+        Some(holder) => with_section(message, HOLDER, &holder),
+        None => Ok(message),
+    }
+}
+
+/// The datagram with how many requests began to run at a box, behind a message that tells nothing.
+///
+/// # Errors
+///
+/// If it can't be encoded.
+pub fn write_began(began: &BeganNews) -> Result<Vec<u8>, postcard::Error> {
+    let nothing = UsageNews {
+        from: began.from.clone(),
+        usage: Vec::new(),
+        answers: Vec::new(),
+        totals: Vec::new(),
+        samples: Vec::new(),
+        rollouts: Vec::new(),
+    };
+    let message = postcard::to_extend(&nothing, vec![USAGE])?;
+    with_section(message, BEGAN, began)
+}
+
 fn with_crashes(message: Vec<u8>, crashes: &CrashNews) -> Result<Vec<u8>, postcard::Error> {
     if *crashes == CrashNews::default() {
         return Ok(message);
@@ -82,6 +119,10 @@
             let news = read_content(&section)?;
             let domain = domain.clone();
             events.push(Event::PeerCrashes { domain, news });
+        } else if section.kind == HOLDER {
+            events.push(Event::PeerHolder(read_content(&section)?));
+        } else if section.kind == BEGAN {
+            events.push(Event::PeerBegan(read_content(&section)?));
         }
     }
     Ok(events)
--- a/src/gateway/shell/dialect.rs
+++ b/src/gateway/shell/dialect.rs
@@ -7,18 +7,18 @@
 use std::time::Duration;
 
 use gotham::hyper::http::{request, response};
-use gotham::hyper::{HeaderMap, StatusCode};
+use gotham::hyper::{HeaderMap, Method, StatusCode};
+
+pub use crate::clock::UnixMillis;
 
 use crate::gateway::dispatch::action::Attempt;
+use crate::gateway::dispatch::duty::SettledWindow;
+use crate::gateway::dispatch::duty::lease::{DutyAnswer, StoreAsk};
 use crate::gateway::dispatch::event::{Arrival, EndpointSpec, NotRunCause, SnapshotName};
 use crate::gateway::dispatch::refusal::Refusal;
 use crate::gateway::dispatch::rollout::status::{ObjectState, StatusWrite};
 use crate::gateway::dispatch::table::{RoutingTable, TableError};
-use crate::schema::{Birth, EndpointId, Fingerprint};
-
-/// A time of day, in milliseconds since 1970.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct UnixMillis(pub u64);
+use crate::schema::{Birth, BoxId, EndpointId, Fingerprint};
 
 /// Why a request can't be read.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -129,6 +129,19 @@
     pub at: u64,
 }
 
+/// A call that a duty needs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DutyCall {
+    /// The method.
+    pub method: Method,
+    /// The path.
+    pub path: String,
+    /// Headers beside those of any call.
+    pub headers: HeaderMap,
+    /// The body, if it has one.
+    pub body: String,
+}
+
 /// Translates between the outside and a gateway.
 pub trait Dialect: Send + Sync + 'static {
     /// Reads the head of a caller's request.
@@ -228,6 +241,15 @@
     /// Says why it can't be read.
     fn read_quarantine(&self, entry: &Entry) -> Result<(Fingerprint, UnixMillis), Unreadable>;
 
+    /// The call of the store that a duty needs.
+    fn duty_call(&self, ask: &StoreAsk) -> DutyCall;
+
+    /// Reads the store's answer to it.
+    fn read_duty(&self, ask: &StoreAsk, status: StatusCode, body: &[u8]) -> DutyAnswer;
+
+    /// The call that reports the usage of a window.
+    fn usage_report(&self, holder: &BoxId, token: u64, window: &SettledWindow) -> DutyCall;
+
     /// Reads an object that orders a roll-out.
     ///
     /// # Errors
--- /dev/null
+++ b/src/gateway/shell/duties.rs
@@ -0,0 +1,105 @@
+//! The calls that a duty needs: to the platform's store, and to where usage is reported.
+//!
+//! Whether a call was done is not guessed: without an answer the duty's object is read again, and a
+//! report is sent again as it was.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gotham::hyper::header::{CONTENT_TYPE, HeaderValue};
+use gotham::hyper::{Request, StatusCode};
+use http_body_util::Full;
+
+use crate::clock::{UnixMillis, wall_millis};
+use crate::gateway::dispatch::duty::lease::{DutyAnswer, StoreAsk, StoreCall};
+use crate::gateway::dispatch::duty::{ReportOutcome, SettledWindow};
+use crate::gateway::dispatch::event::Event;
+use crate::gateway::dispatch::record::Record;
+use crate::gateway::shell::GatewayShared;
+use crate::gateway::shell::dialect::DutyCall;
+use crate::gateway::shell::input::Input;
+use crate::http::pool::Pool;
+
+/// How often the time of day is read.
+const READ_EVERY: Duration = Duration::from_millis(500);
+/// How long a connection may take: the lease was looked at before.
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+/// How long a call may take.
+const CALL_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Tells the control thread the time of day, where a duty asks for it.
+pub async fn tell_time(shared: GatewayShared) {
+    if shared.settings.usage.is_none() {
+        return;
+    }
+    loop {
+        let day = UnixMillis(wall_millis());
+        shared.send(Input::Event(Event::TimeOfDay(day))).await;
+        tokio::time::sleep(READ_EVERY).await;
+    }
+}
+
+/// Calls the store.
+pub async fn call_store(call: StoreCall, shared: GatewayShared) {
+    match call.ask {
+        StoreAsk::Read => shared.metrics.store_reads().inc(),
+        StoreAsk::Make(_) | StoreAsk::Replace { .. } => shared.metrics.store_writes().inc(),
+    }
+    let wanted = shared.dialect.duty_call(&call.ask);
+    let answered = send(wanted, shared.settings.platform).await;
+    let answer = answered.map_or(DutyAnswer::Nothing, |(status, body)| {
+        shared.dialect.read_duty(&call.ask, status, &body)
+    });
+    let event = Event::DutyAnswered {
+        call: call.number,
+        answer,
+    };
+    shared.send(Input::Event(event)).await;
+}
+
+/// Reports the usage of a window.
+pub async fn report(token: u64, window: SettledWindow, shared: GatewayShared) {
+    let Some(usage) = &shared.settings.usage else {
+        return;
+    };
+    let holder = &shared.settings.box_id;
+    let wanted = shared.dialect.usage_report(holder, token, &window);
+    let answered = send(wanted, usage.address).await;
+    let outcome = match answered.map(|(status, _)| status) {
+        Some(status) if status.is_success() => ReportOutcome::Taken,
+        Some(StatusCode::CONFLICT) => ReportOutcome::Fenced,
+        Some(_) | None => ReportOutcome::Unknown,
+    };
+    let began: u64 = window.counts.values().sum();
+    shared.record(&Record::Process {
+        state: "usage_report".into(),
+        detail: format!(
+            "window {}, {began} requests, token {token}: {outcome:?}",
+            window.window.0
+        ),
+    });
+    let event = Event::UsageReported {
+        window: window.window,
+        outcome,
+    };
+    shared.send(Input::Event(event)).await;
+}
+
+async fn send(call: DutyCall, to: SocketAddr) -> Option<(StatusCode, Bytes)> {
+    let answer = async {
+        let mut request = Request::new(Full::new(Bytes::from(call.body)));
+        *request.method_mut() = call.method;
+        *request.uri_mut() = call.path.parse().ok()?;
+        *request.headers_mut() = call.headers;
+        let json = HeaderValue::from_static("application/json");
+        request.headers_mut().insert(CONTENT_TYPE, json);
+        let mut connection = Pool::connect(to, CONNECT_LIMIT).await.ok()?;
+        let (head, body) = connection.exchange(request).await?;
+        Some((head.status, body))
+    };
+    tokio::time::timeout(CALL_LIMIT, answer)
+        .await
+        .ok()
+        .flatten()
+}
--- a/src/gateway/shell/metrics.rs
+++ b/src/gateway/shell/metrics.rs
@@ -271,6 +271,12 @@
         self.store_calls.with_label_values(&[word])
     }
 
+    /// Calls to the platform's store that read what a duty keeps there.
+    #[must_use]
+    pub fn store_reads(&self) -> IntCounter {
+        self.store_calls.with_label_values(&["read"])
+    }
+
     /// Writing calls to the platform's store.
     #[must_use]
     pub fn store_writes(&self) -> IntCounter {
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -246,6 +246,20 @@
             })
     }
 }
+///How many requests began to run at a box, or at all boxes of a failure domain, for those that may report it.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct BeganNews {
+    pub from: BoxId,
+    pub incarnation: Incarnation,
+    ///The failure domain whose sums these are; none for the box's own.
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub of_domain: ::std::option::Option<DomainId>,
+    ///The time of day until which all is counted, in milliseconds since 1970.
+    pub until_ms: u64,
+    ///The last windows.
+    pub windows: ::std::vec::Vec<WindowCounts>,
+}
 ///When an endpoint's process started, by its own clock: Unix milliseconds.
 #[derive(
     ::serde::Deserialize,
@@ -785,6 +799,17 @@
     ///The sums.
     pub usage: ::std::vec::Vec<EndpointUsage>,
 }
+///Who holds the duty to report usage, as a box knows it.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct DutyHolder {
+    ///Where its peers reach it.
+    pub address: ::std::string::String,
+    pub id: BoxId,
+    pub incarnation: Incarnation,
+    ///Its fencing token.
+    pub token: u64,
+}
 ///How attempts at an endpoint ended since a box told it last.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -1193,6 +1218,9 @@
     ///Bytes of bodies that are held at once.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub held_bytes: ::std::option::Option<u64>,
+    ///How long a box holds a duty after it last said so, in milliseconds.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub lease_ms: ::std::option::Option<u64>,
     ///off, error, warn, info, debug or trace.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub log_level: ::std::option::Option<::std::string::String>,
@@ -1229,6 +1257,15 @@
     ///Threads that move bytes.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub traffic_threads: ::std::option::Option<u64>,
+    ///How long after a window's end its report may come, in seconds.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub usage_late_s: ::std::option::Option<f64>,
+    ///Where usage is reported, an IP number and a port; without it none is.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub usage_reports: ::std::option::Option<::std::string::String>,
+    ///The length of a window of usage, in seconds.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub usage_window_s: ::std::option::Option<f64>,
     ///How long a watch of the platform's store waits, in milliseconds.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub watch_ms: ::std::option::Option<u64>,
@@ -1838,6 +1875,14 @@
         Self::Answered(value)
     }
 }
+///How many requests of an organisation began to run.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct OrganisationCount {
+    ///How many.
+    pub began: u64,
+    pub organisation: OrganisationId,
+}
 ///An organisation whose requests are served.
 #[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[serde(transparent)]
@@ -3245,6 +3290,15 @@
     pub extra_second: f64,
     pub resume_second: f64,
 }
+///What began at a box in a window of the time of day.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct WindowCounts {
+    ///By organisation.
+    pub counts: ::std::vec::Vec<OrganisationCount>,
+    ///The window's number.
+    pub window: u64,
+}
 ///A batch of accepted work as the platform keeps it.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/tests/duties.rs
@@ -0,0 +1,124 @@
+//! The duty to report usage, held by one of several boxes: seeded schedules of faults on made-up time,
+//! judged by what the platform sees.
+
+#[path = "gateway/duty_world.rs"]
+mod duty_world;
+
+use std::time::Duration;
+
+use duty_world::{Broken, Holding, Schedule, World};
+use magpiemoor::clock::UnixMillis;
+use magpiemoor::gateway::dispatch::duty::Holder;
+use magpiemoor::gateway::dispatch::duty::began::{BeganCounts, Ledger, Window};
+use magpiemoor::schema::{Incarnation, Micros};
+use rstest::rstest;
+
+const LENGTH: Duration = Duration::from_secs(5);
+
+fn holder(id: &str, life: u64) -> Holder {
+    Holder {
+        id: id.parse().unwrap(),
+        incarnation: Incarnation(life),
+        address: "127.0.0.1:7200".parse().unwrap(),
+    }
+}
+
+/// Seeds of schedules that are played each time; many more by hand with `DUTY_SEEDS`.
+fn seeds() -> u64 {
+    let wanted = std::env::var("DUTY_SEEDS").ok();
+    wanted.and_then(|seeds| seeds.parse().ok()).unwrap_or(200)
+}
+
+/// Whatever fails, no two holders use one token, no smaller one is sent after a greater one by a box
+/// that runs and hears, and no window is reported in two ways.
+#[test]
+fn one_box_at_a_time_acts_and_windows_are_reported_in_one_way() {
+    for seed in 0..seeds() {
+        let schedule = if seed % 4 == 0 {
+            Schedule::one_sleeps(seed)
+        } else {
+            Schedule::draw(seed)
+        };
+        let played = World::play(schedule, Holding::Real);
+        assert_eq!(played.broken, [], "seed {seed}: {played:?}");
+    }
+}
+
+/// Without a fault all windows are reported, in time and with what began in them.
+#[test]
+fn without_a_fault_every_window_is_reported_right_and_in_time() {
+    for seed in 0..20 {
+        let played = World::play(Schedule::quiet(seed), Holding::Real);
+        assert_eq!(played.broken, [], "seed {seed}: {played:?}");
+        assert_eq!(played.wrong, 0, "seed {seed}: {played:?}");
+        assert!(played.right >= 8, "seed {seed}: {played:?}");
+    }
+}
+
+/// With faults most windows are.
+#[test]
+fn with_faults_nearly_all_windows_are_reported_right_and_in_time() {
+    let (mut right, mut wrong) = (0, 0);
+    for seed in 0..100 {
+        let played = World::play(Schedule::one_kill(seed), Holding::Real);
+        right += played.right;
+        wrong += played.wrong;
+    }
+    assert!(wrong * 50 <= right + wrong, "{wrong} wrong, {right} right");
+}
+
+/// The judge is one: holders that are wrong on purpose fail it where they should.
+#[rstest]
+#[case::by_wall_clock(Holding::ByWallClock, Broken::LowerToken)]
+#[case::token_from_memory(Holding::TokenFromMemory, Broken::SharedToken)]
+#[case::counted_again(Holding::CountsAgain, Broken::TwoReports)]
+fn holders_that_are_wrong_on_purpose_are_found(#[case] holding: Holding, #[case] broken: Broken) {
+    let found = (0..200).any(|seed| {
+        let drawn = World::play(Schedule::draw(seed), holding);
+        let slept = World::play(Schedule::one_sleeps(seed), holding);
+        drawn.broken.contains(&broken) || slept.broken.contains(&broken)
+    });
+    assert!(found);
+}
+
+#[test]
+fn counts_of_all_lives_are_added_and_messages_may_come_twice() {
+    let mut ledger = Ledger::default();
+    let day = UnixMillis(50_000);
+    let organisation = "shop".parse().unwrap();
+    for (life, requests) in [(1, 3), (2, 4)] {
+        let mut counts = BeganCounts::new(LENGTH);
+        for _ in 0..requests {
+            counts.count(&organisation, day);
+        }
+        let news = counts.news(&holder("box-1", life), day);
+        ledger.on_news(&news, Micros(1));
+        ledger.on_news(&news, Micros(2));
+    }
+    assert_eq!(ledger.totals(Window(10))[&organisation], 7);
+    assert!(ledger.totals(Window(11)).is_empty());
+}
+
+/// A window is whole once all boxes have told of it, or have not been heard for long.
+#[test]
+fn a_window_waits_for_all_boxes_that_are_heard() {
+    let mut ledger = Ledger::default();
+    let counts = BeganCounts::new(LENGTH);
+    let tell = |ledger: &mut Ledger, id: &str, day: u64, at: u64| {
+        let news = counts.news(&holder(id, 1), UnixMillis(day));
+        ledger.on_news(&news, Micros(at * 1_000));
+    };
+    tell(&mut ledger, "box-1", 50_000, 0);
+    tell(&mut ledger, "box-2", 50_000, 0);
+    let end = Window(10).end(LENGTH);
+    assert_eq!(end, UnixMillis(55_000));
+    tell(&mut ledger, "box-1", 55_100, 5_100);
+    assert!(!ledger.is_whole(end, &[], Micros(5_200_000)));
+    tell(&mut ledger, "box-2", 55_000, 5_300);
+    assert!(ledger.is_whole(end, &[], Micros(5_300_000)));
+    tell(&mut ledger, "box-1", 60_100, 10_000);
+    let end = Window(11).end(LENGTH);
+    assert!(!ledger.is_whole(end, &[], Micros(11_000_000)));
+    tell(&mut ledger, "box-1", 61_100, 11_400);
+    assert!(ledger.is_whole(end, &[], Micros(11_400_000)));
+}
--- a/tests/gateway/fixtures.rs
+++ b/tests/gateway/fixtures.rs
@@ -60,6 +60,7 @@
             share: 0.1,
             reserve: 50.0,
         },
+        duty: None,
     }
 }
 
