--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -95,11 +95,11 @@
 use table::{RoutingTable, TableVersion};
 
 /// How often a box with work checks its requests: a part of the shortest pause that is acted on
-/// (200 ms). Chosen, not measured.
+/// (200 ms).
 const TICK: Duration = Duration::from_millis(25);
 
-/// The least time without any event that tells of a standstill: a box that runs has a tick each
-/// 300 ms. Chosen, not measured.
+/// The least time without any event that tells of a standstill: a box that runs has a tick each 300
+/// ms.
 const STANDSTILL: Duration = Duration::from_secs(1);
 /// Microseconds of an incarnation for each beat: boxes tell others less often than that, so a later
 /// life begins with a greater beat than an earlier one had in the end.
--- a/src/gateway/dispatch/admission.rs
+++ b/src/gateway/dispatch/admission.rs
@@ -10,9 +10,9 @@
 //! [`super::attempts`].
 //!
 //! Holding back was weighed against refusing: 1.6% of the requests of lundavik scale-1 were refused
-//! by boxes that had just started, 0.0% since (trials of commit 364c22e). Refusing streams late in
-//! a stop was weighed against taking them: two were cut 6 s after SIGTERM (hunt-6333-59,
-//! docs/FINDINGS.md). Late is by the time that streams took lately ([`super::stream_time`]).
+//! by boxes that had just started, 0.0% since. Refusing streams late in a stop was weighed against
+//! taking them: two were cut 6 s after SIGTERM (hunt-6333-59, docs/FINDINGS.md). Late is by the
+//! time that streams took lately ([`super::stream_time`]).
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -33,14 +33,13 @@
 
 /// How long a request is held back by a box that knows no routes or endpoints yet. Chosen between
 /// the time in which a box learns them from a peer (150 ms and an exchange) and the shortest
-/// latency objectives; trials of commit 364c22e were made with it.
+/// latency objectives.
 pub(super) const LONGEST_HELD_BACK: Duration = Duration::from_millis(400);
-/// How long after its start a box takes each stream for one of a caller that lost its box, though it
-/// names no event: whoever lost it before the first event has none to name, and the prompt has been
-/// read at some engine. Callers come back within some seconds. Chosen, not measured.
+/// How long after its start a box takes each stream for one of a caller that lost its box, though
+/// it names no event: whoever lost it before the first event has none to name, and the prompt has
+/// been read at some engine. Callers come back within some seconds.
 const CALLERS_RETURN_FOR: Duration = Duration::from_secs(5);
-/// How many requests such a box holds back: what arrives in 400 ms at some 1,200 a second. Chosen,
-/// not measured.
+/// How many requests such a box holds back: what arrives in 400 ms at some 1,200 a second.
 const MOST_HELD_BACK: usize = 500;
 /// A request that waits for this box to know routes and endpoints.
 #[derive(Debug)]
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -25,22 +25,20 @@
 use super::rollout::evidence::Sampled;
 use crate::schema::{EndpointId, EndpointIncarnation, Micros};
 
-/// How long to wait before looking for an endpoint again. Chosen, not measured.
+/// How long to wait before looking for an endpoint again.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
 /// The part of the latency objective, one over this, within which a request that can't be placed is
 /// refused: the users' rules count a refusal within a quarter of the objective as early.
 const REFUSAL_PART: u32 = 5;
 /// How long a stream that has begun looks for another endpoint: its caller has something of worth
-/// already. Chosen, not measured.
+/// already.
 const STREAM_PATIENCE: Duration = Duration::from_secs(5);
 /// How long a connection may have rested for a request that runs at most once, since an endpoint
 /// may forget an idle connection without a word, and what was written to it can't be repeated.
-/// Chosen, not measured.
 const LONGEST_REST_ONCE: Duration = Duration::from_millis(700);
-/// How long a connection may have rested for other requests. Chosen, not measured.
+/// How long a connection may have rested for other requests.
 const LONGEST_REST_REPEATABLE: Duration = Duration::from_secs(4);
-/// The least time that must be left for an attempt: an answer takes longer than this. Chosen, not
-/// measured.
+/// The least time that must be left for an attempt: an answer takes longer than this.
 const LEAST_TIME: Duration = Duration::from_millis(5);
 
 /// How long a request waits for an endpoint before it is given up.
--- a/src/gateway/dispatch/crashes.rs
+++ b/src/gateway/dispatch/crashes.rs
@@ -27,11 +27,11 @@
     CrashNews, DomainId, EndpointIncarnation, Fingerprint, Micros, RequestAge, ServiceId,
 };
 
-/// How long a connection may take that shows whether an endpoint has ended. Chosen over the slowest
-/// sound connection of the users' sites (some 3 ms) and under [`CRASH_SETTLING`], not measured.
+/// How long a connection may take that shows whether an endpoint has ended. Over the slowest sound
+/// connection of the users' sites (some 3 ms) and under [`CRASH_SETTLING`].
 const CHECK_LIMIT: Duration = Duration::from_millis(40);
-/// How long after a crash it is noted: by then losses of others of the domain have been told. Chosen
-/// over the pause before news of losses (10 ms) and a way between boxes, not measured.
+/// How long after a crash it is noted: by then losses of others of the domain have been told. Over
+/// the pause before news of losses (10 ms) and a way between boxes.
 const CRASH_SETTLING: Duration = Duration::from_millis(50);
 /// How long a request waits until a crash is noted that may have it run alone: over [`CRASH_SETTLING`].
 const NOTED_AFTER: Duration = Duration::from_millis(60);
--- a/src/gateway/dispatch/fetches.rs
+++ b/src/gateway/dispatch/fetches.rs
@@ -16,7 +16,7 @@
 //! for 10 to 18 s (docs/incidents/late-table.md).
 //!
 //! Table and endpoints are asked for apart: at 300 boxes a list of 3,000 endpoints kept the table
-//! waiting up to 11.8 s (commit 8de6a5d).
+//! waiting up to 11.8 s.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -29,27 +29,26 @@
 use crate::schema::Micros;
 
 /// The least time between two questions of a kind after one was answered, so that changes gather.
-/// Chosen, not measured.
 const FETCH_PAUSE: Duration = Duration::from_millis(100);
 /// Pauses after a peer that was busy or failed, before another one is asked. Chosen between the
 /// time in which a peer sends a packed table of 0.1 MB (0.1 s at 10 Mbit/s) and a connection (a few
-/// milliseconds), not measured.
+/// milliseconds).
 const TURNED_AWAY: Backoff = Backoff {
     first: Duration::from_millis(20),
     longest: Duration::from_millis(160),
     most_doublings: 3,
     jitter: 0.5..1.5,
 };
-/// How long a peer that was busy is not asked again. Chosen: about one transfer, not measured.
+/// How long a peer that was busy is not asked again. About one transfer.
 const BUSY_FOR: Duration = Duration::from_millis(100);
-/// How long a peer that failed is not asked again. Chosen, not measured.
+/// How long a peer that failed is not asked again.
 const FAILED_FOR: Duration = Duration::from_secs(2);
-/// How long one question is waited for before another peer is asked as well. Chosen, not measured.
+/// How long one question is waited for before another peer is asked as well.
 const FETCH_PATIENCE: Duration = Duration::from_secs(3);
-/// How long a table that peers have is waited for before it is read from the store as well: a
-/// half of the shortest time in which users want a change in force (2 s). Chosen, not measured.
+/// How long a table that peers have is waited for before it is read from the store as well: a half
+/// of the shortest time in which users want a change in force (2 s).
 const STORE_AFTER: Duration = Duration::from_secs(1);
-/// Pauses between two reads of the store. Chosen, not measured.
+/// Pauses between two reads of the store.
 const STORE_READS: Backoff = Backoff {
     first: Duration::from_secs(1),
     longest: Duration::from_secs(8),
--- a/src/gateway/dispatch/fleet/losses.rs
+++ b/src/gateway/dispatch/fleet/losses.rs
@@ -7,10 +7,10 @@
 //! | unreachable | [`UNREACHABLE_AFTER`] connections in a row to its failure domain failed | a connection to the domain is made | one trial each [`TRIAL_PAUSE`], else left out |
 //!
 //! An endpoint that was there before its domain failed is most likely gone, or in another life: it
-//! comes back under another id, or under its own with another birth
-//! ([`super::incarnations`]), and is trusted from then on. 16 of 21 late streams of lundavik quiet-1 had their replica at an instance
-//! that had died with its domain before it was chosen (commit 5246647). Lundavik's score rose from
-//! 0.809 to 0.925 with suspicion by domain and with losses told to peers (4d9b3e2).
+//! comes back under another id, or under its own with another birth ([`super::incarnations`]), and
+//! is trusted from then on. 16 of 21 late streams of lundavik quiet-1 had their replica at an
+//! instance that had died with its domain before it was chosen. Lundavik's score rose from 0.809 to
+//! 0.925 with suspicion by domain and with losses told to peers (4d9b3e2).
 //!
 //! Owns: losses of the last moments. Relies on: [`super::Endpoint::heard`], and peers' accounts of
 //! what they lost.
@@ -23,39 +23,36 @@
 use crate::gateway::dispatch::event::EndpointSpec;
 use crate::schema::{DomainId, EndpointId, EndpointIncarnation, Micros, ServiceId};
 
-/// How long an endpoint is avoided after its first failure. Chosen, not measured.
+/// How long an endpoint is avoided after its first failure.
 const FIRST_AVOIDANCE: Duration = Duration::from_millis(800);
-/// The longest time that an endpoint is avoided. Chosen, not measured.
+/// The longest time that an endpoint is avoided.
 const LONGEST_AVOIDANCE: Duration = Duration::from_secs(6);
 /// Failures in a row after which the avoidance grows no more.
 const MOST_AVOIDANCE_DOUBLINGS: u32 = 4;
-/// Losses in one failure domain that tell of a loss of the domain. Chosen, not measured.
+/// Losses in one failure domain that tell of a loss of the domain.
 const DOMAIN_LOSSES: usize = 2;
-/// The time within which these losses must lie. Chosen, not measured.
+/// The time within which these losses must lie.
 const DOMAIN_WINDOW: Duration = Duration::from_millis(1_500);
-/// Other losses in a domain with which an endpoint has fallen, and one over the part of the domain's
-/// endpoints that they must be. A domain that falls loses nine in ten on the users' days. Chosen, not
-/// measured.
+/// Other losses in a domain with which an endpoint has fallen, and one over the part of the
+/// domain's endpoints that they must be. A domain that falls loses nine in ten on the users' days.
 const FALL_LOSSES: usize = 2;
 const FALL_PART: usize = 3;
-/// How far apart they may lie. Chosen, not measured.
+/// How far apart they may lie.
 const FALL_WINDOW: Duration = Duration::from_secs(1);
 /// Connections to a domain that must fail in a row before it counts as unreachable. A request burnt
 /// twelve connections on dead instances before this bound (lundavik scale-2, docs/FINDINGS.md).
-/// Chosen, not measured.
 const UNREACHABLE_AFTER: u32 = 3;
-/// Time between trials of a domain that can't be reached. Chosen, not measured.
+/// Time between trials of a domain that can't be reached.
 const TRIAL_PAUSE: Duration = Duration::from_millis(300);
 /// How long an endpoint that was there before its domain failed is suspected, unless it is heard: a
-/// restarted one is listed under another id or birth by then. Chosen, not measured.
+/// restarted one is listed under another id or birth by then.
 const SUSPECTED_FOR: Duration = Duration::from_millis(4_500);
 /// How long an endpoint is suspected before it is asked who it is: one that restarts needs about as
-/// long. Chosen, not measured.
+/// long.
 pub(super) const IDENTIFY_AFTER: Duration = Duration::from_millis(1_400);
-/// Time between two such questions. Chosen, not measured.
+/// Time between two such questions.
 const IDENTIFY_AGAIN: Duration = Duration::from_millis(1_500);
-/// How recently this box must have heard an endpoint to trust that more than a peer's word. Chosen,
-/// not measured.
+/// How recently this box must have heard an endpoint to trust that more than a peer's word.
 const HEARD_LATELY: Duration = Duration::from_millis(200);
 
 /// An endpoint that was lost, by this box's own account or a peer's.
--- a/src/gateway/dispatch/fleet/standing.rs
+++ b/src/gateway/dispatch/fleet/standing.rs
@@ -18,10 +18,10 @@
 use crate::schema::Micros;
 
 /// How long answers count: after it, an answer has a weight of 1/e. Long enough for some twenty
-/// answers of a domain's boxes, shorter than a fault that matters lasts. Chosen, not measured.
+/// answers of a domain's boxes, shorter than a fault that matters lasts.
 const MEMORY: Duration = Duration::from_secs(3);
 /// How many good answers an endpoint counts with that gave none, beside errors: two errors of two
-/// must not weigh as much as twenty of twenty. Chosen, not measured.
+/// must not weigh as much as twenty of twenty.
 const CREDIT: f64 = 3.0;
 /// The same beside broken attempts, of which a sound endpoint has none.
 const CREDIT_BROKEN: f64 = 1.0;
--- a/src/gateway/dispatch/fleet/usage.rs
+++ b/src/gateway/dispatch/fleet/usage.rs
@@ -13,14 +13,12 @@
 /// Tokens of a prompt that an engine prefills in a millisecond, by the users' site sheets.
 pub const PREFILL_TOKENS_PER_MS: f64 = 5.0;
 /// How long what a peer told of an engine counts: about as long as a stream takes (3.9 s from the
-/// first event on where prompts don't meet, commit 71515c8).
+/// first event on where prompts don't meet).
 const ENGINE_USAGE: Duration = Duration::from_secs(5);
-/// How long what a peer told of a plain service counts: five messages between boxes. Chosen, not
-/// measured.
+/// How long what a peer told of a plain service counts: five messages between boxes.
 const PLAIN_USAGE: Duration = Duration::from_millis(1_500);
 
-/// How long what a box of another failure domain told of all boxes there counts. Chosen, not
-/// measured.
+/// How long what a box of another failure domain told of all boxes there counts.
 const DOMAIN_USAGE: Duration = Duration::from_secs(3);
 
 /// What runs at an endpoint, by one box's count.
--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -20,11 +20,11 @@
 use super::store_watchers::{Contact, StoreWatchers};
 use crate::schema::{BoxState, CrashNews, DomainId, EndpointId, Micros, StateRequest, UsageNews};
 
-/// How long losses and versions gather before peers are told. Chosen, not measured.
+/// How long losses and versions gather before peers are told.
 const NEWS_PAUSE: Duration = Duration::from_millis(10);
 
 /// How long attempts gather before the boxes of the own failure domain are told of them. With 10 ms
-/// worth rose from 0.487 to 0.529 (commit 71515c8); a call takes some 60 ms.
+/// worth rose from 0.487 to 0.529; a call takes some 60 ms.
 const USAGE_PAUSE: Duration = Duration::from_millis(2);
 /// How many datagrams a second a box sends for that at the most; beyond it attempts gather longer.
 /// Some 60 bytes each, so 18 KB a second; with 330 boxes before 5,100 endpoints a box would send
--- a/src/gateway/dispatch/peers.rs
+++ b/src/gateway/dispatch/peers.rs
@@ -20,26 +20,23 @@
 use super::roster::{Roster, running_box};
 use crate::schema::{BoxId, BoxState, DomainId, DomainSize, Micros, PeerAddress, RunningBox};
 
-/// How many boxes are told each time: 330 boxes all know within five rounds. Chosen, not measured.
+/// How many boxes are told each time: 330 boxes all know within five rounds.
 const FANOUT: usize = 3;
 /// How many of them are of the own failure domain, if that has so many (GB between zones 0.106
-/// before, 0.069 after, with the change of commit 71515c8).
+/// before, 0.069 after).
 const NEAR_FANOUT: usize = 2;
-/// How long a box that is not heard may be asked for what it has: ten messages. Chosen, not
-/// measured.
+/// How long a box that is not heard may be asked for what it has: ten messages.
 const HEARD_FOR: Duration = Duration::from_secs(3);
 /// How long ago a box was heard that is asked for something before others: two rounds of messages.
-/// Chosen, not measured.
 const JUST_HEARD: Duration = Duration::from_millis(600);
-/// How long no box of another failure domain must be heard before they count as silent (commit
-/// 67eb500; the figure is chosen, not measured).
+/// How long no box of another failure domain must be heard before they count as silent.
 const OTHERS_SILENT: Duration = Duration::from_millis(700);
-/// How long the address of a box that is not heard is still tried. Chosen, not measured.
+/// How long the address of a box that is not heard is still tried.
 const KEPT_FOR: Duration = Duration::from_secs(30);
 /// How many boxes of another failure domain are named in a message to it, for boxes that start
-/// there and know nobody. Chosen, not measured.
+/// there and know nobody.
 const NEAR_PASSED: usize = 8;
-/// How many of further domains are. Chosen, not measured.
+/// How many of further domains are.
 const FAR_PASSED: usize = 4;
 
 /// What a message of another box told of it.
--- a/src/gateway/dispatch/placement.rs
+++ b/src/gateway/dispatch/placement.rs
@@ -8,11 +8,9 @@
 //!
 //! Inputs: the fleet as this box believes it now. What other boxes run is up to 10 ms old inside
 //! the failure domain; outside it is the older the more boxes there are, since each tells one box
-//! of another domain each 300 ms ([`super::gossip`]); what they told is taken to be
-//! prefilled meanwhile. Weighed (docs/PLATFORM.md): full accounts to all boxes, engines dealt out
-//! to boxes, engines' own reports. Measured on grown lundavik trouble-1: worth 0.487 before boxes
-//! told each other at once what they sent, 0.529 after; late first events 65, then 17 (commit
-//! 71515c8).
+//! of another domain each 300 ms ([`super::gossip`]); what they told is taken to be prefilled
+//! meanwhile. Weighed (docs/PLATFORM.md): full accounts to all boxes, engines dealt out to boxes,
+//! engines' own reports.
 
 pub mod costs;
 
@@ -27,14 +25,14 @@
 use crate::rendezvous;
 use crate::schema::{DomainId, EndpointId, EndpointIncarnation, Micros, ServiceId};
 
-/// How long to wait for a connection before another endpoint is better. Chosen over the slowest
-/// sound connection of the users' sites (some 3 ms), not measured.
+/// How long to wait for a connection before another endpoint is better. Over the slowest sound
+/// connection of the users' sites (some 3 ms).
 pub const ATTEMPT_CONNECT_LIMIT: Duration = Duration::from_millis(120);
 /// How many endpoints are asked for a prompt: enough that one of them keeps it as a rule, few
-/// enough for a box on a slow link. Chosen, not measured.
+/// enough for a box on a slow link.
 const MOST_ASKED: usize = 24;
 /// How many of them are of the own failure domain, if that has so many. Tokens found kept on grown
-/// sahel trouble-1: 378,000 with all 24 by rank, 513,000 with 18 near ones (commit aa642c5).
+/// sahel trouble-1: 378,000 with all 24 by rank, 513,000 with 18 near ones.
 const MOST_ASKED_NEAR: usize = 18;
 
 /// Who places a request.
--- a/src/gateway/dispatch/placement/costs.rs
+++ b/src/gateway/dispatch/placement/costs.rs
@@ -18,11 +18,8 @@
 //! | [`NO_MEMORY`] | 4,000 | the engine would evict what others need; worse than a suspected one |
 //! | [`AVOIDED`] | 20,000 | only where nothing else is left |
 //!
-//! All are chosen, not measured, but for those with a source.
 
-/// What one request that runs at an engine costs the next one. 120 was tried on grown lundavik
-/// trouble-1: worth 0.519 for 0.529, and 51 streams that read their prompt again for 37 (commit
-/// 90cdf93, reverted there).
+/// What one request that runs at an engine costs the next one.
 pub const ENGINE_RUNNING: f64 = 30.0;
 /// What one request that runs at a plain service costs the next one.
 pub const PLAIN_RUNNING: f64 = 10.0;
--- a/src/gateway/dispatch/prompt_search.rs
+++ b/src/gateway/dispatch/prompt_search.rs
@@ -8,11 +8,8 @@
 //!
 //! When many boxes lose power at once, all their callers come back within half a second. Asked all
 //! at once, the answers of 24 engines for each of them filled links of 10 Mbit/s: one search in
-//! seven (213 of 1,572) ended by its limit, and connections to sound engines took longer than their limit, so that
-//! those were avoided. Measured on grown Nilecycle, three trouble days of four seeds (paired, no
-//! processor time): prompts found 714 of 1,572 with all at once, 867 of 1,572 with six at a time;
-//! first attempts of such callers that were not the last one 115, then 6; tokens read for nothing
-//! 0.0176 of the worth, then 0.0123. Weighed: no search (0.0391 on six of these plays).
+//! seven (213 of 1,572) ended by its limit, and connections to sound engines took longer than their
+//! limit, so that those were avoided. Weighed: no search (0.0391 on six of these plays).
 //!
 //! [`Placer::likely`]: super::placement::Placer::likely
 
--- a/src/gateway/dispatch/quarantine.rs
+++ b/src/gateway/dispatch/quarantine.rs
@@ -38,19 +38,19 @@
 /// Crashes after which a request is quarantined that alone can be to blame for one of them: the users'
 /// rule allows three more arrivals from then on.
 pub const QUARANTINE_AT: usize = 3;
-/// Crashes after which it is quarantined in any case. Two more than above, so that it stays within that
-/// rule; chosen, not measured.
+/// Crashes after which it is quarantined in any case. Two more than above, so that it stays within
+/// that rule.
 const QUARANTINE_ANYWAY_AT: usize = 5;
 /// Crashes after which a request is placed where nothing else runs: the next one decides.
 pub const ALONE_AT: usize = QUARANTINE_AT - 1;
 /// How long a crash counts, and so how long a request is quarantined after its last one. Chosen: an
-/// operator notices and mends the servers meanwhile; not measured.
+/// operator notices and mends the servers meanwhile.
 pub const CRASHES_KEPT_FOR: Duration = Duration::from_secs(30 * 60);
 /// How long after its last crash a request is decided about: by then boxes of all failure domains have
 /// told what ran beside. With 50 ms 8 of 88,000 innocent callers were quarantined beside up to 26
 /// crashing requests at once, whose boxes were in other domains (`magpiemoor-lab crashes`, 60 plays).
 pub const DECIDED_AFTER: Duration = Duration::from_millis(150);
-/// How many requests are remembered: some 300 bytes each. Chosen, not measured.
+/// How many requests are remembered: some 300 bytes each.
 const MOST_SUSPECTS: usize = 2_000;
 
 /// Who ran at a life of an endpoint when it ended.
--- a/src/gateway/dispatch/quarantine/news.rs
+++ b/src/gateway/dispatch/quarantine/news.rs
@@ -10,13 +10,13 @@
 use super::{CRASHES_KEPT_FOR, MOST_SUSPECTS, Quarantine, Suspect};
 use crate::schema::{CrashNews, CrashNote, Fingerprint, Micros, RequestAge};
 
-/// How long after a change a request is told with each state. Chosen over the time in which all of
-/// 295 boxes hear of it, not measured by itself.
+/// How long after a change a request is told with each state. Over the time in which all of 295
+/// boxes hear of it by itself.
 const FRESH_FOR: Duration = Duration::from_secs(3);
-/// How many crashes are told with a datagram, some 40 bytes each. Chosen, not measured.
+/// How many crashes are told with a datagram, some 40 bytes each.
 const MOST_CRASHES_TOLD: usize = 16;
 
-/// How many verdicts a box is told that has just started, some 13 bytes each. Chosen, not measured.
+/// How many verdicts a box is told that has just started, some 13 bytes each.
 const MOST_VERDICTS_TOLD: usize = 200;
 
 impl Quarantine {
--- a/src/gateway/dispatch/quarantine/suspect.rs
+++ b/src/gateway/dispatch/quarantine/suspect.rs
@@ -9,8 +9,8 @@
 /// after its first token on the users' days.
 const PASSED_BY: Duration = Duration::from_secs(1);
 
-/// How far two crashes at the same point of a request lie apart, in events and in time: those of the
-/// users' days 80 ms; events on their way are lost with a connection. Chosen, not measured.
+/// How far two crashes at the same point of a request lie apart, in events and in time: those of
+/// the users' days 80 ms; events on their way are lost with a connection.
 const SAME_EVENT: u64 = 3;
 const SAME_RUN: Duration = Duration::from_millis(300);
 
--- a/src/gateway/dispatch/readiness.rs
+++ b/src/gateway/dispatch/readiness.rs
@@ -6,8 +6,7 @@
 //! of another failure domain was heard for 0.7 s. It is ready again as soon as it hears one. The
 //! platform then sends callers to boxes that can reach the service.
 //!
-//! Weighed: silence of other domains alone. Measured on lundavik trouble-1: worth 0.612 before,
-//! 0.637 after, refused 2.5% and 0.9% (commit 67eb500).
+//! Weighed: silence of other domains alone.
 
 use super::Dispatcher;
 use super::record::Record;
--- a/src/gateway/dispatch/refusal.rs
+++ b/src/gateway/dispatch/refusal.rs
@@ -18,18 +18,17 @@
 use serde::{Deserialize, Serialize};
 
 /// When to come back to a box that has no configuration yet: it learns one within
-/// [`LONGEST_HELD_BACK`] as a rule. Chosen, not measured.
+/// [`LONGEST_HELD_BACK`] as a rule.
 ///
 /// [`LONGEST_HELD_BACK`]: super::admission::LONGEST_HELD_BACK
 const RETRY_UNCONFIGURED: Duration = Duration::from_millis(300);
 /// When to come back after no endpoint could take a request: attempts of others end meanwhile.
-/// Chosen, not measured.
 const RETRY_NO_ENDPOINT: Duration = Duration::from_millis(300);
 /// When to come back after a box that is stopping refused a stream: the balancer sends further
 /// tries to other boxes, which can serve it at once. The box's own successor comes up to 8 s later,
-/// beyond the users' latency objective (4.5 s). Chosen, not measured.
+/// beyond the users' latency objective (4.5 s).
 const RETRY_ELSEWHERE: Duration = Duration::from_millis(100);
-/// When to come back to a box that holds as many bytes of requests as it may. Chosen, not measured.
+/// When to come back to a box that holds as many bytes of requests as it may.
 const RETRY_NO_ROOM: Duration = Duration::from_millis(500);
 
 /// Why a request gets no answer of an endpoint.
--- a/src/gateway/dispatch/replicas.rs
+++ b/src/gateway/dispatch/replicas.rs
@@ -12,10 +12,8 @@
 //! that takes work and is not avoided; a stream tries all of them before its prompt is read again.
 //!
 //! Owns: the snapshots of active attempts, and their counts at hosts. Relies on: the fleet as of
-//! now; engines that keep a replica for as long as the table says. Measured on grown lundavik
-//! trouble-1 (commit 33ca23f): of 615 streams that moved, 205 read their prompt again without
-//! snapshots, 67 with them; worth 0.442, then 0.487. Weighed: two mirrors from the start (twice the
-//! memory and bytes for all streams, where one in three needs it).
+//! now; engines that keep a replica for as long as the table says. Weighed: two mirrors from the
+//! start (twice the memory and bytes for all streams, where one in three needs it).
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -30,17 +28,16 @@
 use crate::schema::{EndpointId, EndpointIncarnation, Micros};
 
 /// Time between two snapshots of an attempt at the same host. 1.5 s was tried: the same worth
-/// (0.484 for 0.487) and 34,100 probes for 32,700 (commit 33ca23f).
+/// (0.484 for 0.487) and 34,100 probes for 32,700.
 const SNAPSHOT_AGAIN: Duration = Duration::from_secs(3);
-/// Time until another snapshot is asked for after one could not be taken. Chosen, not measured.
+/// Time until another snapshot is asked for after one could not be taken.
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(500);
-/// Time between two checks of an attempt's replicas. Chosen, not measured.
+/// Time between two checks of an attempt's replicas.
 const CHECK_EVERY: Duration = Duration::from_millis(100);
-/// How long a snapshot may take, and counts as under way if nothing was heard. Chosen, not
-/// measured.
+/// How long a snapshot may take, and counts as under way if nothing was heard.
 const SNAPSHOT_LIMIT: Duration = Duration::from_millis(1_500);
 /// How long an attempt must have gone on before its replicas are checked: its first host may still
-/// come up. Chosen, not measured.
+/// come up.
 const SETTLING: Duration = Duration::from_millis(200);
 
 /// How independent a replica is of the attempt it backs up, from worst to best.
--- a/src/gateway/dispatch/retry.rs
+++ b/src/gateway/dispatch/retry.rs
@@ -18,8 +18,7 @@
 use super::event::{LEAST_ERROR_STATUS, NotRunCause, Outcome};
 
 /// Attempts after which a request is given up, whatever came of them: connections that can't be
-/// made are not paid for, so something else must end them. Chosen above the greatest bound of a
-/// route (5), not measured.
+/// made are not paid for, so something else must end them. Above the greatest bound of a route (5).
 pub(super) const MOST_ATTEMPTS: u32 = 12;
 
 /// What follows from the end of an attempt.
--- a/src/gateway/dispatch/retry_budget.rs
+++ b/src/gateway/dispatch/retry_budget.rs
@@ -36,7 +36,7 @@
 }
 
 /// The part of the policy's bound that a box uses, since boxes count each other a little
-/// differently. Chosen, not measured.
+/// differently.
 const USED_PART: f64 = 0.9;
 
 /// How many boxes share the budget.
--- a/src/gateway/dispatch/rollout.rs
+++ b/src/gateway/dispatch/rollout.rs
@@ -74,10 +74,10 @@
 /// one that has just started knows little, and after a loss of all boxes nobody knows more.
 const LEAST_OBSERVED: f64 = 0.5;
 /// How long a phase has lasted before a box says that it has left the other versions: requests that
-/// were placed before are counted by then. Chosen, not measured.
+/// were placed before are counted by then.
 const PHASE_SETTLED_AFTER: Duration = Duration::from_millis(100);
-/// How long a box that had to send a request to another version, since no endpoint of the target took
-/// it, doesn't say that it has left the others. Chosen, not measured.
+/// How long a box that had to send a request to another version, since no endpoint of the target
+/// took it, doesn't say that it has left the others.
 const FELL_BACK_FOR: Duration = Duration::from_millis(500);
 /// Least time between two looks at the evidence.
 const JUDGE_EVERY: Duration = Duration::from_millis(100);
--- a/src/gateway/dispatch/rollout/evidence.rs
+++ b/src/gateway/dispatch/rollout/evidence.rs
@@ -24,8 +24,8 @@
 const STEPS: usize = 31;
 /// Steps for each doubling of the time.
 const STEPS_PER_DOUBLING: f64 = 2.0;
-/// How far back the newer part of the evidence reaches: it must hold some answers of the target, and
-/// few from before a version turned bad. Chosen, not measured.
+/// How far back the newer part of the evidence reaches: it must hold some answers of the target,
+/// and few from before a version turned bad.
 const RECENT: Duration = Duration::from_secs(4);
 /// How often the counts are kept to be compared with.
 const KEEP_EVERY: Duration = Duration::from_millis(500);
--- a/src/gateway/dispatch/rollout/status.rs
+++ b/src/gateway/dispatch/rollout/status.rs
@@ -13,11 +13,10 @@
 use super::{RolloutOrder, Surroundings};
 use crate::schema::{Micros, RolloutPhase};
 
-/// Time after which a write without an answer is made again. Chosen longer than the store takes when
-/// it is slow (240 ms), not measured.
+/// Time after which a write without an answer is made again. Longer than the store takes when it is
+/// slow (240 ms).
 const WRITE_STATUS_AGAIN: Duration = Duration::from_millis(800);
-/// How much later each further domain's box writes: some messages between domains. Chosen, not
-/// measured.
+/// How much later each further domain's box writes: some messages between domains.
 const TURN_STEP: Duration = Duration::from_millis(250);
 
 /// What the status of an object says.
--- a/src/gateway/dispatch/rollout/verdict.rs
+++ b/src/gateway/dispatch/rollout/verdict.rs
@@ -48,8 +48,8 @@
 const LEAST_BASELINE: u32 = 12;
 /// How many answers the share over all domains weighs in the share of one.
 const POOLED_ANSWERS: f64 = 10.0;
-/// The expected share of bad answers from which a domain tells nothing of a version: where nearly all
-/// answers of the baseline are bad, those of any version are. Chosen, not measured.
+/// The expected share of bad answers from which a domain tells nothing of a version: where nearly
+/// all answers of the baseline are bad, those of any version are.
 const MOST_EXPECTED: f64 = 0.95;
 /// What is taken off a score where the version has one endpoint only, so that its fault and the
 /// version's can't be told apart.
--- a/src/gateway/dispatch/rollout_samples.rs
+++ b/src/gateway/dispatch/rollout_samples.rs
@@ -25,7 +25,7 @@
 /// The least status of an answer that counts as failed: a sound version answers the same requests
 /// beside it.
 const LEAST_FAILED_STATUS: u16 = 400;
-/// Events of a stream over which their time is taken. Chosen, not measured.
+/// Events of a stream over which their time is taken.
 const TIMED_EVENTS: u64 = 8;
 
 impl Dispatcher {
--- a/src/gateway/dispatch/rollouts.rs
+++ b/src/gateway/dispatch/rollouts.rs
@@ -29,8 +29,8 @@
     UsageNews,
 };
 
-/// How long after streams were to leave one without a replica at the target leaves all the same. Chosen
-/// over the time of a snapshot, not measured.
+/// How long after streams were to leave one without a replica at the target leaves all the same.
+/// Over the time of a snapshot.
 const LEAVE_ANYWAY_AFTER: Duration = Duration::from_millis(700);
 /// Time between two notes of how far this box is while a service switches: datagrams get lost.
 const NOTE_EVERY: Duration = Duration::from_millis(300);
--- a/src/gateway/dispatch/roster.rs
+++ b/src/gateway/dispatch/roster.rs
@@ -24,16 +24,16 @@
 /// boxes no watcher of the store is taken for lost (`tests/large_fleet.rs`).
 const BEAT_FOR: Duration = Duration::from_secs(3);
 /// How long a box that doesn't run is remembered, so that an old beat of it is not taken for a new
-/// one. Chosen, not measured.
+/// one.
 const ROSTER_KEPT: Duration = Duration::from_secs(30);
 /// How long the number of boxes of another domain counts that nobody renews: some longer than a
-/// failure domain is cut off in most cases. Chosen, not measured.
+/// failure domain is cut off in most cases.
 const SIZE_FOR: Duration = Duration::from_secs(30);
 /// For how long the greatest number of boxes counts after it fell: the window of the users' retry
 /// budgets, since what boxes that are gone have spent still counts in it.
 const MOST_FOR: Duration = Duration::from_secs(10);
-/// How long a box that starts and hears others takes their number for unknown. With 2 s no box had a
-/// part of the reserve when all came back from a loss of power. Chosen, not measured.
+/// How long a box that starts and hears others takes their number for unknown. With 2 s no box had
+/// a part of the reserve when all came back from a loss of power.
 const SETTLED_AFTER: Duration = Duration::from_millis(600);
 
 #[derive(Clone, Copy, Debug)]
--- a/src/gateway/dispatch/store_watchers.rs
+++ b/src/gateway/dispatch/store_watchers.rs
@@ -11,11 +11,11 @@
 //! nobody does [`START_SETTLED`] after it has heard the first one, all boxes have just started, and
 //! the first of them ask; so does a box that hears nobody for [`START_ALONE`].
 //!
-//! Inputs: the roster; who the store answered lately, by this box's and by peers' accounts, with its
-//! age. Owns: that knowledge, and whether this box watches. Weighed: every box watches (54,995 calls
-//! on grown lundavik quiet-1 with 88 boxes, 1,767 with two a domain, commit bebedb5); one elected
-//! watcher (needs the store or a consensus); whoever knows of too few watchers begins (of 295 boxes
-//! that lost power together 241 began, `tests/large_fleet.rs`).
+//! Inputs: the roster; who the store answered lately, by this box's and by peers' accounts, with
+//! its age. Owns: that knowledge, and whether this box watches. Weighed: every box watches (54,995
+//! calls on grown lundavik quiet-1 with 88 boxes, 1,767 with two a domain); one elected watcher
+//! (needs the store or a consensus); whoever knows of too few watchers begins (of 295 boxes that
+//! lost power together 241 began, `tests/large_fleet.rs`).
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -30,12 +30,11 @@
 /// Boxes of a failure domain that watch the store.
 const WATCHERS_PER_DOMAIN: usize = 2;
 /// How long ago the store may have answered a fresh watcher: a watch waits 3 s, its answer may take
-/// 0.7 s more, and messages take some time to come round. Chosen, not measured.
+/// 0.7 s more, and messages take some time to come round.
 const FRESH: Duration = Duration::from_secs(6);
-/// How long watchers that are not heard of are remembered. Chosen, not measured.
+/// How long watchers that are not heard of are remembered.
 const REMEMBERED: Duration = Duration::from_secs(20);
 /// How long a box that begins to watch counts as a watcher before the store has answered it.
-/// Chosen, not measured.
 const CLAIM: Duration = Duration::from_millis(1_200);
 /// How long a box that starts waits for a peer, before it asks the store: the users' platform starts
 /// all boxes within 300 ms, and a message and its answer must come round after that. With 150 ms 30
@@ -51,10 +50,10 @@
 const START_SETTLED_FAR: Duration = Duration::from_millis(100);
 /// By how much those waits differ, so that the first to ask can tell the others.
 const START_SPREAD: Duration = Duration::from_millis(60);
-/// How much longer each further box waits before it steps in for a watcher that is missing: a
-/// claim comes round meanwhile. Chosen, not measured.
+/// How much longer each further box waits before it steps in for a watcher that is missing: a claim
+/// comes round meanwhile.
 const STEP: Duration = Duration::from_millis(500);
-/// Mean time between decisions, each drawn from half to one and a half of it. Chosen, not measured.
+/// Mean time between decisions, each drawn from half to one and a half of it.
 const DECIDE_EVERY: Duration = Duration::from_millis(400);
 /// The most watchers that are told of in one message. Chosen for 330 boxes in 13 domains: 26 and
 /// some that change.
--- a/src/gateway/dispatch/stream_time.rs
+++ b/src/gateway/dispatch/stream_time.rs
@@ -6,7 +6,7 @@
 /// an undisturbed one takes 5.2 s.
 const FIRST_GUESS: Duration = Duration::from_secs(5);
 /// One over the part by which a shorter stream draws the expected time towards its own, so that it
-/// stays near the longest of the last ten or so. Chosen, not measured.
+/// stays near the longest of the last ten or so.
 const FORGETTING: u32 = 10;
 
 /// The time that nearly every stream needs.
--- a/src/gateway/dispatch/suspicion.rs
+++ b/src/gateway/dispatch/suspicion.rs
@@ -32,17 +32,16 @@
 /// Longest pause of a stream before its engine is probed. A stream beside a prompt that is
 /// prefilled gets an event each 152 ms; with 160 ms there were 25,545 probes on grown sahel
 /// trouble-1, with 200 ms and the next figure 19,940, and streams that read their prompt again were
-/// 32 and 23 (commit e7197c5).
+/// 32 and 23.
 pub(super) const PAUSE_BEFORE_PROBE: Duration = Duration::from_millis(200);
 /// Longest silence before the first event until the engine is probed. A prompt of the users' sites
-/// takes 1.3 s to prefill; 400 ms asked three times during that, 700 ms once (commit e7197c5).
+/// takes 1.3 s to prefill; 400 ms asked three times during that, 700 ms once.
 pub(super) const PAUSE_BEFORE_PROBE_IN_PREFILL: Duration = Duration::from_millis(700);
 /// How long an engine may take to answer a probe. With the pause before it a silent engine is left
-/// after 350 ms, half of the longest pause that the users' sites allow (700 ms). Chosen, not
-/// measured by itself.
+/// after 350 ms, half of the longest pause that the users' sites allow (700 ms). Chosen.
 const PROBE_LIMIT: Duration = Duration::from_millis(150);
 /// The part of the latency objective after which a call that may be repeated is tried elsewhere, so
-/// that the second endpoint can still answer in time. Chosen, not measured.
+/// that the second endpoint can still answer in time.
 const SLOW_CALL_PART: f64 = 0.6;
 
 /// Whether a call is so slow that another endpoint would probably answer sooner.
@@ -122,7 +121,7 @@
 
     /// Asks suspected engines of the own domain who they are: a restarted one is known sooner by
     /// its own word than by the list, most of all while the store is out (lundavik scale-2: 0.82 to
-    /// 0.97 on one seed before, 0.91 to 0.98 after, commit 32fd0bf).
+    /// 0.97 on one seed before, 0.91 to 0.98 after).
     pub(super) fn ask_identities(&mut self) {
         let domain = self.cfg.domain.clone();
         for spec in self.fleet.to_identify(&domain, self.now) {
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -52,12 +52,12 @@
 
 pub use shared::GatewayShared;
 
-/// How many inputs may wait for the control thread before senders wait. Chosen, not measured.
+/// How many inputs may wait for the control thread before senders wait.
 const DISPATCHER_INPUTS: usize = 16_384;
-/// How long a connection to an endpoint may rest before it is closed. Chosen a little longer than
-/// any attempt may reuse one, not measured.
+/// How long a connection to an endpoint may rest before it is closed. A little longer than any
+/// attempt may reuse one.
 const REST_BEFORE_CLOSE: std::time::Duration = std::time::Duration::from_secs(5);
-/// How long a connection may rest before there is a configuration. Chosen, not measured.
+/// How long a connection may rest before there is a configuration.
 const UNCONFIGURED_IDLE: std::time::Duration = std::time::Duration::from_secs(15);
 
 struct Listeners {
--- a/src/gateway/shell/attempt.rs
+++ b/src/gateway/shell/attempt.rs
@@ -19,7 +19,7 @@
 use crate::gateway::shell::{GatewayShared, headers};
 use crate::http::pool::{Connection, Pool, SendError};
 
-/// The greatest answer that is held whole, in bytes. Chosen, not measured.
+/// The greatest answer that is held whole, in bytes.
 const MOST_HELD: usize = 8 << 20;
 
 /// A request as the caller sent it.
--- a/src/gateway/shell/decision_log.rs
+++ b/src/gateway/shell/decision_log.rs
@@ -13,7 +13,7 @@
 use crate::gateway::dispatch::record::Record;
 use crate::schema::BoxId;
 
-/// How many lines may wait for the writer. Chosen, not measured.
+/// How many lines may wait for the writer.
 const LINES_WAITING: usize = 4_096;
 
 /// A line of the log.
--- a/src/gateway/shell/endpoint_reader.rs
+++ b/src/gateway/shell/endpoint_reader.rs
@@ -13,8 +13,7 @@
 use crate::gateway::shell::watcher::StoreChange;
 use crate::schema::EndpointId;
 
-/// The longest entry that is read, in bytes: an endpoint's own is some 300 bytes. Chosen, not
-/// measured.
+/// The longest entry that is read, in bytes: an endpoint's own is some 300 bytes.
 const LONGEST_ENTRY: usize = 16 << 10;
 
 /// Keeps entries that were read at a revision of the store for peers; returns what they say, if any
--- a/src/gateway/shell/events.rs
+++ b/src/gateway/shell/events.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// The longest event that is taken, in bytes. Chosen, not measured.
+/// The longest event that is taken, in bytes.
 const LONGEST_EVENT: usize = 1 << 20;
 
 /// A whole event.
--- a/src/gateway/shell/exchange.rs
+++ b/src/gateway/shell/exchange.rs
@@ -31,8 +31,7 @@
 use crate::http::pool::Connection;
 use crate::http::{self, EVENT_STREAM};
 
-/// How many events wait for a slow caller before the engine is read no further. Chosen, not
-/// measured.
+/// How many events wait for a slow caller before the engine is read no further.
 const EVENTS_WAITING: usize = 20;
 
 /// A part of a stream on its way to the caller.
--- a/src/gateway/shell/faults.rs
+++ b/src/gateway/shell/faults.rs
@@ -16,7 +16,7 @@
 /// The least time between two lines of one kind.
 const LINE_PAUSE: Duration = Duration::from_secs(1);
 /// How many objects of the store that can't be read are remembered as told; beyond it all are
-/// forgotten, and told again. Chosen, not measured.
+/// forgotten, and told again.
 const MOST_REMEMBERED: usize = 4_096;
 
 /// What went wrong.
--- a/src/gateway/shell/metrics.rs
+++ b/src/gateway/shell/metrics.rs
@@ -10,8 +10,8 @@
 use crate::gateway::shell::watcher::StoreRequest;
 use crate::metrics::MetricSet;
 
-/// Upper bounds of the buckets for what callers, the store and losses take, in seconds. Chosen
-/// around the latency objectives and longest pauses of the users' sites, not measured.
+/// Upper bounds of the buckets for what callers, the store and losses take, in seconds. Around the
+/// latency objectives and longest pauses of the users' sites.
 const CALLER_TIME_BUCKETS: [f64; 12] = [
     0.001, 0.005, 0.02, 0.06, 0.1, 0.2, 0.35, 0.7, 1.5, 4.5, 10.0, 30.0,
 ];
--- a/src/gateway/shell/peers.rs
+++ b/src/gateway/shell/peers.rs
@@ -16,8 +16,7 @@
 
 /// The longest datagram.
 const LONGEST_DATAGRAM: usize = 32 << 10;
-/// The pause after a socket failed, for which the reason is mostly a lack of descriptors. Chosen,
-/// not measured.
+/// The pause after a socket failed, for which the reason is mostly a lack of descriptors.
 pub(super) const SOCKET_PAUSE: Duration = Duration::from_millis(10);
 
 /// Sends a datagram to other boxes.
--- a/src/gateway/shell/probes.rs
+++ b/src/gateway/shell/probes.rs
@@ -20,11 +20,10 @@
 use crate::http::pool::{Connection, Pool};
 use crate::schema::{EndpointId, EndpointIncarnation};
 
-/// How long a connection may have rested for a probe. Chosen, not measured.
+/// How long a connection may have rested for a probe.
 const PROBE_REST: Duration = Duration::from_secs(4);
 
 /// How long an endpoint may take to say what it keeps, or who it is: a caller waits meanwhile.
-/// Chosen, not measured.
 const LOCATE_LIMIT: Duration = Duration::from_millis(80);
 
 /// Probes an endpoint and reports whether it answered.
--- a/src/gateway/shell/quarantine.rs
+++ b/src/gateway/shell/quarantine.rs
@@ -26,10 +26,10 @@
 use crate::http::pool::Pool;
 use crate::schema::{Fingerprint, RequestAge};
 
-/// How long a call may take. Chosen longer than the store takes when it is slow, not measured.
+/// How long a call may take. Longer than the store takes when it is slow.
 const CALL_LIMIT: Duration = Duration::from_millis(1_500);
-/// Pauses between calls that fail: a verdict is to be kept before the boxes may be lost, but a store
-/// that is out is not to be pressed. Chosen, not measured.
+/// Pauses between calls that fail: a verdict is to be kept before the boxes may be lost, but a
+/// store that is out is not to be pressed.
 const CALL_BACKOFF: Backoff = Backoff {
     first: Duration::from_millis(300),
     longest: Duration::from_secs(5),
--- a/src/gateway/shell/rollouts.rs
+++ b/src/gateway/shell/rollouts.rs
@@ -23,7 +23,7 @@
 use crate::http::pool::Pool;
 use crate::schema::ServiceId;
 
-/// How long a write may take. Chosen longer than the store takes when it is slow, not measured.
+/// How long a write may take. Longer than the store takes when it is slow.
 const WRITE_LIMIT: Duration = Duration::from_millis(1_500);
 
 /// Reads objects that were listed, or that have changed.
--- a/src/gateway/shell/shared.rs
+++ b/src/gateway/shell/shared.rs
@@ -25,7 +25,7 @@
 use crate::listen::DaemonError;
 use crate::schema::{PackedTable, StateReply, StateRequest};
 
-/// How many connections to one endpoint are kept at rest. Chosen, not measured.
+/// How many connections to one endpoint are kept at rest.
 const KEPT_PER_ENDPOINT: usize = 8;
 
 #[derive(Debug, Default)]
--- a/src/gateway/shell/snapshots.rs
+++ b/src/gateway/shell/snapshots.rs
@@ -15,9 +15,9 @@
 use crate::gateway::shell::input::Input;
 use crate::http::pool::Pool;
 
-/// How long a connection may have rested. Chosen, not measured.
+/// How long a connection may have rested.
 const SNAPSHOT_CONNECTION_REST: Duration = Duration::from_secs(4);
-/// How long an engine may take to drop a snapshot. Chosen, not measured.
+/// How long an engine may take to drop a snapshot.
 const DROP_LIMIT: Duration = Duration::from_millis(300);
 
 /// Has an engine take a snapshot, and reports its name or that there is none.
--- a/src/gateway/shell/stop.rs
+++ b/src/gateway/shell/stop.rs
@@ -17,16 +17,16 @@
 use crate::gateway::shell::input::Input;
 
 /// How long a box that is stopping still takes new connections: the users' platform takes a box out
-/// after two questions without a 200. Chosen, not measured.
+/// after two questions without a 200.
 const NOTICED_AFTER: Duration = Duration::from_secs(3);
 /// How long before the end of the grace period a box closes what is left, so that it isn't killed
-/// meanwhile. Chosen, not measured.
+/// meanwhile.
 const BEFORE_KILL: Duration = Duration::from_millis(250);
-/// How long the writer of the decision log gets for its last lines. Chosen, not measured.
+/// How long the writer of the decision log gets for its last lines.
 const LAST_LINE: Duration = Duration::from_millis(50);
-/// How long connections at rest get to close. Chosen, not measured.
+/// How long connections at rest get to close.
 const CLOSING: Duration = Duration::from_millis(100);
-/// How often the settings file is read again. Chosen, not measured.
+/// How often the settings file is read again.
 const RELOAD: Duration = Duration::from_secs(2);
 
 /// Stops the process in order once it is asked to.
--- a/src/gateway/shell/store.rs
+++ b/src/gateway/shell/store.rs
@@ -25,25 +25,23 @@
 use crate::gateway::shell::{endpoint_reader, quarantine, rollouts};
 use crate::http::pool::{Connection, Pool};
 
-/// How long configurations gather. Chosen under the bound for a configuration to come into force,
-/// not measured.
+/// How long configurations gather. Under the bound for a configuration to come into force.
 const GATHER_TABLES: Duration = Duration::from_millis(100);
-/// How long changes of endpoints gather. Chosen under the bound for a leaving endpoint (2 s), not
-/// measured.
+/// How long changes of endpoints gather. Under the bound for a leaving endpoint (2 s).
 const GATHER_ENDPOINTS: Duration = Duration::from_millis(400);
 /// How long a list's answer may take to begin at first; longer after each failure. The store
-/// answers in 4 ms when it is well. Chosen, not measured.
+/// answers in 4 ms when it is well.
 const LIST_LIMIT: Duration = Duration::from_millis(500);
-/// How often that is doubled at the most. Chosen, not measured.
+/// How often that is doubled at the most.
 const MOST_LIST_DOUBLINGS: u32 = 3;
-/// How long a connection may take. Chosen, not measured.
+/// How long a connection may take.
 pub(super) const STORE_CONNECT_LIMIT: Duration = Duration::from_millis(500);
-/// How much longer than asked for a watch's answer may take to begin. Chosen, not measured.
+/// How much longer than asked for a watch's answer may take to begin.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 /// How long an answer that has begun may stand still. One that goes on is read to its end, since
 /// an object of 1 MB alone takes 0.8 s at 10 Mbit/s, and its size is no sign of a lost connection.
 const BODY_SILENCE: Duration = Duration::from_secs(1);
-/// How long an answer may take in all. Chosen: a watch's longest time is 30 s, not measured.
+/// How long an answer may take in all. A watch's longest time is 30 s.
 const LONGEST_ANSWER: Duration = Duration::from_secs(45);
 
 /// Follows one source for as long as the process runs.
--- a/src/gateway/shell/store_cache.rs
+++ b/src/gateway/shell/store_cache.rs
@@ -49,7 +49,7 @@
     whole: Mutex<Option<(u64, PackedEntries)>>,
 }
 
-/// How many changes of the list of endpoints are kept for peers. Chosen, not measured.
+/// How many changes of the list of endpoints are kept for peers.
 const CHANGES_KEPT: usize = 2_048;
 
 impl StoreCache {
--- a/src/gateway/shell/transfer.rs
+++ b/src/gateway/shell/transfer.rs
@@ -45,7 +45,7 @@
 /// goes alone. Time until the last of 87 boxes on 10 Mbit/s has 2,800 routes, four seeds each of
 /// `magpiemoor-lab spread`: 128 KB 0.97 to 1.05 s, 256 KB 0.69 to 0.87 s, 512 KB 0.85 to 0.98 s.
 const KILOBYTES_ON_THE_WAY: u32 = 256;
-/// Bytes that are written at a time, within [`SILENCE`]. Chosen, not measured.
+/// Bytes that are written at a time, within [`SILENCE`].
 const WRITE_STEP: usize = 16 << 10;
 
 /// Asks another box for what it read from the platform.
--- a/src/gateway/shell/watcher.rs
+++ b/src/gateway/shell/watcher.rs
@@ -19,7 +19,7 @@
 use crate::gateway::shell::dialect::{Entry, StorePage};
 
 /// Pauses after failures. Without them a 404 was asked again at once: 65,493 calls in 34 s on the
-/// first design's trial (docs/FINDINGS.md). The figures are chosen, not measured.
+/// first design's trial (docs/FINDINGS.md).
 const STORE_BACKOFF: Backoff = Backoff {
     first: Duration::from_millis(50),
     longest: Duration::from_millis(800),
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -18,9 +18,9 @@
 
 use super::pool::{Connection, Pool, SendError};
 
-/// How long a connection attempt may take. Chosen, not measured.
+/// How long a connection attempt may take.
 const CALL_CONNECT_LIMIT: Duration = Duration::from_millis(500);
-/// How long a connection may have rested that is used again. Chosen, not measured.
+/// How long a connection may have rested that is used again.
 const REUSED_WITHIN: Duration = Duration::from_secs(20);
 /// How many connections to one address are kept at rest: about as many as an engine has streams.
 const KEPT_PER_ADDRESS: usize = 256;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -21,18 +21,17 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, watch};
 
-/// How long a caller may take to send its request's head, where no setting says. Chosen, not
-/// measured.
+/// How long a caller may take to send its request's head, where no setting says.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-/// The greatest head of a request in bytes, where no setting says. Chosen, not measured.
+/// The greatest head of a request in bytes, where no setting says.
 const HEAD_BYTES: usize = 64 << 10;
 /// The least bound on a head that the HTTP library takes, in bytes.
 const LEAST_HEAD_BYTES: usize = 8 << 10;
-/// How long a caller may take to send its request's body. Chosen, not measured.
+/// How long a caller may take to send its request's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// The media type of server-sent events.
 pub const EVENT_STREAM: &str = "text/event-stream";
-/// How many connections one listener serves at once. Chosen, not measured.
+/// How many connections one listener serves at once.
 const MAX_CONNECTIONS: usize = 8_192;
 /// The pause after a connection could not be accepted, for which the reason is mostly a lack of
 /// descriptors.
--- a/src/keyed/daemon/metrics.rs
+++ b/src/keyed/daemon/metrics.rs
@@ -9,7 +9,6 @@
 use crate::metrics::MetricSet;
 
 /// Upper bounds of the buckets for steps of the control thread and first replies, in seconds.
-/// Chosen, not measured.
 const STEP_AND_REPLY_BUCKETS: [f64; 12] = [
     0.000_01, 0.000_1, 0.001, 0.005, 0.02, 0.06, 0.15, 0.35, 1.0, 3.0, 10.0, 60.0,
 ];
--- a/src/keyed/daemon/operators.rs
+++ b/src/keyed/daemon/operators.rs
@@ -22,7 +22,7 @@
     subject: Option<String>,
 }
 
-/// How long the control thread may take to say how the box stands. Chosen, not measured.
+/// How long the control thread may take to say how the box stands.
 const STATUS_LIMIT: Duration = Duration::from_secs(2);
 
 /// The operators' routes.
--- a/src/keyed/daemon/platform.rs
+++ b/src/keyed/daemon/platform.rs
@@ -9,7 +9,6 @@
 use crate::keyed::object_api::{WATCH_MS, read};
 
 /// How long the platform may take to answer a call: it answers in milliseconds when it is well.
-/// Chosen, not measured.
 const NODE_CALL_LIMIT: Duration = Duration::from_secs(1);
 /// How long a watch may take all in all.
 const WATCH_LIMIT: Duration = Duration::from_millis(WATCH_MS + 2_000);
--- a/src/keyed/node/admission.rs
+++ b/src/keyed/node/admission.rs
@@ -20,11 +20,10 @@
 
 use crate::schema::{Micros, ModelId, OrganisationId, Priority, RequestKey, ServiceId};
 
-/// How fast the mean time between two starts follows new ones. Chosen, not measured.
+/// How fast the mean time between two starts follows new ones.
 const SPACING_WEIGHT: f64 = 0.1;
 /// The part of a queue, as a divisor, from which on organisations are held to their shares, so that
-/// who has more than its share is refused at once, not after it has waited. The figure is chosen,
-/// not measured.
+/// who has more than its share is refused at once, not after it has waited. The figure is chosen.
 const CROWDED_PART: usize = 2;
 /// Classes, the most urgent first.
 const CLASSES: [Priority; 3] = [Priority::Quick, Priority::Interactive, Priority::Deferrable];
--- a/src/keyed/node/retries.rs
+++ b/src/keyed/node/retries.rs
@@ -15,11 +15,11 @@
 use crate::backoff::Backoff;
 use crate::schema::{EndpointId, OrganisationId};
 
-/// The most retries that a budget can save up. Chosen, not measured.
+/// The most retries that a budget can save up.
 const MOST_SAVED: f64 = 10.0;
-/// What a budget starts with. Chosen, not measured.
+/// What a budget starts with.
 const FIRST_GRANT: f64 = 3.0;
-/// Pauses before retries, and after calls that the platform put off. Chosen, not measured.
+/// Pauses before retries, and after calls that the platform put off.
 const RETRY_BACKOFF: Backoff = Backoff {
     first: Duration::from_millis(20),
     longest: Duration::from_secs(1),
--- a/src/keyed/node/routing.rs
+++ b/src/keyed/node/routing.rs
@@ -20,11 +20,11 @@
 use crate::keyed::settings::Routing;
 use crate::schema::{AdapterId, DomainId, EndpointId, Micros};
 
-/// Seconds that crossing to another failure domain counts as. Chosen, not measured.
+/// Seconds that crossing to another failure domain counts as.
 const REMOTE_SECONDS: f64 = 0.02;
-/// Seconds that loading an adapter counts as. Chosen, not measured.
+/// Seconds that loading an adapter counts as.
 const ADAPTER_SECONDS: f64 = 0.2;
-/// Seconds that one running request per slot adds. Chosen, not measured.
+/// Seconds that one running request per slot adds.
 const CROWDING_SECONDS: f64 = 0.3;
 
 /// What a request needs of an endpoint.
--- a/src/keyed/node/suspicion.rs
+++ b/src/keyed/node/suspicion.rs
@@ -27,21 +27,19 @@
 const TAIL: f64 = 4.0;
 /// The share of gaps beyond the 99th percentile.
 const BEYOND_P99: f64 = 0.01;
-/// The least suspicion time in 99th percentiles. Chosen, not measured.
+/// The least suspicion time in 99th percentiles.
 const LEAST: f64 = 2.0;
 /// The greatest suspicion time in 99th percentiles: the aim is to notice within four usual longest
 /// gaps.
 const MOST: f64 = 3.9;
-/// The shortest suspicion time, which covers this box's own scheduling. Chosen, not measured.
+/// The shortest suspicion time, which covers this box's own scheduling.
 const FLOOR: Duration = Duration::from_millis(40);
-/// The 99th percentile that an engine is taken to have before it was measured. Chosen, not
-/// measured.
+/// The 99th percentile that an engine is taken to have before it was measured.
 pub const UNKNOWN_P99: Duration = Duration::from_millis(400);
-/// The time to the first token that an engine is taken to need before it was measured. Chosen, not
-/// measured.
+/// The time to the first token that an engine is taken to need before it was measured.
 pub const UNKNOWN_FIRST: Duration = Duration::from_millis(1_500);
 /// How much longer than usual a first token may take: 3 before a reset took 2 s to make good on an
-/// engine that was silent as well (commit f1a12c5).
+/// engine that was silent as well.
 const FIRST_FACTOR: u32 = 2;
 
 /// What the decision rests on.
--- a/src/keyed/object_api.rs
+++ b/src/keyed/object_api.rs
@@ -13,7 +13,7 @@
 use crate::keyed::node::event::{Object, PlatformAnswer};
 use crate::schema::FleetList;
 
-/// How long a watch stays open, as asked of the platform, in milliseconds. Chosen, not measured.
+/// How long a watch stays open, as asked of the platform, in milliseconds.
 pub const WATCH_MS: u64 = 10_000;
 
 /// A way to the platform's objects.
