--- a/tests/datagram.rs
+++ b/tests/datagram.rs
@@ -7,10 +7,13 @@
 use std::path::Path;
 
 use magpiemoor::gateway::dispatch::event::Event;
-use magpiemoor::gateway::shell::datagram::{read, write_state, write_usage};
+use magpiemoor::gateway::shell::datagram::{
+    read, with_holder, write_began, write_state, write_usage,
+};
 use magpiemoor::schema::{
-    BoxState, CrashNews, CrashNote, DatagramSection, EndpointUsage, Fingerprint, Incarnation,
-    RequestAge, RunningBox, ServiceTotals, UsageNews,
+    BeganNews, BoxState, CrashNews, CrashNote, DatagramSection, DutyHolder, EndpointUsage,
+    Fingerprint, Incarnation, OrganisationCount, RequestAge, RunningBox, ServiceTotals, UsageNews,
+    WindowCounts,
 };
 
 fn production(file: &str) -> Vec<u8> {
@@ -195,3 +198,53 @@
         assert!(read(&bytes[..end]).is_err(), "{end}");
     }
 }
+
+fn began() -> BeganNews {
+    BeganNews {
+        from: "box-1".parse().unwrap(),
+        incarnation: Incarnation(77),
+        of_domain: Some("north".parse().unwrap()),
+        until_ms: 1_700_000_000_000,
+        windows: vec![WindowCounts {
+            window: 340_000_000,
+            counts: vec![OrganisationCount {
+                organisation: "shop".parse().unwrap(),
+                began: 412,
+            }],
+        }],
+    }
+}
+
+/// The version in production reads a message that tells nothing, and leaves what began behind it.
+#[test]
+fn what_began_goes_behind_a_message_that_tells_nothing() {
+    let bytes = write_began(&began()).unwrap();
+    let events = read(&bytes).unwrap();
+    let [Event::PeerUsage(nothing), Event::PeerBegan(read)] = &events[..] else {
+        panic!("{events:?}");
+    };
+    assert_eq!(*read, began());
+    assert!(nothing.usage.is_empty() && nothing.totals.is_empty());
+    let as_production: UsageNews = postcard::from_bytes(&bytes[1..]).unwrap();
+    assert_eq!(as_production, *nothing);
+}
+
+#[test]
+fn who_holds_the_duty_goes_behind_a_state() {
+    let holder = DutyHolder {
+        token: 412,
+        id: "box-1".parse().unwrap(),
+        incarnation: Incarnation(77),
+        address: "10.1.0.7:7200".to_owned(),
+    };
+    let message = write_state(&state(), &CrashNews::default()).unwrap();
+    let bytes = with_holder(message.clone(), Some(holder.clone())).unwrap();
+    let events = read(&bytes).unwrap();
+    let [Event::Peer(_), Event::PeerHolder(told)] = &events[..] else {
+        panic!("{events:?}");
+    };
+    assert_eq!(*told, holder);
+    assert_eq!(with_holder(message.clone(), None).unwrap(), message);
+    let as_production: BoxState = postcard::from_bytes(&bytes[1..]).unwrap();
+    assert_eq!(as_production, state());
+}
--- a/tests/gateway/fixtures.rs
+++ b/tests/gateway/fixtures.rs
@@ -183,7 +183,7 @@
         })
     }
 
-    fn with(cfg: DispatchConfig) -> Self {
+    pub fn with(cfg: DispatchConfig) -> Self {
         let now = Micros(1_000_000);
         Self {
             dispatcher: Dispatcher::new(cfg, 7, now),
