--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -137,6 +137,16 @@
     incarnation.0 / MICROS_PER_BEAT
 }
 
+/// The duty that a box takes part in, if it is asked for.
+fn duty_of(cfg: &DispatchConfig) -> Option<UsageDuty> {
+    let me = Holder {
+        id: cfg.me.clone(),
+        incarnation: cfg.incarnation,
+        address: cfg.address,
+    };
+    cfg.duty.map(|policy| UsageDuty::new(me, policy))
+}
+
 /// The decisions of one box.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -212,14 +222,7 @@
             quarantine: Quarantine::default(),
             pending_crashes: PendingCrashes::default(),
             has_asked_quarantine: cfg.first_start,
-            duty: cfg.duty.map(|policy| {
-                let me = Holder {
-                    id: cfg.me.clone(),
-                    incarnation: cfg.incarnation,
-                    address: cfg.address,
-                };
-                UsageDuty::new(me, policy)
-            }),
+            duty: duty_of(&cfg),
             duty_clock: DutyClock::new(now),
             actions: Vec::new(),
             cfg,
--- a/src/gateway/dispatch/admission.rs
+++ b/src/gateway/dispatch/admission.rs
@@ -11,7 +11,7 @@
 //!
 //! Holding back was weighed against refusing: 1.6% of the requests of lundavik scale-1 were refused
 //! by boxes that had just started, 0.0% since. Refusing streams late in a stop was weighed against
-//! taking them: two were cut 6 s after SIGTERM (hunt-6333-59, docs/FINDINGS.md). Late is by the
+//! taking them: two were cut 6 s after SIGTERM (docs/FINDINGS.md). Late is by the
 //! time that streams took lately ([`super::stream_time`]).
 
 use std::sync::Arc;
--- a/src/gateway/dispatch/fleet/list.rs
+++ b/src/gateway/dispatch/fleet/list.rs
@@ -21,7 +21,7 @@
 use crate::schema::{EndpointId, Micros, ServiceId};
 
 /// How long an endpoint that the list dropped is remembered as gone: without that, one that was
-/// leaving came back by its own word (hunt-6df5-3, docs/FINDINGS.md). The figure is chosen.
+/// leaving came back by its own word (docs/FINDINGS.md).
 const DEPARTED_FOR: Duration = Duration::from_secs(60);
 
 /// Which of the entries with one address changed last: by the store's revision, then by the order in
--- a/src/gateway/dispatch/rollout.rs
+++ b/src/gateway/dispatch/rollout.rs
@@ -23,6 +23,7 @@
 pub mod canary;
 pub mod evidence;
 pub mod exposure;
+mod judging;
 mod known;
 mod order;
 mod rules;
@@ -37,11 +38,10 @@
 use crate::schema::{
     DomainId, DomainTally, Micros, RolloutPhase, RolloutState, ServiceId, VersionId,
 };
-use canary::{Canaries, CanaryShare};
-use evidence::{Beside, Evidence, FAILED, Timed};
-use exposure::{ExposureLimit, Forecast};
+use canary::Canaries;
+use evidence::{Evidence, FAILED, Timed};
+use exposure::ExposureLimit;
 use status::{ObjectState, StatusWrites};
-use verdict::Verdict;
 
 pub use known::Rollouts;
 pub use order::RolloutOrder;
@@ -50,12 +50,6 @@
 /// How long a box believes in an order that no box which watches roll-outs vouches for: longer than
 /// new ones need to step in for watchers that died (some 5 s).
 const VOUCHED_FOR: Duration = Duration::from_secs(30);
-/// How long before the end of its time an order for plain endpoints switches. Calls end meanwhile, all
-/// boxes say so, and the store is told; each request until then goes to a version that may still turn
-/// bad.
-const SWITCH_BEFORE_END: Duration = Duration::from_millis(900);
-/// The same for model engines: replicas of streams have to be made at the target first.
-const SWITCH_ENGINES_BEFORE_END: Duration = Duration::from_secs(2);
 /// How long before the end of its time streams elsewhere leave for the target: a snapshot and a message
 /// around all boxes take less.
 const LEAVE_BEFORE_END: Duration = Duration::from_secs(1);
@@ -65,14 +59,9 @@
 /// How long prompts meet at engines after a switch: they have been read by then, and boxes know of each
 /// other's.
 const HERD_FOR: Duration = Duration::from_millis(2_500);
-/// How long after the order the rate of its service's requests is known.
-const RATE_KNOWN_AFTER: Duration = Duration::from_secs(2);
 /// How long the target has all requests before the roll-out is committed: what fails under the whole
 /// load only shows by then.
 const LEAST_SWITCH: Duration = Duration::from_millis(600);
-/// The part of an order's time for which a box must have looked on before it takes the target for sound:
-/// one that has just started knows little, and after a loss of all boxes nobody knows more.
-const LEAST_OBSERVED: f64 = 0.5;
 /// How long a phase has lasted before a box says that it has left the other versions: requests that
 /// were placed before are counted by then.
 const PHASE_SETTLED_AFTER: Duration = Duration::from_millis(100);
@@ -111,15 +100,6 @@
     Write(status::StatusWrite),
 }
 
-/// How long before the end of an order's time its service switches.
-fn switch_before_end(has_engines: bool) -> Duration {
-    if has_engines {
-        SWITCH_ENGINES_BEFORE_END
-    } else {
-        SWITCH_BEFORE_END
-    }
-}
-
 /// A time in whole milliseconds, as peers tell it; one over 49 days counts as 49 days.
 fn whole_millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
@@ -350,18 +330,7 @@
         }
         if self.is_judged() && now.since(self.judged) >= JUDGE_EVERY {
             self.judged = now;
-            let beside = if self.leaves_others() {
-                Beside::Nothing
-            } else {
-                Beside::Others
-            };
-            let verdict = self.evidence.verdict(around.domain, beside, now);
-            let forecast = self.forecast(limit, around, now);
-            let share = self.share_requests(limit, forecast.as_ref(), around.domain, now);
-            self.canaries
-                .choose(share, &self.order, around.fleet, around.domain);
-            let fits = forecast.is_some_and(|forecast| limit.covers_switch(&forecast));
-            self.judge(&verdict, fits, around, now, &mut steps);
+            self.judge(limit, around, now, &mut steps);
         }
         if !self.has_left && self.may_leave(around.elsewhere, now) {
             self.has_left = true;
@@ -384,87 +353,6 @@
         steps
     }
 
-    /// Shares the requests anew between the canary and the other versions.
-    fn share_requests(
-        &mut self,
-        limit: ExposureLimit,
-        forecast: Option<&Forecast>,
-        domain: &DomainId,
-        now: Micros,
-    ) -> CanaryShare {
-        let ordinary = limit.canary_share(forecast);
-        self.thin_routes.clear();
-        let mut of_all = ordinary;
-        if let Some(forecast) = forecast {
-            let routes = self.evidence.routes(domain, now);
-            self.thin_routes = limit.thin_routes(forecast, &routes);
-            let more = self.thin_routes.iter().map(|(series, share)| {
-                let of_route = routes.get(series).map_or(0.0, |route| route.rate);
-                (share - ordinary) * of_route / forecast.rate.max(f64::MIN_POSITIVE)
-            });
-            of_all += more.sum::<f64>();
-        }
-        CanaryShare { ordinary, of_all }
-    }
-
-    /// What is known and foreseen of the requests, once their rate is known. A box that has seen a part
-    /// of the time only takes the target to have got its whole share meanwhile.
-    fn forecast(
-        &self,
-        limit: ExposureLimit,
-        around: &Surroundings<'_>,
-        now: Micros,
-    ) -> Option<Forecast> {
-        let elapsed = now.since(self.seen_first);
-        if elapsed < RATE_KNOWN_AFTER {
-            return None;
-        }
-        let counted = self.evidence.requests(around.domain, now)?;
-        let unseen = self.phase_since.since(self.seen_first).as_secs_f64();
-        let missed = counted.rate * unseen * limit.canary_share(None);
-        Some(Forecast {
-            requests: counted.all,
-            exposed: counted.of_target + missed,
-            rate: counted.rate,
-            left: self.order.duration.saturating_sub(elapsed),
-            switch: switch_before_end(around.has_engines),
-            moved: around.moved,
-        })
-    }
-
-    /// Enters the phase that the evidence and the time ask for. `fits` tells whether the switch stays
-    /// within the limit on exposure; after the order's time it needn't.
-    fn judge(
-        &mut self,
-        verdict: &Verdict,
-        fits: bool,
-        around: &Surroundings<'_>,
-        now: Micros,
-        steps: &mut Vec<Step>,
-    ) {
-        self.is_sound = matches!(verdict, Verdict::Sound { .. });
-        if let Verdict::Bad { why } = verdict {
-            self.enter(RolloutPhase::Bad, why.clone(), now, steps);
-            return;
-        }
-        let before_end = switch_before_end(around.has_engines);
-        let at = self.order.duration.saturating_sub(before_end);
-        let observed = now.since(self.phase_since);
-        let elapsed = now.since(self.seen_first);
-        let is_time = elapsed >= self.order.duration || elapsed >= at && fits;
-        let is_observed = observed >= self.order.duration.mul_f64(LEAST_OBSERVED);
-        let has_target = self.canaries.has_target();
-        if let Verdict::Sound { why } = verdict
-            && self.phase == RolloutPhase::Canary
-            && around.is_watching
-            && is_time
-            && is_observed
-            && has_target
-        {
-            self.enter(RolloutPhase::Switch, why.clone(), now, steps);
-        }
-    }
-
     /// Whether this box runs nothing at other versions and can do without them.
     fn may_leave(&self, elsewhere: usize, now: Micros) -> bool {
         let is_settled = now.since(self.phase_since) >= PHASE_SETTLED_AFTER;
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -18,6 +18,11 @@
 /// The greatest number of requests that a version may get beyond its share.
 const MOST_ROLLOUT_RESERVE: f64 = 1e6;
 
+/// The least and the greatest length of a window of usage and time for its report, in seconds.
+const USAGE_TIMES: (f64, f64) = (0.1, 86_400.0);
+/// The least and the greatest length of a lease, in milliseconds.
+const LEASES: (u64, u64) = (500, 600_000);
+
 /// How usage is reported.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct UsageSettings {
@@ -163,12 +168,34 @@
     }
 }
 
+fn exposure_limit(check: &mut Checker, share: Option<f64>, reserve: Option<f64>) -> ExposureLimit {
+    ExposureLimit {
+        share: check.number("rollout_share", share, LEAST_ROLLOUT_SHARE, 1.0),
+        reserve: check.number("rollout_reserve", reserve, 0.0, MOST_ROLLOUT_RESERVE),
+    }
+}
+
+/// How usage is reported, if an address says where.
+fn usage_settings(check: &mut Checker, file: &GatewaySettingsFile) -> Option<UsageSettings> {
+    let address = check.address("usage_reports", Some(file.usage_reports.clone()?));
+    let (window, late) = (file.usage_window_s, file.usage_late_s);
+    Some(UsageSettings {
+        address,
+        policy: DutyPolicy {
+            window: seconds(check, "usage_window_s", window, USAGE_TIMES),
+            late: seconds(check, "usage_late_s", late, USAGE_TIMES),
+            lease: check.millis("lease_ms", file.lease_ms, LEASES),
+        },
+    })
+}
+
 impl TryFrom<GatewaySettingsFile> for GatewaySettings {
     type Error = Vec<SettingsError>;
 
     fn try_from(file: GatewaySettingsFile) -> Result<Self, Self::Error> {
         let file = overlay(file, defaults());
         let mut check = Checker::default();
+        let usage = usage_settings(&mut check, &file);
         let peers_address = check.address("peers_address", file.peers_address);
         let name = "give a name of 1 to 128 characters";
         let settings = Self {
@@ -194,38 +221,8 @@
                 (0.0, 3_600.0),
             ),
             first_start: file.first_start.unwrap_or(true),
-            exposure: ExposureLimit {
-                share: check.number(
-                    "rollout_share",
-                    file.rollout_share,
-                    LEAST_ROLLOUT_SHARE,
-                    1.0,
-                ),
-                reserve: check.number(
-                    "rollout_reserve",
-                    file.rollout_reserve,
-                    0.0,
-                    MOST_ROLLOUT_RESERVE,
-                ),
-            },
-            usage: file.usage_reports.map(|address| UsageSettings {
-                address: check.address("usage_reports", Some(address)),
-                policy: DutyPolicy {
-                    window: seconds(
-                        &mut check,
-                        "usage_window_s",
-                        file.usage_window_s,
-                        (0.1, 86_400.0),
-                    ),
-                    late: seconds(
-                        &mut check,
-                        "usage_late_s",
-                        file.usage_late_s,
-                        (0.1, 86_400.0),
-                    ),
-                    lease: check.millis("lease_ms", file.lease_ms, (500, 600_000)),
-                },
-            }),
+            exposure: exposure_limit(&mut check, file.rollout_share, file.rollout_reserve),
+            usage,
             gossip: check.millis("gossip_ms", file.gossip_ms, (20, 60_000)),
             watch: check.millis("watch_ms", file.watch_ms, (100, 30_000)),
             held_bytes: check.size("held_bytes", file.held_bytes, 1 << 16, 1 << 40),
