--- a/src/gateway/dispatch/duty/began.rs
+++ b/src/gateway/dispatch/duty/began.rs
@@ -54,7 +54,7 @@
 /// How long a box that says nothing is waited for.
 const HEARD_WITHIN: Duration = Duration::from_secs(6);
 /// How long what a life told is kept after it was heard last.
-const REMEMBERED: Duration = Duration::from_secs(120);
+const LIFE_REMEMBERED: Duration = Duration::from_secs(120);
 /// How long a box listens before it knows who counts: each tells once a second.
 const LISTENS_FOR: Duration = Duration::from_secs(2);
 
@@ -169,7 +169,7 @@
         };
         if !self.tellers.contains_key(&teller) {
             self.tellers
-                .retain(|_, told| now.since(told.heard) < REMEMBERED);
+                .retain(|_, told| now.since(told.heard) < LIFE_REMEMBERED);
         }
         let told = self.tellers.entry(teller).or_insert_with(|| Told {
             heard: now,
--- a/src/gateway/dispatch/duty/lease.rs
+++ b/src/gateway/dispatch/duty/lease.rs
@@ -30,7 +30,7 @@
 /// What must be left of a lease for a call to be made: as long as a call may take to be sent.
 const LEAST_LEFT: f64 = 0.3;
 /// How long the store is waited for.
-const ANSWER_LIMIT: Duration = Duration::from_secs(2);
+const STORE_ANSWER_LIMIT: Duration = Duration::from_secs(2);
 
 /// The object of a duty, as the store has it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -219,7 +219,7 @@
         let is_waiting = self
             .asked
             .as_ref()
-            .is_some_and(|asked| elapsed(asked.sent, now) < ANSWER_LIMIT);
+            .is_some_and(|asked| elapsed(asked.sent, now) < STORE_ANSWER_LIMIT);
         if is_waiting || self.is_barred(now) || now.steady < self.pause_until {
             return None;
         }
--- a/src/gateway/dispatch/duty/report.rs
+++ b/src/gateway/dispatch/duty/report.rs
@@ -15,7 +15,7 @@
 
 /// The part of the time for a report after which a window is settled with what is known: the rest is
 /// for the store, the platform, and a holder that takes over.
-const SETTLED_AFTER: f64 = 0.7;
+const LATEST_SETTLED: f64 = 0.7;
 /// How much later than its time a report may still be of use to the operator.
 const OF_USE_FOR: Duration = Duration::from_secs(20);
 /// Windows that the duty's object holds at most, while the platform takes none.
@@ -87,7 +87,7 @@
 
     fn is_settled(&self, window: Window, ledger: &Ledger, others: &[DomainId], now: Now) -> bool {
         let end = window.end(self.policy.window);
-        let latest = end.0 + millis(self.policy.late.mul_f64(SETTLED_AFTER));
+        let latest = end.0 + millis(self.policy.late.mul_f64(LATEST_SETTLED));
         ledger.is_whole(end, others, now.steady) || now.day.0 >= latest
     }
 
