Directives: what servers ask in their answers is read in one place and recorded

A server that turns a request away may ask for a rest (Retry-After), one that leaves says so in all its answers (Server-Leaving). Neither was read, and no record told that a server asked for anything, so logs could not tell a word that nobody reads from one that is read and not kept.

The head of an answer is read by platform/src/directives.rs, each word alone, so that a malformed one hides no other. fleet/directives.rs holds what is in force by incarnation of the endpoint, beside the limits, which moved there. New records rest_asked and leaving_stated, gauges endpoints_resting and endpoints_stating_leaving, faults_total{kind="endpoint_rest"}. Nothing is decided by them yet.

tests/limits.rs and the emulator send the new event in place of the one for limits; what they check is as before.

--- a/lab/src/gateway/limits.rs
+++ b/lab/src/gateway/limits.rs
@@ -13,7 +13,7 @@
 
 use std::fmt;
 
-use magpiemoor::gateway::dispatch::fleet::limits::RequestRate;
+use magpiemoor::gateway::dispatch::fleet::directives::limits::RequestRate;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/lab/src/gateway/limits/fleet/servers.rs
+++ b/lab/src/gateway/limits/fleet/servers.rs
@@ -8,7 +8,8 @@
 use magpiemoor::gateway::dispatch::event::{
     AttemptNumber, EndpointChange, EndpointSpec, Event, Fault, NotRunCause, Outcome,
 };
-use magpiemoor::gateway::dispatch::fleet::limits::RequestRate;
+use magpiemoor::gateway::dispatch::fleet::directives::limits::RequestRate;
+use magpiemoor::gateway::dispatch::fleet::directives::{AnswerDirectives, StatedLimit};
 use magpiemoor::schema::EndpointId;
 use rand::Rng;
 
@@ -343,10 +344,14 @@
         }
         let attempt = run.attempt;
         if names.is_some() || run.is_limited {
-            let event = Event::LimitNamed {
+            let directives = AnswerDirectives {
+                limit: names.map_or(StatedLimit::None, StatedLimit::Rate),
+                ..AnswerDirectives::default()
+            };
+            let event = Event::DirectivesRead {
                 request,
                 attempt,
-                limit: names,
+                directives,
             };
             self.post_event(at, OUTSIDE, event);
         }
--- a/lab/src/gateway/limits/score.rs
+++ b/lab/src/gateway/limits/score.rs
@@ -12,7 +12,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use magpiemoor::gateway::dispatch::fleet::limits::RequestRate;
+use magpiemoor::gateway::dispatch::fleet::directives::limits::RequestRate;
 use magpiemoor::schema::Micros;
 use serde::Serialize;
 
--- a/lab/src/gateway/server.rs
+++ b/lab/src/gateway/server.rs
@@ -99,6 +99,12 @@
     paused_after: Option<u64>,
     /// The limit that it names in its answers.
     limit: Option<String>,
+    /// The seconds of rest that it asks for where it turns a request away.
+    rest: Option<String>,
+    /// Whether it says in its answers that it is leaving.
+    says_leaving: bool,
+    /// Requests that arrived, whether or not they ran.
+    arrived: usize,
     kept: Vec<String>,
     /// Events made by the runs that go on.
     going: BTreeMap<String, u64>,
@@ -217,6 +223,11 @@
         lock(&self.state).always = Some(act);
     }
 
+    /// Answers as it should from now on.
+    pub fn act_well(&self) {
+        lock(&self.state).always = None;
+    }
+
     /// Has the next requests met with these acts.
     pub fn act(&self, acts: &[Act]) {
         lock(&self.state).acts.extend(acts);
@@ -227,6 +238,22 @@
         lock(&self.state).limit = limit.map(str::to_owned);
     }
 
+    /// Asks for a rest of so many seconds where it turns a request away, or for none.
+    pub fn ask_for_rest(&self, seconds: Option<&str>) {
+        lock(&self.state).rest = seconds.map(str::to_owned);
+    }
+
+    /// Says in its answers from now on that it is leaving.
+    pub fn say_leaving(&self) {
+        lock(&self.state).says_leaving = true;
+    }
+
+    /// How many requests arrived here, whether or not they ran.
+    #[must_use]
+    pub fn arrived(&self) -> usize {
+        lock(&self.state).arrived
+    }
+
     /// Ends, with all connections, when it begins to run a request with such a body.
     pub fn crash_on(&self, body: &str) {
         lock(&self.state).crashes_on = Some(body.to_owned());
--- a/lab/src/gateway/server/serving.rs
+++ b/lab/src/gateway/server/serving.rs
@@ -123,6 +123,7 @@
     async fn run(&self, wire: &mut Wire, head: Message) -> std::io::Result<bool> {
         let act = {
             let mut state = lock(&self.state);
+            state.arrived += 1;
             let next = state.acts.pop_front();
             next.or(state.always).unwrap_or_default()
         };
@@ -145,8 +146,9 @@
         }
         if act == Act::NoRoom || !self.has_copy(&ask) {
             let headers = format!(
-                "Magpiemoor-Attempt-Id: {id}\r\nMagpiemoor-Not-Executed: 1\r\n{}",
-                self.limit()
+                "Magpiemoor-Attempt-Id: {id}\r\nMagpiemoor-Not-Executed: 1\r\n{}{}",
+                self.words(),
+                self.rest()
             );
             wire.send(whole(503, &headers, "")).await?;
             return Ok(false);
@@ -189,14 +191,27 @@
         format!(
             "Magpiemoor-Attempt-Id: {id}\r\nMagpiemoor-Server-Stamp: {}\r\n{}",
             self.id,
-            self.limit()
+            self.words()
         )
     }
 
-    /// The line that names the limit, if there is one.
-    fn limit(&self) -> String {
-        let limit = lock(&self.state).limit.clone();
-        limit.map_or(String::new(), |limit| format!("Server-Limit: {limit}\r\n"))
+    /// The lines that name the limit and that it is leaving, where it says so.
+    fn words(&self) -> String {
+        let state = lock(&self.state);
+        let limit = state.limit.as_ref();
+        let limit = limit.map_or(String::new(), |limit| format!("Server-Limit: {limit}\r\n"));
+        let leaving = if state.says_leaving {
+            "Server-Leaving: 1\r\n"
+        } else {
+            ""
+        };
+        limit + leaving
+    }
+
+    /// The line that asks for a rest, if there is one.
+    fn rest(&self) -> String {
+        let rest = lock(&self.state).rest.clone();
+        rest.map_or(String::new(), |rest| format!("Retry-After: {rest}\r\n"))
     }
 
     /// Answers a plain call.
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -19,7 +19,8 @@
 //! | quarantine of requests that crash their endpoints | [`quarantine`], confirmed in `crashes` |
 //! | duration of streams, for which a stop must leave time | [`stream_time`] |
 //! | effects of an endpoint restart under its id | [`endpoint_restart`], `fleet::incarnations` |
-//! | load of endpoints with a limit, its division among boxes | [`permits`], [`fleet::limits`] |
+//! | what endpoints ask of their callers | [`fleet::directives`] |
+//! | load of endpoints with a limit, its division among boxes | [`permits`] |
 //! | location of replicas of KV memory | [`replicas`] |
 //! | search for the engine that keeps the prompt of a caller that reconnects | [`prompt_search`] |
 //! | work in progress at endpoints | [`fleet::usage`] |
@@ -53,6 +54,7 @@
 mod admission;
 mod attempts;
 mod crashes;
+mod directives;
 mod endpoint_restart;
 mod gossip;
 mod intake;
@@ -247,7 +249,7 @@
             Event::CallerDisconnected(_)
             | Event::Connected { .. }
             | Event::StreamOpened { .. }
-            | Event::LimitNamed { .. }
+            | Event::DirectivesRead { .. }
             | Event::Progress { .. }
             | Event::Ended { .. } => self.handle_attempt_event(event),
             Event::Tick => self.on_tick(),
@@ -285,11 +287,11 @@
             Event::CallerDisconnected(request) => self.on_caller_disconnected(request),
             Event::Connected { request, attempt } => self.on_connected(request, attempt),
             Event::StreamOpened { request, attempt } => self.on_stream_opened(request, attempt),
-            Event::LimitNamed {
+            Event::DirectivesRead {
                 request,
                 attempt,
-                limit,
-            } => self.on_limit_in_answer(request, attempt, limit),
+                directives,
+            } => self.on_directives(request, attempt, &directives),
             Event::Progress {
                 request,
                 attempt,
@@ -393,7 +395,7 @@
             self.endpoint_fetches.due(),
             self.pending_crashes.due(),
             self.quarantine.next_evaluation(),
-            self.permits.due(|id| self.fleet.limits.of(id)),
+            self.permits.due(|id| self.fleet.directives.limits.of(id)),
         ];
         let due = others.into_iter().flatten().fold(due, Micros::min);
         if self.active() == 0 && self.rollouts.is_at_rest() {
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -86,7 +86,7 @@
     /// Requests a permit for the endpoint of least cost if that endpoint has a rate limit and this
     /// box holds no permit for it.
     fn request_missing_permit(&mut self, number: RequestNumber) {
-        if self.fleet.limits.is_empty() {
+        if self.fleet.directives.limits.is_empty() {
             return;
         }
         let Some(request) = self.requests.get(&number) else {
@@ -167,7 +167,7 @@
             connect_timeout: ATTEMPT_CONNECT_LIMIT,
             max_idle: max_connection_idle(request),
             reports_connection: self.is_judged(&request.service),
-            is_limited: self.fleet.limits.of(&spec.id).is_some(),
+            is_limited: self.fleet.directives.limits.of(&spec.id).is_some(),
         }
     }
 
--- /dev/null
+++ b/src/gateway/dispatch/directives.rs
@@ -0,0 +1,46 @@
+//! Applies what endpoints ask of their callers in answers to this box.
+//!
+//! [`super::fleet::directives`] holds the directives in force. A limit may start the allocation of
+//! permits and is published ([`super::permits`]). Directives in the answer to an attempt that is no
+//! longer active, or at an earlier incarnation of its endpoint, are ignored.
+
+use super::Dispatcher;
+use super::event::{AttemptNumber, RequestNumber};
+use super::fleet::directives::{AnswerDirectives, NewDirective};
+use super::record::Record;
+use super::request::millis;
+use crate::schema::EndpointIncarnation;
+
+impl Dispatcher {
+    /// Applies the directives in the answer to an attempt.
+    pub(super) fn on_directives(
+        &mut self,
+        number: RequestNumber,
+        attempt: AttemptNumber,
+        stated: &AnswerDirectives,
+    ) {
+        let request = self.with_active(number, attempt);
+        let Some(endpoint) = request.and_then(|r| Some(r.active.as_ref()?.endpoint.clone())) else {
+            return;
+        };
+        if self.fleet.get_incarnation(&endpoint).is_none() {
+            return;
+        }
+        self.on_stated_limit(&endpoint, stated.limit);
+        let new = self.fleet.directives.on_answer(&endpoint, stated, self.now);
+        for directive in new {
+            self.record_directive(&endpoint, directive);
+        }
+    }
+
+    fn record_directive(&mut self, endpoint: &EndpointIncarnation, directive: NewDirective) {
+        let endpoint = endpoint.id.to_string();
+        self.record(match directive {
+            NewDirective::Rest(time) => Record::RestAsked {
+                endpoint,
+                for_ms: millis(time),
+            },
+            NewDirective::Leaving => Record::LeavingStated { endpoint },
+        });
+    }
+}
--- a/src/gateway/dispatch/event.rs
+++ b/src/gateway/dispatch/event.rs
@@ -10,7 +10,7 @@
 use crate::gateway::dispatch::duty::lease::DutyAnswer;
 use crate::gateway::dispatch::duty::usage_counts::Window;
 use crate::gateway::dispatch::fetches::{FetchKind, FetchOutcome};
-use crate::gateway::dispatch::fleet::limits::RequestRate;
+use crate::gateway::dispatch::fleet::directives::AnswerDirectives;
 use crate::gateway::dispatch::rollout::status::ObjectState;
 use crate::gateway::dispatch::table::RoutingTable;
 use crate::schema::{
@@ -220,15 +220,14 @@
         /// Attempt that the event is about.
         attempt: AttemptNumber,
     },
-    /// The head of an answer states a limit of requests a second, or states none while one was in
-    /// force.
-    LimitNamed {
+    /// The head of an answer states directives, or states no limit while one was in force.
+    DirectivesRead {
         /// Number of the request on this box.
         request: RequestNumber,
         /// Attempt that the event is about.
         attempt: AttemptNumber,
-        /// Limit that the answer states, if any.
-        limit: Option<RequestRate>,
+        /// Directives that the answer states.
+        directives: AnswerDirectives,
     },
     /// Events of a stream arrived.
     Progress {
--- a/src/gateway/dispatch/fleet.rs
+++ b/src/gateway/dispatch/fleet.rs
@@ -2,16 +2,16 @@
 //!
 //! The list, from the store or from a peer, names the endpoints and those that are leaving
 //! (`list`). A process that restarts begins another incarnation of its endpoint, and the state of
-//! the earlier one is dropped (`incarnations`). Limits that endpoints name are in [`limits`], their
-//! load is in [`usage`] and their recent failures are in [`health`]. Endpoints that are avoided,
+//! the earlier one is dropped (`incarnations`). What endpoints ask of their callers
+//! is in [`directives`], their load is in [`usage`] and their recent failures are in [`health`]. Endpoints that are avoided,
 //! suspected or unreachable are in `losses`.
 //!
 //! Inputs: the list, ends of attempts and probes, and states of peers. State: all of the above; an
 //! endpoint is forgotten once it is neither listed nor in use.
 
+pub mod directives;
 pub mod health;
 mod incarnations;
-pub mod limits;
 mod list;
 mod losses;
 pub mod usage;
@@ -22,8 +22,8 @@
 use crate::schema::{
     BoxState, DomainId, EndpointAnswers, EndpointId, EndpointIncarnation, Micros, ServiceId,
 };
+use directives::Directives;
 use health::{Answers, EndpointHealth, FailureShares};
-use limits::Limits;
 use losses::Losses;
 use usage::{PeerUsage, ReportedUsage};
 
@@ -135,8 +135,8 @@
 pub struct Fleet {
     endpoints: BTreeMap<EndpointId, Endpoint>,
     losses: Losses,
-    /// The rate limits that endpoints name, and this box's permits.
-    pub limits: Limits,
+    /// What endpoints ask of their callers.
+    pub directives: Directives,
     /// Endpoints that the list dropped or showed as leaving or unreadable, and when.
     departed: BTreeMap<EndpointId, Micros>,
     /// Outcomes of attempts of this box that were not published to peers yet.
@@ -264,6 +264,13 @@
         shares.fold(FailureShares::ALL, FailureShares::min)
     }
 
+    /// Forgets the directives of endpoints that are no longer in force.
+    pub fn forget_expired_directives(&mut self, now: Micros) {
+        let endpoints = &self.endpoints;
+        self.directives
+            .forget_expired(|id| endpoints.contains_key(id), now);
+    }
+
     /// Handles an error answer: the endpoint is reachable but the attempt failed.
     pub fn on_error_answer(&mut self, id: &EndpointId, now: Micros) {
         self.on_reached(id);
--- /dev/null
+++ b/src/gateway/dispatch/fleet/directives.rs
@@ -0,0 +1,176 @@
+//! What endpoints ask of their callers in their answers, by incarnation.
+//!
+//! | directive | asks for | of whom | in force |
+//! |---|---|---|---|
+//! | limit ([`limits`]) | at most so many requests a second | all boxes together | until an answer states another limit or none |
+//! | rest | no request | the box that got the answer | for the time that the answer states |
+//! | leaving | no new work | all boxes | until the incarnation ends |
+//!
+//! An answer to an earlier request may arrive later, so a rest is never shortened and an endpoint
+//! that is leaving stays so. A directive is about the process that gave it. It holds while the
+//! endpoint's entry is missing from the list, and ends when a process with another start time takes
+//! the endpoint's id over.
+//!
+//! Inputs: the heads of answers to this box. State: the directives in force.
+
+pub mod limits;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::schema::{EndpointId, EndpointIncarnation, Micros};
+use limits::{Limits, RequestRate};
+
+/// How long it is remembered that an endpoint is leaving: longer than it takes to end.
+const LEAVING_RETENTION: Duration = Duration::from_secs(60);
+
+/// The limit that an answer states.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum StatedLimit {
+    /// The answer states none.
+    #[default]
+    None,
+    /// Requests a second that the endpoint accepts from all boxes together.
+    Rate(RequestRate),
+    /// The answer states a limit that can't be parsed.
+    Unreadable,
+}
+
+/// The directives in the head of one answer.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct AnswerDirectives {
+    /// The limit on requests from all boxes together.
+    pub limit: StatedLimit,
+    /// Time for which the endpoint wants no request from this box.
+    pub rest: Option<Duration>,
+    /// Whether the endpoint is leaving.
+    pub is_leaving: bool,
+}
+
+/// A directive that was not in force before.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NewDirective {
+    /// The endpoint wants no request from this box for this time.
+    Rest(Duration),
+    /// The endpoint is leaving.
+    Leaving,
+}
+
+/// What one incarnation of an endpoint asked for.
+#[derive(Clone, Debug)]
+struct Asked {
+    incarnation: EndpointIncarnation,
+    rest_until: Micros,
+    /// When an answer last said that the endpoint is leaving.
+    leaving_at: Option<Micros>,
+}
+
+impl Asked {
+    fn is_in_force(&self, now: Micros) -> bool {
+        let leaving_at = self.leaving_at;
+        now < self.rest_until || leaving_at.is_some_and(|at| now.since(at) < LEAVING_RETENTION)
+    }
+}
+
+/// The directives in force.
+#[derive(Debug, Default)]
+pub struct Directives {
+    /// The rate limits that endpoints name, and this box's permits.
+    pub limits: Limits,
+    asked: BTreeMap<EndpointId, Asked>,
+}
+
+impl Directives {
+    /// Applies the rest and the departure that an answer to this box states; returns those that
+    /// were not in force.
+    pub fn on_answer(
+        &mut self,
+        incarnation: &EndpointIncarnation,
+        stated: &AnswerDirectives,
+        now: Micros,
+    ) -> Vec<NewDirective> {
+        let mut new = Vec::new();
+        if stated.rest.is_none() && !stated.is_leaving {
+            return new;
+        }
+        let asked = self.asked.entry(incarnation.id.clone());
+        let asked = asked.or_insert_with(|| Asked {
+            incarnation: incarnation.clone(),
+            rest_until: Micros::ZERO,
+            leaving_at: None,
+        });
+        if let Some(rest) = stated.rest {
+            if asked.rest_until <= now {
+                new.push(NewDirective::Rest(rest));
+            }
+            asked.rest_until = asked.rest_until.max(now.after(rest));
+        }
+        if stated.is_leaving && asked.leaving_at.replace(now).is_none() {
+            new.push(NewDirective::Leaving);
+        }
+        new
+    }
+
+    /// When the rest that an endpoint asked this box for is over, if it is not over yet.
+    #[must_use]
+    pub fn rest_end(&self, id: &EndpointId, now: Micros) -> Option<Micros> {
+        let asked = self.asked.get(id)?;
+        (now < asked.rest_until).then_some(asked.rest_until)
+    }
+
+    /// Whether an endpoint said that it is leaving.
+    #[must_use]
+    pub fn is_leaving(&self, id: &EndpointId) -> bool {
+        self.asked
+            .get(id)
+            .is_some_and(|asked| asked.leaving_at.is_some())
+    }
+
+    /// How many endpoints asked this box for a rest that is not over.
+    #[must_use]
+    pub fn resting_count(&self, now: Micros) -> usize {
+        let resting = self.asked.values().filter(|asked| now < asked.rest_until);
+        resting.count()
+    }
+
+    /// How many endpoints said that they are leaving.
+    #[must_use]
+    pub fn leaving_count(&self) -> usize {
+        let leaving = self
+            .asked
+            .values()
+            .filter(|asked| asked.leaving_at.is_some());
+        leaving.count()
+    }
+
+    /// Forgets what is no longer in force, except of endpoints that are still known.
+    pub(super) fn forget_expired(&mut self, is_known: impl Fn(&EndpointId) -> bool, now: Micros) {
+        self.limits.forget_expired(now);
+        self.asked.retain(|id, asked| {
+            asked.is_in_force(now) || asked.leaving_at.is_some() && is_known(id)
+        });
+    }
+
+    /// Forgets the directives of an endpoint's earlier incarnations.
+    pub(super) fn on_new_incarnation(&mut self, incarnation: &EndpointIncarnation) {
+        self.limits.on_new_incarnation(incarnation);
+        let asked = self.asked.get(&incarnation.id);
+        if asked.is_some_and(|asked| asked.incarnation != *incarnation) {
+            self.asked.remove(&incarnation.id);
+        }
+    }
+
+    /// Forgets the directives of an endpoint that is listed again, if certainly another incarnation
+    /// than the listed one gave them.
+    pub(super) fn on_listed_again(&mut self, incarnation: &EndpointIncarnation) {
+        let asked = self.asked.get(&incarnation.id);
+        if asked.is_some_and(|asked| !asked.incarnation.may_be(incarnation)) {
+            self.asked.remove(&incarnation.id);
+        }
+    }
+
+    /// Forgets the limits of endpoints that were removed.
+    pub(super) fn retain_limits(&mut self, is_known: impl Fn(&EndpointId) -> bool) {
+        self.limits.retain(is_known);
+    }
+}
--- a/src/gateway/dispatch/fleet/limits.rs
+++ b/src/gateway/dispatch/fleet/directives/limits.rs
@@ -4,7 +4,7 @@
 //! another one or none. The latest answer counts, whichever box received it: boxes publish the
 //! limits in answers to them. The end of a limit is remembered for [`END_RETENTION`], so that an
 //! older report doesn't restore it. A request goes to such an endpoint only with a permit
-//! ([`super::super::permits`]).
+//! ([`super::super::super::permits`]).
 //!
 //! Inputs: answers of endpoints to this box, and reports by other boxes of answers to them. State:
 //! the limits, by the incarnation of the endpoint that named them, and this box's permits.
@@ -286,8 +286,8 @@
         self.named.retain(|_, limit| limit.is_retained(now));
     }
 
-    /// Forgets the limit of an endpoint if another incarnation than the given one named it.
-    pub(super) fn forget_other_incarnation(&mut self, incarnation: &EndpointIncarnation) {
+    /// Forgets the limit that an earlier incarnation of an endpoint named.
+    pub(super) fn on_new_incarnation(&mut self, incarnation: &EndpointIncarnation) {
         let limit = self.named.get(&incarnation.id);
         if limit.is_some_and(|limit| !limit.incarnation.may_be(incarnation)) {
             self.named.remove(&incarnation.id);
--- a/src/gateway/dispatch/fleet/incarnations.rs
+++ b/src/gateway/dispatch/fleet/incarnations.rs
@@ -42,8 +42,8 @@
             ..Endpoint::new(spec, now)
         };
         self.losses.forget(&ended.id);
-        self.limits
-            .forget_other_incarnation(&endpoint.spec.incarnation());
+        self.directives
+            .on_new_incarnation(&endpoint.spec.incarnation());
         self.unpublished.remove(&ended.id);
         self.ended_incarnations.push(ended);
     }
--- a/src/gateway/dispatch/fleet/list.rs
+++ b/src/gateway/dispatch/fleet/list.rs
@@ -107,6 +107,7 @@
         }
         let Some(known) = self.endpoints.get_mut(&spec.id) else {
             self.incarnation_count += 1;
+            self.directives.on_listed_again(&spec.incarnation());
             let id = spec.id.clone();
             let endpoint = Endpoint {
                 incarnation_number: self.incarnation_count,
@@ -153,7 +154,8 @@
     pub fn forget_unused(&mut self) {
         self.endpoints
             .retain(|_, e| e.listed || e.own != Usage::default());
-        self.limits.retain(|id| self.endpoints.contains_key(id));
+        self.directives
+            .retain_limits(|id| self.endpoints.contains_key(id));
     }
 
     /// Handles another process at the address of an endpoint, which has therefore exited.
--- a/src/gateway/dispatch/permits.rs
+++ b/src/gateway/dispatch/permits.rs
@@ -7,7 +7,7 @@
 //! domain sends its permit request to any box of the endpoint's domain, which forwards it to the
 //! owner.
 //!
-//! Inputs: limits ([`super::fleet::limits`]), the roster, and permit requests and grants, which
+//! Inputs: limits ([`super::fleet::directives::limits`]), the roster, and permit requests and grants, which
 //! arrive as datagrams and may be lost. State: the allocators of this box, the permit requests that
 //! it has not sent or that are unanswered, and when it last published limits. The alternative, an
 //! even share of the limit for each box, is discussed in docs/design/limits.md.
@@ -21,9 +21,10 @@
 
 use super::Dispatcher;
 use super::action::Action;
-use super::event::{AttemptNumber, RequestNumber};
+use super::event::RequestNumber;
 use super::fleet::Endpoint;
-use super::fleet::limits::RequestRate;
+use super::fleet::directives::StatedLimit;
+use super::fleet::directives::limits::RequestRate;
 use super::record::Record;
 use crate::schema::{
     EndpointId, EndpointIncarnation, LimitReport, LimitUpdate, Micros, PermitGrant, PermitRequest,
@@ -89,23 +90,19 @@
 }
 
 impl Dispatcher {
-    /// Handles the limit that the endpoint of an attempt named in its answer, or that it named none.
-    pub(super) fn on_limit_in_answer(
-        &mut self,
-        number: RequestNumber,
-        attempt: AttemptNumber,
-        limit: Option<RequestRate>,
-    ) {
-        let request = self.with_active(number, attempt);
-        let Some(incarnation) = request.and_then(|r| Some(r.active.as_ref()?.endpoint.clone()))
-        else {
-            return;
+    /// Applies the limit that an endpoint stated in an answer, or that it stated none. One that can't
+    /// be parsed leaves the known limit in force.
+    pub(super) fn on_stated_limit(&mut self, endpoint: &EndpointIncarnation, limit: StatedLimit) {
+        let limit = match limit {
+            StatedLimit::None => None,
+            StatedLimit::Rate(rate) => Some(rate),
+            StatedLimit::Unreadable => return,
         };
         let now = self.now;
-        let is_current = self.fleet.get_incarnation(&incarnation).is_some();
-        if is_current && self.fleet.limits.on_answer(&incarnation, limit, now) {
-            self.on_limit_changed(&incarnation.id);
-            self.permits.unpublished.insert(incarnation.id);
+        let limits = &mut self.fleet.directives.limits;
+        if limits.on_answer(endpoint, limit, now) {
+            self.on_limit_changed(&endpoint.id);
+            self.permits.unpublished.insert(endpoint.id.clone());
             let due = now.max(self.permits.published_at.after(LIMIT_PUBLISH_INTERVAL));
             self.permits.publish_at.get_or_insert(due);
             self.publish_limits_if_due();
@@ -114,7 +111,7 @@
 
     /// Handles a limit of an endpoint that changed or ended.
     fn on_limit_changed(&mut self, endpoint: &EndpointId) {
-        let limit = self.fleet.limits.of(endpoint);
+        let limit = self.fleet.directives.limits.of(endpoint);
         if limit.is_some() {
             self.start_allocating(endpoint);
         }
@@ -134,7 +131,7 @@
         let unpublished = std::mem::take(&mut self.permits.unpublished);
         let reports = unpublished
             .iter()
-            .filter_map(|id| self.fleet.limits.report(id, self.now));
+            .filter_map(|id| self.fleet.directives.limits.report(id, self.now));
         let reports = reports.collect();
         let to = self.peers.of_own_domain(self.now);
         self.publish_limit_reports(to, reports);
@@ -142,7 +139,7 @@
 
     /// Sends boxes the limits that recent answers to this box named.
     pub(super) fn publish_limits(&mut self, to: Vec<SocketAddr>) {
-        let reports = self.fleet.limits.recent_reports(self.now);
+        let reports = self.fleet.directives.limits.recent_reports(self.now);
         self.publish_limit_reports(to, reports);
     }
 
@@ -183,6 +180,7 @@
         for grant in &update.grants {
             let now = self.now;
             self.fleet
+                .directives
                 .limits
                 .on_granted(&grant.endpoint, grant.permits, now);
             if let Some(requested) = self.permits.requested.get_mut(&grant.endpoint.id) {
@@ -194,7 +192,13 @@
 
     fn on_limit_report(&mut self, report: &LimitReport) {
         let is_current = self.fleet.get_incarnation(&report.endpoint).is_some();
-        if is_current && self.fleet.limits.on_peer_report(report, self.now) {
+        if is_current
+            && self
+                .fleet
+                .directives
+                .limits
+                .on_peer_report(report, self.now)
+        {
             self.on_limit_changed(&report.endpoint.id);
         }
     }
@@ -211,7 +215,7 @@
         }
         let id = &request.endpoint.id;
         match self.limit_owner(id) {
-            Some(LimitOwner::ThisBox) if self.fleet.limits.of(id).is_none() => {
+            Some(LimitOwner::ThisBox) if self.fleet.directives.limits.of(id).is_none() => {
                 self.reply_without_limit(id, reply_to);
             }
             Some(LimitOwner::ThisBox) => {
@@ -232,7 +236,7 @@
 
     /// Tells a box that requests a permit that the endpoint names no limit any more.
     fn reply_without_limit(&mut self, id: &EndpointId, to: SocketAddr) {
-        let report = self.fleet.limits.report(id, self.now);
+        let report = self.fleet.directives.limits.report(id, self.now);
         if let Some(report) = report {
             let update = LimitUpdate {
                 notes: vec![report],
@@ -273,7 +277,7 @@
         }
         requested.sent_at = Some(now);
         let wanted = std::mem::take(&mut requested.wanted);
-        let Some(report) = self.fleet.limits.report(id, now) else {
+        let Some(report) = self.fleet.directives.limits.report(id, now) else {
             return;
         };
         let request = PermitRequest {
@@ -298,7 +302,7 @@
     }
 
     fn allocate_permits(&mut self, id: &EndpointId) {
-        let Some(rate) = self.fleet.limits.of(id) else {
+        let Some(rate) = self.fleet.directives.limits.of(id) else {
             return;
         };
         let Some(endpoint) = self.fleet.get(id).map(|e| e.spec.incarnation()) else {
@@ -317,6 +321,7 @@
         if allocated.reply_to == self.cfg.address {
             let now = self.now;
             self.fleet
+                .directives
                 .limits
                 .on_granted(endpoint, allocated.wanted, now);
             return;
@@ -342,7 +347,12 @@
         let waiting = waiting.filter(|(_, r)| r.next_placement.is_some() && r.service == service);
         let waiting: Vec<RequestNumber> = waiting.map(|(number, _)| *number).collect();
         for number in waiting {
-            if !self.fleet.limits.may_send(&endpoint.id, self.now) {
+            if !self
+                .fleet
+                .directives
+                .limits
+                .may_send(&endpoint.id, self.now)
+            {
                 return;
             }
             if let Some(request) = self.requests.get_mut(&number) {
@@ -355,10 +365,10 @@
     /// Publishes changed limits, allocates permits and forgets ended limits, as far as due.
     pub(super) fn maintain_limits(&mut self) {
         self.publish_limits_if_due();
-        if self.fleet.limits.is_empty() && self.permits.allocators.is_empty() {
+        self.fleet.forget_expired_directives(self.now);
+        if self.fleet.directives.limits.is_empty() && self.permits.allocators.is_empty() {
             return;
         }
-        self.fleet.limits.forget_expired(self.now);
         let allocators: Vec<EndpointId> = self.permits.allocators.keys().cloned().collect();
         for id in allocators {
             let own = EndpointIncarnation::from(id.clone());
@@ -369,14 +379,17 @@
 
     /// Takes the permit for a request that is sent to an endpoint, if the endpoint names a limit.
     pub(super) fn use_permit(&mut self, id: &EndpointId) {
-        if self.fleet.limits.on_sent(id, self.now) {
+        if self.fleet.directives.limits.on_sent(id, self.now) {
             self.permits.counts.used += 1;
         }
     }
 
     /// Whether the endpoint names no limit or this box holds a permit for it.
     pub(super) fn may_send_to(&self, endpoint: &Endpoint) -> bool {
-        self.fleet.limits.may_send(&endpoint.spec.id, self.now)
+        self.fleet
+            .directives
+            .limits
+            .may_send(&endpoint.spec.id, self.now)
     }
 
     /// Returns the counts and resets them.
--- a/src/gateway/dispatch/permits/allocation.rs
+++ b/src/gateway/dispatch/permits/allocation.rs
@@ -20,7 +20,7 @@
 
 use super::allocator::PermitAllocator;
 use crate::gateway::dispatch::Dispatcher;
-use crate::gateway::dispatch::fleet::limits::RequestRate;
+use crate::gateway::dispatch::fleet::directives::limits::RequestRate;
 use crate::rendezvous;
 use crate::schema::{DomainId, EndpointId, Micros};
 
@@ -67,17 +67,17 @@
     /// Starts an allocator for each limit that this box owns. Drops the allocators of limits that
     /// ended or that another box owns, and the permit requests for limits that ended.
     pub(in crate::gateway::dispatch) fn update_allocators(&mut self) {
-        for id in self.fleet.limits.in_force() {
+        for id in self.fleet.directives.limits.in_force() {
             self.start_allocating(&id);
         }
         let allocators: Vec<EndpointId> = self.permits.allocators.keys().cloned().collect();
         for id in allocators {
-            let is_limited = self.fleet.limits.of(&id).is_some();
+            let is_limited = self.fleet.directives.limits.of(&id).is_some();
             if !is_limited || self.limit_owner(&id) != Some(LimitOwner::ThisBox) {
                 self.permits.allocators.remove(&id);
             }
         }
-        let limits = &self.fleet.limits;
+        let limits = &self.fleet.directives.limits;
         self.permits
             .requested
             .retain(|id, _| limits.of(id).is_some());
@@ -129,7 +129,12 @@
         let now = self.now;
         let after_handover = now.after(HANDOVER);
         let settled = self.started.max(self.permits.resumed_at).after(HANDOVER);
-        let named = self.fleet.limits.since(id).zip(self.fleet.limits.of(id));
+        let named = self
+            .fleet
+            .directives
+            .limits
+            .since(id)
+            .zip(self.fleet.directives.limits.of(id));
         let Some((since, rate)) = named else {
             return after_handover;
         };
--- a/src/gateway/dispatch/permits/allocator.rs
+++ b/src/gateway/dispatch/permits/allocator.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::gateway::dispatch::fleet::limits::RequestRate;
+use crate::gateway::dispatch::fleet::directives::limits::RequestRate;
 use crate::schema::Micros;
 
 /// How long a permit request is kept: about as long as a request waits that no other endpoint can
--- a/src/gateway/dispatch/placement.rs
+++ b/src/gateway/dispatch/placement.rs
@@ -85,7 +85,7 @@
         now: Micros,
     ) -> Option<&'a Endpoint> {
         self.choose_among(fleet, demand, now, |e| {
-            fleet.limits.may_send(&e.spec.id, now)
+            fleet.directives.limits.may_send(&e.spec.id, now)
         })
     }
 
--- a/src/gateway/dispatch/record.rs
+++ b/src/gateway/dispatch/record.rs
@@ -268,6 +268,18 @@
         /// Requests per second that it accepts from all boxes together.
         per_second: Option<f64>,
     },
+    /// An endpoint asked this box for a rest.
+    RestAsked {
+        /// The endpoint.
+        endpoint: String,
+        /// The time for which it wants no request from this box, ms.
+        for_ms: u64,
+    },
+    /// An endpoint said in an answer that it is leaving.
+    LeavingStated {
+        /// The endpoint.
+        endpoint: String,
+    },
     /// An endpoint crashed while it ran a request.
     Crashed {
         /// The caller's request id.
@@ -338,6 +350,8 @@
             | Self::Endpoints { .. }
             | Self::Reborn { .. }
             | Self::Limited { .. }
+            | Self::RestAsked { .. }
+            | Self::LeavingStated { .. }
             | Self::Quarantined { .. }
             | Self::Released { .. }
             | Self::Rollout { .. }
--- a/src/gateway/dispatch/record/sentence.rs
+++ b/src/gateway/dispatch/record/sentence.rs
@@ -24,7 +24,9 @@
             Self::Endpoint { .. }
             | Self::Endpoints { .. }
             | Self::Reborn { .. }
-            | Self::Limited { .. } => self.endpoint_sentence(),
+            | Self::Limited { .. }
+            | Self::RestAsked { .. }
+            | Self::LeavingStated { .. } => self.endpoint_sentence(),
             Self::Quarantined {
                 fingerprint,
                 crashes,
@@ -68,6 +70,10 @@
                 }
                 None => format!("{endpoint} no longer announces a limit"),
             },
+            Self::RestAsked { endpoint, for_ms } => {
+                format!("{endpoint} wants no request from this box for {for_ms} ms")
+            }
+            Self::LeavingStated { endpoint } => format!("{endpoint} says that it is leaving"),
             _ => String::new(),
         }
     }
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -10,6 +10,7 @@
 pub mod datagram;
 pub mod decision_log;
 pub mod dialect;
+mod directives;
 mod duties;
 mod endpoint_reader;
 pub mod events;
--- a/src/gateway/shell/control.rs
+++ b/src/gateway/shell/control.rs
@@ -104,9 +104,13 @@
         let gauge = |boxes| i64::try_from(boxes).unwrap_or(i64::MAX);
         self.shared.metrics.boxes_local.set(gauge(local));
         self.shared.metrics.boxes.set(gauge(all));
-        let limited = self.dispatcher.fleet().limits.count();
+        let limited = self.dispatcher.fleet().directives.limits.count();
         let permits = self.dispatcher.take_permit_counts();
         self.shared.metrics.on_limits(limited, permits);
+        let directives = &self.dispatcher.fleet().directives;
+        let resting = directives.resting_count(self.shared.clock.now());
+        let leaving = directives.leaving_count();
+        self.shared.metrics.on_directives(resting, leaving);
     }
 
     fn perform(&mut self, action: Action) {
--- a/src/gateway/shell/dialect.rs
+++ b/src/gateway/shell/dialect.rs
@@ -17,7 +17,7 @@
 use crate::gateway::dispatch::duty::SettledWindow;
 use crate::gateway::dispatch::duty::lease::{DutyAnswer, StoreOperation};
 use crate::gateway::dispatch::event::{Arrival, EndpointSpec, NotRunCause, SnapshotName};
-use crate::gateway::dispatch::fleet::limits::RequestRate;
+use crate::gateway::dispatch::fleet::directives::limits::RequestRate;
 use crate::gateway::dispatch::refusal::Refusal;
 use crate::gateway::dispatch::rollout::status::{ObjectState, StatusWrite};
 use crate::gateway::dispatch::table::{RoutingTable, TableError};
@@ -136,6 +136,17 @@
     pub at: u64,
 }
 
+/// Directives in the head of an endpoint's answer, each parsed separately.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StatedDirectives {
+    /// Requests a second that the endpoint accepts from all boxes together.
+    pub limit: Result<Option<RequestRate>, Unreadable>,
+    /// Time for which the endpoint wants no request from this box.
+    pub rest: Result<Option<Duration>, Unreadable>,
+    /// Whether the endpoint is leaving.
+    pub is_leaving: bool,
+}
+
 /// HTTP call that a duty makes.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DutyCall {
@@ -167,12 +178,8 @@
     /// Classifies an endpoint's answer to the request `id` by its head.
     fn classify_answer(&self, head: &response::Parts, id: &str) -> AnswerKind;
 
-    /// Returns the limit of requests per second that an endpoint's answer states, if any.
-    ///
-    /// # Errors
-    ///
-    /// If the stated limit is invalid.
-    fn limit(&self, headers: &HeaderMap) -> Result<Option<RequestRate>, Unreadable>;
+    /// Reads the directives that the head of an endpoint's answer states.
+    fn directives(&self, head: &response::Parts) -> StatedDirectives;
 
     /// Returns the id of the endpoint that sent an answer, if it states one.
     fn instance(&self, headers: &HeaderMap) -> Option<EndpointId>;
--- a/src/gateway/shell/exchange.rs
+++ b/src/gateway/shell/exchange.rs
@@ -25,13 +25,13 @@
 use crate::gateway::dispatch::event::{
     AttemptNumber, Event, Fault, NotRunCause, Outcome, RequestNumber,
 };
+use crate::gateway::dispatch::fleet::directives::AnswerDirectives;
 use crate::gateway::dispatch::refusal::Refusal;
 use crate::gateway::shell::attempt::{BufferedAnswer, CallerRequest, buffer_answer, start_attempt};
 use crate::gateway::shell::dialect::AnswerKind;
 use crate::gateway::shell::events::EventSplitter;
-use crate::gateway::shell::faults::FaultKind;
 use crate::gateway::shell::input::Input;
-use crate::gateway::shell::{GatewayShared, headers};
+use crate::gateway::shell::{GatewayShared, directives, headers};
 use crate::http::pool::Connection;
 use crate::http::{self, EVENT_STREAM};
 
@@ -229,25 +229,20 @@
             AnswerKind::NotRun(cause @ NotRunCause::NoRoom) => Some(Outcome::NotRun(cause)),
             AnswerKind::Valid => None,
         };
-        self.report_limit(attempt, &head.headers).await;
+        self.report_directives(attempt, head).await;
         outcome
     }
 
-    /// Reports the request limit that an answer states to the dispatcher. An answer without one is
+    /// Reports the directives that an answer states to the dispatcher. An answer without any is
     /// reported only if the endpoint has stated a limit before.
-    async fn report_limit(&self, attempt: &Attempt, headers: &HeaderMap) {
-        let limit = match self.shared.dialect.limit(headers) {
-            Ok(limit) => limit,
-            Err(e) => {
-                self.shared.faults.report(FaultKind::EndpointLimit, &e);
-                return;
-            }
-        };
-        if limit.is_some() || attempt.is_limited {
-            self.report(Event::LimitNamed {
+    async fn report_directives(&self, attempt: &Attempt, head: &response::Parts) {
+        let stated = self.shared.dialect.directives(head);
+        let directives = directives::without_faults(stated, &self.shared.faults);
+        if directives != AnswerDirectives::default() || attempt.is_limited {
+            self.report(Event::DirectivesRead {
                 request: self.number,
                 attempt: attempt.attempt,
-                limit,
+                directives,
             })
             .await;
         }
--- a/src/gateway/shell/faults.rs
+++ b/src/gateway/shell/faults.rs
@@ -42,11 +42,13 @@
     SnapshotAnswer,
     /// The limit in an endpoint's answer can't be read; the previous one stays in force.
     EndpointLimit,
+    /// The rest that an endpoint's answer asks for can't be read; it has no effect.
+    EndpointRest,
 }
 
 impl FaultKind {
     /// All kinds, in the order of their discriminants.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::StoreAnswer,
         Self::EndpointEntry,
         Self::UnnamedObject,
@@ -57,6 +59,7 @@
         Self::PeerFetch,
         Self::SnapshotAnswer,
         Self::EndpointLimit,
+        Self::EndpointRest,
     ];
 
     /// The value of the metric's label `kind`, and the prefix of log lines.
@@ -73,6 +76,7 @@
             Self::PeerFetch => "peer_fetch",
             Self::SnapshotAnswer => "snapshot_answer",
             Self::EndpointLimit => "endpoint_limit",
+            Self::EndpointRest => "endpoint_rest",
         }
     }
 }
--- a/src/gateway/shell/metrics.rs
+++ b/src/gateway/shell/metrics.rs
@@ -65,6 +65,8 @@
 #[derive(Debug)]
 struct EndpointMetrics {
     stating_limit: IntGauge,
+    resting: IntGauge,
+    stating_leaving: IntGauge,
     permits: IntCounterVec,
     restarted: IntCounter,
     crashes: IntCounter,
@@ -204,6 +206,14 @@
                 "endpoints_limited",
                 "Endpoints that name a limit of requests a second, as this box knows",
             ),
+            resting: set.gauge(
+                "endpoints_resting",
+                "Endpoints that want no request from this box for a while",
+            ),
+            stating_leaving: set.gauge(
+                "endpoints_stating_leaving",
+                "Endpoints that said in an answer to this box that they are leaving",
+            ),
             permits: set.counters(
                 "permits_total",
                 "Permits for endpoints that name a limit: dealt by this box, used by it, or wanted when it had none",
@@ -230,6 +240,12 @@
         }
     }
 
+    fn on_directives(&self, resting: usize, leaving: usize) {
+        let gauge = |endpoints| i64::try_from(endpoints).unwrap_or(i64::MAX);
+        self.resting.set(gauge(resting));
+        self.stating_leaving.set(gauge(leaving));
+    }
+
     fn on_limits(&self, limited: usize, permits: PermitCounts) {
         let stating_limit = i64::try_from(limited).unwrap_or(i64::MAX);
         self.stating_limit.set(stating_limit);
@@ -305,6 +321,11 @@
         self.endpoints.on_limits(limited, permits);
     }
 
+    /// Sets the numbers of endpoints that asked this box for a rest or said that they are leaving.
+    pub fn on_directives(&self, resting: usize, leaving: usize) {
+        self.endpoints.on_directives(resting, leaving);
+    }
+
     /// Counter of list or watch calls to the platform's store.
     #[must_use]
     pub fn store_calls_of(&self, request: &StoreRequest) -> IntCounter {
--- a/tests/limited_servers.rs
+++ b/tests/limited_servers.rs
@@ -4,7 +4,7 @@
 //! got 7 and 3 a second, while the third server had capacity. The 55 calls that the two got in the six seconds after
 //! they set a limit were all first attempts, sent as before.
 
-use magpiemoor::gateway::dispatch::fleet::limits::RequestRate;
+use magpiemoor::gateway::dispatch::fleet::directives::limits::RequestRate;
 use magpiemoor_lab::gateway::limits::{Beside, Case, Course, Needy};
 use rstest::rstest;
 
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -9,8 +9,11 @@
 
 use fixtures::{QUOTES, World, box_state, endpoint, listed, records};
 use magpiemoor::gateway::dispatch::action::Action;
-use magpiemoor::gateway::dispatch::event::{Event, Outcome};
-use magpiemoor::gateway::dispatch::fleet::limits::{Limits, PERMIT_LIFETIME, RequestRate};
+use magpiemoor::gateway::dispatch::event::{AttemptNumber, Event, Outcome, RequestNumber};
+use magpiemoor::gateway::dispatch::fleet::directives::limits::{
+    Limits, PERMIT_LIFETIME, RequestRate,
+};
+use magpiemoor::gateway::dispatch::fleet::directives::{AnswerDirectives, StatedLimit};
 use magpiemoor::gateway::dispatch::permits::allocator::{PermitAllocator, PermitRequester};
 use magpiemoor::gateway::dispatch::record::Record;
 use magpiemoor::rendezvous;
@@ -45,6 +48,23 @@
     assert!(refused.to_string().contains("decimal number"), "{refused}");
 }
 
+/// The event after an answer that states this limit, or none.
+fn limit_in_answer(
+    request: RequestNumber,
+    attempt: AttemptNumber,
+    limit: Option<RequestRate>,
+) -> Event {
+    let limit = limit.map_or(StatedLimit::None, StatedLimit::Rate);
+    Event::DirectivesRead {
+        request,
+        attempt,
+        directives: AnswerDirectives {
+            limit,
+            ..AnswerDirectives::default()
+        },
+    }
+}
+
 fn rate(text: &str) -> RequestRate {
     text.parse().unwrap()
 }
@@ -66,11 +86,7 @@
     let named = [None, Some("3"), Some("3"), Some("1.9"), None, None];
     for ((request, attempt), limit) in sent.into_iter().zip(named) {
         let limit = limit.map(rate);
-        world.handle(Event::LimitNamed {
-            request,
-            attempt,
-            limit,
-        });
+        world.handle(limit_in_answer(request, attempt, limit));
         recorded.extend(records(&world.actions).into_iter().cloned());
         world.end(request, attempt, Outcome::Answered { status: 200 });
     }
@@ -90,21 +106,17 @@
     let mut world = World::ready();
     let (request, sent) = world.arrive(QUOTES);
     let sent = sent.unwrap();
-    world.handle(Event::LimitNamed {
-        request,
-        attempt: sent.attempt,
-        limit: Some(rate("1")),
-    });
-    assert_eq!(world.dispatcher.fleet().limits.count(), 1);
+    world.handle(limit_in_answer(request, sent.attempt, Some(rate("1"))));
+    assert_eq!(world.dispatcher.fleet().directives.limits.count(), 1);
     let others = fixtures::endpoints();
     let others = others.into_iter().filter(|e| e.id != sent.endpoint);
     world.handle(listed(others.collect()));
     world.end(request, sent.attempt, Outcome::Answered { status: 200 });
-    assert_eq!(world.dispatcher.fleet().limits.count(), 0);
+    assert_eq!(world.dispatcher.fleet().directives.limits.count(), 0);
     let mut again = endpoint("till-n1", "till", "north", 9_101);
     again.revision = 9;
     world.handle(listed(vec![again]));
-    assert_eq!(world.dispatcher.fleet().limits.count(), 0);
+    assert_eq!(world.dispatcher.fleet().directives.limits.count(), 0);
 }
 
 fn report(endpoint: &str, milli: Option<u32>, age_ms: u32) -> LimitReport {
@@ -265,15 +277,11 @@
         }
     };
     for limit in ["3", "2"] {
-        world.handle(Event::LimitNamed {
-            request,
-            attempt,
-            limit: Some(rate(limit)),
-        });
+        world.handle(limit_in_answer(request, attempt, Some(rate(limit))));
     }
     world.end(request, attempt, Outcome::Answered { status: 200 });
     world.handle(listed(Vec::new()));
-    assert_eq!(world.dispatcher.fleet().limits.count(), 0);
+    assert_eq!(world.dispatcher.fleet().directives.limits.count(), 0);
     world.pass(5_000);
     world.handle(Event::Tick);
     assert!(world.dispatcher.next_tick() > world.now);
@@ -313,11 +321,7 @@
     let (request, sent) = world.arrive(QUOTES);
     let sent = sent.unwrap();
     assert_eq!(&*sent.endpoint, "till-n1");
-    world.handle(Event::LimitNamed {
-        request,
-        attempt: sent.attempt,
-        limit: Some(rate("200")),
-    });
+    world.handle(limit_in_answer(request, sent.attempt, Some(rate("200"))));
     world.end(request, sent.attempt, Outcome::Answered { status: 200 });
     (world, owner)
 }
