A server that asks a box for a rest gets no request from it until the rest is over

What callers saw: nothing; calls that were turned away were served by another server some milliseconds later. The server saw 6 calls of one box in 1.7 s after it had asked that box for 3 s of rest.

A rest is for the box that got the answer alone, is never shortened, holds while the endpoint's entry is missing, and ends with the process. If all endpoints rest for longer than a request may wait for one, it is refused at once; the time to come back stays 300 ms, since another box may be free to send.

--- a/src/gateway/dispatch/admission.rs
+++ b/src/gateway/dispatch/admission.rs
@@ -21,7 +21,6 @@
 use super::Dispatcher;
 use super::action::Command;
 use super::event::{Arrival, RequestNumber};
-use super::fleet::Endpoint;
 #[cfg(doc)]
 use super::fleet::Fleet;
 use super::record::Record;
@@ -178,12 +177,13 @@
         !self.cfg.first_start && self.now.since(self.started) < RECONNECT_WINDOW
     }
 
-    /// Picks a service of the route by weight, preferring services that have an endpoint which
-    /// takes work.
+    /// Picks a service of the route by weight, preferring services that have an open endpoint.
     fn pick_service(&mut self, route: &Route) -> ServiceId {
         let picked = route.pick_target(self.rng.random());
-        let has_endpoint =
-            |service: &ServiceId| self.fleet.of_service(service).any(Endpoint::takes_work);
+        let has_endpoint = |service: &ServiceId| {
+            let mut endpoints = self.fleet.of_service(service);
+            endpoints.any(|e| self.fleet.is_open(e, self.now))
+        };
         if has_endpoint(picked) {
             return picked.clone();
         }
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -5,7 +5,9 @@
 //! follows. An attempt that starts is added to the usage counts of its endpoint and of its mirror's
 //! host, recorded, and handed to the task of the request. A request without a usable endpoint is
 //! placed again each [`PLACEMENT_RETRY_INTERVAL`] and given up after a part of its latency
-//! objective, because a caller that is refused early can still be served in time elsewhere.
+//! objective, because a caller that is refused early can still be served in time elsewhere. It is given
+//! up at once if all endpoints of its service want a rest from this box for longer than that; they may
+//! take requests from other boxes.
 //!
 //! State: this box's own usage counts at endpoints ([`super::fleet::usage`]). Inputs: the fleet as
 //! this box knows it now.
@@ -96,7 +98,7 @@
         let best = self
             .placer
             .choose_ignoring_permits(&self.fleet, demand, self.now);
-        let missing = best.filter(|e| !self.may_send_to(e));
+        let missing = best.filter(|e| !self.fleet.may_send(e, self.now));
         if let Some(id) = missing.map(|e| e.spec.id.clone()) {
             self.request_permit(&id);
         }
@@ -258,7 +260,9 @@
             return;
         };
         let since = *request.unplaced_since.get_or_insert(now);
-        if now.since(since) >= placement_timeout(request) {
+        let give_up_at = since.after(placement_timeout(request));
+        let opens_at = self.fleet.opens_at(&request.service, now);
+        if now >= give_up_at || opens_at.is_some_and(|at| at > give_up_at) {
             self.give_up_without_attempt(number);
             return;
         }
--- a/src/gateway/dispatch/fleet.rs
+++ b/src/gateway/dispatch/fleet.rs
@@ -264,6 +264,31 @@
         shares.fold(FailureShares::ALL, FailureShares::min)
     }
 
+    /// Whether an endpoint takes work and wants no rest from this box now.
+    #[must_use]
+    pub fn is_open(&self, endpoint: &Endpoint, now: Micros) -> bool {
+        endpoint.takes_work() && self.directives.rest(&endpoint.spec.id, now).is_none()
+    }
+
+    /// Whether this box may send a request to an endpoint now: the endpoint is open, and names no
+    /// limit or this box holds a permit for it.
+    #[must_use]
+    pub fn may_send(&self, endpoint: &Endpoint, now: Micros) -> bool {
+        self.is_open(endpoint, now) && self.directives.limits.may_send(&endpoint.spec.id, now)
+    }
+
+    /// When the first endpoint of a service that takes work is open: `now` if one is; `None` if none
+    /// takes work.
+    #[must_use]
+    pub fn opens_at(&self, service: &ServiceId, now: Micros) -> Option<Micros> {
+        let usable = self.of_service(service).filter(|e| e.takes_work());
+        let opens_at = |e: &Endpoint| {
+            let rest = self.directives.rest(&e.spec.id, now);
+            rest.map_or(now, |rest| rest.until)
+        };
+        usable.map(opens_at).min()
+    }
+
     /// Forgets the directives of endpoints that are no longer in force.
     pub fn forget_expired_directives(&mut self, now: Micros) {
         let endpoints = &self.endpoints;
--- a/src/gateway/dispatch/fleet/directives.rs
+++ b/src/gateway/dispatch/fleet/directives.rs
@@ -56,19 +56,34 @@
     Leaving,
 }
 
+/// The time in which an endpoint wants no request from this box.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Rest {
+    /// When this box first heard of it.
+    pub since: Micros,
+    /// When it is over.
+    pub until: Micros,
+}
+
 /// What one incarnation of an endpoint asked for.
 #[derive(Clone, Debug)]
 struct Asked {
     incarnation: EndpointIncarnation,
-    rest_until: Micros,
+    rest: Option<Rest>,
     /// When an answer last said that the endpoint is leaving.
     leaving_at: Option<Micros>,
 }
 
 impl Asked {
+    /// The rest, unless it is over.
+    fn rest_at(&self, now: Micros) -> Option<Rest> {
+        self.rest.filter(|rest| now < rest.until)
+    }
+
     fn is_in_force(&self, now: Micros) -> bool {
         let leaving_at = self.leaving_at;
-        now < self.rest_until || leaving_at.is_some_and(|at| now.since(at) < LEAVING_RETENTION)
+        self.rest_at(now).is_some()
+            || leaving_at.is_some_and(|at| now.since(at) < LEAVING_RETENTION)
     }
 }
 
@@ -96,14 +111,19 @@
         let asked = self.asked.entry(incarnation.id.clone());
         let asked = asked.or_insert_with(|| Asked {
             incarnation: incarnation.clone(),
-            rest_until: Micros::ZERO,
+            rest: None,
             leaving_at: None,
         });
-        if let Some(rest) = stated.rest {
-            if asked.rest_until <= now {
-                new.push(NewDirective::Rest(rest));
+        if let Some(time) = stated.rest {
+            let known = asked.rest_at(now);
+            if known.is_none() {
+                new.push(NewDirective::Rest(time));
             }
-            asked.rest_until = asked.rest_until.max(now.after(rest));
+            let until = now.after(time);
+            asked.rest = Some(Rest {
+                since: known.map_or(now, |rest| rest.since),
+                until: known.map_or(until, |rest| rest.until.max(until)),
+            });
         }
         if stated.is_leaving && asked.leaving_at.replace(now).is_none() {
             new.push(NewDirective::Leaving);
@@ -111,11 +131,10 @@
         new
     }
 
-    /// When the rest that an endpoint asked this box for is over, if it is not over yet.
+    /// The rest that an endpoint asked this box for, unless it is over.
     #[must_use]
-    pub fn rest_end(&self, id: &EndpointId, now: Micros) -> Option<Micros> {
-        let asked = self.asked.get(id)?;
-        (now < asked.rest_until).then_some(asked.rest_until)
+    pub fn rest(&self, id: &EndpointId, now: Micros) -> Option<Rest> {
+        self.asked.get(id)?.rest_at(now)
     }
 
     /// Whether an endpoint said that it is leaving.
@@ -129,7 +148,10 @@
     /// How many endpoints asked this box for a rest that is not over.
     #[must_use]
     pub fn resting_count(&self, now: Micros) -> usize {
-        let resting = self.asked.values().filter(|asked| now < asked.rest_until);
+        let resting = self
+            .asked
+            .values()
+            .filter(|asked| asked.rest_at(now).is_some());
         resting.count()
     }
 
--- a/src/gateway/dispatch/permits.rs
+++ b/src/gateway/dispatch/permits.rs
@@ -22,7 +22,6 @@
 use super::Dispatcher;
 use super::action::Action;
 use super::event::RequestNumber;
-use super::fleet::Endpoint;
 use super::fleet::directives::StatedLimit;
 use super::fleet::directives::limits::RequestRate;
 use super::record::Record;
@@ -384,14 +383,6 @@
         }
     }
 
-    /// Whether the endpoint names no limit or this box holds a permit for it.
-    pub(super) fn may_send_to(&self, endpoint: &Endpoint) -> bool {
-        self.fleet
-            .directives
-            .limits
-            .may_send(&endpoint.spec.id, self.now)
-    }
-
     /// Returns the counts and resets them.
     pub fn take_permit_counts(&mut self) -> PermitCounts {
         std::mem::take(&mut self.permits.counts)
--- a/src/gateway/dispatch/placement.rs
+++ b/src/gateway/dispatch/placement.rs
@@ -2,7 +2,8 @@
 //! memory.
 //!
 //! An attempt goes to the endpoint of least cost among the endpoints of the service that take work,
-//! were not tried before, can be reached and are allowed by a roll-out and by their rate limits.
+//! want no rest from this box, were not tried before, can be reached and are allowed by a roll-out and
+//! by their rate limits.
 //! The cost of an engine is the time to prefill the prompts queued there, because prefill is the
 //! scarcest resource of an engine, plus a cost for each running request. The cost of an endpoint of
 //! a plain service is a cost for each running request. Distance, missing capacity and recent
@@ -84,9 +85,7 @@
         demand: Demand<'_>,
         now: Micros,
     ) -> Option<&'a Endpoint> {
-        self.choose_among(fleet, demand, now, |e| {
-            fleet.directives.limits.may_send(&e.spec.id, now)
-        })
+        self.choose_among(fleet, demand, now, |e| fleet.may_send(e, now))
     }
 
     /// Selects the endpoint of least cost whether or not this box holds a permit for it.
@@ -97,7 +96,7 @@
         demand: Demand<'_>,
         now: Micros,
     ) -> Option<&'a Endpoint> {
-        self.choose_among(fleet, demand, now, |_| true)
+        self.choose_among(fleet, demand, now, |e| fleet.is_open(e, now))
     }
 
     fn choose_among<'a>(
@@ -110,9 +109,9 @@
         let context = CostContext::new(fleet, demand, now);
         let costs = fleet
             .of_service(demand.service)
-            .filter(|e| e.takes_work() && !demand.was_tried(e))
+            .filter(|e| may_send(e) && !demand.was_tried(e))
             .filter(|e| demand.rules.attempts.admits(e))
-            .filter(|e| !fleet.is_unreachable(e, now) && may_send(e))
+            .filter(|e| !fleet.is_unreachable(e, now))
             .map(|e| (self.cost(&context, e), e));
         costs
             .min_by(|(a, _), (b, _)| a.total_cmp(b))
@@ -134,7 +133,7 @@
         let costs = fleet
             .of_service(demand.service)
             .filter(|e| {
-                e.takes_work()
+                fleet.is_open(e, now)
                     && demand.rules.replicas.admits(e)
                     && !e.is_avoided(now)
                     && !fleet.is_suspected(e, now)
@@ -234,10 +233,11 @@
         fleet: &'a Fleet,
         service: &ServiceId,
         key: u64,
+        now: Micros,
     ) -> Vec<&'a Endpoint> {
         let mut found: Vec<&Endpoint> = fleet
             .of_service(service)
-            .filter(|e| e.takes_work())
+            .filter(|e| fleet.is_open(e, now))
             .collect();
         found.sort_by_key(|e| std::cmp::Reverse(rendezvous::score(&e.spec.id, key)));
         let (local, remote): (Vec<_>, Vec<_>) = found
--- a/src/gateway/dispatch/prompt_search.rs
+++ b/src/gateway/dispatch/prompt_search.rs
@@ -30,9 +30,9 @@
         let Some(request) = self.requests.get(&number) else {
             return;
         };
-        let candidates = self
-            .placer
-            .prompt_candidates(&self.fleet, &request.service, request.key);
+        let candidates =
+            self.placer
+                .prompt_candidates(&self.fleet, &request.service, request.key, self.now);
         let ids = candidates.iter().map(|e| e.spec.id.clone()).collect();
         if let Some(request) = self.requests.get_mut(&number) {
             request.prompt_candidates = ids;
@@ -51,7 +51,8 @@
         while among.len() < SEARCH_BATCH && !request.prompt_candidates.is_empty() {
             let id = request.prompt_candidates.remove(0);
             let engine = self.fleet.get(&id);
-            let engine = engine.filter(|e| e.takes_work() && !e.is_avoided(self.now));
+            let engine =
+                engine.filter(|e| self.fleet.is_open(e, self.now) && !e.is_avoided(self.now));
             among.extend(engine.map(|e| (id, e.spec.address)));
         }
         match part {
@@ -75,8 +76,8 @@
         let usable = endpoint.filter(|id| {
             let found = self.fleet.get(id);
             found.is_some_and(|e| {
-                let is_usable = e.takes_work() && !e.is_avoided(self.now);
-                is_usable && self.may_send_to(e) && self.may_resume_at(e)
+                let is_usable = self.fleet.may_send(e, self.now) && !e.is_avoided(self.now);
+                is_usable && self.may_resume_at(e)
             })
         });
         match usable {
--- a/src/gateway/dispatch/replicas.rs
+++ b/src/gateway/dispatch/replicas.rs
@@ -9,6 +9,8 @@
 //! [`REPLICA_SNAPSHOT_INTERVAL`] so that the snapshot stays recent. The snapshot is dropped when the
 //! mirror is independent again, and when the attempt ends.
 //!
+//! An engine that wants a rest from this box is asked for no snapshot meanwhile.
+//!
 //! After a loss the next attempt resumes from the most independent replica that has not expired and
 //! whose host takes work and is not avoided. All replicas are tried before the prompt is prefilled
 //! again.
@@ -83,7 +85,12 @@
         else {
             return;
         };
-        if !active.has_events || !is_due(Some(active.next_replica_check), now) {
+        let is_resting = self
+            .fleet
+            .directives
+            .rest(&active.endpoint.id, now)
+            .is_some();
+        if !active.has_events || is_resting || !is_due(Some(active.next_replica_check), now) {
             return;
         }
         let snapshot = active.snapshot.as_ref();
@@ -372,8 +379,8 @@
             let host = self.fleet.get_incarnation(&replica.host);
             let is_usable = host.is_some_and(|e| {
                 let is_free = !alone || self.fleet.usage(e, now).running == 0;
-                let is_usable = is_free && e.takes_work() && !e.is_avoided(now);
-                is_usable && self.may_send_to(e) && self.may_resume_at(e)
+                let is_usable = self.fleet.may_send(e, now) && !e.is_avoided(now);
+                is_free && is_usable && self.may_resume_at(e)
             });
             if is_usable && now < replica.expires_at {
                 return Some(replica);
--- a/src/gateway/dispatch/suspicion.rs
+++ b/src/gateway/dispatch/suspicion.rs
@@ -2,7 +2,8 @@
 //!
 //! A stream that stalls longer than [`PAUSE_BEFORE_PROBE`], or [`PAUSE_BEFORE_PROBE_IN_PREFILL`]
 //! before its first event, makes the box probe the engine, unless another stream of this box or the
-//! answer to a probe showed meanwhile that the engine responds. An engine that does not answer within
+//! answer to a probe showed meanwhile that the engine responds. An engine that wants a rest from this
+//! box is probed once in it. An engine that does not answer within
 //! [`PROBE_LIMIT`] is suspected, and every request there that may be repeated moves. A call that may
 //! be repeated moves without a probe once it has taken [`SLOW_CALL_PART`] of its latency objective,
 //! since a plain service has no load that could be queried.
@@ -107,8 +108,10 @@
             .last_seen
             .max(endpoint.last_seen)
             .max(endpoint.last_probe);
+        let rest = self.fleet.directives.rest(&active.endpoint.id, self.now);
+        let is_probed_in_rest = rest.is_some_and(|rest| endpoint.last_probe >= rest.since);
         let needs_probe = self.now.since(last_seen) >= limit && endpoint.probe_sent.is_none();
-        needs_probe.then(|| active.endpoint.id.clone())
+        (needs_probe && !is_probed_in_rest).then(|| active.endpoint.id.clone())
     }
 
     fn probe(&mut self, id: &EndpointId) {
@@ -136,6 +139,9 @@
             let Some(service) = service.filter(|s| s.engine.is_some()) else {
                 continue;
             };
+            if self.fleet.directives.rest(&spec.id, self.now).is_some() {
+                continue;
+            }
             let path = service.health_path.clone();
             self.actions.push(Action::RequestIdentity { spec, path });
         }
--- a/tests/directives.rs
+++ b/tests/directives.rs
@@ -5,12 +5,15 @@
 
 use std::time::Duration;
 
-use fixtures::{QUOTES, STREAMS, World, records};
+use fixtures::{
+    QUOTES, STREAMS, World, endpoints, first_attempt, listed, probes, records, refusal,
+};
 use magpiemoor::gateway::dispatch::action::Attempt;
-use magpiemoor::gateway::dispatch::event::{Event, NotRunCause, Outcome, RequestNumber};
+use magpiemoor::gateway::dispatch::event::{Event, Fault, NotRunCause, Outcome, RequestNumber};
 use magpiemoor::gateway::dispatch::fleet::directives::AnswerDirectives;
 use magpiemoor::gateway::dispatch::record::Record;
-use magpiemoor::schema::EndpointId;
+use magpiemoor::gateway::dispatch::refusal::RefusalReason;
+use magpiemoor::schema::{EndpointId, StartTime};
 use rstest::rstest;
 
 /// Time between two requests of a caller.
@@ -137,3 +140,114 @@
     };
     assert_eq!(recorded, [rest_asked, leaving_stated]);
 }
+
+/// Waiting can't help a caller if all endpoints want a rest for longer; another box may be free to send.
+#[rstest]
+#[case::long(3_000, true)]
+#[case::shorter_than_the_wait(10, false)]
+fn a_request_is_refused_at_once_if_all_endpoints_rest_longer_than_it_may_wait(
+    #[case] rest_ms: u64,
+    #[case] is_refused: bool,
+) {
+    let mut world = World::ready();
+    let (request, sent) = world.arrive(QUOTES);
+    answer(
+        &mut world,
+        request,
+        &sent.unwrap(),
+        rest(rest_ms),
+        turned_away(),
+    );
+    let sent = first_attempt(&world.actions).unwrap();
+    answer(&mut world, request, &sent, rest(rest_ms), turned_away());
+    let refused = refusal(&world.actions);
+    assert_eq!(refused == Some(RefusalReason::NoEndpoint), is_refused);
+}
+
+/// A replica at an endpoint that rests can't be used, so the stream goes on elsewhere.
+#[test]
+fn a_stream_does_not_resume_at_an_endpoint_that_wants_a_rest() {
+    let mut world = World::ready();
+    let (request, sent) = world.arrive(STREAMS);
+    let sent = sent.unwrap();
+    let mirror = sent.mirror_to.unwrap();
+    world.progress(request, sent.attempt, 1);
+    // Another stream is turned away by the mirror's host.
+    let resting = loop {
+        let (other, attempt) = world.arrive(STREAMS);
+        let attempt = attempt.unwrap();
+        if attempt.address == mirror {
+            break (other, attempt);
+        }
+    };
+    answer(
+        &mut world,
+        resting.0,
+        &resting.1,
+        rest(3_000),
+        turned_away(),
+    );
+    world.end(request, sent.attempt, Outcome::Broken(Fault::Closed));
+    let next = first_attempt(&world.actions).unwrap();
+    assert_ne!(next.address, mirror);
+    assert_eq!(next.resume_from, None);
+}
+
+/// An engine that rests is probed once at most for a stream that stalls there.
+#[test]
+fn an_engine_that_wants_a_rest_is_probed_once() {
+    let mut world = World::ready();
+    let (request, sent) = world.arrive(STREAMS);
+    let sent = sent.unwrap();
+    world.progress(request, sent.attempt, 1);
+    let other = loop {
+        let (other, attempt) = world.arrive(STREAMS);
+        let attempt = attempt.unwrap();
+        if attempt.endpoint == sent.endpoint {
+            break (other, attempt);
+        }
+    };
+    answer(&mut world, other.0, &other.1, rest(3_000), turned_away());
+    let mut probed = 0;
+    for _ in 0..50 {
+        let actions = world.run(50);
+        let probes = probes(&actions);
+        for endpoint in probes.iter().filter(|id| **id == sent.endpoint) {
+            probed += 1;
+            world.probed(endpoint, true);
+        }
+    }
+    assert_eq!(probed, 1);
+}
+
+/// What is known of a process holds while its entry is missing, and ends with the process.
+#[rstest]
+#[case::same_process(Some(1), true)]
+#[case::unknown_process(None, true)]
+#[case::restarted(Some(2), false)]
+fn a_rest_outlasts_a_missing_entry_but_not_a_restart(
+    #[case] born: Option<u64>,
+    #[case] is_resting: bool,
+) {
+    let mut world = World::ready();
+    let with_start = |born: Option<u64>| {
+        let mut specs = endpoints();
+        specs[4].born = born.map(StartTime);
+        specs[4].revision = born.unwrap_or(1);
+        specs
+    };
+    world.handle(listed(with_start(Some(1))));
+    let (request, sent) = world.arrive(QUOTES);
+    let sent = sent.unwrap();
+    assert_eq!(&*sent.endpoint, "till-n1");
+    answer(&mut world, request, &sent, rest(3_000), turned_away());
+    let next = first_attempt(&world.actions).unwrap();
+    world.end(request, next.attempt, served(QUOTES));
+    let others = endpoints().into_iter().filter(|e| e.id != sent.endpoint);
+    world.handle(listed(others.collect()));
+    world.handle(Event::Tick);
+    world.handle(listed(with_start(born)));
+    let directives = &world.dispatcher.fleet().directives;
+    let rest = directives.rest(&sent.endpoint, world.now);
+    assert_eq!(rest.is_some(), is_resting);
+}
