A server that says in its answers that it is leaving gets no new work

Cause: Server-Leaving was not read; boxes knew of a departure from the server's entry alone, which comes late or not at all while the store is away.

Now an endpoint takes work if its entry offers it and no answer said that it is leaving. The departure holds until the process ends: an answer to an earlier request may arrive later, without the word.

--- a/src/gateway/dispatch/fleet.rs
+++ b/src/gateway/dispatch/fleet.rs
@@ -87,9 +87,8 @@
         }
     }
 
-    /// Whether new requests may be sent there.
-    #[must_use]
-    pub fn takes_work(&self) -> bool {
+    /// Whether its entry offers it for new work.
+    fn is_offered(&self) -> bool {
         self.listed && self.is_readable && !self.is_displaced && !self.spec.leaving
     }
 
@@ -264,10 +263,16 @@
         shares.fold(FailureShares::ALL, FailureShares::min)
     }
 
+    /// Whether an endpoint takes new work: its entry offers it, and it has not said that it is leaving.
+    #[must_use]
+    pub fn takes_work(&self, endpoint: &Endpoint) -> bool {
+        endpoint.is_offered() && !self.directives.is_leaving(&endpoint.spec.id)
+    }
+
     /// Whether an endpoint takes work and wants no rest from this box now.
     #[must_use]
     pub fn is_open(&self, endpoint: &Endpoint, now: Micros) -> bool {
-        endpoint.takes_work() && self.directives.rest(&endpoint.spec.id, now).is_none()
+        self.takes_work(endpoint) && self.directives.rest(&endpoint.spec.id, now).is_none()
     }
 
     /// Whether this box may send a request to an endpoint now: the endpoint is open, and names no
@@ -281,7 +286,7 @@
     /// takes work.
     #[must_use]
     pub fn opens_at(&self, service: &ServiceId, now: Micros) -> Option<Micros> {
-        let usable = self.of_service(service).filter(|e| e.takes_work());
+        let usable = self.of_service(service).filter(|e| self.takes_work(e));
         let opens_at = |e: &Endpoint| {
             let rest = self.directives.rest(&e.spec.id, now);
             rest.map_or(now, |rest| rest.until)
--- a/src/gateway/dispatch/fleet/losses.rs
+++ b/src/gateway/dispatch/fleet/losses.rs
@@ -142,7 +142,7 @@
     pub fn is_out_of_reach(&self, service: &ServiceId, domain: &DomainId) -> bool {
         let mut endpoints = self
             .of_service(service)
-            .filter(|e| e.takes_work())
+            .filter(|e| self.takes_work(e))
             .peekable();
         let has_any = endpoints.peek().is_some();
         has_any && endpoints.all(|e| e.spec.domain != *domain && self.fails_to_connect(e))
@@ -297,7 +297,8 @@
             };
             let is_due = (IDENTIFY_AFTER..SUSPECTED_FOR).contains(&now.since(since))
                 && now.since(endpoint.identity_requested) >= IDENTIFY_INTERVAL;
-            let is_host = endpoint.takes_work() && endpoint.own.memory > 0;
+            let is_leaving = self.directives.is_leaving(&endpoint.spec.id);
+            let is_host = endpoint.is_offered() && !is_leaving && endpoint.own.memory > 0;
             if is_host && is_due {
                 endpoint.identity_requested = now;
                 found.push(endpoint.spec.clone());
--- a/src/gateway/dispatch/replicas.rs
+++ b/src/gateway/dispatch/replicas.rs
@@ -200,7 +200,7 @@
     fn independence_at(&self, host: &Endpoint, active: &ActiveAttempt) -> Independence {
         let now = self.now;
         // A single failed connection does not mean that the host has lost its replicas.
-        let seems_lost = !host.takes_work()
+        let seems_lost = !self.fleet.takes_work(host)
             || self.is_leaving_version(host)
             || self.fleet.is_suspected(host, now)
             || self.fleet.is_unreachable(host, now);
--- a/src/gateway/dispatch/rollout/canary.rs
+++ b/src/gateway/dispatch/rollout/canary.rs
@@ -57,7 +57,7 @@
         domain: &DomainId,
     ) {
         let of_service = fleet.of_service(&order.service);
-        let usable: Vec<&Endpoint> = of_service.filter(|e| e.takes_work()).collect();
+        let usable: Vec<&Endpoint> = of_service.filter(|e| fleet.takes_work(e)).collect();
         let is_target = |e: &&Endpoint| e.spec.version == order.target;
         let is_local = |e: &&Endpoint| e.spec.domain == *domain;
         self.has_target = usable.iter().any(is_target);
--- a/src/gateway/dispatch/rollouts.rs
+++ b/src/gateway/dispatch/rollouts.rs
@@ -316,7 +316,7 @@
         let rollout = self.rollouts.of(&request.service)?;
         let is_other = |e: &Endpoint| e.spec.version != rollout.order().target;
         let mut endpoints = self.fleet.of_service(&request.service);
-        let has_others = endpoints.any(|e| e.takes_work() && is_other(e));
+        let has_others = endpoints.any(|e| self.fleet.takes_work(e) && is_other(e));
         rollout.fallback(request.is_canary == Some(true), has_others)
     }
 
--- a/tests/directives.rs
+++ b/tests/directives.rs
@@ -208,16 +208,16 @@
         }
     };
     answer(&mut world, other.0, &other.1, rest(3_000), turned_away());
-    let mut probed = 0;
+    let mut count = 0;
     for _ in 0..50 {
         let actions = world.run(50);
-        let probes = probes(&actions);
-        for endpoint in probes.iter().filter(|id| **id == sent.endpoint) {
-            probed += 1;
+        let sent_probes = probes(&actions);
+        for endpoint in sent_probes.iter().filter(|id| **id == sent.endpoint) {
+            count += 1;
             world.probed(endpoint, true);
         }
     }
-    assert_eq!(probed, 1);
+    assert_eq!(count, 1);
 }
 
 /// What is known of a process holds while its entry is missing, and ends with the process.
@@ -251,3 +251,26 @@
     let rest = directives.rest(&sent.endpoint, world.now);
     assert_eq!(rest.is_some(), is_resting);
 }
+
+/// A process that starts anew under the endpoint's id is not the one that left.
+#[test]
+fn a_departure_ends_with_the_process() {
+    let mut world = World::ready();
+    let with_start = |born: u64| {
+        let mut specs = endpoints();
+        specs[4].born = Some(StartTime(born));
+        specs[4].revision = born;
+        specs
+    };
+    let (request, sent) = world.arrive(QUOTES);
+    let sent = sent.unwrap();
+    assert_eq!(&*sent.endpoint, "till-n1");
+    // The box doesn't know the start time yet.
+    answer(&mut world, request, &sent, leaving(), served(QUOTES));
+    world.handle(listed(with_start(1)));
+    let used = endpoints_used(&mut world, QUOTES, 1_000);
+    assert!(!used.contains(&sent.endpoint), "{used:?}");
+    world.handle(listed(with_start(2)));
+    let used = endpoints_used(&mut world, QUOTES, 1_000);
+    assert!(used.contains(&sent.endpoint), "{used:?}");
+}
--- a/tests/endpoint_entries.rs
+++ b/tests/endpoint_entries.rs
@@ -6,12 +6,12 @@
 use fixtures::{PAYMENTS, STREAMS, World, changed, commands, endpoints};
 use magpiemoor::gateway::dispatch::action::Command;
 use magpiemoor::gateway::dispatch::event::{EndpointChange, EndpointSpec, Event, Outcome};
-use magpiemoor::gateway::dispatch::fleet::Endpoint;
 use rstest::rstest;
 
 fn takes_work(world: &World, id: &str) -> bool {
-    let endpoint = world.dispatcher.fleet().get(&id.parse().unwrap());
-    endpoint.is_some_and(Endpoint::takes_work)
+    let fleet = world.dispatcher.fleet();
+    let endpoint = fleet.get(&id.parse().unwrap());
+    endpoint.is_some_and(|e| fleet.takes_work(e))
 }
 
 /// Makes the entry of an endpoint unreadable, in a change or in a whole list.
--- a/tests/incarnations.rs
+++ b/tests/incarnations.rs
@@ -169,7 +169,8 @@
     stale.leaving = true;
     world.handle(changed(vec![EndpointChange::Present(stale)]));
     assert_eq!(start_time_of(&world, "engine-n1"), Some(2_000));
-    assert!(found(&world, "engine-n1").takes_work());
+    let fleet = world.dispatcher.fleet();
+    assert!(fleet.takes_work(found(&world, "engine-n1")));
 }
 
 #[test]
--- a/tests/suspicion.rs
+++ b/tests/suspicion.rs
@@ -244,6 +244,7 @@
     let removed = EndpointChange::Absent(dropped.id.clone());
     world.handle(changed(vec![removed]));
     world.handle(Event::Identified(dropped.clone()));
-    let found = world.dispatcher.fleet().get(&dropped.id);
-    assert!(found.is_none_or(|e| !e.takes_work()));
+    let fleet = world.dispatcher.fleet();
+    let found = fleet.get(&dropped.id);
+    assert!(found.is_none_or(|e| !fleet.takes_work(e)));
 }
