A connection is not used after the idle time that its server states

Cause: Keep-Alive in answers of servers was not read. Boxes used a connection that had been idle for up to 4 s (0.7 s for a call that runs at most once) whatever the server says of when it closes it; a request that crosses the close is lost, and one that may not be repeated is answered 502.

Now a connection is used for four fifths of the time that its server stated last. The test fails without the change (3 connections expected, 1 made).

--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -2,7 +2,8 @@
 //! reused.
 //!
 //! A connection returns to the pool only after a complete answer. The pool closes a connection whose
-//! answer was cut short or abandoned, and one that received bytes which belong to no request.
+//! answer was cut short or abandoned, and one that received bytes which belong to no request. A
+//! connection that was idle for most of the time that its peer stated in `Keep-Alive` is not used again.
 
 use std::collections::HashMap;
 use std::fmt;
@@ -14,7 +15,7 @@
 use futures_util::FutureExt;
 use gotham::hyper::body::Incoming;
 use gotham::hyper::http::response;
-use gotham::hyper::{Request, Response, StatusCode, header};
+use gotham::hyper::{HeaderMap, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -30,6 +31,10 @@
 /// The longest time that sent bytes may remain unacknowledged (`TCP_USER_TIMEOUT`).
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// Part of the idle time that a peer states after which its connection is no longer used: the peer
+/// may close the connection while a request is on its way.
+const PEER_IDLE_PART: f64 = 0.8;
+
 /// Makes the operating system detect a peer that is unreachable or without power.
 fn enable_keepalive(socket: &tokio::net::TcpStream) {
     let socket = socket2::SockRef::from(socket);
@@ -58,6 +63,8 @@
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     idle_since: Instant,
+    /// Longest idle time after which the peer still reads a request, if its answers state one.
+    peer_max_idle: Option<Duration>,
     _task: AbortOnDrop,
 }
 
@@ -95,7 +102,10 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.peer_max_idle = stated_max_idle(response.headers());
+                Ok(response)
+            }
             Err(mut e) => Err(if e.take_message().is_some() {
                 SendError::NotSent
             } else if e.error().is_parse() {
@@ -160,12 +170,28 @@
         Some(request)
     }
 
+    /// Returns whether the connection has been idle for no longer than `max_idle` and than the peer
+    /// allows.
+    fn is_fresh(&self, max_idle: Duration) -> bool {
+        let max_idle = self.peer_max_idle.map_or(max_idle, |max| max.min(max_idle));
+        self.idle_since.elapsed() <= max_idle
+    }
+
     /// Returns whether the connection is open and can send a request immediately.
     fn is_ready(&mut self) -> bool {
         !self.sender.is_closed() && matches!(self.sender.ready().now_or_never(), Some(Ok(())))
     }
 }
 
+/// Returns [`PEER_IDLE_PART`] of the idle time in seconds that a `Keep-Alive` header states.
+fn stated_max_idle(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let mut parameters = value.split(',').filter_map(|part| part.split_once('='));
+    let (_, seconds) = parameters.find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"))?;
+    let timeout = Duration::from_secs(seconds.trim().parse().ok()?);
+    Some(timeout.mul_f64(PEER_IDLE_PART))
+}
+
 fn get_request(path: &str) -> Option<Request<Full<Bytes>>> {
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = path.parse().ok()?;
@@ -204,7 +230,7 @@
         let mut idle = self.lock();
         let of_address = idle.get_mut(&address)?;
         while let Some(mut connection) = of_address.pop() {
-            if connection.idle_since.elapsed() <= max_idle && connection.is_ready() {
+            if connection.is_fresh(max_idle) && connection.is_ready() {
                 return Some(connection);
             }
         }
@@ -235,6 +261,7 @@
             address,
             sender,
             idle_since: Instant::now(),
+            peer_max_idle: None,
             _task: AbortOnDrop(task.abort_handle()),
         })
     }
@@ -261,7 +288,7 @@
     /// Closes the connections that have been idle longer than `max_idle`, and those the peer closed.
     pub fn sweep(&self, max_idle: Duration) {
         self.lock().retain(|_, connections| {
-            connections.retain(|c| c.idle_since.elapsed() <= max_idle && !c.sender.is_closed());
+            connections.retain(|c| c.is_fresh(max_idle) && !c.sender.is_closed());
             !connections.is_empty()
         });
     }
--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -7,13 +7,14 @@
 
 use gotham::hyper::Method;
 use magpiemoor::http::{Call, Client, HttpError};
+use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
 /// The timeout for a call; long enough that only a hang reaches it.
 const LIMIT: Duration = Duration::from_secs(60);
-const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+const ANSWER: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 /// What a server has observed.
 #[derive(Clone, Default)]
@@ -27,6 +28,10 @@
 /// Starts a server that answers `answers` requests per connection. It closes a connection without an
 /// answer at the next request or, if `closes_at_once`, immediately after the last answer.
 async fn serve(answers: u32, closes_at_once: bool) -> (String, Seen) {
+    serve_with(answers, closes_at_once, ANSWER.to_owned()).await
+}
+
+async fn serve_with(answers: u32, closes_at_once: bool, text: String) -> (String, Seen) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
     let seen = Seen::default();
@@ -34,20 +39,33 @@
     tokio::spawn(async move {
         while let Ok((socket, _)) = listener.accept().await {
             counts.connections.fetch_add(1, Ordering::SeqCst);
-            tokio::spawn(answer(socket, answers, closes_at_once, counts.clone()));
+            let text = text.clone();
+            tokio::spawn(answer(
+                socket,
+                answers,
+                closes_at_once,
+                text,
+                counts.clone(),
+            ));
         }
     });
     (address, seen)
 }
 
-async fn answer(mut socket: TcpStream, answers: u32, closes_at_once: bool, seen: Seen) {
+async fn answer(
+    mut socket: TcpStream,
+    answers: u32,
+    closes_at_once: bool,
+    text: String,
+    seen: Seen,
+) {
     let mut buf = [0; 4096];
     for _ in 0..answers {
         if socket.read(&mut buf).await.unwrap_or(0) == 0 {
             return;
         }
         seen.requests.fetch_add(1, Ordering::SeqCst);
-        if socket.write_all(ANSWER).await.is_err() {
+        if socket.write_all(text.as_bytes()).await.is_err() {
             return;
         }
     }
@@ -76,6 +94,27 @@
     assert_eq!(seen.connections.load(Ordering::SeqCst), 1);
 }
 
+/// A server closes idle connections after the time that it states, and a request that crosses the close is lost.
+#[rstest]
+#[case::none_at_all("timeout=0", 3)]
+#[case::long("timeout=3600, max=100", 1)]
+#[case::other_parameters("max=100", 1)]
+#[case::malformed("timeout=soon", 1)]
+#[tokio::test]
+async fn a_connection_is_not_used_after_the_idle_time_that_its_server_states(
+    #[case] keep_alive: &str,
+    #[case] connections: u32,
+) {
+    let head = format!("HTTP/1.1 200 OK\r\nKeep-Alive: {keep_alive}\r\n");
+    let text = ANSWER.replace("HTTP/1.1 200 OK\r\n", &head);
+    let (address, seen) = serve_with(3, false, text).await;
+    let client = Client::default();
+    for _ in 0..3 {
+        assert_eq!(get(&client, &address).await.unwrap(), "ok");
+    }
+    assert_eq!(seen.connections.load(Ordering::SeqCst), connections);
+}
+
 #[tokio::test]
 async fn a_connection_closed_while_idle_costs_no_request() {
     let (address, seen) = serve(1, true).await;
