Directives count in every answer of a server, and in its own report

A server that leaves says so in all its answers, those to probes, prompt searches and requests for an identity included, and its report tells its state and when it leaves (state, leaves_ms). None of these was read. A health check that answers with an error, asked for an identity, counted as success and ended the avoidance of a lost engine.

Each goes to the one place for directives now; an engine that says that it is not well is reached and stays avoided.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -271,7 +271,8 @@
             Event::TimeOfDay(day) => self.on_time_of_day(day),
             Event::DutyAnswered { call, answer } => self.on_duty_answered(call, answer),
             Event::UsageReported { window, outcome } => self.on_usage_reported(window, outcome),
-            Event::Probed { .. }
+            Event::EndpointDirectives { .. }
+            | Event::Probed { .. }
             | Event::Checked { .. }
             | Event::IdentityReported { .. }
             | Event::Identified(_)
@@ -344,6 +345,10 @@
     /// Handles answers of endpoints to anything but a caller's request.
     fn handle_endpoint_answer(&mut self, event: Event) {
         match event {
+            Event::EndpointDirectives {
+                endpoint,
+                directives,
+            } => self.on_endpoint_directives(endpoint.into(), &directives),
             Event::Probed {
                 endpoint,
                 is_answered,
@@ -356,8 +361,9 @@
             Event::IdentityReported {
                 endpoint,
                 instance,
+                is_well,
                 born,
-            } => self.on_identified(&endpoint, &instance, born),
+            } => self.on_identified(&endpoint, &instance, is_well, born),
             Event::Identified(spec) => self.fleet.on_identified(spec, self.now),
             Event::Located { request, endpoint } => self.on_located(request, endpoint),
             Event::SnapshotTaken {
--- a/src/gateway/dispatch/directives.rs
+++ b/src/gateway/dispatch/directives.rs
@@ -1,7 +1,8 @@
 //! Applies what endpoints ask of their callers in answers to this box.
 //!
 //! [`super::fleet::directives`] holds the directives in force. A limit may start the allocation of
-//! permits and is published ([`super::permits`]). Directives in the answer to an attempt that is no
+//! permits and is published ([`super::permits`]). A probe, a search for a prompt and a request for an
+//! identity are answered by endpoints too, and state directives like the answers to attempts. Directives in the answer to an attempt that is no
 //! longer active, or at an earlier incarnation of its endpoint, are ignored.
 
 use super::Dispatcher;
@@ -23,10 +24,26 @@
         let Some(endpoint) = request.and_then(|r| Some(r.active.as_ref()?.endpoint.clone())) else {
             return;
         };
-        if self.fleet.get_incarnation(&endpoint).is_none() {
-            return;
+        if self.fleet.get_incarnation(&endpoint).is_some() {
+            self.on_stated_limit(&endpoint, stated.limit);
+            self.on_endpoint_directives(endpoint, stated);
         }
-        self.on_stated_limit(&endpoint, stated.limit);
+    }
+
+    /// Applies a rest and a departure that an endpoint stated in any answer. A limit counts only in
+    /// the answers to attempts, which are the requests that it bounds.
+    pub(super) fn on_endpoint_directives(
+        &mut self,
+        endpoint: EndpointIncarnation,
+        stated: &AnswerDirectives,
+    ) {
+        let Some(known) = self.fleet.get_incarnation(&endpoint) else {
+            return;
+        };
+        let endpoint = EndpointIncarnation {
+            born: endpoint.born.or(known.spec.born),
+            ..endpoint
+        };
         let new = self.fleet.directives.on_answer(&endpoint, stated, self.now);
         for directive in new {
             self.record_directive(&endpoint, directive);
--- a/src/gateway/dispatch/event.rs
+++ b/src/gateway/dispatch/event.rs
@@ -229,6 +229,13 @@
         /// Directives that the answer states.
         directives: AnswerDirectives,
     },
+    /// An endpoint's answer to anything but an attempt states directives.
+    EndpointDirectives {
+        /// Endpoint that answered.
+        endpoint: EndpointId,
+        /// Directives that the answer states.
+        directives: AnswerDirectives,
+    },
     /// Events of a stream arrived.
     Progress {
         /// Number of the request on this box.
@@ -351,6 +358,8 @@
         endpoint: EndpointId,
         /// Endpoint that uses the address now.
         instance: EndpointId,
+        /// Whether that endpoint says that it is well and not leaving.
+        is_well: bool,
         /// Start time of that endpoint's process, if it states one.
         born: Option<StartTime>,
     },
--- a/src/gateway/dispatch/outcomes.rs
+++ b/src/gateway/dispatch/outcomes.rs
@@ -238,6 +238,7 @@
         &mut self,
         endpoint: &EndpointId,
         instance: &EndpointId,
+        is_well: bool,
         born: Option<StartTime>,
     ) {
         if endpoint == instance {
@@ -245,7 +246,11 @@
             if let Some((asked, born)) = asked.zip(born) {
                 self.on_start_time(endpoint, born, asked);
             }
-            self.fleet.on_success(endpoint, self.now);
+            if is_well {
+                self.fleet.on_success(endpoint, self.now);
+            } else {
+                self.fleet.on_reached(endpoint);
+            }
             return;
         }
         self.identify(endpoint, Some(instance));
--- a/src/gateway/shell/dialect.rs
+++ b/src/gateway/shell/dialect.rs
@@ -190,6 +190,10 @@
     /// Whether this answer to a request for [`Self::load_path`] comes from a model engine.
     fn is_engine(&self, body: &[u8]) -> bool;
 
+    /// Whether the endpoint that sent this answer to a request for [`Self::load_path`] says in it that
+    /// it is leaving.
+    fn is_leaving(&self, body: &[u8]) -> bool;
+
     /// Returns the start time of the process that sent this answer to a request for
     /// [`Self::load_path`], if it states one.
     fn start_time(&self, body: &[u8]) -> Option<StartTime>;
--- a/src/gateway/shell/directives.rs
+++ b/src/gateway/shell/directives.rs
@@ -1,12 +1,20 @@
-//! Directives in the heads of endpoints' answers: those that can't be parsed are reported as faults
-//! and have no effect.
+//! Directives in endpoints' answers: those that can't be parsed are reported as faults and have no
+//! effect, the others are sent to the control thread.
 
+use gotham::hyper::http::response;
+
+use crate::gateway::dispatch::event::Event;
 use crate::gateway::dispatch::fleet::directives::{AnswerDirectives, StatedLimit};
-use crate::gateway::shell::dialect::StatedDirectives;
-use crate::gateway::shell::faults::{FaultKind, Faults};
+use crate::gateway::shell::GatewayShared;
+use crate::gateway::shell::faults::FaultKind;
+use crate::gateway::shell::input::Input;
+use crate::schema::EndpointId;
 
-/// Returns the directives that could be parsed, and reports the others.
-pub(super) fn without_faults(stated: StatedDirectives, faults: &Faults) -> AnswerDirectives {
+/// Reads the directives that the head of an answer states; those that can't be parsed are reported
+/// as faults.
+pub(super) fn read(shared: &GatewayShared, head: &response::Parts) -> AnswerDirectives {
+    let stated = shared.dialect.directives(head);
+    let faults = &shared.faults;
     let limit = match stated.limit {
         Ok(limit) => limit.map_or(StatedLimit::None, StatedLimit::Rate),
         Err(e) => {
@@ -24,3 +32,19 @@
         is_leaving: stated.is_leaving,
     }
 }
+
+/// Sends the control thread what an endpoint states in an answer to anything but an attempt, if it
+/// asks for a rest or says that it is leaving.
+pub(super) async fn report(
+    shared: &GatewayShared,
+    endpoint: EndpointId,
+    directives: AnswerDirectives,
+) {
+    if directives.rest.is_some() || directives.is_leaving {
+        let event = Event::EndpointDirectives {
+            endpoint,
+            directives,
+        };
+        shared.send(Input::Event(event)).await;
+    }
+}
--- a/src/gateway/shell/exchange.rs
+++ b/src/gateway/shell/exchange.rs
@@ -236,8 +236,7 @@
     /// Reports the directives that an answer states to the dispatcher. An answer without any is
     /// reported only if the endpoint has stated a limit before.
     async fn report_directives(&self, attempt: &Attempt, head: &response::Parts) {
-        let stated = self.shared.dialect.directives(head);
-        let directives = directives::without_faults(stated, &self.shared.faults);
+        let directives = directives::read(&self.shared, head);
         if directives != AnswerDirectives::default() || attempt.is_limited {
             self.report(Event::DirectivesRead {
                 request: self.number,
--- a/src/gateway/shell/probes.rs
+++ b/src/gateway/shell/probes.rs
@@ -11,12 +11,13 @@
 
 use bytes::Bytes;
 use gotham::hyper::StatusCode;
+use gotham::hyper::http::response;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 use crate::gateway::dispatch::event::{EndpointSpec, Event, RequestNumber};
-use crate::gateway::shell::GatewayShared;
 use crate::gateway::shell::input::Input;
+use crate::gateway::shell::{GatewayShared, directives};
 use crate::http::pool::{Connection, Pool};
 use crate::schema::{EndpointId, EndpointIncarnation};
 
@@ -37,12 +38,18 @@
     let path = shared.dialect.load_path();
     let response = tokio::time::timeout(limit, get(address, path, limit, &shared)).await;
     let answer = response.ok().flatten();
+    let report = answer.as_ref().and_then(Answer::body_if_ok);
     let event = Event::Probed {
-        endpoint,
+        endpoint: endpoint.clone(),
         is_answered: answer.is_some(),
-        born: answer.and_then(|body| shared.dialect.start_time(&body?)),
+        born: report.and_then(|body| shared.dialect.start_time(body)),
     };
     shared.send(Input::Event(event)).await;
+    if let Some(answer) = &answer {
+        let mut directives = directives::read(&shared, &answer.head);
+        directives.is_leaving |= report.is_some_and(|body| shared.dialect.is_leaving(body));
+        directives::report(&shared, endpoint, directives).await;
+    }
 }
 
 /// Connects to an endpoint, and sends to the control thread whether the connection is refused, so
@@ -81,8 +88,11 @@
         let part = part.clone();
         requests.spawn(async move {
             let path = shared.dialect.cache_path();
-            let body = get(address, path, LOCATE_TIMEOUT, &shared).await?;
-            shared.dialect.keeps_part(&body?, &part).then_some(endpoint)
+            let answer = get(address, path, LOCATE_TIMEOUT, &shared).await?;
+            let stated = directives::read(&shared, &answer.head);
+            directives::report(&shared, endpoint.clone(), stated).await;
+            let body = answer.body_if_ok()?;
+            shared.dialect.keeps_part(body, &part).then_some(endpoint)
         });
     }
     let search = async {
@@ -109,6 +119,10 @@
         shared.metrics.probes.inc();
         let (head, _) = connection.get_with_head(&path).await?;
         let instance = shared.dialect.instance(&head.headers)?;
+        if instance == spec.id {
+            let stated = directives::read(&shared, &head);
+            directives::report(&shared, instance.clone(), stated).await;
+        }
         let mut born = None;
         if instance == spec.id && spec.born.is_some() {
             shared.metrics.probes.inc();
@@ -116,13 +130,14 @@
             born = Some(shared.dialect.start_time(&body)?);
         }
         shared.pool.put_back(connection);
-        Some((instance, born))
+        Some((instance, head.status == StatusCode::OK, born))
     };
     let identity = tokio::time::timeout(LOCATE_TIMEOUT, exchange).await;
-    if let Some((instance, born)) = identity.ok().flatten() {
+    if let Some((instance, is_well, born)) = identity.ok().flatten() {
         let event = Event::IdentityReported {
             endpoint: spec.id,
             instance,
+            is_well,
             born,
         };
         shared.send(Input::Event(event)).await;
@@ -135,23 +150,37 @@
     let path = shared.dialect.load_path();
     let response =
         tokio::time::timeout(LOCATE_TIMEOUT, get(address, path, LOCATE_TIMEOUT, &shared)).await;
-    let Some(body) = response.ok().flatten().flatten() else {
+    let answer = response.ok().flatten();
+    let Some(body) = answer.as_ref().and_then(Answer::body_if_ok) else {
         return;
     };
-    if shared.dialect.is_engine(&body) {
-        let born = shared.dialect.start_time(&body);
+    if shared.dialect.is_engine(body) {
+        let born = shared.dialect.start_time(body);
         let event = Event::Identified(EndpointSpec { born, ..spec });
         shared.send(Input::Event(event)).await;
     }
 }
 
-/// Gets a path of an endpoint: `None` without an answer, `Some(None)` if the status isn't 200.
+/// A complete answer of an endpoint.
+struct Answer {
+    head: response::Parts,
+    body: Bytes,
+}
+
+impl Answer {
+    /// The body, if the status is 200.
+    fn body_if_ok(&self) -> Option<&Bytes> {
+        (self.head.status == StatusCode::OK).then_some(&self.body)
+    }
+}
+
+/// Gets a path of an endpoint.
 async fn get(
     address: SocketAddr,
     path: &'static str,
     limit: Duration,
     shared: &GatewayShared,
-) -> Option<Option<Bytes>> {
+) -> Option<Answer> {
     shared.metrics.probes.inc();
     let deadline = Instant::now() + limit;
     if let Some(connection) = shared.pool.take(address, PROBE_CONNECTION_MAX_IDLE)
@@ -168,8 +197,8 @@
     mut connection: Connection,
     path: &'static str,
     shared: &GatewayShared,
-) -> Option<Option<Bytes>> {
-    let (status, body) = connection.get(path).await?;
+) -> Option<Answer> {
+    let (head, body) = connection.get_with_head(path).await?;
     shared.pool.put_back(connection);
-    Some((status == StatusCode::OK).then_some(body))
+    Some(Answer { head, body })
 }
--- a/tests/directives.rs
+++ b/tests/directives.rs
@@ -274,3 +274,39 @@
     let used = endpoints_used(&mut world, QUOTES, 1_000);
     assert!(used.contains(&sent.endpoint), "{used:?}");
 }
+
+/// A probe and a request for an identity are answered by the endpoint too.
+#[rstest]
+#[case::rest(rest(3_000))]
+#[case::leaving(leaving())]
+fn an_answer_to_a_probe_asks_as_well(#[case] stated: AnswerDirectives) {
+    let mut world = World::ready();
+    let (request, sent) = world.arrive(STREAMS);
+    let sent = sent.unwrap();
+    world.handle(Event::EndpointDirectives {
+        endpoint: sent.endpoint.clone(),
+        directives: stated,
+    });
+    world.end(request, sent.attempt, served(STREAMS));
+    let used = endpoints_used(&mut world, STREAMS, 1_000);
+    assert!(!used.contains(&sent.endpoint), "{used:?}");
+}
+
+/// An engine that answers its health check with an error is reached, but not free of suspicion.
+#[rstest]
+#[case::well(true)]
+#[case::ill(false)]
+fn an_engine_that_says_that_it_is_not_well_stays_avoided(#[case] is_well: bool) {
+    let mut world = World::ready();
+    let (request, sent) = world.arrive(STREAMS);
+    let sent = sent.unwrap();
+    world.end(request, sent.attempt, Outcome::Broken(Fault::Closed));
+    world.handle(Event::IdentityReported {
+        endpoint: sent.endpoint.clone(),
+        instance: sent.endpoint.clone(),
+        is_well,
+        born: None,
+    });
+    let endpoint = world.dispatcher.fleet().get(&sent.endpoint).unwrap();
+    assert_eq!(endpoint.is_avoided(world.now), !is_well);
+}
