A box keeps no more idle connections to an endpoint than its share

Cause: maxConnections of a service, which counts for all boxes together, was not read. Each box kept up to 8 idle connections to a server: 984 boxes would keep 7,872 where 1,800 are allowed, and the server resets what is beyond.

--- a/lab/src/gateway/limits/fleet/setup.rs
+++ b/lab/src/gateway/limits/fleet/setup.rs
@@ -77,6 +77,7 @@
         services: vec![ServiceSpec {
             name: SERVICE.parse().expect("a short name"),
             health_path: "/healthz".to_owned(),
+            max_connections: None,
             engine: None,
         }],
         keys: None,
--- a/lab/src/gateway/rollout/fleet/setup.rs
+++ b/lab/src/gateway/rollout/fleet/setup.rs
@@ -90,6 +90,7 @@
         services: vec![ServiceSpec {
             name: SERVICE.parse().expect("a short name"),
             health_path: "/healthz".to_owned(),
+            max_connections: None,
             engine: case.engines.then_some(engine),
         }],
         keys: None,
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -53,6 +53,7 @@
 
 mod admission;
 mod attempts;
+mod connections;
 mod crashes;
 mod directives;
 mod endpoint_restart;
--- a/src/gateway/dispatch/action.rs
+++ b/src/gateway/dispatch/action.rs
@@ -39,6 +39,8 @@
     pub connect_timeout: Duration,
     /// Maximum idle time of a connection that is reused.
     pub max_idle: Duration,
+    /// Maximum number of idle connections that this box keeps to the endpoint.
+    pub max_idle_connections: usize,
     /// Whether [`super::event::Event::Connected`] is to be sent when the request goes out.
     pub reports_connection: bool,
     /// Whether the endpoint has stated a limit, so that an answer without one is to be reported.
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -168,6 +168,7 @@
             resume_from: None,
             connect_timeout: ATTEMPT_CONNECT_LIMIT,
             max_idle: max_connection_idle(request),
+            max_idle_connections: self.max_idle_connections(spec),
             reports_connection: self.is_judged(&request.service),
             is_limited: self.fleet.directives.limits.of(&spec.id).is_some(),
         }
--- a/src/gateway/dispatch/table.rs
+++ b/src/gateway/dispatch/table.rs
@@ -122,6 +122,8 @@
     pub name: ServiceId,
     /// Path of the health check at each endpoint.
     pub health_path: String,
+    /// Connections that an endpoint accepts from all boxes together; `None` if that is not known.
+    pub max_connections: Option<u32>,
     /// `None` for a plain service without model engines.
     pub engine: Option<EngineSpec>,
 }
--- a/src/gateway/shell/exchange.rs
+++ b/src/gateway/shell/exchange.rs
@@ -207,7 +207,7 @@
                 Err(end) => end,
                 Ok(Err(fault)) => AttemptEnd::Ended(Outcome::Broken(fault)),
                 Ok(Ok(answer)) => {
-                    self.shared.pool.put_back(connection);
+                    self.keep_connection(attempt, connection);
                     let outcome = Outcome::Answered {
                         status: answer.status.as_u16(),
                     };
@@ -218,6 +218,12 @@
         }
     }
 
+    /// Returns a connection to the pool after a complete answer.
+    fn keep_connection(&self, attempt: &Attempt, connection: Connection) {
+        let max_idle = attempt.max_idle_connections;
+        self.shared.pool.put_back_up_to(connection, max_idle);
+    }
+
     /// Checks the head of an answer; returns the outcome if the head ends the attempt.
     async fn check_head(&self, attempt: &Attempt, head: &response::Parts) -> Option<Outcome> {
         let outcome = match self.shared.dialect.classify_answer(head, &self.request.id) {
@@ -291,7 +297,7 @@
                     return AttemptEnd::Ended(Outcome::Broken(Fault::Malformed));
                 }
                 None => {
-                    self.shared.pool.put_back(connection);
+                    self.keep_connection(attempt, connection);
                     return self.end_stream(headers);
                 }
                 Some(Err(_)) => return AttemptEnd::Ended(Outcome::Broken(Fault::Closed)),
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -268,14 +268,20 @@
 
     /// Returns a connection to the pool. The caller has read a complete answer from it. If the pool
     /// is full for this address, the connection is closed.
-    pub fn put_back(&self, mut connection: Connection) {
+    pub fn put_back(&self, connection: Connection) {
+        self.put_back_up_to(connection, self.max_idle_per_address);
+    }
+
+    /// Returns a connection to the pool as [`Self::put_back`] does, if fewer than `max_idle` to its
+    /// address are idle.
+    pub fn put_back_up_to(&self, mut connection: Connection, max_idle: usize) {
         if connection.sender.is_closed() {
             return;
         }
         connection.idle_since = Instant::now();
         let mut idle = self.lock();
         let of_address = idle.entry(connection.address).or_default();
-        if of_address.len() < self.max_idle_per_address {
+        if of_address.len() < max_idle.min(self.max_idle_per_address) {
             of_address.push(connection);
         }
     }
--- a/tests/gateway/fixtures.rs
+++ b/tests/gateway/fixtures.rs
@@ -95,6 +95,7 @@
             ServiceSpec {
                 name: "engines".parse().unwrap(),
                 health_path: "/healthz".to_owned(),
+                max_connections: None,
                 engine: Some(EngineSpec {
                     kv_tokens: 55_000,
                     mirrors: true,
@@ -105,6 +106,7 @@
             ServiceSpec {
                 name: "till".parse().unwrap(),
                 health_path: "/healthz".to_owned(),
+                max_connections: Some(64),
                 engine: None,
             },
         ],
