An endpoint that is slow from its start comes after warm ones of its domain

Cause: coldRemainingMs of a server's entry was read and dropped, so a server that has just started and runs nothing was the cheapest of its domain while it was slowest.

Now it costs 35 ms more until its time is over: more than a running call or stream, less than a hop to another domain. The time counts from the change of its entry; the same entry read again doesn't begin it anew.

--- a/lab/src/gateway/crashes/servers.rs
+++ b/lab/src/gateway/crashes/servers.rs
@@ -214,5 +214,6 @@
         domain: format!("domain-{domain}").parse().expect("a short name"),
         slots: if case.engines { 24 } else { 6 },
         leaving: false,
+        warm_up: Duration::ZERO,
     }
 }
--- a/lab/src/gateway/limits/fleet/servers.rs
+++ b/lab/src/gateway/limits/fleet/servers.rs
@@ -163,6 +163,7 @@
         domain: domain_name(domain),
         slots: SLOTS as u32,
         leaving: false,
+        warm_up: Duration::ZERO,
     }
 }
 
--- a/lab/src/gateway/rollout/endpoints.rs
+++ b/lab/src/gateway/rollout/endpoints.rs
@@ -221,6 +221,7 @@
         domain: format!("domain-{domain}").parse().expect("a short name"),
         slots: 24,
         leaving: false,
+        warm_up: Duration::ZERO,
     }
 }
 
--- a/src/gateway/dispatch/event.rs
+++ b/src/gateway/dispatch/event.rs
@@ -104,6 +104,8 @@
     pub slots: u32,
     /// Whether the endpoint is draining and accepts no new work.
     pub leaving: bool,
+    /// Time that it stays slow from its start, counted from the change of the entry.
+    pub warm_up: Duration,
 }
 
 impl EndpointSpec {
--- a/src/gateway/dispatch/fleet.rs
+++ b/src/gateway/dispatch/fleet.rs
@@ -61,6 +61,8 @@
     /// When its identity was last requested.
     identity_requested: Micros,
     avoided_until: Micros,
+    /// Until when it is slow from its start.
+    warm_at: Micros,
     /// Failures in a row.
     failures: u32,
 }
@@ -68,6 +70,7 @@
 impl Endpoint {
     fn new(spec: EndpointSpec, now: Micros) -> Self {
         Self {
+            warm_at: now.after(spec.warm_up),
             spec,
             listed: true,
             is_readable: true,
@@ -104,6 +107,12 @@
         self.spec.incarnation().may_be(incarnation)
     }
 
+    /// Whether it is still slow from its start.
+    #[must_use]
+    pub fn is_cold(&self, now: Micros) -> bool {
+        now < self.warm_at
+    }
+
     /// Whether it failed recently, so that placement selects it only where nothing else is left.
     #[must_use]
     pub fn is_avoided(&self, now: Micros) -> bool {
--- a/src/gateway/dispatch/fleet/list.rs
+++ b/src/gateway/dispatch/fleet/list.rs
@@ -118,6 +118,9 @@
         };
         known.listed = true;
         known.is_readable = true;
+        if !is_same_entry(spec.revision, known.spec.revision) {
+            known.warm_at = now.after(spec.warm_up);
+        }
         let before = known.spec.born;
         // A start time that the endpoint reported since its entry changed is newer than the entry.
         let listed_start = spec
--- a/src/gateway/dispatch/outcomes.rs
+++ b/src/gateway/dispatch/outcomes.rs
@@ -274,6 +274,7 @@
                 id: instance.clone(),
                 born: None,
                 leaving: false,
+                warm_up: Duration::ZERO,
                 ..endpoint.spec.clone()
             };
             self.actions.push(Action::Identify(spec));
--- a/src/gateway/dispatch/placement.rs
+++ b/src/gateway/dispatch/placement.rs
@@ -217,7 +217,13 @@
         } else {
             0.0
         };
+        let cold = if endpoint.is_cold(now) {
+            costs::COLD
+        } else {
+            0.0
+        };
         work + distance
+            + cold
             + shared
             + context.health_cost(endpoint, usage.running)
             + tie_break(demand, &endpoint.spec.id)
--- a/src/gateway/dispatch/placement/costs.rs
+++ b/src/gateway/dispatch/placement/costs.rs
@@ -8,6 +8,7 @@
 //! | [`PLAIN_RUNNING`] | 10 | one call at a plain service delays the next by less than a hop to another domain |
 //! | [`TIE_BREAK_PLAIN`] | 15 | separates servers that differ by one call; must not outweigh a domain |
 //! | [`ENGINE_RUNNING`] | 30 | one stream slows another a little, less than any prefill |
+//! | [`COLD`] | 35 | an endpoint that is slow from its start is taken before one of another domain |
 //! | [`OTHER_DOMAIN_PLAIN`] | 40 | a hop to another domain costs as much as four running calls |
 //! | [`TIE_BREAK`] | 100 | separates engines that differ by three streams or less; must not outweigh a domain |
 //! | [`OTHER_DOMAIN_ENGINE`] | 300 | traffic between domains is expensive, but less so than a third of a prefill |
@@ -22,6 +23,8 @@
 pub const ENGINE_RUNNING: f64 = 30.0;
 /// Cost of each request that runs at an endpoint of a plain service, ms.
 pub const PLAIN_RUNNING: f64 = 10.0;
+/// Cost of an endpoint that is still slow from its start, ms.
+pub const COLD: f64 = 35.0;
 /// Cost of an engine in another failure domain than the box, ms.
 pub const OTHER_DOMAIN_ENGINE: f64 = 300.0;
 /// Cost of a plain service's endpoint in another failure domain than the box, ms.
--- a/tests/endpoint_entries.rs
+++ b/tests/endpoint_entries.rs
@@ -3,9 +3,12 @@
 #[path = "gateway/fixtures.rs"]
 mod fixtures;
 
-use fixtures::{PAYMENTS, STREAMS, World, changed, commands, endpoints};
+use std::time::Duration;
+
+use fixtures::{PAYMENTS, QUOTES, STREAMS, World, changed, commands, endpoint, endpoints};
 use magpiemoor::gateway::dispatch::action::Command;
 use magpiemoor::gateway::dispatch::event::{EndpointChange, EndpointSpec, Event, Outcome};
+use magpiemoor::schema::EndpointId;
 use rstest::rstest;
 
 fn takes_work(world: &World, id: &str) -> bool {
@@ -113,3 +116,37 @@
     world.handle(changed(vec![EndpointChange::Present(foreign)]));
     assert!(takes_work(&world, "engine-n1"));
 }
+
+/// Calls of a caller that sends one after the other, with the endpoints that served them.
+fn serve_calls(world: &mut World, count: usize) -> Vec<EndpointId> {
+    let mut used = Vec::new();
+    for _ in 0..count {
+        let (request, sent) = world.arrive(QUOTES);
+        let sent = sent.unwrap();
+        world.end(request, sent.attempt, Outcome::Answered { status: 200 });
+        used.push(sent.endpoint);
+    }
+    used
+}
+
+/// A server that has just started says for how long it stays slow; until then the others of its domain come first.
+#[test]
+fn an_endpoint_that_is_still_slow_from_its_start_comes_after_others_of_its_domain() {
+    let mut world = World::ready();
+    let mut cold = endpoint("till-n1", "till", "north", 9_101);
+    cold.warm_up = Duration::from_secs(2);
+    cold.revision = 2;
+    let warm = endpoint("till-n2", "till", "north", 9_103);
+    world.handle(changed(vec![
+        EndpointChange::Present(cold.clone()),
+        EndpointChange::Present(warm),
+    ]));
+    let used = serve_calls(&mut world, 20);
+    assert!(used.iter().all(|id| &**id == "till-n2"), "{used:?}");
+    world.pass(1_000);
+    // The same entry again doesn't begin the time anew.
+    world.handle(changed(vec![EndpointChange::Present(cold)]));
+    world.pass(1_000);
+    let used = serve_calls(&mut world, 20);
+    assert!(used.iter().any(|id| &**id == "till-n1"), "{used:?}");
+}
--- a/tests/gateway/fixtures.rs
+++ b/tests/gateway/fixtures.rs
@@ -159,6 +159,7 @@
         domain: domain.parse().unwrap(),
         slots: 8,
         leaving: false,
+        warm_up: Duration::ZERO,
     }
 }
 
