Boxes tell each other which servers say that they are leaving

While the store is away, or where the server's entry says nothing, a box that makes one call in 7 s sends its next one to a server that left long ago.

Now the box that gets the answer tells the boxes of its domain at once, and others with the messages that go out anyway for 10 s; what a peer told is told to nobody further. A report names the incarnation. It is a new section behind an empty message, which the version in production passes over (tests/datagram.rs). Tests: a_departure_is_told_to_other_boxes, a_peers_report_of_a_departure_is_about_one_process.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -267,6 +267,7 @@
             | Event::PeerUsageCounts(_)
             | Event::PeerHolder(_)
             | Event::PeerLimits(_)
+            | Event::PeerDepartures(_)
             | Event::Fetched { .. }
             | Event::Seeds(_) => self.handle_update(event),
             Event::TimeOfDay(day) => self.on_time_of_day(day),
@@ -333,6 +334,7 @@
             Event::PeerUsageCounts(update) => self.on_peer_usage_counts(&update),
             Event::PeerHolder(holder) => self.on_peer_holder(&holder),
             Event::PeerLimits(update) => self.on_peer_limits(&update),
+            Event::PeerDepartures(update) => self.on_peer_departures(&update),
             Event::Fetched {
                 kind,
                 from,
--- a/src/gateway/dispatch/action.rs
+++ b/src/gateway/dispatch/action.rs
@@ -12,8 +12,8 @@
 use crate::gateway::dispatch::replica::ReplicaLocation;
 use crate::gateway::dispatch::rollout::status::StatusWrite;
 use crate::schema::{
-    BoxState, CrashUpdate, DutyHolder, EndpointId, EndpointIncarnation, Fingerprint, LimitUpdate,
-    OrganisationId, StateRequest, UsageCountUpdate, UsageUpdate,
+    BoxState, CrashUpdate, DepartureUpdate, DutyHolder, EndpointId, EndpointIncarnation,
+    Fingerprint, LimitUpdate, OrganisationId, StateRequest, UsageCountUpdate, UsageUpdate,
 };
 
 /// Attempt of a request at an endpoint.
@@ -180,6 +180,13 @@
         /// Counts of requests that began.
         update: UsageCountUpdate,
     },
+    /// Send peers the endpoints that said to this box that they are leaving, by UDP.
+    PublishDepartures {
+        /// Addresses of the receivers.
+        to: Vec<SocketAddr>,
+        /// Endpoints that are leaving.
+        update: DepartureUpdate,
+    },
     /// Send peers the limits of endpoints, permit requests and granted permits by UDP.
     PublishLimits {
         /// Addresses of the receivers.
--- a/src/gateway/dispatch/directives.rs
+++ b/src/gateway/dispatch/directives.rs
@@ -1,16 +1,20 @@
 //! Applies what endpoints ask of their callers in answers to this box.
 //!
 //! [`super::fleet::directives`] holds the directives in force. A limit may start the allocation of
-//! permits and is published ([`super::permits`]). A probe, a search for a prompt and a request for an
+//! permits and is published ([`super::permits`]). A departure is published in the failure domain at
+//! once, and to others with the messages that go out anyway. A probe, a search for a prompt and a request for an
 //! identity are answered by endpoints too, and state directives like the answers to attempts. Directives in the answer to an attempt that is no
 //! longer active, or at an earlier incarnation of its endpoint, are ignored.
 
+use std::net::SocketAddr;
+
 use super::Dispatcher;
+use super::action::Action;
 use super::event::{AttemptNumber, RequestNumber};
 use super::fleet::directives::{AnswerDirectives, NewDirective};
 use super::record::Record;
 use super::request::millis;
-use crate::schema::EndpointIncarnation;
+use crate::schema::{DepartureUpdate, EndpointIncarnation};
 
 impl Dispatcher {
     /// Applies the directives in the answer to an attempt.
@@ -37,17 +41,55 @@
         endpoint: EndpointIncarnation,
         stated: &AnswerDirectives,
     ) {
-        let Some(known) = self.fleet.get_incarnation(&endpoint) else {
+        let Some(endpoint) = self.current_incarnation(endpoint) else {
             return;
         };
-        let endpoint = EndpointIncarnation {
-            born: endpoint.born.or(known.spec.born),
-            ..endpoint
-        };
         let new = self.fleet.directives.on_answer(&endpoint, stated, self.now);
-        for directive in new {
-            self.record_directive(&endpoint, directive);
+        for directive in &new {
+            self.record_directive(&endpoint, *directive);
+        }
+        if new.contains(&NewDirective::Leaving) {
+            let to = self.peers.of_own_domain(self.now);
+            self.send_departures(to, vec![endpoint]);
+        }
+    }
+
+    /// Handles endpoints that told a peer that they are leaving.
+    pub(super) fn on_peer_departures(&mut self, update: &DepartureUpdate) {
+        for reported in &update.endpoints {
+            let Some(endpoint) = self.current_incarnation(reported.clone()) else {
+                continue;
+            };
+            let directives = &mut self.fleet.directives;
+            if directives.on_peer_departure(&endpoint, self.now) {
+                self.record_directive(&endpoint, NewDirective::Leaving);
+            }
+        }
+    }
+
+    /// An incarnation with its start time as far as this box knows it; `None` if it is not the
+    /// current one.
+    fn current_incarnation(&self, incarnation: EndpointIncarnation) -> Option<EndpointIncarnation> {
+        let known = self.fleet.get_incarnation(&incarnation)?;
+        Some(EndpointIncarnation {
+            born: incarnation.born.or(known.spec.born),
+            ..incarnation
+        })
+    }
+
+    /// Sends boxes the endpoints that recently said to this box that they are leaving.
+    pub(super) fn publish_departures(&mut self, to: Vec<SocketAddr>) {
+        let endpoints = self.fleet.directives.recent_departures(self.now);
+        self.send_departures(to, endpoints);
+    }
+
+    fn send_departures(&mut self, to: Vec<SocketAddr>, endpoints: Vec<EndpointIncarnation>) {
+        if to.is_empty() || endpoints.is_empty() {
+            return;
         }
+        let from = self.cfg.me.clone();
+        let update = DepartureUpdate { from, endpoints };
+        self.actions.push(Action::PublishDepartures { to, update });
     }
 
     fn record_directive(&mut self, endpoint: &EndpointIncarnation, directive: NewDirective) {
--- a/src/gateway/dispatch/event.rs
+++ b/src/gateway/dispatch/event.rs
@@ -14,8 +14,9 @@
 use crate::gateway::dispatch::rollout::status::ObjectState;
 use crate::gateway::dispatch::table::RoutingTable;
 use crate::schema::{
-    BoxState, CrashUpdate, DomainId, DutyHolder, EndpointId, EndpointIncarnation, Fingerprint,
-    LimitUpdate, RequestAge, ServiceId, StartTime, UsageCountUpdate, UsageUpdate, VersionId,
+    BoxState, CrashUpdate, DepartureUpdate, DomainId, DutyHolder, EndpointId, EndpointIncarnation,
+    Fingerprint, LimitUpdate, RequestAge, ServiceId, StartTime, UsageCountUpdate, UsageUpdate,
+    VersionId,
 };
 
 /// Number that this box has given a request.
@@ -334,6 +335,8 @@
         /// Reported crashes and verdicts.
         update: CrashUpdate,
     },
+    /// A peer reported endpoints that are leaving.
+    PeerDepartures(DepartureUpdate),
     /// A peer reported endpoints that state limits.
     PeerLimits(LimitUpdate),
     /// A fetch from a peer ended, with or without an answer.
--- a/src/gateway/dispatch/fleet/directives.rs
+++ b/src/gateway/dispatch/fleet/directives.rs
@@ -6,12 +6,15 @@
 //! | rest | no request | the box that got the answer | for the time that the answer states |
 //! | leaving | no new work | all boxes | until the incarnation ends |
 //!
+//! Boxes publish limits and departures in answers to them; a rest is for one box alone.
+//!
 //! An answer to an earlier request may arrive later, so a rest is never shortened and an endpoint
 //! that is leaving stays so. A directive is about the process that gave it. It holds while the
 //! endpoint's entry is missing from the list, and ends when a process with another start time takes
 //! the endpoint's id over.
 //!
-//! Inputs: the heads of answers to this box. State: the directives in force.
+//! Inputs: the heads of answers to this box, and reports by other boxes of answers to them. State: the
+//! directives in force.
 
 pub mod limits;
 
@@ -24,6 +27,11 @@
 /// How long it is remembered that an endpoint is leaving: longer than it takes to end.
 const LEAVING_RETENTION: Duration = Duration::from_secs(60);
 
+/// How long a departure is published after an answer to this box stated it.
+const PUBLISHED_FOR: Duration = Duration::from_secs(10);
+/// Departures in one message: some 500 bytes.
+const MAX_DEPARTURES: usize = 16;
+
 /// The limit that an answer states.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum StatedLimit {
@@ -70,11 +78,22 @@
 struct Asked {
     incarnation: EndpointIncarnation,
     rest: Option<Rest>,
-    /// When an answer last said that the endpoint is leaving.
+    /// When an answer or a peer last said that the endpoint is leaving.
     leaving_at: Option<Micros>,
+    /// When an answer to this box said so first.
+    heard_leaving: Option<Micros>,
 }
 
 impl Asked {
+    fn new(incarnation: EndpointIncarnation) -> Self {
+        Self {
+            incarnation,
+            rest: None,
+            leaving_at: None,
+            heard_leaving: None,
+        }
+    }
+
     /// The rest, unless it is over.
     fn rest_at(&self, now: Micros) -> Option<Rest> {
         self.rest.filter(|rest| now < rest.until)
@@ -109,11 +128,7 @@
             return new;
         }
         let asked = self.asked.entry(incarnation.id.clone());
-        let asked = asked.or_insert_with(|| Asked {
-            incarnation: incarnation.clone(),
-            rest: None,
-            leaving_at: None,
-        });
+        let asked = asked.or_insert_with(|| Asked::new(incarnation.clone()));
         if let Some(time) = stated.rest {
             let known = asked.rest_at(now);
             if known.is_none() {
@@ -125,12 +140,36 @@
                 until: known.map_or(until, |rest| rest.until.max(until)),
             });
         }
-        if stated.is_leaving && asked.leaving_at.replace(now).is_none() {
-            new.push(NewDirective::Leaving);
+        if stated.is_leaving {
+            asked.heard_leaving.get_or_insert(now);
+            if asked.leaving_at.replace(now).is_none() {
+                new.push(NewDirective::Leaving);
+            }
         }
         new
     }
 
+    /// Applies a peer's report that an endpoint is leaving; returns whether it is new.
+    pub fn on_peer_departure(&mut self, incarnation: &EndpointIncarnation, now: Micros) -> bool {
+        let asked = self.asked.entry(incarnation.id.clone());
+        let asked = asked.or_insert_with(|| Asked::new(incarnation.clone()));
+        asked.leaving_at.replace(now).is_none()
+    }
+
+    /// The endpoints that recently said in answers to this box that they are leaving, the latest
+    /// first.
+    #[must_use]
+    pub fn recent_departures(&self, now: Micros) -> Vec<EndpointIncarnation> {
+        let heard = self.asked.values().filter_map(|asked| {
+            let at = asked.heard_leaving?;
+            (now.since(at) < PUBLISHED_FOR).then_some((at, &asked.incarnation))
+        });
+        let mut recent: Vec<_> = heard.collect();
+        recent.sort_by_key(|(at, _)| std::cmp::Reverse(*at));
+        let recent = recent.into_iter().take(MAX_DEPARTURES);
+        recent.map(|(_, incarnation)| incarnation.clone()).collect()
+    }
+
     /// The rest that an endpoint asked this box for, unless it is over.
     #[must_use]
     pub fn rest(&self, id: &EndpointId, now: Micros) -> Option<Rest> {
--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -137,6 +137,7 @@
         if !to.is_empty() {
             self.update_allocators();
             self.publish_limits(to.clone());
+            self.publish_departures(to.clone());
             self.gossip_state(to);
         }
     }
--- a/src/gateway/shell/control.rs
+++ b/src/gateway/shell/control.rs
@@ -133,6 +133,7 @@
             | Action::SaveQuarantine { .. }
             | Action::PublishUsageCounts { .. }
             | Action::PublishLimits { .. }
+            | Action::PublishDepartures { .. }
             | Action::CallDutyStore(_)
             | Action::ReportUsage { .. }
             | Action::WriteRollout(_) => self.call_peers_or_store(action),
@@ -183,6 +184,10 @@
                 let datagram = datagram::write_usage_counts(&update);
                 self.spawn(peers::send(gossip, to, datagram, shared));
             }
+            Action::PublishDepartures { to, update } => {
+                let datagram = datagram::write_departures(&update);
+                self.spawn(peers::send(gossip, to, datagram, shared));
+            }
             Action::PublishLimits { to, update } => {
                 let datagram = datagram::write_limits(&update);
                 self.spawn(peers::send(gossip, to, datagram, shared));
--- a/src/gateway/shell/datagram.rs
+++ b/src/gateway/shell/datagram.rs
@@ -11,8 +11,8 @@
 
 use crate::gateway::dispatch::event::Event;
 use crate::schema::{
-    BoxId, BoxState, CrashUpdate, DatagramSection, DutyHolder, LimitUpdate, UsageCountUpdate,
-    UsageUpdate,
+    BoxId, BoxState, CrashUpdate, DatagramSection, DepartureUpdate, DutyHolder, LimitUpdate,
+    UsageCountUpdate, UsageUpdate,
 };
 
 /// The first byte of a datagram with a [`BoxState`].
@@ -27,6 +27,8 @@
 const HOLDER_SECTION: u16 = 3;
 /// The kind of a section with [`LimitUpdate`].
 const LIMITS_SECTION: u16 = 4;
+/// The kind of a section with [`DepartureUpdate`].
+const DEPARTURES_SECTION: u16 = 5;
 
 /// Encodes a box's state as a datagram.
 ///
@@ -85,6 +87,16 @@
     with_section(empty_message(&update.from)?, LIMITS_SECTION, update)
 }
 
+/// Encodes the endpoints that said to a box that they are leaving, as a section after an empty
+/// message.
+///
+/// # Errors
+///
+/// If it can't be encoded.
+pub fn write_departures(update: &DepartureUpdate) -> Result<Vec<u8>, postcard::Error> {
+    with_section(empty_message(&update.from)?, DEPARTURES_SECTION, update)
+}
+
 /// A message without content, to which a section is added.
 fn empty_message(from: &BoxId) -> Result<Vec<u8>, postcard::Error> {
     let empty = UsageUpdate {
@@ -147,6 +159,8 @@
             events.push(Event::PeerUsageCounts(read_content(&section)?));
         } else if section.kind == LIMITS_SECTION {
             events.push(Event::PeerLimits(read_content(&section)?));
+        } else if section.kind == DEPARTURES_SECTION {
+            events.push(Event::PeerDepartures(read_content(&section)?));
         }
     }
     Ok(events)
--- a/src/gateway/shell/metrics.rs
+++ b/src/gateway/shell/metrics.rs
@@ -212,7 +212,7 @@
             ),
             stating_leaving: set.gauge(
                 "endpoints_stating_leaving",
-                "Endpoints that said in an answer to this box that they are leaving",
+                "Endpoints that said in an answer that they are leaving, as this box knows",
             ),
             permits: set.counters(
                 "permits_total",
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -635,6 +635,14 @@
     pub text: ::std::string::String,
     pub tokens: u32,
 }
+///Endpoints that said in answers to a box that they are leaving.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct DepartureUpdate {
+    ///Those that said so recently, the latest first.
+    pub endpoints: ::std::vec::Vec<EndpointIncarnation>,
+    pub from: BoxId,
+}
 ///The caller of a request has gone.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/tests/datagram.rs
+++ b/tests/datagram.rs
@@ -8,12 +8,13 @@
 
 use magpiemoor::gateway::dispatch::event::Event;
 use magpiemoor::gateway::shell::datagram::{
-    read, with_holder, write_limits, write_state, write_usage, write_usage_counts,
+    read, with_holder, write_departures, write_limits, write_state, write_usage, write_usage_counts,
 };
 use magpiemoor::schema::{
-    BoxState, CrashReport, CrashUpdate, DatagramSection, DutyHolder, EndpointUsage, Fingerprint,
-    Incarnation, LimitReport, LimitUpdate, OrganisationCount, PermitGrant, PermitRequest,
-    RequestAge, RunningBox, ServiceTotals, UsageCountUpdate, UsageUpdate, WindowCounts,
+    BoxState, CrashReport, CrashUpdate, DatagramSection, DepartureUpdate, DutyHolder,
+    EndpointUsage, Fingerprint, Incarnation, LimitReport, LimitUpdate, OrganisationCount,
+    PermitGrant, PermitRequest, RequestAge, RunningBox, ServiceTotals, UsageCountUpdate,
+    UsageUpdate, WindowCounts,
 };
 
 fn production(file: &str) -> Vec<u8> {
@@ -280,3 +281,23 @@
     let as_production: UsageUpdate = postcard::from_bytes(&bytes[1..]).unwrap();
     assert_eq!(as_production, *empty);
 }
+
+/// The version in production decodes the empty message and ignores the departures that follow it.
+#[test]
+fn departures_follow_an_empty_message() {
+    let update = DepartureUpdate {
+        from: "box-1".parse().unwrap(),
+        endpoints: vec![
+            "till-1@1700000000000".parse().unwrap(),
+            "till-2".parse().unwrap(),
+        ],
+    };
+    let bytes = write_departures(&update).unwrap();
+    let events = read(&bytes).unwrap();
+    let [Event::PeerUsage(empty), Event::PeerDepartures(read)] = &events[..] else {
+        panic!("{events:?}");
+    };
+    assert_eq!(*read, update);
+    let as_production: UsageUpdate = postcard::from_bytes(&bytes[1..]).unwrap();
+    assert_eq!(as_production, *empty);
+}
--- a/tests/directives.rs
+++ b/tests/directives.rs
@@ -3,17 +3,18 @@
 #[path = "gateway/fixtures.rs"]
 mod fixtures;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use fixtures::{
-    QUOTES, STREAMS, World, endpoints, first_attempt, listed, probes, records, refusal,
+    QUOTES, STREAMS, World, box_state, endpoints, first_attempt, listed, probes, records, refusal,
 };
-use magpiemoor::gateway::dispatch::action::Attempt;
+use magpiemoor::gateway::dispatch::action::{Action, Attempt};
 use magpiemoor::gateway::dispatch::event::{Event, Fault, NotRunCause, Outcome, RequestNumber};
 use magpiemoor::gateway::dispatch::fleet::directives::AnswerDirectives;
 use magpiemoor::gateway::dispatch::record::Record;
 use magpiemoor::gateway::dispatch::refusal::RefusalReason;
-use magpiemoor::schema::{EndpointId, StartTime};
+use magpiemoor::schema::{BoxState, DepartureUpdate, EndpointId, StartTime};
 use rstest::rstest;
 
 /// Time between two requests of a caller.
@@ -310,3 +311,60 @@
     let endpoint = world.dispatcher.fleet().get(&sent.endpoint).unwrap();
     assert_eq!(endpoint.is_avoided(world.now), !is_well);
 }
+
+/// The updates about departures among the actions, with the boxes that they go to.
+fn departures(actions: &[Action]) -> Vec<(Vec<SocketAddr>, DepartureUpdate)> {
+    let published = actions.iter().filter_map(|action| match action {
+        Action::PublishDepartures { to, update } => Some((to.clone(), update.clone())),
+        _ => None,
+    });
+    published.collect()
+}
+
+/// A box tells the others of its domain at once; those that hear of it send no new work and tell nobody further.
+#[test]
+fn a_departure_is_told_to_other_boxes() {
+    let mut world = World::ready();
+    world.handle(Event::Peer(peer("box-2", "127.0.0.2:7200")));
+    let (request, sent) = world.arrive(QUOTES);
+    let sent = sent.unwrap();
+    world.handle(Event::DirectivesRead {
+        request,
+        attempt: sent.attempt,
+        directives: leaving(),
+    });
+    let published = departures(&world.actions);
+    let [(to, update)] = &published[..] else {
+        panic!("{published:?}");
+    };
+    assert_eq!(to, &["127.0.0.2:7200".parse().unwrap()]);
+    let mut other = World::ready();
+    other.handle(Event::Peer(peer("box-3", "127.0.0.3:7200")));
+    other.handle(Event::PeerDepartures(update.clone()));
+    let used = endpoints_used(&mut other, QUOTES, 2_000);
+    assert!(!used.contains(&sent.endpoint), "{used:?}");
+    assert_eq!(departures(&other.run(2_000)), []);
+}
+
+/// A box of the own domain that runs.
+fn peer(from: &str, address: &str) -> BoxState {
+    BoxState {
+        beat: 1,
+        ..box_state(from, "north", address)
+    }
+}
+
+/// A report about a process that has ended since says nothing of the one that runs now.
+#[test]
+fn a_peers_report_of_a_departure_is_about_one_process() {
+    let mut world = World::ready();
+    let mut specs = endpoints();
+    specs[4].born = Some(StartTime(2));
+    world.handle(listed(specs));
+    world.handle(Event::PeerDepartures(DepartureUpdate {
+        from: "box-2".parse().unwrap(),
+        endpoints: vec!["till-n1@1".parse().unwrap()],
+    }));
+    let used = endpoints_used(&mut world, QUOTES, 1_000);
+    assert!(used.iter().any(|id| &**id == "till-n1"), "{used:?}");
+}
