--- a/lab/src/gateway/limits.rs
+++ b/lab/src/gateway/limits.rs
@@ -1,6 +1,6 @@
-//! Servers that name a limit of requests a second, on made-up time: a fleet of the real decision code
-//! before plain servers, some of which are in need for a while; seeded, and judged by what servers and
-//! callers saw.
+//! Simulates servers that ask something of their callers: a fleet of the real decision code on a
+//! simulated clock in front of plain servers, of which some are overloaded or leaving for a while.
+//! Runs are seeded, and judged by what servers and callers observed.
 //!
 //! [`fleet`] holds boxes, links, servers and callers, [`score`] what is counted in a play and how it is
 //! judged, [`report`] what many came to, [`command`] the command line. A [`Case`] is one play; the same
@@ -20,6 +20,32 @@
 
 pub use score::Outcome;
 
+/// What servers in need ask of their callers in their answers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Asks {
+    /// No more than so many requests a second from all boxes together.
+    Limit,
+    /// No request from this box for [`score::REST`]; they turn all requests away.
+    Rest,
+    /// No new work, since they are leaving.
+    Departure,
+}
+
+impl Asks {
+    /// All of them.
+    pub const ALL: [Self; 3] = [Self::Limit, Self::Rest, Self::Departure];
+
+    /// Its name, as on the command line.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Limit => "limit",
+            Self::Rest => "rest",
+            Self::Departure => "departure",
+        }
+    }
+}
+
 /// Which servers are in need.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Needy {
@@ -115,6 +141,8 @@
     pub calls: f64,
     /// What servers in need name first; nothing, where none is to be in need.
     pub limit: Option<RequestRate>,
+    /// What they ask for; `limit` only tells when, unless they ask for that.
+    pub asks: Asks,
     /// Which are.
     pub needy: Needy,
     /// How it goes on.
@@ -160,6 +188,7 @@
             },
             calls: *[0.15, 1.0, 3.5].choose(&mut rng).unwrap_or(&1.0),
             limit: Some(RequestRate::from_milli(limit)),
+            asks: Asks::Limit,
             needy: *needy.choose(&mut rng).unwrap_or(&Needy::One),
             course: *course.choose(&mut rng).unwrap_or(&Course::Steady),
             beside,
@@ -195,8 +224,14 @@
             .map_or("none".to_owned(), |rate| rate.to_string());
         write!(
             f,
-            "seed {} boxes {} calls {} limit {limit} needy {:?} {:?} beside {}",
-            self.seed, self.boxes, self.calls, self.needy, self.course, self.beside
+            "seed {} boxes {} calls {} {} {limit} needy {:?} {:?} beside {}",
+            self.seed,
+            self.boxes,
+            self.calls,
+            self.asks.name(),
+            self.needy,
+            self.course,
+            self.beside
         )
     }
 }
--- a/lab/src/gateway/limits/command.rs
+++ b/lab/src/gateway/limits/command.rs
@@ -5,7 +5,7 @@
 use serde_json::json;
 
 use super::report::Report;
-use super::{Beside, Case, Outcome};
+use super::{Asks, Beside, Case, Outcome};
 use crate::gateway::parallel;
 
 /// Its arguments.
@@ -20,7 +20,7 @@
             .help(help)
     };
     Command::new("limits")
-        .about("Play servers that name a limit on made-up time and judge what came of them")
+        .about("Simulate servers that ask something of their callers, and judge what they got")
         .arg(number("seed", "1", "Seed of the first play"))
         .arg(number("plays", "100", "How many plays"))
         .arg(number("boxes", "30", "Boxes in all"))
@@ -32,6 +32,14 @@
                 .value_parser(PossibleValuesParser::new(Beside::ALL.map(Beside::name)))
                 .help("What goes wrong beside, in place of what the seed draws"),
         )
+        .arg(
+            Arg::new("asks")
+                .long("asks")
+                .value_name("NAME")
+                .default_value(Asks::Limit.name())
+                .value_parser(PossibleValuesParser::new(Asks::ALL.map(Asks::name)))
+                .help("What servers in need ask for"),
+        )
         .arg(
             Arg::new("each")
                 .long("each")
@@ -53,11 +61,17 @@
     let boxes = number("boxes") as usize;
     let name = matches.get_one::<String>("beside");
     let beside = name.and_then(|name| Beside::ALL.into_iter().find(|b| b.name() == name));
+    let name = matches.get_one::<String>("asks");
+    let asks = name.and_then(|name| Asks::ALL.into_iter().find(|a| a.name() == name));
     let seeds = number("seed")..number("seed") + number("plays");
     let cases = seeds.map(|seed| {
         let drawn = Case::draw(seed, boxes);
         let beside = beside.unwrap_or(drawn.beside);
-        Case { beside, ..drawn }
+        Case {
+            beside,
+            asks: asks.unwrap_or(drawn.asks),
+            ..drawn
+        }
     });
     let cases: Vec<Case> = cases.collect();
     let outcomes = parallel::map(&cases, number("threads") as usize, Case::play_paired);
--- a/lab/src/gateway/limits/fleet.rs
+++ b/lab/src/gateway/limits/fleet.rs
@@ -258,6 +258,9 @@
             } => {
                 self.send(at, &to, &datagram::write_usage(&news, &crashes));
             }
+            Action::PublishDepartures { to, update } => {
+                self.send(at, &to, &datagram::write_departures(&update));
+            }
             Action::PublishLimits { to, update: news } => {
                 self.send(at, &to, &datagram::write_limits(&news));
             }
--- a/lab/src/gateway/limits/fleet/servers.rs
+++ b/lab/src/gateway/limits/fleet/servers.rs
@@ -15,8 +15,8 @@
 
 use super::setup::{SERVICE, domain_name};
 use super::{Case, Fleet, Mail, OUTSIDE, Place};
-use crate::gateway::limits::score::{Arrived, Seen};
-use crate::gateway::limits::{Course, Needy};
+use crate::gateway::limits::score::{Arrived, REST, Seen};
+use crate::gateway::limits::{Asks, Course, Needy};
 
 /// Calls a second that one server is meant for.
 const CALLS_A_SERVER: f64 = 8.0;
@@ -217,7 +217,12 @@
             }
             let server = &mut self.servers.all[place];
             server.names = naming.rate;
-            self.counts.seen[server.life].named.push((now, naming.rate));
+            let seen = &mut self.counts.seen[server.life];
+            match self.case.asks {
+                Asks::Limit => seen.named.push((now, naming.rate)),
+                Asks::Rest => {}
+                Asks::Departure => seen.is_leaving |= naming.rate.is_some(),
+            }
         }
     }
 
@@ -293,7 +298,8 @@
             server: found,
             life: server.life,
         };
-        if server.running >= SLOTS + QUEUE {
+        let turns_away = self.case.asks == Asks::Rest && server.names.is_some();
+        if server.running >= SLOTS + QUEUE || turns_away {
             let names = server.names;
             let outcome = Outcome::NotRun(NotRunCause::NoRoom);
             return self.answer_place(&run, names, outcome);
@@ -345,10 +351,7 @@
         }
         let attempt = run.attempt;
         if names.is_some() || run.is_limited {
-            let directives = AnswerDirectives {
-                limit: names.map_or(StatedLimit::None, StatedLimit::Rate),
-                ..AnswerDirectives::default()
-            };
+            let directives = self.directives(run, names);
             let event = Event::DirectivesRead {
                 request,
                 attempt,
@@ -369,10 +372,28 @@
         self.post_event(at, OUTSIDE, event);
     }
 
-    /// Nobody was told anything by a box that has started again.
+    /// What an answer asks for.
+    fn directives(&mut self, run: &Run, names: Option<RequestRate>) -> AnswerDirectives {
+        let mut asked = AnswerDirectives::default();
+        let seen = &mut self.counts.seen[run.life];
+        match self.case.asks {
+            Asks::Limit => asked.limit = names.map_or(StatedLimit::None, StatedLimit::Rate),
+            Asks::Rest if names.is_some() => {
+                asked.rest = Some(REST);
+                let rests = seen.rests.entry(run.place.0).or_default();
+                rests.push(self.mail.now);
+            }
+            Asks::Rest => {}
+            Asks::Departure => asked.is_leaving = seen.is_leaving,
+        }
+        asked
+    }
+
+    /// A box that has started again was asked for nothing and has told nobody anything.
     pub(super) fn forget_told(&mut self, at: usize) {
         for seen in &mut self.counts.seen {
             seen.told.remove(&at);
+            seen.rests.remove(&at);
         }
     }
 }
--- a/lab/src/gateway/limits/score.rs
+++ b/lab/src/gateway/limits/score.rs
@@ -5,7 +5,11 @@
 //! passed on such an answer `TOLD_BEFORE` or earlier. Requests of a box that was killed, frozen or cut
 //! off less than [`CONTACT`] ago don't count. Where the limit changes within a window, the greater counts.
 //!
-//! It is counted in two ways. Strictly, all requests of a window count whose box knew by the end of the
+//! A server that asks a box for a rest gets no more than `MAX_IN_REST` requests from it between
+//! `REST_GRACE` after that answer and the end of the rest; one that leaves gets none from a box later
+//! than `DRAIN` after the box has passed on an answer that says so.
+//!
+//! The limit is counted in two ways. Strictly, all requests of a window count whose box knew by the end of the
 //! window; by the words of the rule, those that a box sent when it knew. A play is judged by the first.
 
 use std::collections::BTreeMap;
@@ -28,6 +32,14 @@
 const SLACK: f64 = 5.0;
 /// How many times the limit is allowed.
 const TIMES: f64 = 1.5;
+/// The rest that servers ask for.
+pub const REST: Duration = Duration::from_secs(3);
+/// How long after the answer that asks for a rest requests don't count.
+const REST_GRACE: Duration = Duration::from_millis(500);
+/// Requests of one box that a server may get in its rest.
+const MAX_IN_REST: usize = 2;
+/// How long a box may still send to a server after it has passed on that the server is leaving.
+const DRAIN: Duration = Duration::from_secs(2);
 /// How long after the first naming it is counted what of the limit is used.
 const USED_AFTER: Duration = Duration::from_secs(6);
 
@@ -51,6 +63,10 @@
     pub named: Vec<(Micros, Option<RequestRate>)>,
     /// When each box first passed on an answer with a limit, in its present life.
     pub told: BTreeMap<usize, Micros>,
+    /// When it asked each box for a rest, in the box's present life.
+    pub rests: BTreeMap<usize, Vec<Micros>>,
+    /// Whether it says that it is leaving.
+    pub is_leaving: bool,
     /// When it ended.
     pub ended: Option<Micros>,
 }
@@ -106,6 +122,33 @@
         most
     }
 
+    /// The most requests that it got from a box within a rest for which it had asked that box.
+    #[must_use]
+    pub fn most_in_rest(&self) -> usize {
+        let rests = self.rests.iter();
+        let rests = rests.flat_map(|(from, asked)| asked.iter().map(move |at| (*from, *at)));
+        let counts = rests.map(|(from, at)| {
+            let span = at.after(REST_GRACE)..at.after(REST);
+            let within = self.arrivals.iter().filter(|a| span.contains(&a.at));
+            within.filter(|a| a.from == from && a.in_touch).count()
+        });
+        counts.max().unwrap_or_default()
+    }
+
+    /// Requests that a box sent it later than [`DRAIN`] after it had passed on that it is leaving.
+    #[must_use]
+    pub fn after_departure(&self) -> usize {
+        let late = |a: &&Arrived| {
+            let told = self.told.get(&a.from);
+            told.is_some_and(|told| told.after(DRAIN) < a.at)
+        };
+        if self.is_leaving {
+            self.arrivals.iter().filter(late).count()
+        } else {
+            0
+        }
+    }
+
     fn is_told(&self, from: usize, at: Micros) -> bool {
         let told = self.told.get(&from);
         told.is_some_and(|told| told.after(TOLD_BEFORE) <= at)
@@ -170,6 +213,10 @@
     pub most: f64,
     /// The same, counted by the words of the rule.
     pub most_by_words: f64,
+    /// The most requests that a server got from a box within a rest.
+    pub in_rest: usize,
+    /// Requests that came to servers after their departure was known to the box that sent them.
+    pub after_departure: usize,
     /// What became of callers.
     pub callers: Callers,
     /// The same with no server in need, if that was played.
@@ -203,6 +250,8 @@
             case,
             most,
             most_by_words,
+            in_rest,
+            after_departure,
             used,
             ..
         } = self;
@@ -210,7 +259,7 @@
         let in_time = self.callers.in_time();
         write!(
             f,
-            "{case}: {most:.2} of what is allowed ({most_by_words:.2} by the words), used {used:.2}, served {served:.3}, in time {in_time:.3}"
+            "{case}: {most:.2} of what is allowed ({most_by_words:.2} by the words), {in_rest} in a rest, {after_departure} after a departure, used {used:.2}, served {served:.3}, in time {in_time:.3}"
         )
     }
 }
@@ -236,6 +285,13 @@
             beside: case.beside.to_string(),
             most: most(true),
             most_by_words: most(false),
+            in_rest: counts
+                .seen
+                .iter()
+                .map(Seen::most_in_rest)
+                .max()
+                .unwrap_or_default(),
+            after_departure: counts.seen.iter().map(Seen::after_departure).sum(),
             callers: counts.callers,
             without: None,
             used: if allowed > 0.0 { got / allowed } else { 0.0 },
@@ -245,9 +301,9 @@
         }
     }
 
-    /// Whether a server got more than it has room for.
+    /// Whether a server got more than it asked for.
     #[must_use]
     pub fn is_over(&self) -> bool {
-        self.most > 1.0
+        self.most > 1.0 || self.in_rest > MAX_IN_REST || self.after_departure > 0
     }
 }
--- a/tests/limited_servers.rs
+++ b/tests/limited_servers.rs
@@ -5,7 +5,7 @@
 //! they set a limit were all first attempts, sent as before.
 
 use magpiemoor::gateway::dispatch::fleet::directives::limits::RequestRate;
-use magpiemoor_lab::gateway::limits::{Beside, Case, Course, Needy};
+use magpiemoor_lab::gateway::limits::{Asks, Beside, Case, Course, Needy};
 use rstest::rstest;
 
 fn case(limit: &str, needy: Needy, course: Course) -> Case {
@@ -16,6 +16,7 @@
         domains: 3,
         calls: 3.5,
         limit: Some(limit),
+        asks: Asks::Limit,
         needy,
         course,
         beside: Beside::Nothing,
@@ -103,3 +104,42 @@
     let result = Case::draw(24, 30).play();
     assert!(result.most_by_words <= 1.0, "{result:?}");
 }
+
+/// Servers that turn all requests away and ask for a rest each time, and servers that say that they are leaving.
+#[rstest]
+#[case::alone(7, Beside::Nothing)]
+#[case::cut(30, Beside::DomainCut)]
+#[case::store_out(30, Beside::StoreOut)]
+#[case::boxes_killed(30, Beside::BoxesKilled)]
+#[case::all_boxes_killed(7, Beside::AllBoxesKilled)]
+#[case::boxes_frozen(30, Beside::BoxesFrozen)]
+#[case::burst(30, Beside::Burst)]
+fn rests_and_departures_are_respected_during_other_faults(
+    #[case] boxes: usize,
+    #[case] beside: Beside,
+    #[values(Asks::Rest, Asks::Departure)] asks: Asks,
+) {
+    for seed in 1..=2 {
+        let case = Case {
+            beside,
+            asks,
+            ..Case::draw(seed, boxes)
+        };
+        let result = case.play();
+        assert!(!result.is_over(), "{result:?}");
+    }
+}
+
+/// Callers are served by the other servers.
+#[rstest]
+#[case::rest(Asks::Rest)]
+#[case::departure(Asks::Departure)]
+fn callers_lose_nothing_while_one_server_rests_or_leaves(#[case] asks: Asks) {
+    let case = Case {
+        asks,
+        ..case("1.9", Needy::One, Course::Steady)
+    };
+    let result = case.play();
+    assert_eq!(result.callers.lost, 0, "{result:?}");
+    assert!(result.callers.in_time() > 0.999, "{result:?}");
+}
