Dispatcher: events are passed on in a module of their own; datagrams are sent apart from calls

Only where code stands has changed: dispatch/handle.rs holds what passes each event to its module, send_datagram what goes to peers by UDP, and the time for which a directive is published stands once. A doc link of the emulator to a private constant is text now.

--- a/lab/src/gateway/limits/score.rs
+++ b/lab/src/gateway/limits/score.rs
@@ -135,7 +135,7 @@
         counts.max().unwrap_or_default()
     }
 
-    /// Requests that a box sent it later than [`DRAIN`] after it had passed on that it is leaving.
+    /// Requests that a box sent it later than `DRAIN` after it had passed on that it is leaving.
     #[must_use]
     pub fn after_departure(&self) -> usize {
         let late = |a: &&Arrived| {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -58,6 +58,7 @@
 mod directives;
 mod endpoint_restart;
 mod gossip;
+mod handle;
 mod intake;
 mod outcomes;
 pub mod permits;
@@ -84,7 +85,7 @@
 use crashes::PendingCrashes;
 use duties::DutyClock;
 use duty::{DutyPolicy, Holder, UsageDuty};
-use event::{AttemptNumber, Event, RequestNumber};
+use event::{AttemptNumber, RequestNumber};
 use fetches::{FetchKind, Fetches};
 use fleet::Fleet;
 use gossip::PendingUsage;
@@ -240,145 +241,6 @@
         }
     }
 
-    /// Processes an event that happened at `now` and returns the actions that follow. `now` must
-    /// not run backwards.
-    pub fn handle(&mut self, now: Micros, event: Event) -> Vec<Action> {
-        self.detect_process_pause(now);
-        self.now = now.max(self.now);
-        match event {
-            Event::Arrived { request, arrival } => self.on_arrival(request, arrival),
-            Event::CallerDisconnected(_)
-            | Event::Connected { .. }
-            | Event::StreamOpened { .. }
-            | Event::DirectivesRead { .. }
-            | Event::Progress { .. }
-            | Event::Ended { .. } => self.handle_attempt_event(event),
-            Event::Tick => self.on_tick(),
-            Event::Stop { grace } => self.stop_deadline = Some(self.now.after(grace)),
-            Event::Table(_)
-            | Event::EndpointsListed { .. }
-            | Event::EndpointsChanged { .. }
-            | Event::Rollouts { .. }
-            | Event::QuarantineRead(_)
-            | Event::StoreAnswered
-            | Event::Peer(_)
-            | Event::PeerUsage(_)
-            | Event::PeerCrashes { .. }
-            | Event::PeerUsageCounts(_)
-            | Event::PeerHolder(_)
-            | Event::PeerLimits(_)
-            | Event::PeerDepartures(_)
-            | Event::Fetched { .. }
-            | Event::Seeds(_) => self.handle_update(event),
-            Event::TimeOfDay(day) => self.on_time_of_day(day),
-            Event::DutyAnswered { call, answer } => self.on_duty_answered(call, answer),
-            Event::UsageReported { window, outcome } => self.on_usage_reported(window, outcome),
-            Event::EndpointDirectives { .. }
-            | Event::Probed { .. }
-            | Event::Checked { .. }
-            | Event::IdentityReported { .. }
-            | Event::Identified(_)
-            | Event::Located { .. }
-            | Event::SnapshotTaken { .. } => self.handle_endpoint_answer(event),
-        }
-        std::mem::take(&mut self.actions)
-    }
-
-    /// Handles events from the tasks of requests.
-    fn handle_attempt_event(&mut self, event: Event) {
-        match event {
-            Event::CallerDisconnected(request) => self.on_caller_disconnected(request),
-            Event::Connected { request, attempt } => self.on_connected(request, attempt),
-            Event::StreamOpened { request, attempt } => self.on_stream_opened(request, attempt),
-            Event::DirectivesRead {
-                request,
-                attempt,
-                directives,
-            } => self.on_directives(request, attempt, &directives),
-            Event::Progress {
-                request,
-                attempt,
-                last_event,
-            } => self.on_progress(request, attempt, last_event),
-            Event::Ended {
-                request,
-                attempt,
-                outcome,
-            } => self.on_ended(request, attempt, &outcome),
-            _ => {}
-        }
-    }
-
-    /// Handles events from the store, peers and the settings.
-    fn handle_update(&mut self, event: Event) {
-        match event {
-            Event::Table(table) => self.on_table(table),
-            Event::EndpointsListed {
-                specs,
-                unreadable,
-                at,
-            } => self.on_listed(specs, &unreadable, at),
-            Event::EndpointsChanged { changes, at } => self.on_changed(changes, at),
-            Event::Rollouts {
-                objects,
-                removed,
-                is_whole,
-            } => self.on_rollouts(objects, &removed, is_whole),
-            Event::QuarantineRead(kept) => self.on_quarantine_read(&kept),
-            Event::StoreAnswered => {
-                self.store_watchers.on_answer(self.cfg.address, self.now);
-            }
-            Event::Peer(state) => self.on_peer(&state),
-            Event::PeerUsage(update) => self.on_peer_usage(&update),
-            Event::PeerCrashes { domain, update } => self.on_peer_crashes(domain.as_ref(), &update),
-            Event::PeerUsageCounts(update) => self.on_peer_usage_counts(&update),
-            Event::PeerHolder(holder) => self.on_peer_holder(&holder),
-            Event::PeerLimits(update) => self.on_peer_limits(&update),
-            Event::PeerDepartures(update) => self.on_peer_departures(&update),
-            Event::Fetched {
-                kind,
-                from,
-                outcome,
-            } => self.on_fetched(kind, from, outcome),
-            Event::Seeds(seeds) => self.peers.set_seeds(&seeds),
-            _ => {}
-        }
-    }
-
-    /// Handles answers of endpoints to anything but a caller's request.
-    fn handle_endpoint_answer(&mut self, event: Event) {
-        match event {
-            Event::EndpointDirectives {
-                endpoint,
-                directives,
-            } => self.on_endpoint_directives(endpoint.into(), &directives),
-            Event::Probed {
-                endpoint,
-                is_answered,
-                born,
-            } => self.on_probed(&endpoint, is_answered, born),
-            Event::Checked {
-                endpoint,
-                has_exited,
-            } => self.on_checked(&endpoint, has_exited),
-            Event::IdentityReported {
-                endpoint,
-                instance,
-                is_well,
-                born,
-            } => self.on_identified(&endpoint, &instance, is_well, born),
-            Event::Identified(spec) => self.fleet.on_identified(spec, self.now),
-            Event::Located { request, endpoint } => self.on_located(request, endpoint),
-            Event::SnapshotTaken {
-                request,
-                attempt,
-                host,
-                name,
-            } => self.on_snapshot_taken(request, attempt, &host, name),
-            _ => {}
-        }
-    }
-
     /// Detects a process pause. No message could be received in it, so the age of what is known of
     /// other boxes must not grow by it.
     fn detect_process_pause(&mut self, now: Micros) {
@@ -390,7 +252,7 @@
         }
     }
 
-    /// Time at which [`Event::Tick`] is due next.
+    /// Time at which [`event::Event::Tick`] is due next.
     #[must_use]
     pub fn next_tick(&self) -> Micros {
         let first_decision = self
--- a/src/gateway/dispatch/fleet/directives.rs
+++ b/src/gateway/dispatch/fleet/directives.rs
@@ -27,7 +27,7 @@
 /// How long it is remembered that an endpoint is leaving: longer than it takes to end.
 const LEAVING_RETENTION: Duration = Duration::from_secs(60);
 
-/// How long a departure is published after an answer to this box stated it.
+/// How long a limit or a departure is published after an answer to this box stated it.
 const PUBLISHED_FOR: Duration = Duration::from_secs(10);
 /// Departures in one message: some 500 bytes.
 const MAX_DEPARTURES: usize = 16;
--- a/src/gateway/dispatch/fleet/directives/limits.rs
+++ b/src/gateway/dispatch/fleet/directives/limits.rs
@@ -14,6 +14,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use super::PUBLISHED_FOR;
 use crate::schema::{EndpointId, EndpointIncarnation, LimitReport, Micros};
 
 /// How long a permit can be used: long enough for the next request of a busy box, short enough that
@@ -24,8 +25,6 @@
 /// How much newer a peer's report must be than an answer to this box to replace it: the age in a
 /// report is too small by the transit time between boxes.
 const PEER_REPORT_MARGIN: Duration = Duration::from_millis(50);
-/// How long the limit in an answer is published after the answer.
-const PUBLISHED_FOR: Duration = Duration::from_secs(10);
 /// Endpoints in one message: some 700 bytes.
 const MAX_REPORTS: usize = 16;
 
--- a/src/gateway/shell/control.rs
+++ b/src/gateway/shell/control.rs
@@ -127,16 +127,16 @@
             Action::Record(record) => self.shared.record(&record),
             Action::Gossip { .. }
             | Action::GossipUsage { .. }
-            | Action::FetchState { .. }
+            | Action::PublishUsageCounts { .. }
+            | Action::PublishDepartures { .. }
+            | Action::PublishLimits { .. } => self.send_datagram(action),
+            Action::FetchState { .. }
             | Action::ReadTable
             | Action::ReadQuarantine
             | Action::SaveQuarantine { .. }
-            | Action::PublishUsageCounts { .. }
-            | Action::PublishLimits { .. }
-            | Action::PublishDepartures { .. }
             | Action::CallDutyStore(_)
             | Action::ReportUsage { .. }
-            | Action::WriteRollout(_) => self.call_peers_or_store(action),
+            | Action::WriteRollout(_) => self.call_peer_or_store(action),
             Action::Probe { .. }
             | Action::CheckExited { .. }
             | Action::Locate { .. }
@@ -147,11 +147,9 @@
         }
     }
 
-    /// Spawns the task of an action that addresses peers or the platform's store.
-    fn call_peers_or_store(&self, action: Action) {
-        let shared = self.shared.clone();
-        let gossip = Arc::clone(&self.gossip);
-        match action {
+    /// Encodes the datagram of an action and spawns the task that sends it to peers.
+    fn send_datagram(&self, action: Action) {
+        let (to, datagram) = match action {
             Action::Gossip {
                 to,
                 state,
@@ -159,17 +157,29 @@
                 holder,
             } => {
                 let datagram = datagram::write_state(&state, &crashes);
-                let datagram = datagram.and_then(|message| datagram::with_holder(message, holder));
-                self.spawn(peers::send(gossip, to, datagram, shared));
+                let with_holder = |message| datagram::with_holder(message, holder);
+                (to, datagram.and_then(with_holder))
             }
             Action::GossipUsage {
                 to,
                 update,
                 crashes,
-            } => {
-                let datagram = datagram::write_usage(&update, &crashes);
-                self.spawn(peers::send(gossip, to, datagram, shared));
+            } => (to, datagram::write_usage(&update, &crashes)),
+            Action::PublishUsageCounts { to, update } => {
+                (to, datagram::write_usage_counts(&update))
             }
+            Action::PublishDepartures { to, update } => (to, datagram::write_departures(&update)),
+            Action::PublishLimits { to, update } => (to, datagram::write_limits(&update)),
+            _ => return,
+        };
+        let gossip = Arc::clone(&self.gossip);
+        self.spawn(peers::send(gossip, to, datagram, self.shared.clone()));
+    }
+
+    /// Spawns the task of an action that fetches from a peer or calls the platform's store.
+    fn call_peer_or_store(&self, action: Action) {
+        let shared = self.shared.clone();
+        match action {
             Action::FetchState { from, kind, wanted } => {
                 self.spawn(transfer::fetch(from, kind, wanted, shared));
             }
@@ -180,18 +190,6 @@
                 is_quarantined,
             } => self.spawn(quarantine::write_object(request, is_quarantined, shared)),
             Action::WriteRollout(write) => self.spawn(rollouts::write_status(write, shared)),
-            Action::PublishUsageCounts { to, update } => {
-                let datagram = datagram::write_usage_counts(&update);
-                self.spawn(peers::send(gossip, to, datagram, shared));
-            }
-            Action::PublishDepartures { to, update } => {
-                let datagram = datagram::write_departures(&update);
-                self.spawn(peers::send(gossip, to, datagram, shared));
-            }
-            Action::PublishLimits { to, update } => {
-                let datagram = datagram::write_limits(&update);
-                self.spawn(peers::send(gossip, to, datagram, shared));
-            }
             Action::CallDutyStore(call) => self.spawn(duties::call_store(call, shared)),
             Action::ReportUsage { token, window } => {
                 self.spawn(duties::report(token, window, shared));
