A peer's report of a directive counts for an endpoint that the list names only later

Trace: a server that had just started again named 0.4 a second from its first answer on, 0.09 s after its start. Its nine calls came in the first 0.88 s from nine boxes, one each, before any of them had an answer of its own; the boxes' lists named the server 0.05 to 0.5 s after its start. The first box reported the limit to the others at once, and those whose list didn't name the server yet dropped the report as one about an endpoint that they don't know.

Now such a report is held for 10 s, as long as it is published, and applied with its age when the list names the endpoint; a departure waits in the same way. A certain other incarnation drops both.

--- a/src/gateway/dispatch/directives.rs
+++ b/src/gateway/dispatch/directives.rs
@@ -57,8 +57,12 @@
     /// Handles endpoints that told a peer that they are leaving.
     pub(super) fn on_peer_departures(&mut self, update: &DepartureUpdate) {
         for reported in &update.endpoints {
-            let Some(endpoint) = self.current_incarnation(reported.clone()) else {
-                continue;
+            // The list may name the endpoint only after this report.
+            let is_listed = self.fleet.get(&reported.id).is_some();
+            let endpoint = match self.current_incarnation(reported.clone()) {
+                Some(current) => current,
+                None if is_listed => continue,
+                None => reported.clone(),
             };
             let directives = &mut self.fleet.directives;
             if directives.on_peer_departure(&endpoint, self.now) {
--- a/src/gateway/dispatch/fleet.rs
+++ b/src/gateway/dispatch/fleet.rs
@@ -20,7 +20,8 @@
 
 use crate::gateway::dispatch::event::EndpointSpec;
 use crate::schema::{
-    BoxState, DomainId, EndpointAnswers, EndpointId, EndpointIncarnation, Micros, ServiceId,
+    BoxState, DomainId, EndpointAnswers, EndpointId, EndpointIncarnation, LimitReport, Micros,
+    ServiceId,
 };
 use directives::Directives;
 use health::{Answers, EndpointHealth, FailureShares};
@@ -303,6 +304,13 @@
         usable.map(opens_at).min()
     }
 
+    /// Returns the reports of limits that were held until the list named their endpoints.
+    pub fn take_held_reports(&mut self, now: Micros) -> Vec<LimitReport> {
+        let endpoints = &self.endpoints;
+        self.directives
+            .take_reports(|id| endpoints.contains_key(id), now)
+    }
+
     /// Forgets the directives of endpoints that are no longer in force.
     pub fn forget_expired_directives(&mut self, now: Micros) {
         let endpoints = &self.endpoints;
--- a/src/gateway/dispatch/fleet/directives.rs
+++ b/src/gateway/dispatch/fleet/directives.rs
@@ -10,7 +10,7 @@
 //!
 //! An answer to an earlier request may arrive later, so a rest is never shortened and an endpoint
 //! that is leaving stays so. A directive is about the process that gave it. It holds while the
-//! endpoint's entry is missing from the list, and ends when a process with another start time takes
+//! endpoint's entry is missing from the list or has not come yet, and ends when a process with another start time takes
 //! the endpoint's id over.
 //!
 //! Inputs: the heads of answers to this box, and reports by other boxes of answers to them. State: the
@@ -21,7 +21,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::schema::{EndpointId, EndpointIncarnation, Micros};
+use crate::schema::{EndpointId, EndpointIncarnation, LimitReport, Micros};
 use limits::{Limits, RequestRate};
 
 /// How long it is remembered that an endpoint is leaving: longer than it takes to end.
@@ -31,6 +31,9 @@
 const PUBLISHED_FOR: Duration = Duration::from_secs(10);
 /// Departures in one message: some 500 bytes.
 const MAX_DEPARTURES: usize = 16;
+/// Reports that are held for endpoints that the list doesn't name yet; a list of thousands of
+/// endpoints that are replaced at once names them within seconds.
+const MAX_EARLY_REPORTS: usize = 256;
 
 /// The limit that an answer states.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -73,6 +76,13 @@
     pub until: Micros,
 }
 
+/// A peer's report of a limit of an endpoint that this box's list doesn't name yet.
+#[derive(Clone, Debug)]
+struct EarlyReport {
+    report: LimitReport,
+    received: Micros,
+}
+
 /// What one incarnation of an endpoint asked for.
 #[derive(Clone, Debug)]
 struct Asked {
@@ -84,6 +94,17 @@
     heard_leaving: Option<Micros>,
 }
 
+impl EarlyReport {
+    /// The report with its age as of `now`.
+    fn aged(self, now: Micros) -> LimitReport {
+        let held = u32::try_from(now.since(self.received).as_millis()).unwrap_or(u32::MAX);
+        LimitReport {
+            age_ms: self.report.age_ms.saturating_add(held),
+            ..self.report
+        }
+    }
+}
+
 impl Asked {
     fn new(incarnation: EndpointIncarnation) -> Self {
         Self {
@@ -112,6 +133,7 @@
     /// The rate limits that endpoints name, and this box's permits.
     pub limits: Limits,
     asked: BTreeMap<EndpointId, Asked>,
+    early_reports: Vec<EarlyReport>,
 }
 
 impl Directives {
@@ -156,6 +178,36 @@
         asked.leaving_at.replace(now).is_none()
     }
 
+    /// Holds a peer's report of a limit until the list names the endpoint; the oldest reports give way
+    /// to new ones.
+    pub fn hold_report(&mut self, report: &LimitReport, now: Micros) {
+        self.early_reports
+            .retain(|early| early.report.endpoint != report.endpoint);
+        if self.early_reports.len() >= MAX_EARLY_REPORTS {
+            self.early_reports.remove(0);
+        }
+        self.early_reports.push(EarlyReport {
+            report: report.clone(),
+            received: now,
+        });
+    }
+
+    /// Returns the held reports of endpoints that are known by now, with their present ages, and
+    /// forgets those that are too old.
+    pub fn take_reports(
+        &mut self,
+        is_known: impl Fn(&EndpointId) -> bool,
+        now: Micros,
+    ) -> Vec<LimitReport> {
+        self.early_reports
+            .retain(|early| now.since(early.received) < PUBLISHED_FOR);
+        let known = self
+            .early_reports
+            .extract_if(.., |early| is_known(&early.report.endpoint.id));
+        let aged = known.map(|early| early.aged(now));
+        aged.collect()
+    }
+
     /// The endpoints that recently said in answers to this box that they are leaving, the latest
     /// first.
     #[must_use]
--- a/src/gateway/dispatch/intake.rs
+++ b/src/gateway/dispatch/intake.rs
@@ -37,6 +37,7 @@
         let removed = removed.into_iter().map(|id| (id, EndpointState::Absent));
         self.record_endpoints(at, &removed.collect::<Vec<_>>());
         self.record_ended_incarnations();
+        self.apply_held_reports();
         self.release_queued();
     }
 
@@ -46,6 +47,7 @@
         self.record_endpoints(at, &states.collect::<Vec<_>>());
         self.fleet.apply_changes(changes, self.now);
         self.record_ended_incarnations();
+        self.apply_held_reports();
     }
 
     /// Records changes of the endpoint list: one by one if this box watches the store, else only
--- a/src/gateway/dispatch/permits.rs
+++ b/src/gateway/dispatch/permits.rs
@@ -189,7 +189,18 @@
         }
     }
 
+    /// Applies the reports about endpoints that the list named only after them.
+    pub(super) fn apply_held_reports(&mut self) {
+        for report in self.fleet.take_held_reports(self.now) {
+            self.on_limit_report(&report);
+        }
+    }
+
     fn on_limit_report(&mut self, report: &LimitReport) {
+        if self.fleet.get(&report.endpoint.id).is_none() {
+            self.fleet.directives.hold_report(report, self.now);
+            return;
+        }
         let is_current = self.fleet.get_incarnation(&report.endpoint).is_some();
         if is_current
             && self
--- a/tests/directives.rs
+++ b/tests/directives.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use fixtures::{
-    QUOTES, STREAMS, World, box_state, endpoints, first_attempt, listed, probes, records, refusal,
+    QUOTES, STREAMS, World, box_state, endpoint, endpoints, first_attempt, listed, probes, records,
+    refusal,
 };
 use magpiemoor::gateway::dispatch::action::{Action, Attempt};
 use magpiemoor::gateway::dispatch::event::{Event, Fault, NotRunCause, Outcome, RequestNumber};
@@ -368,3 +369,18 @@
     let used = endpoints_used(&mut world, QUOTES, 1_000);
     assert!(used.iter().any(|id| &**id == "till-n1"), "{used:?}");
 }
+
+/// The report of a departure may come before the entry of the endpoint.
+#[test]
+fn a_departure_of_an_endpoint_that_is_not_listed_yet_counts_once_it_is() {
+    let mut world = World::ready();
+    world.handle(Event::PeerDepartures(DepartureUpdate {
+        from: "box-2".parse().unwrap(),
+        endpoints: vec!["till-n9".parse().unwrap()],
+    }));
+    let mut specs = endpoints();
+    specs.push(endpoint("till-n9", "till", "north", 9_109));
+    world.handle(listed(specs));
+    let used = endpoints_used(&mut world, QUOTES, 2_000);
+    assert!(used.iter().all(|id| &**id != "till-n9"), "{used:?}");
+}
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -390,3 +390,30 @@
         assert_eq!(to, expected);
     }
 }
+
+/// A restarted server named a limit from its first answer on. Boxes dropped the reports of others while their lists didn't
+/// name the server yet, and each of them sent it a request of its own once it was listed.
+#[rstest]
+#[case::recent(2_000, true)]
+#[case::old(12_000, false)]
+fn a_report_about_an_endpoint_that_is_not_listed_yet_counts_once_it_is(
+    #[case] after_ms: u64,
+    #[case] is_limited: bool,
+) {
+    let mut world = World::ready();
+    let id: EndpointId = "till-n9".parse().unwrap();
+    world.handle(Event::PeerLimits(LimitUpdate {
+        from: "box-2".parse().unwrap(),
+        reply_to: "127.0.0.2:7200".to_owned(),
+        is_passed_on: false,
+        notes: vec![report("till-n9", Some(400), 10)],
+        asks: Vec::new(),
+        grants: Vec::new(),
+    }));
+    world.pass(after_ms);
+    let mut specs = fixtures::endpoints();
+    specs.push(endpoint("till-n9", "till", "north", 9_109));
+    world.handle(listed(specs));
+    let limits = &world.dispatcher.fleet().directives.limits;
+    assert_eq!(limits.of(&id).is_some(), is_limited);
+}
