--- a/lab/src/gateway/limits.rs
+++ b/lab/src/gateway/limits.rs
@@ -2,9 +2,8 @@
 //! simulated clock in front of plain servers, of which some are overloaded or leaving for a while.
 //! Runs are seeded, and judged by what servers and callers observed.
 //!
-//! [`fleet`] holds boxes, links, servers and callers, [`score`] what is counted in a play and how it is
-//! judged, [`report`] what many came to, [`command`] the command line. A [`Case`] is one play; the same
-//! case plays the same way each time.
+//! [`fleet`] simulates boxes, links, servers and callers, [`score`] counts and judges, [`report`]
+//! summarises many runs, and [`command`] is the command line. A [`Case`] determines a run completely.
 
 pub mod command;
 pub mod fleet;
@@ -20,22 +19,22 @@
 
 pub use score::Outcome;
 
-/// What servers in need ask of their callers in their answers.
+/// What affected servers ask of their callers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Asks {
-    /// No more than so many requests a second from all boxes together.
+    /// A limit on the requests per second from all boxes together.
     Limit,
-    /// No request from this box for [`score::REST`]; they turn all requests away.
+    /// A rest of [`score::REST`]: they turn all requests away, and each answer asks the box for it.
     Rest,
-    /// No new work, since they are leaving.
+    /// No new work, because they are leaving.
     Departure,
 }
 
 impl Asks {
-    /// All of them.
+    /// All values.
     pub const ALL: [Self; 3] = [Self::Limit, Self::Rest, Self::Departure];
 
-    /// Its name, as on the command line.
+    /// Name on the command line.
     #[must_use]
     pub fn name(self) -> &'static str {
         match self {
@@ -46,57 +45,57 @@
     }
 }
 
-/// Which servers are in need.
+/// Which servers state directives.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Needy {
-    /// One of all.
+pub enum AffectedServers {
+    /// One server.
     One,
-    /// Those of one failure domain.
+    /// The servers of one failure domain.
     Domain,
-    /// Each third one.
+    /// A third of the servers.
     Third,
-    /// All of them.
+    /// All servers.
     All,
 }
 
-/// How the limit goes on once it was named.
+/// How a limit changes after it was first stated.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Course {
-    /// As it was.
+pub enum LimitCourse {
+    /// It stays the same.
     Steady,
-    /// It rises threefold, and again.
+    /// It triples twice.
     Rises,
-    /// It falls to a third, and again.
+    /// It falls to a third twice.
     Falls,
     /// It ends halfway.
     Ends,
-    /// It ends and is named again, each few seconds.
+    /// It ends and begins again every few seconds.
     Flickers,
-    /// The server starts again, as another one, still in need.
+    /// The server restarts under another id and states the limit again.
     Restarts,
 }
 
-/// What goes wrong beside.
+/// Fault that occurs at the same time.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Beside {
-    /// Nothing.
+pub enum ConcurrentFault {
+    /// None.
     Nothing,
-    /// A failure domain is cut off from the others, its servers with it.
+    /// A failure domain, its servers included, is cut off from the others.
     DomainCut,
-    /// The platform's store is out, and lists no change.
+    /// The platform's store is unavailable, so boxes learn of no change of the list.
     StoreOut,
-    /// A third of the boxes are killed, again and again.
+    /// A third of the boxes are killed several times.
     BoxesKilled,
     /// All boxes are killed once.
     AllBoxesKilled,
-    /// A third of the boxes stand still for two seconds, again and again.
+    /// A third of the boxes pause for two seconds several times.
     BoxesFrozen,
-    /// Callers send twice as much.
+    /// The call rate doubles.
     Burst,
 }
 
-impl Beside {
-    /// All of them.
+impl ConcurrentFault {
+    /// All values.
     pub const ALL: [Self; 7] = [
         Self::Nothing,
         Self::DomainCut,
@@ -107,7 +106,7 @@
         Self::Burst,
     ];
 
-    /// Its name, as on the command line.
+    /// Name on the command line.
     #[must_use]
     pub fn name(self) -> &'static str {
         match self {
@@ -122,61 +121,69 @@
     }
 }
 
-impl fmt::Display for Beside {
+impl fmt::Display for ConcurrentFault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.pad(self.name())
     }
 }
 
-/// One play.
+/// Parameters of one run.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Case {
-    /// What everything random follows from.
+    /// Seed of all random choices.
     pub seed: u64,
-    /// Boxes in all.
+    /// Number of boxes.
     pub boxes: usize,
-    /// Failure domains.
+    /// Number of failure domains.
     pub domains: usize,
-    /// Calls a second for each box.
+    /// Calls per second and box.
     pub calls: f64,
-    /// What servers in need name first; nothing, where none is to be in need.
+    /// First limit of the affected servers; `None` if no server states a directive.
     pub limit: Option<RequestRate>,
-    /// What they ask for; `limit` only tells when, unless they ask for that.
+    /// What they ask for. For other directives than a limit, `limit` only determines when they ask.
     pub asks: Asks,
-    /// Which are.
-    pub needy: Needy,
-    /// How it goes on.
-    pub course: Course,
-    /// What goes wrong beside.
-    pub beside: Beside,
+    /// Servers that state directives.
+    pub affected: AffectedServers,
+    /// How the limit changes.
+    pub course: LimitCourse,
+    /// Fault that occurs at the same time.
+    pub beside: ConcurrentFault,
 }
 
-/// Boxes from which on a fleet has [`MANY_DOMAINS`] failure domains, and else [`FEW_DOMAINS`].
+/// Number of boxes from which a fleet has [`MANY_DOMAINS`] failure domains instead of
+/// [`FEW_DOMAINS`].
 const MANY_BOXES: usize = 200;
 const MANY_DOMAINS: usize = 5;
 const FEW_DOMAINS: usize = 3;
-/// Limits that are drawn, in thousandths of a request a second.
+/// Limits from which a seed selects, in thousandths of a request per second.
 const LIMITS: [u32; 6] = [0, 400, 1_900, 3_000, 10_000, 30_000];
 
 impl Case {
-    /// A case drawn by a seed.
+    /// Returns the case that a seed determines.
     #[must_use]
     pub fn draw(seed: u64, boxes: usize) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let limit = LIMITS.choose(&mut rng).copied().unwrap_or_default();
-        let needy = [Needy::One, Needy::Domain, Needy::Third, Needy::All];
+        let affected = [
+            AffectedServers::One,
+            AffectedServers::Domain,
+            AffectedServers::Third,
+            AffectedServers::All,
+        ];
         let course = [
-            Course::Steady,
-            Course::Rises,
-            Course::Falls,
-            Course::Ends,
-            Course::Flickers,
-            Course::Restarts,
+            LimitCourse::Steady,
+            LimitCourse::Rises,
+            LimitCourse::Falls,
+            LimitCourse::Ends,
+            LimitCourse::Flickers,
+            LimitCourse::Restarts,
         ];
         let beside = if rng.random_bool(0.3) {
-            Beside::Nothing
+            ConcurrentFault::Nothing
         } else {
-            *Beside::ALL.choose(&mut rng).unwrap_or(&Beside::Nothing)
+            *ConcurrentFault::ALL
+                .choose(&mut rng)
+                .unwrap_or(&ConcurrentFault::Nothing)
         };
         Self {
             seed,
@@ -189,30 +196,30 @@
             calls: *[0.15, 1.0, 3.5].choose(&mut rng).unwrap_or(&1.0),
             limit: Some(RequestRate::from_milli(limit)),
             asks: Asks::Limit,
-            needy: *needy.choose(&mut rng).unwrap_or(&Needy::One),
-            course: *course.choose(&mut rng).unwrap_or(&Course::Steady),
+            affected: *affected.choose(&mut rng).unwrap_or(&AffectedServers::One),
+            course: *course.choose(&mut rng).unwrap_or(&LimitCourse::Steady),
             beside,
         }
     }
 
-    /// Plays it.
+    /// Runs the case.
     #[must_use]
-    pub fn play(&self) -> Outcome {
-        fleet::Fleet::new(*self).play()
+    pub fn run(&self) -> Outcome {
+        fleet::Fleet::new(*self).run()
     }
 
-    /// Plays it, and again with no server in need.
+    /// Runs the case, and again without directives.
     #[must_use]
-    pub fn play_paired(&self) -> Outcome {
+    pub fn run_paired(&self) -> Outcome {
         let without = Self {
             limit: None,
             ..*self
         };
-        let without = without.play();
+        let without = without.run();
         Outcome {
             without: Some(without.callers),
             bytes_without: without.bytes_a_second,
-            ..self.play()
+            ..self.run()
         }
     }
 }
@@ -229,7 +236,7 @@
             self.boxes,
             self.calls,
             self.asks.name(),
-            self.needy,
+            self.affected,
             self.course,
             self.beside
         )
--- a/lab/src/gateway/limits/command.rs
+++ b/lab/src/gateway/limits/command.rs
@@ -1,14 +1,14 @@
-//! The command that plays servers in need.
+//! The command `limits`.
 
 use clap::builder::PossibleValuesParser;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use serde_json::json;
 
 use super::report::Report;
-use super::{Asks, Beside, Case, Outcome};
+use super::{Asks, Case, ConcurrentFault, Outcome};
 use crate::gateway::parallel;
 
-/// Its arguments.
+/// Returns the command and its arguments.
 #[must_use]
 pub fn command() -> Command {
     let number = |name: &'static str, default: &'static str, help: &'static str| {
@@ -29,7 +29,9 @@
             Arg::new("beside")
                 .long("beside")
                 .value_name("NAME")
-                .value_parser(PossibleValuesParser::new(Beside::ALL.map(Beside::name)))
+                .value_parser(PossibleValuesParser::new(
+                    ConcurrentFault::ALL.map(ConcurrentFault::name),
+                ))
                 .help("What goes wrong beside, in place of what the seed draws"),
         )
         .arg(
@@ -54,13 +56,13 @@
         )
 }
 
-/// Plays; returns whether no server got more than it has room for.
+/// Runs the cases; returns whether no server got more than it asked for.
 #[must_use]
 pub fn run(matches: &ArgMatches) -> bool {
     let number = |name: &str| *matches.get_one::<u64>(name).unwrap_or(&1);
     let boxes = number("boxes") as usize;
     let name = matches.get_one::<String>("beside");
-    let beside = name.and_then(|name| Beside::ALL.into_iter().find(|b| b.name() == name));
+    let beside = name.and_then(|name| ConcurrentFault::ALL.into_iter().find(|b| b.name() == name));
     let name = matches.get_one::<String>("asks");
     let asks = name.and_then(|name| Asks::ALL.into_iter().find(|a| a.name() == name));
     let seeds = number("seed")..number("seed") + number("plays");
@@ -74,7 +76,7 @@
         }
     });
     let cases: Vec<Case> = cases.collect();
-    let outcomes = parallel::map(&cases, number("threads") as usize, Case::play_paired);
+    let outcomes = parallel::map(&cases, number("threads") as usize, Case::run_paired);
     if matches.get_flag("each") {
         for outcome in &outcomes {
             println!("{outcome}");
--- a/lab/src/gateway/limits/fleet.rs
+++ b/lab/src/gateway/limits/fleet.rs
@@ -1,8 +1,8 @@
-//! Boxes of the real decision code on made-up time, the links between them, servers that name limits,
-//! and callers.
+//! Simulation of a fleet: boxes with the real decision code on a simulated clock, the links between
+//! them, servers that state directives, and callers.
 //!
-//! `setup` makes boxes and their table, `servers` holds what servers do and name, `callers` who sends
-//! calls, `faults` what goes wrong beside.
+//! `setup` configures the boxes, `servers` simulates the servers, `callers` the callers, and `faults`
+//! causes faults.
 
 mod callers;
 mod faults;
@@ -30,27 +30,28 @@
 use servers::Servers;
 use setup::{address, config, table};
 
-/// When the boxes start.
+/// Start time of the boxes.
 const START: Micros = Micros(1_000_000);
-/// When callers begin, after that.
-const CALLERS_AFTER: Duration = Duration::from_secs(2);
-/// How long a play lasts.
-const PLAYED: Duration = Duration::from_secs(36);
-/// One way between boxes of a failure domain, between two domains, and between a box and anything else.
-const NEAR: Duration = Duration::from_micros(600);
-const FAR: Duration = Duration::from_millis(2);
-const OUTSIDE: Duration = Duration::from_millis(1);
-/// The share of datagrams that are lost.
-const LOST: f64 = 0.002;
-/// How long the store takes for a call.
-const STORE_CALL: Duration = Duration::from_millis(6);
+/// Delay from the start of the boxes to the first call.
+const CALLERS_START_AFTER: Duration = Duration::from_secs(2);
+/// Duration of a simulation.
+const DURATION: Duration = Duration::from_secs(36);
+/// One-way latency between boxes of a failure domain, between boxes of two domains, and between a box
+/// and anything else.
+const DOMAIN_LATENCY: Duration = Duration::from_micros(600);
+const INTER_DOMAIN_LATENCY: Duration = Duration::from_millis(2);
+const EXTERNAL_LATENCY: Duration = Duration::from_millis(1);
+/// Share of the datagrams that are lost.
+const DATAGRAM_LOSS: f64 = 0.002;
+/// Response time of the store.
+const STORE_LATENCY: Duration = Duration::from_millis(6);
 
 struct FleetBox {
     dispatcher: Dispatcher,
     cfg: DispatchConfig,
     is_running: bool,
     life: u64,
-    /// The end of the last disturbance.
+    /// End of the last pause, or time of the last restart.
     disturbed: Micros,
     frozen_until: Micros,
     tick_at: Micros,
@@ -62,22 +63,22 @@
     Start(usize),
     Tick(usize, u64),
     Event(usize, u64, Box<Event>),
-    /// A caller comes with a new call.
+    /// The next caller sends its call.
     NewCall,
-    /// A caller sends its call again.
+    /// A caller retries its call.
     Again(CallerId),
-    /// A server has an answer.
+    /// A server answers.
     Answer(servers::RunId),
-    /// Servers name another limit than before.
-    Name(servers::Naming),
-    /// The fault beside, for which time.
+    /// The limit of the affected servers changes.
+    Name(servers::LimitChange),
+    /// A fault occurs; its number.
     Fault(usize),
 }
 
-/// A request at a box, in a life of it.
-type Place = (usize, u64, RequestNumber);
+/// Box, its incarnation, and a request there.
+type RequestAtBox = (usize, u64, RequestNumber);
 
-/// A fleet before servers in need.
+/// A simulated fleet.
 pub struct Fleet {
     case: Case,
     mail: Mailbox<Mail>,
@@ -85,10 +86,10 @@
     by_address: HashMap<SocketAddr, usize>,
     servers: Servers,
     calls: Vec<Call>,
-    /// Whose call it is.
-    asked: HashMap<Place, CallerId>,
-    /// What runs for it.
-    running: BTreeMap<Place, (AttemptNumber, servers::RunId)>,
+    /// Caller of each request.
+    asked: HashMap<RequestAtBox, CallerId>,
+    /// Active run of each request.
+    running: BTreeMap<RequestAtBox, (AttemptNumber, servers::RunId)>,
     cut_until: Micros,
     store_out_until: Micros,
     burst_until: Micros,
@@ -97,7 +98,7 @@
 }
 
 impl Fleet {
-    /// The boxes of a case, about to start.
+    /// Creates the fleet of a case and schedules its events.
     #[must_use]
     pub fn new(case: Case) -> Self {
         let boxes = (0..case.boxes).map(|number| {
@@ -119,7 +120,7 @@
             boxes: boxes.collect(),
             by_address: (0..case.boxes).map(|n| (address(n), n)).collect(),
             counts: Counts {
-                seen: servers.unseen(),
+                seen: servers.empty_records(),
                 ..Counts::default()
             },
             servers,
@@ -136,20 +137,20 @@
             let delay = Duration::from_millis(fleet.rng.random_range(0..300));
             fleet.mail.post(delay, Mail::Start(number));
         }
-        fleet.mail.post(CALLERS_AFTER, Mail::NewCall);
-        fleet.post_namings();
+        fleet.mail.post(CALLERS_START_AFTER, Mail::NewCall);
+        fleet.post_limit_changes();
         fleet.post_faults();
         fleet
     }
 
-    /// Plays the case to its end.
+    /// Runs the simulation to its end.
     #[must_use]
-    pub fn play(mut self) -> Outcome {
-        let end = START.after(PLAYED);
+    pub fn run(mut self) -> Outcome {
+        let end = START.after(DURATION);
         while let Some(mail) = self.mail.next(end) {
             self.take(mail);
         }
-        Outcome::new(&self.case, &self.counts, PLAYED, end)
+        Outcome::new(&self.case, &self.counts, DURATION, end)
     }
 
     fn now(&self) -> Micros {
@@ -173,7 +174,7 @@
             Mail::NewCall => self.new_call(),
             Mail::Again(caller) => self.send_call(caller),
             Mail::Answer(run) => self.answer_run(run),
-            Mail::Name(naming) => self.name_limits(naming),
+            Mail::Name(naming) => self.change_limits(naming),
             Mail::Fault(number) => self.bring_fault(number),
         }
     }
@@ -183,7 +184,7 @@
         let now = self.now();
         let found = &mut self.boxes[at];
         found.cfg.incarnation = Incarnation(now.0);
-        found.cfg.first_start = now.since(START) < CALLERS_AFTER;
+        found.cfg.first_start = now.since(START) < CALLERS_START_AFTER;
         found.dispatcher = Dispatcher::new(found.cfg.clone(), seed, now);
         found.is_running = true;
         found.tick_at = now;
@@ -200,7 +201,7 @@
         self.handle(at, Event::Tick);
     }
 
-    /// Whether a box has run, and reached all others, for long enough to be judged.
+    /// Whether a box has run and reached all others for long enough that its requests count.
     fn is_in_touch(&self, at: usize) -> bool {
         let now = self.now();
         let found = &self.boxes[at];
@@ -214,7 +215,7 @@
         at % self.case.domains
     }
 
-    /// Whether nothing gets from one domain to another.
+    /// Whether a network partition separates two domains.
     fn is_cut_between(&self, one: usize, other: usize) -> bool {
         let touches_cut = one == faults::CUT_DOMAIN || other == faults::CUT_DOMAIN;
         one != other && touches_cut && self.now() < self.cut_until
@@ -265,7 +266,7 @@
                 self.send(at, &to, &datagram::write_limits(&news));
             }
             Action::WatchStore(true) if self.now() >= self.store_out_until => {
-                self.post_event(at, STORE_CALL, Event::StoreAnswered);
+                self.post_event(at, STORE_LATENCY, Event::StoreAnswered);
             }
             Action::FetchState { from, kind, .. } => {
                 let outcome = FetchOutcome::Complete;
@@ -274,7 +275,7 @@
                     from,
                     outcome,
                 };
-                self.post_event(at, OUTSIDE * 2, event);
+                self.post_event(at, EXTERNAL_LATENCY * 2, event);
             }
             Action::Command { request, command } => self.command(at, request, command),
             Action::CheckExited {
@@ -285,13 +286,13 @@
                     endpoint,
                     has_exited,
                 };
-                self.post_event(at, OUTSIDE * 2, event);
+                self.post_event(at, EXTERNAL_LATENCY * 2, event);
             }
             _ => {}
         }
     }
 
-    /// The server that a box reaches under an id.
+    /// Returns the server with an id, if the box can reach it.
     fn reach(&self, at: usize, id: &EndpointId) -> Option<usize> {
         let place = self.servers.find(id)?;
         let domain = self.servers.domain_of(place);
@@ -316,11 +317,15 @@
                 continue;
             };
             let (near, far) = (self.domain_of(from), self.domain_of(to));
-            let is_lost = self.rng.random_bool(LOST) || self.is_cut_between(near, far);
+            let is_lost = self.rng.random_bool(DATAGRAM_LOSS) || self.is_cut_between(near, far);
             if is_lost || !self.boxes[to].is_running {
                 continue;
             }
-            let way = if near == far { NEAR } else { FAR };
+            let way = if near == far {
+                DOMAIN_LATENCY
+            } else {
+                INTER_DOMAIN_LATENCY
+            };
             let way = way.mul_f64(self.rng.random_range(0.5..2.0));
             for event in &events {
                 self.post_event(to, way, event.clone());
--- a/lab/src/gateway/limits/fleet/callers.rs
+++ b/lab/src/gateway/limits/fleet/callers.rs
@@ -1,4 +1,4 @@
-//! Callers, each with a call of its own, who come back once where they are asked to.
+//! Simulated callers: each sends one call, and retries it once if it is refused.
 
 use std::time::Duration;
 
@@ -11,20 +11,20 @@
 use super::setup::{HOST, OBJECTIVE};
 use super::{Fleet, Mail};
 
-/// How often a caller sends its call at most.
-const TRIES: u32 = 2;
-/// The time until a caller comes back that was told none.
-const COMES_BACK: Duration = Duration::from_millis(300);
-/// How long a caller waits.
-const PATIENCE: Duration = Duration::from_millis(1_500);
-/// How many times as much callers send in a burst.
+/// Maximum number of times that a caller sends its call.
+const MAX_TRIES: u32 = 2;
+/// Retry delay of a caller whose refusal states none.
+const DEFAULT_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Timeout of a caller.
+const CALLER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Factor by which the call rate rises in a burst.
 const BURST: f64 = 2.0;
 
-/// A caller, by its number.
+/// Number of a caller.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct CallerId(usize);
 
-/// Someone who sends a call.
+/// The state of a caller's call.
 #[derive(Clone, Debug)]
 pub struct Call {
     domain: usize,
@@ -34,7 +34,7 @@
 }
 
 impl Fleet {
-    /// A caller comes with a new call.
+    /// Creates a caller, sends its call, and schedules the next caller.
     pub(super) fn new_call(&mut self) {
         let now = self.now();
         let times = if now < self.burst_until { BURST } else { 1.0 };
@@ -52,7 +52,7 @@
         self.send_call(CallerId(self.calls.len() - 1));
     }
 
-    /// A caller sends its call to a box of its failure domain, or to any where none runs.
+    /// Sends a call to a random box of the caller's failure domain, or to any box if none runs there.
     pub(super) fn send_call(&mut self, caller: CallerId) {
         let domain = self.calls[caller.0].domain;
         let running = |fleet: &Self, near: bool| -> Vec<usize> {
@@ -66,7 +66,7 @@
             among = running(self, false);
         }
         if among.is_empty() {
-            return self.mail.post(COMES_BACK, Mail::Again(caller));
+            return self.mail.post(DEFAULT_RETRY_DELAY, Mail::Again(caller));
         }
         let at = among[self.rng.random_range(0..among.len())];
         let found = &mut self.boxes[at];
@@ -80,7 +80,7 @@
             host: HOST.to_owned(),
             path: "/x".to_owned(),
             key: None,
-            timeout: Some(PATIENCE),
+            timeout: Some(CALLER_TIMEOUT),
             after_event: None,
             parts: Vec::new(),
             prompt: Tokens(0),
@@ -90,7 +90,7 @@
         self.handle(at, Event::Arrived { request, arrival });
     }
 
-    /// A box does something with a call.
+    /// Executes a command of a box for a call.
     pub(super) fn command(&mut self, at: usize, request: RequestNumber, command: Command) {
         let place = (at, self.boxes[at].life, request);
         match command {
@@ -111,8 +111,8 @@
     }
 
     fn on_refused(&mut self, caller: CallerId, refusal: Refusal) {
-        if self.calls[caller.0].tries < TRIES {
-            let after = refusal.retry_after.unwrap_or(COMES_BACK);
+        if self.calls[caller.0].tries < MAX_TRIES {
+            let after = refusal.retry_after.unwrap_or(DEFAULT_RETRY_DELAY);
             self.mail.post(after, Mail::Again(caller));
         } else {
             self.end_call(caller, false);
@@ -135,14 +135,15 @@
         }
     }
 
-    /// Callers whose box was killed come back to another one.
+    /// Schedules retries of the callers whose box was killed.
     pub(super) fn lose_calls_of(&mut self, at: usize, life: u64) {
-        let of_box = |place: &super::Place, _: &mut CallerId| place.0 == at && place.1 == life;
+        let of_box =
+            |place: &super::RequestAtBox, _: &mut CallerId| place.0 == at && place.1 == life;
         let mut lost: Vec<_> = self.asked.extract_if(of_box).collect();
         lost.sort_by_key(|(place, _)| *place);
         for (place, caller) in lost {
             self.stop_run(place);
-            self.mail.post(COMES_BACK, Mail::Again(caller));
+            self.mail.post(DEFAULT_RETRY_DELAY, Mail::Again(caller));
         }
     }
 }
--- a/lab/src/gateway/limits/fleet/faults.rs
+++ b/lab/src/gateway/limits/fleet/faults.rs
@@ -1,30 +1,30 @@
-//! What goes wrong beside servers in need.
+//! Faults of boxes, links and the store while servers state directives.
 
 use std::time::Duration;
 
 use rand::Rng;
 
 use super::{Fleet, Mail};
-use crate::gateway::limits::Beside;
+use crate::gateway::limits::ConcurrentFault;
 
-/// When the first fault comes: some seconds after servers are in need, at a moment that is drawn.
+/// Range of the time of the first fault, seconds: some seconds after the first directive.
 const FIRST_FAULT: (f64, f64) = (7.5, 16.0);
-/// The time between two, and how many there are.
+/// Time between two faults, and their number.
 const FAULT_PAUSE: Duration = Duration::from_secs(5);
 const FAULTS: usize = 3;
-/// How long a failure domain is cut off, and which.
+/// Duration of a network partition, and the failure domain that is cut off.
 const CUT_FOR: Duration = Duration::from_secs(6);
 pub(super) const CUT_DOMAIN: usize = 0;
-/// How long the store is out.
+/// Duration of a store outage.
 const STORE_OUT_FOR: Duration = Duration::from_secs(10);
-/// How long a killed box is away.
+/// Time until a killed box restarts.
 const BOX_AWAY: Duration = Duration::from_secs(1);
-/// How long a frozen one stands still.
+/// Duration of a process pause.
 const FROZEN_FOR: Duration = Duration::from_secs(2);
-/// How long callers send more.
+/// Duration of a burst of calls.
 const BURST_FOR: Duration = Duration::from_secs(8);
-/// The share of boxes that a fault strikes.
-const STRUCK: f64 = 1.0 / 3.0;
+/// Share of the boxes that a fault affects.
+const STRUCK_SHARE: f64 = 1.0 / 3.0;
 
 impl Fleet {
     pub(super) fn post_faults(&mut self) {
@@ -39,23 +39,25 @@
         let now = self.now();
         let is_first = number == 0;
         match self.case.beside {
-            Beside::DomainCut if is_first => self.cut_until = now.after(CUT_FOR),
-            Beside::StoreOut if is_first => self.store_out_until = now.after(STORE_OUT_FOR),
-            Beside::Burst if is_first => self.burst_until = now.after(BURST_FOR),
-            Beside::AllBoxesKilled if is_first => {
+            ConcurrentFault::DomainCut if is_first => self.cut_until = now.after(CUT_FOR),
+            ConcurrentFault::StoreOut if is_first => {
+                self.store_out_until = now.after(STORE_OUT_FOR);
+            }
+            ConcurrentFault::Burst if is_first => self.burst_until = now.after(BURST_FOR),
+            ConcurrentFault::AllBoxesKilled if is_first => {
                 for at in 0..self.boxes.len() {
                     self.kill_box(at);
                 }
             }
-            Beside::BoxesKilled => self.strike_some(Self::kill_box),
-            Beside::BoxesFrozen => self.strike_some(Self::freeze_box),
+            ConcurrentFault::BoxesKilled => self.strike_random(Self::kill_box),
+            ConcurrentFault::BoxesFrozen => self.strike_random(Self::freeze_box),
             _ => {}
         }
     }
 
-    fn strike_some(&mut self, strike: fn(&mut Self, usize)) {
+    fn strike_random(&mut self, strike: fn(&mut Self, usize)) {
         for at in 0..self.boxes.len() {
-            if self.rng.random_bool(STRUCK) {
+            if self.rng.random_bool(STRUCK_SHARE) {
                 strike(self, at);
             }
         }
@@ -66,7 +68,7 @@
         self.boxes[at].is_running = false;
         self.boxes[at].life += 1;
         self.mail.post(BOX_AWAY, Mail::Start(at));
-        self.forget_told(at);
+        self.forget_informed(at);
         self.lose_calls_of(at, life);
     }
 
--- a/lab/src/gateway/limits/fleet/servers.rs
+++ b/lab/src/gateway/limits/fleet/servers.rs
@@ -1,4 +1,4 @@
-//! Plain servers, what they run, and what they name.
+//! Simulated plain servers: the calls that they run and the directives in their answers.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -14,73 +14,73 @@
 use rand::Rng;
 
 use super::setup::{SERVICE, domain_name};
-use super::{Case, Fleet, Mail, OUTSIDE, Place};
-use crate::gateway::limits::score::{Arrived, REST, Seen};
-use crate::gateway::limits::{Asks, Course, Needy};
+use super::{Case, EXTERNAL_LATENCY, Fleet, Mail, RequestAtBox};
+use crate::gateway::limits::score::{Arrived, REST, ServerRecord};
+use crate::gateway::limits::{AffectedServers, Asks, LimitCourse};
 
-/// Calls a second that one server is meant for.
+/// Calls per second for which one server is provided.
 const CALLS_A_SERVER: f64 = 8.0;
-/// Calls that a server runs at once, and that wait beside.
+/// Maximum numbers of calls that a server runs and queues.
 const SLOTS: usize = 6;
 const QUEUE: usize = 24;
-/// What a call takes.
+/// Time that a server takes for a call.
 const CALL: Duration = Duration::from_millis(30);
-/// When servers name a limit first, and when they are in need no more.
-const IN_NEED_AFTER: Duration = Duration::from_secs(8);
-const IN_NEED_FOR: Duration = Duration::from_secs(24);
-/// The time between two changes of a limit.
-const COURSE_PAUSE: Duration = Duration::from_secs(6);
-/// When a box gives a connection up that nothing answers.
-const CONNECT_GIVEN_UP: Duration = Duration::from_millis(120);
-/// The time until boxes hear of a change of the list, at least and at most.
-const LISTED_WITHIN: (f64, f64) = (0.05, 0.5);
+/// Time of the first directive, and how long affected servers state directives.
+const FIRST_DIRECTIVE_AFTER: Duration = Duration::from_secs(8);
+const DIRECTIVES_LAST: Duration = Duration::from_secs(24);
+/// Time between two changes of a limit.
+const LIMIT_CHANGE_INTERVAL: Duration = Duration::from_secs(6);
+/// Timeout of a connection attempt.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
+/// Shortest and longest delay until a box learns of a change of the list, seconds.
+const LIST_DELAY: (f64, f64) = (0.05, 0.5);
 
-/// A run at a server, by a number of its own.
+/// Number of a run at a server.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct RunId(u64);
 
-/// What servers in need name from now on.
+/// A change of what affected servers state.
 #[derive(Clone, Copy, Debug)]
-pub struct Naming {
+pub struct LimitChange {
     rate: Option<RequestRate>,
-    /// Whether they start again before.
+    /// Whether they restart first.
     restarts: bool,
 }
 
 #[derive(Clone, Debug)]
 struct Run {
-    place: Place,
+    place: RequestAtBox,
     attempt: AttemptNumber,
     is_limited: bool,
     server: usize,
     life: usize,
 }
 
-/// One server, in one life after the other.
+/// The state of one server over its incarnations.
 #[derive(Debug)]
 struct Server {
     spec: EndpointSpec,
     domain: usize,
-    is_in_need: bool,
+    is_affected: bool,
     names: Option<RequestRate>,
     running: usize,
-    /// Its place in the counts.
+    /// Index of the record of its current incarnation.
     life: usize,
 }
 
-/// All servers.
+/// The servers of a simulation.
 #[derive(Debug)]
 pub struct Servers {
     all: Vec<Server>,
     by_id: BTreeMap<EndpointId, usize>,
     runs: BTreeMap<RunId, Run>,
     next_run: u64,
-    /// The store's revision.
+    /// Revision of the endpoint list in the store.
     pub revision: u64,
 }
 
 impl Servers {
-    /// The servers of a case.
+    /// Creates the servers of a case.
     #[must_use]
     pub fn new(case: Case) -> Self {
         let calls = case.calls * case.boxes as f64;
@@ -96,17 +96,17 @@
             for domain in 0..case.domains {
                 let place = made.all.len();
                 let spec = spec(place, domain, 1);
-                let is_in_need = match case.needy {
-                    Needy::One => place == 0,
-                    Needy::Domain => domain == 0,
-                    Needy::Third => number * case.domains % 3 == domain % 3,
-                    Needy::All => true,
+                let is_affected = match case.affected {
+                    AffectedServers::One => place == 0,
+                    AffectedServers::Domain => domain == 0,
+                    AffectedServers::Third => number * case.domains % 3 == domain % 3,
+                    AffectedServers::All => true,
                 };
                 made.by_id.insert(spec.id.clone(), place);
                 made.all.push(Server {
                     spec,
                     domain,
-                    is_in_need: is_in_need && case.limit.is_some(),
+                    is_affected: is_affected && case.limit.is_some(),
                     names: None,
                     running: 0,
                     life: place,
@@ -116,32 +116,32 @@
         made
     }
 
-    /// Counts for each of them.
+    /// Returns an empty record for each server.
     #[must_use]
-    pub fn unseen(&self) -> Vec<Seen> {
-        vec![Seen::default(); self.all.len()]
+    pub fn empty_records(&self) -> Vec<ServerRecord> {
+        vec![ServerRecord::default(); self.all.len()]
     }
 
-    /// Their entries.
+    /// Returns the entries of the endpoint list.
     #[must_use]
     pub fn specs(&self) -> Vec<EndpointSpec> {
         self.all.iter().map(|server| server.spec.clone()).collect()
     }
 
-    /// The place of a server that runs under an id.
+    /// Returns the index of the server that currently has an id.
     #[must_use]
     pub fn find(&self, id: &EndpointId) -> Option<usize> {
         let place = *self.by_id.get(id)?;
         (self.all[place].spec.id == *id).then_some(place)
     }
 
-    /// The failure domain of a server.
+    /// Returns the failure domain of a server.
     #[must_use]
     pub fn domain_of(&self, place: usize) -> usize {
         self.all[place].domain
     }
 
-    /// The server that listens at an address.
+    /// Returns the index of the server that listens at an address.
     #[must_use]
     pub fn listening_at(&self, address: SocketAddr) -> Option<usize> {
         self.all.iter().position(|s| s.spec.address == address)
@@ -167,49 +167,50 @@
     }
 }
 
-/// What servers in need name in the course of a play, by the time since they did first.
-fn namings(course: Course, limit: RequestRate) -> Vec<(Duration, Naming)> {
+/// Returns the changes of a limit, by the time since the first one.
+fn limit_changes(course: LimitCourse, limit: RequestRate) -> Vec<(Duration, LimitChange)> {
     let scaled = |times: f64| {
         let milli = f64::from(limit.milli()) * times;
         Some(RequestRate::from_milli(milli as u32))
     };
     let rates = match course {
-        Course::Steady => vec![Some(limit)],
-        Course::Rises => vec![Some(limit), scaled(3.0), scaled(9.0)],
-        Course::Falls => vec![Some(limit), scaled(1.0 / 3.0), scaled(1.0 / 9.0)],
-        Course::Ends => vec![Some(limit), Some(limit), None],
-        Course::Flickers => vec![Some(limit), None, Some(limit), None],
-        Course::Restarts => vec![Some(limit), Some(limit), Some(limit)],
+        LimitCourse::Steady => vec![Some(limit)],
+        LimitCourse::Rises => vec![Some(limit), scaled(3.0), scaled(9.0)],
+        LimitCourse::Falls => vec![Some(limit), scaled(1.0 / 3.0), scaled(1.0 / 9.0)],
+        LimitCourse::Ends => vec![Some(limit), Some(limit), None],
+        LimitCourse::Flickers => vec![Some(limit), None, Some(limit), None],
+        LimitCourse::Restarts => vec![Some(limit), Some(limit), Some(limit)],
     };
     let steps = rates.into_iter().enumerate().map(|(step, rate)| {
-        let naming = Naming {
+        let naming = LimitChange {
             rate,
-            restarts: course == Course::Restarts && step > 0,
+            restarts: course == LimitCourse::Restarts && step > 0,
         };
-        (COURSE_PAUSE * step as u32, naming)
+        (LIMIT_CHANGE_INTERVAL * step as u32, naming)
     });
-    let over = Naming {
+    let over = LimitChange {
         rate: None,
         restarts: false,
     };
-    steps.chain([(IN_NEED_FOR, over)]).collect()
+    steps.chain([(DIRECTIVES_LAST, over)]).collect()
 }
 
 impl Fleet {
-    pub(super) fn post_namings(&mut self) {
+    pub(super) fn post_limit_changes(&mut self) {
         let Some(limit) = self.case.limit else {
             return;
         };
-        for (after, naming) in namings(self.case.course, limit) {
-            self.mail.post(IN_NEED_AFTER + after, Mail::Name(naming));
+        for (after, naming) in limit_changes(self.case.course, limit) {
+            self.mail
+                .post(FIRST_DIRECTIVE_AFTER + after, Mail::Name(naming));
         }
     }
 
-    /// Servers in need name another limit than before.
-    pub(super) fn name_limits(&mut self, naming: Naming) {
+    /// Applies a change to all affected servers.
+    pub(super) fn change_limits(&mut self, naming: LimitChange) {
         let now = self.now();
         for place in 0..self.servers.all.len() {
-            if !self.servers.all[place].is_in_need {
+            if !self.servers.all[place].is_affected {
                 continue;
             }
             if naming.restarts {
@@ -226,7 +227,7 @@
         }
     }
 
-    /// A server ends and is back at once under another id; what it ran breaks off.
+    /// Restarts a server under another id; its runs fail.
     fn restart_server(&mut self, place: usize) {
         let now = self.now();
         let server = &mut self.servers.all[place];
@@ -236,7 +237,7 @@
         server.spec = spec(place, server.domain, start);
         server.running = 0;
         server.life = self.counts.seen.len();
-        self.counts.seen.push(Seen::default());
+        self.counts.seen.push(ServerRecord::default());
         let present = EndpointChange::Present(server.spec.clone());
         self.servers.by_id.insert(server.spec.id.clone(), place);
         self.servers.revision += 1;
@@ -248,7 +249,7 @@
             self.answer_place(&run, None, Outcome::Broken(Fault::Closed));
         }
         for at in 0..self.boxes.len() {
-            let within = self.rng.random_range(LISTED_WITHIN.0..LISTED_WITHIN.1);
+            let within = self.rng.random_range(LIST_DELAY.0..LIST_DELAY.1);
             let after = Duration::from_secs_f64(within).max(self.store_out_until.since(now));
             let changes = vec![EndpointChange::Absent(before.clone()), present.clone()];
             let at_revision = self.servers.revision;
@@ -260,8 +261,8 @@
         }
     }
 
-    /// A box sends a call to a server.
-    pub(super) fn begin_run(&mut self, place: Place, attempt: &Attempt) {
+    /// Starts an attempt of a box at a server.
+    pub(super) fn begin_run(&mut self, place: RequestAtBox, attempt: &Attempt) {
         let at = place.0;
         let ended = |outcome| Event::Ended {
             request: place.2,
@@ -275,14 +276,14 @@
                 {
                     let id = self.servers.all[other].spec.id.clone();
                     let cause = NotRunCause::OtherInstance(Some(id));
-                    (OUTSIDE * 2, Outcome::NotRun(cause))
+                    (EXTERNAL_LATENCY * 2, Outcome::NotRun(cause))
                 }
-                _ => (CONNECT_GIVEN_UP, Outcome::NotSent),
+                _ => (CONNECT_TIMEOUT, Outcome::NotSent),
             };
             return self.post_event(at, after, ended(outcome));
         };
         let in_touch = self.is_in_touch(at);
-        let now = self.now().after(OUTSIDE);
+        let now = self.now().after(EXTERNAL_LATENCY);
         let server = &mut self.servers.all[found];
         self.counts.seen[server.life].arrivals.push(Arrived {
             at: now,
@@ -308,11 +309,12 @@
         let rounds = server.running.div_ceil(SLOTS) as u32;
         self.servers.runs.insert(id, run);
         self.running.insert(place, (attempt.attempt, id));
-        self.mail.post(OUTSIDE + CALL * rounds, Mail::Answer(id));
+        self.mail
+            .post(EXTERNAL_LATENCY + CALL * rounds, Mail::Answer(id));
     }
 
-    /// An attempt is stopped, or its box is gone; the server notices.
-    pub(super) fn stop_run(&mut self, place: Place) {
+    /// Stops a run whose attempt was stopped or whose box was killed.
+    pub(super) fn stop_run(&mut self, place: RequestAtBox) {
         let Some((_, id)) = self.running.remove(&place) else {
             return;
         };
@@ -328,7 +330,7 @@
         }
     }
 
-    /// A server has an answer.
+    /// Ends a run and sends its answer.
     pub(super) fn answer_run(&mut self, id: RunId) {
         let Some(run) = self.servers.runs.remove(&id) else {
             return;
@@ -339,7 +341,7 @@
         self.answer_place(&run, names, Outcome::Answered { status: 200 });
     }
 
-    /// What comes back to a box, if it still runs and can be reached.
+    /// Sends the end of an attempt to its box, unless the box was killed or is unreachable.
     fn answer_place(&mut self, run: &Run, names: Option<RequestRate>, outcome: Outcome) {
         let (at, life, request) = run.place;
         if self.boxes[at].life != life {
@@ -357,22 +359,22 @@
                 attempt,
                 directives,
             };
-            self.post_event(at, OUTSIDE, event);
+            self.post_event(at, EXTERNAL_LATENCY, event);
         }
         if names.is_some() && matches!(outcome, Outcome::Answered { .. }) {
-            let passed_on = self.mail.now.after(OUTSIDE);
-            let told = &mut self.counts.seen[run.life].told;
-            told.entry(at).or_insert(passed_on);
+            let passed_on = self.mail.now.after(EXTERNAL_LATENCY);
+            let informed = &mut self.counts.seen[run.life].informed;
+            informed.entry(at).or_insert(passed_on);
         }
         let event = Event::Ended {
             request,
             attempt,
             outcome,
         };
-        self.post_event(at, OUTSIDE, event);
+        self.post_event(at, EXTERNAL_LATENCY, event);
     }
 
-    /// What an answer asks for.
+    /// Returns the directives of an answer, and records them.
     fn directives(&mut self, run: &Run, names: Option<RequestRate>) -> AnswerDirectives {
         let mut asked = AnswerDirectives::default();
         let seen = &mut self.counts.seen[run.life];
@@ -389,10 +391,10 @@
         asked
     }
 
-    /// A box that has started again was asked for nothing and has told nobody anything.
-    pub(super) fn forget_told(&mut self, at: usize) {
+    /// Clears what a box was asked and has passed on before its restart.
+    pub(super) fn forget_informed(&mut self, at: usize) {
         for seen in &mut self.counts.seen {
-            seen.told.remove(&at);
+            seen.informed.remove(&at);
             seen.rests.remove(&at);
         }
     }
--- a/lab/src/gateway/limits/fleet/setup.rs
+++ b/lab/src/gateway/limits/fleet/setup.rs
@@ -1,4 +1,4 @@
-//! How the boxes and the service of a case are set up.
+//! Configuration of the boxes and of the service.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,25 +13,25 @@
 
 use super::Case;
 
-/// The host that callers ask.
+/// Host that calls name.
 pub(super) const HOST: &str = "h";
-/// The service that they ask for.
+/// Service that calls are routed to.
 pub(super) const SERVICE: &str = "served";
-/// Within which time an answer is in time.
+/// Latency objective of a call.
 pub(super) const OBJECTIVE: Duration = Duration::from_millis(150);
 
-/// The address of a box.
+/// Returns the address of a box.
 pub(super) fn address(number: usize) -> SocketAddr {
     let (high, low) = ((number / 250) as u8, (number % 250) as u8 + 1);
     ([10, 1, high, low], 7_200).into()
 }
 
-/// The name of a failure domain.
+/// Returns the name of a failure domain.
 pub(super) fn domain_name(number: usize) -> DomainId {
     format!("domain-{number}").parse().expect("a short name")
 }
 
-/// The configuration of a box; domains take turns.
+/// Returns the configuration of a box; boxes are assigned to the domains in turn.
 pub(super) fn config(number: usize, case: &Case) -> DispatchConfig {
     DispatchConfig {
         me: format!("box-{number:03}").parse().expect("a short name"),
@@ -55,7 +55,7 @@
     }
 }
 
-/// A plain service with one route, whose calls may be repeated.
+/// Returns a routing table with one plain service and one route, whose calls may be repeated.
 pub(super) fn table() -> RoutingTable {
     let route = Route {
         name: "route".to_owned(),
--- a/lab/src/gateway/limits/report.rs
+++ b/lab/src/gateway/limits/report.rs
@@ -1,4 +1,4 @@
-//! What many plays came to.
+//! Summary of many runs.
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -11,35 +11,35 @@
 /// One line of the report.
 #[derive(Clone, Debug, Serialize)]
 pub struct Row {
-    /// Plays.
+    /// Number of runs.
     pub plays: usize,
-    /// Those in which a server got more than it has room for.
+    /// Runs in which a server got more than it asked for.
     pub over: usize,
-    /// Those that are so by the words of the rule.
+    /// Runs over a limit by the words of the rule.
     pub over_by_words: usize,
-    /// How many times what is allowed one got at the most.
+    /// Greatest multiple of the number of requests that a limit allows.
     pub most: f64,
-    /// The share of callers that was served, and without a server in need.
+    /// Share of the callers that was served, with and without directives.
     pub served: [f64; 2],
-    /// The share that was served in time, and without.
+    /// Share that was served in time, with and without directives.
     pub in_time: [f64; 2],
-    /// Of the requests that limits allow, those that came, at the mean of plays.
+    /// Mean share of the requests that limits allow that arrived.
     pub used: f64,
-    /// Bytes a second of a box, without a server in need, and the most of one box in a second.
+    /// Bytes per second and box, the same without directives, and the most of one box in a second.
     pub bytes: [f64; 3],
 }
 
-/// What many plays came to.
+/// Summary of many runs.
 #[derive(Clone, Debug, Serialize)]
 pub struct Report {
-    /// By what went wrong beside.
+    /// Rows by concurrent fault.
     pub rows: BTreeMap<String, Row>,
-    /// Plays that broke the rule.
+    /// Runs that broke a rule.
     pub found: Vec<String>,
 }
 
 impl Report {
-    /// Sums up plays.
+    /// Summarises runs.
     #[must_use]
     pub fn new(outcomes: &[Outcome]) -> Self {
         let mut groups: BTreeMap<String, Vec<&Outcome>> = BTreeMap::new();
--- a/lab/src/gateway/limits/score.rs
+++ b/lab/src/gateway/limits/score.rs
@@ -1,16 +1,18 @@
-//! What a play came to, by what servers and callers saw.
+//! Counts and judges a run by what servers and callers observed.
 //!
-//! The users' rule: from [`CONTACT`] after a server first named its limit, it gets in no `WINDOW` more
-//! than one and a half times what that allows, and `SLACK` requests, summed over the boxes that had
-//! passed on such an answer `TOLD_BEFORE` or earlier. Requests of a box that was killed, frozen or cut
-//! off less than [`CONTACT`] ago don't count. Where the limit changes within a window, the greater counts.
+//! The rule for limits: from [`CONTACT`] after a server first stated its limit, it gets in no `WINDOW`
+//! more than `LIMIT_FACTOR` times what the limit allows plus `SLACK` requests, summed over the boxes
+//! that passed on an answer with the limit at least `KNOWN_FOR` before. Requests of a box that was
+//! killed, paused or cut off less than [`CONTACT`] ago don't count. If the limit changes within a window,
+//! the greater one counts.
 //!
 //! A server that asks a box for a rest gets no more than `MAX_IN_REST` requests from it between
 //! `REST_GRACE` after that answer and the end of the rest; one that leaves gets none from a box later
 //! than `DRAIN` after the box has passed on an answer that says so.
 //!
-//! The limit is counted in two ways. Strictly, all requests of a window count whose box knew by the end of the
-//! window; by the words of the rule, those that a box sent when it knew. A play is judged by the first.
+//! Requests are counted against a limit in two ways: strictly, all requests in a window whose box knew
+//! the limit by its end; by the words of the rule, only those that a box sent when it knew. A run is
+//! judged by the strict count.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -22,16 +24,16 @@
 
 use super::Case;
 
-/// How long after the first naming the rule begins.
+/// Time from the first statement of a limit to the start of the rule.
 pub const CONTACT: Duration = Duration::from_secs(3);
-/// The span in which requests are counted.
+/// Window in which requests are counted.
 const WINDOW: Duration = Duration::from_secs(4);
-/// How long before the end of a window a box must have passed on a limit to be counted.
-const TOLD_BEFORE: Duration = Duration::from_millis(500);
-/// What is allowed beside one and a half times the limit.
+/// Time for which a box must have known a limit for its requests to count.
+const KNOWN_FOR: Duration = Duration::from_millis(500);
+/// Requests allowed in a window in addition to those of the limit.
 const SLACK: f64 = 5.0;
-/// How many times the limit is allowed.
-const TIMES: f64 = 1.5;
+/// Factor by which a limit may be exceeded.
+const LIMIT_FACTOR: f64 = 1.5;
 /// The rest that servers ask for.
 pub const REST: Duration = Duration::from_secs(3);
 /// How long after the answer that asks for a rest requests don't count.
@@ -40,52 +42,52 @@
 const MAX_IN_REST: usize = 2;
 /// How long a box may still send to a server after it has passed on that the server is leaving.
 const DRAIN: Duration = Duration::from_secs(2);
-/// How long after the first naming it is counted what of the limit is used.
+/// Time from a change of a limit until its use is measured.
 const USED_AFTER: Duration = Duration::from_secs(6);
 
-/// A request as it came to a server.
+/// Arrival of a request at a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Arrived {
-    /// When.
+    /// Time of the arrival.
     pub at: Micros,
-    /// From which box.
+    /// Box that sent it.
     pub from: usize,
     /// Whether that box was in touch.
     pub in_touch: bool,
 }
 
-/// What one server saw in one life.
+/// Record of one incarnation of a server.
 #[derive(Clone, Debug, Default)]
-pub struct Seen {
-    /// Requests, in the order of time.
+pub struct ServerRecord {
+    /// Arrivals in order of time.
     pub arrivals: Vec<Arrived>,
-    /// What it named from when on.
+    /// Limits that it stated, with the times from which they were in force.
     pub named: Vec<(Micros, Option<RequestRate>)>,
-    /// When each box first passed on an answer with a limit, in its present life.
-    pub told: BTreeMap<usize, Micros>,
-    /// When it asked each box for a rest, in the box's present life.
+    /// When each box, in its current incarnation, first passed on an answer with a directive.
+    pub informed: BTreeMap<usize, Micros>,
+    /// When it asked each box, in the box's current incarnation, for a rest.
     pub rests: BTreeMap<usize, Vec<Micros>>,
-    /// Whether it says that it is leaving.
+    /// Whether it states that it is leaving.
     pub is_leaving: bool,
-    /// When it ended.
+    /// Time of its end.
     pub ended: Option<Micros>,
 }
 
-impl Seen {
-    /// What it names at a time.
+impl ServerRecord {
+    /// The limit in force at a time.
     fn named_at(&self, at: Micros) -> Option<RequestRate> {
         let before = self.named.iter().rev().find(|(from, _)| *from <= at);
         before.and_then(|(_, rate)| *rate)
     }
 
-    /// The greatest limit that it named in a span.
+    /// The greatest limit in force within a span.
     fn greatest(&self, from: Micros, to: Micros) -> Option<RequestRate> {
         let within = self.named.iter().filter(|(at, _)| *at > from && *at <= to);
         let within = within.filter_map(|(_, rate)| *rate);
         within.chain(self.named_at(from)).max()
     }
 
-    /// Since when it has named a limit without a pause.
+    /// Since when a limit has been in force without interruption.
     fn named_since(&self, at: Micros) -> Option<Micros> {
         let mut since = None;
         for (from, rate) in self.named.iter().filter(|(from, _)| *from <= at) {
@@ -94,8 +96,8 @@
         since
     }
 
-    /// How many times what is allowed it got at the most in a window; `strictly`, or by the words of the
-    /// rule.
+    /// Greatest number of requests in a window, as a multiple of the allowed number; counted `strictly`
+    /// or by the words of the rule.
     #[must_use]
     pub fn most(&self, strictly: bool) -> f64 {
         let mut most: f64 = 0.0;
@@ -114,15 +116,16 @@
             let counted = counted.take_while(|a| a.at > start);
             let counted = counted.filter(|a| {
                 let known_at = if strictly { last.at } else { a.at };
-                a.in_touch && self.is_told(a.from, known_at)
+                a.in_touch && self.is_informed(a.from, known_at)
             });
-            let allowed = (TIMES * limit.per_second() * WINDOW.as_secs_f64() + SLACK).floor();
+            let allowed =
+                (LIMIT_FACTOR * limit.per_second() * WINDOW.as_secs_f64() + SLACK).floor();
             most = most.max(counted.count() as f64 / allowed);
         }
         most
     }
 
-    /// The most requests that it got from a box within a rest for which it had asked that box.
+    /// Greatest number of requests from one box within a rest that it had asked that box for.
     #[must_use]
     pub fn most_in_rest(&self) -> usize {
         let rests = self.rests.iter();
@@ -135,12 +138,12 @@
         counts.max().unwrap_or_default()
     }
 
-    /// Requests that a box sent it later than `DRAIN` after it had passed on that it is leaving.
+    /// Number of requests that boxes sent later than `DRAIN` after they passed on that it is leaving.
     #[must_use]
     pub fn after_departure(&self) -> usize {
         let late = |a: &&Arrived| {
-            let told = self.told.get(&a.from);
-            told.is_some_and(|told| told.after(DRAIN) < a.at)
+            let informed = self.informed.get(&a.from);
+            informed.is_some_and(|informed| informed.after(DRAIN) < a.at)
         };
         if self.is_leaving {
             self.arrivals.iter().filter(late).count()
@@ -149,12 +152,12 @@
         }
     }
 
-    fn is_told(&self, from: usize, at: Micros) -> bool {
-        let told = self.told.get(&from);
-        told.is_some_and(|told| told.after(TOLD_BEFORE) <= at)
+    fn is_informed(&self, from: usize, at: Micros) -> bool {
+        let informed = self.informed.get(&from);
+        informed.is_some_and(|informed| informed.after(KNOWN_FOR) <= at)
     }
 
-    /// What it got and what its limit allowed, once boxes had the time to know of it.
+    /// Requests that it got and that its limits allowed, after [`USED_AFTER`] from each change.
     fn used(&self, end: Micros) -> (f64, f64) {
         let end = self.ended.unwrap_or(end);
         let mut allowed = 0.0;
@@ -176,71 +179,71 @@
     }
 }
 
-/// What became of callers.
+/// Numbers of callers by result.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub struct Callers {
     /// Served within the latency objective.
     pub in_time: usize,
     /// Served later.
     pub late: usize,
-    /// Refused at each try.
+    /// Refused at every try.
     pub lost: usize,
 }
 
 impl Callers {
-    /// The share that was served.
+    /// Share that was served.
     #[must_use]
     pub fn served(&self) -> f64 {
         let served = self.in_time + self.late;
         served as f64 / (served + self.lost).max(1) as f64
     }
 
-    /// The share that was served in time.
+    /// Share that was served in time.
     #[must_use]
     pub fn in_time(&self) -> f64 {
         self.in_time as f64 / (self.in_time + self.late + self.lost).max(1) as f64
     }
 }
 
-/// What a play came to.
+/// Result of a run.
 #[derive(Clone, Debug, Serialize)]
 pub struct Outcome {
-    /// The case, in words.
+    /// Description of the case.
     pub case: String,
-    /// What went wrong beside.
+    /// Fault that occurred at the same time.
     pub beside: String,
-    /// How many times what is allowed a server got at the most, counted strictly.
+    /// Greatest multiple of the allowed number of requests at a server, counted strictly.
     pub most: f64,
     /// The same, counted by the words of the rule.
     pub most_by_words: f64,
-    /// The most requests that a server got from a box within a rest.
+    /// Greatest number of requests of one box within a rest.
     pub in_rest: usize,
-    /// Requests that came to servers after their departure was known to the box that sent them.
+    /// Requests at leaving servers from boxes that had known of the departure for too long.
     pub after_departure: usize,
-    /// What became of callers.
+    /// Numbers of callers by result.
     pub callers: Callers,
-    /// The same with no server in need, if that was played.
+    /// The same without directives, if that was run.
     pub without: Option<Callers>,
-    /// Of the requests that limits allow, those that came.
+    /// Share of the requests that limits allow that arrived.
     pub used: f64,
-    /// Bytes between boxes, of one box in a second.
+    /// Bytes per second that one box sends to others.
     pub bytes_a_second: f64,
-    /// The same with no server in need.
+    /// The same without directives.
     pub bytes_without: f64,
-    /// The most bytes that one box sent in a second.
+    /// Greatest number of bytes that one box sent in a second.
     pub most_bytes: u64,
 }
 
-/// What was counted in a play.
+/// Counts of a run.
 #[derive(Clone, Debug, Default)]
 pub struct Counts {
-    /// By server and life.
-    pub seen: Vec<Seen>,
-    /// Callers.
+    /// Records of all incarnations of servers.
+    pub seen: Vec<ServerRecord>,
+    /// Numbers of callers by result.
     pub callers: Callers,
-    /// Bytes of datagrams between boxes.
+    /// Total size of the datagrams between boxes.
     pub bytes: u64,
-    /// Bytes that a box sent in a second.
+    /// Bytes that each box sent in each second.
     pub bytes_of: BTreeMap<(usize, u64), u64>,
 }
 
@@ -288,10 +291,10 @@
             in_rest: counts
                 .seen
                 .iter()
-                .map(Seen::most_in_rest)
+                .map(ServerRecord::most_in_rest)
                 .max()
                 .unwrap_or_default(),
-            after_departure: counts.seen.iter().map(Seen::after_departure).sum(),
+            after_departure: counts.seen.iter().map(ServerRecord::after_departure).sum(),
             callers: counts.callers,
             without: None,
             used: if allowed > 0.0 { got / allowed } else { 0.0 },
--- a/lab/src/gateway/soak.rs
+++ b/lab/src/gateway/soak.rs
@@ -1,7 +1,10 @@
 //! A soak: real boxes before the stand-ins, random faults in overlapping series, and the promises
 //! checked from what callers and servers see.
 //!
-//! The seed gives the order of faults and requests; when they meet depends on the machine.
+//! The seed gives the order of faults and requests; when they meet depends on the machine. The faults
+//! are in `faults`.
+
+mod faults;
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -14,10 +17,9 @@
 
 use super::caller::{Asked, ask};
 use super::fleet::{
-    BoxPlan, HOST, KEY, Launcher, Outside, PAYMENTS, QUOTES, STREAMS, config, is_ready, until, zone,
+    BoxPlan, HOST, KEY, Launcher, Outside, PAYMENTS, QUOTES, STREAMS, is_ready, until,
 };
-use super::foreign::foreign_entries;
-use super::server::{Act, Pace, Server, event_text};
+use super::server::{Pace, Server, event_text};
 use super::store::Mood;
 use super::wire::Message;
 use crate::process::Process;
@@ -46,25 +48,6 @@
 /// The least and the longest time between faults, in milliseconds.
 const FAULT_PAUSE_MS: std::ops::Range<u64> = 60..450;
 
-/// What a server may do with one request.
-const ACTS: [Act; 12] = [
-    Act::NoRoom,
-    Act::Misdirected,
-    Act::Error,
-    Act::LostAnswer,
-    Act::CutOff,
-    Act::TornEvent,
-    Act::Foreign,
-    Act::Surplus,
-    Act::Unframed,
-    Act::Garbage,
-    Act::Unsigned,
-    Act::Silent,
-];
-
-/// Limits that a server may name, in requests a second; the last one is none.
-const LIMITS: [&str; 6] = ["0", "0.5", "2", "20", "200", "a few"];
-
 /// What a soak found.
 #[derive(Clone, Debug, Default)]
 pub struct Findings {
@@ -154,175 +137,11 @@
         })
     }
 
-    async fn bring_fault(&mut self) {
-        let fault = match self.rng.random_range(0..15) {
-            0..=3 => self.act(),
-            4 => self.replace_model(true).await,
-            5 => self.replace_model(false).await,
-            6 => self.change_mood(),
-            7 => self.change_config(),
-            8 => self.kill_box(),
-            9 => self.freeze_box().await,
-            10 => self.stop_box(),
-            11 => self.start_model_again().await,
-            12 => self.foreign_entry(),
-            13 => self.name_limit(),
-            _ => self.restart_boxes(),
-        };
-        self.faults.push(fault);
-    }
-
-    fn act(&mut self) -> String {
-        let act = *ACTS.choose(&mut self.rng).unwrap_or(&Act::Well);
-        let servers: Vec<&Server> = self
-            .outside
-            .models
-            .iter()
-            .chain(&self.outside.tills)
-            .collect();
-        let server = servers.choose(&mut self.rng).copied();
-        server.map_or_else(String::new, |server| {
-            server.act(&[act]);
-            format!("{} does {act:?}", server.id)
-        })
-    }
-
-    /// A server names a limit, or names none any more.
-    fn name_limit(&mut self) -> String {
-        let servers = self.outside.models.iter().chain(&self.outside.tills);
-        let servers: Vec<&Server> = servers.collect();
-        let limit = LIMITS.choose(&mut self.rng).copied();
-        let limit = limit.filter(|_| self.rng.random());
-        let server = servers.choose(&mut self.rng).copied();
-        server.map_or_else(String::new, |server| {
-            server.name_limit(limit);
-            format!("{} names the limit {limit:?}", server.id)
-        })
-    }
-
-    /// A model server crashes or falls silent, and another one comes in its place.
-    async fn replace_model(&mut self, is_silent: bool) -> String {
-        let place = self.rng.random_range(0..self.outside.models.len());
-        self.next_server += 1;
-        let id = format!("model-{}", self.next_server);
-        let copies = self.outside.copies.clone();
-        let Ok(new) = Server::start(&id, copies, PACE).await else {
-            return String::new();
-        };
-        self.outside.list(&new, "models", zone(place), "ready");
-        let old = std::mem::replace(&mut self.outside.models[place], new);
-        if is_silent {
-            old.fall_silent();
-        } else {
-            old.crash();
-        }
-        let fault = format!("{} ends, silently: {is_silent}; {id} comes", old.id);
-        self.outside.store.remove("servers", &old.id);
-        self.gone.push(old);
-        fault
-    }
-
-    /// A model server starts again under its id, at its address.
-    async fn start_model_again(&mut self) -> String {
-        let place = self.rng.random_range(0..self.outside.models.len());
-        let Ok(new) = self.outside.models[place].start_again().await else {
-            return String::new();
-        };
-        self.outside.list(&new, "models", zone(place), "ready");
-        let fault = format!("{} starts again", new.id);
-        let old = std::mem::replace(&mut self.outside.models[place], new);
-        self.gone.push(old);
-        fault
-    }
-
-    /// Another writer makes an entry that names no server to use, some under the id of one that
-    /// lives; that one then writes its own anew.
-    fn foreign_entry(&mut self) -> String {
-        let place = self.rng.random_range(0..self.outside.models.len());
-        let server = &self.outside.models[place];
-        let name = if self.rng.random() {
-            server.id.clone()
-        } else {
-            format!("foreign-{}", self.rng.random_range(0..20))
-        };
-        let address = server.address().to_string();
-        let number = self.rng.random_range(0..foreign_entries("", "", 0).len());
-        let store = &self.outside.store;
-        store.put_with("servers", &name, |revision| {
-            foreign_entries(&name, &address, revision).swap_remove(number)
-        });
-        if name == server.id && self.rng.random() {
-            self.outside.list(server, "models", zone(place), "ready");
-        }
-        format!("entry {name} of another writer, kind {number}")
-    }
-
-    fn change_mood(&mut self) -> String {
-        let moods = [Mood::Well, Mood::Well, Mood::Down, Mood::Silent, Mood::Lost];
-        let mood = *moods.choose(&mut self.rng).unwrap_or(&Mood::Well);
-        self.outside.store.set_mood(mood);
-        format!("the store is {mood:?}")
-    }
-
-    fn change_config(&mut self) -> String {
-        self.version += 1;
-        self.outside
-            .store
-            .put("config", "main", &config(self.version));
-        if self.rng.random() {
-            self.outside.store.forget_history();
-        }
-        format!("configuration {}", self.version)
-    }
-
-    fn pick_box(&mut self) -> usize {
-        self.rng.random_range(0..BOXES)
-    }
-
-    fn kill_box(&mut self) -> String {
-        let number = self.pick_box();
-        // Dropping a process kills it.
-        self.boxes[number] = None;
-        format!("box {number} killed")
-    }
-
-    async fn freeze_box(&mut self) -> String {
-        let number = self.pick_box();
-        let pause = Duration::from_millis(self.rng.random_range(100..1_200));
-        if let Some(process) = &self.boxes[number] {
-            process.freeze();
-            tokio::time::sleep(pause).await;
-            process.thaw();
-        }
-        format!("box {number} frozen for {pause:?}")
-    }
-
-    fn stop_box(&mut self) -> String {
-        let number = self.pick_box();
-        if let Some(process) = &self.boxes[number] {
-            process.terminate();
-        }
-        format!("box {number} stops")
-    }
-
-    /// Starts the boxes again that have ended.
-    fn restart_boxes(&mut self) -> String {
-        for (number, plan) in self.plans.iter().enumerate() {
-            let has_ended = match &mut self.boxes[number] {
-                None => true,
-                Some(process) => process.ended().is_some(),
-            };
-            if has_ended {
-                self.boxes[number] = self.launcher.start(plan).ok();
-            }
-        }
-        "boxes that ended start again".to_owned()
-    }
-
     fn calm(&mut self) {
         self.outside.store.set_mood(Mood::Well);
         for server in self.outside.models.iter().chain(&self.outside.tills) {
             server.name_limit(None);
+            server.ask_for_rest(None);
         }
         self.restart_boxes();
     }
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -5,9 +5,9 @@
 //! follows. An attempt that starts is added to the usage counts of its endpoint and of its mirror's
 //! host, recorded, and handed to the task of the request. A request without a usable endpoint is
 //! placed again each [`PLACEMENT_RETRY_INTERVAL`] and given up after a part of its latency
-//! objective, because a caller that is refused early can still be served in time elsewhere. It is given
-//! up at once if all endpoints of its service want a rest from this box for longer than that; they may
-//! take requests from other boxes.
+//! objective, because a caller that is refused early can still be served in time elsewhere. It is
+//! given up at once if all endpoints of its service want a rest from this box for longer than that;
+//! they may accept requests from other boxes.
 //!
 //! State: this box's own usage counts at endpoints ([`super::fleet::usage`]). Inputs: the fleet as
 //! this box knows it now.
--- a/src/gateway/dispatch/connections.rs
+++ b/src/gateway/dispatch/connections.rs
@@ -1,10 +1,9 @@
 //! How many idle connections this box keeps to an endpoint.
 //!
-//! An endpoint accepts a number of connections from all boxes together and resets those beyond it. A
-//! box that keeps its idle connections without regard to the others takes that room from them: 984
-//! boxes with 8 each would keep 7,872 where 1,800 are allowed. So a box keeps an equal share of what
-//! the running requests leave, at most [`MAX_IDLE_CONNECTIONS`]. The share is 0 where there are more
-//! boxes than connections.
+//! An endpoint accepts a limited number of connections from all boxes together, and resets those
+//! beyond it: 984 boxes with 8 idle connections each would keep 7,872 where 1,800 are allowed. So a
+//! box keeps an equal share of the connections that running requests leave, and no more than
+//! [`MAX_IDLE_CONNECTIONS`]. The share is 0 if there are more boxes than such connections.
 //!
 //! Inputs: the limit in the routing table, the slots of the endpoint, and the number of boxes that
 //! this box knows.
@@ -14,7 +13,8 @@
 
 /// Maximum number of idle connections to one endpoint, whatever it accepts.
 const MAX_IDLE_CONNECTIONS: usize = 8;
-/// Connections for running requests, in slots of the endpoint: those that run, and as many that wait.
+/// Connections that are left to requests, per slot of the endpoint: one that runs and one that
+/// waits.
 const CONNECTIONS_PER_SLOT: u32 = 2;
 
 /// The share of one box of the idle connections that an endpoint has room for.
--- a/src/gateway/dispatch/directives.rs
+++ b/src/gateway/dispatch/directives.rs
@@ -2,9 +2,11 @@
 //!
 //! [`super::fleet::directives`] holds the directives in force. A limit may start the allocation of
 //! permits and is published ([`super::permits`]). A departure is published in the failure domain at
-//! once, and to others with the messages that go out anyway. A probe, a search for a prompt and a request for an
-//! identity are answered by endpoints too, and state directives like the answers to attempts. Directives in the answer to an attempt that is no
-//! longer active, or at an earlier incarnation of its endpoint, are ignored.
+//! once, and in others with the messages that go out anyway.
+//!
+//! Endpoints state directives in every answer: to attempts, probes, searches for a prompt and
+//! requests for an identity. Directives in the answer to an attempt that is no longer active, or of
+//! an earlier incarnation of its endpoint, are ignored.
 
 use std::net::SocketAddr;
 
--- a/src/gateway/dispatch/fleet/directives.rs
+++ b/src/gateway/dispatch/fleet/directives.rs
@@ -10,8 +10,8 @@
 //!
 //! An answer to an earlier request may arrive later, so a rest is never shortened and an endpoint
 //! that is leaving stays so. A directive is about the process that gave it. It holds while the
-//! endpoint's entry is missing from the list or has not come yet, and ends when a process with another start time takes
-//! the endpoint's id over.
+//! endpoint's entry is missing from the list or has not come yet, and ends when a process with
+//! another start time takes over the endpoint's id.
 //!
 //! Inputs: the heads of answers to this box, and reports by other boxes of answers to them. State: the
 //! directives in force.
@@ -24,15 +24,15 @@
 use crate::schema::{EndpointId, EndpointIncarnation, LimitReport, Micros};
 use limits::{Limits, RequestRate};
 
-/// How long it is remembered that an endpoint is leaving: longer than it takes to end.
+/// How long the departure of an endpoint that the list doesn't name is remembered: longer than the
+/// endpoint takes to end.
 const LEAVING_RETENTION: Duration = Duration::from_secs(60);
-
 /// How long a limit or a departure is published after an answer to this box stated it.
 const PUBLISHED_FOR: Duration = Duration::from_secs(10);
 /// Departures in one message: some 500 bytes.
 const MAX_DEPARTURES: usize = 16;
-/// Reports that are held for endpoints that the list doesn't name yet; a list of thousands of
-/// endpoints that are replaced at once names them within seconds.
+/// Maximum number of reports that are held for endpoints that the list doesn't name yet. The oldest
+/// gives way to a new one; it is repeated for [`PUBLISHED_FOR`] in any case.
 const MAX_EARLY_REPORTS: usize = 256;
 
 /// The limit that an answer states.
--- a/src/gateway/dispatch/placement.rs
+++ b/src/gateway/dispatch/placement.rs
@@ -2,9 +2,8 @@
 //! memory.
 //!
 //! An attempt goes to the endpoint of least cost among the endpoints of the service that take work,
-//! want no rest from this box, were not tried before, can be reached and are allowed by a roll-out and
-//! by their rate limits.
-//! The cost of an engine is the time to prefill the prompts queued there, because prefill is the
+//! want no rest from this box, were not tried before, can be reached, and are allowed by a roll-out
+//! and by their rate limits. The cost of an engine is the time to prefill the prompts queued there, because prefill is the
 //! scarcest resource of an engine, plus a cost for each running request. The cost of an endpoint of
 //! a plain service is a cost for each running request. Distance, missing capacity and recent
 //! failures of the endpoint add to both. The cost table is in [`costs`].
--- a/src/gateway/dispatch/suspicion.rs
+++ b/src/gateway/dispatch/suspicion.rs
@@ -2,8 +2,8 @@
 //!
 //! A stream that stalls longer than [`PAUSE_BEFORE_PROBE`], or [`PAUSE_BEFORE_PROBE_IN_PREFILL`]
 //! before its first event, makes the box probe the engine, unless another stream of this box or the
-//! answer to a probe showed meanwhile that the engine responds. An engine that wants a rest from this
-//! box is probed once in it. An engine that does not answer within
+//! answer to a probe showed meanwhile that the engine responds. An engine that wants a rest from
+//! this box is probed at most once in that time. An engine that does not answer within
 //! [`PROBE_LIMIT`] is suspected, and every request there that may be repeated moves. A call that may
 //! be repeated moves without a probe once it has taken [`SLOW_CALL_PART`] of its latency objective,
 //! since a plain service has no load that could be queried.
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -3,7 +3,8 @@
 //!
 //! A connection returns to the pool only after a complete answer. The pool closes a connection whose
 //! answer was cut short or abandoned, and one that received bytes which belong to no request. A
-//! connection that was idle for most of the time that its peer stated in `Keep-Alive` is not used again.
+//! connection that was idle for most of the time that its peer stated in `Keep-Alive` is not used
+//! again.
 
 use std::collections::HashMap;
 use std::fmt;
