An identity answer counts as before, whatever its status

By the users' pages a health check waits for a slot, or is rejected, as a call is, so a full engine answers it with an error just as an ill one does. let such an answer leave the engine avoided. Taken back: the answer is asked for to learn that the process lives, and shows that.

--- a/src/gateway/dispatch/event.rs
+++ b/src/gateway/dispatch/event.rs
@@ -363,8 +363,6 @@
         endpoint: EndpointId,
         /// Endpoint that uses the address now.
         instance: EndpointId,
-        /// Whether that endpoint says that it is well and not leaving.
-        is_well: bool,
         /// Start time of that endpoint's process, if it states one.
         born: Option<StartTime>,
     },
--- a/src/gateway/dispatch/handle.rs
+++ b/src/gateway/dispatch/handle.rs
@@ -130,9 +130,8 @@
             Event::IdentityReported {
                 endpoint,
                 instance,
-                is_well,
                 born,
-            } => self.on_identified(&endpoint, &instance, is_well, born),
+            } => self.on_identified(&endpoint, &instance, born),
             Event::Identified(spec) => self.fleet.on_identified(spec, self.now),
             Event::Located { request, endpoint } => self.on_located(request, endpoint),
             Event::SnapshotTaken {
--- a/src/gateway/dispatch/outcomes.rs
+++ b/src/gateway/dispatch/outcomes.rs
@@ -238,7 +238,6 @@
         &mut self,
         endpoint: &EndpointId,
         instance: &EndpointId,
-        is_well: bool,
         born: Option<StartTime>,
     ) {
         if endpoint == instance {
@@ -246,11 +245,7 @@
             if let Some((asked, born)) = asked.zip(born) {
                 self.on_start_time(endpoint, born, asked);
             }
-            if is_well {
-                self.fleet.on_success(endpoint, self.now);
-            } else {
-                self.fleet.on_reached(endpoint);
-            }
+            self.fleet.on_success(endpoint, self.now);
             return;
         }
         self.identify(endpoint, Some(instance));
--- a/src/gateway/shell/probes.rs
+++ b/src/gateway/shell/probes.rs
@@ -130,14 +130,13 @@
             born = Some(shared.dialect.start_time(&body)?);
         }
         shared.pool.put_back(connection);
-        Some((instance, head.status == StatusCode::OK, born))
+        Some((instance, born))
     };
     let identity = tokio::time::timeout(LOCATE_TIMEOUT, exchange).await;
-    if let Some((instance, is_well, born)) = identity.ok().flatten() {
+    if let Some((instance, born)) = identity.ok().flatten() {
         let event = Event::IdentityReported {
             endpoint: spec.id,
             instance,
-            is_well,
             born,
         };
         shared.send(Input::Event(event)).await;
