Requests have ranks by the priorities of organisation and route, and engines are told

A table numbers its pairs of priorities, that of the organisation first; the rank goes to engines as Magpiemoor-Request-Priority and into the record arrived. A value that can't be read is ignored with the record table_value_ignored.

--- a/lab/src/gateway/crashes/fleet/setup.rs
+++ b/lab/src/gateway/crashes/fleet/setup.rs
@@ -77,6 +77,7 @@
         }],
         attempts,
         anonymous: true,
+        priority: None,
     };
     let engine = EngineSpec {
         kv_tokens: 88_000,
@@ -99,6 +100,7 @@
             body_bytes: 1 << 20,
             idle: Duration::from_secs(15),
         },
+        ignored: Vec::new(),
     })
     .expect("a sound table")
 }
--- a/lab/src/gateway/limits/fleet/setup.rs
+++ b/lab/src/gateway/limits/fleet/setup.rs
@@ -70,6 +70,7 @@
         }],
         attempts: 3,
         anonymous: true,
+        priority: None,
     };
     RoutingTable::try_from(TableParts {
         version: TableVersion(1),
@@ -86,6 +87,7 @@
             body_bytes: 1 << 20,
             idle: Duration::from_secs(15),
         },
+        ignored: Vec::new(),
     })
     .expect("a sound table")
 }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -10,6 +10,7 @@
 //! |---|---|
 //! | which tries of callers are the same request | `fingerprint` |
 //! | admission of requests, and immediate refusal | [`admission`] |
+//! | which requests are served first | [`priority`] |
 //! | choice of the endpoint of an attempt | [`placement`], costs in [`placement::costs`] |
 //! | start and count of attempts, how long a request waits for an endpoint | [`attempts`] |
 //! | when and how often a request is retried | [`retry`], budget in [`retry_budget`] |
@@ -40,6 +41,7 @@
 pub mod fleet;
 pub mod peers;
 pub mod placement;
+pub mod priority;
 pub mod quarantine;
 pub mod record;
 pub mod refusal;
--- a/src/gateway/dispatch/action.rs
+++ b/src/gateway/dispatch/action.rs
@@ -7,6 +7,7 @@
 use crate::gateway::dispatch::duty::lease::StoreCall;
 use crate::gateway::dispatch::event::{AttemptNumber, EndpointSpec, RequestNumber, SnapshotName};
 use crate::gateway::dispatch::fetches::FetchKind;
+use crate::gateway::dispatch::priority::Tier;
 use crate::gateway::dispatch::record::Record;
 use crate::gateway::dispatch::refusal::Refusal;
 use crate::gateway::dispatch::replica::ReplicaLocation;
@@ -29,6 +30,8 @@
     pub time_left: Duration,
     /// Organisation to which the request belongs, if known.
     pub organisation: Option<OrganisationId>,
+    /// Rank of the request, if the configuration distinguishes ranks.
+    pub tier: Option<Tier>,
     /// Id of the event after which the stream continues, if the caller has events already.
     pub after_event: Option<u64>,
     /// Host of the mirror, to which the engine copies its KV memory as it grows.
--- a/src/gateway/dispatch/admission.rs
+++ b/src/gateway/dispatch/admission.rs
@@ -23,6 +23,7 @@
 use super::event::{Arrival, RequestNumber};
 #[cfg(doc)]
 use super::fleet::Fleet;
+use super::priority::Tier;
 use super::record::Record;
 use super::refusal::{Refusal, RefusalReason};
 use super::request::Request;
@@ -151,13 +152,18 @@
         let service = self.pick_service(&route);
         self.budget.on_request(&service, self.now);
         let engine = table.service(&service).and_then(|s| s.engine);
-        let request = Request::new(arrival, route, service, engine, key_owner, self.now);
+        let tier = table.tier(&route, key_owner.as_ref());
+        let request = Request {
+            tier,
+            ..Request::new(arrival, route, service, engine, key_owner, self.now)
+        };
         self.record(Record::Arrived {
             request: request.arrival.id.clone(),
             route: request.route.name.clone(),
             table: table.version().0,
             prompt: request.arrival.prompt.0,
             fingerprint: request.fingerprint.hex(),
+            tier: request.tier.map(Tier::rank),
         });
         let may_be_reconnect = request.last_event.is_some() || self.has_just_started();
         let is_reconnect = request.engine.is_some() && may_be_reconnect;
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -163,6 +163,7 @@
             address: spec.address,
             time_left: request.time_left(self.now),
             organisation: owner.map(|owner| owner.organisation.clone()),
+            tier: request.tier,
             after_event: request.last_event,
             mirror_to: None,
             resume_from: None,
--- a/src/gateway/dispatch/record.rs
+++ b/src/gateway/dispatch/record.rs
@@ -82,6 +82,9 @@
         /// The fingerprint by which retries are recognised; empty in logs of earlier versions.
         #[serde(default)]
         fingerprint: String,
+        /// Its rank, 0 for the most urgent, if the configuration distinguishes ranks.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        tier: Option<u8>,
     },
     /// An attempt was started.
     Sent {
--- a/src/gateway/dispatch/request.rs
+++ b/src/gateway/dispatch/request.rs
@@ -11,6 +11,7 @@
 
 use super::event::{Arrival, AttemptNumber, Fault, Tokens};
 use super::placement::Demand;
+use super::priority::Tier;
 use super::refusal::HasRun;
 use super::replica::{Replica, Snapshot};
 use super::rollout::VersionRules;
@@ -68,6 +69,8 @@
     pub key: u64,
     /// Owner of the API key; `None` for an anonymous request.
     pub key_owner: Option<KeyOwner>,
+    /// Rank among all requests of the routing table at the time of arrival.
+    pub tier: Option<Tier>,
     /// Identifies the request when a caller sends it again.
     pub fingerprint: Fingerprint,
     pub arrived: Micros,
@@ -129,6 +132,7 @@
             service,
             engine,
             key_owner,
+            tier: None,
             active: None,
             attempts: 0,
             is_canary: None,
--- a/src/gateway/dispatch/table.rs
+++ b/src/gateway/dispatch/table.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::priority::{Priority, Tier, Tiers};
 use crate::schema::{OrganisationId, ServiceId};
 
 /// Version of a routing table; a box only moves to higher ones.
@@ -84,6 +85,8 @@
     pub attempts: u32,
     /// Whether requests without an API key are admitted.
     pub anonymous: bool,
+    /// Priority of its requests among those of organisations with the same priority.
+    pub priority: Option<Priority>,
 }
 
 impl Route {
@@ -133,6 +136,8 @@
 pub struct KeyOwner {
     /// Sent to endpoints with each attempt.
     pub organisation: OrganisationId,
+    /// Priority of its requests over those of other organisations.
+    pub priority: Option<Priority>,
 }
 
 /// Limits on a caller's requests and connections.
@@ -183,6 +188,8 @@
     pub keys: Option<HashMap<String, KeyOwner>>,
     /// Apply to all routes.
     pub limits: CallerLimits,
+    /// Values that were ignored because they are invalid but do no harm, each with its reason.
+    pub ignored: Vec<String>,
 }
 
 /// One validated version of the configuration.
@@ -193,12 +200,15 @@
     services: HashMap<ServiceId, ServiceSpec>,
     keys: Option<HashMap<String, KeyOwner>>,
     limits: CallerLimits,
+    ignored: Vec<String>,
+    tiers: Tiers,
 }
 
 impl TryFrom<TableParts> for RoutingTable {
     type Error = TableError;
 
     fn try_from(parts: TableParts) -> Result<Self, TableError> {
+        let tiers = tiers(&parts);
         let mut routes: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in parts.routes {
             check_route(&route)?;
@@ -217,10 +227,23 @@
             services: services.map(|s| (s.name.clone(), s)).collect(),
             keys: parts.keys,
             limits: parts.limits,
+            ignored: parts.ignored,
+            tiers,
         })
     }
 }
 
+fn tiers(parts: &TableParts) -> Tiers {
+    let is_open = parts.keys.is_none() || parts.routes.iter().any(|route| route.anonymous);
+    let anonymous = is_open.then_some(None);
+    let owners = parts.keys.iter().flat_map(HashMap::values);
+    let organisations = owners.map(|owner| owner.priority).chain(anonymous);
+    Tiers::new(
+        organisations,
+        parts.routes.iter().map(|route| route.priority),
+    )
+}
+
 fn check_route(route: &Route) -> Result<(), TableError> {
     let fault = if route.targets.iter().all(|t| t.weight == 0) {
         "has no target with a weight above 0; add one".to_owned()
@@ -244,6 +267,12 @@
         self.version
     }
 
+    /// Values of the configuration that were ignored as invalid, each with its reason.
+    #[must_use]
+    pub fn ignored(&self) -> &[String] {
+        &self.ignored
+    }
+
     /// Limits on callers, the same for all routes.
     #[must_use]
     pub fn limits(&self) -> CallerLimits {
@@ -281,6 +310,13 @@
         Ok(owner)
     }
 
+    /// The tier of a request of this route; `None` if the table distinguishes none.
+    #[must_use]
+    pub fn tier(&self, route: &Route, owner: Option<&KeyOwner>) -> Option<Tier> {
+        let organisation = owner.and_then(|owner| owner.priority);
+        self.tiers.of(organisation, route.priority)
+    }
+
     /// Finds a service by name.
     #[must_use]
     pub fn service(&self, name: &ServiceId) -> Option<&ServiceSpec> {
--- a/src/gateway/shell/table_reader.rs
+++ b/src/gateway/shell/table_reader.rs
@@ -53,6 +53,12 @@
         }
     };
     let version = table.version();
+    for ignored in table.ignored() {
+        shared.record(&Record::Process {
+            state: "table_value_ignored".into(),
+            detail: ignored.clone(),
+        });
+    }
     let text_bytes = packed.text_bytes;
     let is_newer = shared.cache_table(CachedTable {
         version,
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -21,6 +21,7 @@
 fn arrived(request: &str) -> Record {
     Record::Arrived {
         request: request.to_owned(),
+        tier: None,
         route: "r".to_owned(),
         table: 3,
         fingerprint: String::new(),
--- a/tests/gateway/fixtures.rs
+++ b/tests/gateway/fixtures.rs
@@ -113,6 +113,7 @@
         keys: Some(HashMap::from([(
             KEY.to_owned(),
             KeyOwner {
+                priority: None,
                 organisation: "shop".parse().unwrap(),
             },
         )])),
@@ -121,6 +122,7 @@
             body_bytes: 1 << 20,
             idle: Duration::from_secs(15),
         },
+        ignored: Vec::new(),
     })
     .unwrap()
 }
@@ -145,6 +147,7 @@
         }],
         attempts: if is_stream { 5 } else { 2 },
         anonymous: false,
+        priority: None,
     }
 }
 
--- a/tests/placement_report.rs
+++ b/tests/placement_report.rs
@@ -57,6 +57,7 @@
     fn arrived(&mut self, seconds: f64, request: &str, prompt: u32) {
         let arrived = Record::Arrived {
             request: request.to_owned(),
+            tier: None,
             route: "r".to_owned(),
             table: 1,
             fingerprint: String::new(),
--- a/tests/stream_report.rs
+++ b/tests/stream_report.rs
@@ -11,6 +11,7 @@
 fn arrived(request: &str) -> Record {
     Record::Arrived {
         request: request.to_owned(),
+        tier: None,
         route: "r".to_owned(),
         table: 3,
         fingerprint: String::new(),
@@ -177,6 +178,7 @@
 fn calls_without_a_prompt_are_not_streams() {
     let call = Record::Arrived {
         request: "q".to_owned(),
+        tier: None,
         route: "r".to_owned(),
         table: 3,
         fingerprint: String::new(),
