Boxes know the load of engines in other domains, and compare a sample of them

After the loss of its own domain's engines a box knew almost nothing of the load elsewhere, so about 20 boxes chose the same engine within 50 ms. The first store watcher of a domain now sends the sums of its domain's load on engines to one box of each other domain every 250 ms (datagram section 6), which forwards them to its own domain; a report counts for 3 s and replaces what single boxes of that domain told. Placement compares all engines of the own domain and 8 of the others by rendezvous score.

The sample alone did not spread requests: by a calculation on a scratch copy (27 boxes, 9 streams each, 80 engines, one report) idle engines got up to 18 of 243 streams. With 60 ms for each place in the sample it is 8.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -25,6 +25,7 @@
 //! | location of replicas of KV memory | [`replicas`] |
 //! | search for the engine that keeps the prompt of a caller that reconnects | [`prompt_search`] |
 //! | work in progress at endpoints | [`fleet::usage`] |
+//! | load of the engines in other failure domains | [`fleet::domain_load`], exchanged by `load_reports` |
 //! | selection of the boxes that watch the store | [`store_watchers`] |
 //! | gossip between boxes | [`gossip`], [`peers`] |
 //! | change of a service to another version | [`rollout`], executed by [`rollouts`] |
@@ -62,6 +63,7 @@
 mod gossip;
 mod handle;
 mod intake;
+mod load_reports;
 mod outcomes;
 pub mod permits;
 mod prompt_search;
@@ -91,6 +93,7 @@
 use fetches::{FetchKind, Fetches};
 use fleet::Fleet;
 use gossip::PendingUsage;
+use load_reports::LoadReports;
 use peers::Peers;
 use permits::Permits;
 use placement::Placer;
@@ -191,6 +194,7 @@
     duty: Option<UsageDuty>,
     duty_clock: DutyClock,
     permits: Permits,
+    load_reports: LoadReports,
     actions: Vec<Action>,
 }
 
@@ -238,6 +242,7 @@
             duty: usage_duty(&cfg),
             duty_clock: DutyClock::new(now),
             permits: Permits::default(),
+            load_reports: LoadReports::default(),
             actions: Vec::new(),
             cfg,
         }
@@ -268,6 +273,7 @@
             self.endpoint_fetches.due(),
             self.pending_crashes.due(),
             self.quarantine.next_evaluation(),
+            self.load_report_due(),
             self.permits.due(|id| self.fleet.directives.limits.of(id)),
         ];
         let due = others.into_iter().flatten().fold(due, Micros::min);
@@ -359,6 +365,7 @@
         self.fetch_if_behind();
         self.forget_crashes();
         self.gossip_usage_if_due();
+        self.publish_load_if_due();
         self.gossip_if_due();
     }
 
--- a/src/gateway/dispatch/action.rs
+++ b/src/gateway/dispatch/action.rs
@@ -13,8 +13,9 @@
 use crate::gateway::dispatch::replica::ReplicaLocation;
 use crate::gateway::dispatch::rollout::status::StatusWrite;
 use crate::schema::{
-    BoxState, CrashUpdate, DepartureUpdate, DutyHolder, EndpointId, EndpointIncarnation,
-    Fingerprint, LimitUpdate, OrganisationId, StateRequest, UsageCountUpdate, UsageUpdate,
+    BoxId, BoxState, CrashUpdate, DepartureUpdate, DutyHolder, EndpointId, EndpointIncarnation,
+    EngineLoadReport, Fingerprint, LimitUpdate, OrganisationId, StateRequest, UsageCountUpdate,
+    UsageUpdate,
 };
 
 /// Attempt of a request at an endpoint.
@@ -190,6 +191,15 @@
         /// Endpoints that are leaving.
         update: DepartureUpdate,
     },
+    /// Send peers the load of a failure domain on engines by UDP.
+    PublishLoad {
+        /// Addresses of the receivers.
+        to: Vec<SocketAddr>,
+        /// This box.
+        from: BoxId,
+        /// Load of the own failure domain, or of another one that is forwarded.
+        report: EngineLoadReport,
+    },
     /// Send peers the limits of endpoints, permit requests and granted permits by UDP.
     PublishLimits {
         /// Addresses of the receivers.
--- a/src/gateway/dispatch/fleet.rs
+++ b/src/gateway/dispatch/fleet.rs
@@ -10,6 +10,7 @@
 //! endpoint is forgotten once it is neither listed nor in use.
 
 pub mod directives;
+pub mod domain_load;
 pub mod health;
 mod incarnations;
 mod list;
@@ -24,6 +25,7 @@
     ServiceId,
 };
 use directives::Directives;
+use domain_load::DomainLoads;
 use health::{Answers, EndpointHealth, FailureShares};
 use losses::Losses;
 use usage::{PeerUsage, ReportedUsage};
@@ -152,6 +154,8 @@
     unpublished: BTreeMap<EndpointId, EndpointAnswers>,
     /// Load of the boxes of other failure domains at plain services.
     domain_usage: BTreeMap<DomainId, ReportedUsage>,
+    /// Load of the boxes of other failure domains on engines.
+    domain_loads: DomainLoads,
     /// The services that the configuration names, or `None` before the first configuration.
     services: Option<BTreeSet<ServiceId>>,
     /// How many incarnations of endpoints this box has learnt of.
@@ -330,7 +334,7 @@
     /// Applies a peer's losses, its load, and the load of other failure domains that it reports.
     pub fn on_peer(&mut self, state: &BoxState, own: &DomainId, now: Micros) {
         self.on_peer_losses(&state.lost, now);
-        self.on_peer_state(&state.from, &state.usage, now);
+        self.on_peer_state(state, own, now);
         self.on_domain_usage(&state.domain_usage, own, now);
     }
 }
--- a/src/gateway/dispatch/fleet/usage.rs
+++ b/src/gateway/dispatch/fleet/usage.rs
@@ -3,12 +3,14 @@
 //! A peer of the own failure domain reports at once what it started and ended at an endpoint, and
 //! periodically all that it runs. Reports age: prompts are prefilled meanwhile, and after about the
 //! time of a stream a report no longer counts. Of other domains this box gets the sums over all
-//! their boxes, for plain services only.
+//! their boxes: for plain services here, and for engines in [`super::domain_load`], whose sums
+//! replace what single boxes of those domains report.
 
+use std::ops::Add;
 use std::time::Duration;
 
 use super::{Endpoint, Fleet};
-use crate::schema::{BoxId, DomainId, DomainUsage, EndpointId, EndpointUsage, Micros};
+use crate::schema::{BoxId, BoxState, DomainId, DomainUsage, EndpointId, EndpointUsage, Micros};
 
 /// Prompt tokens that an engine prefills in a millisecond.
 pub const PREFILL_TOKENS_PER_MS: f64 = 5.0;
@@ -31,11 +33,26 @@
     pub memory: u32,
 }
 
+impl Add for Usage {
+    type Output = Self;
+
+    /// Adds two loads; reports of peers are not trusted to stay within the range of the numbers.
+    fn add(self, other: Self) -> Self {
+        Self {
+            running: self.running.saturating_add(other.running),
+            prefill: self.prefill.saturating_add(other.prefill),
+            memory: self.memory.saturating_add(other.memory),
+        }
+    }
+}
+
 /// The source of a report.
 #[derive(Clone, Debug, Eq, PartialEq)]
 enum Source {
-    /// A box, about its own load.
+    /// A box of the own failure domain, about its own load.
     Box(BoxId),
+    /// A box of another failure domain, about its own load.
+    RemoteBox(BoxId, DomainId),
     /// Some box, about the load of all boxes of a failure domain.
     Domain(DomainId),
 }
@@ -62,8 +79,8 @@
         let age = now.since(self.at);
         let is_engine = self.usage.memory > 0;
         let lifetime = match self.from {
-            Source::Box(_) if is_engine => ENGINE_REPORT_LIFETIME,
-            Source::Box(_) => PLAIN_REPORT_LIFETIME,
+            Source::Box(_) | Source::RemoteBox(..) if is_engine => ENGINE_REPORT_LIFETIME,
+            Source::Box(_) | Source::RemoteBox(..) => PLAIN_REPORT_LIFETIME,
             Source::Domain(_) => DOMAIN_REPORT_LIFETIME,
         };
         let prefilled = (age.as_secs_f64() * 1_000.0 * PREFILL_TOKENS_PER_MS) as u32;
@@ -76,10 +93,14 @@
 
 impl Fleet {
     /// Replaces the load of a peer by a report of all that it runs.
-    pub(super) fn on_peer_state(&mut self, from: &BoxId, usage: &[EndpointUsage], now: Micros) {
-        let from = Source::Box(from.clone());
+    pub(super) fn on_peer_state(&mut self, state: &BoxState, own: &DomainId, now: Micros) {
+        let from = if state.domain == *own {
+            Source::Box(state.from.clone())
+        } else {
+            Source::RemoteBox(state.from.clone(), state.domain.clone())
+        };
         self.forget_reports_of(&from);
-        self.add_reports(&from, usage, now);
+        self.add_reports(&from, &state.usage, now);
     }
 
     /// Updates the load of a peer at some endpoints.
@@ -150,13 +171,9 @@
     pub fn usage_of_domain(&self, domain: &DomainId, now: Micros) -> DomainUsage {
         let mut found = Vec::new();
         for endpoint in self.endpoints.values() {
-            let reports = endpoint.others.iter();
-            let local = reports.filter(|other| matches!(other.from, Source::Box(_)));
-            let local = local.filter_map(|other| other.remaining(now));
-            let (running, memory) = local.fold(
-                (endpoint.own.running, endpoint.own.memory),
-                |(running, memory), usage| (running + usage.running, memory + usage.memory),
-            );
+            let Usage {
+                running, memory, ..
+            } = self.usage_of_own_domain(endpoint, now);
             if running > 0 && memory == 0 {
                 found.push(EndpointUsage {
                     endpoint: endpoint.spec.incarnation(),
@@ -176,17 +193,21 @@
     /// The load of an endpoint over all boxes, as far as their reports have not expired.
     #[must_use]
     pub fn usage(&self, endpoint: &Endpoint, now: Micros) -> Usage {
-        let mut total = endpoint.own;
-        for other in endpoint
-            .others
-            .iter()
-            .filter_map(|other| other.remaining(now))
-        {
-            total.running += other.running;
-            total.prefill += other.prefill;
-            total.memory += other.memory;
-        }
-        total
+        let loads = self.domain_loads.at(&endpoint.spec, now);
+        let others = endpoint.others.iter().filter(|other| match &other.from {
+            Source::RemoteBox(_, domain) => !loads.replaces_boxes_of(domain),
+            Source::Box(_) | Source::Domain(_) => true,
+        });
+        let others = others.filter_map(|other| other.remaining(now));
+        others.fold(endpoint.own + loads.total(), Add::add)
+    }
+
+    /// The load of this box and those of its failure domain at an endpoint.
+    pub(super) fn usage_of_own_domain(&self, endpoint: &Endpoint, now: Micros) -> Usage {
+        let reports = endpoint.others.iter();
+        let local = reports.filter(|other| matches!(other.from, Source::Box(_)));
+        let local = local.filter_map(|other| other.remaining(now));
+        local.fold(endpoint.own, Add::add)
     }
 
     /// The load that this box causes at an endpoint, to publish.
--- a/src/gateway/dispatch/placement.rs
+++ b/src/gateway/dispatch/placement.rs
@@ -9,12 +9,13 @@
 //! failures of the endpoint add to both. The cost table is in [`costs`].
 //!
 //! Placement uses the fleet as this box knows it now. Reports of other boxes in the failure domain
-//! are up to 10 ms old. Reports from other domains are older the more boxes there are, since each
-//! box reports to one box of another domain each 300 ms ([`super::gossip`]). This box assumes that
+//! are up to 10 ms old. The load of another domain is some 250 ms old ([`super::load_reports`]), so
+//! of the engines there only a sample is compared ([`sample`]). This box assumes that
 //! engines prefill the reported prompts in the meantime. Placement does without full reports to all
 //! boxes, a separate set of engines for each box, and load reports by the engines.
 
 pub mod costs;
+pub mod sample;
 
 use std::time::Duration;
 
@@ -106,12 +107,13 @@
         may_send: impl Fn(&Endpoint) -> bool,
     ) -> Option<&'a Endpoint> {
         let context = CostContext::new(fleet, demand, now);
-        let costs = fleet
+        let eligible = fleet
             .of_service(demand.service)
             .filter(|e| may_send(e) && !demand.was_tried(e))
             .filter(|e| demand.rules.attempts.admits(e))
-            .filter(|e| !fleet.is_unreachable(e, now))
-            .map(|e| (self.cost(&context, e), e));
+            .filter(|e| !fleet.is_unreachable(e, now));
+        let compared = self.compared(&context, eligible).into_iter();
+        let costs = compared.map(|(rank, e)| (rank + self.cost(&context, e), e));
         costs
             .min_by(|(a, _), (b, _)| a.total_cmp(b))
             .map(|(_, endpoint)| endpoint)
@@ -129,17 +131,16 @@
         now: Micros,
     ) -> Option<&'a Endpoint> {
         let context = CostContext::new(fleet, demand, now);
-        let costs = fleet
-            .of_service(demand.service)
-            .filter(|e| {
-                fleet.is_open(e, now)
-                    && demand.rules.replicas.admits(e)
-                    && !e.is_avoided(now)
-                    && !fleet.is_suspected(e, now)
-                    && !fleet.is_unreachable(e, now)
-                    && e.spec.id != primary.spec.id
-            })
-            .map(|e| (self.mirror_cost(&context, e, primary), e));
+        let eligible = fleet.of_service(demand.service).filter(|e| {
+            fleet.is_open(e, now)
+                && demand.rules.replicas.admits(e)
+                && !e.is_avoided(now)
+                && !fleet.is_suspected(e, now)
+                && !fleet.is_unreachable(e, now)
+                && e.spec.id != primary.spec.id
+        });
+        let compared = self.compared(&context, eligible).into_iter();
+        let costs = compared.map(|(rank, e)| (rank + self.mirror_cost(&context, e, primary), e));
         costs
             .min_by(|(a, _), (b, _)| a.total_cmp(b))
             .filter(|(cost, _)| *cost < costs::AVOIDED)
@@ -162,7 +163,8 @@
             .of_service(demand.service)
             .filter(|e| e.spec.id != engine.spec.id && demand.rules.replicas.admits(e))
             .filter(|e| is_eligible(e));
-        let costs = others.map(|e| (self.cost(&context, e), e));
+        let compared = self.compared(&context, others).into_iter();
+        let costs = compared.map(|(rank, e)| (rank + self.cost(&context, e), e));
         costs
             .min_by(|(a, _), (b, _)| a.total_cmp(b))
             .filter(|(cost, _)| *cost < costs::NO_MEMORY)
--- a/src/gateway/dispatch/placement/costs.rs
+++ b/src/gateway/dispatch/placement/costs.rs
@@ -10,6 +10,7 @@
 //! | [`ENGINE_RUNNING`] | 30 | one stream slows another a little, less than any prefill |
 //! | [`COLD`] | 35 | an endpoint that is slow from its start is taken before one of another domain |
 //! | [`OTHER_DOMAIN_PLAIN`] | 40 | a hop to another domain costs as much as four running calls |
+//! | [`SAMPLE_RANK`] | 60 | two running streams; more than a stale report should decide, less than a prefill |
 //! | [`TIE_BREAK`] | 100 | separates engines that differ by three streams or less; must not outweigh a domain |
 //! | [`OTHER_DOMAIN_ENGINE`] | 300 | traffic between domains is expensive, but less so than a third of a prefill |
 //! | [`FAILING`] | 1,500 | an endpoint that fails everything costs a second attempt, and more than waiting for a prompt |
@@ -44,6 +45,11 @@
 pub const AVOIDED: f64 = 20_000.0;
 /// Cost of an engine without enough free KV memory for the request, ms.
 pub const NO_MEMORY: f64 = 4_000.0;
+/// Cost of each place in the sample of engines of other failure domains, ms. When 27 boxes place 243
+/// streams at once on 80 engines (mean 3) by the same report, engines that it shows as idle get up
+/// to 18 of them with 0, up to 12 with 30, and up to 8 with 60 or more; 7 is the most where all look
+/// alike (each the median of 12 calculated runs, the worst of four distributions of load).
+pub const SAMPLE_RANK: f64 = 60.0;
 /// Upper bound of the tie-break for a plain service, ms. Boxes see each other's calls, so they need
 /// different choices only between equally loaded servers. With 100 ms most calls went to other
 /// domains.
--- a/src/gateway/shell/control.rs
+++ b/src/gateway/shell/control.rs
@@ -111,6 +111,9 @@
         let resting = directives.resting_count(self.shared.clock.now());
         let leaving = directives.leaving_count();
         self.shared.metrics.on_directives(resting, leaving);
+        let now = self.shared.clock.now();
+        let reporting = self.dispatcher.fleet().domains_with_load(now);
+        self.shared.metrics.load_domains.set(gauge(reporting));
     }
 
     fn perform(&mut self, action: Action) {
@@ -129,6 +132,7 @@
             | Action::GossipUsage { .. }
             | Action::PublishUsageCounts { .. }
             | Action::PublishDepartures { .. }
+            | Action::PublishLoad { .. }
             | Action::PublishLimits { .. } => self.send_datagram(action),
             Action::FetchState { .. }
             | Action::ReadTable
@@ -169,6 +173,7 @@
                 (to, datagram::write_usage_counts(&update))
             }
             Action::PublishDepartures { to, update } => (to, datagram::write_departures(&update)),
+            Action::PublishLoad { to, from, report } => (to, datagram::write_load(&from, &report)),
             Action::PublishLimits { to, update } => (to, datagram::write_limits(&update)),
             _ => return,
         };
--- a/src/gateway/shell/datagram.rs
+++ b/src/gateway/shell/datagram.rs
@@ -11,8 +11,8 @@
 
 use crate::gateway::dispatch::event::Event;
 use crate::schema::{
-    BoxId, BoxState, CrashUpdate, DatagramSection, DepartureUpdate, DutyHolder, LimitUpdate,
-    UsageCountUpdate, UsageUpdate,
+    BoxId, BoxState, CrashUpdate, DatagramSection, DepartureUpdate, DutyHolder, EngineLoadReport,
+    LimitUpdate, UsageCountUpdate, UsageUpdate,
 };
 
 /// The first byte of a datagram with a [`BoxState`].
@@ -29,6 +29,8 @@
 const LIMITS_SECTION: u16 = 4;
 /// The kind of a section with [`DepartureUpdate`].
 const DEPARTURES_SECTION: u16 = 5;
+/// The kind of a section with an [`EngineLoadReport`].
+const LOAD_SECTION: u16 = 6;
 
 /// Encodes a box's state as a datagram.
 ///
@@ -97,6 +99,16 @@
     with_section(empty_message(&update.from)?, DEPARTURES_SECTION, update)
 }
 
+/// Encodes a failure domain's report of its load on engines, as a section after an empty message of
+/// the box that sends or forwards it.
+///
+/// # Errors
+///
+/// If it can't be encoded.
+pub fn write_load(from: &BoxId, report: &EngineLoadReport) -> Result<Vec<u8>, postcard::Error> {
+    with_section(empty_message(from)?, LOAD_SECTION, report)
+}
+
 /// A message without content, to which a section is added.
 fn empty_message(from: &BoxId) -> Result<Vec<u8>, postcard::Error> {
     let empty = UsageUpdate {
@@ -161,6 +173,8 @@
             events.push(Event::PeerLimits(read_content(&section)?));
         } else if section.kind == DEPARTURES_SECTION {
             events.push(Event::PeerDepartures(read_content(&section)?));
+        } else if section.kind == LOAD_SECTION {
+            events.push(Event::PeerLoad(read_content(&section)?));
         }
     }
     Ok(events)
--- a/src/gateway/shell/metrics.rs
+++ b/src/gateway/shell/metrics.rs
@@ -29,6 +29,8 @@
     pub boxes_local: IntGauge,
     /// Number of known running boxes in all failure domains, including this one.
     pub boxes: IntGauge,
+    /// Number of other failure domains whose load on engines is known.
+    pub load_domains: IntGauge,
     endpoints: EndpointMetrics,
     store_calls: IntCounterVec,
     /// Number of probes sent to endpoints.
@@ -281,6 +283,10 @@
                 "boxes",
                 "Running boxes of all failure domains that are known",
             ),
+            load_domains: set.gauge(
+                "load_domains",
+                "Other failure domains whose load on engines is known from a report",
+            ),
             endpoints: EndpointMetrics::new(&set),
             store_calls: set.counters(
                 "store_calls_total",
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -876,6 +876,33 @@
     ///Number of running requests.
     pub running: u32,
 }
+///Load that all boxes of a failure domain have placed on an engine.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct EngineLoad {
+    ///Hash of the engine's incarnation.
+    pub engine: u32,
+    ///KV memory that requests and replicas occupy or will occupy, in units of 256 tokens.
+    pub memory: u32,
+    ///Prompt tokens of requests that have not had their first event, in units of 256 tokens.
+    pub reading: u32,
+    ///Number of running requests.
+    pub running: u32,
+}
+///Load that all boxes of a failure domain have placed on engines.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct EngineLoadReport {
+    ///Milliseconds since a box of that domain computed the sums.
+    pub age_ms: u32,
+    pub domain: DomainId,
+    ///Engines that are used, those with the most KV memory first.
+    pub engines: ::std::vec::Vec<EngineLoad>,
+    ///Whether a box of the receiver's failure domain forwarded the report.
+    pub is_forwarded: bool,
+    ///Milliseconds by the clock of the box that computed the sums; gives the order of its reports only.
+    pub sent_at: u64,
+}
 ///What a model engine serves, and its number of slots.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/tests/datagram.rs
+++ b/tests/datagram.rs
@@ -8,13 +8,14 @@
 
 use magpiemoor::gateway::dispatch::event::Event;
 use magpiemoor::gateway::shell::datagram::{
-    read, with_holder, write_departures, write_limits, write_state, write_usage, write_usage_counts,
+    read, with_holder, write_departures, write_limits, write_load, write_state, write_usage,
+    write_usage_counts,
 };
 use magpiemoor::schema::{
     BoxState, CrashReport, CrashUpdate, DatagramSection, DepartureUpdate, DutyHolder,
-    EndpointUsage, Fingerprint, Incarnation, LimitReport, LimitUpdate, OrganisationCount,
-    PermitGrant, PermitRequest, RequestAge, RunningBox, ServiceTotals, UsageCountUpdate,
-    UsageUpdate, WindowCounts,
+    EndpointUsage, EngineLoad, EngineLoadReport, Fingerprint, Incarnation, LimitReport,
+    LimitUpdate, OrganisationCount, PermitGrant, PermitRequest, RequestAge, RunningBox,
+    ServiceTotals, UsageCountUpdate, UsageUpdate, WindowCounts,
 };
 
 fn production(file: &str) -> Vec<u8> {
@@ -301,3 +302,35 @@
     let as_production: UsageUpdate = postcard::from_bytes(&bytes[1..]).unwrap();
     assert_eq!(as_production, *empty);
 }
+
+/// The version in production decodes the empty message and ignores the load report that follows it.
+#[test]
+fn load_reports_follow_an_empty_message() {
+    let engine = |engine| EngineLoad {
+        engine,
+        running: 9,
+        reading: 20,
+        memory: 215,
+    };
+    let report = EngineLoadReport {
+        domain: "north".parse().unwrap(),
+        sent_at: 40_000_000,
+        age_ms: 12,
+        is_forwarded: true,
+        engines: (0..128).map(|n| engine(u32::MAX - n)).collect(),
+    };
+    let bytes = write_load(&"box-1".parse().unwrap(), &report).unwrap();
+    assert!(
+        bytes.len() <= 1_400,
+        "one packet, not {} bytes",
+        bytes.len()
+    );
+    let events = read(&bytes).unwrap();
+    let [Event::PeerUsage(empty), Event::PeerLoad(read)] = &events[..] else {
+        panic!("{events:?}");
+    };
+    assert_eq!(*read, report);
+    assert!(empty.usage.is_empty() && empty.totals.is_empty());
+    let as_production: UsageUpdate = postcard::from_bytes(&bytes[1..]).unwrap();
+    assert_eq!(as_production, *empty);
+}
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -77,6 +77,8 @@
     pub watching: Observations<bool>,
     /// Attempts that boxes started.
     pub attempts: Observations<(RequestNumber, Attempt)>,
+    /// Reports of load between domains: the sender, and whether it forwarded the report.
+    pub load_reports: Vec<(usize, bool)>,
     /// Number of datagrams sent, including lost ones.
     pub datagrams: u64,
     /// Total encoded size of these datagrams in bytes.
@@ -112,6 +114,7 @@
             now: Micros(1_000_000),
             watching: Vec::new(),
             attempts: Vec::new(),
+            load_reports: Vec::new(),
             datagrams: 0,
             bytes: 0,
             store_is_up: true,
@@ -267,6 +270,11 @@
                 self.bytes += encoded_len(&update) * to.len() as u64;
                 self.send(at, &to, &Event::PeerUsage(update));
             }
+            Action::PublishLoad { to, report, .. } => {
+                self.load_reports.push((at, report.is_forwarded));
+                self.bytes += encoded_len(&report) * to.len() as u64;
+                self.send(at, &to, &Event::PeerLoad(report));
+            }
             Action::FetchState { from, kind, .. } => {
                 let from = self.by_address[&from];
                 self.schedule(at, FETCH_TIME, Scheduled::Fetched { from, kind });
