--- a/lab/src/gateway/crashes/fleet.rs
+++ b/lab/src/gateway/crashes/fleet.rs
@@ -14,7 +14,9 @@
 use std::time::Duration;
 
 use magpiemoor::gateway::dispatch::action::Action;
-use magpiemoor::gateway::dispatch::event::{EndpointChange, Event, RequestNumber, SnapshotName};
+use magpiemoor::gateway::dispatch::event::{
+    EndpointChange, Event, RequestNumber, SnapshotFailure, SnapshotName,
+};
 use magpiemoor::gateway::dispatch::fetches::FetchOutcome;
 use magpiemoor::gateway::dispatch::{DispatchConfig, Dispatcher};
 use magpiemoor::gateway::shell::datagram;
@@ -362,7 +364,11 @@
                     request: asked.request,
                     attempt: asked.attempt,
                     host: asked.host,
-                    name: is_taken.then(|| SnapshotName("s".to_owned())),
+                    name: if is_taken {
+                        Ok(SnapshotName("s".to_owned()))
+                    } else {
+                        Err(SnapshotFailure::Refused)
+                    },
                 };
                 let taken = Duration::from_millis(100);
                 self.post_event(at, taken, event);
--- a/lab/src/gateway/rollout/fleet.rs
+++ b/lab/src/gateway/rollout/fleet.rs
@@ -276,7 +276,7 @@
                     request: asked.request,
                     attempt: asked.attempt,
                     host: asked.host,
-                    name: Some(SnapshotName("s".to_owned())),
+                    name: Ok(SnapshotName("s".to_owned())),
                 };
                 let taken = Duration::from_millis(100);
                 self.post(at, taken, Mail::Event(Box::new(event)));
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -22,7 +22,7 @@
 //! | effects of an endpoint restart under its id | [`endpoint_restart`], `fleet::incarnations` |
 //! | what endpoints ask of their callers | [`fleet::directives`] |
 //! | load of endpoints with a limit, its division among boxes | [`permits`] |
-//! | location of replicas of KV memory | [`replicas`] |
+//! | location of replicas of KV memory | [`replicas`]; room for them: [`replica_room`] |
 //! | search for the engine that keeps the prompt of a caller that reconnects | [`prompt_search`] |
 //! | work in progress at endpoints | [`fleet::usage`] |
 //! | selection of the boxes that watch the store | [`store_watchers`] |
@@ -46,6 +46,7 @@
 pub mod record;
 pub mod refusal;
 pub mod replica;
+pub mod replica_room;
 pub mod retry_budget;
 pub mod rollout;
 pub mod roster;
@@ -96,6 +97,7 @@
 use placement::Placer;
 use quarantine::Quarantine;
 use record::{Record, WATCHES_STORE};
+use replica_room::ReplicaRoom;
 use request::Request;
 use retry_budget::{RetryBudget, RetryPolicy};
 use rollout::Rollouts;
@@ -191,6 +193,7 @@
     duty: Option<UsageDuty>,
     duty_clock: DutyClock,
     permits: Permits,
+    replica_room: ReplicaRoom,
     actions: Vec<Action>,
 }
 
@@ -238,6 +241,7 @@
             duty: usage_duty(&cfg),
             duty_clock: DutyClock::new(now),
             permits: Permits::default(),
+            replica_room: ReplicaRoom::default(),
             actions: Vec::new(),
             cfg,
         }
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -144,6 +144,7 @@
         let backup = mirror.as_ref().map(|host| host.id.to_string());
         let sent = self.sent_record(request, &attempt, &spec, backup, usage);
         self.record(sent);
+        self.record_stream_size(number);
         self.fleet.on_attempt(&spec, now);
         self.use_permit(to);
         if let Some(rollout) = self.rollouts.of_mut(&spec.service) {
@@ -336,6 +337,7 @@
         address: attempt.address,
         mirror,
         snapshot: None,
+        failed_snapshots: 0,
         next_replica_check: first_replica_check(now),
         prefill: if needs_prefill {
             request.arrival.prompt.0
--- a/src/gateway/dispatch/event.rs
+++ b/src/gateway/dispatch/event.rs
@@ -49,6 +49,31 @@
     }
 }
 
+/// Why a snapshot was not taken.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum SnapshotFailure {
+    /// The engine could not be reached or closed the connection.
+    Unreachable,
+    /// The engine answered that it took none, usually since the host has no room.
+    Refused,
+    /// No answer arrived within the time limit.
+    Timeout,
+    /// The answer names no snapshot.
+    Unreadable,
+}
+
+impl fmt::Display for SnapshotFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Unreachable => "unreachable",
+            Self::Refused => "refused",
+            Self::Timeout => "timeout",
+            Self::Unreadable => "unreadable",
+        })
+    }
+}
+
 /// Name of a snapshot, given by the engine that took it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SnapshotName(pub String);
@@ -383,7 +408,7 @@
         attempt: AttemptNumber,
         /// Endpoint that was to hold the snapshot.
         host: EndpointId,
-        /// Name of the snapshot; `None` if it was not taken.
-        name: Option<SnapshotName>,
+        /// Name of the snapshot, or why it was not taken.
+        name: Result<SnapshotName, SnapshotFailure>,
     },
 }
--- a/src/gateway/dispatch/placement.rs
+++ b/src/gateway/dispatch/placement.rs
@@ -118,14 +118,16 @@
     }
 
     /// Selects the host of a mirror, preferably in another failure domain than the attempt's
-    /// endpoint (`primary`). Excludes endpoints that are avoided, suspected, unreachable or tried
-    /// before, and those that cost [`costs::AVOIDED`] or more.
+    /// endpoint (`primary`), among the endpoints that `has_room` accepts. Excludes endpoints that are
+    /// avoided, suspected, unreachable or tried before, and those that cost [`costs::AVOIDED`] or
+    /// more.
     #[must_use]
     pub fn choose_mirror<'a>(
         &self,
         fleet: &'a Fleet,
         demand: Demand<'_>,
         primary: &Endpoint,
+        has_room: impl Fn(&Endpoint) -> bool,
         now: Micros,
     ) -> Option<&'a Endpoint> {
         let context = CostContext::new(fleet, demand, now);
@@ -138,6 +140,7 @@
                     && !fleet.is_suspected(e, now)
                     && !fleet.is_unreachable(e, now)
                     && e.spec.id != primary.spec.id
+                    && has_room(e)
             })
             .map(|e| (self.mirror_cost(&context, e, primary), e));
         costs
--- a/src/gateway/dispatch/record.rs
+++ b/src/gateway/dispatch/record.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::dispatch::event::{EndpointChange, Fault};
+use crate::gateway::dispatch::event::{EndpointChange, Fault, SnapshotFailure};
 use crate::gateway::dispatch::refusal::RefusalReason;
 use crate::schema::EndpointId;
 
@@ -160,6 +160,9 @@
         is_made: bool,
         /// Milliseconds that it took.
         after_ms: u64,
+        /// Why it was not taken; absent in logs of earlier versions.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        failure: Option<SnapshotFailure>,
     },
     /// An attempt was abandoned, since its endpoint did not answer a probe or a call took too long.
     Suspected {
--- a/src/gateway/dispatch/record/sentence.rs
+++ b/src/gateway/dispatch/record/sentence.rs
@@ -151,10 +151,13 @@
                 holder,
                 is_made,
                 after_ms,
+                failure,
                 ..
             } => {
                 let taken = if *is_made { "taken" } else { "not taken" };
-                format!("snapshot {taken} at {holder} after {after_ms} ms")
+                let why = failure.map(|failure| format!(": {failure}"));
+                let why = why.unwrap_or_default();
+                format!("snapshot {taken} at {holder} after {after_ms} ms{why}")
             }
             Self::Suspected {
                 endpoint,
--- a/src/gateway/dispatch/replicas.rs
+++ b/src/gateway/dispatch/replicas.rs
@@ -9,6 +9,10 @@
 //! [`REPLICA_SNAPSHOT_INTERVAL`] so that the snapshot stays recent. The snapshot is dropped when the
 //! mirror is independent again, and when the attempt ends.
 //!
+//! Where KV memory is scarce, replicas are made only at hosts that keep room for requests
+//! ([`super::replica_room`]). A host at which a snapshot failed counts as full for a while, so the
+//! snapshot is requested again at another one.
+//!
 //! An engine that wants a rest from this box is asked for no snapshot meanwhile.
 //!
 //! After a loss the next attempt resumes from the most independent replica that has not expired and
@@ -25,10 +29,11 @@
 
 use super::Dispatcher;
 use super::action::{Action, SnapshotRequest};
-use super::event::{AttemptNumber, RequestNumber, SnapshotName};
+use super::event::{AttemptNumber, RequestNumber, SnapshotFailure, SnapshotName};
 use super::fleet::Endpoint;
 use super::record::Record;
 use super::replica::{Replica, ReplicaLocation, Snapshot};
+use super::replica_room::ReplicaKind;
 use super::request::{ActiveAttempt, Request, is_due, millis};
 use crate::schema::{EndpointId, EndpointIncarnation, Micros};
 
@@ -37,6 +42,11 @@
 const REPLICA_SNAPSHOT_INTERVAL: Duration = Duration::from_secs(3);
 /// Delay before another snapshot is requested after one failed.
 const SNAPSHOT_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Number of failed snapshots in a row after which [`SNAPSHOT_PAUSE`] applies.
+const MAX_QUICK_FAILURES: u32 = 2;
+/// Delay before another snapshot is requested after several failed: about as long as most of the
+/// streams that fill a host still run.
+const SNAPSHOT_PAUSE: Duration = Duration::from_secs(3);
 /// Time between two checks of an attempt's replicas.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest time that a snapshot may take. Without an answer it counts as in progress until then.
@@ -61,14 +71,17 @@
 
 impl Dispatcher {
     /// Selects the host of an attempt's mirror. `None` if the engine does not mirror, the request may
-    /// not run again after this attempt, or no host is suitable.
+    /// not run again after this attempt, or no host is suitable and has room.
     pub(super) fn mirror_for(&self, request: &Request, endpoint: &Endpoint) -> Option<&Endpoint> {
-        let mirrors = request.engine.is_some_and(|engine| engine.mirrors);
-        if !mirrors || !request.may_run_after_active() {
+        let engine = request.engine.filter(|engine| engine.mirrors)?;
+        if !request.may_run_after_active() {
             return None;
         }
+        let rule = self.replica_rule(request, engine, ReplicaKind::Mirror);
+        let demand = self.demand_of(request);
+        let has_room = |host: &Endpoint| self.admits_replica(rule, engine, host);
         self.placer
-            .choose_mirror(&self.fleet, self.demand_of(request), endpoint, self.now)
+            .choose_mirror(&self.fleet, demand, endpoint, has_room, self.now)
     }
 
     /// Requests a snapshot of a stream if a more independent replica is possible or the snapshot is
@@ -93,33 +106,49 @@
         if !active.has_events || is_resting || !is_due(Some(active.next_replica_check), now) {
             return;
         }
-        let snapshot = active.snapshot.as_ref();
-        let mirror_independence = self.independence(active.mirror.as_ref(), active);
-        let snapshot_independence = self.independence(snapshot.map(|s| &s.host), active);
-        if mirror_independence == Independence::Safe && snapshot.is_some() {
+        let mirror = self.independence(active.mirror.as_ref(), active);
+        if mirror == Independence::Safe && active.snapshot.is_some() {
             self.discard_snapshot(number);
             return;
         }
-        let host = match snapshot {
-            Some(snapshot)
-                if snapshot_independence == Independence::Safe
-                    && snapshot_independence > mirror_independence =>
-            {
-                let is_old = now.since(snapshot.taken_at) >= REPLICA_SNAPSHOT_INTERVAL;
-                is_old.then(|| snapshot.host.id.clone())
-            }
-            _ => self.better_host(
-                request,
-                active,
-                mirror_independence.max(snapshot_independence),
-            ),
-        };
-        match host {
+        match self.next_snapshot_host(request, active, mirror) {
             Some(host) => self.request_snapshot(number, &host),
             None => self.schedule_check(number),
         }
     }
 
+    /// Selects the host of the next snapshot. `None` if none is due or no suitable host has room.
+    fn next_snapshot_host(
+        &self,
+        request: &Request,
+        active: &ActiveAttempt,
+        mirror: Independence,
+    ) -> Option<EndpointId> {
+        let snapshot = active.snapshot.as_ref();
+        let independence = self.independence(snapshot.map(|s| &s.host), active);
+        let is_best = independence == Independence::Safe && independence > mirror;
+        let Some(snapshot) = snapshot.filter(|_| is_best) else {
+            return self.better_host(request, active, mirror.max(independence));
+        };
+        if self.now.since(snapshot.taken_at) < REPLICA_SNAPSHOT_INTERVAL {
+            return None;
+        }
+        if self.may_update(request, snapshot) {
+            return Some(snapshot.host.id.clone());
+        }
+        self.better_host(request, active, mirror)
+    }
+
+    /// Whether the host of a snapshot has room for a newer one in its place.
+    fn may_update(&self, request: &Request, snapshot: &Snapshot) -> bool {
+        let host = self.fleet.get_incarnation(&snapshot.host);
+        let Some((host, engine)) = host.zip(request.engine) else {
+            return false;
+        };
+        let rule = self.replica_rule(request, engine, ReplicaKind::SnapshotUpdate);
+        self.admits_replica(rule, engine, host)
+    }
+
     /// Whether another attempt could resume from a replica of this attempt now.
     pub(super) fn has_replica(&self, active: &ActiveAttempt) -> bool {
         let taken = active.snapshot.as_ref().filter(|s| s.name.is_some());
@@ -142,6 +171,8 @@
             return None;
         }
         let engine = self.fleet.get_incarnation(&active.endpoint)?;
+        let spec = request.engine?;
+        let rule = self.replica_rule(request, spec, ReplicaKind::Snapshot);
         let wanted = [
             Independence::Safe,
             Independence::BothOutside,
@@ -152,7 +183,9 @@
             .filter(|independence| *independence > best);
         let mut found = better.filter_map(|independence| {
             let is_eligible = |host: &Endpoint| {
-                !host.is_avoided(self.now) && self.independence_at(host, active) == independence
+                !host.is_avoided(self.now)
+                    && self.independence_at(host, active) == independence
+                    && self.admits_replica(rule, spec, host)
             };
             self.placer.choose_snapshot_host(
                 &self.fleet,
@@ -261,13 +294,13 @@
         }));
     }
 
-    /// Handles the result of a snapshot request; `name` is `None` if the snapshot failed.
+    /// Handles the result of a snapshot request.
     pub(super) fn on_snapshot_taken(
         &mut self,
         number: RequestNumber,
         attempt: AttemptNumber,
         host: &EndpointId,
-        name: Option<SnapshotName>,
+        name: Result<SnapshotName, SnapshotFailure>,
     ) {
         let now = self.now;
         let Some(request) = self.with_active(number, attempt) else {
@@ -281,25 +314,29 @@
             return;
         };
         let after = snapshot.requested_at.take().map(|at| now.since(at));
-        let is_made = name.is_some();
+        let failure = name.as_ref().err().copied();
         let is_first = snapshot.name.is_none();
-        if is_made {
-            snapshot.name = name;
+        if let Ok(name) = name {
+            snapshot.name = Some(name);
             snapshot.taken_at = now;
             active.next_replica_check = now;
+            active.failed_snapshots = 0;
         } else {
-            active.next_replica_check = now.after(SNAPSHOT_RETRY_DELAY);
+            active.failed_snapshots += 1;
+            active.next_replica_check = now.after(retry_delay(active.failed_snapshots));
             let engine = active.address;
             if let Some(snapshot) = active.snapshot.take() {
+                self.replica_room.on_snapshot_failed(&snapshot.host, now);
                 self.release_snapshot(engine, &snapshot);
             }
         }
-        if is_first || !is_made {
+        if is_first || failure.is_some() {
             self.record(Record::Copied {
                 request: id,
                 holder: host.to_string(),
-                is_made,
+                is_made: failure.is_none(),
                 after_ms: millis(after.unwrap_or_default()),
+                failure,
             });
         }
     }
@@ -395,6 +432,15 @@
     request.engine.is_some_and(|engine| engine.snapshots) && request.may_run_after_active()
 }
 
+/// Returns the delay before the next snapshot after a number of failures in a row.
+fn retry_delay(failures: u32) -> Duration {
+    if failures < MAX_QUICK_FAILURES {
+        SNAPSHOT_RETRY_DELAY
+    } else {
+        SNAPSHOT_PAUSE
+    }
+}
+
 /// Returns the time of the first replica check of an attempt that starts now.
 pub(super) fn first_replica_check(now: Micros) -> Micros {
     now.after(FIRST_CHECK_DELAY)
--- a/src/gateway/dispatch/request.rs
+++ b/src/gateway/dispatch/request.rs
@@ -44,6 +44,8 @@
     /// The host that the engine mirrors the KV memory of the attempt to.
     pub mirror: Option<EndpointIncarnation>,
     pub snapshot: Option<Snapshot>,
+    /// Snapshots that failed since the last one that was taken.
+    pub failed_snapshots: u32,
     pub next_replica_check: Micros,
     /// Tokens of the prompt that are counted as queued for prefill at the endpoint.
     pub prefill: u32,
--- a/src/gateway/shell/metrics.rs
+++ b/src/gateway/shell/metrics.rs
@@ -58,6 +58,7 @@
     refusals: IntCounterVec,
     attempts: IntCounterVec,
     snapshots: IntCounterVec,
+    snapshot_failures: IntCounterVec,
     suspected: IntCounter,
 }
 
@@ -114,6 +115,11 @@
                 "Copies of runs that engines were asked for, by what came of it",
                 "result",
             ),
+            snapshot_failures: set.counters(
+                "snapshot_failures_total",
+                "Snapshots that were not taken, by reason",
+                "reason",
+            ),
             suspected: set.counter(
                 "suspected_total",
                 "Runs that were left since their endpoint was silent",
@@ -136,9 +142,15 @@
                 self.attempts.with_label_values(&[kind]).inc();
             }
             Record::Resumed { pause_ms, .. } => self.resume_seconds.observe(seconds(*pause_ms)),
-            Record::Copied { is_made, .. } => {
+            Record::Copied {
+                is_made, failure, ..
+            } => {
                 let result = if *is_made { "made" } else { "failed" };
                 self.snapshots.with_label_values(&[result]).inc();
+                if let Some(failure) = failure {
+                    let reason = failure.to_string();
+                    self.snapshot_failures.with_label_values(&[&reason]).inc();
+                }
             }
             Record::Suspected { .. } => self.suspected.inc(),
             Record::Refused {
--- a/src/gateway/shell/snapshots.rs
+++ b/src/gateway/shell/snapshots.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 
 use crate::gateway::dispatch::action::SnapshotRequest;
-use crate::gateway::dispatch::event::{Event, SnapshotName};
+use crate::gateway::dispatch::event::{Event, SnapshotFailure, SnapshotName};
 use crate::gateway::shell::GatewayShared;
 use crate::gateway::shell::faults::FaultKind;
 use crate::gateway::shell::input::Input;
@@ -20,7 +20,7 @@
 /// Timeout for dropping a snapshot.
 const DROP_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Requests a snapshot from an engine; sends its name, or that there is none, to the control
+/// Requests a snapshot from an engine; sends its name, or why there is none, to the control
 /// thread.
 pub async fn take(wanted: SnapshotRequest, shared: GatewayShared) {
     let answered = tokio::time::timeout(wanted.limit, request_snapshot(&wanted, &shared)).await;
@@ -28,7 +28,7 @@
         request: wanted.request,
         attempt: wanted.attempt,
         host: wanted.host,
-        name: answered.ok().flatten(),
+        name: answered.unwrap_or(Err(SnapshotFailure::Timeout)),
     };
     shared.send(Input::Event(event)).await;
 }
@@ -36,19 +36,19 @@
 async fn request_snapshot(
     wanted: &SnapshotRequest,
     shared: &GatewayShared,
-) -> Option<SnapshotName> {
+) -> Result<SnapshotName, SnapshotFailure> {
     let (path, body) = shared.dialect.snapshot_request(&wanted.run, wanted.to);
     let mut request = Request::new(Full::new(Bytes::from(body)));
     *request.method_mut() = Method::POST;
-    *request.uri_mut() = path.parse().ok()?;
+    *request.uri_mut() = path.parse().map_err(|_| SnapshotFailure::Unreachable)?;
     let json = HeaderValue::from_static("application/json");
     request.headers_mut().insert(CONTENT_TYPE, json);
     let body = exchange(wanted.engine, request, wanted.limit, shared).await?;
     match shared.dialect.read_snapshot(&body) {
-        Ok(name) => Some(name),
+        Ok(name) => Ok(name),
         Err(e) => {
             shared.faults.report(FaultKind::SnapshotAnswer, &e);
-            None
+            Err(SnapshotFailure::Unreadable)
         }
     }
 }
@@ -75,12 +75,19 @@
     request: Request<Full<Bytes>>,
     limit: Duration,
     shared: &GatewayShared,
-) -> Option<Bytes> {
+) -> Result<Bytes, SnapshotFailure> {
     let mut connection = match shared.pool.take(address, SNAPSHOT_CONNECTION_MAX_IDLE) {
         Some(connection) => connection,
-        None => Pool::connect(address, limit).await.ok()?,
+        None => Pool::connect(address, limit)
+            .await
+            .map_err(|_| SnapshotFailure::Unreachable)?,
     };
-    let (head, body) = connection.exchange(request).await?;
+    let answer = connection.exchange(request).await;
+    let (head, body) = answer.ok_or(SnapshotFailure::Unreachable)?;
     shared.pool.put_back(connection);
-    (head.status == StatusCode::OK).then_some(body)
+    if head.status == StatusCode::OK {
+        Ok(body)
+    } else {
+        Err(SnapshotFailure::Refused)
+    }
 }
--- a/tests/copies.rs
+++ b/tests/copies.rs
@@ -11,7 +11,8 @@
 };
 use magpiemoor::gateway::dispatch::action::{Action, Attempt};
 use magpiemoor::gateway::dispatch::event::{
-    EndpointChange, Event, Fault, NotRunCause, Outcome, RequestNumber, SnapshotName,
+    EndpointChange, Event, Fault, NotRunCause, Outcome, RequestNumber, SnapshotFailure,
+    SnapshotName,
 };
 use magpiemoor::gateway::dispatch::record::Record;
 use magpiemoor::schema::EndpointId;
@@ -68,7 +69,9 @@
         request,
         attempt: run.attempt,
         host: holder.clone(),
-        name: name.map(|name| SnapshotName(name.to_owned())),
+        name: name
+            .map(|name| SnapshotName(name.to_owned()))
+            .ok_or(SnapshotFailure::Refused),
     }
 }
 
--- a/tests/gateway_metrics.rs
+++ b/tests/gateway_metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of a gateway: each record of a decision updates its counter or histogram.
 
+use magpiemoor::gateway::dispatch::event::SnapshotFailure;
 use magpiemoor::gateway::dispatch::record::{FETCH_BUSY, FETCHED_WHOLE, Record};
 use magpiemoor::gateway::dispatch::refusal::RefusalReason;
 use magpiemoor::gateway::shell::faults::{FaultKind, Faults};
@@ -31,6 +32,7 @@
         holder: "e".to_owned(),
         is_made,
         after_ms: 5,
+        failure: (!is_made).then_some(SnapshotFailure::Refused),
     }
 }
 
@@ -79,6 +81,7 @@
 #[case::from_a_replica(sent(2, true), "sendings_total{kind=\"copy\"} 1")]
 #[case::snapshot_taken(copied(true), "copies_total{result=\"made\"} 1")]
 #[case::snapshot_failed(copied(false), "copies_total{result=\"failed\"} 1")]
+#[case::reason_of_a_failed_snapshot(copied(false), "snapshot_failures_total{reason=\"refused\"} 1")]
 #[case::refused(
     refused(RefusalReason::NoEndpoint),
     "refusals_total{reason=\"no_endpoint\"} 1"
--- a/tests/incarnations.rs
+++ b/tests/incarnations.rs
@@ -135,7 +135,7 @@
         request,
         attempt: first.attempt,
         host: host.clone(),
-        name: Some(magpiemoor::gateway::dispatch::event::SnapshotName(
+        name: Ok(magpiemoor::gateway::dispatch::event::SnapshotName(
             "s".to_owned(),
         )),
     });
--- a/tests/rollout_end.rs
+++ b/tests/rollout_end.rs
@@ -181,7 +181,7 @@
                 request,
                 attempt: first.attempt,
                 host,
-                name: Some(magpiemoor::gateway::dispatch::event::SnapshotName(
+                name: Ok(magpiemoor::gateway::dispatch::event::SnapshotName(
                     "s".to_owned(),
                 )),
             });
--- a/tests/stream_report.rs
+++ b/tests/stream_report.rs
@@ -79,6 +79,7 @@
         holder: "snapshot".to_owned(),
         is_made,
         after_ms: 60,
+        failure: None,
     }
 }
 
