--- a/src/gateway/shell/snapshots.rs
+++ b/src/gateway/shell/snapshots.rs
@@ -44,13 +44,10 @@
     let json = HeaderValue::from_static("application/json");
     request.headers_mut().insert(CONTENT_TYPE, json);
     let body = exchange(wanted.engine, request, wanted.limit, shared).await?;
-    match shared.dialect.read_snapshot(&body) {
-        Ok(name) => Ok(name),
-        Err(e) => {
-            shared.faults.report(FaultKind::SnapshotAnswer, &e);
-            Err(SnapshotFailure::Unreadable)
-        }
-    }
+    shared.dialect.read_snapshot(&body).map_err(|e| {
+        shared.faults.report(FaultKind::SnapshotAnswer, &e);
+        SnapshotFailure::Unreadable
+    })
 }
 
 /// Requests an engine to drop a snapshot.
