--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -22,7 +22,7 @@
 //! | effects of an endpoint restart under its id | [`endpoint_restart`], `fleet::incarnations` |
 //! | what endpoints ask of their callers | [`fleet::directives`] |
 //! | load of endpoints with a limit, its division among boxes | [`permits`] |
-//! | location of replicas of KV memory | [`replicas`] |
+//! | location of replicas of KV memory | [`replicas`]; room for them: [`replica_room`] |
 //! | search for the engine that keeps the prompt of a caller that reconnects | [`prompt_search`] |
 //! | work in progress at endpoints | [`fleet::usage`] |
 //! | load of the engines in other failure domains | [`fleet::domain_load`], exchanged by `load_reports` |
@@ -47,6 +47,7 @@
 pub mod record;
 pub mod refusal;
 pub mod replica;
+pub mod replica_room;
 pub mod retry_budget;
 pub mod rollout;
 pub mod roster;
@@ -99,6 +100,7 @@
 use placement::Placer;
 use quarantine::Quarantine;
 use record::{Record, WATCHES_STORE};
+use replica_room::ReplicaRoom;
 use request::Request;
 use retry_budget::{RetryBudget, RetryPolicy};
 use rollout::Rollouts;
@@ -195,6 +197,7 @@
     duty_clock: DutyClock,
     permits: Permits,
     load_reports: LoadReports,
+    replica_room: ReplicaRoom,
     actions: Vec<Action>,
 }
 
@@ -243,6 +246,7 @@
             duty_clock: DutyClock::new(now),
             permits: Permits::default(),
             load_reports: LoadReports::default(),
+            replica_room: ReplicaRoom::default(),
             actions: Vec::new(),
             cfg,
         }
--- /dev/null
+++ b/tests/replica_room.rs
@@ -0,0 +1,146 @@
+//! Where memory is scarce, replicas are made only at hosts that keep room for requests.
+
+#[path = "gateway/fixtures.rs"]
+mod fixtures;
+
+use fixtures::{STREAMS, World, box_state, endpoint, endpoints, listed};
+use magpiemoor::gateway::dispatch::action::Action;
+use magpiemoor::gateway::dispatch::event::{
+    AttemptNumber, Event, Outcome, RequestNumber, SnapshotFailure, Tokens,
+};
+use magpiemoor::gateway::dispatch::fleet::Usage;
+use magpiemoor::gateway::dispatch::priority::{Priority, Tiers};
+use magpiemoor::gateway::dispatch::replica_room::{ReplicaNeed, ReplicaRoom, ReplicaRule};
+use magpiemoor::schema::{EndpointId, EndpointIncarnation, EndpointUsage, Micros};
+use rstest::rstest;
+
+/// Streams for `millis`, one event each 25 ms; returns the hosts of requested snapshots.
+fn stream(world: &mut World, of: (RequestNumber, AttemptNumber), millis: u64) -> Vec<EndpointId> {
+    let mut done = Vec::new();
+    for event in 0..millis / 25 {
+        world.progress(of.0, of.1, 100 + event);
+        done.extend(world.run(25));
+    }
+    let hosts = done.into_iter().filter_map(|action| match action {
+        Action::TakeSnapshot(requested) => Some(requested.host),
+        _ => None,
+    });
+    hosts.collect()
+}
+
+/// Mirrors took the memory that requests needed, and runs were preempted; with spare memory, the
+/// cheapest host must still be taken.
+#[rstest]
+#[case::plenty(0, 0, Some(9_003))]
+#[case::room_for_two_requests_elsewhere(40_000, 37_900, Some(9_004))]
+#[case::room_for_fewer_than_two_anywhere(40_000, 37_901, None)]
+fn a_replica_leaves_room_for_two_requests(
+    #[case] north: u32,
+    #[case] other_south: u32,
+    #[case] mirror: Option<u16>,
+) {
+    let mut world = World::ready();
+    let mut state = box_state("box-2", "north", "127.0.0.3:7200");
+    let loads = [north, north, 44_000, other_south].into_iter();
+    let usage = loads
+        .zip(endpoints())
+        .map(|(memory, engine)| EndpointUsage {
+            endpoint: engine.id.into(),
+            running: u32::from(engine.address.port() == 9_004) * 5,
+            reading: 0,
+            memory,
+        });
+    state.usage = usage.collect();
+    world.handle(Event::Peer(state));
+    let (request, run) = world.arrive(STREAMS);
+    let run = run.expect("the attempt starts with or without a mirror");
+    assert_eq!(run.mirror_to.map(|address| address.port()), mirror);
+    let snapshots = stream(&mut world, (request, run.attempt), 500);
+    assert!(snapshots.is_empty(), "{snapshots:?}");
+}
+
+/// A snapshot that its host had no room for was requested there again every 500 ms, and each request
+/// learned by its own failure that a host is full.
+#[test]
+fn a_failed_snapshot_is_requested_elsewhere_and_its_host_gets_no_replica_for_a_while() {
+    let mut world = World::ready();
+    let (request, run) = world.arrive(STREAMS);
+    let run = run.unwrap();
+    let (attempt, lost) = (run.attempt, run.mirror_to);
+    let rest = endpoints().into_iter().filter(|e| Some(e.address) != lost);
+    let third = endpoint("engine-n3", "engines", "north", 9_005);
+    world.handle(listed(rest.chain([third]).collect()));
+    let fail = |world: &mut World, host: &EndpointId| {
+        let (host, name) = (host.clone(), Err(SnapshotFailure::Refused));
+        world.handle(Event::SnapshotTaken {
+            request,
+            attempt,
+            host,
+            name,
+        });
+    };
+    let is_mirror_at = |world: &mut World, host: &EndpointId| {
+        let (other, run) = world.arrive(STREAMS);
+        let run = run.unwrap();
+        world.end(other, run.attempt, Outcome::StreamEnded);
+        let mut endpoints = endpoints().into_iter();
+        endpoints.any(|e| e.id == *host && Some(e.address) == run.mirror_to)
+    };
+    let of = (request, attempt);
+    let first = stream(&mut world, of, 300).remove(0);
+    assert!(is_mirror_at(&mut world, &first), "no other domain is left");
+    fail(&mut world, &first);
+    assert!(!is_mirror_at(&mut world, &first));
+    assert!(stream(&mut world, of, 475).is_empty());
+    let second = stream(&mut world, of, 100).remove(0);
+    assert_ne!(first, second);
+    fail(&mut world, &second);
+    assert!(stream(&mut world, of, 2_950).is_empty());
+    assert_eq!(stream(&mut world, of, 100), [first]);
+}
+
+/// The memory of a box is small, and every host of a large fleet may be full.
+#[test]
+fn few_full_hosts_are_remembered() {
+    let mut room = ReplicaRoom::default();
+    let host = |n: u64| EndpointIncarnation::from(format!("e-{n}").parse::<EndpointId>().unwrap());
+    for n in 0..1_000 {
+        room.on_snapshot_failed(&host(n), Micros(n));
+    }
+    assert!(room.full_hosts() <= 128);
+    assert!(room.is_full(&host(999), Micros(1_000)) && !room.is_full(&host(0), Micros(1_000)));
+    room.on_snapshot_failed(&host(0), Micros(10_000_000));
+    assert_eq!(room.full_hosts(), 1);
+}
+
+/// Replicas of less urgent streams would otherwise take the memory and slots that requests need.
+#[test]
+fn only_the_first_tier_gets_replicas_while_requests_wait() {
+    let (memory, usual) = (Tokens(5_000), Tokens(6_000));
+    let need = ReplicaNeed {
+        memory,
+        slots: 1,
+        usual,
+    };
+    let fits = |slots| need.fits(55_000, slots, Usage::default());
+    assert!(fits(3) && !fits(2), "a snapshot takes a slot");
+    let priorities = [Some(Priority::HIGHEST), Some(Priority::LOWEST)];
+    let tiers = Tiers::new([None].into_iter(), priorities.into_iter());
+    let [first, last] = priorities.map(|route| tiers.of(None, route));
+    let rule = |waits, tier| ReplicaRule::new(false, waits, tier, need);
+    assert_eq!(rule(true, first), ReplicaRule::WithRoom(need));
+    assert_eq!(rule(true, last), ReplicaRule::Nowhere);
+    assert_eq!(rule(false, last), ReplicaRule::WithRoom(need));
+}
+
+/// One very long prompt, or a caller that states no size, must not change what hosts keep free.
+#[test]
+fn the_usual_size_is_the_median_of_recent_streams_of_the_service() {
+    let (engines, others) = ("engines".parse().unwrap(), "others".parse().unwrap());
+    let mut room = ReplicaRoom::default();
+    for size in [5_700, 0, u32::MAX, 6_000] {
+        room.on_stream(&engines, Tokens(size));
+    }
+    room.on_stream(&others, Tokens(1));
+    assert_eq!(room.usual_size(&engines), Some(Tokens(6_000)));
+}
