--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -83,6 +83,13 @@
                 .conflicts_with_all(["failed", "streams", "placement"])
                 .help("Report on the roll-outs; all arguments are then logs"),
         )
+        .arg(
+            Arg::new("checks")
+                .long("checks")
+                .action(ArgAction::SetTrue)
+                .conflicts_with_all(["failed", "streams", "placement", "rollouts"])
+                .help("Report the checks of endpoints by reason; all arguments are then logs"),
+        )
         .arg(
             Arg::new("words")
                 .value_name("ID|LOG")
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -10,7 +10,7 @@
 
 use crate::cli::{CliError, Output};
 use crate::gateway::explain::{RequestTrace, read, traces};
-use crate::gateway::{placement_report, rollout_report, stream_report};
+use crate::gateway::{check_report, placement_report, rollout_report, stream_report};
 
 /// Runs the `explain` command.
 ///
@@ -40,9 +40,14 @@
         let report = rollout_report::report(&lines);
         return Ok(Output::new(report.text(), json!(report)));
     }
+    if matches.get_flag("checks") {
+        let texts = read_logs(&words)?;
+        let report = check_report::report(&read(texts.iter().map(String::as_str)));
+        return Ok(Output::new(report.text(), json!(report)));
+    }
     let Some((request, logs)) = words.split_first() else {
         let line =
-            "pass the id of a request, or use --failed, --streams, --placement or --rollouts"
+            "pass the id of a request, or use --failed, --streams, --placement, --rollouts or --checks"
                 .to_owned();
         return Err(CliError::Invalid(vec![line]));
     };
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -22,6 +22,7 @@
 //! | effects of an endpoint restart under its id | [`endpoint_restart`], `fleet::incarnations` |
 //! | what endpoints ask of their callers | [`fleet::directives`] |
 //! | load of endpoints with a limit, its division among boxes | [`permits`] |
+//! | reasons for checks of endpoints | [`checks`] |
 //! | location of replicas of KV memory | [`replicas`] |
 //! | search for the engine that keeps the prompt of a caller that reconnects | [`prompt_search`] |
 //! | work in progress at endpoints | [`fleet::usage`] |
@@ -33,6 +34,7 @@
 //! | readiness of the box | [`readiness`] |
 
 pub mod action;
+pub mod checks;
 mod duties;
 pub mod duty;
 pub mod event;
--- a/src/gateway/dispatch/action.rs
+++ b/src/gateway/dispatch/action.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::gateway::dispatch::checks::CheckReason;
 use crate::gateway::dispatch::duty::SettledWindow;
 use crate::gateway::dispatch::duty::lease::StoreCall;
 use crate::gateway::dispatch::event::{AttemptNumber, EndpointSpec, RequestNumber, SnapshotName};
@@ -96,6 +97,8 @@
     },
     /// Request an endpoint's load report, to find out whether it answers.
     Probe {
+        /// Why it is probed.
+        reason: CheckReason,
         /// Endpoint that is probed.
         endpoint: EndpointId,
         /// Address of the endpoint.
--- /dev/null
+++ b/src/gateway/dispatch/checks.rs
@@ -0,0 +1,54 @@
+//! The reasons for which a box sends an endpoint anything that is not a caller's request.
+//!
+//! Each such check has a cost at the endpoint, so they are counted by reason: by
+//! `endpoint_checks_total`, and in [`super::record::Record::Checks`].
+
+/// Why an endpoint is sent anything that is not a caller's request.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum CheckReason {
+    /// A stream that has begun pauses.
+    ProbeInStream,
+    /// A stream has no first event yet.
+    ProbeInPrefill,
+    /// An engine may keep the prompt of a caller that reconnects.
+    PromptSearch,
+    /// A suspected endpoint may have restarted or been replaced.
+    Identity,
+    /// Another process than the listed one has an engine's address.
+    Successor,
+    /// An attempt broke off, and its endpoint may have exited.
+    ExitCheck,
+    /// A snapshot of an attempt is wanted.
+    Snapshot,
+    /// A snapshot is not needed any more.
+    SnapshotDrop,
+}
+
+impl CheckReason {
+    /// All reasons, in the order of their values.
+    pub const ALL: [Self; 8] = [
+        Self::ProbeInStream,
+        Self::ProbeInPrefill,
+        Self::PromptSearch,
+        Self::Identity,
+        Self::Successor,
+        Self::ExitCheck,
+        Self::Snapshot,
+        Self::SnapshotDrop,
+    ];
+
+    /// The name of the reason in metrics and in the decision log.
+    #[must_use]
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::ProbeInStream => "probe_in_stream",
+            Self::ProbeInPrefill => "probe_in_prefill",
+            Self::PromptSearch => "prompt_search",
+            Self::Identity => "identity",
+            Self::Successor => "successor",
+            Self::ExitCheck => "exit_check",
+            Self::Snapshot => "snapshot",
+            Self::SnapshotDrop => "snapshot_drop",
+        }
+    }
+}
--- a/src/gateway/dispatch/record.rs
+++ b/src/gateway/dispatch/record.rs
@@ -6,6 +6,7 @@
 mod sentence;
 
 use std::borrow::Cow;
+use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
@@ -298,6 +299,12 @@
         /// Crashes that count against the request, including this one.
         counted: usize,
     },
+    /// Endpoints were sent something that is not a caller's request since the last such record; at
+    /// most one record a second.
+    Checks {
+        /// The number of checks by reason.
+        counts: BTreeMap<String, u64>,
+    },
     /// A request was quarantined, so it is no longer sent to any endpoint.
     Quarantined {
         /// The fingerprint by which retries are recognised.
@@ -355,6 +362,7 @@
             | Self::Limited { .. }
             | Self::RestAsked { .. }
             | Self::LeavingStated { .. }
+            | Self::Checks { .. }
             | Self::Quarantined { .. }
             | Self::Released { .. }
             | Self::Rollout { .. }
--- a/src/gateway/dispatch/record/sentence.rs
+++ b/src/gateway/dispatch/record/sentence.rs
@@ -24,6 +24,7 @@
             Self::Endpoint { .. }
             | Self::Endpoints { .. }
             | Self::Reborn { .. }
+            | Self::Checks { .. }
             | Self::Limited { .. }
             | Self::RestAsked { .. }
             | Self::LeavingStated { .. } => self.endpoint_sentence(),
@@ -55,6 +56,7 @@
                 "endpoints at {at}: {present} present, {leaving} leaving, {absent} absent, \
                  {unreadable} unreadable"
             ),
+            Self::Checks { counts } => format!("checks of endpoints: {counts:?}"),
             Self::Reborn { endpoint, born, .. } => {
                 format!(
                     "{endpoint} has restarted, start time {}",
--- a/src/gateway/dispatch/suspicion.rs
+++ b/src/gateway/dispatch/suspicion.rs
@@ -29,6 +29,7 @@
 
 use super::Dispatcher;
 use super::action::{Action, Command};
+use super::checks::CheckReason;
 use super::event::{Outcome, RequestNumber};
 use super::record::Record;
 use super::request::{Request, is_due, millis};
@@ -87,7 +88,7 @@
         } else if self.must_leave_version(number) {
             self.leave_version(number);
         } else if let Some(endpoint) = self.unresponsive_endpoint(number) {
-            self.probe(&endpoint);
+            self.probe(number, &endpoint);
         } else {
             self.check_replicas(number);
         }
@@ -114,8 +115,15 @@
         (needs_probe && !is_probed_in_rest).then(|| active.endpoint.id.clone())
     }
 
-    fn probe(&mut self, id: &EndpointId) {
+    /// Probes the engine of a request.
+    fn probe(&mut self, number: RequestNumber, id: &EndpointId) {
         let now = self.now;
+        let request = self.requests.get(&number);
+        let active = request.and_then(|request| request.active.as_ref());
+        let reason = match active {
+            Some(active) if active.has_events => CheckReason::ProbeInStream,
+            _ => CheckReason::ProbeInPrefill,
+        };
         let Some(endpoint) = self.fleet.get_mut(id) else {
             return;
         };
@@ -123,6 +131,7 @@
         endpoint.last_probe = now;
         let address = endpoint.spec.address;
         self.actions.push(Action::Probe {
+            reason,
             endpoint: id.clone(),
             address,
             limit: PROBE_LIMIT,
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -6,6 +6,7 @@
 
 pub mod attempt;
 pub mod callers;
+pub mod check_counts;
 pub mod control;
 pub mod datagram;
 pub mod decision_log;
--- a/src/gateway/shell/control.rs
+++ b/src/gateway/shell/control.rs
@@ -13,6 +13,8 @@
 use crate::gateway::dispatch::Dispatcher;
 use crate::gateway::dispatch::action::{Action, Command};
 use crate::gateway::dispatch::event::{Event, RequestNumber};
+use crate::gateway::dispatch::record::Record;
+use crate::gateway::shell::check_counts::CheckLog;
 use crate::gateway::shell::dialect::ObjectKind;
 use crate::gateway::shell::input::Input;
 use crate::gateway::shell::{
@@ -27,6 +29,7 @@
     traffic: Handle,
     gossip: Arc<UdpSocket>,
     commands: HashMap<RequestNumber, mpsc::UnboundedSender<Command>>,
+    check_log: CheckLog,
 }
 
 impl Control {
@@ -44,6 +47,7 @@
             traffic,
             gossip,
             commands: HashMap::new(),
+            check_log: CheckLog::default(),
         }
     }
 
@@ -57,7 +61,11 @@
                 () = tokio::time::sleep_until(tick.into()) => Some(Input::Event(Event::Tick)),
             };
             match input {
-                None | Some(Input::Exit) => return,
+                None | Some(Input::Exit) => {
+                    let record = self.check_log.record(&self.shared.metrics.checks);
+                    self.write(record.as_ref());
+                    return;
+                }
                 Some(input) => self.handle_input(input),
             }
         }
@@ -96,9 +104,23 @@
         self.shared.set_active(self.dispatcher.active());
         if is_tick {
             self.update_gauges();
+            self.write_checks();
         }
     }
 
+    fn write(&self, record: Option<&Record>) {
+        if let Some(record) = record {
+            self.shared.record(record);
+        }
+    }
+
+    /// Records the checks of endpoints since the last record, if that is due.
+    fn write_checks(&mut self) {
+        let now = self.shared.clock.now();
+        let record = self.check_log.due_record(&self.shared.metrics.checks, now);
+        self.write(record.as_ref());
+    }
+
     fn update_gauges(&mut self) {
         let (local, all) = self.dispatcher.known_boxes();
         let gauge = |boxes| i64::try_from(boxes).unwrap_or(i64::MAX);
@@ -204,10 +226,11 @@
         let shared = self.shared.clone();
         match action {
             Action::Probe {
+                reason,
                 endpoint,
                 address,
                 limit,
-            } => self.spawn(probes::probe(endpoint, address, limit, shared)),
+            } => self.spawn(probes::probe(reason, endpoint, address, limit, shared)),
             Action::CheckExited {
                 endpoint,
                 address,
--- a/src/gateway/shell/metrics.rs
+++ b/src/gateway/shell/metrics.rs
@@ -9,6 +9,7 @@
 use crate::gateway::dispatch::fetches::FetchKind;
 use crate::gateway::dispatch::permits::PermitCounts;
 use crate::gateway::dispatch::record::{FETCH_BUSY, FETCHED_WHOLE, Record};
+use crate::gateway::shell::check_counts::CheckCounters;
 use crate::gateway::shell::watcher::StoreRequest;
 use crate::metrics::MetricSet;
 
@@ -33,6 +34,8 @@
     store_calls: IntCounterVec,
     /// Number of probes sent to endpoints.
     pub probes: IntCounter,
+    /// Numbers of checks of endpoints by reason.
+    pub checks: CheckCounters,
     rollouts: IntCounterVec,
     /// Response times of the platform's store in seconds, except for watches.
     pub store_seconds: Histogram,
@@ -288,6 +291,7 @@
                 "kind",
             ),
             probes: set.counter("probes_total", "Probes of endpoints"),
+            checks: CheckCounters::new(&set),
             rollouts: set.counters(
                 "rollout_phases_total",
                 "Phases of roll-outs that this box entered",
--- a/src/gateway/shell/probes.rs
+++ b/src/gateway/shell/probes.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
+use crate::gateway::dispatch::checks::CheckReason;
 use crate::gateway::dispatch::event::{EndpointSpec, Event, RequestNumber};
 use crate::gateway::shell::input::Input;
 use crate::gateway::shell::{GatewayShared, directives};
@@ -29,6 +30,7 @@
 
 /// Probes an endpoint, and sends to the control thread whether it answered.
 pub async fn probe(
+    reason: CheckReason,
     endpoint: EndpointId,
     address: SocketAddr,
     limit: Duration,
@@ -36,7 +38,7 @@
 ) {
     // Any answer shows that the endpoint is reachable, also one with an error status.
     let path = shared.dialect.load_path();
-    let response = tokio::time::timeout(limit, get(address, path, limit, &shared)).await;
+    let response = tokio::time::timeout(limit, get(reason, address, path, limit, &shared)).await;
     let answer = response.ok().flatten();
     let report = answer.as_ref().and_then(Answer::body_if_ok);
     let event = Event::Probed {
@@ -61,7 +63,7 @@
     limit: Duration,
     shared: GatewayShared,
 ) {
-    shared.metrics.probes.inc();
+    count(CheckReason::ExitCheck, &shared);
     let connecting = tokio::time::timeout(limit, TcpStream::connect(address)).await;
     let has_exited = match connecting {
         Ok(Err(e)) => e.kind() == ErrorKind::ConnectionRefused,
@@ -88,7 +90,14 @@
         let part = part.clone();
         requests.spawn(async move {
             let path = shared.dialect.cache_path();
-            let answer = get(address, path, LOCATE_TIMEOUT, &shared).await?;
+            let answer = get(
+                CheckReason::PromptSearch,
+                address,
+                path,
+                LOCATE_TIMEOUT,
+                &shared,
+            )
+            .await?;
             let stated = directives::read(&shared, &answer.head);
             directives::report(&shared, endpoint.clone(), stated).await;
             let body = answer.body_if_ok()?;
@@ -115,8 +124,8 @@
 /// endpoint and reports one: the same name alone doesn't show that it hasn't been restarted.
 pub async fn request_identity(spec: EndpointSpec, path: String, shared: GatewayShared) {
     let exchange = async {
+        count(CheckReason::Identity, &shared);
         let mut connection = Pool::connect(spec.address, LOCATE_TIMEOUT).await.ok()?;
-        shared.metrics.probes.inc();
         let (head, _) = connection.get_with_head(&path).await?;
         let instance = shared.dialect.instance(&head.headers)?;
         if instance == spec.id {
@@ -125,7 +134,7 @@
         }
         let mut born = None;
         if instance == spec.id && spec.born.is_some() {
-            shared.metrics.probes.inc();
+            count(CheckReason::Identity, &shared);
             let (_, body) = connection.get(shared.dialect.load_path()).await?;
             born = Some(shared.dialect.start_time(&body)?);
         }
@@ -147,8 +156,17 @@
 pub async fn identify(spec: EndpointSpec, shared: GatewayShared) {
     let address = spec.address;
     let path = shared.dialect.load_path();
-    let response =
-        tokio::time::timeout(LOCATE_TIMEOUT, get(address, path, LOCATE_TIMEOUT, &shared)).await;
+    let response = tokio::time::timeout(
+        LOCATE_TIMEOUT,
+        get(
+            CheckReason::Successor,
+            address,
+            path,
+            LOCATE_TIMEOUT,
+            &shared,
+        ),
+    )
+    .await;
     let answer = response.ok().flatten();
     let Some(body) = answer.as_ref().and_then(Answer::body_if_ok) else {
         return;
@@ -173,14 +191,20 @@
     }
 }
 
+fn count(reason: CheckReason, shared: &GatewayShared) {
+    shared.metrics.probes.inc();
+    shared.metrics.checks.of(reason).inc();
+}
+
 /// Gets a path of an endpoint.
 async fn get(
+    reason: CheckReason,
     address: SocketAddr,
     path: &'static str,
     limit: Duration,
     shared: &GatewayShared,
 ) -> Option<Answer> {
-    shared.metrics.probes.inc();
+    count(reason, shared);
     let deadline = Instant::now() + limit;
     if let Some(connection) = shared.pool.take(address, PROBE_CONNECTION_MAX_IDLE)
         && let Some(answer) = get_on(connection, path, shared).await
--- a/src/gateway/shell/snapshots.rs
+++ b/src/gateway/shell/snapshots.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 
 use crate::gateway::dispatch::action::SnapshotRequest;
+use crate::gateway::dispatch::checks::CheckReason;
 use crate::gateway::dispatch::event::{Event, SnapshotName};
 use crate::gateway::shell::GatewayShared;
 use crate::gateway::shell::faults::FaultKind;
@@ -43,6 +44,7 @@
     *request.uri_mut() = path.parse().ok()?;
     let json = HeaderValue::from_static("application/json");
     request.headers_mut().insert(CONTENT_TYPE, json);
+    shared.metrics.checks.of(CheckReason::Snapshot).inc();
     let body = exchange(wanted.engine, request, wanted.limit, shared).await?;
     match shared.dialect.read_snapshot(&body) {
         Ok(name) => Some(name),
@@ -61,6 +63,7 @@
         return;
     };
     *request.uri_mut() = path;
+    shared.metrics.checks.of(CheckReason::SnapshotDrop).inc();
     // If the request is lost, the engine drops the snapshot after `replica_kept`.
     let _ = tokio::time::timeout(
         DROP_TIMEOUT,
