--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -15,7 +15,7 @@
 //! | start and count of attempts, how long a request waits for an endpoint | [`attempts`] |
 //! | when and how often a request is retried | [`retry`], budget in [`retry_budget`] |
 //! | when a request is given up, the reason, and when its caller may retry | [`refusal`] |
-//! | suspicion of endpoints | [`suspicion`]; avoidance and return to use: `fleet::losses` |
+//! | suspicion of endpoints | [`suspicion`], when they are probed: `probe_timing`; avoidance and return to use: `fleet::losses` |
 //! | effects of a table or an endpoint list that was read | `intake` |
 //! | quarantine of requests that crash their endpoints | [`quarantine`], confirmed in `crashes` |
 //! | duration of streams, for which a stop must leave time | [`stream_time`] |
@@ -66,7 +66,8 @@
 mod intake;
 mod outcomes;
 pub mod permits;
-mod prompt_search;
+mod probe_timing;
+pub mod prompt_search;
 mod readiness;
 mod replicas;
 mod request;
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -218,6 +218,7 @@
         };
         let mut active = active_attempt(request, attempt, &endpoint.spec, mirror, self.now);
         active.sampled = Sampled::behind(queued_prefill);
+        active.queued_prefill = queued_prefill;
         if alone {
             // Counting all slots also keeps boxes of earlier versions from placing requests here.
             active.slots = endpoint.spec.slots.max(1);
@@ -329,6 +330,7 @@
         started: now,
         is_connected: false,
         last_seen: now,
+        last_pause: Duration::ZERO,
         has_events: false,
         first_event: None,
         sampled: Sampled::default(),
@@ -342,6 +344,7 @@
         } else {
             0
         },
+        queued_prefill: 0,
         memory: request.memory().0,
         slots: 1,
     }
--- a/src/gateway/dispatch/endpoint_restart.rs
+++ b/src/gateway/dispatch/endpoint_restart.rs
@@ -21,9 +21,9 @@
 use super::action::Action;
 use super::event::{AttemptNumber, RequestNumber};
 use super::fleet::usage::PREFILL_TOKENS_PER_MS;
+use super::probe_timing::{PAUSE_BEFORE_PROBE, PAUSE_BEFORE_PROBE_IN_PREFILL};
 use super::record::Record;
 use super::request::ActiveAttempt;
-use super::suspicion::{PAUSE_BEFORE_PROBE, PAUSE_BEFORE_PROBE_IN_PREFILL};
 use crate::schema::{EndpointId, Micros, StartTime};
 
 /// How long an attempt may get nothing once its engine has restarted.
--- a/src/gateway/dispatch/fleet.rs
+++ b/src/gateway/dispatch/fleet.rs
@@ -4,16 +4,19 @@
 //! (`list`). A process that restarts begins another incarnation of its endpoint, and the state of
 //! the earlier one is dropped (`incarnations`). What endpoints ask of their callers
 //! is in [`directives`], their load is in [`usage`] and their recent failures are in [`health`]. Endpoints that are avoided,
-//! suspected or unreachable are in `losses`.
+//! suspected or unreachable are in `losses`, requests for their identity in `identity_requests`;
+//! whether engines prefill prompts is in `reading`.
 //!
 //! Inputs: the list, ends of attempts and probes, and states of peers. State: all of the above; an
 //! endpoint is forgotten once it is neither listed nor in use.
 
 pub mod directives;
 pub mod health;
+mod identity_requests;
 mod incarnations;
 mod list;
 mod losses;
+mod reading;
 pub mod usage;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -25,6 +28,7 @@
 };
 use directives::Directives;
 use health::{Answers, EndpointHealth, FailureShares};
+use identity_requests::IdentityShare;
 use losses::Losses;
 use usage::{PeerUsage, ReportedUsage};
 
@@ -45,6 +49,8 @@
     pub own: Usage,
     /// Load that other boxes reported.
     others: Vec<PeerUsage>,
+    /// Until when prompts that other boxes reported may be prefilled there.
+    reads_until: Micros,
     /// When an attempt or a probe last got a message from it.
     pub last_seen: Micros,
     /// When the probe that is unanswered was sent.
@@ -78,6 +84,7 @@
             is_displaced: false,
             own: Usage::default(),
             others: Vec::new(),
+            reads_until: Micros::ZERO,
             last_seen: Micros::ZERO,
             probe_sent: None,
             last_probe: Micros::ZERO,
@@ -144,6 +151,8 @@
 pub struct Fleet {
     endpoints: BTreeMap<EndpointId, Endpoint>,
     losses: Losses,
+    /// This box's share of the identity requests of its domain.
+    identity_share: IdentityShare,
     /// What endpoints ask of their callers.
     pub directives: Directives,
     /// Endpoints that the list dropped or showed as leaving or unreadable, and when.
--- a/src/gateway/dispatch/fleet/incarnations.rs
+++ b/src/gateway/dispatch/fleet/incarnations.rs
@@ -19,7 +19,7 @@
 //!
 //! An endpoint that failed may have restarted already, but its entry shows that only after this box
 //! has read the store again. If the endpoint reports start times and holds replicas for this box,
-//! this box requests its identity [`super::losses::IDENTIFY_AFTER`] after the failure.
+//! this box requests its identity [`super::identity_requests::IDENTIFY_AFTER`] after the failure.
 
 use super::{Endpoint, Fleet};
 use crate::gateway::dispatch::event::EndpointSpec;
--- a/src/gateway/dispatch/fleet/losses.rs
+++ b/src/gateway/dispatch/fleet/losses.rs
@@ -19,6 +19,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::identity_requests::Round;
 use super::{AnswerKind, Endpoint, Fleet};
 use crate::backoff::doubled;
 use crate::gateway::dispatch::event::EndpointSpec;
@@ -48,12 +49,7 @@
 const TRIAL_INTERVAL: Duration = Duration::from_millis(300);
 /// Time that an endpoint that was known before its domain failed is suspected, unless a message from
 /// it arrives: a restarted one is listed under another id or start time by then.
-const SUSPECTED_FOR: Duration = Duration::from_millis(4_500);
-/// Time that an endpoint is suspected before its identity is requested: about as long as a restart
-/// takes.
-pub(super) const IDENTIFY_AFTER: Duration = Duration::from_millis(1_400);
-/// Time between two identity requests to one endpoint.
-const IDENTIFY_INTERVAL: Duration = Duration::from_millis(1_500);
+pub(super) const SUSPECTED_FOR: Duration = Duration::from_millis(4_500);
 /// Age of the last message from an endpoint up to which it outweighs a loss that a peer reports.
 const SEEN_RECENTLY: Duration = Duration::from_millis(200);
 
@@ -76,6 +72,23 @@
     next_trial: Micros,
 }
 
+/// The outage of a failure domain for a service.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Outage {
+    pub begin: Micros,
+    /// The identity requests of this box to its endpoints.
+    pub round: Round,
+}
+
+impl Outage {
+    fn new(begin: Micros) -> Self {
+        Self {
+            begin,
+            round: Round::default(),
+        }
+    }
+}
+
 /// Losses of endpoints and their consequences.
 #[derive(Debug, Default)]
 pub(super) struct Losses {
@@ -85,7 +98,7 @@
     /// attempts at dead endpoints postpone the identity requests for their addresses, and make
     /// endpoints suspected that started meanwhile. Prompts prefilled again after an address was taken
     /// over, of 11,550 streams: 22, and 61 if each loss begins an outage.
-    outages: BTreeMap<(ServiceId, DomainId), Micros>,
+    pub(super) outages: BTreeMap<(ServiceId, DomainId), Outage>,
     unreachable: BTreeMap<(ServiceId, DomainId), Unreachable>,
 }
 
@@ -203,10 +216,11 @@
         if self.losses.recent.iter().filter(of_domain).count() < DOMAIN_LOSSES {
             return;
         }
-        let begin = self.losses.outages.entry((service, domain)).or_insert(now);
-        let is_over = now.since(*begin) >= SUSPECTED_FOR;
-        if is_over || first_seen >= *begin {
-            *begin = now;
+        let outages = self.losses.outages.entry((service, domain));
+        let outage = outages.or_insert_with(|| Outage::new(now));
+        let is_over = now.since(outage.begin) >= SUSPECTED_FOR;
+        if is_over || first_seen >= outage.begin {
+            *outage = Outage::new(now);
         }
     }
 
@@ -249,62 +263,11 @@
     #[must_use]
     pub fn is_suspected(&self, endpoint: &Endpoint, now: Micros) -> bool {
         let key = (endpoint.spec.service.clone(), endpoint.spec.domain.clone());
-        let Some(begin) = self.losses.outages.get(&key) else {
+        let Some(begin) = self.losses.outages.get(&key).map(|outage| outage.begin) else {
             return false;
         };
-        let is_unseen = endpoint.last_seen < *begin && endpoint.first_seen < *begin;
-        is_unseen && now.since(*begin) < SUSPECTED_FOR
-    }
-
-    /// Returns the endpoints whose identity is to be requested now, and records the request: those of
-    /// a domain that have been suspected for [`IDENTIFY_AFTER`], and hosts of replicas that failed as
-    /// long ago and may have restarted.
-    pub fn take_due_identity_requests(
-        &mut self,
-        domain: &DomainId,
-        now: Micros,
-    ) -> Vec<EndpointSpec> {
-        let mut found = self.maybe_restarted_hosts(now);
-        for ((service, of), begin) in &self.losses.outages {
-            let suspected_for = now.since(*begin);
-            if of != domain || !(IDENTIFY_AFTER..SUSPECTED_FOR).contains(&suspected_for) {
-                continue;
-            }
-            let suspected = self.endpoints.values_mut().filter(|e| {
-                let is_unseen = e.last_seen < *begin && e.first_seen < *begin;
-                e.listed
-                    && !e.is_displaced
-                    && is_unseen
-                    && e.spec.service == *service
-                    && e.spec.domain == *domain
-            });
-            for endpoint in suspected {
-                if now.since(endpoint.identity_requested) >= IDENTIFY_INTERVAL {
-                    endpoint.identity_requested = now;
-                    found.push(endpoint.spec.clone());
-                }
-            }
-        }
-        found
-    }
-
-    /// Endpoints that hold replicas for this box, failed a while ago and may have restarted.
-    fn maybe_restarted_hosts(&mut self, now: Micros) -> Vec<EndpointSpec> {
-        let mut found = Vec::new();
-        for endpoint in self.endpoints.values_mut() {
-            let Some(since) = endpoint.maybe_restarted_since else {
-                continue;
-            };
-            let is_due = (IDENTIFY_AFTER..SUSPECTED_FOR).contains(&now.since(since))
-                && now.since(endpoint.identity_requested) >= IDENTIFY_INTERVAL;
-            let is_leaving = self.directives.is_leaving(&endpoint.spec.id);
-            let is_host = endpoint.is_offered() && !is_leaving && endpoint.own.memory > 0;
-            if is_host && is_due {
-                endpoint.identity_requested = now;
-                found.push(endpoint.spec.clone());
-            }
-        }
-        found
+        let is_unseen = endpoint.last_seen < begin && endpoint.first_seen < begin;
+        is_unseen && now.since(begin) < SUSPECTED_FOR
     }
 
     /// Applies losses that a peer reports.
--- a/src/gateway/dispatch/fleet/usage.rs
+++ b/src/gateway/dispatch/fleet/usage.rs
@@ -14,7 +14,7 @@
 pub const PREFILL_TOKENS_PER_MS: f64 = 5.0;
 /// How long a peer's report about an engine counts: about as long as a stream takes (3.9 s from the
 /// first event on if no other prompt is prefilled).
-const ENGINE_REPORT_LIFETIME: Duration = Duration::from_secs(5);
+pub(super) const ENGINE_REPORT_LIFETIME: Duration = Duration::from_secs(5);
 /// How long a peer's report about a plain service counts: five intervals of messages between boxes.
 const PLAIN_REPORT_LIFETIME: Duration = Duration::from_millis(1_500);
 /// How long the sum over the boxes of another failure domain counts.
@@ -133,6 +133,9 @@
             endpoint
                 .others
                 .retain(|other| other.from != *from && other.remaining(now).is_some());
+            if matches!(from, Source::Box(_)) {
+                endpoint.on_reported_prefill(report.reading, now);
+            }
             endpoint.others.push(PeerUsage {
                 from: from.clone(),
                 at: now,
--- a/src/gateway/dispatch/outcomes.rs
+++ b/src/gateway/dispatch/outcomes.rs
@@ -75,6 +75,9 @@
             return;
         };
         active.is_connected = true;
+        if active.has_events {
+            active.last_pause = now.since(active.last_seen);
+        }
         active.last_seen = now;
         let is_first = !std::mem::replace(&mut active.has_events, true);
         active.first_event.get_or_insert((now, last_event));
--- a/src/gateway/dispatch/prompt_search.rs
+++ b/src/gateway/dispatch/prompt_search.rs
@@ -3,9 +3,14 @@
 //!
 //! Boxes store nothing about a stream. When a box is lost its callers reconnect to another box with
 //! the id of the last event they received. That box asks the engines that most likely keep the
-//! prompt ([`Placer::prompt_candidates`]), [`SEARCH_BATCH`] at a time, and sends the first attempt to
-//! the one that does. If none confirms in time, the attempt goes to the engine of least cost. A few
-//! small requests save the prefill of thousands of tokens.
+//! prompt ([`Placer::prompt_candidates`]; suspected ones last), [`SEARCH_GROUP`] at a time, and sends
+//! the first attempt to the first one that does. If none confirms in time, the attempt goes to the
+//! engine of least cost. A few small requests save the prefill of thousands of tokens.
+//!
+//! The search ends once it could take longer than the prefill of the prompt. Where nothing shows
+//! that the caller had an attempt before (it has no event id, but this box has just restarted), only
+//! the first group is asked: most of these callers are new, and the prompt of one that is not is most
+//! likely kept there.
 //!
 //! When many boxes lose power at once, all their callers reconnect within half a second. With all
 //! engines asked at once, the answers of 24 engines for each caller filled links of 10 Mbit/s: one
@@ -15,14 +20,28 @@
 //!
 //! [`Placer::prompt_candidates`]: super::placement::Placer::prompt_candidates
 
+use std::time::Duration;
+
 use super::Dispatcher;
 use super::action::Action;
 use super::event::RequestNumber;
-use crate::schema::EndpointId;
+use super::probe_timing::prefill_time;
+use super::request::Request;
+use crate::schema::{EndpointId, Micros};
+
+/// Number of engines asked at once. Each of them is asked even if another one of its group keeps the
+/// prompt.
+const SEARCH_GROUP: usize = 4;
+/// Timeout of a group.
+pub const GROUP_TIMEOUT: Duration = Duration::from_millis(80);
 
-/// Number of engines asked at once. With 6, half of the searches take less than 20 ms over links of
-/// all sizes; 24 overloads small links (see above). Values in between are untested.
-const SEARCH_BATCH: usize = 6;
+/// Whether another group may take longer than the prefill of the prompt. The length of a prompt that
+/// the caller does not state is unknown, and such a prompt is searched for.
+fn is_search_too_long(request: &Request, now: Micros) -> bool {
+    let prompt = request.arrival.prompt.0;
+    let searched = now.since(request.arrived);
+    prompt > 0 && searched + GROUP_TIMEOUT >= prefill_time(prompt)
+}
 
 impl Dispatcher {
     /// Starts the search for the engine that keeps a request's prompt.
@@ -30,25 +49,38 @@
         let Some(request) = self.requests.get(&number) else {
             return;
         };
+        let now = self.now;
         let candidates =
             self.placer
-                .prompt_candidates(&self.fleet, &request.service, request.key, self.now);
-        let ids = candidates.iter().map(|e| e.spec.id.clone()).collect();
+                .prompt_candidates(&self.fleet, &request.service, request.key, now);
+        let usable = candidates
+            .into_iter()
+            .filter(|e| self.may_resume_at(e) && !self.fleet.is_unreachable(e, now));
+        let (suspected, others): (Vec<_>, Vec<_>) =
+            usable.partition(|e| self.fleet.is_suspected(e, now));
+        let ids = others.into_iter().chain(suspected);
+        let mut ids: Vec<EndpointId> = ids.map(|e| e.spec.id.clone()).collect();
+        if request.last_event.is_none() {
+            ids.truncate(SEARCH_GROUP);
+        }
         if let Some(request) = self.requests.get_mut(&number) {
             request.prompt_candidates = ids;
         }
-        self.search_next_batch(number);
+        self.search_next_group(number);
     }
 
-    /// Asks the next batch of engines, or starts an attempt at the engine of least cost if none is
-    /// left.
-    fn search_next_batch(&mut self, number: RequestNumber) {
+    /// Asks the next group of engines, or starts an attempt at the engine of least cost if none is
+    /// left or the search takes too long.
+    fn search_next_group(&mut self, number: RequestNumber) {
         let Some(request) = self.requests.get_mut(&number) else {
             return;
         };
+        if is_search_too_long(request, self.now) {
+            request.prompt_candidates.clear();
+        }
         let part = request.arrival.parts.last().cloned();
         let mut among = Vec::new();
-        while among.len() < SEARCH_BATCH && !request.prompt_candidates.is_empty() {
+        while among.len() < SEARCH_GROUP && !request.prompt_candidates.is_empty() {
             let id = request.prompt_candidates.remove(0);
             let engine = self.fleet.get(&id);
             let engine =
@@ -82,7 +114,7 @@
         });
         match usable {
             Some(id) => self.start_attempt(number, &id, None),
-            None => self.search_next_batch(number),
+            None => self.search_next_group(number),
         }
     }
 }
--- a/src/gateway/dispatch/request.rs
+++ b/src/gateway/dispatch/request.rs
@@ -31,6 +31,8 @@
     pub is_connected: bool,
     /// Time of the last part of the answer; the start of the attempt until then.
     pub last_seen: Micros,
+    /// Time between the last two events; zero until there are two.
+    pub last_pause: Duration,
     /// Whether the attempt has received an event.
     pub has_events: bool,
     /// Arrival time and number of the first event.
@@ -47,6 +49,8 @@
     pub next_replica_check: Micros,
     /// Tokens of the prompt that are counted as queued for prefill at the endpoint.
     pub prefill: u32,
+    /// Tokens of other prompts that were queued for prefill at the endpoint when the attempt started.
+    pub queued_prefill: u32,
     /// Tokens of KV memory that are counted for the attempt, at the endpoint and at each replica's
     /// host.
     pub memory: u32,
--- a/src/gateway/dispatch/suspicion.rs
+++ b/src/gateway/dispatch/suspicion.rs
@@ -1,10 +1,10 @@
 //! When an endpoint is suspected to have failed, and the checks of each request at each tick.
 //!
-//! A stream that stalls longer than [`PAUSE_BEFORE_PROBE`], or [`PAUSE_BEFORE_PROBE_IN_PREFILL`]
-//! before its first event, makes the box probe the engine, unless another stream of this box or the
-//! answer to a probe showed meanwhile that the engine responds. An engine that wants a rest from
-//! this box is probed at most once in that time. An engine that does not answer within
-//! [`PROBE_LIMIT`] is suspected, and every request there that may be repeated moves. A call that may
+//! A stream that stalls longer than [`super::probe_timing`] allows makes the box probe the engine,
+//! unless another attempt of this box, a snapshot or the answer to a probe showed meanwhile that the
+//! engine responds. An engine that wants a rest from this box is probed at most once in that time. An
+//! engine that does not answer in time is suspected, and every request there that may be repeated
+//! moves. A call that may
 //! be repeated moves without a probe once it has taken [`SLOW_CALL_PART`] of its latency objective,
 //! since a plain service has no load that could be queried.
 //!
@@ -31,25 +31,24 @@
 use super::action::{Action, Command};
 use super::checks::CheckReason;
 use super::event::{Outcome, RequestNumber};
+use super::fleet::Endpoint;
+use super::probe_timing::{first_event_due, probe_timing};
 use super::record::Record;
-use super::request::{Request, is_due, millis};
+use super::request::{ActiveAttempt, Request, is_due, millis};
 use super::table::RouteKind;
 use crate::schema::{EndpointId, Micros, StartTime};
 
-/// Maximum time without an event of a stream before its engine is probed. A stream gets an event each
-/// 152 ms while a prompt is prefilled at its engine. Under one load with outages, 160 ms gave 25,545
-/// probes and 32 streams whose prompt was prefilled again; 200 ms gave 19,940 and 23.
-pub(super) const PAUSE_BEFORE_PROBE: Duration = Duration::from_millis(200);
-/// Maximum time before the first event before the engine is probed. A prompt takes up to 1.3 s to
-/// prefill; 400 ms gave three probes during that, 700 ms one.
-pub(super) const PAUSE_BEFORE_PROBE_IN_PREFILL: Duration = Duration::from_millis(700);
-/// Timeout of a probe. With the pause before it, an unresponsive engine is left after 350 ms, half of
-/// the longest pause in a stream that callers accept (700 ms).
-const PROBE_LIMIT: Duration = Duration::from_millis(150);
 /// Part of the latency objective after which a call that may be repeated moves, so that the second
 /// endpoint can still answer in time.
 const SLOW_CALL_PART: f64 = 0.6;
 
+/// A probe that is to be sent.
+struct DueProbe {
+    reason: CheckReason,
+    endpoint: EndpointId,
+    limit: Duration,
+}
+
 /// Whether a call may be repeated and has taken [`SLOW_CALL_PART`] of its objective.
 fn is_slow_call(request: &Request, now: Micros) -> bool {
     let Some(active) = &request.active else {
@@ -87,54 +86,71 @@
             self.move_away(number);
         } else if self.must_leave_version(number) {
             self.leave_version(number);
-        } else if let Some(endpoint) = self.unresponsive_endpoint(number) {
-            self.probe(number, &endpoint);
+        } else if let Some(due) = self.due_probe(number) {
+            self.probe(due);
         } else {
             self.check_replicas(number);
         }
     }
 
-    /// The engine of a stream, if nothing from it was seen for too long and no probe is unanswered.
-    fn unresponsive_endpoint(&self, number: RequestNumber) -> Option<EndpointId> {
+    /// The probe of a stream's engine, if nothing from it was seen for too long and no probe is
+    /// unanswered.
+    fn due_probe(&self, number: RequestNumber) -> Option<DueProbe> {
+        let now = self.now;
         let request = self.requests.get(&number)?;
         request.engine?;
         let active = request.active.as_ref()?;
         let endpoint = self.fleet.get_incarnation(&active.endpoint)?;
-        let limit = if active.has_events {
-            PAUSE_BEFORE_PROBE
-        } else {
-            PAUSE_BEFORE_PROBE_IN_PREFILL
-        };
+        let timing = probe_timing(active, self.fleet.reads_prompts(endpoint, now));
         let last_seen = active
             .last_seen
             .max(endpoint.last_seen)
             .max(endpoint.last_probe);
-        let rest = self.fleet.directives.rest(&active.endpoint.id, self.now);
+        let rest = self.fleet.directives.rest(&active.endpoint.id, now);
         let is_probed_in_rest = rest.is_some_and(|rest| endpoint.last_probe >= rest.since);
-        let needs_probe = self.now.since(last_seen) >= limit && endpoint.probe_sent.is_none();
-        (needs_probe && !is_probed_in_rest).then(|| active.endpoint.id.clone())
+        let is_silent = now.since(last_seen) >= timing.pause
+            && !self.awaits_first_event(request, active, endpoint);
+        let needs_probe = is_silent && endpoint.probe_sent.is_none();
+        let reason = if active.has_events {
+            CheckReason::ProbeInStream
+        } else {
+            CheckReason::ProbeInPrefill
+        };
+        (needs_probe && !is_probed_in_rest).then(|| DueProbe {
+            reason,
+            endpoint: active.endpoint.id.clone(),
+            limit: timing.limit,
+        })
     }
 
-    /// Probes the engine of a request.
-    fn probe(&mut self, number: RequestNumber, id: &EndpointId) {
+    /// Whether an attempt has no event yet and nothing suggests that its engine has failed.
+    fn awaits_first_event(
+        &self,
+        request: &Request,
+        active: &ActiveAttempt,
+        endpoint: &Endpoint,
+    ) -> bool {
         let now = self.now;
-        let request = self.requests.get(&number);
-        let active = request.and_then(|request| request.active.as_ref());
-        let reason = match active {
-            Some(active) if active.has_events => CheckReason::ProbeInStream,
-            _ => CheckReason::ProbeInPrefill,
-        };
-        let Some(endpoint) = self.fleet.get_mut(id) else {
+        let seems_lost = endpoint.is_avoided(now) || self.fleet.is_suspected(endpoint, now);
+        !active.has_events
+            && !request.has_begun
+            && !seems_lost
+            && now < first_event_due(request, active)
+    }
+
+    fn probe(&mut self, due: DueProbe) {
+        let now = self.now;
+        let Some(endpoint) = self.fleet.get_mut(&due.endpoint) else {
             return;
         };
         endpoint.probe_sent = Some(now);
         endpoint.last_probe = now;
         let address = endpoint.spec.address;
         self.actions.push(Action::Probe {
-            reason,
-            endpoint: id.clone(),
+            reason: due.reason,
+            endpoint: due.endpoint,
             address,
-            limit: PROBE_LIMIT,
+            limit: due.limit,
         });
     }
 
@@ -143,6 +159,8 @@
     /// outage scores ranged from 0.82 to 0.97 without it, and from 0.91 to 0.98 with it.
     pub(super) fn request_identities(&mut self) {
         let domain = self.cfg.domain.clone();
+        let boxes = self.peers.roster().domain_size(self.now);
+        self.fleet.share_identity_requests(&self.cfg.me, boxes);
         for spec in self.fleet.take_due_identity_requests(&domain, self.now) {
             let service = self.table.as_ref().and_then(|t| t.service(&spec.service));
             let Some(service) = service.filter(|s| s.engine.is_some()) else {
--- a/src/gateway/shell/probes.rs
+++ b/src/gateway/shell/probes.rs
@@ -17,6 +17,7 @@
 
 use crate::gateway::dispatch::checks::CheckReason;
 use crate::gateway::dispatch::event::{EndpointSpec, Event, RequestNumber};
+use crate::gateway::dispatch::prompt_search::GROUP_TIMEOUT;
 use crate::gateway::shell::input::Input;
 use crate::gateway::shell::{GatewayShared, directives};
 use crate::http::pool::{Connection, Pool};
@@ -25,8 +26,8 @@
 /// Maximum idle time of a connection that is reused.
 const PROBE_CONNECTION_MAX_IDLE: Duration = Duration::from_secs(4);
 
-/// Timeout for an endpoint to report its cache or its identity; short, since a caller waits.
-const LOCATE_TIMEOUT: Duration = Duration::from_millis(80);
+/// Timeout for an endpoint to report its identity.
+const IDENTITY_TIMEOUT: Duration = Duration::from_millis(80);
 
 /// Probes an endpoint, and sends to the control thread whether it answered.
 pub async fn probe(
@@ -94,7 +95,7 @@
                 CheckReason::PromptSearch,
                 address,
                 path,
-                LOCATE_TIMEOUT,
+                GROUP_TIMEOUT,
                 &shared,
             )
             .await?;
@@ -112,7 +113,7 @@
         }
         None
     };
-    let endpoint = tokio::time::timeout(LOCATE_TIMEOUT, search).await;
+    let endpoint = tokio::time::timeout(GROUP_TIMEOUT, search).await;
     let event = Event::Located {
         request,
         endpoint: endpoint.ok().flatten(),
@@ -125,7 +126,7 @@
 pub async fn request_identity(spec: EndpointSpec, path: String, shared: GatewayShared) {
     let exchange = async {
         count(CheckReason::Identity, &shared);
-        let mut connection = Pool::connect(spec.address, LOCATE_TIMEOUT).await.ok()?;
+        let mut connection = Pool::connect(spec.address, IDENTITY_TIMEOUT).await.ok()?;
         let (head, _) = connection.get_with_head(&path).await?;
         let instance = shared.dialect.instance(&head.headers)?;
         if instance == spec.id {
@@ -141,7 +142,7 @@
         shared.pool.put_back(connection);
         Some((instance, born))
     };
-    let identity = tokio::time::timeout(LOCATE_TIMEOUT, exchange).await;
+    let identity = tokio::time::timeout(IDENTITY_TIMEOUT, exchange).await;
     if let Some((instance, born)) = identity.ok().flatten() {
         let event = Event::IdentityReported {
             endpoint: spec.id,
@@ -157,12 +158,12 @@
     let address = spec.address;
     let path = shared.dialect.load_path();
     let response = tokio::time::timeout(
-        LOCATE_TIMEOUT,
+        IDENTITY_TIMEOUT,
         get(
             CheckReason::Successor,
             address,
             path,
-            LOCATE_TIMEOUT,
+            IDENTITY_TIMEOUT,
             &shared,
         ),
     )
