--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -330,7 +330,6 @@
         started: now,
         is_connected: false,
         last_seen: now,
-        last_pause: Duration::ZERO,
         has_events: false,
         first_event: None,
         sampled: Sampled::default(),
--- a/src/gateway/dispatch/fleet.rs
+++ b/src/gateway/dispatch/fleet.rs
@@ -49,7 +49,7 @@
     pub own: Usage,
     /// Load that other boxes reported.
     others: Vec<PeerUsage>,
-    /// Until when prompts that other boxes reported may be prefilled there.
+    /// Until when prompts of other boxes may be prefilled there.
     reads_until: Micros,
     /// When an attempt or a probe last got a message from it.
     pub last_seen: Micros,
--- a/src/gateway/dispatch/outcomes.rs
+++ b/src/gateway/dispatch/outcomes.rs
@@ -75,9 +75,7 @@
             return;
         };
         active.is_connected = true;
-        if active.has_events {
-            active.last_pause = now.since(active.last_seen);
-        }
+        let event_pause = active.has_events.then(|| now.since(active.last_seen));
         active.last_seen = now;
         let is_first = !std::mem::replace(&mut active.has_events, true);
         active.first_event.get_or_insert((now, last_event));
@@ -86,6 +84,7 @@
         if let Some(endpoint) = self.fleet.get_incarnation_mut(&endpoint) {
             endpoint.last_seen = now;
             endpoint.own.prefill = endpoint.own.prefill.saturating_sub(prefilled);
+            endpoint.on_event_pause(event_pause.unwrap_or_default(), now);
         }
         self.record_crash_progress(number);
         self.sample_events(number, attempt);
--- a/src/gateway/dispatch/probe_timing.rs
+++ b/src/gateway/dispatch/probe_timing.rs
@@ -3,7 +3,7 @@
 //! | attempt | what is known | probed after | timeout of the probe |
 //! |---|---|---|---|
 //! | has events | no prompt is prefilled at the engine | [`PAUSE_BEFORE_PROBE`] | the rest of [`SILENCE_LIMIT`] |
-//! | has events | prompts are prefilled there: by reports, by this box's own attempts, or since the last pause was [`PREFILL_PAUSE`] or more | [`PAUSE_DURING_PREFILL`] | the rest of [`SILENCE_LIMIT`] |
+//! | has events | prompts are prefilled there ([`super::fleet::Fleet::reads_prompts`]) | [`PAUSE_DURING_PREFILL`] | the rest of [`SILENCE_LIMIT`] |
 //! | no event yet | the engine was lost lately, or the stream resumes | [`PAUSE_BEFORE_PROBE_IN_PREFILL`] | [`PROBE_LIMIT`] |
 //! | no event yet | otherwise | the same, and no earlier than [`first_event_due`] | [`PROBE_LIMIT`] |
 //!
@@ -30,10 +30,7 @@
 const PAUSE_DURING_PREFILL: Duration = Duration::from_millis(250);
 /// Time after which an unresponsive engine is left: half of the longest pause in a stream that
 /// callers accept (700 ms).
-const SILENCE_LIMIT: Duration = Duration::from_millis(350);
-/// Pause between two events from which on prompts are prefilled at the engine. Without that, an
-/// event of 8 tokens takes 48 ms, and 70 ms at an engine of 0.7 times the usual speed.
-const PREFILL_PAUSE: Duration = Duration::from_millis(100);
+pub(super) const SILENCE_LIMIT: Duration = Duration::from_millis(350);
 /// Minimum time before the first event before the engine is probed.
 pub(super) const PAUSE_BEFORE_PROBE_IN_PREFILL: Duration = Duration::from_millis(700);
 /// Timeout of a probe before the first event.
@@ -60,7 +57,7 @@
             limit: PROBE_LIMIT,
         };
     }
-    let pause = if reads_prompts || active.last_pause >= PREFILL_PAUSE {
+    let pause = if reads_prompts {
         PAUSE_DURING_PREFILL
     } else {
         PAUSE_BEFORE_PROBE
--- a/src/gateway/dispatch/request.rs
+++ b/src/gateway/dispatch/request.rs
@@ -31,8 +31,6 @@
     pub is_connected: bool,
     /// Time of the last part of the answer; the start of the attempt until then.
     pub last_seen: Micros,
-    /// Time between the last two events; zero until there are two.
-    pub last_pause: Duration,
     /// Whether the attempt has received an event.
     pub has_events: bool,
     /// Arrival time and number of the first event.
