--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -15,13 +15,14 @@
 //! | start and count of attempts, how long a request waits for an endpoint | [`attempts`] |
 //! | when and how often a request is retried | [`retry`], budget in [`retry_budget`] |
 //! | when a request is given up, the reason, and when its caller may retry | [`refusal`] |
-//! | suspicion of endpoints | [`suspicion`]; avoidance and return to use: `fleet::losses` |
+//! | suspicion of endpoints | [`suspicion`], when they are probed: `probe_timing`; avoidance and return to use: `fleet::losses` |
 //! | effects of a table or an endpoint list that was read | `intake` |
 //! | quarantine of requests that crash their endpoints | [`quarantine`], confirmed in `crashes` |
 //! | duration of streams, for which a stop must leave time | [`stream_time`] |
 //! | effects of an endpoint restart under its id | [`endpoint_restart`], `fleet::incarnations` |
 //! | what endpoints ask of their callers | [`fleet::directives`] |
 //! | load of endpoints with a limit, its division among boxes | [`permits`] |
+//! | reasons for checks of endpoints | [`checks`] |
 //! | location of replicas of KV memory | [`replicas`]; room for them: [`replica_room`] |
 //! | search for the engine that keeps the prompt of a caller that reconnects | [`prompt_search`] |
 //! | work in progress at endpoints | [`fleet::usage`] |
@@ -34,6 +35,7 @@
 //! | readiness of the box | [`readiness`] |
 
 pub mod action;
+pub mod checks;
 mod duties;
 pub mod duty;
 pub mod event;
@@ -67,7 +69,8 @@
 mod load_reports;
 mod outcomes;
 pub mod permits;
-mod prompt_search;
+mod probe_timing;
+pub mod prompt_search;
 mod readiness;
 mod replicas;
 mod request;
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -219,6 +219,7 @@
         };
         let mut active = active_attempt(request, attempt, &endpoint.spec, mirror, self.now);
         active.sampled = Sampled::behind(queued_prefill);
+        active.queued_prefill = queued_prefill;
         if alone {
             // Counting all slots also keeps boxes of earlier versions from placing requests here.
             active.slots = endpoint.spec.slots.max(1);
@@ -344,6 +345,7 @@
         } else {
             0
         },
+        queued_prefill: 0,
         memory: request.memory().0,
         slots: 1,
     }
