Speeds of endpoints are learned and used by placement

Placement took 5 prompt tokens per ms for every engine, so slow engines got as many prompts as fast ones. Each box now observes prefill rates and times per event at engines and answer times of plain servers, shares them in its failure domain (datagram section 7), and uses them in placement and in the ageing of reports. Engines that don't clearly differ are chosen as before.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -25,6 +25,7 @@
 //! | location of replicas of KV memory | [`replicas`] |
 //! | search for the engine that keeps the prompt of a caller that reconnects | [`prompt_search`] |
 //! | work in progress at endpoints | [`fleet::usage`] |
+//! | learned speeds of endpoints | [`fleet::speeds`], observed and published in `speed_reports` |
 //! | selection of the boxes that watch the store | [`store_watchers`] |
 //! | gossip between boxes | [`gossip`], [`peers`] |
 //! | change of a service to another version | [`rollout`], executed by [`rollouts`] |
@@ -71,6 +72,7 @@
 pub mod retry;
 mod rollout_samples;
 mod rollouts;
+mod speed_reports;
 mod suspicion;
 
 use std::collections::BTreeMap;
@@ -331,6 +333,7 @@
     }
 
     fn on_tick(&mut self) {
+        self.fleet.refresh_speeds(self.now);
         self.settle_crashes();
         self.maintain_limits();
         self.check_requests();
--- a/src/gateway/dispatch/action.rs
+++ b/src/gateway/dispatch/action.rs
@@ -14,7 +14,8 @@
 use crate::gateway::dispatch::rollout::status::StatusWrite;
 use crate::schema::{
     BoxState, CrashUpdate, DepartureUpdate, DutyHolder, EndpointId, EndpointIncarnation,
-    Fingerprint, LimitUpdate, OrganisationId, StateRequest, UsageCountUpdate, UsageUpdate,
+    Fingerprint, LimitUpdate, OrganisationId, SpeedUpdate, StateRequest, UsageCountUpdate,
+    UsageUpdate,
 };
 
 /// Attempt of a request at an endpoint.
@@ -190,6 +191,13 @@
         /// Endpoints that are leaving.
         update: DepartureUpdate,
     },
+    /// Send peers the speeds of endpoints that this box observed, by UDP.
+    PublishSpeeds {
+        /// Addresses of the receivers.
+        to: Vec<SocketAddr>,
+        /// Observed speeds.
+        update: SpeedUpdate,
+    },
     /// Send peers the limits of endpoints, permit requests and granted permits by UDP.
     PublishLimits {
         /// Addresses of the receivers.
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -18,6 +18,7 @@
 use super::action::{Attempt, Command};
 use super::event::{AttemptNumber, EndpointSpec, RequestNumber};
 use super::fleet::Usage;
+use super::fleet::speeds::AttemptWatch;
 use super::placement::ATTEMPT_CONNECT_LIMIT;
 use super::record::Record;
 use super::refusal::{HasRun, Refusal, RefusalReason};
@@ -151,6 +152,7 @@
         }
         self.count_attempt(number, &attempt, mirror, usage.prefill);
         self.publish_usage_soon(to);
+        self.watch_speed(number, usage.prefill == 0);
         self.command(number, Command::Send(Box::new(attempt)));
     }
 
@@ -332,6 +334,7 @@
         has_events: false,
         first_event: None,
         sampled: Sampled::default(),
+        watch: AttemptWatch::default(),
         domain: spec.domain.clone(),
         address: attempt.address,
         mirror,
--- a/src/gateway/dispatch/event.rs
+++ b/src/gateway/dispatch/event.rs
@@ -15,8 +15,8 @@
 use crate::gateway::dispatch::table::RoutingTable;
 use crate::schema::{
     BoxState, CrashUpdate, DepartureUpdate, DomainId, DutyHolder, EndpointId, EndpointIncarnation,
-    Fingerprint, LimitUpdate, RequestAge, ServiceId, StartTime, UsageCountUpdate, UsageUpdate,
-    VersionId,
+    Fingerprint, LimitUpdate, RequestAge, ServiceId, SpeedUpdate, StartTime, UsageCountUpdate,
+    UsageUpdate, VersionId,
 };
 
 /// Number that this box has given a request.
@@ -337,6 +337,8 @@
     },
     /// A peer reported endpoints that are leaving.
     PeerDepartures(DepartureUpdate),
+    /// A peer reported speeds of endpoints.
+    PeerSpeeds(SpeedUpdate),
     /// A peer reported endpoints that state limits.
     PeerLimits(LimitUpdate),
     /// A fetch from a peer ended, with or without an answer.
--- a/src/gateway/dispatch/fleet.rs
+++ b/src/gateway/dispatch/fleet.rs
@@ -3,8 +3,8 @@
 //! The list, from the store or from a peer, names the endpoints and those that are leaving
 //! (`list`). A process that restarts begins another incarnation of its endpoint, and the state of
 //! the earlier one is dropped (`incarnations`). What endpoints ask of their callers
-//! is in [`directives`], their load is in [`usage`] and their recent failures are in [`health`]. Endpoints that are avoided,
-//! suspected or unreachable are in `losses`.
+//! is in [`directives`], their load is in [`usage`], their learned speeds are in [`speeds`] and their recent failures are in [`health`].
+//! Endpoints that are avoided, suspected or unreachable are in `losses`.
 //!
 //! Inputs: the list, ends of attempts and probes, and states of peers. State: all of the above; an
 //! endpoint is forgotten once it is neither listed nor in use.
@@ -14,6 +14,7 @@
 mod incarnations;
 mod list;
 mod losses;
+pub mod speeds;
 pub mod usage;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -26,6 +27,7 @@
 use directives::Directives;
 use health::{Answers, EndpointHealth, FailureShares};
 use losses::Losses;
+use speeds::Speeds;
 use usage::{PeerUsage, ReportedUsage};
 
 pub use usage::Usage;
@@ -148,6 +150,8 @@
     pub directives: Directives,
     /// Endpoints that the list dropped or showed as leaving or unreadable, and when.
     departed: BTreeMap<EndpointId, Micros>,
+    /// Learned speeds of engines and plain servers.
+    pub speeds: Speeds,
     /// Outcomes of attempts of this box that were not published to peers yet.
     unpublished: BTreeMap<EndpointId, EndpointAnswers>,
     /// Load of the boxes of other failure domains at plain services.
--- a/src/gateway/dispatch/fleet/incarnations.rs
+++ b/src/gateway/dispatch/fleet/incarnations.rs
@@ -45,6 +45,7 @@
         self.directives
             .on_new_incarnation(&endpoint.spec.incarnation());
         self.unpublished.remove(&ended.id);
+        self.speeds.forget(&ended.id);
         self.ended_incarnations.push(ended);
     }
 
--- a/src/gateway/dispatch/fleet/list.rs
+++ b/src/gateway/dispatch/fleet/list.rs
@@ -155,8 +155,13 @@
 
     /// Forgets endpoints that are neither listed nor used by this box.
     pub fn forget_unused(&mut self) {
+        let known = self.endpoints.len();
         self.endpoints
             .retain(|_, e| e.listed || e.own != Usage::default());
+        if self.endpoints.len() < known {
+            let endpoints = &self.endpoints;
+            self.speeds.retain(|id| endpoints.contains_key(id));
+        }
         self.directives
             .retain_limits(|id| self.endpoints.contains_key(id));
     }
--- a/src/gateway/dispatch/fleet/usage.rs
+++ b/src/gateway/dispatch/fleet/usage.rs
@@ -7,10 +7,12 @@
 
 use std::time::Duration;
 
+use super::speeds::TokensPerMs;
 use super::{Endpoint, Fleet};
 use crate::schema::{BoxId, DomainId, DomainUsage, EndpointId, EndpointUsage, Micros};
 
-/// Prompt tokens that an engine prefills in a millisecond.
+/// Prompt tokens that an engine prefills in a millisecond, as long as nothing else is learned
+/// ([`super::speeds`]).
 pub const PREFILL_TOKENS_PER_MS: f64 = 5.0;
 /// How long a peer's report about an engine counts: about as long as a stream takes (3.9 s from the
 /// first event on if no other prompt is prefilled).
@@ -56,18 +58,22 @@
 }
 
 impl PeerUsage {
-    /// The load that the report still stands for, without what was prefilled meanwhile; `None` once
-    /// it has expired.
-    fn remaining(&self, now: Micros) -> Option<Usage> {
-        let age = now.since(self.at);
+    /// Whether the report has expired.
+    fn is_expired(&self, now: Micros) -> bool {
         let is_engine = self.usage.memory > 0;
         let lifetime = match self.from {
             Source::Box(_) if is_engine => ENGINE_REPORT_LIFETIME,
             Source::Box(_) => PLAIN_REPORT_LIFETIME,
             Source::Domain(_) => DOMAIN_REPORT_LIFETIME,
         };
-        let prefilled = (age.as_secs_f64() * 1_000.0 * PREFILL_TOKENS_PER_MS) as u32;
-        (age < lifetime).then_some(Usage {
+        now.since(self.at) >= lifetime
+    }
+
+    /// The load that the report still stands for, without what an engine of this rate prefilled
+    /// meanwhile; `None` once it has expired.
+    fn remaining(&self, rate: TokensPerMs, now: Micros) -> Option<Usage> {
+        let prefilled = rate.tokens_in(now.since(self.at));
+        (!self.is_expired(now)).then_some(Usage {
             prefill: self.usage.prefill.saturating_sub(prefilled),
             ..self.usage
         })
@@ -127,12 +133,13 @@
 
     fn add_reports(&mut self, from: &Source, usage: &[EndpointUsage], now: Micros) {
         for report in usage {
-            let Some(endpoint) = self.get_incarnation_mut(&report.endpoint) else {
+            let found = self.endpoints.get_mut(&report.endpoint.id);
+            let Some(endpoint) = found.filter(|e| e.is_incarnation(&report.endpoint)) else {
                 continue;
             };
             endpoint
                 .others
-                .retain(|other| other.from != *from && other.remaining(now).is_some());
+                .retain(|other| other.from != *from && !other.is_expired(now));
             endpoint.others.push(PeerUsage {
                 from: from.clone(),
                 at: now,
@@ -142,6 +149,10 @@
                     memory: report.memory,
                 },
             });
+            if report.reading > 0 {
+                self.speeds
+                    .on_peer_prompt(&endpoint.spec, report.reading, now);
+            }
         }
     }
 
@@ -152,7 +163,8 @@
         for endpoint in self.endpoints.values() {
             let reports = endpoint.others.iter();
             let local = reports.filter(|other| matches!(other.from, Source::Box(_)));
-            let local = local.filter_map(|other| other.remaining(now));
+            let rate = self.speeds.prefill(&endpoint.spec);
+            let local = local.filter_map(|other| other.remaining(rate, now));
             let (running, memory) = local.fold(
                 (endpoint.own.running, endpoint.own.memory),
                 |(running, memory), usage| (running + usage.running, memory + usage.memory),
@@ -177,10 +189,11 @@
     #[must_use]
     pub fn usage(&self, endpoint: &Endpoint, now: Micros) -> Usage {
         let mut total = endpoint.own;
+        let rate = self.speeds.prefill(&endpoint.spec);
         for other in endpoint
             .others
             .iter()
-            .filter_map(|other| other.remaining(now))
+            .filter_map(|other| other.remaining(rate, now))
         {
             total.running += other.running;
             total.prefill += other.prefill;
--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -95,6 +95,7 @@
             return;
         }
         self.pending_usage.record_sent(to.len(), self.now);
+        self.publish_answer_times(&to);
         let usage = endpoints.iter().filter_map(|id| self.fleet.own_usage(id));
         let update = UsageUpdate {
             from: self.cfg.me.clone(),
@@ -138,6 +139,7 @@
             self.update_allocators();
             self.publish_limits(to.clone());
             self.publish_departures(to.clone());
+            self.publish_engine_speeds(&to);
             self.gossip_state(to);
         }
     }
--- a/src/gateway/dispatch/handle.rs
+++ b/src/gateway/dispatch/handle.rs
@@ -34,6 +34,7 @@
             | Event::PeerHolder(_)
             | Event::PeerLimits(_)
             | Event::PeerDepartures(_)
+            | Event::PeerSpeeds(_)
             | Event::Fetched { .. }
             | Event::Seeds(_) => self.handle_update(event),
             Event::TimeOfDay(day) => self.on_time_of_day(day),
@@ -101,6 +102,7 @@
             Event::PeerHolder(holder) => self.on_peer_holder(&holder),
             Event::PeerLimits(update) => self.on_peer_limits(&update),
             Event::PeerDepartures(update) => self.on_peer_departures(&update),
+            Event::PeerSpeeds(update) => self.fleet.on_peer_speeds(&update, self.now),
             Event::Fetched {
                 kind,
                 from,
--- a/src/gateway/dispatch/outcomes.rs
+++ b/src/gateway/dispatch/outcomes.rs
@@ -84,6 +84,7 @@
             endpoint.last_seen = now;
             endpoint.own.prefill = endpoint.own.prefill.saturating_sub(prefilled);
         }
+        self.observe_engine(number, prefilled);
         self.record_crash_progress(number);
         self.sample_events(number, attempt);
         if is_first {
@@ -134,6 +135,7 @@
         }
         self.record_end(number, &active, outcome);
         self.sample_end(number, &active, outcome);
+        self.observe_call(number, &active, outcome);
         self.count_call(number, outcome);
         self.suspect_crash(number, &active, outcome);
         self.uncount_attempt(&active);
--- a/src/gateway/dispatch/placement.rs
+++ b/src/gateway/dispatch/placement.rs
@@ -4,8 +4,9 @@
 //! An attempt goes to the endpoint of least cost among the endpoints of the service that take work,
 //! want no rest from this box, were not tried before, can be reached, and are allowed by a roll-out
 //! and by their rate limits. The cost of an engine is the time to prefill the prompts queued there, because prefill is the
-//! scarcest resource of an engine, plus a cost for each running request. The cost of an endpoint of
-//! a plain service is a cost for each running request. Distance, missing capacity and recent
+//! scarcest resource of an engine, plus a cost for each running request, both at the engine's learned speed
+//! ([`crate::gateway::dispatch::fleet::speeds`]). The cost of an endpoint of
+//! a plain service is a cost for each running request, and what its answers take longer than usual. Distance, missing capacity and recent
 //! failures of the endpoint add to both. The cost table is in [`costs`].
 //!
 //! Placement uses the fleet as this box knows it now. Reports of other boxes in the failure domain
@@ -20,8 +21,7 @@
 
 use crate::gateway::dispatch::event::Tokens;
 use crate::gateway::dispatch::fleet::health::FailureShares;
-use crate::gateway::dispatch::fleet::usage::PREFILL_TOKENS_PER_MS;
-use crate::gateway::dispatch::fleet::{Endpoint, Fleet};
+use crate::gateway::dispatch::fleet::{Endpoint, Fleet, Usage};
 use crate::gateway::dispatch::rollout::VersionRules;
 use crate::gateway::dispatch::table::EngineSpec;
 use crate::rendezvous;
@@ -52,6 +52,8 @@
     pub service: &'a ServiceId,
     /// Properties of the service's engines; `None` for a plain service.
     pub engine: Option<EngineSpec>,
+    /// Length of the prompt.
+    pub prompt: Tokens,
     /// Tokens of KV memory that the request takes at an engine.
     pub memory: Tokens,
     /// Endpoints of earlier attempts, which are excluded.
@@ -128,7 +130,7 @@
         primary: &Endpoint,
         now: Micros,
     ) -> Option<&'a Endpoint> {
-        let context = CostContext::new(fleet, demand, now);
+        let context = CostContext::of_replica(fleet, demand, now);
         let costs = fleet
             .of_service(demand.service)
             .filter(|e| {
@@ -157,7 +159,7 @@
         is_eligible: impl Fn(&Endpoint) -> bool,
         now: Micros,
     ) -> Option<&'a Endpoint> {
-        let context = CostContext::new(fleet, demand, now);
+        let context = CostContext::of_replica(fleet, demand, now);
         let others = fleet
             .of_service(demand.service)
             .filter(|e| e.spec.id != engine.spec.id && demand.rules.replicas.admits(e))
@@ -192,18 +194,8 @@
         } = *context;
         let usage = fleet.usage(endpoint, now);
         let work = match demand.engine {
-            Some(engine) => {
-                let free = engine.kv_tokens.saturating_sub(usage.memory);
-                let memory = if free < demand.memory.0 {
-                    costs::NO_MEMORY
-                } else {
-                    0.0
-                };
-                f64::from(usage.prefill) / PREFILL_TOKENS_PER_MS
-                    + f64::from(usage.running) * costs::ENGINE_RUNNING
-                    + memory
-            }
-            None => f64::from(usage.running) * costs::PLAIN_RUNNING,
+            Some(engine) => self.engine_work(context, engine, endpoint, usage),
+            None => plain_work(context, endpoint, usage),
         };
         let is_remote = endpoint.spec.domain != self.domain;
         let distance = match (is_remote, demand.engine) {
@@ -228,6 +220,45 @@
             + tie_break(demand, &endpoint.spec.id)
     }
 
+    /// The cost of what runs and waits at an engine: the time until the first event, beyond that of
+    /// the request's own prompt at an engine of median speed, and the slowdown of tokens. An engine of
+    /// another domain gets no credit for prefilling the prompt faster, because a fast engine would
+    /// then draw requests from all domains.
+    fn engine_work(
+        &self,
+        context: &CostContext<'_>,
+        engine: EngineSpec,
+        endpoint: &Endpoint,
+        usage: Usage,
+    ) -> f64 {
+        let speeds = &context.fleet.speeds;
+        let free = engine.kv_tokens.saturating_sub(usage.memory);
+        let memory = if free < context.demand.memory.0 {
+            costs::NO_MEMORY
+        } else {
+            0.0
+        };
+        let rate = speeds.prefill(&endpoint.spec);
+        let prompt = if context.prefills {
+            let median = speeds.median_prefill(&endpoint.spec.service);
+            let prompt = context.demand.prompt.0;
+            rate.millis(prompt) - median.millis(prompt)
+        } else {
+            0.0
+        };
+        let least = if endpoint.spec.domain == self.domain {
+            -costs::OWN_PROMPT
+        } else {
+            0.0
+        };
+        rate.millis(usage.prefill)
+            + f64::from(usage.running)
+                * costs::ENGINE_RUNNING
+                * speeds.decode_factor(&endpoint.spec)
+            + memory
+            + prompt.clamp(least, costs::OWN_PROMPT)
+    }
+
     /// Returns the endpoints that most likely keep the prompt of a request with this key: first
     /// those of the own failure domain, then the others, each by falling rendezvous score. The own
     /// domain comes first because callers usually reconnect to a box of the same domain, and the
@@ -261,6 +292,8 @@
     /// Lowest failure shares among the endpoints of the service. [`costs::FAILING`] counts only
     /// what exceeds them.
     lowest_failure_shares: FailureShares,
+    /// Whether the endpoint will prefill the prompt; the host of a replica won't.
+    prefills: bool,
     now: Micros,
 }
 
@@ -270,10 +303,19 @@
             fleet,
             demand,
             lowest_failure_shares: fleet.lowest_failure_shares(demand.service, now),
+            prefills: true,
             now,
         }
     }
 
+    /// The context for the host of a replica.
+    fn of_replica(fleet: &'a Fleet, demand: Demand<'a>, now: Micros) -> Self {
+        Self {
+            prefills: false,
+            ..Self::new(fleet, demand, now)
+        }
+    }
+
     /// The cost of recent failures, of having no free slot, and of being avoided or suspected.
     fn health_cost(&self, endpoint: &Endpoint, running: u32) -> f64 {
         let shares = endpoint.health.failure_shares(self.now);
@@ -290,6 +332,14 @@
     }
 }
 
+/// The cost of what runs at a server of a plain service, and of its answers taking longer than usual.
+fn plain_work(context: &CostContext<'_>, endpoint: &Endpoint, usage: Usage) -> f64 {
+    let speeds = &context.fleet.speeds;
+    let factor = speeds.answer_factor(&endpoint.spec, context.now);
+    let delay = speeds.answer_delay_ms(&endpoint.spec, context.now);
+    f64::from(usage.running) * costs::PLAIN_RUNNING * factor + delay.min(costs::SLOW_ANSWER)
+}
+
 /// Returns a small cost that depends only on the request key, the endpoint and the kind of service:
 /// pseudo-random, and lower for a higher rendezvous score.
 fn tie_break(demand: Demand<'_>, endpoint: &EndpointId) -> f64 {
--- a/src/gateway/dispatch/placement/costs.rs
+++ b/src/gateway/dispatch/placement/costs.rs
@@ -12,6 +12,8 @@
 //! | [`OTHER_DOMAIN_PLAIN`] | 40 | a hop to another domain costs as much as four running calls |
 //! | [`TIE_BREAK`] | 100 | separates engines that differ by three streams or less; must not outweigh a domain |
 //! | [`OTHER_DOMAIN_ENGINE`] | 300 | traffic between domains is expensive, but less so than a third of a prefill |
+//! | [`SLOW_ANSWER`] | 1,000 | a server that is slow now is worse than a hop, better than one that fails everything |
+//! | [`OWN_PROMPT`] | 1,400 | a faster engine is worth waiting for a prompt, not for a slot |
 //! | [`FAILING`] | 1,500 | an endpoint that fails everything costs a second attempt, and more than waiting for a prompt |
 //! | [`FULL`] | 2,000 | without a free slot a request waits for another to end |
 //! | [`NOT_ALONE`] | 2,500 | a request that may crash its endpoint runs alone wherever a healthy endpoint is free |
@@ -29,6 +31,11 @@
 pub const OTHER_DOMAIN_ENGINE: f64 = 300.0;
 /// Cost of a plain service's endpoint in another failure domain than the box, ms.
 pub const OTHER_DOMAIN_PLAIN: f64 = 40.0;
+/// Greatest cost of a plain server whose answers take longer than usual, ms.
+pub const SLOW_ANSWER: f64 = 1_000.0;
+/// Greatest cost, or credit, of an engine for the speed at which it prefills the request's own prompt,
+/// ms.
+pub const OWN_PROMPT: f64 = 1_400.0;
 /// Cost of an endpoint without a free slot, ms.
 pub const FULL: f64 = 2_000.0;
 /// Cost of an endpoint that runs other requests, for a request that endpoints crashed under, ms.
--- a/src/gateway/dispatch/request.rs
+++ b/src/gateway/dispatch/request.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use super::event::{Arrival, AttemptNumber, Fault, Tokens};
+use super::fleet::speeds::AttemptWatch;
 use super::placement::Demand;
 use super::priority::Tier;
 use super::refusal::HasRun;
@@ -38,6 +39,8 @@
     /// What was counted for a roll-out. The first event is not counted if other prompts were queued
     /// before it: the few endpoints of a canary version have queues more often than the many others.
     pub sampled: Sampled,
+    /// What the attempt tells of the speed of its engine.
+    pub watch: AttemptWatch,
     /// Failure domain of the endpoint.
     pub domain: DomainId,
     pub address: SocketAddr,
@@ -193,6 +196,7 @@
             alone,
             service: &self.service,
             engine: self.engine,
+            prompt: self.arrival.prompt,
             memory: self.memory(),
             tried: &self.tried,
             key: self.key,
--- a/src/gateway/shell/control.rs
+++ b/src/gateway/shell/control.rs
@@ -129,6 +129,7 @@
             | Action::GossipUsage { .. }
             | Action::PublishUsageCounts { .. }
             | Action::PublishDepartures { .. }
+            | Action::PublishSpeeds { .. }
             | Action::PublishLimits { .. } => self.send_datagram(action),
             Action::FetchState { .. }
             | Action::ReadTable
@@ -169,6 +170,7 @@
                 (to, datagram::write_usage_counts(&update))
             }
             Action::PublishDepartures { to, update } => (to, datagram::write_departures(&update)),
+            Action::PublishSpeeds { to, update } => (to, datagram::write_speeds(&update)),
             Action::PublishLimits { to, update } => (to, datagram::write_limits(&update)),
             _ => return,
         };
--- a/src/gateway/shell/datagram.rs
+++ b/src/gateway/shell/datagram.rs
@@ -12,7 +12,7 @@
 use crate::gateway::dispatch::event::Event;
 use crate::schema::{
     BoxId, BoxState, CrashUpdate, DatagramSection, DepartureUpdate, DutyHolder, LimitUpdate,
-    UsageCountUpdate, UsageUpdate,
+    SpeedUpdate, UsageCountUpdate, UsageUpdate,
 };
 
 /// The first byte of a datagram with a [`BoxState`].
@@ -29,6 +29,8 @@
 const LIMITS_SECTION: u16 = 4;
 /// The kind of a section with [`DepartureUpdate`].
 const DEPARTURES_SECTION: u16 = 5;
+/// The kind of a section with [`SpeedUpdate`].
+const SPEEDS_SECTION: u16 = 7;
 
 /// Encodes a box's state as a datagram.
 ///
@@ -97,6 +99,15 @@
     with_section(empty_message(&update.from)?, DEPARTURES_SECTION, update)
 }
 
+/// Encodes the speeds of endpoints that a box observed, as a section after an empty message.
+///
+/// # Errors
+///
+/// If it can't be encoded.
+pub fn write_speeds(update: &SpeedUpdate) -> Result<Vec<u8>, postcard::Error> {
+    with_section(empty_message(&update.from)?, SPEEDS_SECTION, update)
+}
+
 /// A message without content, to which a section is added.
 fn empty_message(from: &BoxId) -> Result<Vec<u8>, postcard::Error> {
     let empty = UsageUpdate {
@@ -161,6 +172,8 @@
             events.push(Event::PeerLimits(read_content(&section)?));
         } else if section.kind == DEPARTURES_SECTION {
             events.push(Event::PeerDepartures(read_content(&section)?));
+        } else if section.kind == SPEEDS_SECTION {
+            events.push(Event::PeerSpeeds(read_content(&section)?));
         }
     }
     Ok(events)
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -111,6 +111,15 @@
         value.parse()
     }
 }
+///Time of an answer of a plain server.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct AnswerTime {
+    ///Hash of the server's incarnation.
+    pub endpoint: u32,
+    ///Microseconds from the start of the attempt to its answer.
+    pub micros: u32,
+}
 ///Histogram of answer times.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -884,6 +893,23 @@
     pub models: ::std::vec::Vec<ModelId>,
     pub slots: u32,
 }
+///Speed of an engine as one box observed it.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct EngineSpeed {
+    ///Milliseconds since the last observation.
+    pub age_ms: u32,
+    ///Hash of the engine's incarnation.
+    pub endpoint: u32,
+    ///Events per 1,000 seconds of a stream while no prompt is prefilled; 0 if unknown.
+    pub events: u32,
+    ///Number of observations of that.
+    pub events_count: u32,
+    ///Prompt tokens per second; 0 if unknown.
+    pub prefill: u32,
+    ///Number of observations of that.
+    pub prefill_count: u32,
+}
 ///A TCP message with its sender.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -3033,6 +3059,16 @@
     pub term: u64,
     pub unknown_for: Millis,
 }
+///Speeds of endpoints that a box observed itself.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SpeedUpdate {
+    ///Latest answers of plain servers that are or were slow.
+    pub answers: ::std::vec::Vec<AnswerTime>,
+    ///Speeds of engines, those observed most recently.
+    pub engines: ::std::vec::Vec<EngineSpeed>,
+    pub from: BoxId,
+}
 ///When an endpoint's process started, in Unix milliseconds of the endpoint's clock.
 #[derive(
     ::serde::Deserialize,
--- a/tests/datagram.rs
+++ b/tests/datagram.rs
@@ -8,13 +8,14 @@
 
 use magpiemoor::gateway::dispatch::event::Event;
 use magpiemoor::gateway::shell::datagram::{
-    read, with_holder, write_departures, write_limits, write_state, write_usage, write_usage_counts,
+    read, with_holder, write_departures, write_limits, write_speeds, write_state, write_usage,
+    write_usage_counts,
 };
 use magpiemoor::schema::{
-    BoxState, CrashReport, CrashUpdate, DatagramSection, DepartureUpdate, DutyHolder,
-    EndpointUsage, Fingerprint, Incarnation, LimitReport, LimitUpdate, OrganisationCount,
-    PermitGrant, PermitRequest, RequestAge, RunningBox, ServiceTotals, UsageCountUpdate,
-    UsageUpdate, WindowCounts,
+    AnswerTime, BoxState, CrashReport, CrashUpdate, DatagramSection, DepartureUpdate, DutyHolder,
+    EndpointUsage, EngineSpeed, Fingerprint, Incarnation, LimitReport, LimitUpdate,
+    OrganisationCount, PermitGrant, PermitRequest, RequestAge, RunningBox, ServiceTotals,
+    SpeedUpdate, UsageCountUpdate, UsageUpdate, WindowCounts,
 };
 
 fn production(file: &str) -> Vec<u8> {
@@ -301,3 +302,31 @@
     let as_production: UsageUpdate = postcard::from_bytes(&bytes[1..]).unwrap();
     assert_eq!(as_production, *empty);
 }
+
+/// The version in production decodes the empty message and ignores the speeds that follow it.
+#[test]
+fn speeds_follow_an_empty_message() {
+    let update = SpeedUpdate {
+        from: "box-1".parse().unwrap(),
+        engines: vec![EngineSpeed {
+            endpoint: u32::MAX,
+            prefill: 8_500,
+            prefill_count: 3,
+            events: 0,
+            events_count: 0,
+            age_ms: 12_000,
+        }],
+        answers: vec![AnswerTime {
+            endpoint: 7,
+            micros: 150_000,
+        }],
+    };
+    let bytes = write_speeds(&update).unwrap();
+    let events = read(&bytes).unwrap();
+    let [Event::PeerUsage(empty), Event::PeerSpeeds(read)] = &events[..] else {
+        panic!("{events:?}");
+    };
+    assert_eq!(*read, update);
+    let as_production: UsageUpdate = postcard::from_bytes(&bytes[1..]).unwrap();
+    assert_eq!(as_production, *empty);
+}
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -3,8 +3,8 @@
 
 use magpiemoor::gateway::dispatch::placement::costs::{
     AVOIDED, COLD, ENGINE_RUNNING, FAILING, FULL, NO_MEMORY, OTHER_DOMAIN_ENGINE,
-    OTHER_DOMAIN_PLAIN, PLAIN_RUNNING, SAME_DOMAIN_AS_ATTEMPT, SUSPECTED, TIE_BREAK,
-    TIE_BREAK_PLAIN,
+    OTHER_DOMAIN_PLAIN, OWN_PROMPT, PLAIN_RUNNING, SAME_DOMAIN_AS_ATTEMPT, SLOW_ANSWER, SUSPECTED,
+    TIE_BREAK, TIE_BREAK_PLAIN,
 };
 
 #[test]
@@ -17,6 +17,8 @@
         OTHER_DOMAIN_PLAIN,
         TIE_BREAK,
         OTHER_DOMAIN_ENGINE,
+        SLOW_ANSWER,
+        OWN_PROMPT,
         FAILING,
         FULL,
         SUSPECTED,
@@ -33,6 +35,13 @@
 
 #[test]
 fn no_sum_of_other_costs_reaches_an_avoided_endpoint() {
-    let others = OTHER_DOMAIN_ENGINE + FAILING + FULL + SUSPECTED + NO_MEMORY + TIE_BREAK;
+    let others = OTHER_DOMAIN_ENGINE
+        + SLOW_ANSWER
+        + OWN_PROMPT
+        + FAILING
+        + FULL
+        + SUSPECTED
+        + NO_MEMORY
+        + TIE_BREAK;
     assert!(others < AVOIDED);
 }
