--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -27,6 +27,7 @@
 //! | search for the engine that keeps the prompt of a caller that reconnects | [`prompt_search`] |
 //! | work in progress at endpoints | [`fleet::usage`] |
 //! | load of the engines in other failure domains | [`fleet::domain_load`], exchanged by `load_reports` |
+//! | learned speeds of endpoints | [`fleet::speeds`], observed and published in `speed_reports` |
 //! | selection of the boxes that watch the store | [`store_watchers`] |
 //! | gossip between boxes | [`gossip`], [`peers`] |
 //! | change of a service to another version | [`rollout`], executed by [`rollouts`] |
@@ -77,6 +78,7 @@
 pub mod retry;
 mod rollout_samples;
 mod rollouts;
+mod speed_reports;
 mod suspicion;
 
 use std::collections::BTreeMap;
@@ -344,6 +346,7 @@
     }
 
     fn on_tick(&mut self) {
+        self.fleet.refresh_speeds(self.now);
         self.settle_crashes();
         self.maintain_limits();
         self.check_requests();
--- a/src/gateway/dispatch/action.rs
+++ b/src/gateway/dispatch/action.rs
@@ -15,8 +15,8 @@
 use crate::gateway::dispatch::rollout::status::StatusWrite;
 use crate::schema::{
     BoxId, BoxState, CrashUpdate, DepartureUpdate, DutyHolder, EndpointId, EndpointIncarnation,
-    EngineLoadReport, Fingerprint, LimitUpdate, OrganisationId, StateRequest, UsageCountUpdate,
-    UsageUpdate,
+    EngineLoadReport, Fingerprint, LimitUpdate, OrganisationId, SpeedUpdate, StateRequest,
+    UsageCountUpdate, UsageUpdate,
 };
 
 /// Attempt of a request at an endpoint.
@@ -203,6 +203,13 @@
         /// Load of the own failure domain, or of another one that is forwarded.
         report: EngineLoadReport,
     },
+    /// Send peers the speeds of endpoints that this box observed, by UDP.
+    PublishSpeeds {
+        /// Addresses of the receivers.
+        to: Vec<SocketAddr>,
+        /// Observed speeds.
+        update: SpeedUpdate,
+    },
     /// Send peers the limits of endpoints, permit requests and granted permits by UDP.
     PublishLimits {
         /// Addresses of the receivers.
--- a/src/gateway/dispatch/event.rs
+++ b/src/gateway/dispatch/event.rs
@@ -15,8 +15,8 @@
 use crate::gateway::dispatch::table::RoutingTable;
 use crate::schema::{
     BoxState, CrashUpdate, DepartureUpdate, DomainId, DutyHolder, EndpointId, EndpointIncarnation,
-    EngineLoadReport, Fingerprint, LimitUpdate, RequestAge, ServiceId, StartTime, UsageCountUpdate,
-    UsageUpdate, VersionId,
+    EngineLoadReport, Fingerprint, LimitUpdate, RequestAge, ServiceId, SpeedUpdate, StartTime,
+    UsageCountUpdate, UsageUpdate, VersionId,
 };
 
 /// Number that this box has given a request.
@@ -364,6 +364,8 @@
     PeerDepartures(DepartureUpdate),
     /// A peer sent or forwarded the load of another failure domain on engines.
     PeerLoad(EngineLoadReport),
+    /// A peer reported speeds of endpoints.
+    PeerSpeeds(SpeedUpdate),
     /// A peer reported endpoints that state limits.
     PeerLimits(LimitUpdate),
     /// A fetch from a peer ended, with or without an answer.
--- a/src/gateway/dispatch/fleet.rs
+++ b/src/gateway/dispatch/fleet.rs
@@ -3,7 +3,7 @@
 //! The list, from the store or from a peer, names the endpoints and those that are leaving
 //! (`list`). A process that restarts begins another incarnation of its endpoint, and the state of
 //! the earlier one is dropped (`incarnations`). What endpoints ask of their callers
-//! is in [`directives`], their load is in [`usage`] and their recent failures are in [`health`]. Endpoints that are avoided,
+//! is in [`directives`], their load is in [`usage`], their learned speeds are in [`speeds`] and their recent failures are in [`health`]. Endpoints that are avoided,
 //! suspected or unreachable are in `losses`, requests for their identity in `identity_requests`;
 //! whether engines prefill prompts is in `reading`.
 //!
@@ -18,6 +18,7 @@
 mod list;
 mod losses;
 mod reading;
+pub mod speeds;
 pub mod usage;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -32,6 +33,7 @@
 use health::{Answers, EndpointHealth, FailureShares};
 use identity_requests::IdentityShare;
 use losses::Losses;
+use speeds::Speeds;
 use usage::{PeerUsage, ReportedUsage};
 
 pub use usage::Usage;
@@ -159,6 +161,8 @@
     pub directives: Directives,
     /// Endpoints that the list dropped or showed as leaving or unreadable, and when.
     departed: BTreeMap<EndpointId, Micros>,
+    /// Learned speeds of engines and plain servers.
+    pub speeds: Speeds,
     /// Outcomes of attempts of this box that were not published to peers yet.
     unpublished: BTreeMap<EndpointId, EndpointAnswers>,
     /// Load of the boxes of other failure domains at plain services.
--- a/src/gateway/dispatch/handle.rs
+++ b/src/gateway/dispatch/handle.rs
@@ -35,6 +35,7 @@
             | Event::PeerLimits(_)
             | Event::PeerDepartures(_)
             | Event::PeerLoad(_)
+            | Event::PeerSpeeds(_)
             | Event::Fetched { .. }
             | Event::Seeds(_) => self.handle_update(event),
             Event::TimeOfDay(day) => self.on_time_of_day(day),
@@ -103,6 +104,7 @@
             Event::PeerLimits(update) => self.on_peer_limits(&update),
             Event::PeerDepartures(update) => self.on_peer_departures(&update),
             Event::PeerLoad(report) => self.on_peer_load(&report),
+            Event::PeerSpeeds(update) => self.fleet.on_peer_speeds(&update, self.now),
             Event::Fetched {
                 kind,
                 from,
--- a/src/gateway/shell/control.rs
+++ b/src/gateway/shell/control.rs
@@ -155,6 +155,7 @@
             | Action::PublishUsageCounts { .. }
             | Action::PublishDepartures { .. }
             | Action::PublishLoad { .. }
+            | Action::PublishSpeeds { .. }
             | Action::PublishLimits { .. } => self.send_datagram(action),
             Action::FetchState { .. }
             | Action::ReadTable
@@ -196,6 +197,7 @@
             }
             Action::PublishDepartures { to, update } => (to, datagram::write_departures(&update)),
             Action::PublishLoad { to, from, report } => (to, datagram::write_load(&from, &report)),
+            Action::PublishSpeeds { to, update } => (to, datagram::write_speeds(&update)),
             Action::PublishLimits { to, update } => (to, datagram::write_limits(&update)),
             _ => return,
         };
--- a/src/gateway/shell/datagram.rs
+++ b/src/gateway/shell/datagram.rs
@@ -12,7 +12,7 @@
 use crate::gateway::dispatch::event::Event;
 use crate::schema::{
     BoxId, BoxState, CrashUpdate, DatagramSection, DepartureUpdate, DutyHolder, EngineLoadReport,
-    LimitUpdate, UsageCountUpdate, UsageUpdate,
+    LimitUpdate, SpeedUpdate, UsageCountUpdate, UsageUpdate,
 };
 
 /// The first byte of a datagram with a [`BoxState`].
@@ -31,6 +31,8 @@
 const DEPARTURES_SECTION: u16 = 5;
 /// The kind of a section with an [`EngineLoadReport`].
 const LOAD_SECTION: u16 = 6;
+/// The kind of a section with [`SpeedUpdate`].
+const SPEEDS_SECTION: u16 = 7;
 
 /// Encodes a box's state as a datagram.
 ///
@@ -109,6 +111,15 @@
     with_section(empty_message(from)?, LOAD_SECTION, report)
 }
 
+/// Encodes the speeds of endpoints that a box observed, as a section after an empty message.
+///
+/// # Errors
+///
+/// If it can't be encoded.
+pub fn write_speeds(update: &SpeedUpdate) -> Result<Vec<u8>, postcard::Error> {
+    with_section(empty_message(&update.from)?, SPEEDS_SECTION, update)
+}
+
 /// A message without content, to which a section is added.
 fn empty_message(from: &BoxId) -> Result<Vec<u8>, postcard::Error> {
     let empty = UsageUpdate {
@@ -175,6 +186,8 @@
             events.push(Event::PeerDepartures(read_content(&section)?));
         } else if section.kind == LOAD_SECTION {
             events.push(Event::PeerLoad(read_content(&section)?));
+        } else if section.kind == SPEEDS_SECTION {
+            events.push(Event::PeerSpeeds(read_content(&section)?));
         }
     }
     Ok(events)
