Load reports wake up no idle box and draw no random numbers

A box with no requests got ticks every 50 ms for reports, which a test of roll-outs forbids (a finished order needs no ticks). A report is now looked at with ticks and messages of the own domain that come anyway, its receivers take turns, and nothing is sent while no engine is used.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -273,7 +273,6 @@
             self.endpoint_fetches.due(),
             self.pending_crashes.due(),
             self.quarantine.next_evaluation(),
-            self.load_report_due(),
             self.permits.due(|id| self.fleet.directives.limits.of(id)),
         ];
         let due = others.into_iter().flatten().fold(due, Micros::min);
--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -121,6 +121,7 @@
         self.budget
             .on_peer_totals(&update.from, &update.totals, self.now);
         self.on_peer_rollout_update(update);
+        self.publish_load_if_due();
     }
 
     /// Brings the next gossip forward to [`GOSSIP_BATCH_DELAY`] from now at the latest.
--- a/src/gateway/dispatch/load_reports.rs
+++ b/src/gateway/dispatch/load_reports.rs
@@ -1,11 +1,14 @@
 //! Reports of the load on engines between failure domains: who sends what, and when.
 //!
 //! The first store watcher of a domain sums what the boxes of its domain run at engines, which these
-//! tell each other as attempts begin and end. It sends the sums to one random box of each other
-//! domain every [`REPORT_INTERVAL`], or earlier if the sum of KV memory has changed a lot. The
-//! receiver forwards a report that is newer than the one it has to the boxes of its own domain. So
-//! the bytes between domains grow with the number of domains, not with that of boxes, and the work
-//! of forwarding is spread over the boxes.
+//! tell each other as attempts begin and end. It sends the sums to one box of each other domain, to
+//! another one each time, every [`REPORT_INTERVAL`], or earlier if the sum of KV memory has changed a
+//! lot. The receiver forwards a report that is newer than the one it has to the boxes of its own
+//! domain. So the bytes between domains grow with the number of domains, not with that of boxes, and
+//! the work of forwarding is spread over the boxes. Nothing is sent while no engine is used.
+//!
+//! Whether a report is due is looked at when a tick or a message of the own domain is handled anyway,
+//! so an idle box does not wake up for it; it has a tick for gossip every 300 ms.
 //!
 //! A report that is lost, or sent to a box that does not run, is followed by the next one after
 //! [`REPORT_INTERVAL`]. If the sender dies, the next store watcher sends once it has found that out,
@@ -38,37 +41,31 @@
     next_check: Micros,
     /// Time and sum of KV memory of the last report.
     last: Option<(Micros, u64)>,
+    /// Number of reports sent.
+    sent: usize,
 }
 
 impl LoadReports {
     /// Whether a report with this sum of KV memory is to be sent now.
     fn is_due(&self, memory: u64, now: Micros) -> bool {
-        self.last.is_none_or(|(at, reported)| {
-            let has_changed = memory.abs_diff(reported) * CHANGE_DIVISOR > reported;
-            has_changed || now.since(at) >= REPORT_INTERVAL
-        })
+        let (at, reported) = self.last.unwrap_or_default();
+        let has_changed = memory.abs_diff(reported) * CHANGE_DIVISOR > reported;
+        has_changed || (memory > 0 && now.since(at) >= REPORT_INTERVAL)
     }
 }
 
 impl Dispatcher {
-    /// When this box next looks whether a report is due; `None` if it never reports.
-    pub(super) fn load_report_due(&self) -> Option<Micros> {
-        let may_report = self.store_watchers.is_watching() && self.peers.knows_other_domains();
-        may_report.then_some(self.load_reports.next_check)
-    }
-
     /// Sends the load of the own domain to the other domains, if this box reports and that is due.
     pub(super) fn publish_load_if_due(&mut self) {
         let now = self.now;
-        if self.load_report_due().is_none_or(|due| now < due) {
+        if now < self.load_reports.next_check {
             return;
         }
+        self.load_reports.next_check = now.after(CHECK_INTERVAL);
         if !self.store_watchers.is_first(self.peers.roster(), now) {
             self.load_reports.last = None;
-            self.load_reports.next_check = now.after(REPORT_INTERVAL);
             return;
         }
-        self.load_reports.next_check = now.after(CHECK_INTERVAL);
         let engines = self.fleet.engine_loads(now);
         let memory = engines.iter().map(|load| u64::from(load.memory)).sum();
         if self.load_reports.is_due(memory, now) {
@@ -78,7 +75,9 @@
     }
 
     fn publish_load(&mut self, mut engines: Vec<EngineLoad>) {
-        let to = self.peers.one_of_each_other_domain(&mut self.rng, self.now);
+        self.load_reports.sent += 1;
+        let turn = self.load_reports.sent;
+        let to = self.peers.next_of_each_other_domain(turn, self.now);
         if to.is_empty() {
             return;
         }
--- a/src/gateway/dispatch/peers.rs
+++ b/src/gateway/dispatch/peers.rs
@@ -260,6 +260,26 @@
         chosen.filter_map(|of| of.choose(rng).copied()).collect()
     }
 
+    /// One box of each other failure domain, among those that sent a message lately or, where there
+    /// are none, those seen or reported within [`ADDRESS_RETENTION`]; each `turn` names the next one.
+    #[must_use]
+    pub fn next_of_each_other_domain(&self, turn: usize, now: Micros) -> Vec<SocketAddr> {
+        let mut by_domain: BTreeMap<&DomainId, BTreeSet<SocketAddr>> = BTreeMap::new();
+        let seen = self.recently_seen(now).map(|p| (p.address, &p.domain));
+        for (address, domain) in seen.filter(|(_, of)| **of != self.domain) {
+            by_domain.entry(domain).or_default().insert(address);
+        }
+        let is_seen: BTreeSet<DomainId> = by_domain.keys().map(|of| (*of).clone()).collect();
+        let others = self.known(now).filter(|(_, of)| **of != self.domain);
+        for (address, domain) in others.filter(|(_, of)| !is_seen.contains(*of)) {
+            by_domain.entry(domain).or_default().insert(address);
+        }
+        let chosen = by_domain.into_values();
+        chosen
+            .filter_map(|of| of.iter().nth(turn % of.len()).copied())
+            .collect()
+    }
+
     /// A random box of `domain`, among those seen or reported within [`ADDRESS_RETENTION`].
     #[must_use]
     pub fn any_in_domain(
