--- a/src/gateway/dispatch/replicas.rs
+++ b/src/gateway/dispatch/replicas.rs
@@ -283,14 +283,10 @@
         let after = snapshot.requested_at.take().map(|at| now.since(at));
         let is_made = name.is_some();
         let is_first = snapshot.name.is_none();
-        let engine = active.endpoint.clone();
         if is_made {
             snapshot.name = name;
             snapshot.taken_at = now;
             active.next_replica_check = now;
-            if let Some(engine) = self.fleet.get_incarnation_mut(&engine) {
-                engine.last_seen = now;
-            }
         } else {
             active.next_replica_check = now.after(SNAPSHOT_RETRY_DELAY);
             let engine = active.address;
--- a/src/gateway/dispatch/suspicion.rs
+++ b/src/gateway/dispatch/suspicion.rs
@@ -1,11 +1,10 @@
 //! When an endpoint is suspected to have failed, and the checks of each request at each tick.
 //!
 //! A stream that stalls longer than [`super::probe_timing`] allows makes the box probe the engine,
-//! unless another attempt of this box, a snapshot or the answer to a probe showed meanwhile that the
-//! engine responds. An engine that wants a rest from this box is probed at most once in that time. An
-//! engine that does not answer in time is suspected, and every request there that may be repeated
-//! moves. A call that may
-//! be repeated moves without a probe once it has taken [`SLOW_CALL_PART`] of its latency objective,
+//! unless another attempt of this box or the answer to a probe showed meanwhile that the engine
+//! responds. An engine that wants a rest from this box is probed at most once in that time. An engine
+//! that does not answer in time is suspected, and every request there that may be repeated moves. A
+//! call that may be repeated moves without a probe once it has taken [`SLOW_CALL_PART`] of its latency objective,
 //! since a plain service has no load that could be queried.
 //!
 //! Inputs: when each attempt and each endpoint were last seen, as of now; ticks come each 25 ms.
