--- a/src/gateway/dispatch/replicas.rs
+++ b/src/gateway/dispatch/replicas.rs
@@ -316,15 +316,11 @@
         let after = snapshot.requested_at.take().map(|at| now.since(at));
         let failure = name.as_ref().err().copied();
         let is_first = snapshot.name.is_none();
-        let engine = active.endpoint.clone();
         if let Ok(name) = name {
             snapshot.name = Some(name);
             snapshot.taken_at = now;
             active.next_replica_check = now;
             active.failed_snapshots = 0;
-            if let Some(engine) = self.fleet.get_incarnation_mut(&engine) {
-                engine.last_seen = now;
-            }
         } else {
             active.failed_snapshots += 1;
             active.next_replica_check = now.after(retry_delay(active.failed_snapshots));
