--- a/tests/replica_room.rs
+++ b/tests/replica_room.rs
@@ -54,7 +54,7 @@
     world.handle(Event::Peer(state));
     let (request, run) = world.arrive(STREAMS);
     let run = run.expect("the attempt starts with or without a mirror");
-    assert_eq!(run.mirror_to.map(|address| address.port()), mirror);
+    assert_eq!(run.mirror_to.map(|to| to.port()), mirror);
     let snapshots = stream(&mut world, (request, run.attempt), 500);
     assert!(snapshots.is_empty(), "{snapshots:?}");
 }
@@ -99,9 +99,10 @@
     assert_eq!(stream(&mut world, of, 100), [first]);
 }
 
-/// The memory of a box is small, and every host of a large fleet may be full.
+/// The memory of a box is small, and every host of a large fleet may be full. One very long prompt, or
+/// a caller that states no size, must not change what hosts keep free.
 #[test]
-fn few_full_hosts_are_remembered() {
+fn few_full_hosts_and_the_median_size_are_remembered() {
     let mut room = ReplicaRoom::default();
     let host = |n: u64| EndpointIncarnation::from(format!("e-{n}").parse::<EndpointId>().unwrap());
     for n in 0..1_000 {
@@ -111,15 +112,22 @@
     assert!(room.is_full(&host(999), Micros(1_000)) && !room.is_full(&host(0), Micros(1_000)));
     room.on_snapshot_failed(&host(0), Micros(10_000_000));
     assert_eq!(room.full_hosts(), 1);
+    let service = "engines".parse().unwrap();
+    for size in [5_700, 0, u32::MAX, 6_000] {
+        room.on_stream(&service, Tokens(size));
+    }
+    room.on_stream(&"others".parse().unwrap(), Tokens(1));
+    assert_eq!(room.usual_size(&service), Some(Tokens(6_000)));
 }
 
 /// Replicas of less urgent streams would otherwise take the memory and slots that requests need.
 #[test]
 fn only_the_first_tier_gets_replicas_while_requests_wait() {
     let (memory, usual) = (Tokens(5_000), Tokens(6_000));
+    let slots = 1;
     let need = ReplicaNeed {
         memory,
-        slots: 1,
+        slots,
         usual,
     };
     let fits = |slots| need.fits(55_000, slots, Usage::default());
@@ -132,15 +140,3 @@
     assert_eq!(rule(true, last), ReplicaRule::Nowhere);
     assert_eq!(rule(false, last), ReplicaRule::WithRoom(need));
 }
-
-/// One very long prompt, or a caller that states no size, must not change what hosts keep free.
-#[test]
-fn the_usual_size_is_the_median_of_recent_streams_of_the_service() {
-    let (engines, others) = ("engines".parse().unwrap(), "others".parse().unwrap());
-    let mut room = ReplicaRoom::default();
-    for size in [5_700, 0, u32::MAX, 6_000] {
-        room.on_stream(&engines, Tokens(size));
-    }
-    room.on_stream(&others, Tokens(1));
-    assert_eq!(room.usual_size(&engines), Some(Tokens(6_000)));
-}
