Services with uneven engines are recorded and counted; slow calls that were moved count

Operators could not see whether learned speeds were in use. The record engine_speeds tells when the engines of a service turn out uneven or even, with hysteresis so that it doesn't change to and fro; the gauge engines_of_other_speed counts them. A call that was abandoned as slow counts as a slow answer of its server. Endpoints are compared less often where there are many.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -333,7 +333,7 @@
     }
 
     fn on_tick(&mut self) {
-        self.fleet.refresh_speeds(self.now);
+        self.compare_speeds();
         self.settle_crashes();
         self.maintain_limits();
         self.check_requests();
--- a/src/gateway/dispatch/fleet/speeds.rs
+++ b/src/gateway/dispatch/fleet/speeds.rs
@@ -40,8 +40,10 @@
 const INTERLEAVED: f64 = 1.2;
 /// Requests at an engine up to which the time per event depends little on their number.
 const MAX_RUNNING: u32 = 4;
-/// Interval between two comparisons of the endpoints.
+/// Interval between two comparisons of the endpoints, for each [`ENDPOINTS_PER_REFRESH`].
 const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
+/// With more endpoints they are compared less often, so that the work a second stays the same.
+const ENDPOINTS_PER_REFRESH: usize = 1_000;
 
 /// Prompt tokens that an engine prefills in a millisecond.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
@@ -108,6 +110,39 @@
     answers: Option<ServiceTimes>,
 }
 
+/// What is known of the endpoints of a service.
+#[derive(Default)]
+struct KnownSpeeds {
+    prefill: Vec<(EndpointId, f64)>,
+    events: Vec<(EndpointId, f64)>,
+    answers: Vec<u32>,
+}
+
+impl KnownSpeeds {
+    fn compare(self, before: Option<&Service>) -> Service {
+        let was_uneven =
+            |of: fn(&Service) -> &Comparison| before.is_some_and(|s| of(s).is_uneven());
+        Service {
+            prefill: Comparison::new(self.prefill, was_uneven(|s| &s.prefill)),
+            events: Comparison::new(self.events, was_uneven(|s| &s.events)),
+            answers: ServiceTimes::new(self.answers),
+        }
+    }
+}
+
+/// The engines of a service turned out to be of different speeds, or to be even again.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EvennessChange {
+    /// The service.
+    pub service: ServiceId,
+    /// Number of engines whose prefill rate differs from the median; 0 if they are even.
+    pub differing: usize,
+    /// Number of engines whose prefill rate is known.
+    pub known: usize,
+    /// The prefill rate of all other engines.
+    pub median: TokensPerMs,
+}
+
 /// The learned speeds of all endpoints.
 #[derive(Debug, Default)]
 pub struct Speeds {
@@ -230,6 +265,9 @@
         running: u32,
         now: Micros,
     ) {
+        if watch.is_done() {
+            return;
+        }
         let observed = self.observed_mut(engine);
         let time = watch.on_event(observed.prompts, event, now);
         if let Some(time) = time.filter(|_| running <= MAX_RUNNING) {
@@ -247,7 +285,23 @@
         let was_slow = service.is_some_and(|s| log.slow_factor(s, now).is_some());
         log.observe(micros, now);
         let is_slow = service.is_some_and(|service| service.is_slow(micros));
-        if (is_slow || was_slow) && self.unpublished.len() < MAX_REPORTED {
+        if is_slow || was_slow {
+            self.publish_answer(server, micros);
+        }
+    }
+
+    /// Observes a call that was abandoned as slow, which counts only as the present speed.
+    pub fn observe_abandoned_call(&mut self, server: &EndpointSpec, after: Duration, now: Micros) {
+        let micros = u32::try_from(after.as_micros()).unwrap_or(u32::MAX);
+        let service = self.services.get(&server.service).and_then(|s| s.answers);
+        if service.is_some_and(|service| service.is_slow(micros)) {
+            self.observed_mut(server).answers.on_peer(micros, now);
+            self.publish_answer(server, micros);
+        }
+    }
+
+    fn publish_answer(&mut self, server: &EndpointSpec, micros: u32) {
+        if self.unpublished.len() < MAX_REPORTED {
             self.unpublished.insert(server.id.clone(), micros);
         }
     }
@@ -271,49 +325,58 @@
         }
     }
 
-    /// Compares the endpoints of each service.
-    fn compare(&mut self, now: Micros) {
-        let mut prefill: BTreeMap<ServiceId, Vec<_>> = BTreeMap::new();
-        let mut events = prefill.clone();
-        let mut answers: BTreeMap<ServiceId, Vec<u32>> = BTreeMap::new();
-        for (id, observed) in &mut self.observed {
+    /// Compares the endpoints of each service; returns the services whose engines are now even or no
+    /// longer so.
+    fn compare(&mut self, now: Micros) -> Vec<EvennessChange> {
+        for observed in self.observed.values_mut() {
             observed.prefill.forget_expired(now);
             observed.events.forget_expired(now);
             observed.answers.forget_expired(now);
-            for (of, speed) in [
-                (&mut prefill, observed.prefill.speed()),
-                (&mut events, observed.events.speed()),
-            ] {
-                let of = of.entry(observed.service.clone()).or_default();
-                of.extend(speed.map(|speed| (id.clone(), speed)));
-            }
-            let times = answers.entry(observed.service.clone()).or_default();
-            times.extend(observed.answers.own_times());
         }
-        self.services.clear();
-        for (name, times) in answers {
-            let service = Service {
-                prefill: Comparison::new(prefill.remove(&name).unwrap_or_default()),
-                events: Comparison::new(events.remove(&name).unwrap_or_default()),
-                answers: ServiceTimes::new(times),
-            };
-            self.services.insert(name, service);
+        let mut known: BTreeMap<&ServiceId, KnownSpeeds> = BTreeMap::new();
+        for (id, observed) in &self.observed {
+            let of = known.entry(&observed.service).or_default();
+            let with_id = |speed| (id.clone(), speed);
+            of.prefill.extend(observed.prefill.speed().map(with_id));
+            of.events.extend(observed.events.speed().map(with_id));
+            of.answers.extend(observed.answers.own_times());
         }
+        let known = known.into_iter();
+        let compared: BTreeMap<_, _> = known
+            .map(|(name, known)| (name.clone(), known.compare(self.services.get(name))))
+            .collect();
+        let before = std::mem::replace(&mut self.services, compared);
         for observed in self.observed.values_mut() {
             let service = self.services.get(&observed.service);
             observed.answers.compare(service.and_then(|s| s.answers));
         }
+        let services = self.services.iter();
+        let changed = services.filter(|(name, service)| {
+            let before = before.get(*name);
+            before.is_some_and(|b| b.prefill.is_uneven()) != service.prefill.is_uneven()
+        });
+        changed
+            .map(|(name, service)| EvennessChange {
+                service: name.clone(),
+                differing: service.prefill.differing(),
+                known: service.prefill.known,
+                median: self.median_prefill(name),
+            })
+            .collect()
     }
 }
 
 impl Fleet {
-    /// Compares the speeds of endpoints, if that is due.
-    pub fn refresh_speeds(&mut self, now: Micros) {
-        let refreshed = self.speeds.refreshed;
-        if refreshed.is_some_and(|at| now.since(at) < REFRESH_INTERVAL) {
-            return;
+    /// Compares the speeds of endpoints, if that is due; returns the services whose engines are now
+    /// even or no longer so.
+    pub fn refresh_speeds(&mut self, now: Micros) -> Vec<EvennessChange> {
+        let speeds = &mut self.speeds;
+        let groups = u32::try_from(speeds.observed.len() / ENDPOINTS_PER_REFRESH);
+        let interval = REFRESH_INTERVAL * groups.unwrap_or(u32::MAX).saturating_add(1);
+        if speeds.refreshed.is_some_and(|at| now.since(at) < interval) {
+            return Vec::new();
         }
-        self.speeds.refreshed = Some(now);
-        self.speeds.compare(now);
+        speeds.refreshed = Some(now);
+        speeds.compare(now)
     }
 }
--- a/src/gateway/dispatch/fleet/speeds/comparison.rs
+++ b/src/gateway/dispatch/fleet/speeds/comparison.rs
@@ -16,6 +16,8 @@
 const UNEVEN: f64 = 1.33;
 /// Share of the known engines that must be clearly different.
 const MIN_UNEVEN_SHARE: f64 = 0.2;
+/// The same in a service that counts as uneven already, so that this doesn't change to and fro.
+const MIN_UNEVEN_SHARE_KEPT: f64 = 0.1;
 /// Factor between two speeds up to which they count as equal.
 const EQUAL: f64 = 1.1;
 /// Greatest factor between an engine's speed and the median, in both directions. It limits the
@@ -36,12 +38,15 @@
 pub(super) struct Comparison {
     /// Median of the known speeds; `None` while too few are known.
     pub median: Option<f64>,
+    /// Number of engines whose speed is known.
+    pub known: usize,
     /// Speeds of the engines that differ; empty if the engines are even.
     own: BTreeMap<EndpointId, f64>,
 }
 
 impl Comparison {
-    pub fn new(known: Vec<(EndpointId, f64)>) -> Self {
+    /// Compares the engines whose speed is known; `was_uneven` is the result of the last comparison.
+    pub fn new(known: Vec<(EndpointId, f64)>, was_uneven: bool) -> Self {
         if known.len() < MIN_ENGINES {
             return Self::default();
         }
@@ -49,13 +54,19 @@
         speeds.sort_by(f64::total_cmp);
         let median = speeds[speeds.len() / 2];
         let different = speeds.iter().filter(|s| !is_within(UNEVEN, **s, median));
-        let is_uneven = different.count() as f64 > speeds.len() as f64 * MIN_UNEVEN_SHARE;
+        let min_share = if was_uneven {
+            MIN_UNEVEN_SHARE_KEPT
+        } else {
+            MIN_UNEVEN_SHARE
+        };
+        let is_uneven = different.count() as f64 > speeds.len() as f64 * min_share;
         let differing = known
             .into_iter()
             .filter(|(_, speed)| is_uneven && !are_equal(*speed, median))
             .map(|(id, speed)| (id, speed.clamp(median / MAX_FACTOR, median * MAX_FACTOR)));
         Self {
             median: Some(median),
+            known: speeds.len(),
             own: differing.collect(),
         }
     }
@@ -70,6 +81,11 @@
         self.own.remove(id);
     }
 
+    /// Whether engines differ from the median.
+    pub fn is_uneven(&self) -> bool {
+        !self.own.is_empty()
+    }
+
     /// Number of engines that differ from the median.
     pub fn differing(&self) -> usize {
         self.own.len()
--- a/src/gateway/dispatch/fleet/speeds/watch.rs
+++ b/src/gateway/dispatch/fleet/speeds/watch.rs
@@ -112,6 +112,12 @@
         None
     }
 
+    /// Whether nothing more can be learned from the events of the attempt.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        matches!(self.events, EventWatch::Done)
+    }
+
     /// Ends the timing of events.
     pub(super) fn on_events_observed(&mut self) {
         self.events = EventWatch::Done;
--- a/src/gateway/dispatch/record.rs
+++ b/src/gateway/dispatch/record.rs
@@ -283,6 +283,17 @@
         /// The endpoint.
         endpoint: String,
     },
+    /// The engines of a service turned out to be of different speeds, or to be even again.
+    EngineSpeeds {
+        /// The service.
+        service: String,
+        /// Engines whose prefill rate differs from the median; 0 if they are even.
+        differing: usize,
+        /// Engines whose prefill rate is known.
+        known: usize,
+        /// The prefill rate of the other engines, prompt tokens per ms.
+        median: f64,
+    },
     /// An endpoint crashed while it ran a request.
     Crashed {
         /// The caller's request id.
@@ -355,6 +366,7 @@
             | Self::Limited { .. }
             | Self::RestAsked { .. }
             | Self::LeavingStated { .. }
+            | Self::EngineSpeeds { .. }
             | Self::Quarantined { .. }
             | Self::Released { .. }
             | Self::Rollout { .. }
--- a/src/gateway/dispatch/record/sentence.rs
+++ b/src/gateway/dispatch/record/sentence.rs
@@ -26,7 +26,8 @@
             | Self::Reborn { .. }
             | Self::Limited { .. }
             | Self::RestAsked { .. }
-            | Self::LeavingStated { .. } => self.endpoint_sentence(),
+            | Self::LeavingStated { .. }
+            | Self::EngineSpeeds { .. } => self.endpoint_sentence(),
             Self::Quarantined {
                 fingerprint,
                 crashes,
@@ -74,6 +75,14 @@
                 format!("{endpoint} wants no request from this box for {for_ms} ms")
             }
             Self::LeavingStated { endpoint } => format!("{endpoint} says that it is leaving"),
+            Self::EngineSpeeds {
+                service,
+                differing,
+                known,
+                median,
+            } => format!(
+                "{differing} of {known} engines of {service} differ from {median:.1} tokens/ms"
+            ),
             _ => String::new(),
         }
     }
--- a/src/gateway/dispatch/speed_reports.rs
+++ b/src/gateway/dispatch/speed_reports.rs
@@ -13,6 +13,7 @@
 use super::Dispatcher;
 use super::action::Action;
 use super::event::{LEAST_ERROR_STATUS, Outcome, RequestNumber};
+use super::record::Record;
 use super::request::ActiveAttempt;
 
 impl Dispatcher {
@@ -46,6 +47,9 @@
         let Some(active) = request.active.as_mut() else {
             return;
         };
+        if prefilled == 0 && active.watch.is_done() {
+            return;
+        }
         let Some(endpoint) = self.fleet.get_incarnation(&active.endpoint) else {
             return;
         };
@@ -63,17 +67,15 @@
         }
     }
 
-    /// Observes the answer of a plain server.
+    /// Observes the answer of a plain server, or that a call there was abandoned as slow.
     pub(super) fn observe_call(
         &mut self,
         number: RequestNumber,
         active: &ActiveAttempt,
         outcome: &Outcome,
     ) {
-        let is_answer =
-            matches!(outcome, Outcome::Answered { status } if *status < LEAST_ERROR_STATUS);
         let request = self.requests.get(&number);
-        if !is_answer || request.is_none_or(|r| r.engine.is_some()) {
+        if request.is_none_or(|r| r.engine.is_some()) {
             return;
         }
         let Some(server) = self.fleet.get_incarnation(&active.endpoint) else {
@@ -81,7 +83,26 @@
         };
         let server = server.spec.clone();
         let took = self.now.since(active.started);
-        self.fleet.speeds.observe_answer(&server, took, self.now);
+        let speeds = &mut self.fleet.speeds;
+        match outcome {
+            Outcome::Answered { status } if *status < LEAST_ERROR_STATUS => {
+                speeds.observe_answer(&server, took, self.now);
+            }
+            Outcome::Stopped => speeds.observe_abandoned_call(&server, took, self.now),
+            _ => {}
+        }
+    }
+
+    /// Compares the endpoints, and records when the engines of a service turn out to be uneven or even.
+    pub(super) fn compare_speeds(&mut self) {
+        for change in self.fleet.refresh_speeds(self.now) {
+            self.record(Record::EngineSpeeds {
+                service: change.service.to_string(),
+                differing: change.differing,
+                known: change.known,
+                median: change.median.0,
+            });
+        }
     }
 
     /// Sends the observed speeds of engines to those receivers of this box's state that are in its
--- a/src/gateway/dispatch/suspicion.rs
+++ b/src/gateway/dispatch/suspicion.rs
@@ -214,6 +214,7 @@
         self.command(number, Command::StopAttempt(active.attempt));
         self.record_end(number, &active, &Outcome::Stopped);
         self.sample_end(number, &active, &Outcome::Stopped);
+        self.observe_call(number, &active, &Outcome::Stopped);
         self.uncount_attempt(&active);
         self.continue_request(number, &active, &Outcome::Stopped);
     }
--- a/src/gateway/shell/control.rs
+++ b/src/gateway/shell/control.rs
@@ -111,6 +111,8 @@
         let resting = directives.resting_count(self.shared.clock.now());
         let leaving = directives.leaving_count();
         self.shared.metrics.on_directives(resting, leaving);
+        let speeds = &self.dispatcher.fleet().speeds;
+        self.shared.metrics.on_speeds(speeds.differing_engines());
     }
 
     fn perform(&mut self, action: Action) {
--- a/src/gateway/shell/metrics.rs
+++ b/src/gateway/shell/metrics.rs
@@ -67,6 +67,7 @@
     stating_limit: IntGauge,
     resting: IntGauge,
     stating_leaving: IntGauge,
+    of_other_speed: IntGauge,
     permits: IntCounterVec,
     restarted: IntCounter,
     crashes: IntCounter,
@@ -214,6 +215,10 @@
                 "endpoints_stating_leaving",
                 "Endpoints that said in an answer that they are leaving, as this box knows",
             ),
+            of_other_speed: set.gauge(
+                "engines_of_other_speed",
+                "Engines whose learned prefill rate differs from the median of their service",
+            ),
             permits: set.counters(
                 "permits_total",
                 "Permits for endpoints that name a limit: dealt by this box, used by it, or wanted when it had none",
@@ -326,6 +331,12 @@
         self.endpoints.on_directives(resting, leaving);
     }
 
+    /// Sets the number of engines whose learned speed differs from the median.
+    pub fn on_speeds(&self, differing: usize) {
+        let gauge = i64::try_from(differing).unwrap_or(i64::MAX);
+        self.endpoints.of_other_speed.set(gauge);
+    }
+
     /// Counter of list or watch calls to the platform's store.
     #[must_use]
     pub fn store_calls_of(&self, request: &StoreRequest) -> IntCounter {
--- a/tests/speeds.rs
+++ b/tests/speeds.rs
@@ -128,7 +128,7 @@
 /// Noise must not change a choice where engines are equal.
 #[test]
 fn even_engines_with_noise_are_chosen_as_before() {
-    let mut noisy = world(6);
+    let mut learned = world(6);
     let mut drawn = 0;
     for _ in 0..60 {
         drawn += 1;
@@ -137,9 +137,9 @@
         } else {
             0.92 + 0.02 * f64::from(drawn % 7)
         };
-        streams(&mut noisy, 1, |_| noise);
+        streams(&mut learned, 1, |_| noise);
     }
-    assert_eq!(burst(&mut noisy, 30), burst(&mut world(6), 30));
+    assert_eq!(burst(&mut learned, 30), burst(&mut world(6), 30));
 }
 
 /// A box that sees an engine once in minutes knows its speed from its peers.
