--- a/src/gateway/shell/control.rs
+++ b/src/gateway/shell/control.rs
@@ -136,6 +136,8 @@
         let now = self.shared.clock.now();
         let reporting = self.dispatcher.fleet().domains_with_load(now);
         self.shared.metrics.load_domains.set(gauge(reporting));
+        let speeds = &self.dispatcher.fleet().speeds;
+        self.shared.metrics.on_speeds(speeds.differing_engines());
     }
 
     fn perform(&mut self, action: Action) {
