Streams wait in the box while no engine has room

A stream always went to the engine of least cost, also if its slots or KV memory were taken, and waited or was preempted there although another engine became free meanwhile.

A stream for which no engine has room waits in an order by tier, lateness, organisation (deficit round robin in tokens) and latest start, and starts when an attempt ends, a peer reports less load or the list changes. It is refused with the estimated wait where it could not start before its latest start.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -10,6 +10,7 @@
 //! |---|---|
 //! | which tries of callers are the same request | `fingerprint` |
 //! | admission of requests, and immediate refusal | [`admission`] |
+//! | requests that wait for room at an engine | [`admission::queue`], [`admission::room`], [`admission::wait`] |
 //! | which requests are served first | [`priority`] |
 //! | choice of the endpoint of an attempt | [`placement`], costs in [`placement::costs`] |
 //! | start and count of attempts, how long a request waits for an endpoint | [`attempts`] |
@@ -33,6 +34,7 @@
 //! | readiness of the box | [`readiness`] |
 
 pub mod action;
+pub mod admission;
 mod duties;
 pub mod duty;
 pub mod event;
@@ -53,7 +55,6 @@
 pub mod stream_time;
 pub mod table;
 
-mod admission;
 mod attempts;
 mod connections;
 mod crashes;
@@ -84,6 +85,7 @@
 use crate::schema::{BoxId, DomainId, Incarnation, Micros};
 use action::{Action, Command};
 use admission::QueuedRequest;
+use admission::waiting::RoomWaits;
 use crashes::PendingCrashes;
 use duties::DutyClock;
 use duty::{DutyPolicy, Holder, UsageDuty};
@@ -169,6 +171,7 @@
     fleet: Fleet,
     requests: BTreeMap<RequestNumber, Request>,
     queued: Vec<QueuedRequest>,
+    room_waits: RoomWaits,
     budget: RetryBudget,
     peers: Peers,
     table_fetches: Fetches,
@@ -209,6 +212,7 @@
             fleet: Fleet::default(),
             requests: BTreeMap::new(),
             queued: Vec::new(),
+            room_waits: RoomWaits::default(),
             budget: RetryBudget::new(cfg.retries),
             peers: Peers::new(
                 cfg.me.clone(),
@@ -269,6 +273,7 @@
             self.pending_crashes.due(),
             self.quarantine.next_evaluation(),
             self.permits.due(|id| self.fleet.directives.limits.of(id)),
+            self.room_waits.due(),
         ];
         let due = others.into_iter().flatten().fold(due, Micros::min);
         if self.active() == 0 && self.rollouts.is_at_rest() {
--- a/src/gateway/dispatch/admission.rs
+++ b/src/gateway/dispatch/admission.rs
@@ -4,7 +4,8 @@
 //! route requires one, an API key that belongs to an organisation. A box that has no routing table
 //! or no endpoints yet queues requests for up to [`QUEUE_TIMEOUT`]. A box that is stopping refuses
 //! a stream that it does not expect to finish within its grace period; the expected duration comes
-//! from recent streams ([`super::stream_time`]).
+//! from recent streams ([`super::stream_time`]). Streams that are admitted while no engine has room
+//! wait in another queue ([`waiting`]).
 //!
 //! State: the queued requests. Inputs: the current routing table, [`Fleet::is_known`] and the end
 //! of the grace period. Earlier, `shell/callers.rs` refuses requests that it cannot parse or has no
@@ -13,6 +14,11 @@
 //! Without the queue, boxes that had just started refused 1.6% of the requests of a large fleet;
 //! with it, 0.0%. Without the refusal of late streams, two streams were cut 6 s after SIGTERM.
 
+pub mod queue;
+pub mod room;
+pub mod wait;
+pub(super) mod waiting;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -137,6 +143,8 @@
             after_ms: 0,
             attempts: 0,
             fault: None,
+            tier: None,
+            waited_ms: None,
         });
         self.command(number, Command::Refuse(refusal));
     }
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -7,7 +7,8 @@
 //! placed again each [`PLACEMENT_RETRY_INTERVAL`] and given up after a part of its latency
 //! objective, because a caller that is refused early can still be served in time elsewhere. It is
 //! given up at once if all endpoints of its service want a rest from this box for longer than that;
-//! they may accept requests from other boxes.
+//! they may accept requests from other boxes. A stream for which no engine has room waits for it in
+//! [`super::admission::waiting`].
 //!
 //! State: this box's own usage counts at endpoints ([`super::fleet::usage`]). Inputs: the fleet as
 //! this box knows it now.
@@ -16,9 +17,10 @@
 
 use super::Dispatcher;
 use super::action::{Attempt, Command};
-use super::event::{AttemptNumber, EndpointSpec, RequestNumber};
-use super::fleet::Usage;
-use super::placement::ATTEMPT_CONNECT_LIMIT;
+use super::event::{AttemptNumber, EndpointSpec, RequestNumber, Tokens};
+use super::fleet::{Endpoint, Usage};
+use super::placement::{ATTEMPT_CONNECT_LIMIT, Demand};
+use super::priority::Tier;
 use super::record::Record;
 use super::refusal::{HasRun, Refusal, RefusalReason};
 use super::replica::ReplicaLocation;
@@ -44,6 +46,17 @@
 /// Shortest time to the deadline for which an attempt starts: no answer takes less than this.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(5);
 
+/// Where the next attempt of a request goes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Choice {
+    /// To this endpoint.
+    Start(EndpointId),
+    /// Nowhere yet: no usable engine has room.
+    NoRoom,
+    /// Nowhere yet: no endpoint is usable.
+    Nothing,
+}
+
 /// How long a request waits for an endpoint before it is given up.
 fn placement_timeout(request: &Request) -> Duration {
     if request.has_begun {
@@ -68,26 +81,61 @@
         self.draw_canary(number);
         self.request_missing_permit(number);
         match self.choose_endpoint(number) {
-            Some(endpoint) => self.start_attempt(number, &endpoint, None),
-            None => self.wait_for_endpoint(number),
+            Choice::Start(endpoint) if self.must_queue(number) => {
+                self.wait_for_room(number, Some(&endpoint));
+            }
+            Choice::Start(endpoint) => self.start_attempt(number, &endpoint, None),
+            Choice::NoRoom => self.wait_for_room(number, None),
+            Choice::Nothing => self.wait_for_endpoint(number),
         }
     }
 
-    fn choose_endpoint(&self, number: RequestNumber) -> Option<EndpointId> {
-        let request = self.requests.get(&number)?;
+    /// Selects the endpoint of least cost, for a request that waits for room the one among those that
+    /// have room. Room at an avoided endpoint counts only if no other endpoint is usable.
+    pub(super) fn choose_endpoint(&self, number: RequestNumber) -> Choice {
+        let Some(request) = self.requests.get(&number) else {
+            return Choice::Nothing;
+        };
         let alone = self.runs_alone(number);
         let choose = |rules| {
             let demand = request.demand(rules, alone);
             self.placer.choose(&self.fleet, demand, self.now)
         };
-        let chosen = choose(self.rules_for(request));
-        let chosen = chosen.or_else(|| choose(self.fallback_rules_for(request)?));
-        chosen.map(|e| e.spec.id.clone())
+        let best = choose(self.rules_for(request));
+        let best = best.or_else(|| choose(self.fallback_rules_for(request)?));
+        let Some(best) = best else {
+            return Choice::Nothing;
+        };
+        if !request.waits_for_room() {
+            return Choice::Start(best.spec.id.clone());
+        }
+        let found = self.choose_with_room(request, request.memory(), alone);
+        let found = found.filter(|e| !e.is_avoided(self.now) || best.is_avoided(self.now));
+        found.map_or(Choice::NoRoom, |e| Choice::Start(e.spec.id.clone()))
+    }
+
+    /// Selects the endpoint of least cost among those that have room for a request that takes this
+    /// much KV memory.
+    pub(super) fn choose_with_room(
+        &self,
+        request: &Request,
+        memory: Tokens,
+        alone: bool,
+    ) -> Option<&Endpoint> {
+        let choose = |rules| {
+            let demand = Demand {
+                memory,
+                ..request.demand(rules, alone)
+            };
+            self.placer.choose_with_room(&self.fleet, demand, self.now)
+        };
+        let found = choose(self.rules_for(request));
+        found.or_else(|| choose(self.fallback_rules_for(request)?))
     }
 
     /// Requests a permit for the endpoint of least cost if that endpoint has a rate limit and this
     /// box holds no permit for it.
-    fn request_missing_permit(&mut self, number: RequestNumber) {
+    pub(super) fn request_missing_permit(&mut self, number: RequestNumber) {
         if self.fleet.directives.limits.is_empty() {
             return;
         }
@@ -124,6 +172,7 @@
             return;
         }
         let now = self.now;
+        let waited = self.stop_waiting(number, true);
         let Some(request) = self.requests.get(&number) else {
             return;
         };
@@ -142,7 +191,7 @@
         };
         let mirror = mirror.map(|(host, _)| host);
         let backup = mirror.as_ref().map(|host| host.id.to_string());
-        let sent = self.sent_record(request, &attempt, &spec, backup, usage);
+        let sent = self.sent_record(request, &attempt, &spec, backup, (usage, waited));
         self.record(sent);
         self.fleet.on_attempt(&spec, now);
         self.use_permit(to);
@@ -182,7 +231,7 @@
         attempt: &Attempt,
         spec: &EndpointSpec,
         backup: Option<String>,
-        usage: Usage,
+        (usage, waited): (Usage, Option<Duration>),
     ) -> Record {
         Record::Sent {
             request: request.arrival.id.clone(),
@@ -198,6 +247,8 @@
             reading: usage.prefill,
             running: usage.running,
             left_ms: millis(attempt.time_left),
+            tier: request.tier.map(Tier::rank),
+            waited_ms: waited.map(millis),
         }
     }
 
@@ -239,6 +290,7 @@
     /// Removes an ended attempt from the usage counts.
     pub(super) fn uncount_attempt(&mut self, active: &ActiveAttempt) {
         self.publish_usage_soon(&active.endpoint.id);
+        self.on_own_load_ended(&active.endpoint.id);
         if let Some(endpoint) = self.fleet.get_incarnation_mut(&active.endpoint) {
             endpoint.own.running = endpoint.own.running.saturating_sub(active.slots);
             endpoint.own.prefill = endpoint.own.prefill.saturating_sub(active.prefill);
@@ -256,7 +308,7 @@
 
     /// Schedules another search for an endpoint, or gives the request up once its time for that is
     /// over.
-    fn wait_for_endpoint(&mut self, number: RequestNumber) {
+    pub(super) fn wait_for_endpoint(&mut self, number: RequestNumber) {
         let now = self.now;
         let Some(request) = self.requests.get_mut(&number) else {
             return;
@@ -295,23 +347,31 @@
 
     /// Refuses a request and stops its attempt.
     pub(super) fn give_up(&mut self, number: RequestNumber, reason: RefusalReason) {
+        self.refuse(number, Refusal::new(reason));
+    }
+
+    /// Refuses a request as stated and stops its attempt.
+    pub(super) fn refuse(&mut self, number: RequestNumber, refusal: Refusal) {
         self.sample_abandoned(number);
+        let waited = self.stop_waiting(number, false);
         let Some(request) = self.requests.remove(&number) else {
             return;
         };
         self.record(Record::Refused {
             request: request.arrival.id.clone(),
-            reason,
+            reason: refusal.reason,
             after_ms: request.age_ms(self.now),
             attempts: request.attempts,
             fault: request.fault,
+            tier: request.tier.map(Tier::rank),
+            waited_ms: waited.map(millis),
         });
         if let Some(active) = &request.active {
             self.command(number, Command::StopAttempt(active.attempt));
             self.uncount_attempt(active);
             self.drop_snapshot_of(active);
         }
-        self.command(number, Command::Refuse(Refusal::new(reason)));
+        self.command(number, Command::Refuse(refusal));
     }
 }
 
@@ -338,7 +398,7 @@
         snapshot: None,
         next_replica_check: first_replica_check(now),
         prefill: if needs_prefill {
-            request.arrival.prompt.0
+            request.arrival.prompt.min(request.memory()).0
         } else {
             0
         },
--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -115,8 +115,10 @@
     }
 
     pub(super) fn on_peer_usage(&mut self, update: &UsageUpdate) {
+        let before = self.load_at(&update.usage);
         self.fleet
             .on_peer_usage(&update.from, &update.usage, self.now);
+        self.on_load_reported(&before);
         self.fleet.on_peer_answers(&update.answers, self.now);
         self.budget
             .on_peer_totals(&update.from, &update.totals, self.now);
@@ -272,7 +274,9 @@
         };
         self.store_watchers
             .on_contact(contact, &mut self.rng, self.now);
+        let before = self.load_at(&state.usage);
         self.fleet.on_peer(state, &self.cfg.domain, self.now);
+        self.on_load_reported(&before);
         self.budget
             .on_peer_totals(&state.from, &state.totals, self.now);
         self.store_watchers
--- a/src/gateway/dispatch/handle.rs
+++ b/src/gateway/dispatch/handle.rs
@@ -47,6 +47,7 @@
             | Event::Located { .. }
             | Event::SnapshotTaken { .. } => self.handle_endpoint_answer(event),
         }
+        self.serve_waiting();
         std::mem::take(&mut self.actions)
     }
 
--- a/src/gateway/dispatch/intake.rs
+++ b/src/gateway/dispatch/intake.rs
@@ -39,6 +39,7 @@
         self.record_ended_incarnations();
         self.apply_held_reports();
         self.release_queued();
+        self.room_waits.sweep_soon();
     }
 
     pub(super) fn on_changed(&mut self, changes: Vec<EndpointChange>, at: u64) {
@@ -48,6 +49,7 @@
         self.fleet.apply_changes(changes, self.now);
         self.record_ended_incarnations();
         self.apply_held_reports();
+        self.room_waits.sweep_soon();
     }
 
     /// Records changes of the endpoint list: one by one if this box watches the store, else only
--- a/src/gateway/dispatch/outcomes.rs
+++ b/src/gateway/dispatch/outcomes.rs
@@ -23,6 +23,7 @@
 impl Dispatcher {
     pub(super) fn on_caller_disconnected(&mut self, number: RequestNumber) {
         self.queued.retain(|queued| queued.number != number);
+        self.stop_waiting(number, false);
         let Some(request) = self.requests.remove(&number) else {
             return;
         };
--- a/src/gateway/dispatch/placement.rs
+++ b/src/gateway/dispatch/placement.rs
@@ -18,6 +18,7 @@
 
 use std::time::Duration;
 
+use crate::gateway::dispatch::admission::room::Room;
 use crate::gateway::dispatch::event::Tokens;
 use crate::gateway::dispatch::fleet::health::FailureShares;
 use crate::gateway::dispatch::fleet::usage::PREFILL_TOKENS_PER_MS;
@@ -87,6 +88,25 @@
         self.choose_among(fleet, demand, now, |e| fleet.may_send(e, now))
     }
 
+    /// Selects the engine of least cost among those that have room for the request and whose rate
+    /// limits let this box send it.
+    #[must_use]
+    pub fn choose_with_room<'a>(
+        &self,
+        fleet: &'a Fleet,
+        demand: Demand<'_>,
+        now: Micros,
+    ) -> Option<&'a Endpoint> {
+        let engine = demand.engine?;
+        let has_room = |e: &Endpoint| {
+            let usage = fleet.usage(e, now);
+            Room::new(e.spec.slots, engine, usage).admits(demand.memory)
+        };
+        self.choose_among(fleet, demand, now, |e| {
+            fleet.may_send(e, now) && has_room(e)
+        })
+    }
+
     /// Selects the endpoint of least cost whether or not this box holds a permit for it.
     #[must_use]
     pub fn choose_ignoring_permits<'a>(
--- a/src/gateway/dispatch/priority.rs
+++ b/src/gateway/dispatch/priority.rs
@@ -87,6 +87,12 @@
     /// Number of ranks that engines distinguish.
     const COUNT: usize = 10;
 
+    /// Whether it is served before all others.
+    #[must_use]
+    pub fn is_first(self) -> bool {
+        self.0 == 0
+    }
+
     /// The rank, from 0 to 9.
     #[must_use]
     pub fn rank(self) -> u8 {
--- a/src/gateway/dispatch/record.rs
+++ b/src/gateway/dispatch/record.rs
@@ -86,6 +86,16 @@
         #[serde(default, skip_serializing_if = "Option::is_none")]
         tier: Option<u8>,
     },
+    /// A request waits because no engine has room for it.
+    Waiting {
+        /// The caller's request id.
+        request: String,
+        /// The rank of the request, if the configuration distinguishes ranks.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        tier: Option<u8>,
+        /// Requests of this box that start before it.
+        place: usize,
+    },
     /// An attempt was started.
     Sent {
         /// The caller's request id.
@@ -114,6 +124,12 @@
         running: u32,
         /// Milliseconds until the request's deadline.
         left_ms: u64,
+        /// The rank of the request, if the configuration distinguishes ranks.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        tier: Option<u8>,
+        /// Milliseconds for which the request waited for room at an engine, if it did.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        waited_ms: Option<u64>,
     },
     /// An attempt ended.
     Ended {
@@ -182,6 +198,12 @@
         attempts: u32,
         /// The fault of the last failed attempt.
         fault: Option<Fault>,
+        /// The rank of the request, if the configuration distinguishes ranks.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        tier: Option<u8>,
+        /// Milliseconds for which the request had waited for room at an engine, if it did.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        waited_ms: Option<u64>,
     },
     /// A request was answered.
     Answered {
@@ -336,6 +358,7 @@
     pub fn request(&self) -> Option<&str> {
         match self {
             Self::Arrived { request, .. }
+            | Self::Waiting { request, .. }
             | Self::Sent { request, .. }
             | Self::Begun { request, .. }
             | Self::Ended { request, .. }
--- a/src/gateway/dispatch/record/sentence.rs
+++ b/src/gateway/dispatch/record/sentence.rs
@@ -8,6 +8,7 @@
     pub fn sentence(&self) -> String {
         match self {
             Self::Arrived { .. }
+            | Self::Waiting { .. }
             | Self::Begun { .. }
             | Self::Resumed { .. }
             | Self::Answered { .. }
@@ -113,10 +114,16 @@
                 table,
                 prompt,
                 fingerprint,
+                tier,
                 ..
             } => format!(
                 "arrived for route {route}, table {table}, prompt of {prompt} tokens, fingerprint \
-                 {fingerprint}"
+                 {fingerprint}{}",
+                of_tier(*tier)
+            ),
+            Self::Waiting { tier, place, .. } => format!(
+                "waits for room at an engine{}; requests before it: {place}",
+                of_tier(*tier)
             ),
             Self::Begun {
                 endpoint, after_ms, ..
@@ -133,11 +140,15 @@
                 after_ms,
                 attempts,
                 fault,
+                waited_ms,
                 ..
             } => {
+                let waited = waited(*waited_ms);
                 let fault = fault.map_or(String::new(), |f| format!(", last fault: {f:?}"));
                 let reason = reason.word();
-                format!("given up after {after_ms} ms: {reason}, attempts: {attempts}{fault}")
+                format!(
+                    "given up after {after_ms} ms: {reason}, attempts: {attempts}{waited}{fault}"
+                )
             }
             _ => String::new(),
         }
@@ -192,6 +203,7 @@
             reading,
             running,
             left_ms,
+            waited_ms,
             ..
         } = self
         else {
@@ -202,7 +214,8 @@
         let mirror = backup.as_deref().unwrap_or("none");
         format!(
             "attempt {attempt} at {endpoint} in {domain}{from}{after}, mirror: {mirror}; \
-             running there: {running}, prompt tokens waiting: {reading}; {left_ms} ms left"
+             running there: {running}, prompt tokens waiting: {reading}; {left_ms} ms left{}",
+            waited(*waited_ms)
         )
     }
 
@@ -229,3 +242,13 @@
         )
     }
 }
+
+fn of_tier(tier: Option<u8>) -> String {
+    tier.map_or(String::new(), |rank| format!(", tier {rank}"))
+}
+
+fn waited(waited_ms: Option<u64>) -> String {
+    waited_ms.map_or(String::new(), |ms| {
+        format!(", after a wait of {ms} ms for room")
+    })
+}
--- a/src/gateway/dispatch/refusal.rs
+++ b/src/gateway/dispatch/refusal.rs
@@ -3,13 +3,14 @@
 //! A request that cannot have run at any endpoint is refused as not run, with a retry delay. A
 //! request that may have run is refused without one. Refusals are sent as soon as the outcome is
 //! known, because a caller that waits for nothing retries late. Requests are refused by
-//! [`super::admission`] on arrival, by [`super::attempts`] if no endpoint is usable, by
+//! [`super::admission`] on arrival or if no engine has room for them in time, by
+//! [`super::attempts`] if no endpoint is usable, by
 //! [`super::retry`] after an attempt and by [`super::suspicion`] at the deadline; the reason and the
 //! delay are defined here.
 //!
 //! The platform adapter translates a reason to a status (`platform/src/dialect.rs`): 503 for
-//! [`RefusalReason::NoConfiguration`], [`RefusalReason::NoEndpoint`] and
-//! [`RefusalReason::ExpiredNotRun`], 404 for [`RefusalReason::NoRoute`], 401 for
+//! [`RefusalReason::NoConfiguration`], [`RefusalReason::NoEndpoint`],
+//! [`RefusalReason::NoCapacity`] and [`RefusalReason::ExpiredNotRun`], 404 for [`RefusalReason::NoRoute`], 401 for
 //! [`RefusalReason::UnknownKey`], 504 for [`RefusalReason::Expired`], and 502 for
 //! [`RefusalReason::EndpointFailed`] and [`RefusalReason::Quarantined`]. The last one says nothing
 //! about whether the request has run, and carries no retry delay.
@@ -44,6 +45,8 @@
     UnknownKey,
     /// No endpoint can take the request now; it has not run.
     NoEndpoint,
+    /// No engine is expected to have room for the request in time; it has not run.
+    NoCapacity,
     /// The deadline has passed; the request has not run.
     ExpiredNotRun,
     /// The deadline has passed; the request may have run.
@@ -64,6 +67,7 @@
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::NoEndpoint => "no_endpoint",
+            Self::NoCapacity => "no_capacity",
             Self::ExpiredNotRun => "expired_not_run",
             Self::Expired => "expired",
             Self::EndpointFailed => "endpoint_failed",
@@ -114,7 +118,9 @@
     pub fn new(reason: RefusalReason) -> Self {
         let retry_after = match reason {
             RefusalReason::NoConfiguration => Some(RETRY_UNCONFIGURED),
-            RefusalReason::NoEndpoint | RefusalReason::ExpiredNotRun => Some(RETRY_NO_ENDPOINT),
+            RefusalReason::NoEndpoint
+            | RefusalReason::NoCapacity
+            | RefusalReason::ExpiredNotRun => Some(RETRY_NO_ENDPOINT),
             RefusalReason::NoRoute
             | RefusalReason::UnknownKey
             | RefusalReason::Expired
@@ -137,6 +143,16 @@
         }
     }
 
+    /// Creates the refusal of a request for which no engine has room; `retry_after` is the estimated
+    /// time until one has.
+    #[must_use]
+    pub fn no_capacity(retry_after: Duration) -> Self {
+        Self {
+            reason: RefusalReason::NoCapacity,
+            retry_after: Some(retry_after),
+        }
+    }
+
     /// Creates the refusal of a request whose body does not fit into the box's memory for bodies.
     #[must_use]
     pub fn no_room() -> Self {
--- a/src/gateway/dispatch/request.rs
+++ b/src/gateway/dispatch/request.rs
@@ -179,14 +179,25 @@
         millis(now.since(self.arrived))
     }
 
-    /// Tokens of KV memory that the request takes at an engine; 0 for a plain service.
+    /// Tokens of KV memory that the request takes at an engine, at most all that the engine has; 0 for
+    /// a plain service.
     pub fn memory(&self) -> Tokens {
         match self.engine {
-            Some(_) => Tokens(self.arrival.prompt.0 + self.arrival.output.0),
+            Some(engine) => {
+                let stated = self.arrival.prompt.0.saturating_add(self.arrival.output.0);
+                Tokens(stated.min(engine.kv_tokens))
+            }
             None => Tokens(0),
         }
     }
 
+    /// Whether the request waits while no engine has room: only streams do, and none whose caller has
+    /// received events.
+    pub fn waits_for_room(&self) -> bool {
+        let has_begun = self.has_begun || self.last_event.is_some();
+        self.engine.is_some() && self.route.kind.is_stream() && !has_begun
+    }
+
     /// The properties of this request that its placement depends on.
     pub fn demand<'a>(&'a self, rules: VersionRules<'a>, alone: bool) -> Demand<'a> {
         Demand {
--- a/src/gateway/explain.rs
+++ b/src/gateway/explain.rs
@@ -58,6 +58,8 @@
     UnknownKey,
     /// No endpoint could accept the request.
     NoEndpoint,
+    /// No engine was expected to have room in time.
+    NoCapacity,
     /// The deadline passed before the request ran.
     ExpiredNotRun,
     /// The deadline passed after the request may have run.
@@ -93,6 +95,9 @@
             Self::NoRoute => "No route of the configuration in force matches its host and path.",
             Self::UnknownKey => "No organisation of the configuration in force has its key.",
             Self::NoEndpoint => "No endpoint of its service could accept it; it has not run.",
+            Self::NoCapacity => {
+                "No engine of its service was expected to have room for it in time; it has not run."
+            }
             Self::ExpiredNotRun => {
                 "Its deadline passed before an endpoint accepted it; it has not run."
             }
@@ -192,6 +197,7 @@
         (RefusalReason::NoRoute, _) => Cause::NoRoute,
         (RefusalReason::UnknownKey, _) => Cause::UnknownKey,
         (RefusalReason::NoEndpoint, _) => Cause::NoEndpoint,
+        (RefusalReason::NoCapacity, _) => Cause::NoCapacity,
         (RefusalReason::ExpiredNotRun, _) => Cause::ExpiredNotRun,
         (RefusalReason::Expired, _) => Cause::Expired,
         (RefusalReason::Quarantined, _) => Cause::Quarantined,
--- a/src/gateway/shell/control.rs
+++ b/src/gateway/shell/control.rs
@@ -104,6 +104,8 @@
         let gauge = |boxes| i64::try_from(boxes).unwrap_or(i64::MAX);
         self.shared.metrics.boxes_local.set(gauge(local));
         self.shared.metrics.boxes.set(gauge(all));
+        let waiting = self.dispatcher.waiting_by_tier();
+        self.shared.metrics.on_waiting(&waiting);
         let limited = self.dispatcher.fleet().directives.limits.count();
         let permits = self.dispatcher.take_permit_counts();
         self.shared.metrics.on_limits(limited, permits);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -5,8 +5,8 @@
 
 use prometheus::core::Collector;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    CounterVec, Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 use gotham::helpers::http::Body;
@@ -64,6 +64,26 @@
         self.register(IntCounterVec::new(self.opts(name, help), &[label]))
     }
 
+    /// Registers a family of gauges distinguished by the value of `label`.
+    ///
+    /// # Panics
+    ///
+    /// Panics like [`MetricSet::gauge`].
+    #[must_use]
+    pub fn gauges(&self, name: &str, help: &str, label: &str) -> IntGaugeVec {
+        self.register(IntGaugeVec::new(self.opts(name, help), &[label]))
+    }
+
+    /// Registers a family of sums distinguished by the value of `label`.
+    ///
+    /// # Panics
+    ///
+    /// Panics like [`MetricSet::gauge`].
+    #[must_use]
+    pub fn sums(&self, name: &str, help: &str, label: &str) -> CounterVec {
+        self.register(CounterVec::new(self.opts(name, help), &[label]))
+    }
+
     /// Registers a histogram of durations in seconds; `buckets` are the upper bounds.
     ///
     /// # Panics
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -56,6 +56,8 @@
         after_ms: 7,
         attempts: 1,
         fault,
+        tier: None,
+        waited_ms: None,
     }
 }
 
--- a/tests/gateway_metrics.rs
+++ b/tests/gateway_metrics.rs
@@ -22,6 +22,8 @@
         reading: 0,
         running: 0,
         left_ms: 1,
+        tier: None,
+        waited_ms: None,
     }
 }
 
@@ -41,9 +43,25 @@
         after_ms: 50,
         attempts: 1,
         fault: None,
+        tier: None,
+        waited_ms: None,
     }
 }
 
+/// A request of tier 2 that waited for room, which ends it or starts its first attempt.
+fn after_a_wait(mut record: Record) -> Record {
+    if let Record::Sent {
+        tier, waited_ms, ..
+    }
+    | Record::Refused {
+        tier, waited_ms, ..
+    } = &mut record
+    {
+        (*tier, *waited_ms) = (Some(2), Some(1_500));
+    }
+    record
+}
+
 fn resumed() -> Record {
     Record::Resumed {
         request: "r".to_owned(),
@@ -108,6 +126,15 @@
     "quarantined_total 1"
 )]
 #[case::not_fetched(fetched("timed out"), "table_fetches_total{result=\"failed\"} 1")]
+#[case::waited(
+    after_a_wait(sent(1, false)),
+    "room_waited_seconds_total{tier=\"2\"} 1.5"
+)]
+#[case::started_after_a_wait(after_a_wait(sent(1, false)), "room_started_total{tier=\"2\"} 1")]
+#[case::refused_for_want_of_room(
+    after_a_wait(refused(RefusalReason::NoCapacity)),
+    "room_refused_total{tier=\"2\"} 1"
+)]
 #[case::resumed(resumed(), "resume_seconds_bucket{le=\"0.35\"} 1")]
 fn each_record_is_counted(#[case] record: Record, #[case] line: &str) {
     let metrics = GatewayMetrics::new();
--- a/tests/placement_report.rs
+++ b/tests/placement_report.rs
@@ -37,6 +37,8 @@
             reading: 0,
             running,
             left_ms: 1_000,
+            tier: None,
+            waited_ms: None,
         };
         self.write(seconds, "box-1", sent);
     }
--- a/tests/stream_report.rs
+++ b/tests/stream_report.rs
@@ -34,6 +34,8 @@
         reading: 0,
         running: 0,
         left_ms: 20_000,
+        tier: None,
+        waited_ms: None,
     }
 }
 
