--- a/src/gateway/dispatch/admission/queue.rs
+++ b/src/gateway/dispatch/admission/queue.rs
@@ -23,7 +23,7 @@
 pub const MAX_WAITING_PROMPTS: u64 = 2_500_000;
 /// The quantum is at least the largest request divided by this, which bounds the turns that are
 /// needed until a large request starts.
-const MAX_TURNS: u64 = 8;
+const MAX_TURNS: u32 = 8;
 
 /// A request that waits for room at an engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -120,17 +120,18 @@
     let mut waiting: Vec<&Waiting> = waiting.collect();
     waiting.sort_by_key(|w| (w.latest_in_time, w.number));
     let mut lines: BTreeMap<Owner, Line> = BTreeMap::new();
-    let mut costs: Vec<u64> = Vec::with_capacity(waiting.len());
+    let mut costs: Vec<u32> = Vec::with_capacity(waiting.len());
     for request in waiting {
-        let cost = u64::from(request.memory.0.max(1));
+        let cost = request.memory.0.max(1);
         costs.push(cost);
         let line = lines.entry(request.organisation.clone()).or_default();
-        line.push_back((request.number, cost as i64));
+        line.push_back((request.number, i64::from(cost)));
     }
     costs.sort_unstable();
     let median = costs.get(costs.len() / 2).copied().unwrap_or(1);
     let largest = costs.last().copied().unwrap_or(1);
-    (lines, median.max(largest.div_ceil(MAX_TURNS)) as i64)
+    let quantum = median.max(largest.div_ceil(MAX_TURNS));
+    (lines, i64::from(quantum))
 }
 
 /// The waiting requests of one service.
--- a/src/gateway/dispatch/admission/waiting.rs
+++ b/src/gateway/dispatch/admission/waiting.rs
@@ -30,8 +30,8 @@
 use crate::gateway::dispatch::Dispatcher;
 use crate::gateway::dispatch::attempts::Choice;
 use crate::gateway::dispatch::event::{RequestNumber, Tokens};
-use crate::gateway::dispatch::fleet::Usage;
 use crate::gateway::dispatch::fleet::usage::PREFILL_TOKENS_PER_MS;
+use crate::gateway::dispatch::fleet::{Endpoint, Usage};
 use crate::gateway::dispatch::priority::Tier;
 use crate::gateway::dispatch::record::Record;
 use crate::gateway::dispatch::refusal::Refusal;
@@ -112,8 +112,10 @@
     }
 
     fn take_due_searches(&mut self, now: Micros) -> Vec<EndpointId> {
-        let due = self.searches.extract_if(.., |_, at| now >= *at);
-        due.map(|(id, _)| id).collect()
+        let due = self.searches.iter().filter(|(_, at)| now >= **at);
+        let due: Vec<EndpointId> = due.map(|(id, _)| id.clone()).collect();
+        self.searches.retain(|_, at| now < *at);
+        due
     }
 
     fn take_due_sweeps(&mut self, now: Micros) -> Vec<ServiceId> {
@@ -204,20 +206,23 @@
 
     /// Refuses a waiting request that is not expected to start in time to be of use.
     fn refuse_if_hopeless(&mut self, service: &ServiceId, number: RequestNumber) {
-        let Some(place) = self.place_of(service, number) else {
-            return;
-        };
-        let Some(waits) = self.room_waits.services.get(service) else {
-            return;
-        };
-        let Some(waiting) = waits.queue.get(number) else {
-            return;
+        if let Some(place) = self.place_of(service, number)
+            && self.is_hopeless(service, number, place)
+        {
+            self.refuse_for_room(number, place);
+        }
+    }
+
+    /// Whether a waiting request with `place` others before it is expected to start too late to be
+    /// complete before its deadline.
+    fn is_hopeless(&self, service: &ServiceId, number: RequestNumber, place: usize) -> bool {
+        let waits = self.room_waits.services.get(service);
+        let Some(waiting) = waits.and_then(|w| w.queue.get(number)) else {
+            return false;
         };
         let left = waiting.latest_start.since(self.now);
         let wait = self.expected_wait(service, place);
-        if left.is_zero() || wait.is_some_and(|wait| wait > left) {
-            self.refuse_for_room(number, place);
-        }
+        left.is_zero() || wait.is_some_and(|wait| wait > left)
     }
 
     /// The estimated wait of a request that has `before` others before it.
@@ -324,7 +329,7 @@
         let most_urgent = waits.queue.iter().filter_map(|w| w.tier).min();
         let is_urgent = most_urgent.is_none_or(Tier::is_first);
         let (boxes, _) = self.known_boxes();
-        let spread = u32::try_from(boxes - 1)
+        let spread = u32::try_from(boxes.saturating_sub(1))
             .unwrap_or(MAX_SPREAD)
             .min(MAX_SPREAD);
         let delay = match (is_urgent, by) {
@@ -389,6 +394,12 @@
         }
     }
 
+    /// Whether an engine has room for a request that takes this much KV memory.
+    pub(in crate::gateway::dispatch) fn has_room(&self, at: &Endpoint, memory: Tokens) -> bool {
+        let room = self.room_at(&at.spec.id);
+        room.is_some_and(|(room, _)| room.admits(memory))
+    }
+
     fn room_at(&self, id: &EndpointId) -> Option<(Room, ServiceId)> {
         let endpoint = self.fleet.get(id)?;
         let service = &endpoint.spec.service;
@@ -421,9 +432,7 @@
             Choice::NoRoom => self.start_before_late(service, first),
         }
         self.search_engines_with_room(service, order.len());
-        for number in self.late_requests(service) {
-            self.refuse_if_hopeless(service, number);
-        }
+        self.refuse_late(service);
     }
 
     /// Lets requests that have waited for a sweep start again at endpoints that they tried: these may
@@ -436,11 +445,22 @@
         }
     }
 
-    fn late_requests(&self, service: &ServiceId) -> Vec<RequestNumber> {
-        let waits = self.room_waits.services.get(service);
-        let waiting = waits.into_iter().flat_map(|w| w.queue.iter());
-        let late = waiting.filter(|w| w.is_late(self.now));
-        late.map(|w| w.number).collect()
+    /// Refuses late requests that can't be expected to start, because those in time start before them.
+    fn refuse_late(&mut self, service: &ServiceId) {
+        let now = self.now;
+        let Some(waits) = self.room_waits.services.get(service) else {
+            return;
+        };
+        let is_late = |number| waits.queue.get(number).is_some_and(|w| w.is_late(now));
+        let order = waits.queue.order(now).into_iter().enumerate();
+        let late: Vec<_> = order.filter(|(_, number)| is_late(*number)).collect();
+        let mut ended = 0;
+        for (place, number) in late {
+            if self.is_hopeless(service, number, place - ended) {
+                self.refuse_for_room(number, place - ended);
+                ended += 1;
+            }
+        }
     }
 
     /// Schedules searches at engines that have room for the smallest waiting request.
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -106,7 +106,7 @@
         let Some(best) = best else {
             return Choice::Nothing;
         };
-        if !request.waits_for_room() {
+        if !request.waits_for_room() || self.has_room(best, request.memory()) {
             return Choice::Start(best.spec.id.clone());
         }
         let found = self.choose_with_room(request, request.memory(), alone);
--- a/tests/queueing.rs
+++ b/tests/queueing.rs
@@ -35,18 +35,18 @@
 const CAPACITY: f64 = 32.0 / 5.3;
 const STEP_MS: u64 = 5;
 
-fn priority(number: u64) -> Option<Priority> {
-    Some(Priority::try_from(number).unwrap())
+fn priority(number: u64) -> Priority {
+    Priority::try_from(number).unwrap()
 }
 
 /// A table with an urgent and an ordinary route for streams, and two organisations.
 fn tiered_table() -> RoutingTable {
     let routes = [(URGENT, 0), (STREAMS, 5)].map(|(path, rank)| {
         let mut found = route(STREAMS);
-        found.name = path.to_owned();
-        found.path_prefix = path.to_owned();
+        path.clone_into(&mut found.name);
+        path.clone_into(&mut found.path_prefix);
         found.objective = OBJECTIVE;
-        found.priority = priority(rank);
+        found.priority = Some(priority(rank));
         found
     });
     let mut parts = parts(1, routes.into());
@@ -376,8 +376,9 @@
 }
 
 fn tier(rank: u64) -> Option<Tier> {
-    let priorities = [priority(0), priority(1), priority(2)];
-    Tiers::new([None].into_iter(), priorities.into_iter()).of(None, priority(rank))
+    let priorities = [0, 1, 2].map(|number| Some(priority(number)));
+    let tiers = Tiers::new([None].into_iter(), priorities.into_iter());
+    tiers.of(None, Some(priority(rank)))
 }
 
 fn waiting(number: u64, rank: u64, organisation: &str, tokens: u32, latest: u64) -> Waiting {
