Replaced instances count as lost, and a request that reached one is charged as a repeat

Only the retry after 421 was free, though a server had seen the request, and nothing told other boxes, nor suspected the rest of the domain.

An instance that has been replaced now counts as a loss, so that two of them make the rest of the domain suspected, here and at peers. The attempt after a 421 is charged to the retry budget but never refused. The decision table of tests/retry.rs changes with it.

--- a/src/gateway/dispatch/fleet/list.rs
+++ b/src/gateway/dispatch/fleet/list.rs
@@ -166,8 +166,10 @@
             .retain_limits(|id| self.endpoints.contains_key(id));
     }
 
-    /// Handles another process at the address of an endpoint, which has therefore exited.
-    pub fn on_replaced(&mut self, id: &EndpointId) {
+    /// Handles another process at the address of an endpoint, which has therefore exited. Peers are
+    /// notified of the loss: in an outage of the store they would all send there.
+    pub fn on_replaced(&mut self, id: &EndpointId, now: Micros) {
+        self.record_loss(id, now, true);
         self.unlist(id);
     }
 
--- a/src/gateway/dispatch/fleet/losses.rs
+++ b/src/gateway/dispatch/fleet/losses.rs
@@ -194,7 +194,7 @@
     }
 
     /// Records the loss of an endpoint; several at once count as an outage of their domain.
-    fn record_loss(&mut self, id: &EndpointId, now: Micros, is_own: bool) {
+    pub(super) fn record_loss(&mut self, id: &EndpointId, now: Micros, is_own: bool) {
         let Some(endpoint) = self.endpoints.get(id) else {
             return;
         };
--- a/src/gateway/dispatch/outcomes.rs
+++ b/src/gateway/dispatch/outcomes.rs
@@ -158,7 +158,8 @@
             Outcome::NotRun(NotRunCause::OtherInstance(instance)) => {
                 self.identify(endpoint, instance.as_ref());
                 self.fleet.on_reached(endpoint);
-                self.fleet.on_replaced(endpoint);
+                self.fleet.on_replaced(endpoint, self.now);
+                self.gossip_soon();
             }
             Outcome::Answered { status } if *status < LEAST_ERROR_STATUS => {
                 self.fleet.on_success(endpoint, self.now);
@@ -192,6 +193,11 @@
         match after_attempt(outcome, request.may_run_again()) {
             AfterAttempt::Finish => self.finish(number, Command::Finish, true),
             AfterAttempt::TryAgain => self.start_next_attempt(number),
+            AfterAttempt::TryAgainCharged => {
+                let service = request.service.clone();
+                self.budget.charge(&service, self.now);
+                self.start_next_attempt(number);
+            }
             // The retry waits for the verdict on the crash of its endpoint (`super::crashes`).
             AfterAttempt::Retry if request.retry_at.is_some() => {}
             AfterAttempt::Retry => self.retry(number),
@@ -254,7 +260,8 @@
             return;
         }
         self.identify(endpoint, Some(instance));
-        self.fleet.on_replaced(endpoint);
+        self.fleet.on_replaced(endpoint, self.now);
+        self.gossip_soon();
     }
 
     /// Starts an identity check of an instance that took over an engine's address. During a store
--- a/src/gateway/dispatch/retry.rs
+++ b/src/gateway/dispatch/retry.rs
@@ -4,8 +4,10 @@
 //! request. An attempt that may have run is followed by another one only if the route allows
 //! repetition and the number of attempts that may have run is below the route's bound. A retry costs
 //! budget ([`super::retry_budget`]) if the endpoint lost the request after taking it, refused it for
-//! lack of capacity or answered with a server error. A retry is free if the connection failed or
-//! another instance has taken over the address, since no server has seen the request.
+//! lack of capacity or answered with a server error. A retry is free if the connection failed, since
+//! no server has seen the request. One after an answer of another instance at the endpoint's address
+//! is charged, as the request has arrived at a server, but never refused: it has certainly not run,
+//! and an outage of a failure domain can give a box many such answers at once.
 //!
 //! Inputs: the outcome, and whether the request may run again. The endpoint's state is updated in
 //! [`super::outcomes`].
@@ -30,6 +32,8 @@
     Finish,
     /// Start another attempt without using the retry budget.
     TryAgain,
+    /// Start another attempt, which is charged to the retry budget also where that is spent.
+    TryAgainCharged,
     /// Start another attempt if the retry budget allows it, or else give the request up.
     Retry,
     /// Start another attempt if the retry budget allows it, or else pass the buffered answer on.
@@ -43,7 +47,8 @@
 #[must_use]
 pub fn after_attempt(outcome: &Outcome, may_run_again: bool) -> AfterAttempt {
     match outcome {
-        Outcome::NotSent | Outcome::NotRun(NotRunCause::OtherInstance(_)) => AfterAttempt::TryAgain,
+        Outcome::NotSent => AfterAttempt::TryAgain,
+        Outcome::NotRun(NotRunCause::OtherInstance(_)) => AfterAttempt::TryAgainCharged,
         Outcome::NotRun(NotRunCause::NoRoom) => AfterAttempt::Retry,
         Outcome::Answered { status } if *status >= LEAST_ERROR_STATUS && may_run_again => {
             AfterAttempt::RetryOrDeliver
--- a/src/gateway/dispatch/retry_budget.rs
+++ b/src/gateway/dispatch/retry_budget.rs
@@ -212,4 +212,11 @@
         counts.count_own(0, 1, now);
         true
     }
+
+    /// Counts a repeated arrival at a service that the budget could not prevent.
+    pub fn charge(&mut self, service: &ServiceId, now: Micros) {
+        let counts = self.services.entry(service.clone()).or_default();
+        counts.remove_expired(self.policy.window, now);
+        counts.count_own(0, 1, now);
+    }
 }
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -14,7 +14,11 @@
 
 #[rstest]
 #[case::not_sent(Outcome::NotSent, AfterAttempt::TryAgain, AfterAttempt::TryAgain)]
-#[case::misdirected(MISDIRECTED, AfterAttempt::TryAgain, AfterAttempt::TryAgain)]
+#[case::misdirected(
+    MISDIRECTED,
+    AfterAttempt::TryAgainCharged,
+    AfterAttempt::TryAgainCharged
+)]
 #[case::no_room(NO_ROOM, AfterAttempt::Retry, AfterAttempt::Retry)]
 #[case::answer(Outcome::Answered { status: 200 }, AfterAttempt::Deliver, AfterAttempt::Deliver)]
 #[case::callers_fault(Outcome::Answered { status: 499 }, AfterAttempt::Deliver, AfterAttempt::Deliver)]
