--- a/src/gateway/dispatch/fleet/domain_load.rs
+++ b/src/gateway/dispatch/fleet/domain_load.rs
@@ -177,7 +177,7 @@
     pub fn engine_loads(&self, now: Micros) -> Vec<EngineLoad> {
         let mut found = Vec::new();
         for endpoint in self.endpoints.values() {
-            let usage = self.usage_of_own_domain(endpoint, now);
+            let usage = endpoint.usage_of_own_domain(now);
             if usage.memory > 0 {
                 found.push(EngineLoad {
                     engine: EngineHash::of(&endpoint.spec).0,
--- a/src/gateway/dispatch/fleet/usage.rs
+++ b/src/gateway/dispatch/fleet/usage.rs
@@ -91,6 +91,16 @@
     }
 }
 
+impl Endpoint {
+    /// The load of this box and those of its failure domain.
+    pub(super) fn usage_of_own_domain(&self, now: Micros) -> Usage {
+        let reports = self.others.iter();
+        let local = reports.filter(|other| matches!(other.from, Source::Box(_)));
+        let local = local.filter_map(|other| other.remaining(now));
+        local.fold(self.own, Add::add)
+    }
+}
+
 impl Fleet {
     /// Replaces the load of a peer by a report of all that it runs.
     pub(super) fn on_peer_state(&mut self, state: &BoxState, own: &DomainId, now: Micros) {
@@ -173,7 +183,7 @@
         for endpoint in self.endpoints.values() {
             let Usage {
                 running, memory, ..
-            } = self.usage_of_own_domain(endpoint, now);
+            } = endpoint.usage_of_own_domain(now);
             if running > 0 && memory == 0 {
                 found.push(EndpointUsage {
                     endpoint: endpoint.spec.incarnation(),
@@ -202,14 +212,6 @@
         others.fold(endpoint.own + loads.total(), Add::add)
     }
 
-    /// The load of this box and those of its failure domain at an endpoint.
-    pub(super) fn usage_of_own_domain(&self, endpoint: &Endpoint, now: Micros) -> Usage {
-        let reports = endpoint.others.iter();
-        let local = reports.filter(|other| matches!(other.from, Source::Box(_)));
-        let local = local.filter_map(|other| other.remaining(now));
-        local.fold(endpoint.own, Add::add)
-    }
-
     /// The load that this box causes at an endpoint, to publish.
     #[must_use]
     pub fn own_usage(&self, id: &EndpointId) -> Option<EndpointUsage> {
