--- a/src/gateway/dispatch/placement.rs
+++ b/src/gateway/dispatch/placement.rs
@@ -65,6 +65,8 @@
     pub key: u64,
     /// Whether the request should run at an endpoint that runs nothing else.
     pub alone: bool,
+    /// Whether the request had an attempt before.
+    pub is_repeat: bool,
     /// Rules of a roll-out: at which endpoints attempts and replicas may be placed.
     pub rules: VersionRules<'a>,
 }
