--- a/src/gateway/dispatch/fleet/speeds.rs
+++ b/src/gateway/dispatch/fleet/speeds.rs
@@ -2,11 +2,11 @@
 //!
 //! Of an engine this is its prefill rate and its time per event of a stream, and of a plain server
 //! the time of its answers. Engines of a service whose speeds don't clearly differ count as equal
-//! ([`comparison`]), and then at the usual rate [`PREFILL_TOKENS_PER_MS`] if the median is close to it,
+//! (`comparison`), and then at the usual rate [`PREFILL_TOKENS_PER_MS`] if the median is close to it,
 //! so that noise changes no choice. A number of tokens per event isn't known, but it is the same for
 //! all engines of a service, so times per event are compared with their median only.
 //!
-//! Inputs: first events, events and answers of own attempts, prompts of others ([`watch`]), and what
+//! Inputs: first events, events and answers of own attempts, prompts of others (`watch`), and what
 //! peers observed. State: a few observations for each incarnation of an endpoint that the fleet
 //! has; a new incarnation starts without any. Alternatives: speeds that engines report (none does),
 //! and the number of requests alone (a slow engine with few streams looks free).
--- a/tests/speeds.rs
+++ b/tests/speeds.rs
@@ -7,9 +7,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fixtures::{GENEROUS, QUOTES, STREAMS, World, box_state, endpoint, listed, table};
+use fixtures::{GENEROUS, QUOTES, STREAMS, World, box_state, endpoint, listed, records, table};
 use magpiemoor::gateway::dispatch::action::Action;
 use magpiemoor::gateway::dispatch::event::{Arrival, EndpointSpec, Event, Outcome};
+use magpiemoor::gateway::dispatch::record::Record;
 use magpiemoor::schema::{EndpointId, SpeedUpdate};
 use rstest::rstest;
 
@@ -142,6 +143,22 @@
     assert_eq!(burst(&mut learned, 30), burst(&mut world(6), 30));
 }
 
+/// Operators must see that learned speeds are in use, and not once for each comparison.
+#[test]
+fn an_uneven_service_is_recorded_once() {
+    let mut world = world(6);
+    let actions: Vec<Action> = (0..6)
+        .flat_map(|_| streams(&mut world, 6, uneven))
+        .collect();
+    let found = records(&actions).into_iter();
+    let found = found.filter(|r| matches!(r, Record::EngineSpeeds { .. }));
+    let texts: Vec<String> = found.map(Record::sentence).collect();
+    assert_eq!(
+        texts,
+        ["2 of 6 engines of engines differ from 3.5 tokens/ms"]
+    );
+}
+
 /// A box that sees an engine once in minutes knows its speed from its peers.
 #[test]
 fn observations_of_peers_are_used_and_bounded() {
@@ -260,6 +277,19 @@
     assert!(calls(&mut world, 30, |_| 20).contains(&slow));
 }
 
+/// Without a memory longer than a noisy neighbour's time, a slow machine would be tried again all the time.
+#[test]
+fn a_server_that_is_always_slower_gets_fewer_calls() {
+    let mut world = world(0);
+    let machine = |id: &EndpointId| if number(id) == 1 { 50 } else { 20 };
+    for _ in 0..60 {
+        calls(&mut world, 1, machine);
+        world.run(400);
+    }
+    let later = calls(&mut world, 12, machine);
+    assert!(later.iter().all(|id| number(id) != 1), "{later:?}");
+}
+
 /// Calls of one service differ in their work; that is no difference of their servers.
 #[test]
 fn servers_whose_calls_differ_are_chosen_as_before() {
