--- a/src/gateway/dispatch/fleet/speeds/watch.rs
+++ b/src/gateway/dispatch/fleet/speeds/watch.rs
@@ -12,7 +12,7 @@
 /// prefilled: half the usual one. The end of a prefill isn't reported.
 const SLOWEST_RATE: f64 = 2.5;
 /// Events of a stream over which their time is averaged.
-const TIMED_EVENTS: u64 = 16;
+const WATCHED_EVENTS: u64 = 16;
 
 /// The prompts that this box knows to be prefilled at an engine.
 #[derive(Clone, Copy, Debug, Default)]
@@ -101,7 +101,7 @@
                 prompts: known,
             } if known == prompts.count => {
                 let events = event.saturating_sub(first);
-                if events >= TIMED_EVENTS {
+                if events >= WATCHED_EVENTS {
                     self.events = EventWatch::Idle;
                     return Some(now.since(since).div_f64(events as f64));
                 }
