--- a/tests/domain_load.rs
+++ b/tests/domain_load.rs
@@ -189,6 +189,15 @@
         ..report("west", 700, &[])
     };
     world.handle(Event::PeerLoad(late));
+    // No report came for a second, so another box with another clock sends now.
+    let by_another = EngineLoadReport {
+        age_ms: 2_500,
+        ..report("west", 50, &[])
+    };
+    world.handle(Event::PeerLoad(report("west", 60, &[(engine, 7)])));
+    assert_eq!(running(&world, id), 8);
+    world.pass(1_000);
+    world.handle(Event::PeerLoad(by_another));
     world.handle(Event::CallerDisconnected(request));
     assert_eq!(running(&world, id), 1);
     world.pass(600);
