Boxes whose own attempt ended start a waiting stream before others look for room

With one random delay for all events, a freed slot idled although its own box had a waiting stream.

The test of shared retries has eight more engines: its 34 streams no longer start at engines without room for them. What it asserts is unchanged.

--- a/src/gateway/dispatch/admission/waiting.rs
+++ b/src/gateway/dispatch/admission/waiting.rs
@@ -8,10 +8,10 @@
 //! is no event.
 //!
 //! Many boxes see the same room. A box that started a request there has told the others after
-//! [`REPORT_TIME`], so each box looks for room after a random delay of some multiples of it. Requests
-//! of the most urgent tier are exempt from the delay after an end of this box's own attempt, and
-//! those of other tiers wait longer than they do. Without delays, about 20 boxes sent their requests
-//! to the same engine within 50 ms.
+//! [`REPORT_TIME`], so each box looks for room after a random delay of some multiples of it. The box
+//! whose own attempt ended is exempt from the random delay. Where there are tiers, those after the
+//! first wait [`HEAD_START`] longer. Without delays, about 20 boxes sent their requests to the same
+//! engine within 50 ms.
 //!
 //! A request is refused as not run if its estimated wait ([`super::wait`]) is longer than the time
 //! until its latest start, and no engine that this box may use has room. Late requests are judged
@@ -45,6 +45,10 @@
 const REPORT_TIME: Duration = Duration::from_millis(15);
 /// Maximum number of multiples of [`REPORT_TIME`] over which boxes spread their searches.
 const MAX_SPREAD: u32 = 8;
+/// The same for requests of the first of several tiers, of which few wait at once.
+const MAX_FIRST_TIER_SPREAD: u32 = 2;
+/// Time by which the first tier precedes the others: that of a report and of its spread.
+const HEAD_START: Duration = Duration::from_millis(45);
 /// The latest start in time leaves this part of the latency objective for other prompts that are
 /// prefilled at the same time.
 const START_MARGIN_DIVISOR: u32 = 8;
@@ -327,22 +331,26 @@
             return;
         };
         let most_urgent = waits.queue.iter().filter_map(|w| w.tier).min();
-        let is_urgent = most_urgent.is_none_or(Tier::is_first);
         let (boxes, _) = self.known_boxes();
-        let spread = u32::try_from(boxes.saturating_sub(1))
-            .unwrap_or(MAX_SPREAD)
-            .min(MAX_SPREAD);
-        let delay = match (is_urgent, by) {
-            (true, FreedBy::Own) => Duration::ZERO,
-            _ if spread == 0 => Duration::ZERO,
-            (true, FreedBy::Other) => self.spread(spread),
-            (false, _) => REPORT_TIME + self.spread(spread),
-        };
+        let peers = u32::try_from(boxes.saturating_sub(1)).unwrap_or(MAX_SPREAD);
+        let delay = self.search_delay(most_urgent, by, peers.min(MAX_SPREAD));
         let at = self.now.after(delay);
         let due = self.room_waits.searches.entry(id.clone()).or_insert(at);
         *due = at.min(*due);
     }
 
+    /// The delay of a search while requests of this tier wait and up to `spread` peers may compete.
+    fn search_delay(&mut self, most_urgent: Option<Tier>, by: FreedBy, spread: u32) -> Duration {
+        match (most_urgent.map(Tier::is_first), by) {
+            _ if spread == 0 => Duration::ZERO,
+            (None | Some(true), FreedBy::Own) => Duration::ZERO,
+            (None, FreedBy::Other) => self.spread(spread),
+            (Some(true), FreedBy::Other) => self.spread(spread.min(MAX_FIRST_TIER_SPREAD)),
+            (Some(false), FreedBy::Own) => HEAD_START,
+            (Some(false), FreedBy::Other) => HEAD_START + REPORT_TIME + self.spread(spread),
+        }
+    }
+
     fn spread(&mut self, reports: u32) -> Duration {
         (REPORT_TIME * reports).mul_f64(self.rng.random())
     }
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use fixtures::{GENEROUS, QUOTES, STREAMS, World};
+use fixtures::{GENEROUS, QUOTES, STREAMS, World, endpoint};
 use fleet::{Fleet, FleetBox};
 use magpiemoor::gateway::dispatch::event::{Event, Fault, NotRunCause, Outcome, RequestNumber};
 use magpiemoor::gateway::dispatch::retry_budget::RetryPolicy;
@@ -185,6 +185,10 @@
         window: seconds(10),
     };
     let mut fleet = Fleet::starting(&DOMAINS, policy, 7);
+    // The other engines have no room for all streams; some would wait.
+    let more =
+        (9_200..9_208).map(|port| endpoint(&format!("engine-{port}"), "engines", "north", port));
+    fleet.endpoints.extend(more);
     fleet.run(seconds(4));
     let mut arrivals = World::empty(policy);
     let mut number = 0;
