--- a/tests/queueing.rs
+++ b/tests/queueing.rs
@@ -12,10 +12,12 @@
 };
 use magpiemoor::gateway::dispatch::action::{Action, Command};
 use magpiemoor::gateway::dispatch::admission::queue::{MAX_WAITING, WaitQueue, Waiting};
+use magpiemoor::gateway::dispatch::admission::room::Room;
 use magpiemoor::gateway::dispatch::admission::wait::RoomRate;
 use magpiemoor::gateway::dispatch::event::{
     Arrival, AttemptNumber, EndpointChange, Event, Outcome, RequestNumber, Tokens,
 };
+use magpiemoor::gateway::dispatch::fleet::Usage;
 use magpiemoor::gateway::dispatch::priority::{Priority, Tier, Tiers};
 use magpiemoor::gateway::dispatch::record::Record;
 use magpiemoor::gateway::dispatch::refusal::{Refusal, RefusalReason};
@@ -292,7 +294,7 @@
 
 /// What a box learns while a request waits.
 #[derive(Clone, Copy, Debug)]
-enum Room {
+enum Cause {
     AttemptEnds,
     PeerReports,
     EndpointAppears,
@@ -301,7 +303,7 @@
 /// A stream that waits for a timer loses in-time starts, and one that misses the event waits forever.
 #[rstest]
 fn a_waiting_stream_starts_on_each_event_that_makes_room(
-    #[values(Room::AttemptEnds, Room::PeerReports, Room::EndpointAppears)] event: Room,
+    #[values(Cause::AttemptEnds, Cause::PeerReports, Cause::EndpointAppears)] event: Cause,
     #[values((URGENT, 50), (STREAMS, 100))] (path, within_ms): (&'static str, u64),
 ) {
     let mut site = Site::new();
@@ -323,9 +325,9 @@
     let waiting = site.arrive(path, KEY);
     assert!(!site.is_running(waiting));
     match event {
-        Room::AttemptEnds => site.finish(streams[0], AttemptNumber(1)),
-        Room::PeerReports => site.handle(usage(0, 0)),
-        Room::EndpointAppears => {
+        Cause::AttemptEnds => site.finish(streams[0], AttemptNumber(1)),
+        Cause::PeerReports => site.handle(usage(0, 0)),
+        Cause::EndpointAppears => {
             let engine = endpoint("engine-n5", "engines", "north", 9_005);
             site.handle(changed(vec![EndpointChange::Present(engine)]));
         }
@@ -377,6 +379,28 @@
     assert!(sent.sentence().ends_with("after a wait of 40 ms for room"));
 }
 
+/// An engine without enough memory preempts runs, whose prompts are prefilled again.
+#[rstest]
+#[case::fits(7, 50_000, 5_000, true)]
+#[case::no_slot(8, 0, 5_000, false)]
+#[case::no_memory(7, 50_001, 5_000, false)]
+#[case::size_not_stated(7, 60_000, 0, true)]
+fn room_is_a_free_slot_and_enough_memory(
+    #[case] running: u32,
+    #[case] memory: u32,
+    #[case] demand: u32,
+    #[case] admits: bool,
+) {
+    let engine = parts(1, Vec::new()).services[0].engine.unwrap();
+    let prefill = 0;
+    let usage = Usage {
+        running,
+        prefill,
+        memory,
+    };
+    assert_eq!(Room::new(8, engine, usage).admits(Tokens(demand)), admits);
+}
+
 fn tier(rank: u64) -> Option<Tier> {
     let priorities = [0, 1, 2].map(|number| Some(priority(number)));
     let tiers = Tiers::new([None].into_iter(), priorities.into_iter());
