--- a/src/gateway/dispatch/admission/waiting.rs
+++ b/src/gateway/dispatch/admission/waiting.rs
@@ -18,6 +18,12 @@
 //! again at each sweep, since those that are in time start before them. The first request of the
 //! queue that would be late if it waited on starts at an engine that has room for its prompt only:
 //! the runs there take less than their maximum output on average.
+//!
+//! A stream that its caller has a part of comes here if it has no replica to resume from. Its pause
+//! is too long in any case once its prompt is prefilled again, so it counts as late and takes no
+//! room from streams that can be in time. It is never refused: when its latest start has come it
+//! starts at the engine of least cost. Starting such streams at once overfilled the few engines that
+//! looked free after the loss of a domain (30 streams at an engine with room for 9).
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -91,7 +97,8 @@
 }
 
 impl RoomWaits {
-    fn has_waiting(&self, service: &ServiceId) -> bool {
+    /// Whether requests of a service wait.
+    pub fn has_waiting(&self, service: &ServiceId) -> bool {
         let waits = self.services.get(service);
         waits.is_some_and(|waits| !waits.queue.is_empty())
     }
@@ -247,12 +254,32 @@
             self.start_attempt(number, &id, None);
             return;
         }
+        if request.is_partly_delivered() {
+            self.start_without_room(number);
+            return;
+        }
         let wait = self.expected_wait(&request.service, place);
         let longest = request.time_left(self.now) / MAX_RETRY_DIVISOR;
         let retry_after = wait.unwrap_or_default().min(longest).max(MIN_RETRY_AFTER);
         self.refuse(number, Refusal::no_capacity(retry_after));
     }
 
+    /// Starts a stream that must not be refused, because its caller has a part of it, at the engine of
+    /// least cost.
+    fn start_without_room(&mut self, number: RequestNumber) {
+        let Some(request) = self.requests.get(&number) else {
+            return;
+        };
+        let best = self.choose_best(request, self.runs_alone(number));
+        match best.map(|e| e.spec.id.clone()) {
+            Some(id) => self.start_attempt(number, &id, None),
+            None => {
+                self.stop_waiting(number, false);
+                self.wait_for_endpoint(number);
+            }
+        }
+    }
+
     /// Removes a request from its queue; returns how long it waited.
     pub(in crate::gateway::dispatch) fn stop_waiting(
         &mut self,
@@ -519,6 +546,11 @@
     let objective = request.route.objective;
     let run = (prefill + output).min(request.deadline.since(request.arrived) / MAX_RUN_DIVISOR);
     let first_event = prefill + objective / START_MARGIN_DIVISOR;
+    let latest_in_time = if request.is_partly_delivered() {
+        Micros::ZERO
+    } else {
+        request.arrived.after(objective.saturating_sub(first_event))
+    };
     Waiting {
         number,
         tier: request.tier,
@@ -530,7 +562,7 @@
         memory,
         arrived: request.arrived,
         since: now,
-        latest_in_time: request.arrived.after(objective.saturating_sub(first_event)),
+        latest_in_time,
         latest_start: request.deadline.before(run),
     }
 }
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -98,13 +98,7 @@
             return Choice::Nothing;
         };
         let alone = self.runs_alone(number);
-        let choose = |rules| {
-            let demand = request.demand(rules, alone);
-            self.placer.choose(&self.fleet, demand, self.now)
-        };
-        let best = choose(self.rules_for(request));
-        let best = best.or_else(|| choose(self.fallback_rules_for(request)?));
-        let Some(best) = best else {
+        let Some(best) = self.choose_best(request, alone) else {
             return Choice::Nothing;
         };
         if !request.waits_for_room() || self.has_room(best, request.memory()) {
@@ -115,6 +109,16 @@
         found.map_or(Choice::NoRoom, |e| Choice::Start(e.spec.id.clone()))
     }
 
+    /// Selects the endpoint of least cost, whether or not it has room.
+    pub(super) fn choose_best(&self, request: &Request, alone: bool) -> Option<&Endpoint> {
+        let choose = |rules| {
+            let demand = request.demand(rules, alone);
+            self.placer.choose(&self.fleet, demand, self.now)
+        };
+        let best = choose(self.rules_for(request));
+        best.or_else(|| choose(self.fallback_rules_for(request)?))
+    }
+
     /// Selects the endpoint of least cost among those that have room for a request that takes this
     /// much KV memory.
     pub(super) fn choose_with_room(
--- a/src/gateway/dispatch/request.rs
+++ b/src/gateway/dispatch/request.rs
@@ -198,11 +198,14 @@
         }
     }
 
-    /// Whether the request waits while no engine has room: only streams do, and none whose caller has
-    /// received events.
+    /// Whether the request waits while no engine has room: only streams do.
     pub fn waits_for_room(&self) -> bool {
-        let has_begun = self.has_begun || self.last_event.is_some();
-        self.engine.is_some() && self.route.kind.is_stream() && !has_begun
+        self.engine.is_some() && self.route.kind.is_stream()
+    }
+
+    /// Whether the caller has received events, from this box or from an earlier one.
+    pub fn is_partly_delivered(&self) -> bool {
+        self.has_begun || self.last_event.is_some()
     }
 
     /// The properties of this request that its placement depends on.
