--- a/src/gateway/dispatch/replica_room.rs
+++ b/src/gateway/dispatch/replica_room.rs
@@ -173,9 +173,7 @@
 }
 
 impl Dispatcher {
-    /// Whether requests of a service wait in this box for room at its engines. None do: each is sent
-    /// to an engine at once, whose queue orders them.
-    #[allow(clippy::unused_self)] // The queue of waiting requests is part of the dispatcher.
+    /// Whether requests of a service wait in this box for room at its engines.
     pub(super) fn requests_wait(&self, service: &ServiceId) -> bool {
         self.room_waits.has_waiting(service)
     }
