--- a/src/gateway/dispatch/admission/waiting.rs
+++ b/src/gateway/dispatch/admission/waiting.rs
@@ -23,7 +23,9 @@
 //! is too long in any case once its prompt is prefilled again, so it counts as late and takes no
 //! room from streams that can be in time. It is never refused: when its latest start has come it
 //! starts at the engine of least cost. Starting such streams at once overfilled the few engines that
-//! looked free after the loss of a domain (30 streams at an engine with room for 9).
+//! looked free after the loss of a domain (30 streams at an engine with room for 9). For the same
+//! reason any stream that goes on after a loss waits for its turn unless the engine has room for
+//! [`CONTENDERS`] of them.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -66,6 +68,9 @@
 /// Requests that are tried at an engine with room before the search ends: the first ones may be
 /// barred from it by a roll-out, a limit or an earlier attempt.
 const MAX_CANDIDATES: usize = 4;
+/// Requests that an engine must have room for if one that goes on after a loss is to start there
+/// without a wait: when a third of the engines is lost, each of the others gets about as many.
+const CONTENDERS: u32 = 3;
 /// Callers wait at most this part of their time before they retry.
 const MAX_RETRY_DIVISOR: u32 = 3;
 /// Shortest retry delay.
@@ -162,6 +167,35 @@
         request.is_some_and(|r| r.waits_for_room() && self.room_waits.has_waiting(&r.service))
     }
 
+    /// Whether other boxes probably place requests at an engine at this moment, for more than it has
+    /// room for: a stream that goes on after a loss is one of many.
+    pub(in crate::gateway::dispatch) fn is_contended(
+        &self,
+        number: RequestNumber,
+        at: &EndpointId,
+    ) -> bool {
+        let Some(request) = self.requests.get(&number) else {
+            return false;
+        };
+        let memory = Tokens(request.memory().0.saturating_mul(CONTENDERS));
+        let endpoint = self.fleet.get(at);
+        request.waits_for_room()
+            && request.attempts > 0
+            && endpoint.is_some_and(|e| !self.has_room(e, memory))
+    }
+
+    /// Schedules a search at an engine that has room for a waiting request.
+    pub(in crate::gateway::dispatch) fn search_for(
+        &mut self,
+        number: RequestNumber,
+        at: &EndpointId,
+    ) {
+        if let Some(request) = self.requests.get(&number) {
+            let service = request.service.clone();
+            self.search_at(&service, at, FreedBy::Other);
+        }
+    }
+
     /// Queues a request; `room` is an engine with room for it, if there is one.
     pub(in crate::gateway::dispatch) fn wait_for_room(
         &mut self,
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -85,6 +85,10 @@
             Choice::Start(endpoint) if self.must_queue(number) => {
                 self.wait_for_room(number, Some(&endpoint));
             }
+            Choice::Start(endpoint) if self.is_contended(number, &endpoint) => {
+                self.wait_for_room(number, None);
+                self.search_for(number, &endpoint);
+            }
             Choice::Start(endpoint) => self.start_attempt(number, &endpoint, None),
             Choice::NoRoom => self.wait_for_room(number, None),
             Choice::Nothing => self.wait_for_endpoint(number),
