--- a/src/gateway/dispatch/request.rs
+++ b/src/gateway/dispatch/request.rs
@@ -212,7 +212,7 @@
     pub fn demand<'a>(&'a self, rules: VersionRules<'a>, alone: bool) -> Demand<'a> {
         Demand {
             alone,
-            is_repeat: self.attempts > 0,
+            is_repeat: self.attempts > 0 && self.is_partly_delivered(),
             service: &self.service,
             engine: self.engine,
             prompt: self.arrival.prompt,
