--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -202,7 +202,6 @@
         let backup = mirror.as_ref().map(|host| host.id.to_string());
         let sent = self.sent_record(request, &attempt, &spec, backup, (usage, waited));
         self.record(sent);
-        self.record_stream_size(number);
         self.fleet.on_attempt(&spec, now);
         self.use_permit(to);
         if let Some(rollout) = self.rollouts.of_mut(&spec.service) {
