--- a/src/gateway/dispatch/admission/wait.rs
+++ b/src/gateway/dispatch/admission/wait.rs
@@ -13,13 +13,13 @@
 
 /// Time over which events are counted: about two streams, so that the rate does not follow a single
 /// burst of ends.
-const WINDOW: Duration = Duration::from_secs(10);
+const RATE_WINDOW: Duration = Duration::from_secs(10);
 /// Shortest observation from which a rate is derived.
 const MIN_OBSERVATION: Duration = Duration::from_secs(1);
 /// Length of the intervals in which events are counted together.
 const INTERVAL_MICROS: u64 = 1_000_000;
 
-/// A count of events over the last [`WINDOW`].
+/// A count of events over the last [`RATE_WINDOW`].
 #[derive(Clone, Debug, Default)]
 struct RecentCount {
     /// Intervals with events, the latest last: their number since time zero, and the events.
@@ -33,14 +33,14 @@
             Some((last, count)) if *last == interval => *count = count.saturating_add(events),
             _ => self.intervals.push_back((interval, events)),
         }
-        let first = now.before(WINDOW).0 / INTERVAL_MICROS;
+        let first = now.before(RATE_WINDOW).0 / INTERVAL_MICROS;
         while self.intervals.front().is_some_and(|(at, _)| *at < first) {
             self.intervals.pop_front();
         }
     }
 
     fn count(&self, now: Micros) -> f64 {
-        let first = now.before(WINDOW).0 / INTERVAL_MICROS;
+        let first = now.before(RATE_WINDOW).0 / INTERVAL_MICROS;
         let recent = self.intervals.iter().filter(|(at, _)| *at >= first);
         recent.map(|(_, count)| f64::from(*count)).sum()
     }
@@ -77,7 +77,7 @@
     /// request is taken to start in it.
     #[must_use]
     pub fn wait(&self, before: usize, boxes: usize, now: Micros) -> Option<Duration> {
-        let observed = now.since(self.observed_since?).min(WINDOW);
+        let observed = now.since(self.observed_since?).min(RATE_WINDOW);
         if observed < MIN_OBSERVATION {
             return None;
         }
--- a/src/gateway/dispatch/load_reports.rs
+++ b/src/gateway/dispatch/load_reports.rs
@@ -2,7 +2,7 @@
 //!
 //! The first store watcher of a domain sums what the boxes of its domain run at engines, which these
 //! tell each other as attempts begin and end. It sends the sums to one box of each other domain, to
-//! another one each time, every [`REPORT_INTERVAL`], or earlier if the sum of KV memory has changed a
+//! another one each time, every [`LOAD_REPORT_INTERVAL`], or earlier if the sum of KV memory has changed a
 //! lot. The receiver forwards a report that is newer than the one it has to the boxes of its own
 //! domain. So the bytes between domains grow with the number of domains, not with that of boxes, and
 //! the work of forwarding is spread over the boxes. Nothing is sent while no engine is used.
@@ -11,7 +11,7 @@
 //! so an idle box does not wake up for it; it has a tick for gossip every 300 ms.
 //!
 //! A report that is lost, or sent to a box that does not run, is followed by the next one after
-//! [`REPORT_INTERVAL`]. If the sender dies, the next store watcher sends once it has found that out,
+//! [`LOAD_REPORT_INTERVAL`]. If the sender dies, the next store watcher sends once it has found that out,
 //! after 3 s; meanwhile the reports expire and placement goes on without them.
 //!
 //! The receivers are not the store watchers of the other domain, because a box knows only those of
@@ -28,9 +28,9 @@
 use crate::schema::{EngineLoad, EngineLoadReport, Micros};
 
 /// Time between two reports.
-const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two looks at the sum of KV memory, after each of which a report may be sent.
-const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+const LOAD_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// A report is sent before its interval is over if the sum of KV memory has changed by more than the
 /// last reported sum divided by this.
 const CHANGE_DIVISOR: u64 = 4;
@@ -50,7 +50,7 @@
     fn is_due(&self, memory: u64, now: Micros) -> bool {
         let (at, reported) = self.last.unwrap_or_default();
         let has_changed = memory.abs_diff(reported) * CHANGE_DIVISOR > reported;
-        has_changed || (memory > 0 && now.since(at) >= REPORT_INTERVAL)
+        has_changed || (memory > 0 && now.since(at) >= LOAD_REPORT_INTERVAL)
     }
 }
 
@@ -61,7 +61,7 @@
         if now < self.load_reports.next_check {
             return;
         }
-        self.load_reports.next_check = now.after(CHECK_INTERVAL);
+        self.load_reports.next_check = now.after(LOAD_CHECK_INTERVAL);
         if !self.store_watchers.is_first(self.peers.roster(), now) {
             self.load_reports.last = None;
             return;
