--- a/src/gateway/dispatch/admission/waiting.rs
+++ b/src/gateway/dispatch/admission/waiting.rs
@@ -305,12 +305,11 @@
             return;
         };
         let best = self.choose_best(request, self.runs_alone(number));
-        match best.map(|e| e.spec.id.clone()) {
-            Some(id) => self.start_attempt(number, &id, None),
-            None => {
-                self.stop_waiting(number, false);
-                self.wait_for_endpoint(number);
-            }
+        if let Some(id) = best.map(|e| e.spec.id.clone()) {
+            self.start_attempt(number, &id, None);
+        } else {
+            self.stop_waiting(number, false);
+            self.wait_for_endpoint(number);
         }
     }
 
