--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -10,21 +10,25 @@
 //! |---|---|
 //! | which tries of callers are the same request | `fingerprint` |
 //! | admission of requests, and immediate refusal | [`admission`] |
+//! | requests that wait for room at an engine | [`admission::queue`], [`admission::room`], [`admission::wait`] |
 //! | which requests are served first | [`priority`] |
 //! | choice of the endpoint of an attempt | [`placement`], costs in [`placement::costs`] |
 //! | start and count of attempts, how long a request waits for an endpoint | [`attempts`] |
 //! | when and how often a request is retried | [`retry`], budget in [`retry_budget`] |
 //! | when a request is given up, the reason, and when its caller may retry | [`refusal`] |
-//! | suspicion of endpoints | [`suspicion`]; avoidance and return to use: `fleet::losses` |
+//! | suspicion of endpoints | [`suspicion`], when they are probed: `probe_timing`; avoidance and return to use: `fleet::losses` |
 //! | effects of a table or an endpoint list that was read | `intake` |
 //! | quarantine of requests that crash their endpoints | [`quarantine`], confirmed in `crashes` |
 //! | duration of streams, for which a stop must leave time | [`stream_time`] |
 //! | effects of an endpoint restart under its id | [`endpoint_restart`], `fleet::incarnations` |
 //! | what endpoints ask of their callers | [`fleet::directives`] |
 //! | load of endpoints with a limit, its division among boxes | [`permits`] |
-//! | location of replicas of KV memory | [`replicas`] |
+//! | reasons for checks of endpoints | [`checks`] |
+//! | location of replicas of KV memory | [`replicas`]; room for them: [`replica_room`] |
 //! | search for the engine that keeps the prompt of a caller that reconnects | [`prompt_search`] |
 //! | work in progress at endpoints | [`fleet::usage`] |
+//! | load of the engines in other failure domains | [`fleet::domain_load`], exchanged by `load_reports` |
+//! | learned speeds of endpoints | [`fleet::speeds`], observed and published in `speed_reports` |
 //! | selection of the boxes that watch the store | [`store_watchers`] |
 //! | gossip between boxes | [`gossip`], [`peers`] |
 //! | change of a service to another version | [`rollout`], executed by [`rollouts`] |
@@ -33,6 +37,8 @@
 //! | readiness of the box | [`readiness`] |
 
 pub mod action;
+pub mod admission;
+pub mod checks;
 mod duties;
 pub mod duty;
 pub mod event;
@@ -46,6 +52,7 @@
 pub mod record;
 pub mod refusal;
 pub mod replica;
+pub mod replica_room;
 pub mod retry_budget;
 pub mod rollout;
 pub mod roster;
@@ -53,7 +60,6 @@
 pub mod stream_time;
 pub mod table;
 
-mod admission;
 mod attempts;
 mod connections;
 mod crashes;
@@ -62,15 +68,18 @@
 mod gossip;
 mod handle;
 mod intake;
+mod load_reports;
 mod outcomes;
 pub mod permits;
-mod prompt_search;
+mod probe_timing;
+pub mod prompt_search;
 mod readiness;
 mod replicas;
 mod request;
 pub mod retry;
 mod rollout_samples;
 mod rollouts;
+mod speed_reports;
 mod suspicion;
 
 use std::collections::BTreeMap;
@@ -84,6 +93,7 @@
 use crate::schema::{BoxId, DomainId, Incarnation, Micros};
 use action::{Action, Command};
 use admission::QueuedRequest;
+use admission::waiting::RoomWaits;
 use crashes::PendingCrashes;
 use duties::DutyClock;
 use duty::{DutyPolicy, Holder, UsageDuty};
@@ -91,11 +101,13 @@
 use fetches::{FetchKind, Fetches};
 use fleet::Fleet;
 use gossip::PendingUsage;
+use load_reports::LoadReports;
 use peers::Peers;
 use permits::Permits;
 use placement::Placer;
 use quarantine::Quarantine;
 use record::{Record, WATCHES_STORE};
+use replica_room::ReplicaRoom;
 use request::Request;
 use retry_budget::{RetryBudget, RetryPolicy};
 use rollout::Rollouts;
@@ -169,6 +181,7 @@
     fleet: Fleet,
     requests: BTreeMap<RequestNumber, Request>,
     queued: Vec<QueuedRequest>,
+    room_waits: RoomWaits,
     budget: RetryBudget,
     peers: Peers,
     table_fetches: Fetches,
@@ -191,6 +204,8 @@
     duty: Option<UsageDuty>,
     duty_clock: DutyClock,
     permits: Permits,
+    load_reports: LoadReports,
+    replica_room: ReplicaRoom,
     actions: Vec<Action>,
 }
 
@@ -209,6 +224,7 @@
             fleet: Fleet::default(),
             requests: BTreeMap::new(),
             queued: Vec::new(),
+            room_waits: RoomWaits::default(),
             budget: RetryBudget::new(cfg.retries),
             peers: Peers::new(
                 cfg.me.clone(),
@@ -238,6 +254,8 @@
             duty: usage_duty(&cfg),
             duty_clock: DutyClock::new(now),
             permits: Permits::default(),
+            load_reports: LoadReports::default(),
+            replica_room: ReplicaRoom::default(),
             actions: Vec::new(),
             cfg,
         }
@@ -269,6 +287,7 @@
             self.pending_crashes.due(),
             self.quarantine.next_evaluation(),
             self.permits.due(|id| self.fleet.directives.limits.of(id)),
+            self.room_waits.due(),
         ];
         let due = others.into_iter().flatten().fold(due, Micros::min);
         if self.active() == 0 && self.rollouts.is_at_rest() {
@@ -331,6 +350,7 @@
     }
 
     fn on_tick(&mut self) {
+        self.compare_speeds();
         self.settle_crashes();
         self.maintain_limits();
         self.check_requests();
@@ -359,6 +379,7 @@
         self.fetch_if_behind();
         self.forget_crashes();
         self.gossip_usage_if_due();
+        self.publish_load_if_due();
         self.gossip_if_due();
     }
 
--- a/src/gateway/dispatch/action.rs
+++ b/src/gateway/dispatch/action.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::gateway::dispatch::checks::CheckReason;
 use crate::gateway::dispatch::duty::SettledWindow;
 use crate::gateway::dispatch::duty::lease::StoreCall;
 use crate::gateway::dispatch::event::{AttemptNumber, EndpointSpec, RequestNumber, SnapshotName};
@@ -13,8 +14,9 @@
 use crate::gateway::dispatch::replica::ReplicaLocation;
 use crate::gateway::dispatch::rollout::status::StatusWrite;
 use crate::schema::{
-    BoxState, CrashUpdate, DepartureUpdate, DutyHolder, EndpointId, EndpointIncarnation,
-    Fingerprint, LimitUpdate, OrganisationId, StateRequest, UsageCountUpdate, UsageUpdate,
+    BoxId, BoxState, CrashUpdate, DepartureUpdate, DutyHolder, EndpointId, EndpointIncarnation,
+    EngineLoadReport, Fingerprint, LimitUpdate, OrganisationId, SpeedUpdate, StateRequest,
+    UsageCountUpdate, UsageUpdate,
 };
 
 /// Attempt of a request at an endpoint.
@@ -96,6 +98,8 @@
     },
     /// Request an endpoint's load report, to find out whether it answers.
     Probe {
+        /// Why it is probed.
+        reason: CheckReason,
         /// Endpoint that is probed.
         endpoint: EndpointId,
         /// Address of the endpoint.
@@ -190,6 +194,22 @@
         /// Endpoints that are leaving.
         update: DepartureUpdate,
     },
+    /// Send peers the load of a failure domain on engines by UDP.
+    PublishLoad {
+        /// Addresses of the receivers.
+        to: Vec<SocketAddr>,
+        /// This box.
+        from: BoxId,
+        /// Load of the own failure domain, or of another one that is forwarded.
+        report: EngineLoadReport,
+    },
+    /// Send peers the speeds of endpoints that this box observed, by UDP.
+    PublishSpeeds {
+        /// Addresses of the receivers.
+        to: Vec<SocketAddr>,
+        /// Observed speeds.
+        update: SpeedUpdate,
+    },
     /// Send peers the limits of endpoints, permit requests and granted permits by UDP.
     PublishLimits {
         /// Addresses of the receivers.
--- a/src/gateway/dispatch/fleet.rs
+++ b/src/gateway/dispatch/fleet.rs
@@ -3,17 +3,22 @@
 //! The list, from the store or from a peer, names the endpoints and those that are leaving
 //! (`list`). A process that restarts begins another incarnation of its endpoint, and the state of
 //! the earlier one is dropped (`incarnations`). What endpoints ask of their callers
-//! is in [`directives`], their load is in [`usage`] and their recent failures are in [`health`]. Endpoints that are avoided,
-//! suspected or unreachable are in `losses`.
+//! is in [`directives`], their load is in [`usage`], their learned speeds are in [`speeds`] and their recent failures are in [`health`]. Endpoints that are avoided,
+//! suspected or unreachable are in `losses`, requests for their identity in `identity_requests`;
+//! whether engines prefill prompts is in `reading`.
 //!
 //! Inputs: the list, ends of attempts and probes, and states of peers. State: all of the above; an
 //! endpoint is forgotten once it is neither listed nor in use.
 
 pub mod directives;
+pub mod domain_load;
 pub mod health;
+mod identity_requests;
 mod incarnations;
 mod list;
 mod losses;
+mod reading;
+pub mod speeds;
 pub mod usage;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -24,8 +29,11 @@
     ServiceId,
 };
 use directives::Directives;
+use domain_load::DomainLoads;
 use health::{Answers, EndpointHealth, FailureShares};
+use identity_requests::IdentityShare;
 use losses::Losses;
+use speeds::Speeds;
 use usage::{PeerUsage, ReportedUsage};
 
 pub use usage::Usage;
@@ -45,6 +53,8 @@
     pub own: Usage,
     /// Load that other boxes reported.
     others: Vec<PeerUsage>,
+    /// Until when prompts of other boxes may be prefilled there.
+    reads_until: Micros,
     /// When an attempt or a probe last got a message from it.
     pub last_seen: Micros,
     /// When the probe that is unanswered was sent.
@@ -78,6 +88,7 @@
             is_displaced: false,
             own: Usage::default(),
             others: Vec::new(),
+            reads_until: Micros::ZERO,
             last_seen: Micros::ZERO,
             probe_sent: None,
             last_probe: Micros::ZERO,
@@ -144,14 +155,20 @@
 pub struct Fleet {
     endpoints: BTreeMap<EndpointId, Endpoint>,
     losses: Losses,
+    /// This box's share of the identity requests of its domain.
+    identity_share: IdentityShare,
     /// What endpoints ask of their callers.
     pub directives: Directives,
     /// Endpoints that the list dropped or showed as leaving or unreadable, and when.
     departed: BTreeMap<EndpointId, Micros>,
+    /// Learned speeds of engines and plain servers.
+    pub speeds: Speeds,
     /// Outcomes of attempts of this box that were not published to peers yet.
     unpublished: BTreeMap<EndpointId, EndpointAnswers>,
     /// Load of the boxes of other failure domains at plain services.
     domain_usage: BTreeMap<DomainId, ReportedUsage>,
+    /// Load of the boxes of other failure domains on engines.
+    domain_loads: DomainLoads,
     /// The services that the configuration names, or `None` before the first configuration.
     services: Option<BTreeSet<ServiceId>>,
     /// How many incarnations of endpoints this box has learnt of.
@@ -330,7 +347,7 @@
     /// Applies a peer's losses, its load, and the load of other failure domains that it reports.
     pub fn on_peer(&mut self, state: &BoxState, own: &DomainId, now: Micros) {
         self.on_peer_losses(&state.lost, now);
-        self.on_peer_state(&state.from, &state.usage, now);
+        self.on_peer_state(state, own, now);
         self.on_domain_usage(&state.domain_usage, own, now);
     }
 }
--- a/src/gateway/dispatch/fleet/list.rs
+++ b/src/gateway/dispatch/fleet/list.rs
@@ -155,14 +155,21 @@
 
     /// Forgets endpoints that are neither listed nor used by this box.
     pub fn forget_unused(&mut self) {
+        let known = self.endpoints.len();
         self.endpoints
             .retain(|_, e| e.listed || e.own != Usage::default());
+        if self.endpoints.len() < known {
+            let endpoints = &self.endpoints;
+            self.speeds.retain(|id| endpoints.contains_key(id));
+        }
         self.directives
             .retain_limits(|id| self.endpoints.contains_key(id));
     }
 
-    /// Handles another process at the address of an endpoint, which has therefore exited.
-    pub fn on_replaced(&mut self, id: &EndpointId) {
+    /// Handles another process at the address of an endpoint, which has therefore exited. Peers are
+    /// notified of the loss: in an outage of the store they would all send there.
+    pub fn on_replaced(&mut self, id: &EndpointId, now: Micros) {
+        self.record_loss(id, now, true);
         self.unlist(id);
     }
 
--- a/src/gateway/dispatch/fleet/usage.rs
+++ b/src/gateway/dispatch/fleet/usage.rs
@@ -3,18 +3,22 @@
 //! A peer of the own failure domain reports at once what it started and ended at an endpoint, and
 //! periodically all that it runs. Reports age: prompts are prefilled meanwhile, and after about the
 //! time of a stream a report no longer counts. Of other domains this box gets the sums over all
-//! their boxes, for plain services only.
+//! their boxes: for plain services here, and for engines in [`super::domain_load`], whose sums
+//! replace what single boxes of those domains report.
 
+use std::ops::Add;
 use std::time::Duration;
 
+use super::speeds::TokensPerMs;
 use super::{Endpoint, Fleet};
-use crate::schema::{BoxId, DomainId, DomainUsage, EndpointId, EndpointUsage, Micros};
+use crate::schema::{BoxId, BoxState, DomainId, DomainUsage, EndpointId, EndpointUsage, Micros};
 
-/// Prompt tokens that an engine prefills in a millisecond.
+/// Prompt tokens that an engine prefills in a millisecond, as long as nothing else is learned
+/// ([`super::speeds`]).
 pub const PREFILL_TOKENS_PER_MS: f64 = 5.0;
 /// How long a peer's report about an engine counts: about as long as a stream takes (3.9 s from the
 /// first event on if no other prompt is prefilled).
-const ENGINE_REPORT_LIFETIME: Duration = Duration::from_secs(5);
+pub(super) const ENGINE_REPORT_LIFETIME: Duration = Duration::from_secs(5);
 /// How long a peer's report about a plain service counts: five intervals of messages between boxes.
 const PLAIN_REPORT_LIFETIME: Duration = Duration::from_millis(1_500);
 /// How long the sum over the boxes of another failure domain counts.
@@ -31,11 +35,26 @@
     pub memory: u32,
 }
 
+impl Add for Usage {
+    type Output = Self;
+
+    /// Adds two loads; reports of peers are not trusted to stay within the range of the numbers.
+    fn add(self, other: Self) -> Self {
+        Self {
+            running: self.running.saturating_add(other.running),
+            prefill: self.prefill.saturating_add(other.prefill),
+            memory: self.memory.saturating_add(other.memory),
+        }
+    }
+}
+
 /// The source of a report.
 #[derive(Clone, Debug, Eq, PartialEq)]
 enum Source {
-    /// A box, about its own load.
+    /// A box of the own failure domain, about its own load.
     Box(BoxId),
+    /// A box of another failure domain, about its own load.
+    RemoteBox(BoxId, DomainId),
     /// Some box, about the load of all boxes of a failure domain.
     Domain(DomainId),
 }
@@ -56,30 +75,48 @@
 }
 
 impl PeerUsage {
-    /// The load that the report still stands for, without what was prefilled meanwhile; `None` once
-    /// it has expired.
-    fn remaining(&self, now: Micros) -> Option<Usage> {
-        let age = now.since(self.at);
+    /// Whether the report has expired.
+    fn is_expired(&self, now: Micros) -> bool {
         let is_engine = self.usage.memory > 0;
         let lifetime = match self.from {
-            Source::Box(_) if is_engine => ENGINE_REPORT_LIFETIME,
-            Source::Box(_) => PLAIN_REPORT_LIFETIME,
+            Source::Box(_) | Source::RemoteBox(..) if is_engine => ENGINE_REPORT_LIFETIME,
+            Source::Box(_) | Source::RemoteBox(..) => PLAIN_REPORT_LIFETIME,
             Source::Domain(_) => DOMAIN_REPORT_LIFETIME,
         };
-        let prefilled = (age.as_secs_f64() * 1_000.0 * PREFILL_TOKENS_PER_MS) as u32;
-        (age < lifetime).then_some(Usage {
+        now.since(self.at) >= lifetime
+    }
+
+    /// The load that the report still stands for, without what an engine of this rate prefilled
+    /// meanwhile; `None` once it has expired.
+    fn remaining(&self, rate: TokensPerMs, now: Micros) -> Option<Usage> {
+        let prefilled = rate.tokens_in(now.since(self.at));
+        (!self.is_expired(now)).then_some(Usage {
             prefill: self.usage.prefill.saturating_sub(prefilled),
             ..self.usage
         })
     }
 }
 
+impl Endpoint {
+    /// The load of this box and those of its failure domain; `rate` is the endpoint's own.
+    pub(super) fn usage_of_own_domain(&self, rate: TokensPerMs, now: Micros) -> Usage {
+        let reports = self.others.iter();
+        let local = reports.filter(|other| matches!(other.from, Source::Box(_)));
+        let local = local.filter_map(|other| other.remaining(rate, now));
+        local.fold(self.own, Add::add)
+    }
+}
+
 impl Fleet {
     /// Replaces the load of a peer by a report of all that it runs.
-    pub(super) fn on_peer_state(&mut self, from: &BoxId, usage: &[EndpointUsage], now: Micros) {
-        let from = Source::Box(from.clone());
+    pub(super) fn on_peer_state(&mut self, state: &BoxState, own: &DomainId, now: Micros) {
+        let from = if state.domain == *own {
+            Source::Box(state.from.clone())
+        } else {
+            Source::RemoteBox(state.from.clone(), state.domain.clone())
+        };
         self.forget_reports_of(&from);
-        self.add_reports(&from, usage, now);
+        self.add_reports(&from, &state.usage, now);
     }
 
     /// Updates the load of a peer at some endpoints.
@@ -127,12 +164,16 @@
 
     fn add_reports(&mut self, from: &Source, usage: &[EndpointUsage], now: Micros) {
         for report in usage {
-            let Some(endpoint) = self.get_incarnation_mut(&report.endpoint) else {
+            let found = self.endpoints.get_mut(&report.endpoint.id);
+            let Some(endpoint) = found.filter(|e| e.is_incarnation(&report.endpoint)) else {
                 continue;
             };
             endpoint
                 .others
-                .retain(|other| other.from != *from && other.remaining(now).is_some());
+                .retain(|other| other.from != *from && !other.is_expired(now));
+            if matches!(from, Source::Box(_)) {
+                endpoint.on_reported_prefill(report.reading, now);
+            }
             endpoint.others.push(PeerUsage {
                 from: from.clone(),
                 at: now,
@@ -142,6 +183,10 @@
                     memory: report.memory,
                 },
             });
+            if report.reading > 0 {
+                self.speeds
+                    .on_peer_prompt(&endpoint.spec, report.reading, now);
+            }
         }
     }
 
@@ -150,13 +195,9 @@
     pub fn usage_of_domain(&self, domain: &DomainId, now: Micros) -> DomainUsage {
         let mut found = Vec::new();
         for endpoint in self.endpoints.values() {
-            let reports = endpoint.others.iter();
-            let local = reports.filter(|other| matches!(other.from, Source::Box(_)));
-            let local = local.filter_map(|other| other.remaining(now));
-            let (running, memory) = local.fold(
-                (endpoint.own.running, endpoint.own.memory),
-                |(running, memory), usage| (running + usage.running, memory + usage.memory),
-            );
+            let Usage {
+                running, memory, ..
+            } = endpoint.usage_of_own_domain(self.speeds.prefill(&endpoint.spec), now);
             if running > 0 && memory == 0 {
                 found.push(EndpointUsage {
                     endpoint: endpoint.spec.incarnation(),
@@ -176,17 +217,14 @@
     /// The load of an endpoint over all boxes, as far as their reports have not expired.
     #[must_use]
     pub fn usage(&self, endpoint: &Endpoint, now: Micros) -> Usage {
-        let mut total = endpoint.own;
-        for other in endpoint
-            .others
-            .iter()
-            .filter_map(|other| other.remaining(now))
-        {
-            total.running += other.running;
-            total.prefill += other.prefill;
-            total.memory += other.memory;
-        }
-        total
+        let rate = self.speeds.prefill(&endpoint.spec);
+        let loads = self.domain_loads.at(&endpoint.spec, now);
+        let others = endpoint.others.iter().filter(|other| match &other.from {
+            Source::RemoteBox(_, domain) => !loads.replaces_boxes_of(domain),
+            Source::Box(_) | Source::Domain(_) => true,
+        });
+        let others = others.filter_map(|other| other.remaining(rate, now));
+        others.fold(endpoint.own + loads.total(), Add::add)
     }
 
     /// The load that this box causes at an endpoint, to publish.
--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -95,6 +95,7 @@
             return;
         }
         self.pending_usage.record_sent(to.len(), self.now);
+        self.publish_answer_times(&to);
         let usage = endpoints.iter().filter_map(|id| self.fleet.own_usage(id));
         let update = UsageUpdate {
             from: self.cfg.me.clone(),
@@ -115,12 +116,15 @@
     }
 
     pub(super) fn on_peer_usage(&mut self, update: &UsageUpdate) {
+        let before = self.load_at(&update.usage);
         self.fleet
             .on_peer_usage(&update.from, &update.usage, self.now);
+        self.on_load_reported(&before);
         self.fleet.on_peer_answers(&update.answers, self.now);
         self.budget
             .on_peer_totals(&update.from, &update.totals, self.now);
         self.on_peer_rollout_update(update);
+        self.publish_load_if_due();
     }
 
     /// Brings the next gossip forward to [`GOSSIP_BATCH_DELAY`] from now at the latest.
@@ -138,6 +142,7 @@
             self.update_allocators();
             self.publish_limits(to.clone());
             self.publish_departures(to.clone());
+            self.publish_engine_speeds(&to);
             self.gossip_state(to);
         }
     }
@@ -272,7 +277,9 @@
         };
         self.store_watchers
             .on_contact(contact, &mut self.rng, self.now);
+        let before = self.load_at(&state.usage);
         self.fleet.on_peer(state, &self.cfg.domain, self.now);
+        self.on_load_reported(&before);
         self.budget
             .on_peer_totals(&state.from, &state.totals, self.now);
         self.store_watchers
--- a/src/gateway/dispatch/handle.rs
+++ b/src/gateway/dispatch/handle.rs
@@ -34,6 +34,8 @@
             | Event::PeerHolder(_)
             | Event::PeerLimits(_)
             | Event::PeerDepartures(_)
+            | Event::PeerLoad(_)
+            | Event::PeerSpeeds(_)
             | Event::Fetched { .. }
             | Event::Seeds(_) => self.handle_update(event),
             Event::TimeOfDay(day) => self.on_time_of_day(day),
@@ -47,6 +49,7 @@
             | Event::Located { .. }
             | Event::SnapshotTaken { .. } => self.handle_endpoint_answer(event),
         }
+        self.serve_waiting();
         std::mem::take(&mut self.actions)
     }
 
@@ -101,6 +104,8 @@
             Event::PeerHolder(holder) => self.on_peer_holder(&holder),
             Event::PeerLimits(update) => self.on_peer_limits(&update),
             Event::PeerDepartures(update) => self.on_peer_departures(&update),
+            Event::PeerLoad(report) => self.on_peer_load(&report),
+            Event::PeerSpeeds(update) => self.fleet.on_peer_speeds(&update, self.now),
             Event::Fetched {
                 kind,
                 from,
--- a/src/gateway/dispatch/outcomes.rs
+++ b/src/gateway/dispatch/outcomes.rs
@@ -23,6 +23,7 @@
 impl Dispatcher {
     pub(super) fn on_caller_disconnected(&mut self, number: RequestNumber) {
         self.queued.retain(|queued| queued.number != number);
+        self.stop_waiting(number, false);
         let Some(request) = self.requests.remove(&number) else {
             return;
         };
@@ -75,6 +76,7 @@
             return;
         };
         active.is_connected = true;
+        let event_pause = active.has_events.then(|| now.since(active.last_seen));
         active.last_seen = now;
         let is_first = !std::mem::replace(&mut active.has_events, true);
         active.first_event.get_or_insert((now, last_event));
@@ -83,7 +85,9 @@
         if let Some(endpoint) = self.fleet.get_incarnation_mut(&endpoint) {
             endpoint.last_seen = now;
             endpoint.own.prefill = endpoint.own.prefill.saturating_sub(prefilled);
+            endpoint.on_event_pause(event_pause.unwrap_or_default(), now);
         }
+        self.observe_engine(number, prefilled);
         self.record_crash_progress(number);
         self.sample_events(number, attempt);
         if is_first {
@@ -134,6 +138,7 @@
         }
         self.record_end(number, &active, outcome);
         self.sample_end(number, &active, outcome);
+        self.observe_call(number, &active, outcome);
         self.count_call(number, outcome);
         self.suspect_crash(number, &active, outcome);
         self.uncount_attempt(&active);
@@ -153,7 +158,8 @@
             Outcome::NotRun(NotRunCause::OtherInstance(instance)) => {
                 self.identify(endpoint, instance.as_ref());
                 self.fleet.on_reached(endpoint);
-                self.fleet.on_replaced(endpoint);
+                self.fleet.on_replaced(endpoint, self.now);
+                self.gossip_soon();
             }
             Outcome::Answered { status } if *status < LEAST_ERROR_STATUS => {
                 self.fleet.on_success(endpoint, self.now);
@@ -187,6 +193,11 @@
         match after_attempt(outcome, request.may_run_again()) {
             AfterAttempt::Finish => self.finish(number, Command::Finish, true),
             AfterAttempt::TryAgain => self.start_next_attempt(number),
+            AfterAttempt::TryAgainCharged => {
+                let service = request.service.clone();
+                self.budget.charge(&service, self.now);
+                self.start_next_attempt(number);
+            }
             // The retry waits for the verdict on the crash of its endpoint (`super::crashes`).
             AfterAttempt::Retry if request.retry_at.is_some() => {}
             AfterAttempt::Retry => self.retry(number),
@@ -249,7 +260,8 @@
             return;
         }
         self.identify(endpoint, Some(instance));
-        self.fleet.on_replaced(endpoint);
+        self.fleet.on_replaced(endpoint, self.now);
+        self.gossip_soon();
     }
 
     /// Starts an identity check of an instance that took over an engine's address. During a store
--- a/src/gateway/dispatch/record.rs
+++ b/src/gateway/dispatch/record.rs
@@ -6,10 +6,11 @@
 mod sentence;
 
 use std::borrow::Cow;
+use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::dispatch::event::{EndpointChange, Fault};
+use crate::gateway::dispatch::event::{EndpointChange, Fault, SnapshotFailure};
 use crate::gateway::dispatch::refusal::RefusalReason;
 use crate::schema::EndpointId;
 
@@ -86,6 +87,16 @@
         #[serde(default, skip_serializing_if = "Option::is_none")]
         tier: Option<u8>,
     },
+    /// A request waits because no engine has room for it.
+    Waiting {
+        /// The caller's request id.
+        request: String,
+        /// The rank of the request, if the configuration distinguishes ranks.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        tier: Option<u8>,
+        /// Requests of this box that start before it.
+        place: usize,
+    },
     /// An attempt was started.
     Sent {
         /// The caller's request id.
@@ -114,6 +125,12 @@
         running: u32,
         /// Milliseconds until the request's deadline.
         left_ms: u64,
+        /// The rank of the request, if the configuration distinguishes ranks.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        tier: Option<u8>,
+        /// Milliseconds for which the request waited for room at an engine, if it did.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        waited_ms: Option<u64>,
     },
     /// An attempt ended.
     Ended {
@@ -160,6 +177,9 @@
         is_made: bool,
         /// Milliseconds that it took.
         after_ms: u64,
+        /// Why it was not taken; absent in logs of earlier versions.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        failure: Option<SnapshotFailure>,
     },
     /// An attempt was abandoned, since its endpoint did not answer a probe or a call took too long.
     Suspected {
@@ -182,6 +202,12 @@
         attempts: u32,
         /// The fault of the last failed attempt.
         fault: Option<Fault>,
+        /// The rank of the request, if the configuration distinguishes ranks.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        tier: Option<u8>,
+        /// Milliseconds for which the request had waited for room at an engine, if it did.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        waited_ms: Option<u64>,
     },
     /// A request was answered.
     Answered {
@@ -283,6 +309,17 @@
         /// The endpoint.
         endpoint: String,
     },
+    /// The engines of a service turned out to be of different speeds, or to be even again.
+    EngineSpeeds {
+        /// The service.
+        service: String,
+        /// Engines whose prefill rate differs from the median; 0 if they are even.
+        differing: usize,
+        /// Engines whose prefill rate is known.
+        known: usize,
+        /// The prefill rate of the other engines, prompt tokens per ms.
+        median: f64,
+    },
     /// An endpoint crashed while it ran a request.
     Crashed {
         /// The caller's request id.
@@ -298,6 +335,12 @@
         /// Crashes that count against the request, including this one.
         counted: usize,
     },
+    /// Endpoints were sent something that is not a caller's request since the last such record; at
+    /// most one record a second.
+    Checks {
+        /// The number of checks by reason.
+        counts: BTreeMap<String, u64>,
+    },
     /// A request was quarantined, so it is no longer sent to any endpoint.
     Quarantined {
         /// The fingerprint by which retries are recognised.
@@ -336,6 +379,7 @@
     pub fn request(&self) -> Option<&str> {
         match self {
             Self::Arrived { request, .. }
+            | Self::Waiting { request, .. }
             | Self::Sent { request, .. }
             | Self::Begun { request, .. }
             | Self::Ended { request, .. }
@@ -355,6 +399,8 @@
             | Self::Limited { .. }
             | Self::RestAsked { .. }
             | Self::LeavingStated { .. }
+            | Self::Checks { .. }
+            | Self::EngineSpeeds { .. }
             | Self::Quarantined { .. }
             | Self::Released { .. }
             | Self::Rollout { .. }
--- a/src/gateway/dispatch/record/sentence.rs
+++ b/src/gateway/dispatch/record/sentence.rs
@@ -8,6 +8,7 @@
     pub fn sentence(&self) -> String {
         match self {
             Self::Arrived { .. }
+            | Self::Waiting { .. }
             | Self::Begun { .. }
             | Self::Resumed { .. }
             | Self::Answered { .. }
@@ -24,9 +25,11 @@
             Self::Endpoint { .. }
             | Self::Endpoints { .. }
             | Self::Reborn { .. }
+            | Self::Checks { .. }
             | Self::Limited { .. }
             | Self::RestAsked { .. }
-            | Self::LeavingStated { .. } => self.endpoint_sentence(),
+            | Self::LeavingStated { .. }
+            | Self::EngineSpeeds { .. } => self.endpoint_sentence(),
             Self::Quarantined {
                 fingerprint,
                 crashes,
@@ -55,6 +58,7 @@
                 "endpoints at {at}: {present} present, {leaving} leaving, {absent} absent, \
                  {unreadable} unreadable"
             ),
+            Self::Checks { counts } => format!("checks of endpoints: {counts:?}"),
             Self::Reborn { endpoint, born, .. } => {
                 format!(
                     "{endpoint} has restarted, start time {}",
@@ -74,6 +78,14 @@
                 format!("{endpoint} wants no request from this box for {for_ms} ms")
             }
             Self::LeavingStated { endpoint } => format!("{endpoint} says that it is leaving"),
+            Self::EngineSpeeds {
+                service,
+                differing,
+                known,
+                median,
+            } => format!(
+                "{differing} of {known} engines of {service} differ from {median:.1} tokens/ms"
+            ),
             _ => String::new(),
         }
     }
@@ -113,10 +125,16 @@
                 table,
                 prompt,
                 fingerprint,
+                tier,
                 ..
             } => format!(
                 "arrived for route {route}, table {table}, prompt of {prompt} tokens, fingerprint \
-                 {fingerprint}"
+                 {fingerprint}{}",
+                of_tier(*tier)
+            ),
+            Self::Waiting { tier, place, .. } => format!(
+                "waits for room at an engine{}; requests before it: {place}",
+                of_tier(*tier)
             ),
             Self::Begun {
                 endpoint, after_ms, ..
@@ -133,11 +151,15 @@
                 after_ms,
                 attempts,
                 fault,
+                waited_ms,
                 ..
             } => {
+                let waited = waited(*waited_ms);
                 let fault = fault.map_or(String::new(), |f| format!(", last fault: {f:?}"));
                 let reason = reason.word();
-                format!("given up after {after_ms} ms: {reason}, attempts: {attempts}{fault}")
+                format!(
+                    "given up after {after_ms} ms: {reason}, attempts: {attempts}{waited}{fault}"
+                )
             }
             _ => String::new(),
         }
@@ -151,10 +173,13 @@
                 holder,
                 is_made,
                 after_ms,
+                failure,
                 ..
             } => {
                 let taken = if *is_made { "taken" } else { "not taken" };
-                format!("snapshot {taken} at {holder} after {after_ms} ms")
+                let why = failure.map(|failure| format!(": {failure}"));
+                let why = why.unwrap_or_default();
+                format!("snapshot {taken} at {holder} after {after_ms} ms{why}")
             }
             Self::Suspected {
                 endpoint,
@@ -192,6 +217,7 @@
             reading,
             running,
             left_ms,
+            waited_ms,
             ..
         } = self
         else {
@@ -202,7 +228,8 @@
         let mirror = backup.as_deref().unwrap_or("none");
         format!(
             "attempt {attempt} at {endpoint} in {domain}{from}{after}, mirror: {mirror}; \
-             running there: {running}, prompt tokens waiting: {reading}; {left_ms} ms left"
+             running there: {running}, prompt tokens waiting: {reading}; {left_ms} ms left{}",
+            waited(*waited_ms)
         )
     }
 
@@ -229,3 +256,13 @@
         )
     }
 }
+
+fn of_tier(tier: Option<u8>) -> String {
+    tier.map_or(String::new(), |rank| format!(", tier {rank}"))
+}
+
+fn waited(waited_ms: Option<u64>) -> String {
+    waited_ms.map_or(String::new(), |ms| {
+        format!(", after a wait of {ms} ms for room")
+    })
+}
--- a/src/gateway/dispatch/request.rs
+++ b/src/gateway/dispatch/request.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use super::event::{Arrival, AttemptNumber, Fault, Tokens};
+use super::fleet::speeds::AttemptWatch;
 use super::placement::Demand;
 use super::priority::Tier;
 use super::refusal::HasRun;
@@ -38,15 +39,21 @@
     /// What was counted for a roll-out. The first event is not counted if other prompts were queued
     /// before it: the few endpoints of a canary version have queues more often than the many others.
     pub sampled: Sampled,
+    /// What the attempt tells of the speed of its engine.
+    pub watch: AttemptWatch,
     /// Failure domain of the endpoint.
     pub domain: DomainId,
     pub address: SocketAddr,
     /// The host that the engine mirrors the KV memory of the attempt to.
     pub mirror: Option<EndpointIncarnation>,
     pub snapshot: Option<Snapshot>,
+    /// Snapshots that failed since the last one that was taken.
+    pub failed_snapshots: u32,
     pub next_replica_check: Micros,
     /// Tokens of the prompt that are counted as queued for prefill at the endpoint.
     pub prefill: u32,
+    /// Tokens of other prompts that were queued for prefill at the endpoint when the attempt started.
+    pub queued_prefill: u32,
     /// Tokens of KV memory that are counted for the attempt, at the endpoint and at each replica's
     /// host.
     pub memory: u32,
@@ -179,20 +186,36 @@
         millis(now.since(self.arrived))
     }
 
-    /// Tokens of KV memory that the request takes at an engine; 0 for a plain service.
+    /// Tokens of KV memory that the request takes at an engine, at most all that the engine has; 0 for
+    /// a plain service.
     pub fn memory(&self) -> Tokens {
         match self.engine {
-            Some(_) => Tokens(self.arrival.prompt.0 + self.arrival.output.0),
+            Some(engine) => {
+                let stated = self.arrival.prompt.0.saturating_add(self.arrival.output.0);
+                Tokens(stated.min(engine.kv_tokens))
+            }
             None => Tokens(0),
         }
     }
 
+    /// Whether the request waits while no engine has room: only streams do.
+    pub fn waits_for_room(&self) -> bool {
+        self.engine.is_some() && self.route.kind.is_stream()
+    }
+
+    /// Whether the caller has received events, from this box or from an earlier one.
+    pub fn is_partly_delivered(&self) -> bool {
+        self.has_begun || self.last_event.is_some()
+    }
+
     /// The properties of this request that its placement depends on.
     pub fn demand<'a>(&'a self, rules: VersionRules<'a>, alone: bool) -> Demand<'a> {
         Demand {
             alone,
+            is_repeat: self.attempts > 0 && self.is_partly_delivered(),
             service: &self.service,
             engine: self.engine,
+            prompt: self.arrival.prompt,
             memory: self.memory(),
             tried: &self.tried,
             key: self.key,
--- a/src/gateway/shell/metrics.rs
+++ b/src/gateway/shell/metrics.rs
@@ -4,11 +4,16 @@
 //! log, so that the metrics and the log always agree. Other durations are observed by the code that
 //! measures them.
 
-use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
+use std::collections::BTreeMap;
+
+use prometheus::{CounterVec, Histogram, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 
 use crate::gateway::dispatch::fetches::FetchKind;
 use crate::gateway::dispatch::permits::PermitCounts;
+use crate::gateway::dispatch::priority::Tier;
 use crate::gateway::dispatch::record::{FETCH_BUSY, FETCHED_WHOLE, Record};
+use crate::gateway::dispatch::refusal::RefusalReason;
+use crate::gateway::shell::check_counts::CheckCounters;
 use crate::gateway::shell::watcher::StoreRequest;
 use crate::metrics::MetricSet;
 
@@ -29,10 +34,15 @@
     pub boxes_local: IntGauge,
     /// Number of known running boxes in all failure domains, including this one.
     pub boxes: IntGauge,
+    /// Number of other failure domains whose load on engines is known.
+    pub load_domains: IntGauge,
     endpoints: EndpointMetrics,
+    waits: WaitMetrics,
     store_calls: IntCounterVec,
     /// Number of probes sent to endpoints.
     pub probes: IntCounter,
+    /// Numbers of checks of endpoints by reason.
+    pub checks: CheckCounters,
     rollouts: IntCounterVec,
     /// Response times of the platform's store in seconds, except for watches.
     pub store_seconds: Histogram,
@@ -58,15 +68,26 @@
     refusals: IntCounterVec,
     attempts: IntCounterVec,
     snapshots: IntCounterVec,
+    snapshot_failures: IntCounterVec,
     suspected: IntCounter,
 }
 
+/// Metrics of requests that wait for room at an engine, by tier.
+#[derive(Debug)]
+struct WaitMetrics {
+    waiting: IntGaugeVec,
+    started: IntCounterVec,
+    refused: IntCounterVec,
+    seconds: CounterVec,
+}
+
 /// Metrics of endpoints: stated limits, permits, restarts and crashes.
 #[derive(Debug)]
 struct EndpointMetrics {
     stating_limit: IntGauge,
     resting: IntGauge,
     stating_leaving: IntGauge,
+    of_other_speed: IntGauge,
     permits: IntCounterVec,
     restarted: IntCounter,
     crashes: IntCounter,
@@ -114,6 +135,11 @@
                 "Copies of runs that engines were asked for, by what came of it",
                 "result",
             ),
+            snapshot_failures: set.counters(
+                "snapshot_failures_total",
+                "Snapshots that were not taken, by reason",
+                "reason",
+            ),
             suspected: set.counter(
                 "suspected_total",
                 "Runs that were left since their endpoint was silent",
@@ -136,9 +162,15 @@
                 self.attempts.with_label_values(&[kind]).inc();
             }
             Record::Resumed { pause_ms, .. } => self.resume_seconds.observe(seconds(*pause_ms)),
-            Record::Copied { is_made, .. } => {
+            Record::Copied {
+                is_made, failure, ..
+            } => {
                 let result = if *is_made { "made" } else { "failed" };
                 self.snapshots.with_label_values(&[result]).inc();
+                if let Some(failure) = failure {
+                    let reason = failure.to_string();
+                    self.snapshot_failures.with_label_values(&[&reason]).inc();
+                }
             }
             Record::Suspected { .. } => self.suspected.inc(),
             Record::Refused {
@@ -152,6 +184,68 @@
     }
 }
 
+impl WaitMetrics {
+    fn new(set: &MetricSet) -> Self {
+        Self {
+            waiting: set.gauges(
+                "room_waiting",
+                "Requests that wait for room at an engine, by tier",
+                "tier",
+            ),
+            started: set.counters(
+                "room_started_total",
+                "Requests that started after a wait for room at an engine, by tier",
+                "tier",
+            ),
+            refused: set.counters(
+                "room_refused_total",
+                "Requests that were refused for want of room at an engine, by tier",
+                "tier",
+            ),
+            seconds: set.sums(
+                "room_waited_seconds_total",
+                "Seconds that requests waited for room at an engine, by tier",
+                "tier",
+            ),
+        }
+    }
+
+    fn on_record(&self, record: &Record) {
+        let (tier, waited_ms) = match record {
+            Record::Sent {
+                tier, waited_ms, ..
+            }
+            | Record::Refused {
+                tier, waited_ms, ..
+            } => (tier.unwrap_or_default().to_string(), *waited_ms),
+            _ => return,
+        };
+        if let Some(waited_ms) = waited_ms {
+            let sum = self.seconds.with_label_values(&[&tier]);
+            sum.inc_by(seconds(waited_ms));
+        }
+        match record {
+            Record::Sent { .. } if waited_ms.is_some() => {
+                self.started.with_label_values(&[&tier]).inc();
+            }
+            Record::Refused {
+                reason: RefusalReason::NoCapacity,
+                ..
+            } => self.refused.with_label_values(&[&tier]).inc(),
+            _ => {}
+        }
+    }
+
+    fn on_waiting(&self, waiting: &BTreeMap<Option<Tier>, usize>) {
+        self.waiting.reset();
+        for (tier, count) in waiting {
+            let rank = tier.map(Tier::rank).unwrap_or_default().to_string();
+            let count = i64::try_from(*count).unwrap_or(i64::MAX);
+            self.waiting.with_label_values(&[&rank]).add(count);
+        }
+    }
+}
+
 impl TableMetrics {
     fn new(set: &MetricSet) -> Self {
         let times = |name: &str, help: &str| set.times(name, help, &CALLER_TIME_BUCKETS);
@@ -214,6 +308,10 @@
                 "endpoints_stating_leaving",
                 "Endpoints that said in an answer that they are leaving, as this box knows",
             ),
+            of_other_speed: set.gauge(
+                "engines_of_other_speed",
+                "Engines whose learned prefill rate differs from the median of their service",
+            ),
             permits: set.counters(
                 "permits_total",
                 "Permits for endpoints that name a limit: dealt by this box, used by it, or wanted when it had none",
@@ -281,13 +379,19 @@
                 "boxes",
                 "Running boxes of all failure domains that are known",
             ),
+            load_domains: set.gauge(
+                "load_domains",
+                "Other failure domains whose load on engines is known from a report",
+            ),
             endpoints: EndpointMetrics::new(&set),
+            waits: WaitMetrics::new(&set),
             store_calls: set.counters(
                 "store_calls_total",
                 "Calls to the platform's store, by what was asked",
                 "kind",
             ),
             probes: set.counter("probes_total", "Probes of endpoints"),
+            checks: CheckCounters::new(&set),
             rollouts: set.counters(
                 "rollout_phases_total",
                 "Phases of roll-outs that this box entered",
@@ -313,6 +417,7 @@
         }
         self.requests.on_record(record);
         self.endpoints.on_record(record);
+        self.waits.on_record(record);
         self.tables.on_record(record);
     }
 
@@ -321,11 +426,22 @@
         self.endpoints.on_limits(limited, permits);
     }
 
+    /// Sets the numbers of requests that wait for room at an engine, by tier.
+    pub fn on_waiting(&self, waiting: &BTreeMap<Option<Tier>, usize>) {
+        self.waits.on_waiting(waiting);
+    }
+
     /// Sets the numbers of endpoints that asked this box for a rest or said that they are leaving.
     pub fn on_directives(&self, resting: usize, leaving: usize) {
         self.endpoints.on_directives(resting, leaving);
     }
 
+    /// Sets the number of engines whose learned speed differs from the median.
+    pub fn on_speeds(&self, differing: usize) {
+        let gauge = i64::try_from(differing).unwrap_or(i64::MAX);
+        self.endpoints.of_other_speed.set(gauge);
+    }
+
     /// Counter of list or watch calls to the platform's store.
     #[must_use]
     pub fn store_calls_of(&self, request: &StoreRequest) -> IntCounter {
