--- a/src/gateway/dispatch/admission.rs
+++ b/src/gateway/dispatch/admission.rs
@@ -16,6 +16,7 @@
 
 pub mod queue;
 pub mod room;
+mod search;
 pub mod wait;
 pub(super) mod waiting;
 
--- a/src/gateway/shell/metrics.rs
+++ b/src/gateway/shell/metrics.rs
@@ -4,18 +4,20 @@
 //! log, so that the metrics and the log always agree. Other durations are observed by the code that
 //! measures them.
 
+mod waits;
+
 use std::collections::BTreeMap;
 
-use prometheus::{CounterVec, Histogram, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
 
 use crate::gateway::dispatch::fetches::FetchKind;
 use crate::gateway::dispatch::permits::PermitCounts;
 use crate::gateway::dispatch::priority::Tier;
 use crate::gateway::dispatch::record::{FETCH_BUSY, FETCHED_WHOLE, Record};
-use crate::gateway::dispatch::refusal::RefusalReason;
 use crate::gateway::shell::check_counts::CheckCounters;
 use crate::gateway::shell::watcher::StoreRequest;
 use crate::metrics::MetricSet;
+use waits::WaitMetrics;
 
 /// Upper bounds in seconds of the buckets for the times of callers, the store and failovers. They
 /// lie around the latency objectives and the longest stream pauses that the users' sites allow.
@@ -72,15 +74,6 @@
     suspected: IntCounter,
 }
 
-/// Metrics of requests that wait for room at an engine, by tier.
-#[derive(Debug)]
-struct WaitMetrics {
-    waiting: IntGaugeVec,
-    started: IntCounterVec,
-    refused: IntCounterVec,
-    seconds: CounterVec,
-}
-
 /// Metrics of endpoints: stated limits, permits, restarts and crashes.
 #[derive(Debug)]
 struct EndpointMetrics {
@@ -184,68 +177,6 @@
     }
 }
 
-impl WaitMetrics {
-    fn new(set: &MetricSet) -> Self {
-        Self {
-            waiting: set.gauges(
-                "room_waiting",
-                "Requests that wait for room at an engine, by tier",
-                "tier",
-            ),
-            started: set.counters(
-                "room_started_total",
-                "Requests that started after a wait for room at an engine, by tier",
-                "tier",
-            ),
-            refused: set.counters(
-                "room_refused_total",
-                "Requests that were refused for want of room at an engine, by tier",
-                "tier",
-            ),
-            seconds: set.sums(
-                "room_waited_seconds_total",
-                "Seconds that requests waited for room at an engine, by tier",
-                "tier",
-            ),
-        }
-    }
-
-    fn on_record(&self, record: &Record) {
-        let (tier, waited_ms) = match record {
-            Record::Sent {
-                tier, waited_ms, ..
-            }
-            | Record::Refused {
-                tier, waited_ms, ..
-            } => (tier.unwrap_or_default().to_string(), *waited_ms),
-            _ => return,
-        };
-        if let Some(waited_ms) = waited_ms {
-            let sum = self.seconds.with_label_values(&[&tier]);
-            sum.inc_by(seconds(waited_ms));
-        }
-        match record {
-            Record::Sent { .. } if waited_ms.is_some() => {
-                self.started.with_label_values(&[&tier]).inc();
-            }
-            Record::Refused {
-                reason: RefusalReason::NoCapacity,
-                ..
-            } => self.refused.with_label_values(&[&tier]).inc(),
-            _ => {}
-        }
-    }
-
-    fn on_waiting(&self, waiting: &BTreeMap<Option<Tier>, usize>) {
-        self.waiting.reset();
-        for (tier, count) in waiting {
-            let rank = tier.map(Tier::rank).unwrap_or_default().to_string();
-            let count = i64::try_from(*count).unwrap_or(i64::MAX);
-            self.waiting.with_label_values(&[&rank]).add(count);
-        }
-    }
-}
-
 impl TableMetrics {
     fn new(set: &MetricSet) -> Self {
         let times = |name: &str, help: &str| set.times(name, help, &CALLER_TIME_BUCKETS);
