--- a/src/gateway/dispatch/admission/waiting.rs
+++ b/src/gateway/dispatch/admission/waiting.rs
@@ -224,7 +224,9 @@
         };
         let left = waiting.latest_start.since(self.now);
         let wait = self.expected_wait(service, place);
-        left.is_zero() || wait.is_some_and(|wait| wait > left)
+        let request = self.requests.get(&number);
+        let may_be_refused = request.is_some_and(|r| !r.is_partly_delivered());
+        left.is_zero() || may_be_refused && wait.is_some_and(|wait| wait > left)
     }
 
     /// The estimated wait of a request that has `before` others before it.
