--- a/tests/queueing.rs
+++ b/tests/queueing.rs
@@ -15,7 +15,7 @@
 use magpiemoor::gateway::dispatch::admission::room::Room;
 use magpiemoor::gateway::dispatch::admission::wait::RoomRate;
 use magpiemoor::gateway::dispatch::event::{
-    Arrival, AttemptNumber, EndpointChange, Event, Outcome, RequestNumber, Tokens,
+    Arrival, AttemptNumber, EndpointChange, Event, Fault, Outcome, RequestNumber, Tokens,
 };
 use magpiemoor::gateway::dispatch::fleet::Usage;
 use magpiemoor::gateway::dispatch::priority::{Priority, Tier, Tiers};
@@ -179,10 +179,13 @@
     }
 
     fn finish(&mut self, request: RequestNumber, attempt: AttemptNumber) {
+        self.end(request, attempt, Outcome::StreamEnded);
+    }
+
+    fn end(&mut self, request: RequestNumber, attempt: AttemptNumber, outcome: Outcome) {
         for running in self.running.values_mut() {
             running.retain(|(other, ..)| *other != request);
         }
-        let outcome = Outcome::StreamEnded;
         self.handle(Event::Ended {
             request,
             attempt,
@@ -338,6 +341,27 @@
     assert!(site.is_running(waiting));
 }
 
+/// A stream that goes on without a replica would make a full engine preempt other streams, and is late
+/// however soon it starts.
+#[test]
+fn a_stream_that_has_begun_waits_for_room_and_is_not_refused() {
+    let mut site = Site::new();
+    let streams = site.fill_but(0);
+    for _ in 0..100 {
+        site.arrive(STREAMS, KEY);
+    }
+    for _ in 0..2_000 / STEP_MS {
+        site.step();
+    }
+    let begun = streams
+        .into_iter()
+        .find(|number| site.streams[number].first_event.is_some() && site.is_running(*number));
+    let begun = begun.expect("a stream has begun");
+    site.end(begun, AttemptNumber(1), Outcome::Broken(Fault::Closed));
+    assert!(!site.is_running(begun));
+    assert!(site.streams[&begun].refused.is_none());
+}
+
 fn peer_update() -> UsageUpdate {
     UsageUpdate {
         from: "box-2".parse().unwrap(),
