--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -160,6 +160,12 @@
     incarnation.0 / MICROS_PER_HEARTBEAT
 }
 
+/// The peers that the settings name.
+fn peers_at_start(cfg: &DispatchConfig, now: Micros) -> Peers {
+    let (me, domain) = (cfg.me.clone(), cfg.domain.clone());
+    Peers::new(me, domain, cfg.address, &cfg.seeds, now)
+}
+
 /// Usage duty of this box, if the settings have one.
 fn usage_duty(cfg: &DispatchConfig) -> Option<UsageDuty> {
     let me = Holder {
@@ -226,13 +232,7 @@
             queued: Vec::new(),
             room_waits: RoomWaits::default(),
             budget: RetryBudget::new(cfg.retries),
-            peers: Peers::new(
-                cfg.me.clone(),
-                cfg.domain.clone(),
-                cfg.address,
-                &cfg.seeds,
-                now,
-            ),
+            peers: peers_at_start(&cfg, now),
             store_watchers: StoreWatchers::new(cfg.me.clone(), cfg.domain.clone(), &mut rng, now),
             rng,
             table_fetches: Fetches::new(FetchKind::Table),
--- a/src/gateway/dispatch/fleet/speeds/answers.rs
+++ b/src/gateway/dispatch/fleet/speeds/answers.rs
@@ -9,6 +9,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use super::comparison::MAX_FACTOR;
 use crate::schema::Micros;
 
 /// Time in which answers tell of a server's present speed.
@@ -27,8 +28,6 @@
 const MIN_ANSWERS: usize = 8;
 /// Factor over or under the median from which three quarters of the answers count.
 const DIFFERENT: f64 = 1.1;
-/// Greatest factor between a server's time and the service's median.
-const MAX_FACTOR: f64 = 5.0;
 
 /// The times of a service's answers, in µs.
 #[derive(Clone, Copy, Debug, Default)]
--- a/src/gateway/dispatch/fleet/speeds/comparison.rs
+++ b/src/gateway/dispatch/fleet/speeds/comparison.rs
@@ -20,9 +20,9 @@
 const MIN_UNEVEN_SHARE_KEPT: f64 = 0.1;
 /// Factor between two speeds up to which they count as equal.
 const EQUAL: f64 = 1.1;
-/// Greatest factor between an engine's speed and the median, in both directions. It limits the
-/// effect of an engine that misleads about its speed.
-const MAX_FACTOR: f64 = 5.0;
+/// Greatest factor between an endpoint's speed and the median, in both directions. It limits the
+/// effect of an endpoint that misleads about its speed.
+pub(super) const MAX_FACTOR: f64 = 5.0;
 
 /// Whether two speeds count as equal.
 pub(super) fn are_equal(a: f64, b: f64) -> bool {
--- a/src/gateway/dispatch/placement/costs.rs
+++ b/src/gateway/dispatch/placement/costs.rs
@@ -14,7 +14,7 @@
 //! | [`TIE_BREAK`] | 100 | separates engines that differ by three streams or less; must not outweigh a domain |
 //! | [`OTHER_DOMAIN_ENGINE`] | 300 | traffic between domains is expensive, but less so than a third of a prefill |
 //! | [`SLOW_ANSWER`] | 1,000 | a server that is slow now is worse than a hop, better than one that fails everything |
-//! | [`OWN_PROMPT`] | 1,400 | a faster engine is worth waiting for a prompt, not for a slot |
+//! | [`OWN_PROMPT`] | 1,400 | a faster engine outweighs a queued prompt, but not a missing slot |
 //! | [`FAILING`] | 1,500 | an endpoint that fails everything costs a second attempt, and more than waiting for a prompt |
 //! | [`FULL`] | 2,000 | without a free slot a request waits for another to end |
 //! | [`NOT_ALONE`] | 2,500 | a request that may crash its endpoint runs alone wherever a healthy endpoint is free |
