Endings of endpoints are told apart by time, not by incarnation

Callers of innocent requests got 502 because a crash was attributed to the wrong set of requests.

Both new tests fail on the code before.

--- a/src/gateway/dispatch/crashes.rs
+++ b/src/gateway/dispatch/crashes.rs
@@ -193,7 +193,7 @@
         } = pending;
         // Requests that crash one endpoint after the other within milliseconds are no failure of
         // the domain.
-        let is_explained = |incarnation: &_| self.quarantine.may_have_crashed(request, incarnation);
+        let is_explained = |id: &_, at| self.quarantine.may_have_crashed(request, id, at);
         crash.fell_with_domain =
             self.fleet
                 .fell_with_domain(&crash.endpoint, &service, &domain, crash.at, is_explained);
--- a/src/gateway/dispatch/fleet/losses.rs
+++ b/src/gateway/dispatch/fleet/losses.rs
@@ -234,7 +234,7 @@
         service: &ServiceId,
         domain: &DomainId,
         at: Micros,
-        is_explained: impl Fn(&EndpointIncarnation) -> bool,
+        is_explained: impl Fn(&EndpointId, Micros) -> bool,
     ) -> bool {
         let is_concurrent = |loss: &&Loss| {
             let apart = at.since(loss.at).max(loss.at.since(at));
@@ -242,7 +242,7 @@
                 && loss.service == *service
                 && loss.endpoint.id != incarnation.id
                 && apart < OUTAGE_WINDOW
-                && !is_explained(&loss.endpoint)
+                && !is_explained(&loss.endpoint.id, loss.at)
         };
         let lost = self.losses.recent.iter().filter(is_concurrent).count();
         let all = self.of_service(service);
--- a/src/gateway/dispatch/quarantine.rs
+++ b/src/gateway/dispatch/quarantine.rs
@@ -28,13 +28,15 @@
 //! ([`super::crashes`]). docs/design/quarantine.md compares this with counting per box, with
 //! blaming all concurrent requests, and with asking the store.
 
+mod endings;
 mod suspect;
 mod updates;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use crate::schema::{EndpointIncarnation, Fingerprint, Micros};
+use crate::schema::{EndpointId, Fingerprint, Micros};
+use endings::Endings;
 pub use suspect::Crash;
 use suspect::Suspect;
 
@@ -58,18 +60,11 @@
 /// Requests that are remembered, some 300 bytes each.
 const MAX_SUSPECTS: usize = 2_000;
 
-/// The requests that were running at an endpoint incarnation when it ended.
-#[derive(Debug, Default)]
-struct ConcurrentRequests {
-    at: Micros,
-    requests: BTreeSet<Fingerprint>,
-}
-
 /// Requests that were running at endpoints when these crashed.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     suspects: BTreeMap<Fingerprint, Suspect>,
-    incarnations: BTreeMap<EndpointIncarnation, ConcurrentRequests>,
+    endings: Endings,
     /// Requests whose changes the boxes of this failure domain have not received yet.
     unpublished: BTreeSet<Fingerprint>,
     /// Requests with new evidence since their last evaluation.
@@ -154,8 +149,7 @@
     fn schedule_evaluation(&mut self, requests: &[Fingerprint]) {
         let suspects = requests.iter().filter_map(|r| self.suspects.get(r));
         let crashes = suspects.flat_map(|suspect| &suspect.crashes);
-        let incarnations = crashes.filter_map(|crash| self.incarnations.get(&crash.endpoint));
-        let concurrent = incarnations.flat_map(|concurrent| concurrent.requests.iter().copied());
+        let concurrent = crashes.flat_map(|c| self.endings.requests_at(&c.endpoint.id, c.at));
         let concurrent: Vec<_> = concurrent.chain(requests.iter().copied()).collect();
         self.pending_evaluation.extend(concurrent);
     }
@@ -191,19 +185,17 @@
         }
     }
 
-    /// Returns whether a request, or a quarantined one, was running at an endpoint incarnation when
-    /// that ended.
+    /// Returns whether a request, or a quarantined one, was running at an endpoint when that ended
+    /// at this time.
     #[must_use]
     pub fn may_have_crashed(
         &self,
         request: Fingerprint,
-        incarnation: &EndpointIncarnation,
+        endpoint: &EndpointId,
+        at: Micros,
     ) -> bool {
-        let concurrent = self.incarnations.get(incarnation);
-        concurrent.is_some_and(|concurrent| {
-            let mut requests = concurrent.requests.iter();
-            requests.any(|other| *other == request || self.is_quarantined(*other))
-        })
+        let mut requests = self.endings.requests_at(endpoint, at);
+        requests.any(|other| other == request || self.is_quarantined(other))
     }
 
     /// Merges a crash into the records; returns whether it adds anything.
@@ -217,9 +209,7 @@
         if now.since(crash.at) >= CRASH_RETENTION {
             return false;
         }
-        let concurrent = self.incarnations.entry(crash.endpoint.clone()).or_default();
-        concurrent.at = concurrent.at.max(crash.at);
-        concurrent.requests.insert(request);
+        self.endings.record(request, &crash);
         let suspect = self.suspects.entry(request).or_default();
         let is_new = suspect.on_crash(crash, is_own);
         if is_new {
@@ -289,7 +279,7 @@
 
     fn is_suspected_of(&self, request: Fingerprint, crash: &Crash) -> bool {
         let suspect = self.suspects.get(&request);
-        suspect.is_some_and(|suspect| suspect.is_suspected_of(&crash.endpoint))
+        suspect.is_some_and(|suspect| suspect.is_suspected_of(crash))
     }
 
     /// Returns the other requests that were running at an endpoint when it crashed.
@@ -298,10 +288,7 @@
         request: Fingerprint,
         crash: &Crash,
     ) -> impl Iterator<Item = Fingerprint> + use<'a> {
-        let concurrent = self.incarnations.get(&crash.endpoint);
-        let requests = concurrent
-            .into_iter()
-            .flat_map(|w| w.requests.iter().copied());
+        let requests = self.endings.requests_at(&crash.endpoint.id, crash.at);
         requests.filter(move |other| *other != request)
     }
 
@@ -309,8 +296,7 @@
     /// whether this box recorded its last crash.
     pub fn forget_old(&mut self, now: Micros) -> Vec<(Fingerprint, bool)> {
         let is_old = |at: Micros| now.since(at) >= CRASH_RETENTION;
-        self.incarnations
-            .retain(|_, concurrent| !is_old(concurrent.at));
+        self.endings.forget_old(is_old);
         let mut released = Vec::new();
         self.suspects.retain(|request, suspect| {
             let is_retained = !is_old(suspect.last());
@@ -338,21 +324,9 @@
             .collect();
         all.sort_unstable();
         for (_, _, request) in all.into_iter().take(limit / 10) {
+            self.unpublished.remove(&request);
             if let Some(forgotten) = self.suspects.remove(&request) {
-                self.forget_incarnations_of(request, &forgotten);
-            }
-        }
-    }
-
-    fn forget_incarnations_of(&mut self, request: Fingerprint, forgotten: &Suspect) {
-        self.unpublished.remove(&request);
-        for crash in &forgotten.crashes {
-            let Some(concurrent) = self.incarnations.get_mut(&crash.endpoint) else {
-                continue;
-            };
-            concurrent.requests.remove(&request);
-            if concurrent.requests.is_empty() {
-                self.incarnations.remove(&crash.endpoint);
+                self.endings.forget_request(request, &forgotten.crashes);
             }
         }
     }
--- a/src/gateway/dispatch/quarantine/suspect.rs
+++ b/src/gateway/dispatch/quarantine/suspect.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::endings::is_same_ending;
 use crate::schema::{CrashReport, EndpointIncarnation, Fingerprint, Micros};
 
 /// How much longer than before the crash a request must run elsewhere to have got past it. A
@@ -14,8 +15,8 @@
 const SAME_POINT_EVENTS: u64 = 3;
 const SAME_POINT_TIME: Duration = Duration::from_millis(300);
 
-/// How far two reports of one crash may differ in time: each hop between boxes adds to its age.
-const SAME_CRASH_WITHIN: Duration = Duration::from_secs(1);
+/// How much later than another one a request was served if both reports are about different runs.
+const SERVED_AGAIN_AFTER: Duration = Duration::from_secs(1);
 
 /// The end of an endpoint incarnation that was running the request.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -66,12 +67,9 @@
         }
     }
 
-    /// Returns whether both describe one crash. A restarted endpoint is taken for its previous
-    /// incarnation until its start time is known, and may crash again before that, so the times are
-    /// compared too.
+    /// Returns whether both describe the same ending of an endpoint ([`super::endings`]).
     fn is_same(&self, other: &Self) -> bool {
-        let apart = self.at.since(other.at).max(other.at.since(self.at));
-        self.endpoint == other.endpoint && apart < SAME_CRASH_WITHIN
+        self.endpoint.id == other.endpoint.id && is_same_ending(self.at, other.at)
     }
 
     /// Merges another report of the same crash; returns whether it added anything.
@@ -134,7 +132,7 @@
     pub fn on_served(&mut self, at: Micros) -> bool {
         if self
             .served
-            .is_some_and(|served| at <= served.after(SAME_CRASH_WITHIN))
+            .is_some_and(|served| at <= served.after(SERVED_AGAIN_AFTER))
         {
             return false;
         }
@@ -160,9 +158,9 @@
         self.crashes.iter().filter(|crash| !crash.is_passed)
     }
 
-    /// Returns whether the request is still suspected of having ended an incarnation.
-    pub fn is_suspected_of(&self, incarnation: &EndpointIncarnation) -> bool {
-        self.unpassed().any(|crash| crash.endpoint == *incarnation)
+    /// Returns whether the request is still suspected of the ending that a crash is about.
+    pub fn is_suspected_of(&self, crash: &Crash) -> bool {
+        self.unpassed().any(|own| own.is_same(crash))
     }
 
     /// Returns when the request was last suspected, quarantined or served.
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -82,6 +82,40 @@
     assert_eq!(quarantine.crashes_of(GUILTY), 3);
 }
 
+/// The crash of an engine that this box knows under this incarnation.
+fn crash_of(incarnation: &str, beside: u32, now: Micros) -> Crash {
+    Crash {
+        endpoint: incarnation.parse().unwrap(),
+        beside,
+        ..crash(0, now)
+    }
+}
+
+/// Guards against blaming an innocent request that seemed to have run alone: the box that sent the
+/// crashing request did not know yet that the engine had restarted under its id.
+#[test]
+fn reports_under_two_incarnations_are_about_one_ending() {
+    let mut quarantine = Quarantine::default();
+    quarantine.on_crash(GUILTY, crash_of("engine-1@1000", 0, at(1)), at(1));
+    for (engine, beside) in [("engine-1@2000", 0), ("engine-2", 1), ("engine-3", 1)] {
+        let seconds = engine.as_bytes()[7] - b'0';
+        let crash = crash_of(engine, beside, at(seconds.into()));
+        assert!(!record(&mut quarantine, INNOCENT, &crash));
+    }
+}
+
+/// Guards against clearing a request by one that had crashed the previous process of the engine.
+#[test]
+fn two_endings_under_one_incarnation_are_told_apart() {
+    let mut quarantine = Quarantine::default();
+    for engine in 1..=3 {
+        record(&mut quarantine, GUILTY, &crash(engine, at(engine)));
+    }
+    assert!(quarantine.is_quarantined(GUILTY));
+    record(&mut quarantine, INNOCENT, &crash(1, at(5)));
+    assert_eq!(quarantine.crashes_of(INNOCENT), 1);
+}
+
 #[test]
 fn of_two_concurrent_requests_the_one_that_is_served_is_innocent() {
     let mut quarantine = Quarantine::default();
