A loss that is noticed again is still explained by the request that ran there

Crashing requests reached more servers than allowed: their crashes did not count, since the endpoints seemed to have fallen with their domain.

The new test fails before.

--- a/src/gateway/dispatch/quarantine.rs
+++ b/src/gateway/dispatch/quarantine.rs
@@ -185,16 +185,16 @@
         }
     }
 
-    /// Returns whether a request, or a quarantined one, was running at an endpoint when that ended
-    /// at this time.
+    /// Returns whether a request, or a quarantined one, was running at an endpoint when that ended,
+    /// if the endpoint's loss was noticed at this time.
     #[must_use]
     pub fn may_have_crashed(
         &self,
         request: Fingerprint,
         endpoint: &EndpointId,
-        at: Micros,
+        noticed: Micros,
     ) -> bool {
-        let mut requests = self.endings.requests_at(endpoint, at);
+        let mut requests = self.endings.requests_lost_by(endpoint, noticed);
         requests.any(|other| other == request || self.is_quarantined(other))
     }
 
--- a/src/gateway/dispatch/quarantine/endings.rs
+++ b/src/gateway/dispatch/quarantine/endings.rs
@@ -16,6 +16,9 @@
 /// endpoint takes longer to restart.
 const SAME_ENDING_WITHIN: Duration = Duration::from_secs(1);
 
+/// How long after an ending attempts at the endpoint still fail.
+const LOSS_NOTICED_WITHIN: Duration = Duration::from_secs(5);
+
 /// Returns whether two reports of an endpoint's ending are about the same one.
 pub(super) fn is_same_ending(one: Micros, other: Micros) -> bool {
     one.since(other).max(other.since(one)) < SAME_ENDING_WITHIN
@@ -63,6 +66,19 @@
         same.flat_map(|ending| ending.requests.iter().copied())
     }
 
+    /// Returns all requests that were running at an endpoint when it ended, if its loss was noticed
+    /// at this time: attempts at it fail until it is replaced, so that may be later.
+    pub fn requests_lost_by<'a>(
+        &'a self,
+        endpoint: &EndpointId,
+        noticed: Micros,
+    ) -> impl Iterator<Item = Fingerprint> + use<'a> {
+        let endings = self.by_endpoint.get(endpoint).into_iter().flatten();
+        let span = noticed.before(LOSS_NOTICED_WITHIN)..noticed.after(SAME_ENDING_WITHIN);
+        let lost = endings.filter(move |ending| span.contains(&ending.at));
+        lost.flat_map(|ending| ending.requests.iter().copied())
+    }
+
     /// Removes a request from the endings that its crashes are about.
     pub fn forget_request(&mut self, request: Fingerprint, crashes: &[Crash]) {
         for crash in crashes {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -116,6 +116,18 @@
     assert_eq!(quarantine.crashes_of(INNOCENT), 1);
 }
 
+/// Guards against taking endpoints that crashing requests ended for an outage of their domain: a loss
+/// is noticed again by each attempt until the endpoint is replaced.
+#[test]
+fn a_loss_that_is_noticed_late_is_explained_by_the_request_that_ran_there() {
+    let mut quarantine = Quarantine::default();
+    let crash = crash(1, at(1));
+    quarantine.on_crash(GUILTY, crash.clone(), at(1));
+    let engine = &crash.endpoint.id;
+    assert!(quarantine.may_have_crashed(GUILTY, engine, at(4)));
+    assert!(!quarantine.may_have_crashed(GUILTY, engine, at(20)));
+}
+
 #[test]
 fn of_two_concurrent_requests_the_one_that_is_served_is_innocent() {
     let mut quarantine = Quarantine::default();
