Crashes of one group agree by one measure, also for the rule of five

Callers of innocent streams got 502 for half an hour although the endpoints ended at quite different points of their streams. Before the first event there is no time after it, yet 0 agreed with 0.

Both new tests fail before.

--- a/src/gateway/dispatch/quarantine.rs
+++ b/src/gateway/dispatch/quarantine.rs
@@ -19,8 +19,8 @@
 //! for at least one of them: all concurrent requests have since been served or got past the crash.
 //! After two crashes the request is placed alone, and nothing is placed next to it
 //! ([`super::attempts`]), so that the third crash is conclusive and affects no other request. Where
-//! it can't be placed alone it is quarantined after [`QUARANTINE_UNCONDITIONALLY_AT`] crashes that
-//! it has not got past, whatever their cause. A request is forgotten [`CRASH_RETENTION`] after its
+//! it can't be placed alone it is quarantined after [`QUARANTINE_UNCONDITIONALLY_AT`] crashes at the
+//! same point that it has not got past, whatever their cause. A request is forgotten [`CRASH_RETENTION`] after its
 //! last crash, so that servers that were repaired in the meantime get it again.
 //!
 //! The module owns the crashes and the sets of concurrent requests. Its input must be endpoints
@@ -43,7 +43,7 @@
 /// Crashes after which a request is quarantined if it is the sole suspect for one of them. The
 /// service allows three more arrivals of it from then on.
 pub const QUARANTINE_AT: usize = 3;
-/// Crashes after which a request is quarantined in any case: two more than [`QUARANTINE_AT`], which
+/// Crashes at the same point after which a request is quarantined whatever their cause: two more than [`QUARANTINE_AT`], which
 /// stays within the three further arrivals that the service allows.
 const QUARANTINE_UNCONDITIONALLY_AT: usize = 5;
 /// Crashes after which a request is placed alone at an endpoint, so that the next crash is
@@ -238,7 +238,8 @@
 
     /// Applies the quarantine rule that the module documentation states.
     fn is_blamed(&self, request: Fingerprint, suspect: &Suspect) -> bool {
-        if suspect.unpassed().count() >= QUARANTINE_UNCONDITIONALLY_AT {
+        let unpassed: Vec<&Crash> = suspect.unpassed().collect();
+        if largest_group(&unpassed).len() >= QUARANTINE_UNCONDITIONALLY_AT {
             return true;
         }
         let counted = self.counted(request, suspect);
@@ -252,15 +253,9 @@
     /// point of it.
     fn counted<'a>(&self, request: Fingerprint, suspect: &'a Suspect) -> Vec<&'a Crash> {
         let unpassed = suspect.unpassed().filter(|crash| !crash.fell_with_domain);
-        let unpassed: Vec<&Crash> = unpassed
-            .filter(|crash| !self.is_explained(request, crash))
-            .collect();
-        let at_point_of = |one: &Crash| -> Vec<&'a Crash> {
-            let same = unpassed.iter().filter(|other| one.agrees_with(other));
-            same.copied().collect()
-        };
-        let points = unpassed.iter().map(|one| at_point_of(one));
-        points.max_by_key(Vec::len).unwrap_or_default()
+        let unexplained = unpassed.filter(|crash| !self.is_explained(request, crash));
+        let unexplained: Vec<&Crash> = unexplained.collect();
+        largest_group(&unexplained)
     }
 
     /// Returns whether a quarantined request that is suspected of the crash was running there too.
@@ -331,3 +326,29 @@
         }
     }
 }
+
+/// Returns the largest group of crashes that came at the same point of a request: all at the same
+/// event, or all the same time after the first event. Crashes that agree partly by one and partly by
+/// the other form no group.
+fn largest_group<'a>(crashes: &[&'a Crash]) -> Vec<&'a Crash> {
+    let by_event = largest_agreeing(crashes, Crash::is_at_same_event);
+    let by_time = largest_agreeing(crashes, Crash::is_at_same_time);
+    if by_time.len() > by_event.len() {
+        by_time
+    } else {
+        by_event
+    }
+}
+
+/// Returns the crash with which most others agree, together with these.
+fn largest_agreeing<'a>(
+    crashes: &[&'a Crash],
+    agree: fn(&Crash, &Crash) -> bool,
+) -> Vec<&'a Crash> {
+    let agreeing = |one: &Crash| -> Vec<&'a Crash> {
+        let same = crashes.iter().filter(|other| agree(one, other));
+        same.copied().collect()
+    };
+    let groups = crashes.iter().map(|one| agreeing(one));
+    groups.max_by_key(Vec::len).unwrap_or_default()
+}
--- a/src/gateway/dispatch/quarantine/suspect.rs
+++ b/src/gateway/dispatch/quarantine/suspect.rs
@@ -13,7 +13,7 @@
 /// How far two crashes at the same point of a request may lie apart, in events and in time. They
 /// were up to 80 ms apart in practice, and events in flight are lost with the connection.
 const SAME_POINT_EVENTS: u64 = 3;
-const SAME_POINT_TIME: Duration = Duration::from_millis(300);
+const SAME_POINT_TIME: Duration = Duration::from_millis(100);
 
 /// How much later than another one a request was served if both reports are about different runs.
 const SERVED_AGAIN_AFTER: Duration = Duration::from_secs(1);
@@ -83,12 +83,18 @@
         *self != before
     }
 
-    /// Returns whether both crashes can be caused by the request itself: they came at the same
-    /// event, or the same time after the first event.
+    /// Returns whether both crashes came at the same event of the request.
     #[must_use]
-    pub fn agrees_with(&self, other: &Self) -> bool {
-        let is_same_event = self.last_event.abs_diff(other.last_event) <= SAME_POINT_EVENTS;
-        is_same_event || self.ran.abs_diff(other.ran) <= SAME_POINT_TIME
+    pub fn is_at_same_event(&self, other: &Self) -> bool {
+        self.last_event.abs_diff(other.last_event) <= SAME_POINT_EVENTS
+    }
+
+    /// Returns whether both crashes came the same time after the first event of a run. Before that
+    /// event there is no such time.
+    #[must_use]
+    pub fn is_at_same_time(&self, other: &Self) -> bool {
+        let has_begun = !self.ran.is_zero() && !other.ran.is_zero();
+        has_begun && self.ran.abs_diff(other.ran) <= SAME_POINT_TIME
     }
 
     /// Returns whether a run that has got this far is past the crash.
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -232,6 +232,42 @@
     assert_eq!(quarantine.crashes_of(INNOCENT), 1);
 }
 
+/// The crash of an engine after so many events and so much time since the first of them.
+fn crash_at(engine: u64, last_event: u64, ran_ms: u64) -> Crash {
+    Crash {
+        last_event,
+        ran: Duration::from_millis(ran_ms),
+        beside: 1,
+        ..crash(engine, at(engine))
+    }
+}
+
+/// Guards against blaming a stream that moved from one crashing request to the next: five engines ended
+/// under it while it went on from event 26 to event 81.
+#[test]
+fn five_crashes_at_different_points_do_not_blame_the_request() {
+    let mut quarantine = Quarantine::default();
+    let points = [(26, 800), (40, 466), (75, 1_302), (81, 226), (81, 0)];
+    for (engine, (last_event, ran_ms)) in (1..).zip(points) {
+        let crash = crash_at(engine, last_event, ran_ms);
+        assert!(!record(&mut quarantine, INNOCENT, &crash));
+    }
+}
+
+/// Guards against taking three ends for one point of a stream because each came less than a second
+/// after its first event at that engine.
+#[test]
+fn crashes_at_other_events_and_other_times_are_at_different_points() {
+    let mut quarantine = Quarantine::default();
+    for (engine, (last_event, ran_ms)) in (1..).zip([(16, 509), (45, 928), (71, 800)]) {
+        let crash = Crash {
+            beside: 0,
+            ..crash_at(engine, last_event, ran_ms)
+        };
+        assert!(!record(&mut quarantine, INNOCENT, &crash));
+    }
+}
+
 #[test]
 fn five_crashes_quarantine_in_any_case() {
     let mut quarantine = Quarantine::default();
