A box that has just started blames no request for earlier crashes

A box that starts hears a part of the crashes before its start, so that an innocent stream can seem to have run alone. Such a crash is no longer conclusive; the other boxes' verdicts arrive as before.

The new test fails before.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -248,7 +248,7 @@
             watches_rollouts: false,
             next_rollout_report: now,
             is_cut_off: false,
-            quarantine: Quarantine::default(),
+            quarantine: Quarantine::new(now),
             pending_crashes: PendingCrashes::default(),
             has_requested_quarantine: cfg.first_start,
             duty: usage_duty(&cfg),
--- a/src/gateway/dispatch/quarantine.rs
+++ b/src/gateway/dispatch/quarantine.rs
@@ -57,6 +57,8 @@
 /// when up to 26 requests at boxes of other domains caused crashes at once (60 runs of
 /// `magpiemoor-lab crashes`).
 pub const EVALUATION_DELAY: Duration = Duration::from_millis(150);
+/// Time from the start of a box until it receives all crash reports: its peers have learnt of it.
+const INFORMED_AFTER: Duration = Duration::from_millis(500);
 /// Requests that are remembered, some 300 bytes each.
 const MAX_SUSPECTS: usize = 2_000;
 
@@ -65,6 +67,8 @@
 pub struct Quarantine {
     suspects: BTreeMap<Fingerprint, Suspect>,
     endings: Endings,
+    /// Since when this box receives all crash reports.
+    informed_since: Micros,
     /// Requests whose changes the boxes of this failure domain have not received yet.
     unpublished: BTreeSet<Fingerprint>,
     /// Requests with new evidence since their last evaluation.
@@ -74,6 +78,15 @@
 }
 
 impl Quarantine {
+    /// Creates the records of a box that starts.
+    #[must_use]
+    pub fn new(now: Micros) -> Self {
+        Self {
+            informed_since: now.after(INFORMED_AFTER),
+            ..Self::default()
+        }
+    }
+
     /// Returns whether a request is quarantined.
     #[must_use]
     pub fn is_quarantined(&self, request: Fingerprint) -> bool {
@@ -265,8 +278,11 @@
     }
 
     /// Returns whether all requests concurrent with this one are known and none of them is
-    /// suspected of the crash any more.
+    /// suspected of the crash any more. Of crashes before its start a box receives a part only.
     fn is_sole_suspect(&self, request: Fingerprint, crash: &Crash) -> bool {
+        if crash.at < self.informed_since {
+            return false;
+        }
         let known = self.concurrent_with(request, crash).count();
         let mut others = self.concurrent_with(request, crash);
         known >= crash.beside as usize && others.all(|other| !self.is_suspected_of(other, crash))
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -128,6 +128,21 @@
     assert!(!quarantine.may_have_crashed(GUILTY, engine, at(20)));
 }
 
+/// Guards against a verdict on what a box has heard in part: of the crashes before its start it had not
+/// heard of the crashing request that had run beside.
+#[test]
+fn a_box_that_has_just_started_blames_no_request_for_earlier_crashes() {
+    let mut quarantine = Quarantine::new(at(4));
+    for engine in 1..=3 {
+        assert!(!record(
+            &mut quarantine,
+            INNOCENT,
+            &crash(engine, at(engine))
+        ));
+    }
+    assert!(record(&mut quarantine, INNOCENT, &crash(5, at(5))));
+}
+
 #[test]
 fn of_two_concurrent_requests_the_one_that_is_served_is_innocent() {
     let mut quarantine = Quarantine::default();
