--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -76,6 +76,19 @@
     assert_eq!(played.blamed, 0, "{played:?}");
 }
 
+/// Guards against blaming a request that meets several ends at one point by chance: where servers end by
+/// themselves, or beside twenty crashing requests and more.
+#[rstest]
+#[case::s2194(2194, 9)]
+#[case::s3027_30(3027, 30)]
+#[case::s3038_30(3038, 30)]
+#[case::s3047_30(3047, 30)]
+#[case::s3101_30(3101, 30)]
+fn an_innocent_that_meets_crashes_by_chance_is_not_blamed(#[case] seed: u64, #[case] boxes: usize) {
+    let played = Case::draw(seed, boxes).play();
+    assert_eq!(played.blamed, 0, "{played:?}");
+}
+
 /// Nine crashing requests at six servers, and all boxes killed before any of them got a verdict.
 #[test]
 fn evidence_that_led_to_no_verdict_yet_outlasts_all_boxes() {
