--- a/src/gateway/dispatch/quarantine.rs
+++ b/src/gateway/dispatch/quarantine.rs
@@ -20,10 +20,11 @@
 //! After two crashes the request is placed alone, and nothing is placed next to it
 //! ([`super::attempts`]), so that the third crash is conclusive and affects no other request. Where
 //! it can't be placed alone it is quarantined after [`QUARANTINE_UNCONDITIONALLY_AT`] crashes at the
-//! same point that it has not got past, whatever their cause. A request is forgotten [`CRASH_RETENTION`] after its
-//! last crash, so that servers that were repaired in the meantime get it again.
+//! same point that it has not got past, whatever their cause. A request is forgotten
+//! [`CRASH_RETENTION`] after its last crash, so that servers that were repaired in the meantime get
+//! it again.
 //!
-//! The module owns the crashes and the sets of concurrent requests. Its input must be endpoints
+//! The module owns the crashes and, in [`endings`], the sets of concurrent requests. Its input must be endpoints
 //! that were verified to have ended, since a broken connection alone is no crash
 //! ([`super::crashes`]). docs/design/quarantine.md compares this with counting per box, with
 //! blaming all concurrent requests, and with asking the store.
@@ -43,8 +44,8 @@
 /// Crashes after which a request is quarantined if it is the sole suspect for one of them. The
 /// service allows three more arrivals of it from then on.
 pub const QUARANTINE_AT: usize = 3;
-/// Crashes at the same point after which a request is quarantined whatever their cause: two more than [`QUARANTINE_AT`], which
-/// stays within the three further arrivals that the service allows.
+/// Crashes at the same point after which a request is quarantined whatever their cause: two more
+/// than [`QUARANTINE_AT`], which stays within the three further arrivals that the service allows.
 const QUARANTINE_UNCONDITIONALLY_AT: usize = 5;
 /// Crashes after which a request is placed alone at an endpoint, so that the next crash is
 /// conclusive.
--- a/src/gateway/dispatch/quarantine/endings.rs
+++ b/src/gateway/dispatch/quarantine/endings.rs
@@ -2,9 +2,9 @@
 //!
 //! An ending is identified by the endpoint's id and its time, not by the incarnation: until a box
 //! has learnt that an endpoint restarted under its id, it reports the next ending of that endpoint
-//! under the previous incarnation. Filed by incarnation, the requests of one ending stood in two
-//! places, so that an innocent request seemed to have run alone; and the requests of two endings
-//! stood in one, so that a request was cleared by one that had not run beside it.
+//! under the previous incarnation. By incarnation, one ending could be recorded as two, so that an
+//! innocent request would seem to have run alone; and two endings as one, so that a request would be
+//! cleared by another one that had not run beside it.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
