--- a/src/gateway/dispatch/quarantine.rs
+++ b/src/gateway/dispatch/quarantine.rs
@@ -24,8 +24,8 @@
 //! [`CRASH_RETENTION`] after its last crash, so that servers that were repaired in the meantime get
 //! it again.
 //!
-//! The module owns the crashes and, in [`endings`], the sets of concurrent requests. Its input must be endpoints
-//! that were verified to have ended, since a broken connection alone is no crash
+//! The module owns the crashes and, in `endings`, the sets of concurrent requests. Its input must be
+//! endpoints that were verified to have ended, since a broken connection alone is no crash
 //! ([`super::crashes`]). docs/design/quarantine.md compares this with counting per box, with
 //! blaming all concurrent requests, and with asking the store.
 
