Failing test: callers of a box that lost all servers are served

A box whose connections to all servers hang or are reset serves 0 of 60 requests though callers and another box, which reaches the servers, still reach it. Each box has its own gates before the servers (lab/src/gateway/cuts.rs).

--- a/lab/src/gateway.rs
+++ b/lab/src/gateway.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod crashes;
+pub mod cuts;
 pub mod demo;
 pub mod fleet;
 pub mod foreign;
