A silent server keeps its connections as long as its keepalive probes last

TCP_USER_TIMEOUT also decides when keepalive probes give up, so 1.5 s ended connections after 2 s in place of the 3 s that the probes were set for, and those with unacknowledged bytes after 1.5 s. The users' servers may be silent for a second or so and go on. Both are 3 s now. Requests that may be repeated leave a silent endpoint earlier by probes and time limits, as before.

--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -32,8 +32,12 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// The number of unanswered probes after which a connection is considered lost.
 const KEEPALIVE_PROBES: u32 = 2;
-/// The longest time that sent bytes may remain unacknowledged (`TCP_USER_TIMEOUT`).
-const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1_500);
+/// The longest time that sent bytes may remain unacknowledged (`TCP_USER_TIMEOUT`). Once it is set it
+/// also decides when keepalive probes give up, whatever their number, so it is the time that these
+/// take: a peer may be silent for a second or so and go on.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(
+    KEEPALIVE_IDLE.as_secs() + KEEPALIVE_INTERVAL.as_secs() * KEEPALIVE_PROBES as u64,
+);
 
 /// Part of the idle time that a peer states after which its connection is no longer used: the peer
 /// may close the connection while a request is on its way.
