--- a/src/gateway/dispatch/action.rs
+++ b/src/gateway/dispatch/action.rs
@@ -30,6 +30,18 @@
     pub via: Option<SocketAddr>,
 }
 
+impl Target {
+    /// An endpoint that is reached through the box at `via`, or directly.
+    #[must_use]
+    pub fn new(endpoint: EndpointId, address: SocketAddr, via: Option<SocketAddr>) -> Self {
+        Self {
+            endpoint,
+            address,
+            via,
+        }
+    }
+}
+
 /// Attempt of a request at an endpoint.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Attempt {
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -23,7 +23,6 @@
 use super::placement::{ATTEMPT_CONNECT_LIMIT, Demand};
 use super::priority::Tier;
 use super::record::Record;
-use super::refusal::{HasRun, Refusal, RefusalReason};
 use super::relays::TUNNEL_OPEN_LIMIT;
 use super::replica::ReplicaLocation;
 use super::replicas::first_replica_check;
@@ -215,14 +214,7 @@
         if let Some(rollout) = self.rollouts.of_mut(&spec.service) {
             rollout.on_attempt(&spec.version, now);
         }
-        self.count_attempt(number, &attempt, mirror, usage.prefill);
-        if let Some(active) = self
-            .requests
-            .get_mut(&number)
-            .and_then(|r| r.active.as_mut())
-        {
-            active.lease = lease;
-        }
+        self.count_attempt(number, &attempt, (mirror, lease), usage.prefill);
         self.publish_usage_soon(to);
         self.watch_speed(number, usage.prefill == 0);
         self.command(number, Command::Send(Box::new(attempt)));
@@ -300,7 +292,7 @@
         &mut self,
         number: RequestNumber,
         attempt: &Attempt,
-        mirror: Option<EndpointIncarnation>,
+        (mirror, lease): (Option<EndpointIncarnation>, AttemptLease),
         queued_prefill: u32,
     ) {
         let alone = self.runs_alone(number);
@@ -313,6 +305,7 @@
         let mut active = active_attempt(request, attempt, &endpoint.spec, mirror, self.now);
         active.sampled = Sampled::behind(queued_prefill);
         active.queued_prefill = queued_prefill;
+        active.lease = lease;
         if alone {
             // Counting all slots also keeps boxes of earlier versions from placing requests here.
             active.slots = endpoint.spec.slots.max(1);
@@ -369,55 +362,6 @@
         request.tried.clear();
         request.next_placement = Some(now.after(PLACEMENT_RETRY_INTERVAL));
     }
-
-    /// Gives up a request because no endpoint is usable or the retry budget is spent.
-    pub(super) fn give_up_without_attempt(&mut self, number: RequestNumber) {
-        if let Some(request) = self.requests.get(&number) {
-            let reason = RefusalReason::without_attempt(request.has_run());
-            self.give_up(number, reason);
-        }
-    }
-
-    /// Gives up a request whose deadline has passed.
-    pub(super) fn give_up_expired(&mut self, number: RequestNumber) {
-        let Some(request) = self.requests.get(&number) else {
-            return;
-        };
-        let has_run = match request.active {
-            Some(_) => HasRun::Maybe,
-            None => request.has_run(),
-        };
-        self.give_up(number, RefusalReason::when_expired(has_run));
-    }
-
-    /// Refuses a request and stops its attempt.
-    pub(super) fn give_up(&mut self, number: RequestNumber, reason: RefusalReason) {
-        self.refuse(number, Refusal::new(reason));
-    }
-
-    /// Refuses a request as stated and stops its attempt.
-    pub(super) fn refuse(&mut self, number: RequestNumber, refusal: Refusal) {
-        self.sample_abandoned(number);
-        let waited = self.stop_waiting(number, false);
-        let Some(request) = self.requests.remove(&number) else {
-            return;
-        };
-        self.record(Record::Refused {
-            request: request.arrival.id.clone(),
-            reason: refusal.reason,
-            after_ms: request.age_ms(self.now),
-            attempts: request.attempts,
-            fault: request.fault,
-            tier: request.tier.map(Tier::rank),
-            waited_ms: waited.map(millis),
-        });
-        if let Some(active) = &request.active {
-            self.command(number, Command::StopAttempt(active.attempt));
-            self.uncount_attempt(active);
-            self.drop_snapshot_of(active);
-        }
-        self.command(number, Command::Refuse(refusal));
-    }
 }
 
 fn active_attempt(
--- a/src/gateway/dispatch/fleet/directives/tolerance.rs
+++ b/src/gateway/dispatch/fleet/directives/tolerance.rs
@@ -3,7 +3,7 @@
 //! Such an endpoint states in each answer how many rejections a second it bears. The statement is
 //! about all endpoints of its service. It holds until an answer comes without one some time after
 //! the last that had one, since answers overtake each other, or until none has stated it for
-//! [`LIFETIME`]. A request goes to such an endpoint only with a lease of one of its slots
+//! [`TOLERANCE_LIFETIME`]. A request goes to such an endpoint only with a lease of one of its slots
 //! ([`super::super::super::slots`]).
 //!
 //! Inputs: answers to this box, and leases that were granted to it. State: the statements by service,
@@ -19,7 +19,7 @@
 /// Time without a statement after which an answer without one ends it.
 const END_AFTER: Duration = Duration::from_millis(500);
 /// How long a statement holds if no answer repeats it.
-const LIFETIME: Duration = Duration::from_secs(10);
+const TOLERANCE_LIFETIME: Duration = Duration::from_secs(10);
 
 /// Rejections a second that an endpoint bears, of requests of all boxes together.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -107,9 +107,9 @@
         }
     }
 
-    /// Removes statements that were not repeated for [`LIFETIME`]; returns their services.
+    /// Removes statements that were not repeated for [`TOLERANCE_LIFETIME`]; returns their services.
     pub fn take_expired(&mut self, now: Micros) -> Vec<ServiceId> {
-        let is_expired = |stated: &Statement| now.since(stated.last_seen) >= LIFETIME;
+        let is_expired = |stated: &Statement| now.since(stated.last_seen) >= TOLERANCE_LIFETIME;
         let stated = self.stated.iter();
         let expired = stated.filter(|(_, stated)| is_expired(stated));
         let expired: Vec<ServiceId> = expired.map(|(service, _)| service.clone()).collect();
--- a/src/gateway/dispatch/refusal.rs
+++ b/src/gateway/dispatch/refusal.rs
@@ -6,7 +6,7 @@
 //! [`super::admission`] on arrival or if no engine has room for them in time, by
 //! [`super::attempts`] if no endpoint is usable, by
 //! [`super::retry`] after an attempt and by [`super::suspicion`] at the deadline; the reason and the
-//! delay are defined here.
+//! delay are defined here, and the request is removed here.
 //!
 //! The platform adapter translates a reason to a status (`platform/src/dialect.rs`): 503 for
 //! [`RefusalReason::NoConfiguration`], [`RefusalReason::NoEndpoint`],
@@ -19,6 +19,13 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::Dispatcher;
+use super::action::Command;
+use super::event::RequestNumber;
+use super::priority::Tier;
+use super::record::Record;
+use super::request::millis;
+
 /// Retry delay at a box that has no configuration yet; it usually gets one within
 /// [`QUEUE_TIMEOUT`].
 ///
@@ -162,3 +169,54 @@
         }
     }
 }
+
+impl Dispatcher {
+    /// Gives up a request because no endpoint is usable or the retry budget is spent.
+    pub(super) fn give_up_without_attempt(&mut self, number: RequestNumber) {
+        if let Some(request) = self.requests.get(&number) {
+            let reason = RefusalReason::without_attempt(request.has_run());
+            self.give_up(number, reason);
+        }
+    }
+
+    /// Gives up a request whose deadline has passed.
+    pub(super) fn give_up_expired(&mut self, number: RequestNumber) {
+        let Some(request) = self.requests.get(&number) else {
+            return;
+        };
+        let has_run = match request.active {
+            Some(_) => HasRun::Maybe,
+            None => request.has_run(),
+        };
+        self.give_up(number, RefusalReason::when_expired(has_run));
+    }
+
+    /// Refuses a request and stops its attempt.
+    pub(super) fn give_up(&mut self, number: RequestNumber, reason: RefusalReason) {
+        self.refuse(number, Refusal::new(reason));
+    }
+
+    /// Refuses a request as stated and stops its attempt.
+    pub(super) fn refuse(&mut self, number: RequestNumber, refusal: Refusal) {
+        self.sample_abandoned(number);
+        let waited = self.stop_waiting(number, false);
+        let Some(request) = self.requests.remove(&number) else {
+            return;
+        };
+        self.record(Record::Refused {
+            request: request.arrival.id.clone(),
+            reason: refusal.reason,
+            after_ms: request.age_ms(self.now),
+            attempts: request.attempts,
+            fault: request.fault,
+            tier: request.tier.map(Tier::rank),
+            waited_ms: waited.map(millis),
+        });
+        if let Some(active) = &request.active {
+            self.command(number, Command::StopAttempt(active.attempt));
+            self.uncount_attempt(active);
+            self.drop_snapshot_of(active);
+        }
+        self.command(number, Command::Refuse(refusal));
+    }
+}
--- a/src/gateway/dispatch/relays/path.rs
+++ b/src/gateway/dispatch/relays/path.rs
@@ -3,7 +3,7 @@
 //! A box can't tell from one failed connection whether the endpoint or its own path has failed. The
 //! path is suspected once connections to a few endpoints failed within [`FAILURE_WINDOW`], or to all
 //! of them if there are fewer. The box then connects to other endpoints
-//! of the service, at once and each [`CHECK_INTERVAL`]. If none of them accepts, the path is lost; a
+//! of the service, at once and each [`PATH_CHECK_INTERVAL`]. If none of them accepts, the path is lost; a
 //! connection that is made shows that it works. So endpoints that fail while others work cost three
 //! connections and change nothing else.
 //!
@@ -18,7 +18,7 @@
 /// Time within which these connections fail.
 const FAILURE_WINDOW: Duration = Duration::from_secs(1);
 /// Time between two checks of a suspected or lost path.
-const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+const PATH_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// What a check changes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -84,11 +84,11 @@
         }
     }
 
-    /// Whether a check is due; the next one is due [`CHECK_INTERVAL`] later.
+    /// Whether a check is due; the next one is due [`PATH_CHECK_INTERVAL`] later.
     pub fn take_due_check(&mut self, now: Micros) -> bool {
         let is_due = self.next_check.is_some_and(|at| now >= at);
         if is_due {
-            self.next_check = Some(now.after(CHECK_INTERVAL));
+            self.next_check = Some(now.after(PATH_CHECK_INTERVAL));
         }
         is_due
     }
--- a/src/gateway/dispatch/request.rs
+++ b/src/gateway/dispatch/request.rs
@@ -82,11 +82,7 @@
 impl ActiveAttempt {
     /// The endpoint of the attempt, and the box through which it is reached.
     pub fn target(&self) -> Target {
-        Target {
-            endpoint: self.endpoint.id.clone(),
-            address: self.address,
-            via: self.via,
-        }
+        Target::new(self.endpoint.id.clone(), self.address, self.via)
     }
 }
 
--- a/src/gateway/shell/attempt.rs
+++ b/src/gateway/shell/attempt.rs
@@ -52,11 +52,7 @@
     let started = Instant::now();
     let mut attempt = attempt.clone();
     attempt.after_event = attempt.after_event.max(after);
-    let target = Target {
-        endpoint: attempt.endpoint.clone(),
-        address: attempt.address,
-        via: attempt.via,
-    };
+    let target = Target::new(attempt.endpoint.clone(), attempt.address, attempt.via);
     if let Some(mut connection) = target.take_idle(shared, attempt.max_idle) {
         report_connection(shared, number, &attempt).await;
         match connection
--- a/src/gateway/shell/control.rs
+++ b/src/gateway/shell/control.rs
@@ -256,11 +256,7 @@
                 via,
                 limit,
             } => {
-                let target = Target {
-                    endpoint,
-                    address,
-                    via,
-                };
+                let target = Target::new(endpoint, address, via);
                 self.spawn(probes::probe(reason, target, limit, shared));
             }
             Action::CheckExited {
@@ -269,11 +265,7 @@
                 via,
                 limit,
             } => {
-                let target = Target {
-                    endpoint: endpoint.id.clone(),
-                    address,
-                    via,
-                };
+                let target = Target::new(endpoint.id.clone(), address, via);
                 self.spawn(probes::check_exited(endpoint, target, limit, shared));
             }
             Action::CheckPath {
@@ -287,11 +279,7 @@
                 among,
                 via,
             } => {
-                let target = |(endpoint, address)| Target {
-                    endpoint,
-                    address,
-                    via,
-                };
+                let target = |(endpoint, address)| Target::new(endpoint, address, via);
                 let among = among.into_iter().map(target).collect();
                 self.spawn(probes::locate(request, part, among, shared));
             }
