A relay that stops tells its tunnels at once and waits for them

Cause (by reading): tunnels heard of a stop only when the listener closes, 3 s after the signal, 0.1 s before an idle box exits, so a call sent just before could be cut by a planned stop. Now they hear of it at once, pooled tunnels are dropped, and the box waits within its grace period. Also: a failed connection counts two of a service's endpoints, not all of them.

--- a/src/gateway/dispatch/relays.rs
+++ b/src/gateway/dispatch/relays.rs
@@ -46,7 +46,8 @@
 
 /// Time limit for a tunnel: a connection to the relay, and the relay's connection to the endpoint.
 pub const TUNNEL_OPEN_LIMIT: Duration = Duration::from_millis(260);
-/// Endpoints to which connections must fail before the path to their service is suspected.
+/// Endpoints to which connections must fail before the path to their service is suspected; all of
+/// them, if it has fewer.
 const SUSPECTED_AFTER: usize = 2;
 /// Stream of random numbers for relays and checks of paths, apart from that of other decisions.
 const RELAY_STREAM: u64 = 1;
@@ -175,7 +176,9 @@
         let Some(service) = self.fleet.get(endpoint).map(|e| e.spec.service.clone()) else {
             return false;
         };
-        let enough = SUSPECTED_AFTER.min(self.usable_endpoints(&service));
+        let of_service = self.fleet.of_service(&service);
+        let usable = of_service.filter(|e| self.fleet.takes_work(e));
+        let enough = usable.take(SUSPECTED_AFTER).count();
         let path = self.relays.paths.entry(service.clone()).or_default();
         if path.on_failure(endpoint, enough, self.now) {
             self.on_path_suspected(&service);
@@ -183,12 +186,6 @@
         self.relays.is_lost(&service) && self.choose_relay(&service).is_some()
     }
 
-    /// Number of endpoints of a service that take work.
-    fn usable_endpoints(&self, service: &ServiceId) -> usize {
-        let of_service = self.fleet.of_service(service);
-        of_service.filter(|e| self.fleet.takes_work(e)).count()
-    }
-
     fn on_path_suspected(&mut self, service: &ServiceId) {
         self.record_path(service, "path_suspected");
         self.check_paths();
--- a/src/gateway/shell/relay.rs
+++ b/src/gateway/shell/relay.rs
@@ -31,7 +31,7 @@
 pub(super) const TUNNEL_MARK: u32 = u32::from_le_bytes(*b"TNL1");
 /// Maximum number of tunnels that a box forwards at the same time: each takes two of a small box's
 /// 3,900 sockets.
-pub(super) const MAX_TUNNELS: usize = 512;
+pub(super) const MAX_TUNNELS: u32 = 512;
 
 /// Why a connection to an endpoint could not be opened.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -127,14 +127,8 @@
     let _ = socket.set_nodelay(true);
     enable_keepalive(&socket);
     reply(&mut socket, RelayReply::Connected, &shared).await?;
-    let mut closing = shared.closing.subscribe();
-    let stopping = async move {
-        if closing.wait_for(|is_closing| *is_closing).await.is_err() {
-            std::future::pending::<()>().await;
-        }
-    };
     shared.metrics.relays.open.inc();
-    forward(socket, server, stopping).await;
+    forward(socket, server, shared.until_stopping()).await;
     shared.metrics.relays.open.dec();
     Ok(())
 }
--- a/src/gateway/shell/shared.rs
+++ b/src/gateway/shell/shared.rs
@@ -61,6 +61,7 @@
     /// Tunnels that this box may still open for others.
     pub(super) tunnels: Arc<Semaphore>,
     pub(super) closing: watch::Sender<bool>,
+    stopping: watch::Sender<bool>,
     watching: Arc<[watch::Sender<bool>; ObjectKind::ALL.len()]>,
     active: watch::Sender<usize>,
     state: Arc<SharedState>,
@@ -109,8 +110,9 @@
             metrics: Arc::new(metrics),
             inputs,
             pool: Arc::new(Pool::new(MAX_IDLE_PER_ENDPOINT)),
-            tunnels: Arc::new(Semaphore::new(MAX_TUNNELS)),
+            tunnels: Arc::new(Semaphore::new(MAX_TUNNELS as usize)),
             closing: watch::channel(false).0,
+            stopping: watch::channel(false).0,
             watching: Arc::new(ObjectKind::ALL.map(|_| watch::channel(false).0)),
             active: watch::channel(0).0,
             state: Arc::default(),
@@ -145,6 +147,7 @@
     /// Marks the process as stopping, so that [`Self::is_ready`] returns false from now on.
     pub fn begin_stopping(&self) {
         self.state.is_stopping.store(true, Ordering::Relaxed);
+        self.stopping.send_replace(true);
     }
 
     /// Stops accepting connections and closes the idle incoming ones.
@@ -183,6 +186,19 @@
         let _ = active.wait_for(|requests| *requests == 0).await;
     }
 
+    /// Waits until the process is stopping.
+    pub async fn until_stopping(&self) {
+        let mut stopping = self.stopping.subscribe();
+        // Fails only if the sender was dropped, and `self` holds it.
+        let _ = stopping.wait_for(|is_stopping| *is_stopping).await;
+    }
+
+    /// Waits until this box forwards no tunnel.
+    pub async fn until_no_tunnels(&self) {
+        // Fails only if the semaphore was closed, which nothing does.
+        let _ = self.tunnels.acquire_many(MAX_TUNNELS).await;
+    }
+
     /// Waits until this box watches one kind of objects in the platform's store; returns whether it
     /// had to wait.
     pub async fn until_watching(&self, kind: ObjectKind) -> bool {
--- a/src/gateway/shell/stop.rs
+++ b/src/gateway/shell/stop.rs
@@ -3,8 +3,8 @@
 //! On SIGTERM or SIGINT the box reports at once that it is not ready, and
 //! [`crate::gateway::dispatch`] refuses new streams that could not finish. The box accepts
 //! connections for another [`BALANCER_NOTICE`], until the load balancer has noticed the stop. Then
-//! it accepts no more, closes idle connections, and exits once no request is in progress or the
-//! grace period is over.
+//! it accepts no more, closes idle connections, and exits once no request is in progress, no other
+//! box uses a tunnel, or the grace period is over.
 
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -58,7 +58,11 @@
     tokio::time::sleep(CLOSE_TIME).await;
     let left = grace.saturating_sub(requested_at.elapsed());
     // Requests still in progress at the end of the grace period are aborted.
-    let _ = tokio::time::timeout(left, shared.until_idle()).await;
+    let finished = async {
+        shared.until_idle().await;
+        shared.until_no_tunnels().await;
+    };
+    let _ = tokio::time::timeout(left, finished).await;
     tokio::time::sleep(CLOSE_TIME).await;
     record(
         shared,
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -363,7 +363,7 @@
     /// Closes the connections that have been idle longer than `max_idle`, and those the peer closed.
     pub fn sweep(&self, max_idle: Duration) {
         self.lock().retain(|_, connections| {
-            connections.retain(|c| c.is_fresh(max_idle) && !c.sender.is_closed());
+            connections.retain(|c| c.is_fresh(max_idle) && !c.is_ending() && !c.sender.is_closed());
             !connections.is_empty()
         });
     }
