--- a/lab/src/gateway.rs
+++ b/lab/src/gateway.rs
@@ -15,4 +15,5 @@
 pub mod soak;
 pub mod spread;
 pub mod store;
+pub mod streams;
 pub mod wire;
--- a/lab/src/gateway/demo.rs
+++ b/lab/src/gateway/demo.rs
@@ -36,6 +36,7 @@
     let pace = Pace {
         events: EVENTS,
         gap: GAP,
+        names_server: false,
     };
     let deployment = start(BOXES, MODELS, TILLS, pace).await?;
     println!("{BOXES} boxes before {MODELS} model servers and {TILLS} plain services are ready");
--- a/lab/src/gateway/demo/rollout.rs
+++ b/lab/src/gateway/demo/rollout.rs
@@ -117,6 +117,7 @@
     let pace = Pace {
         events: 1,
         gap: Duration::from_millis(10),
+        names_server: false,
     };
     let mut deployment = start(BOXES, 1, TILLS, pace).await?;
     println!("{BOXES} boxes before {TILLS} tills of v1 are ready");
@@ -208,6 +209,7 @@
         let pace = Pace {
             events: 1,
             gap: PAUSE,
+            names_server: false,
         };
         let till = Server::start(&id, outside.copies.clone(), pace).await;
         let till = till.map_err(|e| e.to_string())?;
--- a/lab/src/gateway/server.rs
+++ b/lab/src/gateway/server.rs
@@ -110,6 +110,8 @@
     /// Requests that arrived, whether or not they ran.
     arrived: usize,
     kept: Vec<String>,
+    /// Whether it tells nobody which parts of prompts it keeps.
+    hides_kept: bool,
     /// Events made by the runs that go on.
     going: BTreeMap<String, u64>,
     copies_made: u32,
@@ -143,6 +145,8 @@
     pub events: u64,
     /// Time between them.
     pub gap: Duration,
+    /// Whether each event names the server that made it.
+    pub names_server: bool,
 }
 
 #[derive(Clone)]
@@ -264,6 +268,11 @@
         lock(&self.state).says_leaving = true;
     }
 
+    /// Tells nobody from now on which parts of prompts it keeps, as if it kept none.
+    pub fn hide_kept(&self) {
+        lock(&self.state).hides_kept = true;
+    }
+
     /// How many requests arrived here, whether or not they ran.
     #[must_use]
     pub fn arrived(&self) -> usize {
@@ -350,6 +359,12 @@
     format!("id: {event}\ndata: {part}-{event}\n\n")
 }
 
+/// The text of an event that names the server that made it.
+#[must_use]
+pub fn named_event_text(part: &str, event: u64, server: &str) -> String {
+    format!("id: {event}\ndata: {part}-{event}@{server}\n\n")
+}
+
 fn last_part(ask: &Message) -> Option<String> {
     let parts = ask.header("magpiemoor-prefix-hash")?;
     let last = parts.rsplit(',').next()?;
--- a/lab/src/gateway/server/serving.rs
+++ b/lab/src/gateway/server/serving.rs
@@ -10,7 +10,7 @@
 use super::brittle::Reception;
 use super::{
     Act, Copy, HANDLES, LOOK, OTHER, Run, Serving, chunk, event_text, last_part, lock, lock_copies,
-    whole,
+    named_event_text, whole,
 };
 use crate::gateway::wire::{Message, Wire};
 
@@ -71,7 +71,11 @@
     }
 
     async fn kept(&self, wire: &mut Wire) -> std::io::Result<bool> {
-        let kept = lock(&self.state).kept.clone();
+        let kept = {
+            let state = lock(&self.state);
+            let kept = state.kept.iter().filter(|_| !state.hides_kept);
+            kept.cloned().collect::<Vec<_>>()
+        };
         let events = kept.iter().enumerate();
         let events: Vec<_> = events
             .map(|(number, part)| json!([number, "+", "", part, 5000, "m"]))
@@ -308,7 +312,11 @@
             if self.is_silent() {
                 std::future::pending::<()>().await;
             }
-            let text = event_text(&part, event);
+            let text = if self.pace.names_server {
+                named_event_text(&part, event, &self.id)
+            } else {
+                event_text(&part, event)
+            };
             let is_second = event == first + 1;
             match act {
                 Act::TornEvent if is_second => {
--- a/lab/src/gateway/soak.rs
+++ b/lab/src/gateway/soak.rs
@@ -40,6 +40,7 @@
 const PACE: Pace = Pace {
     events: EVENTS,
     gap: GAP,
+    names_server: false,
 };
 /// How often a caller comes back for the rest of a stream.
 const MOST_RETURNS: u32 = 4;
--- a/lab/src/gateway/wire.rs
+++ b/lab/src/gateway/wire.rs
@@ -149,6 +149,29 @@
         Ok(message)
     }
 
+    /// Reads the head of an answer only.
+    ///
+    /// # Errors
+    ///
+    /// If no head came.
+    pub async fn read_answer_head(&mut self) -> io::Result<Message> {
+        let head = self.read_head(false).await?;
+        Ok(head.ok_or(io::ErrorKind::UnexpectedEof)?)
+    }
+
+    /// Reads the next chunk of a chunked answer, or `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// If the answer broke off.
+    pub async fn read_chunk(&mut self) -> io::Result<Option<Vec<u8>>> {
+        let line = self.read_line().await?;
+        let size = usize::from_str_radix(line.trim(), 16).map_err(io::Error::other)?;
+        let chunk = self.take(size).await?;
+        self.read_line().await?;
+        Ok((size > 0).then_some(chunk))
+    }
+
     async fn more(&mut self) -> io::Result<usize> {
         self.socket.read_buf(&mut self.held).await
     }
@@ -191,16 +214,10 @@
     }
 
     async fn read_chunks(&mut self, message: &mut Message) -> io::Result<()> {
-        loop {
-            let line = self.read_line().await?;
-            let size = usize::from_str_radix(line.trim(), 16).map_err(io::Error::other)?;
-            let chunk = self.take(size).await?;
-            self.read_line().await?;
-            if size == 0 {
-                return Ok(());
-            }
+        while let Some(chunk) = self.read_chunk().await? {
             message.body.extend(chunk);
         }
+        Ok(())
     }
 
     async fn read_line(&mut self) -> io::Result<String> {
