--- a/lab/src/gateway.rs
+++ b/lab/src/gateway.rs
@@ -1,6 +1,7 @@
 //! Stand-ins that speak the users' platform's protocol, written from its pages: the store, model
 //! servers, plain services, and callers. They have faults on command, down to single bytes.
 
+pub mod boxes;
 pub mod caller;
 pub mod crashes;
 pub mod cuts;
@@ -16,4 +17,5 @@
 pub mod spread;
 pub mod store;
 pub mod streams;
+pub mod versions;
 pub mod wire;
--- a/lab/src/gateway/crashes/fleet.rs
+++ b/lab/src/gateway/crashes/fleet.rs
@@ -29,10 +29,11 @@
 use super::score::{Counts, Culprit, Outcome};
 use super::servers::{RunId, Servers};
 use super::{Beside, Case, servers};
+use crate::gateway::boxes::{address, config};
 use crate::gateway::mailbox::Mailbox;
 use callers::{Caller, CallerId};
 use runs::Run;
-use setup::{address, config, table};
+use setup::table;
 
 /// When the boxes start.
 const START: Micros = Micros(1_000_000);
@@ -130,7 +131,7 @@
     #[must_use]
     pub fn new(case: Case) -> Self {
         let boxes = (0..case.boxes).map(|number| {
-            let cfg = config(number, &case);
+            let cfg = config(number, case.boxes, DOMAINS);
             FleetBox {
                 dispatcher: Dispatcher::new(cfg.clone(), case.seed, START),
                 cfg,
@@ -312,6 +313,9 @@
             } => {
                 self.send(at, &to, &datagram::write_usage(&news, &crashes));
             }
+            Action::PublishStreams { to, update } => {
+                self.send(at, &[to], &datagram::write_streams(&update));
+            }
             Action::SaveQuarantine {
                 request,
                 is_quarantined,
--- a/lab/src/gateway/crashes/fleet/callers.rs
+++ b/lab/src/gateway/crashes/fleet/callers.rs
@@ -41,10 +41,19 @@
     pub culprit: Option<usize>,
     /// The last event that came.
     pub last_event: Option<u64>,
+    /// The try that brought the first event.
+    pub began: Option<String>,
     tries: u32,
     is_over: bool,
 }
 
+impl Caller {
+    /// The id of its last try.
+    pub(super) fn id_of_try(&self, caller: CallerId) -> String {
+        format!("{}-{}", caller.0, self.tries)
+    }
+}
+
 /// What a crashing request asks for.
 pub(super) fn content_of(number: usize) -> Fingerprint {
     Fingerprint(number as u64 + 1)
@@ -69,6 +78,7 @@
             content,
             culprit,
             last_event: None,
+            began: None,
             tries: 0,
             is_over: false,
         });
@@ -110,7 +120,7 @@
             self.counts.culprits[culprit].tries += 1;
         }
         let arrival = Arrival {
-            id: format!("{}-{}", caller.0, asking.tries),
+            id: asking.id_of_try(caller),
             host: HOST.to_owned(),
             path: "/x".to_owned(),
             key: None,
@@ -120,6 +130,7 @@
                 PATIENCE_CALL
             }),
             after_event: asking.last_event,
+            resumes: asking.began.clone(),
             parts: vec![format!("part-{}", asking.content.0)],
             prompt: Tokens(if is_stream { 4_000 } else { 0 }),
             output: Tokens(if is_stream { 500 } else { 0 }),
--- a/lab/src/gateway/crashes/fleet/faults.rs
+++ b/lab/src/gateway/crashes/fleet/faults.rs
@@ -5,7 +5,8 @@
 use magpiemoor::gateway::dispatch::event::{EndpointChange, Event};
 use rand::Rng;
 
-use super::{CUT_FOR, DOMAINS, Fleet, Mail, setup};
+use super::{CUT_FOR, DOMAINS, Fleet, Mail};
+use crate::gateway::boxes::domain_name;
 use crate::gateway::crashes::Beside;
 
 /// The time until boxes hear of a change of entries, at most.
@@ -49,7 +50,7 @@
     }
 
     fn drop_domain(&mut self, domain: usize) {
-        let name = setup::domain_name(domain);
+        let name = domain_name(domain);
         for place in self.servers.up(Some(&name)) {
             if self.rng.random_bool(FALLING) {
                 self.end_server(place);
--- a/lab/src/gateway/limits/fleet.rs
+++ b/lab/src/gateway/limits/fleet.rs
@@ -25,10 +25,11 @@
 
 use super::Case;
 use super::score::{CONTACT, Counts, Outcome};
+use crate::gateway::boxes::{address, config};
 use crate::gateway::mailbox::Mailbox;
 use callers::{Call, CallerId};
 use servers::Servers;
-use setup::{address, config, table};
+use setup::table;
 
 /// Start time of the boxes.
 const START: Micros = Micros(1_000_000);
@@ -102,7 +103,7 @@
     #[must_use]
     pub fn new(case: Case) -> Self {
         let boxes = (0..case.boxes).map(|number| {
-            let cfg = config(number, &case);
+            let cfg = config(number, case.boxes, case.domains);
             FleetBox {
                 dispatcher: Dispatcher::new(cfg.clone(), case.seed, START),
                 cfg,
--- a/lab/src/gateway/limits/fleet/callers.rs
+++ b/lab/src/gateway/limits/fleet/callers.rs
@@ -82,6 +82,7 @@
             key: None,
             timeout: Some(CALLER_TIMEOUT),
             after_event: None,
+            resumes: None,
             parts: Vec::new(),
             prompt: Tokens(0),
             output: Tokens(0),
--- a/lab/src/gateway/limits/fleet/servers.rs
+++ b/lab/src/gateway/limits/fleet/servers.rs
@@ -13,8 +13,9 @@
 use magpiemoor::schema::EndpointId;
 use rand::Rng;
 
-use super::setup::{SERVICE, domain_name};
+use super::setup::SERVICE;
 use super::{Case, EXTERNAL_LATENCY, Fleet, Mail, RequestAtBox};
+use crate::gateway::boxes::domain_name;
 use crate::gateway::limits::score::{Arrived, REST, ServerRecord};
 use crate::gateway::limits::{AffectedServers, Asks, LimitCourse};
 
--- a/lab/src/gateway/rollout/fleet/traffic.rs
+++ b/lab/src/gateway/rollout/fleet/traffic.rs
@@ -63,6 +63,7 @@
                 2_500
             })),
             after_event: None,
+            resumes: None,
             parts: vec![format!("part-{at}-{number}")],
             prompt: Tokens(if self.case.engines { 8_000 } else { 0 }),
             output: Tokens(if self.case.engines { 500 } else { 0 }),
--- a/lab/src/gateway/server.rs
+++ b/lab/src/gateway/server.rs
@@ -110,6 +110,8 @@
     /// Requests that arrived, whether or not they ran.
     arrived: usize,
     kept: Vec<String>,
+    /// The software that it came back as, if it is not that of its first start.
+    software: Option<String>,
     /// Whether it tells nobody which parts of prompts it keeps.
     hides_kept: bool,
     /// Events made by the runs that go on.
@@ -220,6 +222,23 @@
         Self::serve(listener, &self.id, self.copies.clone(), self.pace.clone())
     }
 
+    /// As [`Server::start_again`], with other software, which events tell.
+    ///
+    /// # Errors
+    ///
+    /// What the system says.
+    pub async fn start_again_as(&self, software: &str) -> std::io::Result<Self> {
+        let again = self.start_again().await?;
+        lock(&again.state).software = Some(software.to_owned());
+        Ok(again)
+    }
+
+    /// The name that its events give it.
+    #[must_use]
+    pub fn name_in_events(&self) -> String {
+        named(&self.id, lock(&self.state).software.as_deref())
+    }
+
     /// Where it listens.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
@@ -359,6 +378,10 @@
     format!("id: {event}\ndata: {part}-{event}\n\n")
 }
 
+fn named(id: &str, software: Option<&str>) -> String {
+    software.map_or_else(|| id.to_owned(), |software| format!("{id}-{software}"))
+}
+
 /// The text of an event that names the server that made it.
 #[must_use]
 pub fn named_event_text(part: &str, event: u64, server: &str) -> String {
--- a/lab/src/gateway/server/serving.rs
+++ b/lab/src/gateway/server/serving.rs
@@ -10,7 +10,7 @@
 use super::brittle::Reception;
 use super::{
     Act, Copy, HANDLES, LOOK, OTHER, Run, Serving, chunk, event_text, last_part, lock, lock_copies,
-    named_event_text, whole,
+    named, named_event_text, whole,
 };
 use crate::gateway::wire::{Message, Wire};
 
@@ -313,7 +313,9 @@
                 std::future::pending::<()>().await;
             }
             let text = if self.pace.names_server {
-                named_event_text(&part, event, &self.id)
+                let software = lock(&self.state).software.clone();
+                let name = named(&self.id, software.as_deref());
+                named_event_text(&part, event, &name)
             } else {
                 event_text(&part, event)
             };
--- a/lab/src/gateway/store.rs
+++ b/lab/src/gateway/store.rs
@@ -217,7 +217,10 @@
             return Some((400, Vec::new()));
         };
         match method.as_str() {
-            "PUT" => return Some(self.put_status(path, &ask.text())),
+            "PUT" if path.ends_with("/status") => {
+                return Some(self.put_status(path, &ask.text()));
+            }
+            "PUT" => return Some(self.replace(path, &ask.text())),
             "POST" => return Some(self.make(path, &ask.text())),
             "DELETE" => return Some(self.delete(path)),
             _ => {}
@@ -259,6 +262,20 @@
         )
     }
 
+    /// Replaces the spec of an object that is there.
+    fn replace(&self, path: &str, body: &str) -> (u16, Vec<u8>) {
+        let place = path.strip_prefix("/v1/objects/");
+        let Some((kind, name)) = place.and_then(|place| place.split_once('/')) else {
+            return (404, Vec::new());
+        };
+        if self.object(kind, name).is_none() {
+            return (404, Vec::new());
+        }
+        let asked: Value = serde_json::from_str(body).unwrap_or_default();
+        self.put(kind, name, &asked["spec"]);
+        (200, Vec::new())
+    }
+
     fn delete(&self, path: &str) -> (u16, Vec<u8>) {
         let place = path.strip_prefix("/v1/objects/");
         let Some((kind, name)) = place.and_then(|place| place.split_once('/')) else {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -33,6 +33,7 @@
 //! | learned speeds of endpoints | [`fleet::speeds`], observed and published in `speed_reports` |
 //! | selection of the boxes that watch the store | [`store_watchers`] |
 //! | gossip between boxes | [`gossip`], [`peers`] |
+//! | the version that a stream goes on at | [`stream_versions`] |
 //! | change of a service to another version | [`rollout`], executed by [`rollouts`] |
 //! | running boxes | [`roster`] |
 //! | choice of the peer to fetch a newer table or list from | [`fetches`] |
@@ -84,6 +85,7 @@
 mod rollout_samples;
 mod rollouts;
 mod speed_reports;
+pub mod stream_versions;
 mod suspicion;
 
 use std::collections::BTreeMap;
@@ -120,6 +122,7 @@
 use slots::SlotLeases;
 use store_watchers::StoreWatchers;
 use stream_time::StreamTime;
+use stream_versions::StreamVersions;
 use table::{RoutingTable, TableVersion};
 
 /// Interval at which a box with requests checks them: a fraction of the shortest delay that is
@@ -220,6 +223,7 @@
     replica_room: ReplicaRoom,
     relays: Relays,
     slots: SlotLeases,
+    stream_versions: StreamVersions,
     actions: Vec<Action>,
 }
 
@@ -266,6 +270,7 @@
             replica_room: ReplicaRoom::default(),
             relays: Relays::new(seed),
             slots: SlotLeases::default(),
+            stream_versions: StreamVersions::default(),
             actions: Vec::new(),
             cfg,
         }
@@ -279,6 +284,7 @@
             self.peers.on_process_pause(time);
             self.store_watchers.on_process_pause(time);
             self.permits.on_process_pause(now);
+            self.stream_versions.on_process_pause(now);
         }
     }
 
@@ -366,6 +372,7 @@
         self.settle_crashes();
         self.maintain_limits();
         self.maintain_leases();
+        self.maintain_stream_versions();
         self.check_paths();
         self.check_requests();
         self.refuse_queued();
--- a/src/gateway/dispatch/action.rs
+++ b/src/gateway/dispatch/action.rs
@@ -16,7 +16,7 @@
 use crate::schema::{
     BoxId, BoxState, CrashUpdate, DepartureUpdate, DutyHolder, EndpointId, EndpointIncarnation,
     EngineLoadReport, Fingerprint, LimitUpdate, OrganisationId, ServiceId, SlotUpdate, SpeedUpdate,
-    StateRequest, UsageCountUpdate, UsageUpdate,
+    StartTime, StateRequest, StreamRecord, StreamUpdate, UsageCountUpdate, UsageUpdate,
 };
 
 /// An endpoint, and the box through which it is reached.
@@ -65,6 +65,9 @@
     pub mirror_to: Option<SocketAddr>,
     /// Replica from which this attempt continues.
     pub resume_from: Option<ReplicaLocation>,
+    /// Start time that the endpoint's process must report before it gets the request; `None` if that is
+    /// not checked.
+    pub expected_start: Option<StartTime>,
     /// Time limit for the connection.
     pub connect_timeout: Duration,
     /// Maximum idle time of a connection that is reused.
@@ -175,6 +178,24 @@
         /// The message.
         update: SlotUpdate,
     },
+    /// Send a box records of streams, queries for them, or answers.
+    PublishStreams {
+        /// Address of the box.
+        to: SocketAddr,
+        /// The message.
+        update: StreamUpdate,
+    },
+    /// Read the records of streams in the platform's store, with retries until it succeeds.
+    ReadStreams,
+    /// Write the records of the streams of this failure domain to the platform's store.
+    SaveStreams {
+        /// The records; they replace those of the last write.
+        records: Vec<StreamRecord>,
+        /// Name of the object, which only this process writes.
+        name: String,
+        /// Whether this is the first write of this process.
+        is_first: bool,
+    },
     /// Tell an engine to drop a snapshot that is not needed any more.
     DropSnapshot {
         /// The engine.
--- a/src/gateway/dispatch/admission.rs
+++ b/src/gateway/dispatch/admission.rs
@@ -34,7 +34,8 @@
 use super::record::Record;
 use super::refusal::{Refusal, RefusalReason};
 use super::request::Request;
-use super::table::{KeyOwner, NoMatch, Route, RoutingTable};
+use super::stream_versions::stream_draw;
+use super::table::{KeyOwner, NoMatch, Route, RouteKind, RoutingTable};
 use crate::schema::{Micros, ServiceId};
 
 /// Longest time that a request is queued while the box has no routes or endpoints. Longer than the
@@ -158,7 +159,7 @@
         route: Arc<Route>,
         key_owner: Option<KeyOwner>,
     ) {
-        let service = self.pick_service(&route);
+        let service = self.pick_service(&route, &arrival);
         self.budget.on_request(&service, self.now);
         let engine = table.service(&service).and_then(|s| s.engine);
         let tier = table.tier(&route, key_owner.as_ref());
@@ -174,13 +175,19 @@
             fingerprint: request.fingerprint.hex(),
             tier: request.tier.map(Tier::rank),
         });
-        let may_be_reconnect = request.last_event.is_some() || self.has_just_started();
-        let is_reconnect = request.engine.is_some() && may_be_reconnect;
         self.requests.insert(number, request);
-        if self.give_up_quarantined(number) {
-            return;
+        if !self.give_up_quarantined(number) && self.find_version(number) {
+            self.place_admitted(number);
         }
-        if is_reconnect {
+    }
+
+    /// Places an admitted request, at the engine that keeps its prompt if there may be one.
+    pub(super) fn place_admitted(&mut self, number: RequestNumber) {
+        let Some(request) = self.requests.get(&number) else {
+            return;
+        };
+        let may_be_reconnect = request.last_event.is_some() || self.has_just_started();
+        if request.engine.is_some() && may_be_reconnect {
             self.locate(number);
         } else {
             self.start_attempt_anywhere(number);
@@ -192,9 +199,15 @@
         !self.cfg.first_start && self.now.since(self.started) < RECONNECT_WINDOW
     }
 
-    /// Picks a service of the route by weight, preferring services that have an open endpoint.
-    fn pick_service(&mut self, route: &Route) -> ServiceId {
-        let picked = route.pick_target(self.rng.random());
+    /// Picks a service of the route by weight, preferring services that have an open endpoint. All
+    /// attempts of a stream pick the same one, at any box.
+    fn pick_service(&mut self, route: &Route, arrival: &Arrival) -> ServiceId {
+        let random = self.rng.random();
+        let draw = match route.kind {
+            RouteKind::Stream { resumable: true } => stream_draw(arrival),
+            _ => random,
+        };
+        let picked = route.pick_target(draw);
         let has_endpoint = |service: &ServiceId| {
             let mut endpoints = self.fleet.of_service(service);
             endpoints.any(|e| self.fleet.is_open(e, self.now))
--- a/src/gateway/dispatch/admission/search.rs
+++ b/src/gateway/dispatch/admission/search.rs
@@ -173,7 +173,7 @@
         }
         let fits = |number: &RequestNumber| {
             let waiting = waits.queue.get(*number);
-            waiting.is_some_and(|w| room.admits(w.memory))
+            waiting.is_some_and(|w| room.admits(w.memory)) && self.may_run_at(*number, id)
         };
         let order = waits.queue.order(self.now);
         let candidates: Vec<_> = order
@@ -216,13 +216,7 @@
         };
         self.request_missing_permit(first);
         match self.choose_endpoint(first) {
-            Choice::Nothing => {
-                for number in order {
-                    self.stop_waiting(number, false);
-                    self.wait_for_endpoint(number);
-                }
-                return;
-            }
+            Choice::Nothing => return self.stop_waiting_like(first, &order),
             Choice::Start(id) => self.search_at(service, &id, FreedBy::Other),
             Choice::NoRoom => self.start_before_late(service, first),
         }
@@ -230,6 +224,29 @@
         self.refuse_late(service);
     }
 
+    /// Ends the wait for room of a request that no endpoint can take, and of those that may use no
+    /// other endpoints: all of them, or those whose streams are bound to the same version.
+    fn stop_waiting_like(&mut self, first: RequestNumber, order: &[RequestNumber]) {
+        let version = |number: &RequestNumber| self.requests.get(number)?.version.clone();
+        let bound = version(&first);
+        let like = order.iter().copied();
+        let like: Vec<RequestNumber> = match bound {
+            Some(_) => like.filter(|number| version(number) == bound).collect(),
+            None => like.collect(),
+        };
+        for number in like {
+            self.stop_waiting(number, false);
+            self.wait_for_endpoint(number);
+        }
+    }
+
+    /// Whether the version that began the stream of a request lets it run at an engine.
+    fn may_run_at(&self, number: RequestNumber, id: &EndpointId) -> bool {
+        let request = self.requests.get(&number);
+        let pair = request.zip(self.fleet.get(id));
+        pair.is_some_and(|(request, endpoint)| Self::is_of_version(request, endpoint))
+    }
+
     /// Lets requests that have waited for a sweep start again at endpoints that they tried: these may
     /// have recovered.
     fn allow_tried(&mut self, numbers: &[RequestNumber]) {
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -217,6 +217,7 @@
         self.count_attempt(number, &attempt, (mirror, lease), usage.prefill);
         self.publish_usage_soon(to);
         self.watch_speed(number, usage.prefill == 0);
+        self.keep_version(number);
         self.command(number, Command::Send(Box::new(attempt)));
     }
 
@@ -234,6 +235,7 @@
             after_event: request.last_event,
             mirror_to: None,
             resume_from: None,
+            expected_start: Self::expected_start(request, spec),
             connect_timeout: match request.relay {
                 Some(_) => TUNNEL_OPEN_LIMIT,
                 None => ATTEMPT_CONNECT_LIMIT,
@@ -271,6 +273,7 @@
             left_ms: millis(attempt.time_left),
             tier: request.tier.map(Tier::rank),
             waited_ms: waited.map(millis),
+            version: (!self.has_sole_version(&spec.service)).then(|| spec.version.to_string()),
         }
     }
 
@@ -347,6 +350,9 @@
     /// Schedules another search for an endpoint, or gives the request up once its time for that is
     /// over.
     pub(super) fn wait_for_endpoint(&mut self, number: RequestNumber) {
+        if self.refuse_if_version_gone(number) {
+            return;
+        }
         let now = self.now;
         let Some(request) = self.requests.get_mut(&number) else {
             return;
--- a/src/gateway/dispatch/checks.rs
+++ b/src/gateway/dispatch/checks.rs
@@ -14,6 +14,8 @@
     PromptSearch,
     /// A suspected endpoint may have restarted or been replaced.
     Identity,
+    /// Another version may run under an engine's id since it restarted.
+    StartTime,
     /// Another process than the listed one has an engine's address.
     Successor,
     /// An attempt broke off, and its endpoint may have exited.
@@ -28,11 +30,12 @@
 
 impl CheckReason {
     /// All reasons, in the order of their values.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::ProbeInStream,
         Self::ProbeInPrefill,
         Self::PromptSearch,
         Self::Identity,
+        Self::StartTime,
         Self::Successor,
         Self::ExitCheck,
         Self::DirectPath,
@@ -48,6 +51,7 @@
             Self::ProbeInPrefill => "probe_in_prefill",
             Self::PromptSearch => "prompt_search",
             Self::Identity => "identity",
+            Self::StartTime => "start_time",
             Self::Successor => "successor",
             Self::ExitCheck => "exit_check",
             Self::DirectPath => "direct_path",
--- a/src/gateway/dispatch/endpoint_restart.rs
+++ b/src/gateway/dispatch/endpoint_restart.rs
@@ -39,12 +39,17 @@
     /// Applies the start time that an endpoint reported in answer to a request sent at `requested`.
     pub(super) fn on_start_time(&mut self, id: &EndpointId, born: StartTime, requested: Micros) {
         self.fleet.on_start_time(id, born, requested, self.now);
-        self.record_ended_incarnations();
+        if self.record_ended_incarnations() {
+            self.observe_versions();
+        }
     }
 
-    /// Records restarts of endpoints and closes the idle connections to them.
-    pub(super) fn record_ended_incarnations(&mut self) {
-        for ended in self.fleet.take_ended_incarnations() {
+    /// Records restarts of endpoints and closes the idle connections to them; returns whether there were
+    /// any.
+    pub(super) fn record_ended_incarnations(&mut self) -> bool {
+        let all_ended = self.fleet.take_ended_incarnations();
+        let has_ended = !all_ended.is_empty();
+        for ended in all_ended {
             let Some(spec) = self.fleet.get(&ended.id).map(|e| e.spec.clone()) else {
                 continue;
             };
@@ -56,6 +61,7 @@
                 born: spec.born.map(|born| born.0),
             });
         }
+        has_ended
     }
 
     /// Whether the engine of a stream has restarted and its attempt got nothing for too long.
--- a/src/gateway/dispatch/event.rs
+++ b/src/gateway/dispatch/event.rs
@@ -16,7 +16,7 @@
 use crate::schema::{
     BoxState, CrashUpdate, DepartureUpdate, DomainId, DutyHolder, EndpointId, EndpointIncarnation,
     EngineLoadReport, Fingerprint, LimitUpdate, RequestAge, ServiceId, SlotUpdate, SpeedUpdate,
-    StartTime, UsageCountUpdate, UsageUpdate, VersionId,
+    StartTime, StreamRecord, StreamUpdate, UsageCountUpdate, UsageUpdate, VersionId,
 };
 
 /// Number that this box has given a request.
@@ -99,6 +99,8 @@
     pub timeout: Option<Duration>,
     /// Id of the event after which the caller wants a stream to continue.
     pub after_event: Option<u64>,
+    /// The caller's earlier attempt that brought the first event of the stream to be continued.
+    pub resumes: Option<String>,
     /// Ids by which engines know the parts of the prompt, in order.
     pub parts: Vec<String>,
     /// Length of the prompt.
@@ -163,6 +165,8 @@
     NoRoom,
     /// Another instance uses the endpoint's address; its id, if it gave one.
     OtherInstance(Option<EndpointId>),
+    /// The endpoint has restarted since this box last knew its start time; the new one.
+    Restarted(StartTime),
 }
 
 /// Lowest HTTP status that counts as a fault of the endpoint.
@@ -205,6 +209,7 @@
             Self::RelayFailed => "relay_failed",
             Self::NotRun(NotRunCause::OtherInstance(_)) => "misdirected",
             Self::NotRun(NotRunCause::NoRoom) => "not_run",
+            Self::NotRun(NotRunCause::Restarted(_)) => "restarted",
             Self::Answered { .. } => "answered",
             Self::StreamEnded => "stream_ended",
             Self::Broken(Fault::Closed) => "closed",
@@ -391,6 +396,15 @@
     PeerLimits(LimitUpdate),
     /// A peer requests, grants or gives back leases of slots.
     PeerSlots(SlotUpdate),
+    /// A peer sent records of streams, queries for them, or answers.
+    PeerStreams(StreamUpdate),
+    /// The records of streams in the platform's store were read.
+    StreamsRead(Vec<StreamRecord>),
+    /// A write of records of streams to the platform's store ended.
+    StreamsSaved {
+        /// Whether the store has taken them.
+        is_saved: bool,
+    },
     /// A fetch from a peer ended, with or without an answer.
     Fetched {
         /// Kind of data that was requested.
--- a/src/gateway/dispatch/fetches.rs
+++ b/src/gateway/dispatch/fetches.rs
@@ -246,6 +246,13 @@
         true
     }
 
+    /// Whether this box has been behind for some time.
+    #[must_use]
+    pub fn is_behind_for(&self, time: Duration, now: Micros) -> bool {
+        self.behind_since
+            .is_some_and(|since| self.is_behind() && now.since(since) >= time)
+    }
+
     /// Time of the next decision, if this box is behind.
     #[must_use]
     pub fn due(&self) -> Option<Micros> {
--- a/src/gateway/dispatch/fleet/incarnations.rs
+++ b/src/gateway/dispatch/fleet/incarnations.rs
@@ -23,7 +23,7 @@
 
 use super::{Endpoint, Fleet};
 use crate::gateway::dispatch::event::EndpointSpec;
-use crate::schema::{EndpointId, EndpointIncarnation, Micros, StartTime};
+use crate::schema::{EndpointId, EndpointIncarnation, Micros, StartTime, VersionId};
 
 impl Fleet {
     /// Begins another incarnation of an endpoint and drops the state of the earlier one. Whether
@@ -67,8 +67,14 @@
             Some(known) if known == born => endpoint.maybe_restarted_since = None,
             Some(_) if is_outdated => {}
             Some(_) => {
+                let incarnation = EndpointIncarnation {
+                    id: id.clone(),
+                    born: Some(born),
+                };
                 let spec = EndpointSpec {
                     born: Some(born),
+                    // The list has named the version of the earlier incarnation only.
+                    version: VersionId::unlisted(&incarnation),
                     ..endpoint.spec.clone()
                 };
                 self.begin_incarnation(spec, now);
--- a/src/gateway/dispatch/handle.rs
+++ b/src/gateway/dispatch/handle.rs
@@ -34,6 +34,9 @@
             | Event::PeerHolder(_)
             | Event::PeerLimits(_)
             | Event::PeerSlots(_)
+            | Event::PeerStreams(_)
+            | Event::StreamsRead(_)
+            | Event::StreamsSaved { .. }
             | Event::PeerDepartures(_)
             | Event::PeerLoad(_)
             | Event::PeerSpeeds(_)
@@ -108,6 +111,9 @@
             Event::PeerHolder(holder) => self.on_peer_holder(&holder),
             Event::PeerLimits(update) => self.on_peer_limits(&update),
             Event::PeerSlots(update) => self.on_peer_slots(&update),
+            Event::PeerStreams(update) => self.on_peer_streams(&update),
+            Event::StreamsRead(records) => self.on_streams_read(&records),
+            Event::StreamsSaved { is_saved } => self.on_streams_saved(is_saved),
             Event::PeerDepartures(update) => self.on_peer_departures(&update),
             Event::PeerLoad(report) => self.on_peer_load(&report),
             Event::PeerSpeeds(update) => self.fleet.on_peer_speeds(&update, self.now),
@@ -149,7 +155,10 @@
                 instance,
                 born,
             } => self.on_identified(&endpoint, &instance, born),
-            Event::Identified(spec) => self.fleet.on_identified(spec, self.now),
+            Event::Identified(spec) => {
+                self.fleet.on_identified(spec, self.now);
+                self.observe_versions();
+            }
             Event::Located { request, endpoint } => self.on_located(request, endpoint),
             Event::SnapshotTaken {
                 request,
--- a/src/gateway/dispatch/intake.rs
+++ b/src/gateway/dispatch/intake.rs
@@ -21,6 +21,7 @@
         });
         self.table_fetches.on_progress(table.version().0, self.now);
         self.fleet.set_services(table.services().map(|s| &s.name));
+        self.stream_versions.on_table(&table);
         self.table = Some(table);
         self.gossip_table();
         self.release_queued();
@@ -37,6 +38,7 @@
         let removed = removed.into_iter().map(|id| (id, EndpointState::Absent));
         self.record_endpoints(at, &removed.collect::<Vec<_>>());
         self.record_ended_incarnations();
+        self.observe_versions();
         self.apply_held_reports();
         self.release_queued();
         self.room_waits.sweep_soon();
@@ -48,6 +50,7 @@
         self.record_endpoints(at, &states.collect::<Vec<_>>());
         self.fleet.apply_changes(changes, self.now);
         self.record_ended_incarnations();
+        self.observe_versions();
         self.apply_held_reports();
         self.room_waits.sweep_soon();
     }
--- a/src/gateway/dispatch/outcomes.rs
+++ b/src/gateway/dispatch/outcomes.rs
@@ -18,7 +18,7 @@
 use super::request::{ActiveAttempt, AttemptLease, Request, millis};
 use super::retry::{AfterAttempt, after_attempt};
 use super::retry_budget::Sharers;
-use crate::schema::{EndpointId, StartTime};
+use crate::schema::{EndpointId, StartTime, VersionId};
 
 impl Dispatcher {
     pub(super) fn on_caller_disconnected(&mut self, number: RequestNumber) {
@@ -64,6 +64,7 @@
     ) {
         let now = self.now;
         self.adopt_current_incarnation(number, attempt);
+        self.correct_version(number);
         let Some(request) = self.with_active(number, attempt) else {
             return;
         };
@@ -95,6 +96,7 @@
         self.record_crash_progress(number);
         self.sample_events(number, attempt);
         if is_first {
+            self.bind_version(number, attempt);
             self.count_request(number);
             self.sample_first_event(number, attempt, prefilled);
             self.record_first_event(id, &endpoint.id, is_resumed.then_some(pause), age);
@@ -177,6 +179,10 @@
                 self.fleet.on_replaced(endpoint, self.now);
                 self.gossip_soon();
             }
+            Outcome::NotRun(NotRunCause::Restarted(born)) => {
+                self.fleet.on_reached(endpoint);
+                self.on_start_time(endpoint, *born, self.now);
+            }
             Outcome::Answered { status } if *status < LEAST_ERROR_STATUS => {
                 self.fleet.on_success(endpoint, self.now);
             }
@@ -298,6 +304,7 @@
         if let (true, Some(instance)) = (is_only, instance) {
             let spec = EndpointSpec {
                 id: instance.clone(),
+                version: VersionId::unlisted(&instance.clone().into()),
                 born: None,
                 leaving: false,
                 warm_up: Duration::ZERO,
@@ -327,6 +334,9 @@
             if is_served {
                 self.clear_suspicion(request.fingerprint);
             }
+            if command == Command::Finish {
+                self.forget_stream(&request);
+            }
             let is_complete_stream =
                 command == Command::Finish && request.arrival.after_event.is_none();
             if is_complete_stream {
--- a/src/gateway/dispatch/peers.rs
+++ b/src/gateway/dispatch/peers.rs
@@ -313,8 +313,26 @@
     /// Whether a message from another failure domain arrived within [`OTHER_DOMAINS_TIMEOUT`].
     #[must_use]
     pub fn has_seen_other_domains(&self, now: Micros) -> bool {
+        self.has_heard_other_domains_within(OTHER_DOMAINS_TIMEOUT, now)
+    }
+
+    /// Whether a message from another failure domain arrived within a time.
+    #[must_use]
+    pub fn has_heard_other_domains_within(&self, time: Duration, now: Micros) -> bool {
         self.in_other_domains()
-            .any(|p| now.since(p.last_seen) < OTHER_DOMAINS_TIMEOUT)
+            .any(|p| now.since(p.last_seen) < time)
+    }
+
+    /// A random box of `domain`, among those that sent a message within [`PEER_ACTIVE_FOR`].
+    #[must_use]
+    pub fn recent_in_domain(
+        &self,
+        domain: &DomainId,
+        rng: &mut ChaCha8Rng,
+        now: Micros,
+    ) -> Option<SocketAddr> {
+        let of_domain = self.recently_seen(now).filter(|p| p.domain == *domain);
+        of_domain.map(|p| p.address).choose(rng)
     }
 
     fn in_other_domains(&self) -> impl Iterator<Item = &Peer> {
--- a/src/gateway/dispatch/placement.rs
+++ b/src/gateway/dispatch/placement.rs
@@ -67,7 +67,7 @@
     pub alone: bool,
     /// Whether the request had an attempt before.
     pub is_repeat: bool,
-    /// Rules of a roll-out: at which endpoints attempts and replicas may be placed.
+    /// Versions of endpoints at which attempts may be placed.
     pub rules: VersionRules<'a>,
 }
 
@@ -134,7 +134,7 @@
         let eligible = fleet
             .of_service(demand.service)
             .filter(|e| may_send(e) && !demand.was_tried(e))
-            .filter(|e| demand.rules.attempts.admits(e))
+            .filter(|e| demand.rules.admits(e))
             .filter(|e| !fleet.is_unreachable(e, now));
         let compared = self.compared(&context, eligible).into_iter();
         let costs = compared.map(|(rank, e)| (rank + self.cost(&context, e), e));
@@ -144,7 +144,7 @@
     }
 
     /// Selects the host of a mirror, preferably in another failure domain than the attempt's
-    /// endpoint (`primary`), among the endpoints that `has_room` accepts. Excludes endpoints that are
+    /// endpoint (`primary`), among the endpoints of its version that `has_room` accepts. Excludes endpoints that are
     /// avoided, suspected, unreachable or tried before, and those that cost [`costs::AVOIDED`] or
     /// more.
     #[must_use]
@@ -159,7 +159,7 @@
         let context = CostContext::of_replica(fleet, demand, now);
         let eligible = fleet.of_service(demand.service).filter(|e| {
             fleet.is_open(e, now)
-                && demand.rules.replicas.admits(e)
+                && e.spec.version == primary.spec.version
                 && !e.is_avoided(now)
                 && !fleet.is_suspected(e, now)
                 && !fleet.is_unreachable(e, now)
@@ -175,7 +175,7 @@
     }
 
     /// Selects the host of a snapshot among the endpoints that `is_eligible` accepts, other than
-    /// `engine`, which runs the attempt. Excludes endpoints that cost [`costs::NO_MEMORY`] or more.
+    /// `engine`, which runs the attempt, and of its version. Excludes endpoints that cost [`costs::NO_MEMORY`] or more.
     #[must_use]
     pub fn choose_snapshot_host<'a>(
         &self,
@@ -188,7 +188,7 @@
         let context = CostContext::of_replica(fleet, demand, now);
         let others = fleet
             .of_service(demand.service)
-            .filter(|e| e.spec.id != engine.spec.id && demand.rules.replicas.admits(e))
+            .filter(|e| e.spec.id != engine.spec.id && e.spec.version == engine.spec.version)
             .filter(|e| is_eligible(e));
         let compared = self.compared(&context, others).into_iter();
         let costs = compared.map(|(rank, e)| (rank + self.cost(&context, e), e));
--- a/src/gateway/dispatch/prompt_search.rs
+++ b/src/gateway/dispatch/prompt_search.rs
@@ -55,7 +55,7 @@
                 .prompt_candidates(&self.fleet, &request.service, request.key, now);
         let usable = candidates
             .into_iter()
-            .filter(|e| self.may_resume_at(e) && !self.fleet.is_unreachable(e, now));
+            .filter(|e| self.may_resume_at(request, e) && !self.fleet.is_unreachable(e, now));
         let (suspected, others): (Vec<_>, Vec<_>) =
             usable.partition(|e| self.fleet.is_suspected(e, now));
         let ids = others.into_iter().chain(suspected);
@@ -101,18 +101,17 @@
     }
 
     pub(super) fn on_located(&mut self, number: RequestNumber, endpoint: Option<EndpointId>) {
-        let is_waiting = self
-            .requests
-            .get(&number)
-            .is_some_and(|request| request.active.is_none() && request.attempts == 0);
-        if !is_waiting {
+        let Some(request) = self.requests.get(&number) else {
+            return;
+        };
+        if request.active.is_some() || request.attempts > 0 {
             return;
         }
         let usable = endpoint.filter(|id| {
             let found = self.fleet.get(id);
             found.is_some_and(|e| {
                 let is_usable = self.fleet.may_send(e, self.now) && !e.is_avoided(self.now);
-                is_usable && self.may_resume_at(e)
+                is_usable && self.may_resume_at(request, e)
             })
         });
         match usable {
--- a/src/gateway/dispatch/record.rs
+++ b/src/gateway/dispatch/record.rs
@@ -131,6 +131,9 @@
         /// Milliseconds for which the request waited for room at an engine, if it did.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         waited_ms: Option<u64>,
+        /// The software version of the endpoint, if the service may have several.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        version: Option<String>,
     },
     /// The attempt that was just started goes through another box.
     Relayed {
@@ -167,6 +170,21 @@
         /// Milliseconds since the arrival of the request.
         after_ms: u64,
     },
+    /// The version that began the stream of a caller that comes back is known, or nobody knows it.
+    StreamVersion {
+        /// The caller's request id.
+        request: String,
+        /// The caller's attempt that brought the first event.
+        resumes: Option<String>,
+        /// The version.
+        version: Option<String>,
+        /// How this box knows it: `book`, `peer` or `sole`; `unknown` if it doesn't.
+        source: Cow<'static, str>,
+        /// Milliseconds since the stream was last sent to an engine of the version.
+        age_ms: Option<u64>,
+        /// Milliseconds since the arrival of the request.
+        after_ms: u64,
+    },
     /// A stream resumed at another endpoint, whose first event was passed to the caller.
     Resumed {
         /// The caller's request id.
@@ -394,6 +412,7 @@
             | Self::Begun { request, .. }
             | Self::Ended { request, .. }
             | Self::Resumed { request, .. }
+            | Self::StreamVersion { request, .. }
             | Self::Copied { request, .. }
             | Self::Suspected { request, .. }
             | Self::Crashed { request, .. }
--- a/src/gateway/dispatch/record/sentence.rs
+++ b/src/gateway/dispatch/record/sentence.rs
@@ -14,6 +14,7 @@
             | Self::Answered { .. }
             | Self::CallerGone { .. }
             | Self::Refused { .. } => self.request_sentence(),
+            Self::StreamVersion { .. } => self.version_sentence(),
             Self::Sent { .. }
             | Self::Relayed { .. }
             | Self::Ended { .. }
@@ -91,6 +92,33 @@
         }
     }
 
+    fn version_sentence(&self) -> String {
+        let Self::StreamVersion {
+            resumes,
+            version,
+            source,
+            age_ms,
+            after_ms,
+            ..
+        } = self
+        else {
+            return String::new();
+        };
+        let stream = match resumes {
+            Some(began) => format!("continues the stream that {began} began"),
+            None => "continues a stream without naming the attempt that began it".to_owned(),
+        };
+        let known = match (version, source.as_ref()) {
+            (Some(version), source) => {
+                let age = age_ms.map_or(String::new(), |ms| format!(", {ms} ms old"));
+                format!("at version {version}, by {source}{age}")
+            }
+            (None, "sole") => "whose service has had one version only".to_owned(),
+            (None, _) => "whose version no box knows".to_owned(),
+        };
+        format!("{stream} {known}, {after_ms} ms after the arrival")
+    }
+
     fn table_sentence(&self) -> String {
         match self {
             Self::TableInForce { version } => format!("table {version} in force"),
@@ -220,6 +248,7 @@
             running,
             left_ms,
             waited_ms,
+            version,
             ..
         } = self
         else {
@@ -228,8 +257,11 @@
         let from = if *from_backup { " from a replica" } else { "" };
         let after = after_event.map_or(String::new(), |e| format!(" after event {e}"));
         let mirror = backup.as_deref().unwrap_or("none");
+        let version = version
+            .as_ref()
+            .map_or(String::new(), |v| format!(" ({v})"));
         format!(
-            "attempt {attempt} at {endpoint} in {domain}{from}{after}, mirror: {mirror}; \
+            "attempt {attempt} at {endpoint}{version} in {domain}{from}{after}, mirror: {mirror}; \
              running there: {running}, prompt tokens waiting: {reading}; {left_ms} ms left{}",
             waited(*waited_ms)
         )
--- a/src/gateway/dispatch/refusal.rs
+++ b/src/gateway/dispatch/refusal.rs
@@ -10,10 +10,11 @@
 //!
 //! The platform adapter translates a reason to a status (`platform/src/dialect.rs`): 503 for
 //! [`RefusalReason::NoConfiguration`], [`RefusalReason::NoEndpoint`],
-//! [`RefusalReason::NoCapacity`] and [`RefusalReason::ExpiredNotRun`], 404 for [`RefusalReason::NoRoute`], 401 for
+//! [`RefusalReason::NoCapacity`], [`RefusalReason::ExpiredNotRun`],
+//! [`RefusalReason::UnknownVersion`] and [`RefusalReason::VersionGone`], 404 for [`RefusalReason::NoRoute`], 401 for
 //! [`RefusalReason::UnknownKey`], 504 for [`RefusalReason::Expired`], and 502 for
-//! [`RefusalReason::EndpointFailed`] and [`RefusalReason::Quarantined`]. The last one says nothing
-//! about whether the request has run, and carries no retry delay.
+//! [`RefusalReason::EndpointFailed`], [`RefusalReason::VersionLost`] and
+//! [`RefusalReason::Quarantined`]. The last one says nothing about whether the request has run, and carries no retry delay.
 
 use std::time::Duration;
 
@@ -37,6 +38,9 @@
 /// which can serve it at once. The replacement of the stopping box starts up to 8 s later, beyond
 /// the users' latency objective (4.5 s).
 const RETRY_ELSEWHERE: Duration = Duration::from_millis(100);
+/// Retry delay if no box knows the version that began a stream: boxes that were cut off or have just
+/// started may know it by then.
+const RETRY_UNKNOWN_VERSION: Duration = Duration::from_secs(1);
 /// Retry delay at a box whose memory for request bodies is full.
 const RETRY_NO_ROOM: Duration = Duration::from_millis(500);
 
@@ -63,6 +67,13 @@
     /// Endpoints crashed while they ran the request, as seen by this box or others, so no further
     /// endpoint gets it.
     Quarantined,
+    /// No box knows which software version began the stream that the request continues; it has not
+    /// run.
+    UnknownVersion,
+    /// No engine of the software version that began the stream is left; the request has not run.
+    VersionGone,
+    /// No engine of the software version that began the stream is left; the request may have run.
+    VersionLost,
 }
 
 impl RefusalReason {
@@ -79,6 +90,9 @@
             Self::Expired => "expired",
             Self::EndpointFailed => "endpoint_failed",
             Self::Quarantined => "quarantined",
+            Self::UnknownVersion => "unknown_version",
+            Self::VersionGone => "version_gone",
+            Self::VersionLost => "version_lost",
         }
     }
 
@@ -91,6 +105,15 @@
         }
     }
 
+    /// Returns the reason for a stream of whose version no engine is left.
+    #[must_use]
+    pub fn without_version(has_run: HasRun) -> Self {
+        match has_run {
+            HasRun::Never => Self::VersionGone,
+            HasRun::Maybe => Self::VersionLost,
+        }
+    }
+
     /// Returns the reason for a request that has no usable endpoint or no retry left.
     #[must_use]
     pub fn without_attempt(has_run: HasRun) -> Self {
@@ -128,8 +151,11 @@
             RefusalReason::NoEndpoint
             | RefusalReason::NoCapacity
             | RefusalReason::ExpiredNotRun => Some(RETRY_NO_ENDPOINT),
+            RefusalReason::UnknownVersion => Some(RETRY_UNKNOWN_VERSION),
             RefusalReason::NoRoute
             | RefusalReason::UnknownKey
+            | RefusalReason::VersionGone
+            | RefusalReason::VersionLost
             | RefusalReason::Expired
             | RefusalReason::EndpointFailed
             | RefusalReason::Quarantined => None,
--- a/src/gateway/dispatch/replicas.rs
+++ b/src/gateway/dispatch/replicas.rs
@@ -148,17 +148,6 @@
         self.admits_replica(rule, engine, host)
     }
 
-    /// Whether another attempt could resume from a replica of this attempt now.
-    pub(super) fn has_replica(&self, active: &ActiveAttempt) -> bool {
-        let taken = active.snapshot.as_ref().filter(|s| s.name.is_some());
-        let hosts = [
-            active.mirror.as_ref().filter(|_| active.has_events),
-            taken.map(|snapshot| &snapshot.host),
-        ];
-        let mut hosts = hosts.into_iter().flatten();
-        hosts.any(|host| self.independence(Some(host), active) > Independence::Lost)
-    }
-
     /// Selects a host where a replica would be more independent than the best existing one.
     fn better_host(
         &self,
@@ -233,7 +222,6 @@
         let now = self.now;
         // A single failed connection does not mean that the host has lost its replicas.
         let seems_lost = !self.fleet.takes_work(host)
-            || self.is_leaving_version(host)
             || self.fleet.is_suspected(host, now)
             || self.fleet.is_unreachable(host, now);
         if seems_lost {
@@ -412,11 +400,12 @@
         let now = self.now;
         let alone = self.runs_alone(number);
         while let Some(replica) = self.next_replica(number) {
+            let request = self.requests.get(&number)?;
             let host = self.fleet.get_incarnation(&replica.host);
             let is_usable = host.is_some_and(|e| {
                 let is_free = !alone || self.fleet.usage(e, now).running == 0;
                 let is_usable = self.fleet.may_send(e, now) && !e.is_avoided(now);
-                is_free && is_usable && self.may_resume_at(e)
+                is_free && is_usable && self.may_resume_at(request, e)
             });
             if is_usable && now < replica.expires_at {
                 return Some(replica);
--- a/src/gateway/dispatch/request.rs
+++ b/src/gateway/dispatch/request.rs
@@ -21,7 +21,9 @@
 use super::rollout::evidence::Sampled;
 use super::table::{EngineSpec, KeyOwner, Route};
 use crate::rendezvous;
-use crate::schema::{DomainId, EndpointId, EndpointIncarnation, Fingerprint, Micros, ServiceId};
+use crate::schema::{
+    DomainId, EndpointId, EndpointIncarnation, Fingerprint, Micros, ServiceId, VersionId,
+};
 
 /// The lease of a slot with which an attempt was sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -129,6 +131,13 @@
     pub last_forwarded: Micros,
     /// Whether an event of this request was passed to the caller.
     pub has_begun: bool,
+    /// Version of the engines that may serve the stream, once an event of it was passed to the caller,
+    /// by this box or another one.
+    pub version: Option<VersionId>,
+    /// Attempt that brought the first event, if the stream began at this box.
+    pub began_with: Option<AttemptNumber>,
+    /// When the record of the version was last published.
+    pub version_published: Micros,
     /// Whether the request is counted among those that started to run.
     pub is_counted: bool,
     /// Fault of the last attempt that was lost.
@@ -176,6 +185,9 @@
             prompt_candidates: Vec::new(),
             last_forwarded: now,
             has_begun: false,
+            version: None,
+            began_with: None,
+            version_published: now,
             is_counted: false,
             fault: None,
             next_placement: None,
--- a/src/gateway/dispatch/retry.rs
+++ b/src/gateway/dispatch/retry.rs
@@ -47,7 +47,9 @@
 #[must_use]
 pub fn after_attempt(outcome: &Outcome, may_run_again: bool) -> AfterAttempt {
     match outcome {
-        Outcome::NotSent | Outcome::RelayFailed => AfterAttempt::TryAgain,
+        Outcome::NotSent | Outcome::RelayFailed | Outcome::NotRun(NotRunCause::Restarted(_)) => {
+            AfterAttempt::TryAgain
+        }
         Outcome::NotRun(NotRunCause::OtherInstance(_)) => AfterAttempt::TryAgainCharged,
         Outcome::NotRun(NotRunCause::NoRoom) => AfterAttempt::Retry,
         Outcome::Answered { status } if *status >= LEAST_ERROR_STATUS && may_run_again => {
--- a/src/gateway/dispatch/rollout.rs
+++ b/src/gateway/dispatch/rollout.rs
@@ -269,6 +269,17 @@
         matches!(self.phase, Switch | Committed | Completed)
     }
 
+    /// Whether a stream that a version began may get another attempt at that version: not once its
+    /// servers are about to be stopped, nor at a version that was found bad.
+    #[must_use]
+    pub fn admits_bound(&self, version: &VersionId) -> bool {
+        match self.phase {
+            RolloutPhase::Canary | RolloutPhase::Switch | RolloutPhase::Completed => true,
+            RolloutPhase::Committed => *version == self.order.target,
+            RolloutPhase::Bad | RolloutPhase::RolledBack => *version != self.order.target,
+        }
+    }
+
     /// The probability with which a request that arrives now goes to the target; `series` is the
     /// series of its route's results.
     #[must_use]
@@ -281,7 +292,7 @@
         of_route.map_or(ordinary, |share| share.max(ordinary))
     }
 
-    /// Which endpoints may take the attempts and replicas of a request.
+    /// Which endpoints may take the attempts of a request.
     #[must_use]
     pub fn rules(&self, is_canary: bool) -> VersionRules<'_> {
         let target = &self.order.target;
@@ -294,12 +305,7 @@
                 VersionRule::Only(target)
             }
         };
-        let replicas = if self.leaves_others() {
-            VersionRule::Only(target)
-        } else {
-            VersionRule::Except(target)
-        };
-        VersionRules { attempts, replicas }
+        VersionRules::new(attempts)
     }
 
     /// Which endpoints may take an attempt if none that [`Self::rules`] admits accepts it.
@@ -307,10 +313,7 @@
     #[must_use]
     pub fn fallback(&self, is_canary: bool, has_others: bool) -> Option<VersionRules<'_>> {
         let rules = self.rules(false);
-        let any = VersionRules {
-            attempts: VersionRule::Any,
-            ..rules
-        };
+        let any = VersionRules::default();
         match self.phase {
             RolloutPhase::Canary if has_others => is_canary.then_some(rules),
             RolloutPhase::Switch => (!self.has_left).then_some(any),
--- a/src/gateway/dispatch/rollout/rules.rs
+++ b/src/gateway/dispatch/rollout/rules.rs
@@ -5,7 +5,7 @@
 use crate::gateway::dispatch::fleet::Endpoint;
 use crate::schema::{EndpointId, VersionId};
 
-/// Restricts the endpoints at which an attempt or a replica may be placed.
+/// Restricts the endpoints at which an attempt may be placed.
 #[derive(Clone, Copy, Debug, Default)]
 pub enum VersionRule<'a> {
     /// All endpoints.
@@ -21,8 +21,7 @@
 
 impl VersionRule<'_> {
     /// Whether the rule allows an endpoint.
-    #[must_use]
-    pub fn admits(self, endpoint: &Endpoint) -> bool {
+    fn admits(self, endpoint: &Endpoint) -> bool {
         match self {
             Self::Any => true,
             Self::Only(version) => endpoint.spec.version == *version,
@@ -32,11 +31,40 @@
     }
 }
 
-/// The rules for one request.
+/// The rules for one request. Replicas need none of their own: they are always placed at the version of
+/// the attempt's endpoint.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct VersionRules<'a> {
-    /// Where attempts may be placed.
-    pub attempts: VersionRule<'a>,
-    /// Where replicas of the request's attempts may be placed.
-    pub replicas: VersionRule<'a>,
+    attempts: VersionRule<'a>,
+    /// Versions that no stream may begin at yet.
+    newcomers: Option<&'a BTreeSet<VersionId>>,
+}
+
+impl<'a> VersionRules<'a> {
+    /// The rules of a request that may use the endpoints that `attempts` admits.
+    #[must_use]
+    pub fn new(attempts: VersionRule<'a>) -> Self {
+        Self {
+            attempts,
+            newcomers: None,
+        }
+    }
+
+    /// The rules of a stream that begins while some versions are newcomers.
+    #[must_use]
+    pub fn without(newcomers: Option<&'a BTreeSet<VersionId>>) -> Self {
+        Self {
+            attempts: VersionRule::Any,
+            newcomers,
+        }
+    }
+
+    /// Whether an attempt may be placed at an endpoint.
+    #[must_use]
+    pub fn admits(&self, endpoint: &Endpoint) -> bool {
+        let is_newcomer = self
+            .newcomers
+            .is_some_and(|newcomers| newcomers.contains(&endpoint.spec.version));
+        self.attempts.admits(endpoint) && !is_newcomer
+    }
 }
--- a/src/gateway/dispatch/rollouts.rs
+++ b/src/gateway/dispatch/rollouts.rs
@@ -7,9 +7,9 @@
 //! be sound. If no endpoint of another version is left, the target serves requests anyway, unless
 //! it was found bad.
 //!
-//! Once a service switches, a stream at another version moves to the target as soon as a replica
-//! exists there: [`super::replicas`] treats replicas at other versions as lost and makes new ones.
-//! A stream that has no replica after [`LEAVE_WITHOUT_REPLICA_AFTER`] has its prompt read again.
+//! Once a service switches, an attempt at another version moves to the target if its caller has no
+//! event yet. A stream that has begun stays at its version until it ends
+//! ([`super::stream_versions`]), and the roll-out waits for it.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -23,7 +23,7 @@
 use super::request::{ActiveAttempt, Request};
 use super::rollout::evidence::{TimeKind, series_of};
 use super::rollout::status::ObjectState;
-use super::rollout::{Effect, Rollout, RolloutContext, VersionRules};
+use super::rollout::{Effect, Rollout, RolloutContext, VersionRule, VersionRules};
 use super::roster::pack_address;
 use super::table::RouteKind;
 use crate::schema::{
@@ -31,9 +31,6 @@
     UsageUpdate,
 };
 
-/// How long a stream without a replica at the target waits for one before it moves anyway: longer
-/// than a snapshot takes.
-const LEAVE_WITHOUT_REPLICA_AFTER: Duration = Duration::from_millis(700);
 /// Time between two progress reports of this box while a service switches. They are repeated
 /// because datagrams get lost.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(300);
@@ -304,16 +301,27 @@
         }
     }
 
-    /// Which endpoints a request may use.
-    pub(super) fn rules_for(&self, request: &Request) -> VersionRules<'_> {
-        let rollout = self.rollouts.of(&request.service);
-        let is_canary = request.is_canary == Some(true) && request.attempts == 0;
-        rollout.map_or_else(VersionRules::default, |r| r.rules(is_canary))
+    /// Which endpoints a request may use: those of the version that began its stream, else those that
+    /// a roll-out allows, else all but those of versions that boxes may not know yet.
+    pub(super) fn rules_for<'a>(&'a self, request: &'a Request) -> VersionRules<'a> {
+        if let Some(version) = &request.version {
+            return VersionRules::new(VersionRule::Only(version));
+        }
+        if let Some(rollout) = self.rollouts.of(&request.service) {
+            let is_canary = request.is_canary == Some(true) && request.attempts == 0;
+            return rollout.rules(is_canary);
+        }
+        VersionRules::without(self.newcomers_for(request))
     }
 
     /// Which endpoints an attempt may use if none that [`Self::rules_for`] admits accepts it.
     pub(super) fn fallback_rules_for(&self, request: &Request) -> Option<VersionRules<'_>> {
-        let rollout = self.rollouts.of(&request.service)?;
+        if request.version.is_some() {
+            return None;
+        }
+        let Some(rollout) = self.rollouts.of(&request.service) else {
+            return self.newcomers_for(request).map(|_| VersionRules::default());
+        };
         let is_other = |e: &Endpoint| e.spec.version != rollout.order().target;
         let mut endpoints = self.fleet.of_service(&request.service);
         let has_others = endpoints.any(|e| self.fleet.takes_work(e) && is_other(e));
@@ -325,8 +333,11 @@
         request.demand(self.rules_for(request), false)
     }
 
-    /// Whether a request may continue at an endpoint that holds a replica.
-    pub(super) fn may_resume_at(&self, endpoint: &Endpoint) -> bool {
+    /// Whether a request may continue at an endpoint that holds a replica or its prompt.
+    pub(super) fn may_resume_at(&self, request: &Request, endpoint: &Endpoint) -> bool {
+        if request.version.is_some() {
+            return Self::is_of_version(request, endpoint);
+        }
         let Some(rollout) = self.rollouts.of(&endpoint.spec.service) else {
             return true;
         };
@@ -339,7 +350,8 @@
         rollout.is_some_and(|r| r.leaves_others() && endpoint.spec.version != r.order().target)
     }
 
-    /// Whether a stream is to move now to the version that its service switches to.
+    /// Whether an attempt is to move now to the version that its service switches to: one of a stream
+    /// whose caller has no event yet. Others stay until they end.
     pub(super) fn must_leave_version(&self, number: RequestNumber) -> bool {
         let Some(request) = self.requests.get(&number) else {
             return false;
@@ -351,13 +363,11 @@
         };
         let endpoint = self.fleet.get(&active.endpoint.id);
         let is_leaving_version = endpoint.is_some_and(|e| self.is_leaving_version(e));
-        if !is_stream || !is_leaving_version || !request.may_run_after_active() {
+        let is_bound = request.version.is_some();
+        if is_bound || !is_stream || !is_leaving_version || !request.may_run_after_active() {
             return false;
         }
-        let Some(since) = rollout.leaving_since().filter(|at| self.now >= *at) else {
-            return false;
-        };
-        self.has_replica(active) || self.now.since(since) >= LEAVE_WITHOUT_REPLICA_AFTER
+        rollout.leaving_since().is_some_and(|at| self.now >= at)
     }
 
     /// Moves a stream to the version that its service switches to, if the retry budget allows it.
--- a/src/gateway/dispatch/table.rs
+++ b/src/gateway/dispatch/table.rs
@@ -323,6 +323,11 @@
         self.services.get(name)
     }
 
+    /// Iterates over all routes, in no particular order.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes.values().flatten().map(AsRef::as_ref)
+    }
+
     /// Iterates over all services, in no particular order.
     pub fn services(&self) -> impl Iterator<Item = &ServiceSpec> {
         self.services.values()
--- a/src/gateway/explain.rs
+++ b/src/gateway/explain.rs
@@ -76,6 +76,10 @@
     AnswerMalformed,
     /// Endpoints crashed while they ran the request, so it is sent to no further endpoint.
     Quarantined,
+    /// No box knew which software version began the stream that it was to continue.
+    UnknownVersion,
+    /// No engine of the software version that began its stream was left.
+    VersionGone,
     /// The log has no end of the request: the box was killed, lost power or still serves it.
     NoEnd,
 }
@@ -111,6 +115,12 @@
             Self::AnswerMalformed => {
                 "The endpoint's answer was invalid, and the request could not be retried."
             }
+            Self::UnknownVersion => {
+                "No box knew which software version began its stream; it has not run."
+            }
+            Self::VersionGone => {
+                "No engine of the software version that began its stream was left."
+            }
             Self::NoEnd => {
                 "The log has no end of the request: its box was killed, lost power or still serves it."
             }
@@ -201,6 +211,8 @@
         (RefusalReason::ExpiredNotRun, _) => Cause::ExpiredNotRun,
         (RefusalReason::Expired, _) => Cause::Expired,
         (RefusalReason::Quarantined, _) => Cause::Quarantined,
+        (RefusalReason::UnknownVersion, _) => Cause::UnknownVersion,
+        (RefusalReason::VersionGone | RefusalReason::VersionLost, _) => Cause::VersionGone,
         (RefusalReason::EndpointFailed, Some(Fault::Silent)) => Cause::EndpointUnresponsive,
         (RefusalReason::EndpointFailed, Some(Fault::Malformed | Fault::Foreign)) => {
             Cause::AnswerMalformed
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -32,6 +32,7 @@
 pub mod stop;
 pub mod store;
 pub mod store_cache;
+mod streams;
 pub mod table_reader;
 pub mod transfer;
 pub mod watcher;
--- a/src/gateway/shell/attempt.rs
+++ b/src/gateway/shell/attempt.rs
@@ -14,7 +14,8 @@
 use http_body_util::{BodyExt, Full, Limited};
 
 use crate::gateway::dispatch::action::{Attempt, Target};
-use crate::gateway::dispatch::event::{Event, Fault, Outcome, RequestNumber};
+use crate::gateway::dispatch::checks::CheckReason;
+use crate::gateway::dispatch::event::{Event, Fault, NotRunCause, Outcome, RequestNumber};
 use crate::gateway::shell::input::Input;
 use crate::gateway::shell::relay::OpenError;
 use crate::gateway::shell::{GatewayShared, headers};
@@ -54,15 +55,11 @@
     attempt.after_event = attempt.after_event.max(after);
     let target = Target::new(attempt.endpoint.clone(), attempt.address, attempt.via);
     if let Some(mut connection) = target.take_idle(shared, attempt.max_idle) {
-        report_connection(shared, number, &attempt).await;
-        match connection
-            .send(outgoing_request(shared, request, &attempt))
-            .await
-        {
+        match send_on(&mut connection, shared, number, request, &attempt).await {
             Ok(response) => return Ok((response, connection)),
             // The endpoint had closed the connection before any byte of the request was written.
-            Err(SendError::NotSent) => {}
-            Err(e) => return Err(outcome_of(&e, &connection)),
+            Err(SendFailure::NotSent) => {}
+            Err(SendFailure::Ended(outcome)) => return Err(outcome),
         }
     }
     let connected = target.connect(attempt.connect_timeout).await;
@@ -70,14 +67,68 @@
         OpenError::Relay => Outcome::RelayFailed,
         OpenError::Refused | OpenError::TimedOut => Outcome::NotSent,
     })?;
-    report_connection(shared, number, &attempt).await;
     attempt.time_left = attempt.time_left.saturating_sub(started.elapsed());
-    match connection
-        .send(outgoing_request(shared, request, &attempt))
-        .await
-    {
+    match send_on(&mut connection, shared, number, request, &attempt).await {
         Ok(response) => Ok((response, connection)),
-        Err(e) => Err(outcome_of(&e, &connection)),
+        Err(SendFailure::NotSent) => Err(outcome_of(&SendError::NotSent, &connection)),
+        Err(SendFailure::Ended(outcome)) => Err(outcome),
+    }
+}
+
+/// Why a request got no head of an answer on a connection.
+enum SendFailure {
+    /// No byte of it was written.
+    NotSent,
+    /// The attempt has ended.
+    Ended(Outcome),
+}
+
+/// Sends a request on a connection and waits for the head of the answer.
+async fn send_on(
+    connection: &mut Connection,
+    shared: &GatewayShared,
+    number: RequestNumber,
+    request: &CallerRequest,
+    attempt: &Attempt,
+) -> Result<Response<Incoming>, SendFailure> {
+    check_start(connection, shared, attempt).await?;
+    report_connection(shared, number, attempt).await;
+    let outgoing = outgoing_request(shared, request, attempt);
+    match connection.send(outgoing).await {
+        Ok(response) => Ok(response),
+        Err(SendError::NotSent) => Err(SendFailure::NotSent),
+        Err(e) => Err(SendFailure::Ended(outcome_of(&e, connection))),
+    }
+}
+
+/// Checks that the process behind a connection is the one that the attempt is meant for. It can't be
+/// replaced while the connection lives.
+async fn check_start(
+    connection: &mut Connection,
+    shared: &GatewayShared,
+    attempt: &Attempt,
+) -> Result<(), SendFailure> {
+    let Some(expected) = attempt.expected_start else {
+        return Ok(());
+    };
+    if connection.peer_start == Some(expected) {
+        return Ok(());
+    }
+    shared.metrics.probes.inc();
+    shared.metrics.checks.of(CheckReason::StartTime).inc();
+    let report = connection.get(shared.dialect.load_path());
+    let report = tokio::time::timeout(attempt.connect_timeout, report).await;
+    let body = report.ok().flatten().map(|(_, body)| body);
+    match body.and_then(|body| shared.dialect.start_time(&body)) {
+        Some(born) if born == expected => {
+            connection.peer_start = Some(born);
+            Ok(())
+        }
+        Some(born) => {
+            let cause = NotRunCause::Restarted(born);
+            Err(SendFailure::Ended(Outcome::NotRun(cause)))
+        }
+        None => Err(SendFailure::NotSent),
     }
 }
 
--- a/src/gateway/shell/control.rs
+++ b/src/gateway/shell/control.rs
@@ -19,7 +19,7 @@
 use crate::gateway::shell::input::Input;
 use crate::gateway::shell::{
     GatewayShared, datagram, duties, peers, probes, quarantine, relay, rollouts, snapshots, store,
-    transfer,
+    streams, transfer,
 };
 
 /// State of the control thread: the dispatcher, and the command channel of each open request.
@@ -146,6 +146,8 @@
         let bounding = self.dispatcher.fleet().directives.tolerances.count();
         let leases = self.dispatcher.take_lease_counts();
         self.shared.metrics.on_leases(bounding, leases);
+        let versions = self.dispatcher.take_stream_version_counts();
+        self.shared.metrics.versions.on_counts(versions);
         let lost = self.dispatcher.lost_paths();
         self.shared.metrics.relays.lost_paths.set(gauge(lost));
         let speeds = &self.dispatcher.fleet().speeds;
@@ -171,11 +173,14 @@
             | Action::PublishLoad { .. }
             | Action::PublishSpeeds { .. }
             | Action::PublishSlots { .. }
+            | Action::PublishStreams { .. }
             | Action::PublishLimits { .. } => self.send_datagram(action),
             Action::FetchState { .. }
             | Action::ReadTable
             | Action::ReadQuarantine
             | Action::SaveQuarantine { .. }
+            | Action::ReadStreams
+            | Action::SaveStreams { .. }
             | Action::CallDutyStore(_)
             | Action::ReportUsage { .. }
             | Action::WriteRollout(_) => self.call_peer_or_store(action),
@@ -216,6 +221,7 @@
             Action::PublishSpeeds { to, update } => (to, datagram::write_speeds(&update)),
             Action::PublishLimits { to, update } => (to, datagram::write_limits(&update)),
             Action::PublishSlots { to, update } => (vec![to], datagram::write_slots(&update)),
+            Action::PublishStreams { to, update } => (vec![to], datagram::write_streams(&update)),
             _ => return,
         };
         let gossip = Arc::clone(&self.gossip);
@@ -235,6 +241,12 @@
                 request,
                 is_quarantined,
             } => self.spawn(quarantine::write_object(request, is_quarantined, shared)),
+            Action::ReadStreams => self.spawn(streams::read(shared)),
+            Action::SaveStreams {
+                records,
+                name,
+                is_first,
+            } => self.spawn(streams::write(name, records, is_first, shared)),
             Action::WriteRollout(write) => self.spawn(rollouts::write_status(write, shared)),
             Action::CallDutyStore(call) => self.spawn(duties::call_store(call, shared)),
             Action::ReportUsage { token, window } => {
--- a/src/gateway/shell/datagram.rs
+++ b/src/gateway/shell/datagram.rs
@@ -12,7 +12,7 @@
 use crate::gateway::dispatch::event::Event;
 use crate::schema::{
     BoxId, BoxState, CrashUpdate, DatagramSection, DepartureUpdate, DutyHolder, EngineLoadReport,
-    LimitUpdate, SlotUpdate, SpeedUpdate, UsageCountUpdate, UsageUpdate,
+    LimitUpdate, SlotUpdate, SpeedUpdate, StreamUpdate, UsageCountUpdate, UsageUpdate,
 };
 
 /// The first byte of a datagram with a [`BoxState`].
@@ -36,6 +36,9 @@
 /// The kind of a section with [`SlotUpdate`].
 const SLOTS_SECTION: u16 = 8;
 
+/// The kind of a section with [`StreamUpdate`].
+const STREAMS_SECTION: u16 = 9;
+
 /// Encodes a box's state as a datagram.
 ///
 /// # Errors
@@ -131,6 +134,15 @@
     with_section(empty_message(&update.from)?, SLOTS_SECTION, update)
 }
 
+/// Encodes records of streams, queries and answers, as a section after an empty message.
+///
+/// # Errors
+///
+/// If it can't be encoded.
+pub fn write_streams(update: &StreamUpdate) -> Result<Vec<u8>, postcard::Error> {
+    with_section(empty_message(&update.from)?, STREAMS_SECTION, update)
+}
+
 /// A message without content, to which a section is added.
 fn empty_message(from: &BoxId) -> Result<Vec<u8>, postcard::Error> {
     let empty = UsageUpdate {
@@ -201,6 +213,8 @@
             events.push(Event::PeerSpeeds(read_content(&section)?));
         } else if section.kind == SLOTS_SECTION {
             events.push(Event::PeerSlots(read_content(&section)?));
+        } else if section.kind == STREAMS_SECTION {
+            events.push(Event::PeerStreams(read_content(&section)?));
         }
     }
     Ok(events)
--- a/src/gateway/shell/dialect.rs
+++ b/src/gateway/shell/dialect.rs
@@ -22,7 +22,7 @@
 use crate::gateway::dispatch::refusal::Refusal;
 use crate::gateway::dispatch::rollout::status::{ObjectState, StatusWrite};
 use crate::gateway::dispatch::table::{RoutingTable, TableError};
-use crate::schema::{BoxId, EndpointId, Fingerprint, StartTime};
+use crate::schema::{BoxId, EndpointId, Fingerprint, StartTime, StreamRecord};
 
 /// Error for a caller's request that is invalid.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -78,15 +78,18 @@
     Rollouts,
     /// Quarantined requests; these are listed but never watched.
     Quarantine,
+    /// Versions that began streams; these are listed but never watched.
+    Streams,
 }
 
 impl ObjectKind {
     /// All kinds, in the order of their discriminants.
-    pub const ALL: [Self; 4] = [
+    pub const ALL: [Self; 5] = [
         Self::Table,
         Self::Endpoints,
         Self::Rollouts,
         Self::Quarantine,
+        Self::Streams,
     ];
 
     /// Returns how long a watch of this kind waits for changes; `watch` is the duration for the
@@ -98,7 +101,7 @@
     #[must_use]
     pub fn watch_timeout(self, watch: Duration) -> Duration {
         match self {
-            Self::Table | Self::Endpoints | Self::Quarantine => watch,
+            Self::Table | Self::Endpoints | Self::Quarantine | Self::Streams => watch,
             Self::Rollouts => (watch * ROLLOUT_WATCH_FACTOR).min(MAX_WATCH),
         }
     }
@@ -110,7 +113,7 @@
     pub fn shows_store_access(self) -> bool {
         match self {
             Self::Table | Self::Endpoints => true,
-            Self::Rollouts | Self::Quarantine => false,
+            Self::Rollouts | Self::Quarantine | Self::Streams => false,
         }
     }
 }
@@ -272,6 +275,19 @@
     /// If the object is invalid.
     fn read_quarantine(&self, entry: &Entry) -> Result<(Fingerprint, UnixMillis), Unreadable>;
 
+    /// Returns the path of an object with records of streams.
+    fn streams_object_path(&self, name: &str) -> String;
+
+    /// Returns the body of the call that creates or replaces an object with records of streams.
+    fn streams_object(&self, name: &str, written: UnixMillis, records: &[StreamRecord]) -> String;
+
+    /// Parses an object with records of streams: the time when it was written, and the records.
+    ///
+    /// # Errors
+    ///
+    /// If the object is invalid.
+    fn read_streams(&self, entry: &Entry) -> Result<(UnixMillis, Vec<StreamRecord>), Unreadable>;
+
     /// Returns the store call for an operation of a duty.
     fn duty_call(&self, operation: &StoreOperation) -> DutyCall;
 
--- a/src/gateway/shell/exchange.rs
+++ b/src/gateway/shell/exchange.rs
@@ -234,7 +234,9 @@
         let outcome = match self.shared.dialect.classify_answer(head, &self.request.id) {
             AnswerKind::Foreign => return Some(Outcome::Broken(Fault::Foreign)),
             AnswerKind::Malformed => return Some(Outcome::Broken(Fault::Malformed)),
-            AnswerKind::NotRun(cause @ NotRunCause::OtherInstance(_)) => {
+            AnswerKind::NotRun(
+                cause @ (NotRunCause::OtherInstance(_) | NotRunCause::Restarted(_)),
+            ) => {
                 return Some(Outcome::NotRun(cause));
             }
             AnswerKind::NotRun(cause @ NotRunCause::NoRoom) => Some(Outcome::NotRun(cause)),
--- a/src/gateway/shell/faults.rs
+++ b/src/gateway/shell/faults.rs
@@ -32,6 +32,8 @@
     RolloutObject,
     /// The object of a quarantined request can't be read; it has no effect.
     QuarantineObject,
+    /// An object with versions of streams can't be read; it has no effect.
+    StreamsObject,
     /// A datagram of another box can't be read.
     PeerMessage,
     /// A datagram to other boxes can't be encoded or sent, or the socket for peers failed.
@@ -50,12 +52,13 @@
 
 impl FaultKind {
     /// All kinds, in the order of their discriminants.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::StoreAnswer,
         Self::EndpointEntry,
         Self::UnnamedObject,
         Self::RolloutObject,
         Self::QuarantineObject,
+        Self::StreamsObject,
         Self::PeerMessage,
         Self::PeerSocket,
         Self::PeerFetch,
@@ -74,6 +77,7 @@
             Self::UnnamedObject => "unnamed_object",
             Self::RolloutObject => "rollout_object",
             Self::QuarantineObject => "quarantine_object",
+            Self::StreamsObject => "streams_object",
             Self::PeerMessage => "peer_message",
             Self::PeerSocket => "peer_socket",
             Self::PeerFetch => "peer_fetch",
--- a/src/gateway/shell/metrics.rs
+++ b/src/gateway/shell/metrics.rs
@@ -6,6 +6,7 @@
 
 mod endpoints;
 mod relays;
+mod versions;
 mod waits;
 
 use std::collections::BTreeMap;
@@ -22,6 +23,7 @@
 use crate::metrics::MetricSet;
 use endpoints::EndpointMetrics;
 use relays::RelayMetrics;
+use versions::VersionMetrics;
 use waits::WaitMetrics;
 
 /// Upper bounds in seconds of the buckets for the times of callers, the store and failovers. They
@@ -47,6 +49,8 @@
     waits: WaitMetrics,
     /// Metrics of relayed attempts.
     pub relays: RelayMetrics,
+    /// Metrics of the versions that began streams.
+    pub versions: VersionMetrics,
     store_calls: IntCounterVec,
     /// Number of probes sent to endpoints.
     pub probes: IntCounter,
@@ -246,6 +250,7 @@
             endpoints: EndpointMetrics::new(&set),
             waits: WaitMetrics::new(&set),
             relays: RelayMetrics::new(&set),
+            versions: VersionMetrics::new(&set),
             store_calls: set.counters(
                 "store_calls_total",
                 "Calls to the platform's store, by what was asked",
@@ -280,6 +285,7 @@
         self.endpoints.on_record(record);
         self.waits.on_record(record);
         self.relays.on_record(record);
+        self.versions.on_record(record);
         self.tables.on_record(record);
     }
 
--- a/src/gateway/shell/store.rs
+++ b/src/gateway/shell/store.rs
@@ -22,7 +22,7 @@
 use crate::gateway::shell::input::Input;
 use crate::gateway::shell::table_reader::{self, TableSource, TableText};
 use crate::gateway::shell::watcher::{StoreAnswer, StoreChange, StoreRequest, Watcher};
-use crate::gateway::shell::{endpoint_reader, quarantine, rollouts};
+use crate::gateway::shell::{endpoint_reader, quarantine, rollouts, streams};
 use crate::http::pool::{Connection, Pool};
 
 /// Delay after a change of the configuration, to batch further ones: less than the time in which a
@@ -83,7 +83,7 @@
     match kind {
         ObjectKind::Table => TABLE_BATCH_DELAY,
         ObjectKind::Endpoints => ENDPOINT_BATCH_DELAY,
-        ObjectKind::Rollouts | ObjectKind::Quarantine => Duration::ZERO,
+        ObjectKind::Rollouts | ObjectKind::Quarantine | ObjectKind::Streams => Duration::ZERO,
     }
 }
 
@@ -247,6 +247,9 @@
         (ObjectKind::Quarantine, StoreChange::Listed(entries) | StoreChange::Changed(entries)) => {
             quarantine::load_objects(&entries, shared).await;
         }
+        (ObjectKind::Streams, StoreChange::Listed(entries) | StoreChange::Changed(entries)) => {
+            streams::load_objects(&entries, shared).await;
+        }
         (ObjectKind::Rollouts, change) => {
             let event = rollouts::read_objects(change, shared);
             shared.send(Input::Event(event)).await;
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -25,6 +25,7 @@
 use tokio::task::AbortHandle;
 
 use super::tunnel::{Tunnel, TunnelState};
+use crate::schema::StartTime;
 
 /// The idle time after which TCP sends the first keepalive probe.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
@@ -82,6 +83,9 @@
     idle_since: Instant,
     /// Longest idle time after which the peer still reads a request, if its answers state one.
     peer_max_idle: Option<Duration>,
+    /// Start time of the process at the other end, if it was asked for. It stays the same for as long
+    /// as the connection lives.
+    pub peer_start: Option<StartTime>,
     _task: AbortOnDrop,
 }
 
@@ -129,6 +133,7 @@
             sender,
             idle_since: Instant::now(),
             peer_max_idle: None,
+            peer_start: None,
             _task: AbortOnDrop(task.abort_handle()),
         })
     }
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -3362,6 +3362,102 @@
     pub domain: DomainId,
     pub id: BoxId,
 }
+///Hash by which boxes know a stream: of the service, the organisation and the caller's attempt that began it.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct StreamKey(pub u64);
+impl ::std::ops::Deref for StreamKey {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<StreamKey> for u64 {
+    fn from(value: StreamKey) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<u64> for StreamKey {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::fmt::Display for StreamKey {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+impl ::std::str::FromStr for StreamKey {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for StreamKey {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for StreamKey {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+///Asks which version began a stream.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct StreamQuery {
+    pub service: ServiceId,
+    pub stream: StreamKey,
+}
+///The software version that began a stream.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct StreamRecord {
+    ///Time since a box sent the stream to an engine of the version, ms.
+    pub age_ms: u32,
+    ///Time for which the caller may still come back, ms.
+    pub keep_ms: u32,
+    pub stream: StreamKey,
+    pub version: VersionId,
+}
+///Records of streams, queries for them, and answers.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct StreamUpdate {
+    ///Records that the receiver asked for.
+    pub answers: ::std::vec::Vec<StreamRecord>,
+    pub from: BoxId,
+    ///Whether the receiver writes the records to the platform's store.
+    pub is_for_store: bool,
+    ///Whether the receiver holds the records itself; else it passes the message on in its failure domain.
+    pub is_passed_on: bool,
+    ///Streams that the receiver asked for, without a record, and the only version that can have begun them.
+    pub presumed: ::std::vec::Vec<StreamRecord>,
+    ///Queries.
+    pub queries: ::std::vec::Vec<StreamQuery>,
+    ///Records to hold.
+    pub records: ::std::vec::Vec<StreamRecord>,
+    ///Address of the box that asks.
+    pub reply_to: ::std::string::String,
+    ///Streams that the receiver asked for and whose service has had one version only.
+    pub sole: ::std::vec::Vec<StreamKey>,
+    ///Streams that the receiver asked for and that neither the sender nor the platform's store knows.
+    pub unknown: ::std::vec::Vec<StreamKey>,
+}
 ///A request handed to its home box.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/tests/gateway/fixtures.rs
+++ b/tests/gateway/fixtures.rs
@@ -251,6 +251,7 @@
                 1_500
             })),
             after_event: None,
+            resumes: None,
             parts: vec![format!("part-{}", self.next)],
             prompt: Tokens(if is_stream { 5_000 } else { 0 }),
             output: Tokens(if is_stream { 700 } else { 0 }),
--- a/tests/gateway_metrics.rs
+++ b/tests/gateway_metrics.rs
@@ -25,6 +25,7 @@
         left_ms: 1,
         tier: None,
         waited_ms: None,
+        version: None,
     }
 }
 
--- a/tests/placement_report.rs
+++ b/tests/placement_report.rs
@@ -39,6 +39,7 @@
             left_ms: 1_000,
             tier: None,
             waited_ms: None,
+            version: None,
         };
         self.write(seconds, "box-1", sent);
     }
--- a/tests/stream_report.rs
+++ b/tests/stream_report.rs
@@ -36,6 +36,7 @@
         left_ms: 20_000,
         tier: None,
         waited_ms: None,
+        version: None,
     }
 }
 
--- /dev/null
+++ b/tests/stream_versions.rs
@@ -0,0 +1,356 @@
+//! Streams go on only at the software version that began them: decisions of one box, and whole fleets
+//! on a simulated clock.
+
+#[path = "gateway/fixtures.rs"]
+mod fixtures;
+
+use fixtures::{
+    GENEROUS, STREAMS, World, box_state, changed, endpoint, first_attempt, listed, refusal, table,
+};
+use magpiemoor::gateway::dispatch::action::{Action, Attempt};
+use magpiemoor::gateway::dispatch::event::{
+    Arrival, EndpointChange, EndpointSpec, Event, RequestNumber,
+};
+use magpiemoor::gateway::dispatch::refusal::RefusalReason;
+use magpiemoor::gateway::dispatch::stream_versions::book::{MAX_RECORDS, RecordUse, StreamBook};
+use magpiemoor::gateway::dispatch::stream_versions::lookup::LOOKUP_TIMEOUT;
+use magpiemoor::schema::{BoxState, DomainSize, Micros, StreamKey, StreamRecord, StreamUpdate};
+use magpiemoor_lab::gateway::versions::{Beside, Case, Change};
+use rstest::rstest;
+
+fn engine(id: &str, version: &str, port: u16) -> EndpointSpec {
+    EndpointSpec {
+        version: version.parse().unwrap(),
+        ..endpoint(id, "engines", "north", port)
+    }
+}
+
+fn present(spec: EndpointSpec) -> Event {
+    changed(vec![EndpointChange::Present(spec)])
+}
+
+/// A box that has heard another one of each of two failure domains, before two engines of v1.
+fn with_one_version() -> World {
+    let mut world = World::empty(GENEROUS);
+    world.handle(Event::Table(std::sync::Arc::new(table(1))));
+    hear_peers(&mut world, 1);
+    let engines = vec![
+        engine("engine-1", "v1", 9_001),
+        engine("engine-2", "v1", 9_002),
+    ];
+    world.handle(listed(engines));
+    world
+}
+
+/// The same with two engines of v2 that have settled.
+fn with_two_versions() -> World {
+    let mut world = with_one_version();
+    for (id, port) in [("engine-3", 9_003), ("engine-4", 9_004)] {
+        world.handle(present(engine(id, "v2", port)));
+    }
+    for beat in 2..12 {
+        world.run(400);
+        hear_peers(&mut world, beat);
+    }
+    world
+}
+
+fn hear_peers(world: &mut World, beat: u64) {
+    let states = [
+        box_state("box-3", "north", "127.0.0.8:7200"),
+        box_state("box-2", "south", "127.0.0.9:7200"),
+    ];
+    for state in states {
+        let own = DomainSize {
+            domain: state.domain.clone(),
+            boxes: 1,
+            age_ms: 0,
+        };
+        world.handle(Event::Peer(BoxState {
+            beat,
+            domains: vec![own],
+            ..state
+        }));
+    }
+}
+
+fn version_of(world: &World, attempt: &Attempt) -> String {
+    let endpoint = world.dispatcher.fleet().get(&attempt.endpoint).unwrap();
+    endpoint.spec.version.to_string()
+}
+
+/// A caller that comes back with the stream that the attempt `began` began.
+fn taken_up(world: &mut World, began: &str) -> Arrival {
+    Arrival {
+        after_event: Some(3),
+        resumes: Some(began.to_owned()),
+        ..world.arrival(STREAMS)
+    }
+}
+
+/// Messages about streams among actions.
+fn updates(actions: &[Action]) -> Vec<&StreamUpdate> {
+    let updates = actions.iter().filter_map(|action| match action {
+        Action::PublishStreams { update, .. } => Some(update),
+        _ => None,
+    });
+    updates.collect()
+}
+
+fn uses_store(actions: &[Action]) -> bool {
+    let is_call = |a: &Action| matches!(a, Action::ReadStreams | Action::SaveStreams { .. });
+    actions.iter().any(is_call)
+}
+
+#[test]
+fn nothing_is_sent_while_a_service_has_one_version() {
+    let mut world = with_one_version();
+    let (request, first) = world.arrive(STREAMS);
+    let mut done = world.actions.clone();
+    world.progress(request, first.unwrap().attempt, 1);
+    done.extend(world.actions.clone());
+    let back = taken_up(&mut world, "an-attempt-at-another-box");
+    let (_, second) = world.arrive_as(back);
+    done.extend(world.actions.clone());
+    done.extend(world.run(1_500));
+    assert!(second.is_some() || first_attempt(&done).is_some());
+    assert!(updates(&done).is_empty());
+    assert!(!uses_store(&done));
+}
+
+#[test]
+fn a_record_goes_out_with_the_first_event_and_not_before() {
+    let mut world = with_two_versions();
+    let (request, first) = world.arrive(STREAMS);
+    let first = first.unwrap();
+    assert!(updates(&world.actions).is_empty());
+    world.progress(request, first.attempt, 1);
+    let version = version_of(&world, &first);
+    let sent = updates(&world.actions);
+    assert_eq!(sent.len(), 2, "one box of each failure domain");
+    for update in sent {
+        assert_eq!(update.records[0].version.to_string(), version);
+    }
+}
+
+#[test]
+fn what_began_at_the_only_version_is_published_once_there_is_a_second() {
+    let mut world = with_one_version();
+    let (request, first) = world.arrive(STREAMS);
+    world.progress(request, first.unwrap().attempt, 1);
+    assert!(updates(&world.actions).is_empty());
+    world.handle(present(engine("engine-3", "v2", 9_003)));
+    let records = updates(&world.actions).into_iter().flat_map(|u| &u.records);
+    let versions: Vec<String> = records.map(|r| r.version.to_string()).collect();
+    assert_eq!(versions, ["v1", "v1"]);
+}
+
+#[test]
+fn no_stream_begins_at_a_version_before_all_boxes_can_know_it() {
+    let mut world = with_one_version();
+    world.handle(present(engine("engine-3", "v2", 9_003)));
+    let begin = |world: &mut World| {
+        let (_, attempt) = world.arrive(STREAMS);
+        let attempt = attempt.unwrap();
+        version_of(world, &attempt)
+    };
+    for beat in 2..8 {
+        assert_eq!(begin(&mut world), "v1");
+        hear_peers(&mut world, beat);
+        world.run(400);
+    }
+    world.run(1_000);
+    let versions: Vec<String> = (0..6).map(|_| begin(&mut world)).collect();
+    assert!(
+        versions.iter().any(|version| version == "v2"),
+        "{versions:?}"
+    );
+}
+
+#[test]
+fn a_stream_that_nobody_knows_is_refused_and_never_placed() {
+    let mut world = with_two_versions();
+    let back = taken_up(&mut world, "unknown");
+    let (_, attempt) = world.arrive_as(back);
+    assert_eq!(attempt, None);
+    let done = world.run(LOOKUP_TIMEOUT.as_millis() as u64 + 50);
+    assert_eq!(first_attempt(&done), None);
+    assert_eq!(refusal(&done), Some(RefusalReason::UnknownVersion));
+}
+
+#[test]
+fn a_caller_without_the_attempt_that_began_is_refused_where_there_are_two_versions() {
+    let mut world = with_two_versions();
+    let back = Arrival {
+        after_event: Some(3),
+        ..world.arrival(STREAMS)
+    };
+    let (_, attempt) = world.arrive_as(back);
+    assert_eq!(attempt, None);
+    assert_eq!(refusal(&world.actions), Some(RefusalReason::UnknownVersion));
+}
+
+fn answer(stream: StreamKey, version: &str) -> Event {
+    let record = StreamRecord {
+        stream,
+        version: version.parse().unwrap(),
+        age_ms: 40,
+        keep_ms: 9_000,
+    };
+    Event::PeerStreams(StreamUpdate {
+        from: "box-3".parse().unwrap(),
+        reply_to: "127.0.0.8:7200".to_owned(),
+        is_passed_on: true,
+        is_for_store: false,
+        records: Vec::new(),
+        queries: Vec::new(),
+        answers: vec![record],
+        presumed: Vec::new(),
+        unknown: Vec::new(),
+        sole: Vec::new(),
+    })
+}
+
+/// Sends a caller back and answers the query for its stream; returns the actions that follow.
+fn come_back_to(world: &mut World, version: &str) -> Vec<Action> {
+    let back = taken_up(world, "began-elsewhere");
+    world.arrive_as(back);
+    let query = updates(&world.actions)
+        .into_iter()
+        .find_map(|update| update.queries.first().cloned());
+    let stream = query.expect("no box was asked").stream;
+    let mut done = world.handle(answer(stream, version)).to_vec();
+    // No engine tells that it keeps the prompt.
+    while let Some(request) = done.iter().find_map(located) {
+        done = world
+            .handle(Event::Located {
+                request,
+                endpoint: None,
+            })
+            .to_vec();
+    }
+    done
+}
+
+/// The request for whose prompt an action searches.
+fn located(action: &Action) -> Option<RequestNumber> {
+    match action {
+        Action::Locate { request, .. } => Some(*request),
+        _ => None,
+    }
+}
+
+#[rstest]
+#[case::first("v1")]
+#[case::second("v2")]
+fn a_caller_that_comes_back_goes_on_at_the_version_that_a_peer_names(#[case] version: &str) {
+    let mut world = with_two_versions();
+    let done = come_back_to(&mut world, version);
+    let attempt = first_attempt(&done).expect("it was not placed");
+    assert_eq!(version_of(&world, &attempt), version);
+}
+
+#[test]
+fn a_stream_whose_version_has_no_engine_left_is_refused_at_once() {
+    let mut world = with_two_versions();
+    for id in ["engine-3", "engine-4"] {
+        world.handle(changed(vec![EndpointChange::Absent(id.parse().unwrap())]));
+    }
+    let back = taken_up(&mut world, "began-elsewhere");
+    world.arrive_as(back);
+    let query = updates(&world.actions)
+        .into_iter()
+        .find_map(|update| update.queries.first().cloned());
+    let done = world.handle(answer(query.unwrap().stream, "v2")).to_vec();
+    assert_eq!(refusal(&done), Some(RefusalReason::VersionGone));
+}
+
+#[test]
+fn the_number_of_records_is_bounded_and_dropped_ones_are_counted() {
+    let mut book = StreamBook::default();
+    let version = "v1".parse().unwrap();
+    for number in 0..=MAX_RECORDS as u64 {
+        let expires = Micros(1_000_000 + number);
+        book.insert(
+            StreamKey(number),
+            &version,
+            Micros::ZERO,
+            expires,
+            RecordUse::Held,
+        );
+    }
+    assert_eq!(book.len(), MAX_RECORDS);
+    assert_eq!(book.take_forgotten(), 1);
+    assert!(book.get(StreamKey(0), Micros(5)).is_none());
+    assert!(book.get(StreamKey(1), Micros(5)).is_some());
+    book.expire(Micros(2_000_000));
+    assert!(book.is_empty());
+}
+
+/// Plays of whole fleets: versions that come, go and replace each other beside faults.
+#[rstest]
+fn no_stream_of_a_fleet_joins_two_versions(
+    #[values(
+        Beside::Nothing,
+        Beside::EnginesCrash,
+        Beside::BoxesKilled,
+        Beside::DomainKilled,
+        Beside::AllBoxesKilled,
+        Beside::DomainCut,
+        Beside::BoxesFrozen,
+        Beside::StoreOut,
+        Beside::OldBoxes
+    )]
+    beside: Beside,
+) {
+    for (seed, change) in (1..).zip(Change::ALL) {
+        let case = Case {
+            change,
+            beside,
+            ..Case::draw(seed, 7)
+        };
+        let played = case.play();
+        assert_eq!(played.counts.joined, 0, "{played}");
+    }
+}
+
+#[rstest]
+#[case::seed_275(275, Change::InPlace, Beside::BoxesFrozen)]
+#[case::seed_165(165, Change::Mixed, Beside::AllBoxesKilled)]
+#[case::seed_273(273, Change::Appears, Beside::BoxesFrozen)]
+#[case::seed_283(283, Change::InPlace, Beside::BoxesFrozen)]
+#[case::seed_257(257, Change::Appears, Beside::DomainCut)]
+#[case::seed_201(201, Change::InPlace, Beside::BoxesKilled)]
+fn seeds_that_once_joined_two_versions_pass(
+    #[case] seed: u64,
+    #[case] change: Change,
+    #[case] beside: Beside,
+) {
+    let case = Case::draw(seed, 7);
+    assert_eq!((case.change, case.beside), (change, beside));
+    let played = case.play();
+    assert_eq!(played.counts.joined, 0, "{played}");
+}
+
+/// Callers that come back while boxes, domains and engines are lost go on as often as new streams begin.
+#[rstest]
+fn streams_that_callers_take_up_go_on(
+    #[values(
+        Beside::Nothing,
+        Beside::EnginesCrash,
+        Beside::DomainKilled,
+        Beside::DomainCut
+    )]
+    beside: Beside,
+) {
+    for seed in 1..4 {
+        let case = Case {
+            change: Change::Replaces,
+            beside,
+            ..Case::draw(seed, 9)
+        };
+        let counts = case.play().counts;
+        let gap = counts.begun.share() - counts.taken_up.share();
+        assert!(gap < 0.05, "{counts:?}");
+    }
+}
