--- a/src/gateway/dispatch/stream_versions.rs
+++ b/src/gateway/dispatch/stream_versions.rs
@@ -47,7 +47,7 @@
     EndpointIncarnation, Micros, OrganisationId, ServiceId, StartTime, StreamKey, VersionId,
 };
 use book::{RecordUse, StreamBook};
-use history::{SETTLE_TIME, VersionHistory};
+use history::{VERSION_SETTLE_TIME, VersionHistory};
 use lookup::Lookup;
 use store::StoreState;
 
@@ -232,7 +232,7 @@
     pub(super) fn observe_versions(&mut self) {
         self.note_doubt();
         let state = &mut self.stream_versions;
-        let is_prompt = self.now.since(state.last_doubt) >= SETTLE_TIME;
+        let is_prompt = self.now.since(state.last_doubt) >= VERSION_SETTLE_TIME;
         let mixed = state
             .history
             .observe(&self.fleet, state.lifetime, is_prompt, self.now);
--- a/src/gateway/dispatch/stream_versions/history.rs
+++ b/src/gateway/dispatch/stream_versions/history.rs
@@ -5,7 +5,7 @@
 //!
 //! Boxes see a new version at different times. A box that has not seen it takes the service for one
 //! of a single version and looks nothing up, so no stream may begin at a new version until all boxes
-//! know of it, or know that they may have missed it. Versions newer than [`SETTLE_TIME`] are
+//! know of it, or know that they may have missed it. Versions newer than [`VERSION_SETTLE_TIME`] are
 //! therefore newcomers: they take streams only where no other version has an endpoint. So does an
 //! engine that answers before any list has named it: its version is not known.
 //!
@@ -20,10 +20,10 @@
 
 /// Time for which a new version is a newcomer: longer than lists take to reach all boxes, and than a
 /// box takes to notice that it is cut off from the others.
-pub const SETTLE_TIME: Duration = Duration::from_secs(3);
+pub const VERSION_SETTLE_TIME: Duration = Duration::from_secs(3);
 
 /// Time after a version came in which no stream can have begun there, at any box: less than
-/// [`SETTLE_TIME`] by what boxes differ in when they see it.
+/// [`VERSION_SETTLE_TIME`] by what boxes differ in when they see it.
 pub const PRESUMED_FOR: Duration = Duration::from_millis(1_500);
 
 #[derive(Clone, Copy, Debug)]
@@ -65,7 +65,7 @@
         let named = listed().filter(|(id, _)| !id.is_unlisted());
         let oldest = named.map(|(_, seen)| seen.since).min();
         let is_new = |since: Micros| {
-            oldest.is_some_and(|oldest| since > oldest) && now.since(since) < SETTLE_TIME
+            oldest.is_some_and(|oldest| since > oldest) && now.since(since) < VERSION_SETTLE_TIME
         };
         let newcomers = listed().filter(|(id, seen)| id.is_unlisted() || is_new(seen.since));
         self.newcomers = newcomers.map(|(id, _)| id.clone()).collect();
--- a/src/gateway/dispatch/stream_versions/store.rs
+++ b/src/gateway/dispatch/stream_versions/store.rs
@@ -31,7 +31,7 @@
 /// Shortest time between two reads of the store.
 const READ_INTERVAL: Duration = Duration::from_secs(1);
 /// Most queries that wait for a read.
-const MAX_WAITING: usize = 1_000;
+const MAX_WAITING_QUERIES: usize = 1_000;
 
 /// A query that waits for the store; without an address it is this box's own.
 type WaitingQuery = (StreamQuery, Option<SocketAddr>);
@@ -192,7 +192,7 @@
         let now = self.now;
         let store = &mut self.stream_versions.store;
         let waiting = (query.clone(), reply_to);
-        if store.waiting.len() < MAX_WAITING && !store.waiting.contains(&waiting) {
+        if store.waiting.len() < MAX_WAITING_QUERIES && !store.waiting.contains(&waiting) {
             store.waiting.push(waiting);
         }
         match store.read {
