--- a/src/gateway/dispatch/stream_versions.rs
+++ b/src/gateway/dispatch/stream_versions.rs
@@ -11,6 +11,7 @@
 //! | what | module |
 //! |---|---|
 //! | which versions a service has, and had as long as streams last | [`history`] |
+//! | whether this box would know of all of them | `certainty` |
 //! | which version began a stream, at this box | [`book`] |
 //! | which boxes hold the record of a stream besides | [`holders`] |
 //! | records, queries and answers between boxes | `exchange` |
@@ -24,17 +25,17 @@
 //! the alternatives.
 
 pub mod book;
+mod certainty;
 mod exchange;
 pub mod history;
 pub mod holders;
+mod ids;
 pub mod lookup;
 mod store;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
 use super::Dispatcher;
 use super::event::{Arrival, AttemptNumber, EndpointSpec, RequestNumber};
 use super::fleet::{Endpoint, Fleet};
@@ -43,69 +44,19 @@
 use super::request::{Request, millis};
 use super::table::{RouteKind, RoutingTable};
 use crate::rendezvous;
-use crate::schema::{
-    EndpointIncarnation, Micros, OrganisationId, ServiceId, StartTime, StreamKey, VersionId,
-};
+use crate::schema::{Micros, ServiceId, StartTime, StreamKey, VersionId};
 use book::{RecordUse, StreamBook};
-use history::{VERSION_SETTLE_TIME, VersionHistory};
+use history::VersionHistory;
 use lookup::Lookup;
 use store::StoreState;
 
 /// Time after the deadline of a stream in which its caller may still come back, for clocks and
 /// messages that are late.
 const RETURN_SLACK: Duration = Duration::from_secs(5);
-/// Time without a message from another failure domain after which this box may have missed a new
-/// version. Messages of sound domains arrive several times a second.
-const ISOLATED_AFTER: Duration = Duration::from_millis(2_500);
-/// Time for which a box knows of a newer list without having it, after which it counts as late.
-const LATE_LIST: Duration = Duration::from_millis(500);
 /// Time after a process pause in which the endpoint list may be out of date.
 const PAUSE_RECOVERY: Duration = Duration::from_millis(1_500);
 /// Time between two publications of the record of a stream that runs: holders may have been replaced.
 const RENEW_INTERVAL: Duration = Duration::from_secs(10);
-/// Prefix of the version of an engine that no list has named yet.
-const UNLISTED_PREFIX: &str = "unlisted:";
-
-impl StreamKey {
-    /// The key of the stream that the caller's attempt `id` began.
-    #[must_use]
-    pub fn new(service: &ServiceId, organisation: Option<&OrganisationId>, id: &str) -> Self {
-        let organisation = organisation.map_or("", |organisation| organisation.as_str());
-        let of_service = rendezvous::item(service);
-        let of_organisation = xxh3_64_with_seed(organisation.as_bytes(), of_service);
-        Self(xxh3_64_with_seed(id.as_bytes(), of_organisation))
-    }
-}
-
-impl StreamKey {
-    /// Stands for a service itself: no attempt has an empty id. A record of it says that the service has
-    /// several versions.
-    fn mark_of(service: &ServiceId) -> Self {
-        Self::new(service, None, "")
-    }
-}
-
-impl VersionId {
-    /// Stands for the version of an engine that answers at the address of another one before any
-    /// list has named it. No other engine has this version.
-    #[must_use]
-    pub fn unlisted(engine: &EndpointIncarnation) -> Self {
-        let born = engine.born.map_or(0, |born| born.0);
-        let text = format!("{UNLISTED_PREFIX}{:016x}", key_of_engine(&engine.id, born));
-        // The text has a fixed length below that of a version.
-        text.parse().unwrap_or_else(|_| unreachable!("{text}"))
-    }
-
-    /// Whether this stands for a version that is not known.
-    #[must_use]
-    pub fn is_unlisted(&self) -> bool {
-        self.starts_with(UNLISTED_PREFIX)
-    }
-}
-
-fn key_of_engine(id: &str, born: u64) -> u64 {
-    xxh3_64_with_seed(id.as_bytes(), born)
-}
 
 /// How this box knows which version began a stream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -209,86 +160,6 @@
         StreamKey::new(&request.service, owner.map(|o| &o.organisation), began)
     }
 
-    /// Whether this box would know of every version that a service has had for as long as streams
-    /// last.
-    pub(super) fn is_certain(&self, service: &ServiceId) -> bool {
-        let state = &self.stream_versions;
-        let is_settled = self.cfg.first_start
-            || self.now.since(self.started) >= state.lifetime
-            || state.confirmed.contains(service);
-        is_settled
-            && !state.is_isolated
-            && self.now >= state.doubtful_until
-            && !self.endpoint_fetches.is_behind_for(LATE_LIST, self.now)
-    }
-
-    /// Whether a service certainly had one version only.
-    pub(super) fn has_sole_version(&self, service: &ServiceId) -> bool {
-        let state = &self.stream_versions;
-        state.history.is_sole(service, state.lifetime, self.now) && self.is_certain(service)
-    }
-
-    /// Updates which versions services have, after a change of the endpoint list.
-    pub(super) fn observe_versions(&mut self) {
-        self.note_doubt();
-        let state = &mut self.stream_versions;
-        let is_prompt = self.now.since(state.last_doubt) >= VERSION_SETTLE_TIME;
-        let mixed = state
-            .history
-            .observe(&self.fleet, state.lifetime, is_prompt, self.now);
-        self.bind_listed_versions();
-        if !mixed.is_empty() {
-            for service in &mixed {
-                self.mark_mixed(service);
-                self.record(Record::Process {
-                    state: "several_versions".into(),
-                    detail: service.to_string(),
-                });
-            }
-            self.publish_own_records();
-        }
-    }
-
-    /// Has the store keep that a service has several versions: once all boxes are lost, only the store
-    /// tells.
-    fn mark_mixed(&mut self, service: &ServiceId) {
-        let state = &mut self.stream_versions;
-        let Some(version) = state.history.any_version(service).cloned() else {
-            return;
-        };
-        let mark = StreamKey::mark_of(service);
-        let expires = self.now.after(state.lifetime);
-        state
-            .book
-            .insert(mark, &version, self.now, expires, RecordUse::Held);
-        self.save_soon(mark);
-    }
-
-    /// Renews the marks of services that have several versions.
-    fn renew_marks(&mut self) {
-        if self.now < self.stream_versions.next_marks {
-            return;
-        }
-        self.stream_versions.next_marks = self.now.after(self.stream_versions.lifetime / 3);
-        let state = &self.stream_versions;
-        for service in state.history.mixed(state.lifetime, self.now) {
-            self.mark_mixed(&service);
-        }
-    }
-
-    /// The version that must have begun a stream of which there is no record, if this box is certain of
-    /// one: all other versions are so new that no stream can have begun there.
-    fn presumed_version(&self, service: &ServiceId) -> Option<&VersionId> {
-        let settled = self.stream_versions.history.settled(service, self.now);
-        settled.filter(|_| self.is_certain(service))
-    }
-
-    /// Versions of a request's service that no stream may begin at yet.
-    pub(super) fn newcomers_for(&self, request: &Request) -> Option<&BTreeSet<VersionId>> {
-        let newcomers = self.stream_versions.history.newcomers(&request.service);
-        newcomers.filter(|_| is_bindable(request))
-    }
-
     /// Decides whether an arrived request may be placed now. One that goes on with a stream waits
     /// until the version that began the stream is known, or is refused.
     pub(super) fn find_version(&mut self, number: RequestNumber) -> bool {
@@ -543,26 +414,6 @@
         self.stream_versions.book.expire(self.now);
     }
 
-    /// Notes the time if the list may be out of date.
-    fn note_doubt(&mut self) {
-        let state = &mut self.stream_versions;
-        let is_late = self.endpoint_fetches.is_behind_for(LATE_LIST, self.now);
-        if state.is_isolated || self.now < state.doubtful_until || is_late {
-            state.last_doubt = self.now;
-        }
-    }
-
-    fn check_isolation(&mut self) {
-        let is_isolated = self.peers.knows_other_domains()
-            && !self
-                .peers
-                .has_heard_other_domains_within(ISOLATED_AFTER, self.now);
-        let was_isolated = std::mem::replace(&mut self.stream_versions.is_isolated, is_isolated);
-        if is_isolated && !was_isolated {
-            self.publish_own_records();
-        }
-    }
-
     fn renew_records(&mut self) {
         let now = self.now;
         let due = |request: &&mut Request| {
--- /dev/null
+++ b/src/gateway/dispatch/stream_versions/certainty.rs
@@ -0,0 +1,128 @@
+//! What a box can be certain of: whether it would know of every version that a service has had.
+//!
+//! A box may have missed a version while it was cut off from other failure domains, while its process
+//! was paused, while its list is late, and before it started. Then it acts as if each service had
+//! several versions, and presumes nothing.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::book::RecordUse;
+use super::history::VERSION_SETTLE_TIME;
+use super::is_bindable;
+use crate::gateway::dispatch::Dispatcher;
+use crate::gateway::dispatch::record::Record;
+use crate::gateway::dispatch::request::Request;
+use crate::schema::{ServiceId, StreamKey, VersionId};
+
+/// Time without a message from another failure domain after which this box may have missed a new
+/// version. Messages of sound domains arrive several times a second.
+const ISOLATED_AFTER: Duration = Duration::from_millis(2_500);
+
+/// Time for which a box knows of a newer list without having it, after which it counts as late.
+const LATE_LIST: Duration = Duration::from_millis(500);
+
+impl Dispatcher {
+    /// Whether this box would know of every version that a service has had for as long as streams
+    /// last.
+    pub(in crate::gateway::dispatch) fn is_certain(&self, service: &ServiceId) -> bool {
+        let state = &self.stream_versions;
+        let is_settled = self.cfg.first_start
+            || self.now.since(self.started) >= state.lifetime
+            || state.confirmed.contains(service);
+        is_settled
+            && !state.is_isolated
+            && self.now >= state.doubtful_until
+            && !self.endpoint_fetches.is_behind_for(LATE_LIST, self.now)
+    }
+
+    /// Whether a service certainly had one version only.
+    pub(in crate::gateway::dispatch) fn has_sole_version(&self, service: &ServiceId) -> bool {
+        let state = &self.stream_versions;
+        state.history.is_sole(service, state.lifetime, self.now) && self.is_certain(service)
+    }
+
+    /// Updates which versions services have, after a change of the endpoint list.
+    pub(in crate::gateway::dispatch) fn observe_versions(&mut self) {
+        self.note_doubt();
+        let state = &mut self.stream_versions;
+        let is_prompt = self.now.since(state.last_doubt) >= VERSION_SETTLE_TIME;
+        let mixed = state
+            .history
+            .observe(&self.fleet, state.lifetime, is_prompt, self.now);
+        self.bind_listed_versions();
+        if !mixed.is_empty() {
+            for service in &mixed {
+                self.mark_mixed(service);
+                self.record(Record::Process {
+                    state: "several_versions".into(),
+                    detail: service.to_string(),
+                });
+            }
+            self.publish_own_records();
+        }
+    }
+
+    /// Has the store keep that a service has several versions: once all boxes are lost, only the store
+    /// tells.
+    pub(super) fn mark_mixed(&mut self, service: &ServiceId) {
+        let state = &mut self.stream_versions;
+        let Some(version) = state.history.any_version(service).cloned() else {
+            return;
+        };
+        let mark = StreamKey::mark_of(service);
+        let expires = self.now.after(state.lifetime);
+        state
+            .book
+            .insert(mark, &version, self.now, expires, RecordUse::Held);
+        self.save_soon(mark);
+    }
+
+    /// Renews the marks of services that have several versions.
+    pub(super) fn renew_marks(&mut self) {
+        if self.now < self.stream_versions.next_marks {
+            return;
+        }
+        self.stream_versions.next_marks = self.now.after(self.stream_versions.lifetime / 3);
+        let state = &self.stream_versions;
+        for service in state.history.mixed(state.lifetime, self.now) {
+            self.mark_mixed(&service);
+        }
+    }
+
+    /// The version that must have begun a stream of which there is no record, if this box is certain of
+    /// one: all other versions are so new that no stream can have begun there.
+    pub(super) fn presumed_version(&self, service: &ServiceId) -> Option<&VersionId> {
+        let settled = self.stream_versions.history.settled(service, self.now);
+        settled.filter(|_| self.is_certain(service))
+    }
+
+    /// Versions of a request's service that no stream may begin at yet.
+    pub(in crate::gateway::dispatch) fn newcomers_for(
+        &self,
+        request: &Request,
+    ) -> Option<&BTreeSet<VersionId>> {
+        let newcomers = self.stream_versions.history.newcomers(&request.service);
+        newcomers.filter(|_| is_bindable(request))
+    }
+
+    /// Notes the time if the list may be out of date.
+    pub(super) fn note_doubt(&mut self) {
+        let state = &mut self.stream_versions;
+        let is_late = self.endpoint_fetches.is_behind_for(LATE_LIST, self.now);
+        if state.is_isolated || self.now < state.doubtful_until || is_late {
+            state.last_doubt = self.now;
+        }
+    }
+
+    pub(super) fn check_isolation(&mut self) {
+        let is_isolated = self.peers.knows_other_domains()
+            && !self
+                .peers
+                .has_heard_other_domains_within(ISOLATED_AFTER, self.now);
+        let was_isolated = std::mem::replace(&mut self.stream_versions.is_isolated, is_isolated);
+        if is_isolated && !was_isolated {
+            self.publish_own_records();
+        }
+    }
+}
