Unlisted engines take no new streams again, and a re-read entry names no later process

Beside that: an entry of the list that is read again replaced the unlisted version of a process that had started since by that of the earlier one. It keeps it now.

--- a/src/gateway/dispatch/fleet/list.rs
+++ b/src/gateway/dispatch/fleet/list.rs
@@ -132,8 +132,18 @@
         {
             self.begin_incarnation(spec, now);
         } else {
+            // An entry that is read again tells nothing of a process that has started since.
+            let is_of_earlier = is_same_entry(spec.revision, known.spec.revision)
+                && before.is_some()
+                && spec.born != before;
+            let version = if is_of_earlier {
+                known.spec.version.clone()
+            } else {
+                spec.version
+            };
             known.spec = EndpointSpec {
                 born: listed_start.or(before).or(spec.born),
+                version,
                 ..spec
             };
         }
--- a/src/gateway/dispatch/stream_versions/history.rs
+++ b/src/gateway/dispatch/stream_versions/history.rs
@@ -7,8 +7,7 @@
 //! of a single version and looks nothing up, so no stream may begin at a new version until all boxes
 //! know of it, or know that they may have missed it. Versions newer than [`VERSION_SETTLE_TIME`] are
 //! therefore newcomers: they take streams only where no other version has an endpoint. So does an
-//! engine that answers before any list has named it, while a service has one settled version: other
-//! boxes would not look its streams up.
+//! engine that answers before any list has named it: its version is not known.
 //!
 //! Input: the endpoint list, whenever it changes. State: for each service its versions, since when,
 //! and when they went.
@@ -59,19 +58,16 @@
         counted.count()
     }
 
-    /// Decides which versions are newcomers: those that came lately while an older one is listed, and
-    /// those that no list has named while all boxes may take the service for one of a single version.
+    /// Decides which versions are newcomers: those that no list has named, and those that came lately
+    /// while an older one is listed.
     fn settle(&mut self, now: Micros) {
         let listed = || self.versions.iter().filter(|(_, v)| v.gone_at.is_none());
-        let named = || listed().filter(|(id, _)| !id.is_unlisted());
-        let oldest = named().map(|(_, seen)| seen.since).min();
+        let named = listed().filter(|(id, _)| !id.is_unlisted());
+        let oldest = named.map(|(_, seen)| seen.since).min();
         let is_new = |since: Micros| {
             oldest.is_some_and(|oldest| since > oldest) && now.since(since) < VERSION_SETTLE_TIME
         };
-        let settled = named().filter(|(_, seen)| !is_new(seen.since)).count();
-        let is_sole = settled <= 1;
-        let newcomers = listed()
-            .filter(|(id, v)| is_new(v.since) && !id.is_unlisted() || is_sole && id.is_unlisted());
+        let newcomers = listed().filter(|(id, seen)| id.is_unlisted() || is_new(seen.since));
         self.newcomers = newcomers.map(|(id, _)| id.clone()).collect();
     }
 }
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -321,6 +321,10 @@
 #[case::seed_283(283, Change::InPlace, Beside::BoxesFrozen)]
 #[case::seed_257(257, Change::Appears, Beside::DomainCut)]
 #[case::seed_201(201, Change::InPlace, Beside::BoxesKilled)]
+#[case::seed_2278(2278, Change::InPlace, Beside::StoreOut)]
+#[case::seed_2471(2471, Change::InPlace, Beside::StoreOut)]
+#[case::seed_2739(2739, Change::InPlace, Beside::DomainCut)]
+#[case::seed_2989(2989, Change::InPlace, Beside::StoreOut)]
 fn seeds_that_once_joined_two_versions_pass(
     #[case] seed: u64,
     #[case] change: Change,
