--- a/src/gateway/dispatch/stream_versions/store.rs
+++ b/src/gateway/dispatch/stream_versions/store.rs
@@ -22,7 +22,7 @@
 const MIN_BATCH: Duration = Duration::from_millis(100);
 /// The same for each box of the failure domain: the box that writes gets 200 messages a second at most.
 const BATCH_PER_BOX: Duration = Duration::from_millis(5);
-/// Shortest time between two writes: each call to the store has its price.
+/// Shortest time between two writes: all boxes share the rate of calls that the store takes.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(500);
 /// Bytes a second that a box writes at most.
 const BYTES_PER_SECOND: f64 = 10_000.0;
