--- a/lab/src/gateway/boxes.rs
+++ b/lab/src/gateway/boxes.rs
@@ -25,6 +25,16 @@
     format!("domain-{number}").parse().expect("a short name")
 }
 
+/// Returns the callers' bound on retries.
+#[must_use]
+pub fn retry_policy() -> RetryPolicy {
+    RetryPolicy {
+        ratio: 0.8,
+        reserve: 150.0,
+        window: Duration::from_secs(10),
+    }
+}
+
 /// Returns the configuration of a box; `boxes` boxes are assigned to the domains in turn.
 ///
 /// # Panics
@@ -41,11 +51,7 @@
         first_start: true,
         gossip: Duration::from_millis(300),
         fleet_boxes: boxes,
-        retries: RetryPolicy {
-            ratio: 0.8,
-            reserve: 150.0,
-            window: Duration::from_secs(10),
-        },
+        retries: retry_policy(),
         exposure: ExposureLimit {
             share: 0.1,
             reserve: 50.0,
--- a/lab/src/gateway/versions.rs
+++ b/lab/src/gateway/versions.rs
@@ -8,9 +8,11 @@
 
 pub mod command;
 pub mod fleet;
+pub mod retries;
 pub mod score;
 
 use std::fmt;
+use std::time::Duration;
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -113,6 +115,22 @@
     }
 }
 
+/// Outages of failure domains whose engines come back as other instances at the same addresses.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Outages {
+    /// How many domains are struck, one after the other.
+    pub domains: usize,
+    /// The share of a domain's engines that end.
+    pub share: f64,
+    /// How long the store answers nobody, from just before the first outage.
+    pub store_out: Duration,
+    /// Whether some boxes still reach the store meanwhile.
+    pub store_serves_some: bool,
+}
+
+/// Engines of each failure domain, unless a case says otherwise.
+const ENGINES: usize = 6;
+
 /// One play.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Case {
@@ -126,6 +144,10 @@
     pub beside: Beside,
     /// Whether engines crash too, whatever goes wrong beside.
     pub engines_crash: bool,
+    /// Engines of each failure domain.
+    pub engines: usize,
+    /// Outages of whole failure domains, if there are any.
+    pub outages: Option<Outages>,
 }
 
 impl Case {
@@ -139,9 +161,18 @@
             change: Change::ALL[rng.random_range(0..Change::ALL.len())],
             beside: Beside::ALL[rng.random_range(0..Beside::ALL.len())],
             engines_crash: rng.random_bool(0.4),
+            engines: ENGINES,
+            outages: None,
         }
     }
 
+    /// How long it lasts.
+    #[must_use]
+    pub fn played(&self) -> Duration {
+        let store_out = self.outages.map(|outages| outages.store_out);
+        fleet::PLAYED + store_out.unwrap_or_default()
+    }
+
     /// Plays it.
     #[must_use]
     pub fn play(&self) -> Outcome {
--- a/lab/src/gateway/versions/fleet.rs
+++ b/lab/src/gateway/versions/fleet.rs
@@ -1,8 +1,9 @@
 //! Boxes of the real decision code on made-up time, the links between them, and the store.
 //!
 //! `engines` holds the engines and their versions, `callers` those who read streams, `faults` what
-//! changes and what goes wrong.
+//! changes and what goes wrong, `arrivals` what engines got beyond the first of each request.
 
+mod arrivals;
 mod callers;
 mod engines;
 mod faults;
@@ -28,6 +29,7 @@
 use super::{Beside, Case};
 use crate::gateway::boxes::{address, config};
 use crate::gateway::mailbox::Mailbox;
+use arrivals::Arrivals;
 use callers::{Caller, CallerId};
 use engines::{Engines, Run, RunId};
 
@@ -35,8 +37,8 @@
 const START: Micros = Micros(1_000_000);
 /// When callers begin, after that.
 const CALLERS_AFTER: Duration = Duration::from_secs(2);
-/// How long a play lasts.
-const PLAYED: Duration = Duration::from_secs(26);
+/// How long a play lasts, apart from the time for which the store is out beside outages.
+pub(super) const PLAYED: Duration = Duration::from_secs(26);
 /// One way between boxes of a failure domain, between two domains, and between a box and anything else.
 const NEAR: Duration = Duration::from_micros(600);
 const FAR: Duration = Duration::from_millis(2);
@@ -86,6 +88,8 @@
     Change(usize),
     Fault(usize),
     CrashEngines,
+    /// The engines of a failure domain end.
+    Outage(usize),
     /// An engine that crashed is back.
     EngineBack(usize),
     /// An engine that left ends.
@@ -116,6 +120,7 @@
     cut_until: Micros,
     store_out_until: Micros,
     counts: Counts,
+    arrivals: Arrivals,
     rng: ChaCha8Rng,
 }
 
@@ -154,6 +159,7 @@
             cut_until: START,
             store_out_until: START,
             counts: Counts::default(),
+            arrivals: Arrivals::default(),
             rng,
             case,
         };
@@ -169,10 +175,11 @@
     /// Plays the case to its end.
     #[must_use]
     pub fn play(mut self) -> Outcome {
-        while let Some(mail) = self.mail.next(START.after(PLAYED)) {
+        while let Some(mail) = self.mail.next(START.after(self.case.played())) {
             self.take(mail);
         }
         self.count_streams();
+        self.arrivals.judge(&mut self.counts);
         Outcome {
             case: self.case,
             counts: self.counts,
@@ -205,6 +212,7 @@
             Mail::Change(number) => self.bring_change(number),
             Mail::Fault(number) => self.bring_fault(number),
             Mail::CrashEngines => self.crash_engines(),
+            Mail::Outage(domain) => self.strike_domain(domain),
             Mail::EngineBack(engine) => self.restart_engine(engine),
             Mail::EngineEnds(engine) => self.end_engine(engine),
             Mail::Relist => self.relist(),
@@ -370,12 +378,14 @@
                 self.answer(at, event);
             }
             Action::Identify(spec) => {
+                self.counts.checks += 1;
                 let engine = self.reach(domain, &spec.id);
                 if let Some(born) = engine.map(|engine| self.engines.at(engine).spec.born) {
                     self.answer(at, Event::Identified(EndpointSpec { born, ..spec }));
                 }
             }
             Action::RequestIdentity { spec, .. } => {
+                self.counts.checks += 1;
                 let found = self.engines.listening_at(spec.address);
                 let found = found.filter(|f| !self.is_cut_between(domain, self.engines.domain(*f)));
                 if let Some(engine) = found.map(|engine| self.engines.at(engine).spec.clone()) {
@@ -411,7 +421,9 @@
 
     fn is_store_reached(&self, at: usize) -> bool {
         let is_cut = at % DOMAINS == faults::CUT_DOMAIN && self.now() < self.cut_until;
-        !is_cut && self.now() >= self.store_out_until
+        let serves_some = self.case.outages.is_some_and(|o| o.store_serves_some);
+        let is_served = serves_some && at / DOMAINS % 2 == 0;
+        !is_cut && (is_served || self.now() >= self.store_out_until)
     }
 
     fn answer_watch(&mut self, at: usize, life: u64) {
--- a/lab/src/gateway/versions/fleet/callers.rs
+++ b/lab/src/gateway/versions/fleet/callers.rs
@@ -10,13 +10,13 @@
 use rand::Rng;
 
 use super::engines::{EVENTS, HOST, RunId};
-use super::{Fleet, Mail, OUTSIDE, PLAYED, Place, START};
+use super::{DOMAINS, Fleet, Mail, OUTSIDE, Place, START};
 
 /// Streams a second for each box, and in all at most.
 const STREAMS_PER_BOX: f64 = 1.2;
 const MOST_STREAMS: f64 = 30.0;
-/// No caller comes after this time.
-const LAST_CALLER: Duration = Duration::from_secs(16);
+/// No caller comes in the last part of a play.
+const NO_CALLERS_FOR: Duration = Duration::from_secs(10);
 /// How long a caller waits for its stream.
 const CALLER_DEADLINE: Duration = Duration::from_secs(9);
 /// The share of callers that break off once, and that do so three times.
@@ -58,13 +58,6 @@
     story: Vec<String>,
 }
 
-impl Caller {
-    /// Whether what it got counts: streams that end with the play don't.
-    fn is_told(&self) -> bool {
-        self.deadline < START.after(PLAYED)
-    }
-}
-
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Kind {
     Begins,
@@ -84,7 +77,7 @@
         let now = self.now();
         let rate = (STREAMS_PER_BOX * self.case.boxes as f64).min(MOST_STREAMS);
         let pause = -self.rng.random_range(f64::EPSILON..1.0).ln() / rate;
-        if now < START.after(LAST_CALLER) {
+        if now < START.after(self.case.played() - NO_CALLERS_FOR) {
             self.mail
                 .post(Duration::from_secs_f64(pause), Mail::NewCaller);
         }
@@ -144,6 +137,11 @@
         asking
             .story
             .push(format!("{:.3} box {at}", now.0 as f64 / 1e6));
+        self.arrivals.on_request(now);
+        if self.has_engine_for(at, caller) {
+            self.counts.placeable += 1;
+        }
+        let asking = &mut self.callers[caller.0];
         let arrival = Arrival {
             id: format!("{}-{}", caller.0, asking.attempts),
             host: HOST.to_owned(),
@@ -175,6 +173,18 @@
         is_served.then_some(Kind::GoesOn)
     }
 
+    /// Whether a box reaches an engine that may serve a caller's stream.
+    fn has_engine_for(&self, at: usize, caller: CallerId) -> bool {
+        let versions = &self.callers[caller.0].versions;
+        let mut serving = self.engines.serving().into_iter();
+        serving.any(|engine| {
+            let is_cut = self.is_cut_between(at % DOMAINS, self.engines.domain(engine));
+            let is_of_version =
+                versions.is_empty() || versions.contains(self.engines.at(engine).version);
+            !is_cut && is_of_version
+        })
+    }
+
     /// A box does something with a request.
     pub(super) fn command(&mut self, at: usize, request: RequestNumber, command: Command) {
         let place = (at, self.boxes[at].life, request);
@@ -189,13 +199,31 @@
             Command::Refuse(refusal) => {
                 self.stop_runs(place);
                 if let Some(caller) = self.asked.remove(&place) {
-                    self.on_refused(caller, refusal);
+                    self.on_refused(at, caller, refusal);
                 }
             }
         }
     }
 
-    fn on_refused(&mut self, caller: CallerId, refusal: Refusal) {
+    fn on_refused(&mut self, box_at: usize, caller: CallerId, refusal: Refusal) {
+        let is_about_version = matches!(
+            refusal.reason,
+            RefusalReason::UnknownVersion
+                | RefusalReason::VersionGone
+                | RefusalReason::VersionLost
+                | RefusalReason::Quarantined
+        );
+        if !is_about_version && self.has_engine_for(box_at, caller) {
+            self.counts.given_up += 1;
+            tell(
+                &mut self.counts.given_up_stories,
+                &[format!(
+                    "{:.3} box {box_at} {}",
+                    self.mail.now.0 as f64 / 1e6,
+                    refusal.reason.word()
+                )],
+            );
+        }
         let asking = &mut self.callers[caller.0];
         let at = self.mail.now.0 as f64 / 1e6;
         asking
@@ -285,7 +313,9 @@
 
     /// Counts the streams at the end of a play.
     pub(super) fn count_streams(&mut self) {
-        for caller in self.callers.iter().filter(|c| c.is_told()) {
+        // Streams that end with the play don't count.
+        let end = START.after(self.case.played());
+        for caller in self.callers.iter().filter(|c| c.deadline < end) {
             self.counts.begun.count(caller.begins);
             self.counts.taken_up.count(caller.goes_on);
         }
--- a/lab/src/gateway/versions/fleet/engines.rs
+++ b/lab/src/gateway/versions/fleet/engines.rs
@@ -32,8 +32,6 @@
 const RESUMED: Duration = Duration::from_millis(60);
 /// The time that a stream may take.
 const STREAM_TIMEOUT: Duration = Duration::from_secs(10);
-/// Engines of a failure domain.
-const ENGINES: usize = 6;
 /// When a box gives a connection up that nothing answers.
 const CONNECT_GIVEN_UP: Duration = Duration::from_millis(120);
 /// The versions, in their order.
@@ -82,10 +80,14 @@
         };
         let second_is_up = matches!(case.change, Change::Mixed | Change::Leaves);
         let has_second = second_is_up || matches!(case.change, Change::Appears | Change::Replaces);
-        for number in 0..ENGINES * DOMAINS {
+        for number in 0..case.engines * DOMAINS {
             engines.add(number, "v1", true);
         }
-        let second = if has_second { ENGINES * DOMAINS } else { 0 };
+        let second = if has_second {
+            case.engines * DOMAINS
+        } else {
+            0
+        };
         for number in 0..second {
             engines.add(number, "v2", second_is_up);
         }
@@ -100,7 +102,7 @@
             revision: 1,
             service: SERVICE.parse().expect("a short name"),
             version: version.parse().expect("a short name"),
-            address: ([10, 9, 0, place as u8 + 1], 8_000).into(),
+            address: ([10, 9, (place / 250) as u8, (place % 250) as u8 + 1], 8_000).into(),
             domain: domain_name(number % DOMAINS),
             slots: 64,
             leaving: false,
@@ -151,6 +153,14 @@
         serving.map(|(place, _)| place).collect()
     }
 
+    /// The engines of a failure domain that are up.
+    pub fn up_in(&self, domain: usize) -> Vec<usize> {
+        let places = 0..self.all.len();
+        places
+            .filter(|place| self.all[*place].is_up && self.domain(*place) == domain)
+            .collect()
+    }
+
     /// How many engines of a version serve.
     pub fn serving_of(&self, version: &str) -> usize {
         let serving = self.serving().into_iter();
@@ -266,6 +276,9 @@
         };
         let Some(engine) = self.reach(place.0 % DOMAINS, &attempt.endpoint) else {
             let (after, outcome) = self.why_not_reached(place.0, attempt);
+            if matches!(outcome, Outcome::NotRun(NotRunCause::OtherInstance(_))) {
+                self.arrivals.on_turned_away(place, self.mail.now);
+            }
             return self.post_event(place.0, after, ended(outcome));
         };
         let born = self.engines.at(engine).spec.born;
@@ -274,6 +287,7 @@
             let outcome = Outcome::NotRun(NotRunCause::Restarted(born));
             return self.answer(place.0, ended(outcome));
         }
+        self.arrivals.on_arrival(place, self.mail.now);
         self.next_run += 1;
         let id = RunId(self.next_run);
         self.engines.at_mut(engine).runs.insert(id);
--- a/lab/src/gateway/versions/fleet/faults.rs
+++ b/lab/src/gateway/versions/fleet/faults.rs
@@ -32,6 +32,13 @@
 const CRASHING: f64 = 0.2;
 /// How long an engine is away that crashed, in seconds.
 const ENGINE_AWAY: (f64, f64) = (0.1, 0.8);
+/// When the first domain is struck, and the pause until the next one is.
+const OUTAGE_AFTER: Duration = Duration::from_secs(6);
+const OUTAGE_PAUSE: Duration = Duration::from_millis(3_200);
+/// How long before the first outage the store goes out.
+const STORE_OUT_BEFORE: Duration = Duration::from_millis(300);
+/// How long an engine is away that ended in an outage, in seconds.
+const OUTAGE_ENGINE_AWAY: (f64, f64) = (1.0, 1.4);
 /// How long an engine serves that leaves.
 const DRAIN: Duration = Duration::from_millis(2_500);
 /// The time until a box hears of a change of the list, in seconds.
@@ -47,6 +54,12 @@
             let at = Duration::from_secs_f64(first) + FAULT_PAUSE * fault as u32;
             self.mail.post(at, Mail::Fault(fault));
         }
+        if let Some(outages) = self.case.outages {
+            for number in 0..outages.domains {
+                let at = OUTAGE_AFTER + OUTAGE_PAUSE * number as u32;
+                self.mail.post(at, Mail::Outage(number % DOMAINS));
+            }
+        }
         if self.case.engines_crash || self.case.beside == Beside::EnginesCrash {
             self.mail.post(CRASH_AFTER, Mail::CrashEngines);
         }
@@ -161,6 +174,29 @@
         }
     }
 
+    /// Most engines of a failure domain end at once, and come back as other instances at their
+    /// addresses. The store goes out before the first of these outages.
+    pub(super) fn strike_domain(&mut self, domain: usize) {
+        let Some(outages) = self.case.outages else {
+            return;
+        };
+        let now = self.now();
+        if domain == 0 && !outages.store_out.is_zero() {
+            self.store_out_until = now.after(outages.store_out).before(STORE_OUT_BEFORE);
+            self.mail
+                .post(outages.store_out + BOX_AWAY / 4, Mail::Relist);
+        }
+        self.arrivals.on_outage(now);
+        for engine in self.engines.up_in(domain) {
+            if self.rng.random_bool(outages.share) {
+                self.end_engine(engine);
+                let (least, most) = OUTAGE_ENGINE_AWAY;
+                let away = Duration::from_secs_f64(self.rng.random_range(least..most));
+                self.mail.post(away, Mail::EngineBack(engine));
+            }
+        }
+    }
+
     /// An engine that crashed is back, at times as another version of those that serve.
     pub(super) fn restart_engine(&mut self, engine: usize) {
         let version = self.engines.at(engine).version;
--- a/lab/src/gateway/versions/score.rs
+++ b/lab/src/gateway/versions/score.rs
@@ -43,7 +43,7 @@
 }
 
 /// Counts of a play.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Counts {
     /// Streams that got an event.
     pub streams: u64,
@@ -61,12 +61,57 @@
     pub store_calls: u64,
     /// Attempts of those of `taken_up` that were refused since no box knew the version.
     pub unknown: u64,
+    /// Attempts of callers.
+    pub requests: u64,
+    /// Arrivals at engines beyond the first of their request.
+    pub repeats: u64,
+    /// By how much the worst window exceeds the bound on repeats; negative if none does.
+    pub excess: f64,
+    /// Arrivals at another instance than they were meant for within 10 s of an outage of a domain.
+    pub turned_away: u64,
+    /// Attempts of callers in the same time.
+    pub requests_after_outage: u64,
+    /// Attempts of callers whose box reached an engine that may serve them, and those of them that the
+    /// box gave up.
+    pub placeable: u64,
+    /// The same.
+    pub given_up: u64,
+    /// Some attempts that were given up.
+    pub given_up_stories: Vec<String>,
+    /// Checks of engines: identity, successors, and before a send.
+    pub checks: u64,
     /// Some streams that were joined, and some that were refused though they could go on, in words.
     pub joined_stories: Vec<String>,
     /// The same.
     pub refused_stories: Vec<String>,
 }
 
+impl Default for Counts {
+    fn default() -> Self {
+        Self {
+            streams: 0,
+            joined: 0,
+            begun: Streams::default(),
+            taken_up: Streams::default(),
+            stream_bytes: 0,
+            bytes: 0,
+            store_calls: 0,
+            unknown: 0,
+            requests: 0,
+            repeats: 0,
+            excess: f64::NEG_INFINITY,
+            turned_away: 0,
+            requests_after_outage: 0,
+            placeable: 0,
+            given_up: 0,
+            given_up_stories: Vec::new(),
+            checks: 0,
+            joined_stories: Vec::new(),
+            refused_stories: Vec::new(),
+        }
+    }
+}
+
 /// What a play came to.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Outcome {
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -79,6 +79,7 @@
         .subcommand(crashes::command::command())
         .subcommand(limits::command::command())
         .subcommand(versions::command::command())
+        .subcommand(versions::retries::command())
         .subcommand(Command::new("gen").about("Generate src/schema/generated.rs from schema/"))
 }
 
@@ -244,6 +245,7 @@
         Some(("crashes", sub)) => crashes::command::run(sub),
         Some(("limits", sub)) => Ok(limits::command::run(sub)),
         Some(("versions", sub)) => Ok(versions::command::run(sub)),
+        Some(("retries", sub)) => Ok(versions::retries::run(sub)),
         Some(("gen", _)) => write_generated(),
         Some(("box", sub)) => run_box(sub),
         Some(("scores", sub)) => run_scores(sub),
