--- a/lab/src/gateway/crashes/fleet/runs.rs
+++ b/lab/src/gateway/crashes/fleet/runs.rs
@@ -82,7 +82,10 @@
         if self.reach(at, &id).is_none() {
             return (CONNECT_GIVEN_UP, Outcome::NotSent);
         }
-        let cause = NotRunCause::OtherInstance(Some(id));
+        let cause = match attempt.identity_path {
+            Some(_) => NotRunCause::Replaced(id),
+            None => NotRunCause::OtherInstance(Some(id)),
+        };
         (OUTSIDE * 2, Outcome::NotRun(cause))
     }
 
--- a/lab/src/gateway/limits/fleet/servers.rs
+++ b/lab/src/gateway/limits/fleet/servers.rs
@@ -276,7 +276,10 @@
                     if !self.is_cut_between(self.domain_of(at), self.servers.domain_of(other)) =>
                 {
                     let id = self.servers.all[other].spec.id.clone();
-                    let cause = NotRunCause::OtherInstance(Some(id));
+                    let cause = match attempt.identity_path {
+                        Some(_) => NotRunCause::Replaced(id),
+                        None => NotRunCause::OtherInstance(Some(id)),
+                    };
                     (EXTERNAL_LATENCY * 2, Outcome::NotRun(cause))
                 }
                 _ => (CONNECT_TIMEOUT, Outcome::NotSent),
--- a/lab/src/gateway/versions/fleet/engines.rs
+++ b/lab/src/gateway/versions/fleet/engines.rs
@@ -275,12 +275,19 @@
             outcome,
         };
         let Some(engine) = self.reach(place.0 % DOMAINS, &attempt.endpoint) else {
-            let (after, outcome) = self.why_not_reached(place.0, attempt);
+            let checks = attempt.identity_path.is_some() && !self.boxes[place.0].is_old;
+            let (after, outcome) = match self.why_not_reached(place.0, attempt) {
+                (after, Outcome::NotRun(NotRunCause::OtherInstance(Some(id)))) if checks => {
+                    (after, Outcome::NotRun(NotRunCause::Replaced(id)))
+                }
+                other => other,
+            };
             if matches!(outcome, Outcome::NotRun(NotRunCause::OtherInstance(_))) {
                 self.arrivals.on_turned_away(place, self.mail.now);
             }
             return self.post_event(place.0, after, ended(outcome));
         };
+        self.counts.checks += u64::from(attempt.identity_path.is_some());
         let born = self.engines.at(engine).spec.born;
         let checked = attempt.expected_start.zip(born);
         if let Some((_, born)) = checked.filter(|(expected, born)| expected != born) {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -71,6 +71,7 @@
 mod endpoint_restart;
 mod gossip;
 mod handle;
+mod identities;
 mod intake;
 mod load_reports;
 mod outcomes;
@@ -81,6 +82,7 @@
 pub mod relays;
 mod replicas;
 mod request;
+mod retries;
 pub mod retry;
 mod rollout_samples;
 mod rollouts;
@@ -207,6 +209,8 @@
     heartbeat: u64,
     next_gossip: Micros,
     pending_usage: PendingUsage,
+    /// When identities of processes are published next, if there are any.
+    next_identities: Option<Micros>,
     stop_deadline: Option<Micros>,
     stream_time: StreamTime,
     rollouts: Rollouts,
@@ -254,6 +258,7 @@
             heartbeat: first_heartbeat(cfg.incarnation),
             next_gossip: now,
             pending_usage: PendingUsage::default(),
+            next_identities: None,
             stop_deadline: None,
             stream_time: StreamTime::default(),
             rollouts: Rollouts::new(cfg.exposure),
@@ -306,6 +311,7 @@
             self.room_waits.due(),
             self.relays.due(),
             self.slots.due(),
+            self.next_identities,
         ];
         let due = others.into_iter().flatten().fold(due, Micros::min);
         if self.active() == 0 && self.rollouts.is_at_rest() {
@@ -399,6 +405,7 @@
         self.check_rollouts();
         self.fetch_if_behind();
         self.forget_crashes();
+        self.publish_identities_if_due();
         self.gossip_usage_if_due();
         self.publish_load_if_due();
         self.gossip_if_due();
--- a/src/gateway/dispatch/action.rs
+++ b/src/gateway/dispatch/action.rs
@@ -15,8 +15,9 @@
 use crate::gateway::dispatch::rollout::status::StatusWrite;
 use crate::schema::{
     BoxId, BoxState, CrashUpdate, DepartureUpdate, DutyHolder, EndpointId, EndpointIncarnation,
-    EngineLoadReport, Fingerprint, LimitUpdate, OrganisationId, ServiceId, SlotUpdate, SpeedUpdate,
-    StartTime, StateRequest, StreamRecord, StreamUpdate, UsageCountUpdate, UsageUpdate,
+    EngineLoadReport, Fingerprint, IdentityUpdate, LimitUpdate, OrganisationId, ServiceId,
+    SlotUpdate, SpeedUpdate, StartTime, StateRequest, StreamRecord, StreamUpdate, UsageCountUpdate,
+    UsageUpdate,
 };
 
 /// An endpoint, and the box through which it is reached.
@@ -68,6 +69,9 @@
     /// Start time that the endpoint's process must report before it gets the request; `None` if that is
     /// not checked.
     pub expected_start: Option<StartTime>,
+    /// Path at which the endpoint must name itself before it gets the request; `None` if that is not
+    /// checked.
+    pub identity_path: Option<String>,
     /// Time limit for the connection.
     pub connect_timeout: Duration,
     /// Maximum idle time of a connection that is reused.
@@ -256,6 +260,13 @@
         /// Counts of requests that began.
         update: UsageCountUpdate,
     },
+    /// Send peers which processes are at the addresses of endpoints, by UDP.
+    PublishIdentities {
+        /// Addresses of the receivers.
+        to: Vec<SocketAddr>,
+        /// The reports.
+        update: IdentityUpdate,
+    },
     /// Send peers the endpoints that said to this box that they are leaving, by UDP.
     PublishDepartures {
         /// Addresses of the receivers.
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -27,7 +27,6 @@
 use super::replica::ReplicaLocation;
 use super::replicas::first_replica_check;
 use super::request::{ActiveAttempt, AttemptLease, Request, millis};
-use super::retry::MAX_ATTEMPTS_PER_REQUEST;
 use super::rollout::evidence::Sampled;
 use crate::schema::{EndpointId, EndpointIncarnation, Micros};
 
@@ -59,7 +58,7 @@
 }
 
 /// How long a request waits for an endpoint before it is given up.
-fn placement_timeout(request: &Request) -> Duration {
+pub(super) fn placement_timeout(request: &Request) -> Duration {
     if request.has_begun {
         STREAM_PLACEMENT_TIMEOUT
     } else {
@@ -73,12 +72,14 @@
         let Some(request) = self.requests.get(&number) else {
             return;
         };
-        if request.time_left(self.now) < MIN_ATTEMPT_TIME
-            || request.attempts >= MAX_ATTEMPTS_PER_REQUEST
-        {
+        if request.time_left(self.now) < MIN_ATTEMPT_TIME {
             self.give_up_expired(number);
             return;
         }
+        if request.has_no_attempts_left() {
+            self.give_up_without_attempt(number);
+            return;
+        }
         self.draw_canary(number);
         self.assign_relay(number);
         self.request_missing_permit(number);
@@ -118,12 +119,14 @@
     /// Selects the endpoint of least cost, whether or not it has room.
     pub(super) fn choose_best(&self, request: &Request, alone: bool) -> Option<&Endpoint> {
         let placer = self.placer_of(request);
-        let choose = |rules| {
-            let demand = request.demand(rules, alone);
+        let choose = |(rules, trust)| {
+            let demand = Demand {
+                trust,
+                ..request.demand(rules, alone)
+            };
             placer.choose(&self.fleet, demand, self.now)
         };
-        let best = choose(self.rules_for(request));
-        best.or_else(|| choose(self.fallback_rules_for(request)?))
+        self.placement_passes(request).into_iter().find_map(choose)
     }
 
     /// Selects the endpoint of least cost among those that have room for a request that takes this
@@ -135,15 +138,15 @@
         alone: bool,
     ) -> Option<&Endpoint> {
         let placer = self.placer_of(request);
-        let choose = |rules| {
+        let choose = |(rules, trust)| {
             let demand = Demand {
                 memory,
+                trust,
                 ..request.demand(rules, alone)
             };
             placer.choose_with_room(&self.fleet, demand, self.now)
         };
-        let found = choose(self.rules_for(request));
-        found.or_else(|| choose(self.fallback_rules_for(request)?))
+        self.placement_passes(request).into_iter().find_map(choose)
     }
 
     /// Requests a permit for the endpoint of least cost if that endpoint has a rate limit and this
@@ -236,6 +239,7 @@
             mirror_to: None,
             resume_from: None,
             expected_start: Self::expected_start(request, spec),
+            identity_path: self.identity_path(request, spec),
             connect_timeout: match request.relay {
                 Some(_) => TUNNEL_OPEN_LIMIT,
                 None => ATTEMPT_CONNECT_LIMIT,
@@ -248,6 +252,15 @@
         }
     }
 
+    /// The path at which an endpoint must name itself before it gets a request, if its process may have
+    /// been replaced.
+    fn identity_path(&self, request: &Request, spec: &EndpointSpec) -> Option<String> {
+        let endpoint = self.fleet.get(&spec.id)?;
+        let service = self.table.as_ref()?.service(&request.service)?;
+        let is_unverified = self.fleet.is_unverified(endpoint);
+        is_unverified.then(|| service.health_path.clone())
+    }
+
     /// Builds the record of an attempt that starts.
     fn sent_record(
         &self,
@@ -274,6 +287,21 @@
             tier: request.tier.map(Tier::rank),
             waited_ms: waited.map(millis),
             version: (!self.has_sole_version(&spec.service)).then(|| spec.version.to_string()),
+            doubt: self.doubt_about(spec).map(Into::into),
+        }
+    }
+
+    /// What speaks against an endpoint that was chosen all the same, in the word of the decision log.
+    fn doubt_about(&self, spec: &EndpointSpec) -> Option<&'static str> {
+        let endpoint = self.fleet.get(&spec.id)?;
+        if endpoint.is_avoided(self.now) {
+            Some("avoided")
+        } else if self.fleet.is_suspected(endpoint, self.now) {
+            Some("suspected")
+        } else if self.fleet.is_unverified(endpoint) {
+            Some("unverified")
+        } else {
+            spec.version.is_unlisted().then_some("unlisted")
         }
     }
 
@@ -384,6 +412,7 @@
         started: now,
         is_connected: false,
         last_seen: now,
+        is_start_checked: attempt.expected_start.is_some(),
         has_events: false,
         first_event: None,
         sampled: Sampled::default(),
--- a/src/gateway/dispatch/checks.rs
+++ b/src/gateway/dispatch/checks.rs
@@ -14,6 +14,8 @@
     PromptSearch,
     /// A suspected endpoint may have restarted or been replaced.
     Identity,
+    /// An attempt is about to be sent to an endpoint whose process may have been replaced.
+    BeforeSend,
     /// Another version may run under an engine's id since it restarted.
     StartTime,
     /// Another process than the listed one has an engine's address.
@@ -30,11 +32,12 @@
 
 impl CheckReason {
     /// All reasons, in the order of their values.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::ProbeInStream,
         Self::ProbeInPrefill,
         Self::PromptSearch,
         Self::Identity,
+        Self::BeforeSend,
         Self::StartTime,
         Self::Successor,
         Self::ExitCheck,
@@ -51,6 +54,7 @@
             Self::ProbeInPrefill => "probe_in_prefill",
             Self::PromptSearch => "prompt_search",
             Self::Identity => "identity",
+            Self::BeforeSend => "before_send",
             Self::StartTime => "start_time",
             Self::Successor => "successor",
             Self::ExitCheck => "exit_check",
--- a/src/gateway/dispatch/endpoint_restart.rs
+++ b/src/gateway/dispatch/endpoint_restart.rs
@@ -75,7 +75,8 @@
             && self.now.since(active.last_seen) >= max_stall(active)
     }
 
-    /// Assigns an attempt that gets events to the current incarnation of its endpoint.
+    /// Assigns an attempt that gets events to the current incarnation of its endpoint, unless its
+    /// process was checked before the request was sent: then a late list names another one.
     pub(super) fn adopt_current_incarnation(
         &mut self,
         number: RequestNumber,
@@ -83,7 +84,9 @@
     ) {
         let request = self.requests.get_mut(&number);
         let active = request.and_then(|r| r.active.as_mut());
-        let Some(active) = active.filter(|active| active.attempt == attempt) else {
+        let is_open =
+            |active: &&mut ActiveAttempt| active.attempt == attempt && !active.is_start_checked;
+        let Some(active) = active.filter(is_open) else {
             return;
         };
         let Some(endpoint) = self.fleet.get_mut(&active.endpoint.id) else {
--- a/src/gateway/dispatch/event.rs
+++ b/src/gateway/dispatch/event.rs
@@ -15,8 +15,8 @@
 use crate::gateway::dispatch::table::RoutingTable;
 use crate::schema::{
     BoxState, CrashUpdate, DepartureUpdate, DomainId, DutyHolder, EndpointId, EndpointIncarnation,
-    EngineLoadReport, Fingerprint, LimitUpdate, RequestAge, ServiceId, SlotUpdate, SpeedUpdate,
-    StartTime, StreamRecord, StreamUpdate, UsageCountUpdate, UsageUpdate, VersionId,
+    EngineLoadReport, Fingerprint, IdentityUpdate, LimitUpdate, RequestAge, ServiceId, SlotUpdate,
+    SpeedUpdate, StartTime, StreamRecord, StreamUpdate, UsageCountUpdate, UsageUpdate, VersionId,
 };
 
 /// Number that this box has given a request.
@@ -165,8 +165,11 @@
     NoRoom,
     /// Another instance uses the endpoint's address; its id, if it gave one.
     OtherInstance(Option<EndpointId>),
-    /// The endpoint has restarted since this box last knew its start time; the new one.
+    /// The endpoint has restarted since this box last knew its start time; the new one. The request
+    /// was not sent.
     Restarted(StartTime),
+    /// Another instance was found at the endpoint's address before the request was sent; its id.
+    Replaced(EndpointId),
 }
 
 /// Lowest HTTP status that counts as a fault of the endpoint.
@@ -195,6 +198,16 @@
 }
 
 impl Outcome {
+    /// Whether the request has not been sent, since its endpoint turned out to be another process.
+    #[must_use]
+    pub fn is_unsent_by_check(&self) -> bool {
+        let cause = match self {
+            Self::NotRun(cause) => cause,
+            _ => return false,
+        };
+        matches!(cause, NotRunCause::Restarted(_) | NotRunCause::Replaced(_))
+    }
+
     /// Whether the request may have run at the endpoint.
     #[must_use]
     pub fn may_have_run(&self) -> bool {
@@ -210,6 +223,7 @@
             Self::NotRun(NotRunCause::OtherInstance(_)) => "misdirected",
             Self::NotRun(NotRunCause::NoRoom) => "not_run",
             Self::NotRun(NotRunCause::Restarted(_)) => "restarted",
+            Self::NotRun(NotRunCause::Replaced(_)) => "replaced",
             Self::Answered { .. } => "answered",
             Self::StreamEnded => "stream_ended",
             Self::Broken(Fault::Closed) => "closed",
@@ -388,6 +402,8 @@
     },
     /// A peer reported endpoints that are leaving.
     PeerDepartures(DepartureUpdate),
+    /// A peer reported which processes are at the addresses of endpoints.
+    PeerIdentities(IdentityUpdate),
     /// A peer sent or forwarded the load of another failure domain on engines.
     PeerLoad(EngineLoadReport),
     /// A peer reported speeds of endpoints.
--- a/src/gateway/dispatch/fleet.rs
+++ b/src/gateway/dispatch/fleet.rs
@@ -4,7 +4,8 @@
 //! (`list`). A process that restarts begins another incarnation of its endpoint, and the state of
 //! the earlier one is dropped (`incarnations`). What endpoints ask of their callers
 //! is in [`directives`], their load is in [`usage`], their learned speeds are in [`speeds`] and their recent failures are in [`health`]. Endpoints that are avoided,
-//! suspected or unreachable are in `losses`, requests for their identity in `identity_requests`;
+//! suspected or unreachable are in `losses`, those whose process may have been replaced in
+//! [`identities`], requests for their identity in `identity_requests`;
 //! whether engines prefill prompts is in `reading`.
 //!
 //! Inputs: the list, ends of attempts and probes, and states of peers. State: all of the above; an
@@ -13,6 +14,7 @@
 pub mod directives;
 pub mod domain_load;
 pub mod health;
+pub mod identities;
 mod identity_requests;
 mod incarnations;
 mod list;
@@ -31,6 +33,7 @@
 use directives::Directives;
 use domain_load::DomainLoads;
 use health::{Answers, EndpointHealth, FailureShares};
+use identities::Identities;
 use identity_requests::IdentityShare;
 use losses::Losses;
 use speeds::Speeds;
@@ -57,6 +60,10 @@
     reads_until: Micros,
     /// When an attempt or a probe last got a message from it.
     pub last_seen: Micros,
+    /// When something last showed that its present process is this incarnation.
+    verified_at: Micros,
+    /// When something other than an outage of its failure domain last left that open.
+    doubted_at: Micros,
     /// When the probe that is unanswered was sent.
     pub probe_sent: Option<Micros>,
     /// When the last probe was sent, answered or not.
@@ -90,6 +97,8 @@
             others: Vec::new(),
             reads_until: Micros::ZERO,
             last_seen: Micros::ZERO,
+            verified_at: Micros::ZERO,
+            doubted_at: Micros::ZERO,
             probe_sent: None,
             last_probe: Micros::ZERO,
             health: EndpointHealth::default(),
@@ -155,6 +164,9 @@
 pub struct Fleet {
     endpoints: BTreeMap<EndpointId, Endpoint>,
     losses: Losses,
+    identities: Identities,
+    /// Services with engines.
+    engine_services: BTreeSet<ServiceId>,
     /// This box's share of the identity requests of its domain.
     identity_share: IdentityShare,
     /// What endpoints ask of their callers.
@@ -237,6 +249,7 @@
         endpoint.last_seen = now;
         endpoint.failures = 0;
         endpoint.avoided_until = Micros::ZERO;
+        self.verify(id, now);
         self.record_outcome(id, AnswerKind::Served, now);
     }
 
@@ -344,6 +357,7 @@
         if let Some(endpoint) = self.endpoints.get_mut(id) {
             endpoint.last_seen = now;
         }
+        self.verify(id, now);
         self.record_outcome(id, AnswerKind::Error, now);
     }
 
--- a/src/gateway/dispatch/fleet/identity_requests.rs
+++ b/src/gateway/dispatch/fleet/identity_requests.rs
@@ -3,9 +3,9 @@
 //! The answer of an endpoint that restarted arrives before its entry in the list, above all while
 //! the store is unavailable. All boxes of a domain suspect the same endpoints at the same time, so
 //! each box asks only its share in a round: about [`ASKED_BY`] boxes ask each endpoint, which ones
-//! is decided by rendezvous hashing, and a box that has few peers asks more. A box needs some
-//! endpoints that it can trust, not all. In each further round it asks endpoints that it has not
-//! asked yet first.
+//! is decided by rendezvous hashing, and a box that has few peers asks more. The answers are published
+//! ([`super::identities`]). Rounds go on, less and less often, until all endpoints of the domain are
+//! verified or gone. In each further round a box asks endpoints that it has not asked yet first.
 //!
 //! Inputs: outages ([`super::losses`]) and the number of boxes in the domain. State: how many
 //! endpoints were asked in the current round of an outage.
@@ -22,12 +22,19 @@
 /// Time that an endpoint is suspected before its identity is requested: about as long as a restart
 /// takes.
 pub(super) const IDENTIFY_AFTER: Duration = Duration::from_millis(1_400);
-/// Time between two identity requests to one endpoint, and between two rounds of an outage.
+/// Shortest time between two identity requests to one endpoint, and between two rounds of an outage.
 const IDENTIFY_INTERVAL: Duration = Duration::from_millis(1_500);
-/// Number of boxes that ask an endpoint in one round.
-const ASKED_BY: usize = 3;
+/// Longest time between two rounds of an outage, for endpoints that don't come back.
+const MAX_IDENTIFY_INTERVAL: Duration = Duration::from_secs(6);
+/// Number of boxes that ask an endpoint in one round: one of them may be cut off or paused.
+const ASKED_BY: usize = 2;
 /// Minimum number of endpoints that a box asks in one round.
-const MIN_ASKED: usize = 4;
+const MIN_ASKED: usize = 2;
+
+/// Time between two rounds of an outage that began so long ago.
+fn round_interval(age: Duration) -> Duration {
+    (age / 2).clamp(IDENTIFY_INTERVAL, MAX_IDENTIFY_INTERVAL)
+}
 
 /// The box's share of the identity requests of its domain.
 #[derive(Clone, Copy, Debug)]
@@ -69,9 +76,8 @@
     ) -> Vec<EndpointSpec> {
         let mut found = self.maybe_restarted_hosts(now);
         let outages = self.losses.outages.iter();
-        let due = outages.filter(|((_, of), outage)| {
-            of == domain && (IDENTIFY_AFTER..SUSPECTED_FOR).contains(&now.since(outage.begin))
-        });
+        let due = outages
+            .filter(|((_, of), outage)| of == domain && now.since(outage.begin) >= IDENTIFY_AFTER);
         let services: Vec<ServiceId> = due.map(|((service, _), _)| service.clone()).collect();
         for service in services {
             for id in self.take_share(&service, domain, now) {
@@ -93,17 +99,19 @@
     ) -> Vec<EndpointId> {
         let share = self.identity_share;
         let key = (service.clone(), domain.clone());
-        let Some(mut round) = self.losses.outages.get(&key).map(|outage| outage.round) else {
+        let Some(outage) = self.losses.outages.get(&key).copied() else {
             return Vec::new();
         };
-        if now.since(round.start) >= IDENTIFY_INTERVAL {
+        let mut round = outage.round;
+        let interval = round_interval(now.since(outage.begin));
+        if now.since(round.start) >= interval {
             round = Round {
                 start: now,
                 asked: 0,
             };
         }
         let due = self.of_service(service).filter(|e| {
-            let is_due = now.since(e.identity_requested) >= IDENTIFY_INTERVAL;
+            let is_due = now.since(e.identity_requested) >= interval;
             let is_present = e.listed && !e.is_displaced && e.spec.domain == *domain;
             is_due && is_present && self.is_suspected(e, now)
         });
--- a/src/gateway/dispatch/fleet/incarnations.rs
+++ b/src/gateway/dispatch/fleet/incarnations.rs
@@ -64,7 +64,10 @@
         let is_outdated = requested < endpoint.first_seen;
         match endpoint.spec.born {
             None => endpoint.spec.born = Some(born),
-            Some(known) if known == born => endpoint.maybe_restarted_since = None,
+            Some(known) if known == born => {
+                endpoint.maybe_restarted_since = None;
+                self.verify(id, now);
+            }
             Some(_) if is_outdated => {}
             Some(_) => {
                 let incarnation = EndpointIncarnation {
--- a/src/gateway/dispatch/fleet/list.rs
+++ b/src/gateway/dispatch/fleet/list.rs
@@ -2,7 +2,8 @@
 //!
 //! Entries come from the store or from peers and may arrive late: an entry with a lower revision
 //! than the known entry changes nothing. An endpoint that the list dropped stays removed for
-//! [`DEPARTED_FOR`], whatever it reports itself. An entry that can't be parsed adds no endpoint. An
+//! [`DEPARTED_FOR`], whatever it reports itself, and one that another instance has replaced at its
+//! address is not listed again ([`super::identities`]). An entry that can't be parsed adds no endpoint. An
 //! endpoint that was known takes no new work until its entry can be parsed again; its running
 //! requests go on. Of several entries with one address, the one that changed last names the endpoint
 //! that listens there. An entry of a service that the configuration doesn't name takes no address
@@ -95,7 +96,10 @@
         self.unlist(id);
     }
 
-    fn add_or_update(&mut self, spec: EndpointSpec, now: Micros) {
+    pub(super) fn add_or_update(&mut self, spec: EndpointSpec, now: Micros) {
+        if self.identities.is_replaced(&spec) {
+            return;
+        }
         let known = self.endpoints.get(&spec.id);
         if known.is_some_and(|known| known.spec.revision > spec.revision) {
             return;
@@ -156,7 +160,7 @@
         }
     }
 
-    fn unlist(&mut self, id: &EndpointId) {
+    pub(super) fn unlist(&mut self, id: &EndpointId) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
             endpoint.listed = false;
         }
@@ -176,25 +180,8 @@
             .retain_limits(|id| self.endpoints.contains_key(id));
     }
 
-    /// Handles another process at the address of an endpoint, which has therefore exited. Peers are
-    /// notified of the loss: in an outage of the store they would all send there.
-    pub fn on_replaced(&mut self, id: &EndpointId, now: Micros) {
-        self.record_loss(id, now, true);
-        self.unlist(id);
-    }
-
-    /// Adds an endpoint that identified itself before the list names it, unless the list dropped it
-    /// recently.
-    pub fn on_identified(&mut self, spec: EndpointSpec, now: Micros) {
-        let is_new = !self.endpoints.contains_key(&spec.id);
-        if is_new && !self.departed.contains_key(&spec.id) {
-            self.add_or_update(spec, now);
-            self.resolve_shared_addresses();
-        }
-    }
-
     /// Decides which endpoint listens at each address that several entries name.
-    fn resolve_shared_addresses(&mut self) {
+    pub(super) fn resolve_shared_addresses(&mut self) {
         let mut newest: HashMap<SocketAddr, EntryAge> = HashMap::new();
         let listed = self.endpoints.values().filter(|e| e.listed);
         for endpoint in listed.filter(|e| self.is_service(&e.spec.service)) {
--- a/src/gateway/dispatch/fleet/losses.rs
+++ b/src/gateway/dispatch/fleet/losses.rs
@@ -3,18 +3,18 @@
 //! | state | begins | ends | effect on placement |
 //! |---|---|---|---|
 //! | avoided | a connection to it broke or failed, at this box or as reported by a peer | after 0.8 s, doubled with each failure in a row up to 6 s; or with a success | only where nothing else is left |
-//! | suspected | [`DOMAIN_LOSSES`] endpoints of its service in its failure domain were lost within [`DOMAIN_WINDOW`] | a message from it arrives, or [`SUSPECTED_FOR`] has passed | costs more than a full endpoint; hosts no replicas |
+//! | suspected | [`DOMAIN_LOSSES`] endpoints of its service in its failure domain were lost within [`DOMAIN_WINDOW`] | it is verified ([`super::identities`]); for plain services also after [`SUSPECTED_FOR`] | costs more than a full endpoint; hosts no replicas; has to name itself before it gets a request |
 //! | unreachable | [`UNREACHABLE_AFTER`] connections in a row to its failure domain failed | a connection to the domain succeeds | excluded, except for one trial each [`TRIAL_INTERVAL`] |
 //!
 //! An endpoint that was known before its domain failed has most likely exited or restarted. It
 //! returns under another id, or under its own id with another start time
-//! ([`super::incarnations`]), and is trusted from then on. In one outage 16 of 21 late streams had
+//! ([`super::incarnations`]), and that incarnation is trusted. The loss of an endpoint that is
+//! suspected already is no news of its domain and begins no outage. In one outage 16 of 21 late streams had
 //! their replica at an endpoint that had exited with its domain before it was selected. Suspicion by
 //! domain, together with losses reported to peers, raised the score there from 0.809 to 0.925.
 //!
 //! Inputs: failures and successes at this box, and losses that peers report. State: recent losses,
-//! outages by service and domain, and domains that are unreachable. Relies on
-//! [`super::Endpoint::last_seen`].
+//! outages by service and domain, and domains that are unreachable.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -47,8 +47,8 @@
 const UNREACHABLE_AFTER: u32 = 3;
 /// Time between trials of an unreachable domain.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(300);
-/// Time that an endpoint that was known before its domain failed is suspected, unless a message from
-/// it arrives: a restarted one is listed under another id or start time by then.
+/// Time that a server of a plain service that was known before its domain failed is suspected, unless
+/// it is verified: a restarted one is listed under another id or start time by then in most cases.
 pub(super) const SUSPECTED_FOR: Duration = Duration::from_millis(4_500);
 /// Age of the last message from an endpoint up to which it outweighs a loss that a peer reports.
 const SEEN_RECENTLY: Duration = Duration::from_millis(200);
@@ -61,6 +61,8 @@
     domain: DomainId,
     service: ServiceId,
     is_own: bool,
+    /// Whether the endpoint was not suspected before, so that its loss tells something of its domain.
+    is_news: bool,
 }
 
 /// Failed connections to the endpoints of a service in a failure domain.
@@ -183,6 +185,7 @@
         let Some(endpoint) = self.endpoints.get_mut(id) else {
             return;
         };
+        endpoint.doubted_at = now;
         if endpoint.is_avoided(now) {
             return;
         }
@@ -200,8 +203,8 @@
         };
         let domain = endpoint.spec.domain.clone();
         let service = endpoint.spec.service.clone();
-        let first_seen = endpoint.first_seen;
         let lost = endpoint.spec.incarnation();
+        let is_news = !self.is_suspected(endpoint, now);
         self.losses
             .recent
             .retain(|loss| now.since(loss.at) < DOMAIN_WINDOW && loss.endpoint.id != *id);
@@ -211,15 +214,16 @@
             domain: domain.clone(),
             service: service.clone(),
             is_own,
+            is_news,
         });
-        let of_domain = |loss: &&Loss| loss.domain == domain && loss.service == service;
+        let of_domain =
+            |loss: &&Loss| loss.is_news && loss.domain == domain && loss.service == service;
         if self.losses.recent.iter().filter(of_domain).count() < DOMAIN_LOSSES {
             return;
         }
         let outages = self.losses.outages.entry((service, domain));
         let outage = outages.or_insert_with(|| Outage::new(now));
-        let is_over = now.since(outage.begin) >= SUSPECTED_FOR;
-        if is_over || first_seen >= outage.begin {
+        if is_news && outage.begin < now {
             *outage = Outage::new(now);
         }
     }
@@ -236,6 +240,7 @@
             if let Some(endpoint) = self.endpoints.get_mut(id) {
                 endpoint.avoided_until = Micros::ZERO;
                 endpoint.failures = 0;
+                endpoint.doubted_at = Micros::ZERO;
             }
         }
     }
@@ -278,12 +283,22 @@
     /// Whether an endpoint may have been lost in an outage of its domain.
     #[must_use]
     pub fn is_suspected(&self, endpoint: &Endpoint, now: Micros) -> bool {
+        let is_asked = self.engine_services.contains(&endpoint.spec.service);
+        let is_recent = self
+            .outage_begin(endpoint)
+            .is_some_and(|begin| now.since(begin) < SUSPECTED_FOR);
+        (is_asked || is_recent) && self.is_unseen_since_outage(endpoint)
+    }
+
+    /// Whether nothing has shown since the last outage of an endpoint's domain that it is still there.
+    pub(super) fn is_unseen_since_outage(&self, endpoint: &Endpoint) -> bool {
+        self.outage_begin(endpoint)
+            .is_some_and(|begin| endpoint.verified_at < begin && endpoint.first_seen < begin)
+    }
+
+    fn outage_begin(&self, endpoint: &Endpoint) -> Option<Micros> {
         let key = (endpoint.spec.service.clone(), endpoint.spec.domain.clone());
-        let Some(begin) = self.losses.outages.get(&key).map(|outage| outage.begin) else {
-            return false;
-        };
-        let is_unseen = endpoint.last_seen < begin && endpoint.first_seen < begin;
-        is_unseen && now.since(begin) < SUSPECTED_FOR
+        self.losses.outages.get(&key).map(|outage| outage.begin)
     }
 
     /// Applies losses that a peer reports.
@@ -302,6 +317,7 @@
                 continue;
             }
             endpoint.mark_maybe_restarted(now);
+            endpoint.doubted_at = now;
             endpoint.avoided_until = endpoint.avoided_until.max(now.after(FIRST_AVOIDANCE));
             self.record_loss(id, now, false);
         }
--- a/src/gateway/dispatch/handle.rs
+++ b/src/gateway/dispatch/handle.rs
@@ -38,6 +38,7 @@
             | Event::StreamsRead(_)
             | Event::StreamsSaved { .. }
             | Event::PeerDepartures(_)
+            | Event::PeerIdentities(_)
             | Event::PeerLoad(_)
             | Event::PeerSpeeds(_)
             | Event::Fetched { .. }
@@ -57,6 +58,7 @@
         }
         self.use_own_grants();
         self.serve_waiting();
+        self.schedule_identities();
         std::mem::take(&mut self.actions)
     }
 
@@ -115,6 +117,7 @@
             Event::StreamsRead(records) => self.on_streams_read(&records),
             Event::StreamsSaved { is_saved } => self.on_streams_saved(is_saved),
             Event::PeerDepartures(update) => self.on_peer_departures(&update),
+            Event::PeerIdentities(update) => self.on_peer_identities(&update),
             Event::PeerLoad(report) => self.on_peer_load(&report),
             Event::PeerSpeeds(update) => self.fleet.on_peer_speeds(&update, self.now),
             Event::Fetched {
@@ -155,10 +158,7 @@
                 instance,
                 born,
             } => self.on_identified(&endpoint, &instance, born),
-            Event::Identified(spec) => {
-                self.fleet.on_identified(spec, self.now);
-                self.observe_versions();
-            }
+            Event::Identified(spec) => self.on_successor_identified(spec),
             Event::Located { request, endpoint } => self.on_located(request, endpoint),
             Event::SnapshotTaken {
                 request,
--- a/src/gateway/dispatch/intake.rs
+++ b/src/gateway/dispatch/intake.rs
@@ -21,6 +21,9 @@
         });
         self.table_fetches.on_progress(table.version().0, self.now);
         self.fleet.set_services(table.services().map(|s| &s.name));
+        let engines = table.services().filter(|s| s.engine.is_some());
+        self.fleet
+            .set_engine_services(engines.map(|s| s.name.clone()));
         self.stream_versions.on_table(&table);
         self.table = Some(table);
         self.gossip_table();
--- a/src/gateway/dispatch/outcomes.rs
+++ b/src/gateway/dispatch/outcomes.rs
@@ -17,7 +17,6 @@
 use super::refusal::RefusalReason;
 use super::request::{ActiveAttempt, AttemptLease, Request, millis};
 use super::retry::{AfterAttempt, after_attempt};
-use super::retry_budget::Sharers;
 use crate::schema::{EndpointId, StartTime, VersionId};
 
 impl Dispatcher {
@@ -51,9 +50,7 @@
             self.on_relay_connected(relay);
         }
         self.fleet.on_reached(&endpoint.id);
-        if let Some(endpoint) = self.fleet.get_incarnation_mut(&endpoint) {
-            endpoint.last_seen = now;
-        }
+        self.fleet.on_attempt_message(&endpoint, now);
     }
 
     pub(super) fn on_progress(
@@ -87,8 +84,8 @@
         active.first_event.get_or_insert((now, last_event));
         let prefilled = std::mem::take(&mut active.prefill);
         let endpoint = active.endpoint.clone();
+        self.fleet.on_attempt_message(&endpoint, now);
         if let Some(endpoint) = self.fleet.get_incarnation_mut(&endpoint) {
-            endpoint.last_seen = now;
             endpoint.own.prefill = endpoint.own.prefill.saturating_sub(prefilled);
             endpoint.on_event_pause(event_pause.unwrap_or_default(), now);
         }
@@ -146,6 +143,9 @@
         if outcome.may_have_run() {
             request.possible_runs += 1;
         }
+        if outcome.is_unsent_by_check() {
+            request.checked_attempts += 1;
+        }
         self.record_end(number, &active, outcome);
         self.sample_end(number, &active, outcome);
         self.observe_call(number, &active, outcome);
@@ -174,10 +174,10 @@
                 self.fleet.on_unreachable(endpoint, self.now);
             }
             Outcome::NotRun(NotRunCause::OtherInstance(instance)) => {
-                self.identify(endpoint, instance.as_ref());
-                self.fleet.on_reached(endpoint);
-                self.fleet.on_replaced(endpoint, self.now);
-                self.gossip_soon();
+                self.on_other_instance(endpoint, instance.as_ref());
+            }
+            Outcome::NotRun(NotRunCause::Replaced(instance)) => {
+                self.on_other_instance(endpoint, Some(instance));
             }
             Outcome::NotRun(NotRunCause::Restarted(born)) => {
                 self.fleet.on_reached(endpoint);
@@ -196,6 +196,14 @@
         }
     }
 
+    /// Handles another instance at the address of an endpoint.
+    fn on_other_instance(&mut self, endpoint: &EndpointId, instance: Option<&EndpointId>) {
+        self.identify(endpoint, instance);
+        self.fleet.on_reached(endpoint);
+        self.fleet.on_replaced(endpoint, instance, self.now);
+        self.gossip_soon();
+    }
+
     /// Finishes, retries or gives up a request after its attempt has ended.
     pub(super) fn continue_request(
         &mut self,
@@ -218,15 +226,8 @@
         match after_attempt(outcome, request.may_run_again()) {
             AfterAttempt::Finish => self.finish(number, Command::Finish, true),
             AfterAttempt::TryAgain => self.start_next_attempt(number),
-            AfterAttempt::TryAgainCharged => {
-                let service = request.service.clone();
-                self.budget.charge(&service, self.now);
-                self.start_next_attempt(number);
-            }
-            // The retry waits for the verdict on the crash of its endpoint (`super::crashes`).
-            AfterAttempt::Retry if request.retry_at.is_some() => {}
-            AfterAttempt::Retry => self.retry(number),
-            AfterAttempt::RetryOrDeliver if self.take_retry(number) => {
+            AfterAttempt::Retry => self.retry_after(number, outcome),
+            AfterAttempt::RetryOrDeliver if self.take_retry(number, outcome) => {
                 self.start_attempt_anywhere(number);
             }
             AfterAttempt::Deliver | AfterAttempt::RetryOrDeliver => {
@@ -236,15 +237,6 @@
         }
     }
 
-    /// Starts another attempt if the retry budget allows one, or else gives the request up.
-    pub(super) fn retry(&mut self, number: RequestNumber) {
-        if self.take_retry(number) {
-            self.start_next_attempt(number);
-        } else {
-            self.give_up_without_attempt(number);
-        }
-    }
-
     /// Keeps the replicas of a lost attempt for the next one.
     pub(super) fn keep_replicas(
         &mut self,
@@ -284,9 +276,7 @@
             self.fleet.on_success(endpoint, self.now);
             return;
         }
-        self.identify(endpoint, Some(instance));
-        self.fleet.on_replaced(endpoint, self.now);
-        self.gossip_soon();
+        self.on_other_instance(endpoint, Some(instance));
     }
 
     /// Starts an identity check of an instance that took over an engine's address. During a store
@@ -314,19 +304,6 @@
         }
     }
 
-    pub(super) fn take_retry(&mut self, number: RequestNumber) -> bool {
-        let roster = self.peers.roster();
-        let fleet_size = roster.fleet_size(self.now);
-        let sharers = Sharers {
-            local_boxes: roster.domain_size(self.now),
-            fleet_boxes: fleet_size.map(|boxes| boxes.max(self.cfg.fleet_boxes)),
-        };
-        let Some(request) = self.requests.get(&number) else {
-            return false;
-        };
-        self.budget.take(&request.service, sharers, self.now)
-    }
-
     /// Passes the final answer to the caller; `is_served` means that it is not an error of the
     /// endpoint.
     fn finish(&mut self, number: RequestNumber, command: Command, is_served: bool) {
--- a/src/gateway/dispatch/placement.rs
+++ b/src/gateway/dispatch/placement.rs
@@ -47,6 +47,15 @@
     pub domain: DomainId,
 }
 
+/// Which endpoints are considered, by what is known of their processes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Trust {
+    /// Those that are neither suspected nor avoided.
+    Sound,
+    /// All.
+    Any,
+}
+
 /// The properties of a request that its placement depends on.
 #[derive(Clone, Copy, Debug)]
 pub struct Demand<'a> {
@@ -67,6 +76,8 @@
     pub alone: bool,
     /// Whether the request had an attempt before.
     pub is_repeat: bool,
+    /// Which endpoints are considered, by what is known of their processes.
+    pub trust: Trust,
     /// Versions of endpoints at which attempts may be placed.
     pub rules: VersionRules<'a>,
 }
@@ -135,6 +146,7 @@
             .of_service(demand.service)
             .filter(|e| may_send(e) && !demand.was_tried(e))
             .filter(|e| demand.rules.admits(e))
+            .filter(|e| demand.trust == Trust::Any || is_sound(fleet, e, now))
             .filter(|e| !fleet.is_unreachable(e, now));
         let compared = self.compared(&context, eligible).into_iter();
         let costs = compared.map(|(rank, e)| (rank + self.cost(&context, e), e));
@@ -359,6 +371,11 @@
     }
 }
 
+/// Whether an endpoint is neither suspected nor avoided.
+fn is_sound(fleet: &Fleet, endpoint: &Endpoint, now: Micros) -> bool {
+    !endpoint.is_avoided(now) && !fleet.is_suspected(endpoint, now)
+}
+
 /// The cost of what runs at a server of a plain service, and of its answers taking longer than usual.
 fn plain_work(context: &CostContext<'_>, endpoint: &Endpoint, usage: Usage) -> f64 {
     let speeds = &context.fleet.speeds;
--- a/src/gateway/dispatch/record.rs
+++ b/src/gateway/dispatch/record.rs
@@ -134,6 +134,21 @@
         /// The software version of the endpoint, if the service may have several.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         version: Option<String>,
+        /// What speaks against the endpoint, chosen all the same: `avoided`, `suspected`, `unverified`
+        /// or `unlisted`. It has to name itself before it gets the request, unless it is `unlisted`.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        doubt: Option<Cow<'static, str>>,
+    },
+    /// A retry was taken from the budget, waits for it, or was refused.
+    Retry {
+        /// The caller's request id.
+        request: String,
+        /// The service.
+        service: String,
+        /// The outcome of the last attempt.
+        cause: Cow<'static, str>,
+        /// `taken`, `delayed` or `refused`.
+        result: Cow<'static, str>,
     },
     /// The attempt that was just started goes through another box.
     Relayed {
@@ -408,6 +423,7 @@
             Self::Arrived { request, .. }
             | Self::Waiting { request, .. }
             | Self::Sent { request, .. }
+            | Self::Retry { request, .. }
             | Self::Relayed { request, .. }
             | Self::Begun { request, .. }
             | Self::Ended { request, .. }
--- a/src/gateway/dispatch/record/sentence.rs
+++ b/src/gateway/dispatch/record/sentence.rs
@@ -16,6 +16,7 @@
             | Self::Refused { .. } => self.request_sentence(),
             Self::StreamVersion { .. } => self.version_sentence(),
             Self::Sent { .. }
+            | Self::Retry { .. }
             | Self::Relayed { .. }
             | Self::Ended { .. }
             | Self::Copied { .. }
@@ -198,6 +199,9 @@
         match self {
             Self::Sent { .. } => self.sent_sentence(),
             Self::Relayed { relay, .. } => format!("through the box at {relay}"),
+            Self::Retry { cause, result, .. } => {
+                format!("retry after an attempt that ended with {cause}: {result}")
+            }
             Self::Ended { .. } => self.ended_sentence(),
             Self::Copied {
                 holder,
@@ -249,11 +253,15 @@
             left_ms,
             waited_ms,
             version,
+            doubt,
             ..
         } = self
         else {
             return String::new();
         };
+        let doubt = doubt
+            .as_ref()
+            .map_or(String::new(), |word| format!(", though {word}"));
         let from = if *from_backup { " from a replica" } else { "" };
         let after = after_event.map_or(String::new(), |e| format!(" after event {e}"));
         let mirror = backup.as_deref().unwrap_or("none");
@@ -261,7 +269,7 @@
             .as_ref()
             .map_or(String::new(), |v| format!(" ({v})"));
         format!(
-            "attempt {attempt} at {endpoint}{version} in {domain}{from}{after}, mirror: {mirror}; \
+            "attempt {attempt} at {endpoint}{version} in {domain}{doubt}{from}{after}, mirror: {mirror}; \
              running there: {running}, prompt tokens waiting: {reading}; {left_ms} ms left{}",
             waited(*waited_ms)
         )
--- a/src/gateway/dispatch/request.rs
+++ b/src/gateway/dispatch/request.rs
@@ -12,11 +12,12 @@
 use super::action::Target;
 use super::event::{Arrival, AttemptNumber, Fault, Tokens};
 use super::fleet::speeds::AttemptWatch;
-use super::placement::Demand;
+use super::placement::{Demand, Trust};
 use super::priority::Tier;
 use super::refusal::HasRun;
 use super::relays::choice::Relay;
 use super::replica::{Replica, Snapshot};
+use super::retry::{MAX_ATTEMPTS_PER_REQUEST, MAX_CHECKED_ATTEMPTS};
 use super::rollout::VersionRules;
 use super::rollout::evidence::Sampled;
 use super::table::{EngineSpec, KeyOwner, Route};
@@ -47,6 +48,8 @@
     pub is_connected: bool,
     /// Time of the last part of the answer; the start of the attempt until then.
     pub last_seen: Micros,
+    /// Whether the endpoint's process was checked by its start time before the request was sent.
+    pub is_start_checked: bool,
     /// Whether the attempt has received an event.
     pub has_events: bool,
     /// Arrival time and number of the first event.
@@ -112,6 +115,8 @@
     pub active: Option<ActiveAttempt>,
     /// Attempts started so far.
     pub attempts: u32,
+    /// Those of them that ended with a check before the request was sent.
+    pub checked_attempts: u32,
     /// Whether the first attempt goes to a canary version; `None` until that is decided.
     pub is_canary: Option<bool>,
     /// Ended attempts that may have run at their endpoint.
@@ -147,8 +152,10 @@
     /// Time of the first search that found no endpoint; reset when an attempt starts.
     pub unplaced_since: Option<Micros>,
     /// Time of the next attempt after a crash of the last endpoint: the verdict on the crash is known
-    /// by then.
+    /// by then. Likewise if the retry budget granted none yet.
     pub retry_at: Option<Micros>,
+    /// Why the next attempt is a retry: the outcome of the last one that the budget is asked for.
+    pub retry_cause: Option<&'static str>,
 }
 
 impl Request {
@@ -177,6 +184,7 @@
             tier: None,
             active: None,
             attempts: 0,
+            checked_attempts: 0,
             is_canary: None,
             possible_runs: 0,
             relay: None,
@@ -193,6 +201,7 @@
             next_placement: None,
             unplaced_since: None,
             retry_at: None,
+            retry_cause: None,
         }
     }
 
@@ -242,6 +251,12 @@
         self.engine.is_some() && self.route.kind.is_stream()
     }
 
+    /// Whether no further attempt may start, whatever the outcomes of those so far.
+    pub fn has_no_attempts_left(&self) -> bool {
+        let others = self.attempts - self.checked_attempts;
+        others >= MAX_ATTEMPTS_PER_REQUEST || self.checked_attempts >= MAX_CHECKED_ATTEMPTS
+    }
+
     /// Whether the caller has received events, from this box or from an earlier one.
     pub fn is_partly_delivered(&self) -> bool {
         self.has_begun || self.last_event.is_some()
@@ -258,6 +273,7 @@
             memory: self.memory(),
             tried: &self.tried,
             key: self.key,
+            trust: Trust::Any,
             rules,
         }
     }
--- a/src/gateway/dispatch/retry.rs
+++ b/src/gateway/dispatch/retry.rs
@@ -4,10 +4,11 @@
 //! request. An attempt that may have run is followed by another one only if the route allows
 //! repetition and the number of attempts that may have run is below the route's bound. A retry costs
 //! budget ([`super::retry_budget`]) if the endpoint lost the request after taking it, refused it for
-//! lack of capacity or answered with a server error. A retry is free if the connection failed, since
-//! no server has seen the request. One after an answer of another instance at the endpoint's address
-//! is charged, as the request has arrived at a server, but never refused: it has certainly not run,
-//! and an outage of a failure domain can give a box many such answers at once.
+//! lack of capacity, answered with a server error, or turned out to be another instance than the one
+//! that the request was meant for: in each case the request has arrived at a server, and the callers'
+//! bound counts the next arrival. A retry is free if the connection failed or if a check before the
+//! send found another process there ([`super::fleet::identities`]), since no server has seen the
+//! request.
 //!
 //! Inputs: the outcome, and whether the request may run again. The endpoint's state is updated in
 //! [`super::outcomes`].
@@ -19,9 +20,13 @@
 
 use super::event::{LEAST_ERROR_STATUS, NotRunCause, Outcome};
 
-/// Maximum number of attempts of a request, whatever their outcomes: failed connections cost no
-/// budget and need another bound. Above the largest bound of a route (5).
+/// Maximum number of attempts of a request that reached a process or failed to connect: failed
+/// connections cost no budget and need another bound. Above the largest bound of a route (5).
 pub(super) const MAX_ATTEMPTS_PER_REQUEST: u32 = 12;
+/// Maximum number of attempts of a request that ended with a check before the send. Each takes a
+/// round trip and teaches all boxes which process is there, so a request may go through the endpoints
+/// of a failure domain.
+pub(super) const MAX_CHECKED_ATTEMPTS: u32 = 64;
 
 /// The step that follows the end of an attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -32,8 +37,6 @@
     Finish,
     /// Start another attempt without using the retry budget.
     TryAgain,
-    /// Start another attempt, which is charged to the retry budget also where that is spent.
-    TryAgainCharged,
     /// Start another attempt if the retry budget allows it, or else give the request up.
     Retry,
     /// Start another attempt if the retry budget allows it, or else pass the buffered answer on.
@@ -47,11 +50,12 @@
 #[must_use]
 pub fn after_attempt(outcome: &Outcome, may_run_again: bool) -> AfterAttempt {
     match outcome {
-        Outcome::NotSent | Outcome::RelayFailed | Outcome::NotRun(NotRunCause::Restarted(_)) => {
+        Outcome::NotSent
+        | Outcome::RelayFailed
+        | Outcome::NotRun(NotRunCause::Restarted(_) | NotRunCause::Replaced(_)) => {
             AfterAttempt::TryAgain
         }
-        Outcome::NotRun(NotRunCause::OtherInstance(_)) => AfterAttempt::TryAgainCharged,
-        Outcome::NotRun(NotRunCause::NoRoom) => AfterAttempt::Retry,
+        Outcome::NotRun(NotRunCause::OtherInstance(_) | NotRunCause::NoRoom) => AfterAttempt::Retry,
         Outcome::Answered { status } if *status >= LEAST_ERROR_STATUS && may_run_again => {
             AfterAttempt::RetryOrDeliver
         }
--- a/src/gateway/dispatch/retry_budget.rs
+++ b/src/gateway/dispatch/retry_budget.rs
@@ -4,14 +4,17 @@
 //! requests for the service plus a reserve; both come from the settings. The boxes of a failure
 //! domain share the domain's part: the ratio of all their requests, and the part of the reserve that
 //! equals their share of all boxes, less a tenth. Each box reports its counts whenever it starts an
-//! attempt, so a retry that one box does not need is available to another. Two boxes that take the
-//! last retry before they receive each other's report exceed the part by one each; the tenth covers
-//! that.
+//! attempt, so a retry that one box does not need is available to another.
+//!
+//! When the engines of a domain end, all its boxes retry within milliseconds, before they hear of each
+//! other. So within [`REPORT_DELAY`] a box takes at most an equal share of what the domain has left.
+//! Where less than one for each box is left, the boxes take turns; their clocks differ, so they may
+//! exceed the part by a few, which the tenth covers.
 //!
 //! Inputs: this box's requests and retries within the window, those reported by peers of the
 //! domain, and the number of boxes in the domain and in the fleet ([`super::roster`]), at least
-//! `fleet_boxes` of the settings. A box that does not know the fleet's size yet uses none of the
-//! reserve. When the reserve was divided by the boxes seen within 3 s (30 of 295), 3,199 retries
+//! `fleet_boxes` of the settings. A box that does not know the fleet's size yet, or has not run for a
+//! window, uses none of the reserve: after the loss of all boxes nobody knows what was taken before. When the reserve was divided by the boxes seen within 3 s (30 of 295), 3,199 retries
 //! were made where 2,310 are allowed.
 //!
 //! An equal part for each box without reports is not enough: 2.8 requests in a window leave a box of
@@ -38,12 +41,28 @@
 
 /// Share of the bound that boxes use, since their counts of each other differ slightly.
 const USABLE_SHARE: f64 = 0.9;
+/// Time after which peers of the domain know of a retry: reports are batched for up to 80 ms by the
+/// bound on datagrams ([`super::gossip`]).
+const REPORT_DELAY: Duration = Duration::from_millis(100);
+
+/// The answer to a request for a retry.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Grant {
+    /// The retry was counted and may start.
+    Granted,
+    /// Other boxes may be taking the retries that are left; known after [`REPORT_DELAY`].
+    Later,
+    /// The failure domain has none left.
+    Spent,
+}
 
 /// Numbers of boxes that share the budget.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Sharers {
     /// Boxes of the own failure domain, including this one.
     pub local_boxes: usize,
+    /// How many of them come before this one in the order of their addresses.
+    pub place: usize,
     /// Boxes of all failure domains; `None` until that is known.
     pub fleet_boxes: Option<usize>,
 }
@@ -91,6 +110,13 @@
         });
     }
 
+    /// Retries counted at `since` or later.
+    fn retries_since(&self, since: Micros) -> u64 {
+        let recent = self.samples.iter().rev();
+        let recent = recent.take_while(|sample| sample.at >= since);
+        recent.map(|sample| sample.retries).sum()
+    }
+
     fn remove_expired(&mut self, length: Duration, now: Micros) {
         while let Some(oldest) = self.samples.front().copied() {
             if now.since(oldest.at) < length {
@@ -128,6 +154,13 @@
         self.recent.remove_expired(length, now);
         self.local.remove_expired(length, now);
     }
+
+    /// What is left of the failure domain's part; negative if more was taken.
+    fn left(&self, policy: RetryPolicy, sharers: Sharers) -> f64 {
+        let reserve = policy.reserve * sharers.reserve_share();
+        let bound = policy.ratio * self.local.sums.requests as f64 + reserve;
+        bound * USABLE_SHARE - self.local.sums.retries as f64
+    }
 }
 
 /// The failure domain's part of the budget for each service.
@@ -199,24 +232,44 @@
         totals.collect()
     }
 
-    /// Counts a retry and returns true if the failure domain's part of the budget allows it.
-    pub fn take(&mut self, service: &ServiceId, sharers: Sharers, now: Micros) -> bool {
+    /// Counts a retry if the failure domain's part of the budget, and this box's share of what is left
+    /// of it, allow one.
+    pub fn take(&mut self, service: &ServiceId, sharers: Sharers, now: Micros) -> Grant {
         let policy = self.policy;
         let counts = self.services.entry(service.clone()).or_default();
         counts.remove_expired(policy.window, now);
-        let reserve = policy.reserve * sharers.reserve_share();
-        let bound = policy.ratio * counts.local.sums.requests as f64 + reserve;
-        if (counts.local.sums.retries + 1) as f64 > bound * USABLE_SHARE {
-            return false;
+        let left = counts.left(policy, sharers);
+        if left < 1.0 {
+            return Grant::Spent;
+        }
+        let unreported = counts.recent.retries_since(now.before(REPORT_DELAY));
+        if unreported >= share_of(left, sharers, now) {
+            return Grant::Later;
         }
         counts.count_own(0, 1, now);
-        true
+        Grant::Granted
     }
 
-    /// Counts a repeated arrival at a service that the budget could not prevent.
-    pub fn charge(&mut self, service: &ServiceId, now: Micros) {
-        let counts = self.services.entry(service.clone()).or_default();
-        counts.remove_expired(self.policy.window, now);
-        counts.count_own(0, 1, now);
+    /// The retries that the failure domain has left for each service.
+    pub fn left(&mut self, sharers: Sharers, now: Micros) -> Vec<(ServiceId, f64)> {
+        let policy = self.policy;
+        let services = self.services.iter_mut();
+        let left = services.map(|(service, counts)| {
+            counts.remove_expired(policy.window, now);
+            (service.clone(), counts.left(policy, sharers).max(0.0))
+        });
+        left.collect()
+    }
+}
+
+/// How many of the retries that a domain has left one box may take before the others know of it.
+fn share_of(left: f64, sharers: Sharers, now: Micros) -> u64 {
+    let boxes = sharers.local_boxes.max(1) as u64;
+    let left = left as u64;
+    if left >= boxes {
+        return left / boxes;
     }
+    let turn = now.0 / REPORT_DELAY.as_micros() as u64;
+    let place = (sharers.place as u64 + turn) % boxes;
+    u64::from(place < left)
 }
--- a/src/gateway/dispatch/rollout_samples.rs
+++ b/src/gateway/dispatch/rollout_samples.rs
@@ -61,7 +61,11 @@
             | Outcome::NotSent
             | Outcome::RelayFailed
             | Outcome::Broken(Fault::RelayLost)
-            | Outcome::NotRun(NotRunCause::OtherInstance(_) | NotRunCause::Restarted(_)) => return,
+            | Outcome::NotRun(
+                NotRunCause::OtherInstance(_)
+                | NotRunCause::Restarted(_)
+                | NotRunCause::Replaced(_),
+            ) => return,
         };
         // A stream that breaks off counts as failed even if its events were counted.
         let mut sampled = active.sampled;
--- a/src/gateway/dispatch/rollouts.rs
+++ b/src/gateway/dispatch/rollouts.rs
@@ -18,7 +18,7 @@
 use super::action::{Action, Command};
 use super::event::{Fault, Outcome, RequestNumber};
 use super::fleet::{Endpoint, Fleet};
-use super::placement::Demand;
+use super::placement::{Demand, Trust};
 use super::record::Record;
 use super::request::{ActiveAttempt, Request};
 use super::rollout::evidence::{TimeKind, series_of};
@@ -314,8 +314,32 @@
         VersionRules::without(self.newcomers_for(request))
     }
 
+    /// Under which conditions an endpoint is looked for, one after the other, until one is found.
+    ///
+    /// Where a stream begins while no list names the version of some engines, those are tried before
+    /// endpoints that are suspected: they are known to live.
+    pub(super) fn placement_passes<'a>(
+        &'a self,
+        request: &'a Request,
+    ) -> Vec<(VersionRules<'a>, Trust)> {
+        let rules = self.rules_for(request);
+        let Some(fallback) = self.fallback_rules_for(request) else {
+            return vec![(rules, Trust::Any)];
+        };
+        if self.rollouts.of(&request.service).is_some() {
+            return vec![(rules, Trust::Any), (fallback, Trust::Any)];
+        }
+        let with_unlisted = VersionRules::without(self.settling_for(request));
+        vec![
+            (rules, Trust::Sound),
+            (with_unlisted, Trust::Sound),
+            (rules, Trust::Any),
+            (fallback, Trust::Any),
+        ]
+    }
+
     /// Which endpoints an attempt may use if none that [`Self::rules_for`] admits accepts it.
-    pub(super) fn fallback_rules_for(&self, request: &Request) -> Option<VersionRules<'_>> {
+    fn fallback_rules_for(&self, request: &Request) -> Option<VersionRules<'_>> {
         if request.version.is_some() {
             return None;
         }
@@ -372,7 +396,7 @@
 
     /// Moves a stream to the version that its service switches to, if the retry budget allows it.
     pub(super) fn leave_version(&mut self, number: RequestNumber) {
-        if !self.take_retry(number) {
+        if !self.take_move(number) {
             return;
         }
         let Some(request) = self.requests.get_mut(&number) else {
--- a/src/gateway/dispatch/roster.rs
+++ b/src/gateway/dispatch/roster.rs
@@ -32,6 +32,9 @@
 /// Validity of another domain's size without an update: somewhat longer than a failure domain is
 /// cut off in most cases.
 const DOMAIN_SIZE_VALID_FOR: Duration = Duration::from_secs(30);
+/// Time for which another domain's size counts for the size of the fleet without an update: a domain
+/// that is cut off goes on making its part of the retries.
+const DOMAIN_SIZE_REMEMBERED_FOR: Duration = Duration::from_secs(600);
 /// Time for which the peak size of the fleet counts after the size fell: the window of the callers'
 /// retry budgets, in which retries by boxes that have exited still count.
 const PEAK_SIZE_WINDOW: Duration = Duration::from_secs(10);
@@ -59,7 +62,10 @@
     domain: DomainId,
     started: Micros,
     members: BTreeMap<SocketAddr, Heartbeat>,
+    /// Sizes of the other domains, also of those that are not valid any more.
     sizes: BTreeMap<DomainId, Size>,
+    /// When expired entries were last removed.
+    expired_at: Micros,
     peak: Size,
 }
 
@@ -73,6 +79,7 @@
             started: now,
             members: BTreeMap::new(),
             sizes: BTreeMap::new(),
+            expired_at: now,
             peak: Size { boxes: 1, at: now },
         }
     }
@@ -114,8 +121,10 @@
         self.members
             .retain(|_, heartbeat| now.since(heartbeat.at) < ROSTER_RETENTION);
         self.sizes
-            .retain(|_, size| now.since(size.at) < DOMAIN_SIZE_VALID_FOR);
-        let boxes = self.boxes_in_other_domains() + self.domain_size(now);
+            .retain(|_, size| now.since(size.at) < DOMAIN_SIZE_REMEMBERED_FOR);
+        self.expired_at = now;
+        let remembered: usize = self.sizes.values().map(|size| size.boxes).sum();
+        let boxes = remembered + self.domain_size(now);
         if boxes >= self.peak.boxes || now.since(self.peak.at) >= PEAK_SIZE_WINDOW {
             self.peak = Size { boxes, at: now };
         }
@@ -158,14 +167,27 @@
     /// Other domains with at least one box.
     #[must_use]
     pub fn other_domains(&self) -> Vec<DomainId> {
-        let running = self.sizes.iter().filter(|(_, size)| size.boxes > 0);
+        let running = self.valid_sizes().filter(|(_, size)| size.boxes > 0);
         running.map(|(domain, _)| domain.clone()).collect()
     }
 
     /// Number of boxes in all other domains.
     #[must_use]
     pub fn boxes_in_other_domains(&self) -> usize {
-        self.sizes.values().map(|size| size.boxes).sum()
+        self.valid_sizes().map(|(_, size)| size.boxes).sum()
+    }
+
+    fn valid_sizes(&self) -> impl Iterator<Item = (&DomainId, &Size)> {
+        let sizes = self.sizes.iter();
+        sizes.filter(|(_, size)| self.expired_at.since(size.at) < DOMAIN_SIZE_VALID_FOR)
+    }
+
+    /// How many running boxes of the own domain come before this one in the order of their addresses.
+    #[must_use]
+    pub fn place(&self, now: Micros) -> usize {
+        self.running(now)
+            .filter(|address| *address < self.me)
+            .count()
     }
 
     /// Number of running boxes in the own domain, this one included.
--- a/src/gateway/dispatch/stream_versions.rs
+++ b/src/gateway/dispatch/stream_versions.rs
@@ -334,10 +334,13 @@
         if request.version.is_some() || !is_bindable(request) {
             return;
         }
-        let Some(id) = request.active.as_ref().map(|a| a.endpoint.id.clone()) else {
+        let Some(engine) = request.active.as_ref().map(|a| a.endpoint.clone()) else {
             return;
         };
-        let version = self.fleet.get(&id).map(|e| e.spec.version.clone());
+        // A late list may name another incarnation than the one that was checked before the send.
+        let known = self.fleet.get_incarnation(&engine);
+        let version = known.map(|e| e.spec.version.clone());
+        let version = Some(version.unwrap_or_else(|| VersionId::unlisted(&engine)));
         if let Some(request) = self.requests.get_mut(&number) {
             request.version = version;
             request.began_with = Some(attempt);
@@ -385,7 +388,8 @@
         let Some(request) = self.requests.get(&number) else {
             return;
         };
-        let Some(active) = request.active.as_ref().filter(|a| a.has_events) else {
+        let active = request.active.as_ref();
+        let Some(active) = active.filter(|a| a.has_events && !a.is_start_checked) else {
             return;
         };
         let Some(endpoint) = self.fleet.get(&active.endpoint.id) else {
--- a/src/gateway/dispatch/stream_versions/certainty.rs
+++ b/src/gateway/dispatch/stream_versions/certainty.rs
@@ -106,6 +106,15 @@
         newcomers.filter(|_| is_bindable(request))
     }
 
+    /// Versions of a request's service that lists have named too lately for a stream to begin there.
+    pub(in crate::gateway::dispatch) fn settling_for(
+        &self,
+        request: &Request,
+    ) -> Option<&BTreeSet<VersionId>> {
+        let settling = self.stream_versions.history.settling(&request.service);
+        settling.filter(|_| is_bindable(request))
+    }
+
     /// Notes the time if the list may be out of date.
     pub(super) fn note_doubt(&mut self) {
         let state = &mut self.stream_versions;
--- a/src/gateway/dispatch/stream_versions/history.rs
+++ b/src/gateway/dispatch/stream_versions/history.rs
@@ -6,8 +6,10 @@
 //! Boxes see a new version at different times. A box that has not seen it takes the service for one
 //! of a single version and looks nothing up, so no stream may begin at a new version until all boxes
 //! know of it, or know that they may have missed it. Versions newer than [`VERSION_SETTLE_TIME`] are
-//! therefore newcomers: they take streams only where no other version has an endpoint. So does an
-//! engine that answers before any list has named it: its version is not known.
+//! therefore newcomers: they take streams only where no other version has an endpoint. An engine that
+//! answers before any list has named it has a version that is not known. It takes streams where no
+//! other engine is known to live, and counts as a version of its own until a list names it: all boxes
+//! hear of it before it can have sent an event ([`crate::gateway::dispatch::fleet::identities`]).
 //!
 //! Input: the endpoint list, whenever it changes. State: for each service its versions, since when,
 //! and when they went.
@@ -48,14 +50,17 @@
 struct ServiceHistory {
     versions: BTreeMap<VersionId, SeenVersion>,
     newcomers: BTreeSet<VersionId>,
+    /// Those of them that a list has named.
+    settling: BTreeSet<VersionId>,
 }
 
 impl ServiceHistory {
-    /// Number of versions, those left out that no list has named.
+    /// Number of versions; those that no list has named count as one more.
     fn count(&self, lifetime: Duration, now: Micros) -> usize {
         let versions = self.versions.iter();
-        let counted = versions.filter(|(id, v)| !id.is_unlisted() && v.matters(lifetime, now));
-        counted.count()
+        let counted = versions.filter(|(_, v)| v.matters(lifetime, now));
+        let (unlisted, named): (Vec<_>, Vec<_>) = counted.partition(|(id, _)| id.is_unlisted());
+        named.len() + usize::from(!unlisted.is_empty())
     }
 
     /// Decides which versions are newcomers: those that no list has named, and those that came lately
@@ -68,10 +73,25 @@
             oldest.is_some_and(|oldest| since > oldest) && now.since(since) < VERSION_SETTLE_TIME
         };
         let newcomers = listed().filter(|(id, seen)| id.is_unlisted() || is_new(seen.since));
-        self.newcomers = newcomers.map(|(id, _)| id.clone()).collect();
+        let newcomers: BTreeSet<VersionId> = newcomers.map(|(id, _)| id.clone()).collect();
+        let named = newcomers.iter().filter(|id| !id.is_unlisted());
+        self.settling = named.cloned().collect();
+        self.newcomers = newcomers;
     }
 }
 
+/// The versions by which incarnations were known before a list named them that it names now.
+fn named_incarnations(fleet: &Fleet) -> BTreeSet<VersionId> {
+    let named = fleet.iter().filter(|e| !e.spec.version.is_unlisted());
+    let unlisted = named.flat_map(|e| {
+        let by_id = VersionId::unlisted(&e.spec.id.clone().into());
+        let by_start = VersionId::unlisted(&e.spec.incarnation());
+        let has_start = e.spec.born.is_some();
+        std::iter::once(by_start).chain((!has_start).then_some(by_id))
+    });
+    unlisted.collect()
+}
+
 /// The versions of all services.
 #[derive(Debug, Default)]
 pub struct VersionHistory {
@@ -100,7 +120,10 @@
             let spec = &endpoint.spec;
             self.see(&spec.service, &spec.version, is_prompt, now);
         }
+        let named = named_incarnations(fleet);
         for history in self.services.values_mut() {
+            // What a list has named since was of the version that it names.
+            history.versions.retain(|id, _| !named.contains(id));
             for seen in history.versions.values_mut() {
                 if seen.list != self.lists {
                     seen.gone_at.get_or_insert(now);
@@ -172,6 +195,13 @@
         first.filter(|_| old.next().is_none())
     }
 
+    /// The newcomers among the versions of a service that a list has named, if there are any.
+    #[must_use]
+    pub fn settling(&self, service: &ServiceId) -> Option<&BTreeSet<VersionId>> {
+        let settling = &self.services.get(service)?.settling;
+        (!settling.is_empty()).then_some(settling)
+    }
+
     /// The newcomers among the versions of a service, if there are any.
     #[must_use]
     pub fn newcomers(&self, service: &ServiceId) -> Option<&BTreeSet<VersionId>> {
--- a/src/gateway/shell/attempt.rs
+++ b/src/gateway/shell/attempt.rs
@@ -91,6 +91,7 @@
     request: &CallerRequest,
     attempt: &Attempt,
 ) -> Result<Response<Incoming>, SendFailure> {
+    check_instance(connection, shared, attempt).await?;
     check_start(connection, shared, attempt).await?;
     report_connection(shared, number, attempt).await;
     let outgoing = outgoing_request(shared, request, attempt);
@@ -101,8 +102,36 @@
     }
 }
 
-/// Checks that the process behind a connection is the one that the attempt is meant for. It can't be
-/// replaced while the connection lives.
+/// Checks that the process behind a connection is the endpoint that the attempt is meant for. It can't
+/// be replaced while the connection lives.
+async fn check_instance(
+    connection: &mut Connection,
+    shared: &GatewayShared,
+    attempt: &Attempt,
+) -> Result<(), SendFailure> {
+    let Some(path) = &attempt.identity_path else {
+        return Ok(());
+    };
+    if connection.peer_instance.is_none() {
+        shared.metrics.probes.inc();
+        shared.metrics.checks.of(CheckReason::BeforeSend).inc();
+        let answer = connection.get_with_head(path);
+        let answer = tokio::time::timeout(attempt.connect_timeout, answer).await;
+        let head = answer.ok().flatten().map(|(head, _)| head);
+        connection.peer_instance = head.and_then(|head| shared.dialect.instance(&head.headers));
+    }
+    match &connection.peer_instance {
+        Some(instance) if *instance == attempt.endpoint => Ok(()),
+        Some(instance) => {
+            let cause = NotRunCause::Replaced(instance.clone());
+            Err(SendFailure::Ended(Outcome::NotRun(cause)))
+        }
+        None => Err(SendFailure::NotSent),
+    }
+}
+
+/// Checks that the process behind a connection has the start time that the attempt is meant for. It
+/// can't be replaced while the connection lives.
 async fn check_start(
     connection: &mut Connection,
     shared: &GatewayShared,
--- a/src/gateway/shell/control.rs
+++ b/src/gateway/shell/control.rs
@@ -150,6 +150,9 @@
         self.shared.metrics.versions.on_counts(versions);
         let lost = self.dispatcher.lost_paths();
         self.shared.metrics.relays.lost_paths.set(gauge(lost));
+        let unverified = self.dispatcher.fleet().unverified_count();
+        let budgets = self.dispatcher.retry_budgets_left();
+        self.shared.metrics.on_retry_state(unverified, &budgets);
         let speeds = &self.dispatcher.fleet().speeds;
         self.shared.metrics.on_speeds(speeds.differing_engines());
     }
@@ -170,6 +173,7 @@
             | Action::GossipUsage { .. }
             | Action::PublishUsageCounts { .. }
             | Action::PublishDepartures { .. }
+            | Action::PublishIdentities { .. }
             | Action::PublishLoad { .. }
             | Action::PublishSpeeds { .. }
             | Action::PublishSlots { .. }
@@ -217,6 +221,7 @@
                 (to, datagram::write_usage_counts(&update))
             }
             Action::PublishDepartures { to, update } => (to, datagram::write_departures(&update)),
+            Action::PublishIdentities { to, update } => (to, datagram::write_identities(&update)),
             Action::PublishLoad { to, from, report } => (to, datagram::write_load(&from, &report)),
             Action::PublishSpeeds { to, update } => (to, datagram::write_speeds(&update)),
             Action::PublishLimits { to, update } => (to, datagram::write_limits(&update)),
--- a/src/gateway/shell/datagram.rs
+++ b/src/gateway/shell/datagram.rs
@@ -12,7 +12,8 @@
 use crate::gateway::dispatch::event::Event;
 use crate::schema::{
     BoxId, BoxState, CrashUpdate, DatagramSection, DepartureUpdate, DutyHolder, EngineLoadReport,
-    LimitUpdate, SlotUpdate, SpeedUpdate, StreamUpdate, UsageCountUpdate, UsageUpdate,
+    IdentityUpdate, LimitUpdate, SlotUpdate, SpeedUpdate, StreamUpdate, UsageCountUpdate,
+    UsageUpdate,
 };
 
 /// The first byte of a datagram with a [`BoxState`].
@@ -35,9 +36,10 @@
 const SPEEDS_SECTION: u16 = 7;
 /// The kind of a section with [`SlotUpdate`].
 const SLOTS_SECTION: u16 = 8;
-
 /// The kind of a section with [`StreamUpdate`].
 const STREAMS_SECTION: u16 = 9;
+/// The kind of a section with [`IdentityUpdate`].
+const IDENTITIES_SECTION: u16 = 10;
 
 /// Encodes a box's state as a datagram.
 ///
@@ -143,6 +145,15 @@
     with_section(empty_message(&update.from)?, STREAMS_SECTION, update)
 }
 
+/// Encodes which processes are at the addresses of endpoints, as a section after an empty message.
+///
+/// # Errors
+///
+/// If it can't be encoded.
+pub fn write_identities(update: &IdentityUpdate) -> Result<Vec<u8>, postcard::Error> {
+    with_section(empty_message(&update.from)?, IDENTITIES_SECTION, update)
+}
+
 /// A message without content, to which a section is added.
 fn empty_message(from: &BoxId) -> Result<Vec<u8>, postcard::Error> {
     let empty = UsageUpdate {
@@ -215,6 +226,8 @@
             events.push(Event::PeerSlots(read_content(&section)?));
         } else if section.kind == STREAMS_SECTION {
             events.push(Event::PeerStreams(read_content(&section)?));
+        } else if section.kind == IDENTITIES_SECTION {
+            events.push(Event::PeerIdentities(read_content(&section)?));
         }
     }
     Ok(events)
--- a/src/gateway/shell/exchange.rs
+++ b/src/gateway/shell/exchange.rs
@@ -184,15 +184,18 @@
         let request = Arc::clone(&self.request);
         let after = self.last_event;
         let opening = start_attempt(&shared, self.number, &request, attempt, after);
-        let (response, connection) = match self.run_unless_stopped(attempt.attempt, opening).await {
-            Err(end) => return end,
-            Ok(Err(outcome)) => return AttemptEnd::Ended(outcome),
-            Ok(Ok(opened)) => opened,
-        };
+        let (response, mut connection) =
+            match self.run_unless_stopped(attempt.attempt, opening).await {
+                Err(end) => return end,
+                Ok(Err(outcome)) => return AttemptEnd::Ended(outcome),
+                Ok(Ok(opened)) => opened,
+            };
         let (head, body) = response.into_parts();
         if let Some(outcome) = self.check_head(attempt, &head).await {
             return AttemptEnd::Ended(outcome);
         }
+        // Any other instance would have turned the attempt away.
+        connection.peer_instance = Some(attempt.endpoint.clone());
         let is_stream = headers::text(&head.headers, header::CONTENT_TYPE)
             .is_some_and(|kind| kind.starts_with(EVENT_STREAM));
         if is_stream && head.status == StatusCode::OK {
@@ -235,7 +238,9 @@
             AnswerKind::Foreign => return Some(Outcome::Broken(Fault::Foreign)),
             AnswerKind::Malformed => return Some(Outcome::Broken(Fault::Malformed)),
             AnswerKind::NotRun(
-                cause @ (NotRunCause::OtherInstance(_) | NotRunCause::Restarted(_)),
+                cause @ (NotRunCause::OtherInstance(_)
+                | NotRunCause::Restarted(_)
+                | NotRunCause::Replaced(_)),
             ) => {
                 return Some(Outcome::NotRun(cause));
             }
--- a/src/gateway/shell/metrics.rs
+++ b/src/gateway/shell/metrics.rs
@@ -6,6 +6,7 @@
 
 mod endpoints;
 mod relays;
+mod retries;
 mod versions;
 mod waits;
 
@@ -21,8 +22,10 @@
 use crate::gateway::shell::check_counts::CheckCounters;
 use crate::gateway::shell::watcher::StoreRequest;
 use crate::metrics::MetricSet;
+use crate::schema::ServiceId;
 use endpoints::EndpointMetrics;
 use relays::RelayMetrics;
+use retries::RetryMetrics;
 use versions::VersionMetrics;
 use waits::WaitMetrics;
 
@@ -47,6 +50,7 @@
     pub load_domains: IntGauge,
     endpoints: EndpointMetrics,
     waits: WaitMetrics,
+    retries: RetryMetrics,
     /// Metrics of relayed attempts.
     pub relays: RelayMetrics,
     /// Metrics of the versions that began streams.
@@ -249,6 +253,7 @@
             ),
             endpoints: EndpointMetrics::new(&set),
             waits: WaitMetrics::new(&set),
+            retries: RetryMetrics::new(&set),
             relays: RelayMetrics::new(&set),
             versions: VersionMetrics::new(&set),
             store_calls: set.counters(
@@ -284,6 +289,7 @@
         self.requests.on_record(record);
         self.endpoints.on_record(record);
         self.waits.on_record(record);
+        self.retries.on_record(record);
         self.relays.on_record(record);
         self.versions.on_record(record);
         self.tables.on_record(record);
@@ -305,6 +311,12 @@
         self.waits.on_waiting(waiting);
     }
 
+    /// Sets the number of endpoints whose process may have been replaced, and what is left of the
+    /// retry budget of each service.
+    pub fn on_retry_state(&self, unverified: usize, budgets: &[(ServiceId, f64)]) {
+        self.retries.on_state(unverified, budgets);
+    }
+
     /// Sets the numbers of endpoints that asked this box for a rest or said that they are leaving.
     pub fn on_directives(&self, resting: usize, leaving: usize) {
         self.endpoints.on_directives(resting, leaving);
--- a/src/gateway/shell/probes.rs
+++ b/src/gateway/shell/probes.rs
@@ -126,6 +126,7 @@
             let (_, body) = connection.get(shared.dialect.load_path()).await?;
             born = Some(shared.dialect.start_time(&body)?);
         }
+        connection.peer_instance = Some(instance.clone());
         shared.pool.put_back(connection);
         Some((instance, born))
     };
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -25,7 +25,7 @@
 use tokio::task::AbortHandle;
 
 use super::tunnel::{Tunnel, TunnelState};
-use crate::schema::StartTime;
+use crate::schema::{EndpointId, StartTime};
 
 /// The idle time after which TCP sends the first keepalive probe.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
@@ -86,6 +86,9 @@
     /// Start time of the process at the other end, if it was asked for. It stays the same for as long
     /// as the connection lives.
     pub peer_start: Option<StartTime>,
+    /// Endpoint that the process at the other end is, if it has shown that. It stays the same for as
+    /// long as the connection lives.
+    pub peer_instance: Option<EndpointId>,
     _task: AbortOnDrop,
 }
 
@@ -134,6 +137,7 @@
             idle_since: Instant::now(),
             peer_max_idle: None,
             peer_start: None,
+            peer_instance: None,
             _task: AbortOnDrop(task.abort_handle()),
         })
     }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -61,7 +61,17 @@
     /// Panics like [`MetricSet::gauge`].
     #[must_use]
     pub fn counters(&self, name: &str, help: &str, label: &str) -> IntCounterVec {
-        self.register(IntCounterVec::new(self.opts(name, help), &[label]))
+        self.counters_by(name, help, &[label])
+    }
+
+    /// Registers a family of counters distinguished by the values of several labels.
+    ///
+    /// # Panics
+    ///
+    /// Panics like [`MetricSet::gauge`].
+    #[must_use]
+    pub fn counters_by(&self, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+        self.register(IntCounterVec::new(self.opts(name, help), labels))
     }
 
     /// Registers a family of gauges distinguished by the value of `label`.
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -1431,6 +1431,28 @@
         value.parse()
     }
 }
+///Which process answered at the address of an endpoint.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct IdentityReport {
+    ///Time since the answer.
+    pub age_ms: u32,
+    ///The endpoint that is listed at the address.
+    pub endpoint: EndpointIncarnation,
+    ///The process that answered; the endpoint itself if it is still there.
+    pub instance: EndpointIncarnation,
+    ///Whether the process is known to be an engine of the endpoint's service.
+    pub is_engine: bool,
+}
+///Processes that identified themselves to a box, or to one that told it.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct IdentityUpdate {
+    ///Failure domain of that box.
+    pub domain: DomainId,
+    pub from: BoxId,
+    pub reports: ::std::vec::Vec<IdentityReport>,
+}
 ///Number of a process incarnation; it increases with each restart of the box.
 #[derive(
     ::serde::Deserialize,
