--- a/lab/src/gateway/versions/fleet/faults.rs
+++ b/lab/src/gateway/versions/fleet/faults.rs
@@ -103,7 +103,9 @@
     pub(super) fn bring_change(&mut self, number: usize) {
         match self.case.change {
             Change::Appears if number == 0 => {
-                for engine in self.engines.of_version(VERSIONS[1]) {
+                let new = self.engines.of_version(VERSIONS[1]).into_iter();
+                let new: Vec<usize> = new.filter(|e| !self.engines.at(*e).is_up).collect();
+                for engine in new {
                     self.start_engine(engine, VERSIONS[1]);
                 }
             }
@@ -113,7 +115,7 @@
                     self.engines.of_version(VERSIONS[0]),
                     self.engines.of_version(VERSIONS[1]),
                 );
-                if let Some(engine) = new.get(number) {
+                if let Some(engine) = new.get(number).filter(|e| !self.engines.at(**e).is_up) {
                     self.start_engine(*engine, VERSIONS[1]);
                 }
                 if number >= 2
@@ -199,6 +201,9 @@
 
     /// An engine that crashed is back, at times as another version of those that serve.
     pub(super) fn restart_engine(&mut self, engine: usize) {
+        if self.engines.at(engine).is_up {
+            return;
+        }
         let version = self.engines.at(engine).version;
         let is_mixed = VERSIONS.iter().all(|v| self.engines.serving_of(v) > 0);
         let other = VERSIONS.iter().find(|v| **v != version).copied();
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -409,10 +409,11 @@
     ActiveAttempt {
         attempt: attempt.attempt,
         endpoint: spec.incarnation(),
+        version: spec.version.clone(),
         started: now,
         is_connected: false,
         last_seen: now,
-        is_start_checked: attempt.expected_start.is_some(),
+        checked: attempt.expected_start.map(|_| spec.incarnation()),
         has_events: false,
         first_event: None,
         sampled: Sampled::default(),
--- a/src/gateway/dispatch/endpoint_restart.rs
+++ b/src/gateway/dispatch/endpoint_restart.rs
@@ -75,8 +75,7 @@
             && self.now.since(active.last_seen) >= max_stall(active)
     }
 
-    /// Assigns an attempt that gets events to the current incarnation of its endpoint, unless its
-    /// process was checked before the request was sent: then a late list names another one.
+    /// Assigns an attempt that gets events to the current incarnation of its endpoint.
     pub(super) fn adopt_current_incarnation(
         &mut self,
         number: RequestNumber,
@@ -84,9 +83,7 @@
     ) {
         let request = self.requests.get_mut(&number);
         let active = request.and_then(|r| r.active.as_mut());
-        let is_open =
-            |active: &&mut ActiveAttempt| active.attempt == attempt && !active.is_start_checked;
-        let Some(active) = active.filter(is_open) else {
+        let Some(active) = active.filter(|active| active.attempt == attempt) else {
             return;
         };
         let Some(endpoint) = self.fleet.get_mut(&active.endpoint.id) else {
--- a/src/gateway/dispatch/fleet/identity_requests.rs
+++ b/src/gateway/dispatch/fleet/identity_requests.rs
@@ -26,10 +26,10 @@
 const IDENTIFY_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Longest time between two rounds of an outage, for endpoints that don't come back.
 const MAX_IDENTIFY_INTERVAL: Duration = Duration::from_secs(6);
-/// Number of boxes that ask an endpoint in one round: one of them may be cut off or paused.
-const ASKED_BY: usize = 2;
+/// Number of boxes that ask an endpoint in one round.
+const ASKED_BY: usize = 3;
 /// Minimum number of endpoints that a box asks in one round.
-const MIN_ASKED: usize = 2;
+const MIN_ASKED: usize = 4;
 
 /// Time between two rounds of an outage that began so long ago.
 fn round_interval(age: Duration) -> Duration {
--- a/src/gateway/dispatch/request.rs
+++ b/src/gateway/dispatch/request.rs
@@ -43,13 +43,15 @@
     pub attempt: AttemptNumber,
     /// The incarnation of the endpoint that this box knew when the attempt started.
     pub endpoint: EndpointIncarnation,
+    /// The version of that incarnation, as this box knew it then.
+    pub version: VersionId,
     pub started: Micros,
     /// Whether the attempt is known to have been written to a connection.
     pub is_connected: bool,
     /// Time of the last part of the answer; the start of the attempt until then.
     pub last_seen: Micros,
-    /// Whether the endpoint's process was checked by its start time before the request was sent.
-    pub is_start_checked: bool,
+    /// The incarnation of the endpoint that its start time was checked for before the request was sent.
+    pub checked: Option<EndpointIncarnation>,
     /// Whether the attempt has received an event.
     pub has_events: bool,
     /// Arrival time and number of the first event.
--- a/src/gateway/dispatch/retries.rs
+++ b/src/gateway/dispatch/retries.rs
@@ -108,10 +108,10 @@
     }
 
     fn ask_budget(&mut self, number: RequestNumber) -> Grant {
-        let sharers = self.retry_sharers();
         let Some(request) = self.requests.get(&number) else {
             return Grant::Spent;
         };
+        let sharers = self.retry_sharers();
         self.budget.take(&request.service, sharers, self.now)
     }
 
@@ -124,7 +124,6 @@
         let fleet_size = roster.fleet_size(self.now).filter(|_| is_informed);
         Sharers {
             local_boxes: roster.domain_size(self.now),
-            place: roster.place(self.now),
             fleet_boxes: fleet_size.map(|boxes| boxes.max(self.cfg.fleet_boxes)),
         }
     }
--- a/src/gateway/dispatch/retry_budget.rs
+++ b/src/gateway/dispatch/retry_budget.rs
@@ -7,9 +7,8 @@
 //! attempt, so a retry that one box does not need is available to another.
 //!
 //! When the engines of a domain end, all its boxes retry within milliseconds, before they hear of each
-//! other. So within [`REPORT_DELAY`] a box takes at most an equal share of what the domain has left.
-//! Where less than one for each box is left, the boxes take turns; their clocks differ, so they may
-//! exceed the part by a few, which the tenth covers.
+//! other. So within [`REPORT_DELAY`] a box takes at most a part of what its domain has left, and the
+//! closer the domain is to its bound the less. What they exceed it by the tenth covers.
 //!
 //! Inputs: this box's requests and retries within the window, those reported by peers of the
 //! domain, and the number of boxes in the domain and in the fleet ([`super::roster`]), at least
@@ -45,6 +44,10 @@
 /// bound on datagrams ([`super::gossip`]).
 const REPORT_DELAY: Duration = Duration::from_millis(100);
 
+/// One over the part of what its domain has left that a box may take before the others know of it. A
+/// box whose streams all break at once has some ten of them.
+const BURST_DIVISOR: u64 = 4;
+
 /// The answer to a request for a retry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Grant {
@@ -61,8 +64,6 @@
 pub struct Sharers {
     /// Boxes of the own failure domain, including this one.
     pub local_boxes: usize,
-    /// How many of them come before this one in the order of their addresses.
-    pub place: usize,
     /// Boxes of all failure domains; `None` until that is known.
     pub fleet_boxes: Option<usize>,
 }
@@ -243,7 +244,7 @@
             return Grant::Spent;
         }
         let unreported = counts.recent.retries_since(now.before(REPORT_DELAY));
-        if unreported >= share_of(left, sharers, now) {
+        if unreported >= share_of(left + unreported as f64, sharers.local_boxes) {
             return Grant::Later;
         }
         counts.count_own(0, 1, now);
@@ -262,14 +263,8 @@
     }
 }
 
-/// How many of the retries that a domain has left one box may take before the others know of it.
-fn share_of(left: f64, sharers: Sharers, now: Micros) -> u64 {
-    let boxes = sharers.local_boxes.max(1) as u64;
-    let left = left as u64;
-    if left >= boxes {
-        return left / boxes;
-    }
-    let turn = now.0 / REPORT_DELAY.as_micros() as u64;
-    let place = (sharers.place as u64 + turn) % boxes;
-    u64::from(place < left)
+/// How many of the retries that a domain had left one of its boxes may take before the others know.
+fn share_of(left: f64, boxes: usize) -> u64 {
+    let divisor = BURST_DIVISOR.min(boxes.max(1) as u64);
+    (left as u64 / divisor).max(1)
 }
--- a/src/gateway/dispatch/roster.rs
+++ b/src/gateway/dispatch/roster.rs
@@ -182,14 +182,6 @@
         sizes.filter(|(_, size)| self.expired_at.since(size.at) < DOMAIN_SIZE_VALID_FOR)
     }
 
-    /// How many running boxes of the own domain come before this one in the order of their addresses.
-    #[must_use]
-    pub fn place(&self, now: Micros) -> usize {
-        self.running(now)
-            .filter(|address| *address < self.me)
-            .count()
-    }
-
     /// Number of running boxes in the own domain, this one included.
     #[must_use]
     pub fn domain_size(&self, now: Micros) -> usize {
--- a/src/gateway/dispatch/stream_versions.rs
+++ b/src/gateway/dispatch/stream_versions.rs
@@ -334,13 +334,15 @@
         if request.version.is_some() || !is_bindable(request) {
             return;
         }
-        let Some(engine) = request.active.as_ref().map(|a| a.endpoint.clone()) else {
+        let Some(active) = request.active.as_ref() else {
             return;
         };
-        // A late list may name another incarnation than the one that was checked before the send.
+        // The list may have named the version since, or know another incarnation than the one that was
+        // checked before the send.
+        let engine = active.checked.as_ref().unwrap_or(&active.endpoint).clone();
+        let sent_to = active.version.clone();
         let known = self.fleet.get_incarnation(&engine);
-        let version = known.map(|e| e.spec.version.clone());
-        let version = Some(version.unwrap_or_else(|| VersionId::unlisted(&engine)));
+        let version = Some(known.map_or(sent_to, |e| e.spec.version.clone()));
         if let Some(request) = self.requests.get_mut(&number) {
             request.version = version;
             request.began_with = Some(attempt);
@@ -389,7 +391,7 @@
             return;
         };
         let active = request.active.as_ref();
-        let Some(active) = active.filter(|a| a.has_events && !a.is_start_checked) else {
+        let Some(active) = active.filter(|a| a.has_events && a.checked.is_none()) else {
             return;
         };
         let Some(endpoint) = self.fleet.get(&active.endpoint.id) else {
--- a/src/gateway/dispatch/stream_versions/certainty.rs
+++ b/src/gateway/dispatch/stream_versions/certainty.rs
@@ -93,7 +93,8 @@
     /// The version that must have begun a stream of which there is no record, if this box is certain of
     /// one: all other versions are so new that no stream can have begun there.
     pub(super) fn presumed_version(&self, service: &ServiceId) -> Option<&VersionId> {
-        let settled = self.stream_versions.history.settled(service, self.now);
+        let state = &self.stream_versions;
+        let settled = state.history.settled(service, state.lifetime, self.now);
         settled.filter(|_| self.is_certain(service))
     }
 
--- a/src/gateway/dispatch/stream_versions/history.rs
+++ b/src/gateway/dispatch/stream_versions/history.rs
@@ -52,15 +52,22 @@
     newcomers: BTreeSet<VersionId>,
     /// Those of them that a list has named.
     settling: BTreeSet<VersionId>,
+    /// When an engine was last known that no list has named.
+    last_unlisted: Option<Micros>,
 }
 
 impl ServiceHistory {
-    /// Number of versions; those that no list has named count as one more.
+    /// Number of versions. Those that no list has named may be any number of others, so a service that
+    /// has some has several.
     fn count(&self, lifetime: Duration, now: Micros) -> usize {
         let versions = self.versions.iter();
         let counted = versions.filter(|(_, v)| v.matters(lifetime, now));
         let (unlisted, named): (Vec<_>, Vec<_>) = counted.partition(|(id, _)| id.is_unlisted());
-        named.len() + usize::from(!unlisted.is_empty())
+        if unlisted.is_empty() {
+            named.len()
+        } else {
+            named.len().max(1) + 1
+        }
     }
 
     /// Decides which versions are newcomers: those that no list has named, and those that came lately
@@ -122,6 +129,9 @@
         }
         let named = named_incarnations(fleet);
         for history in self.services.values_mut() {
+            if history.versions.keys().any(VersionId::is_unlisted) {
+                history.last_unlisted = Some(now);
+            }
             // What a list has named since was of the version that it names.
             history.versions.retain(|id, _| !named.contains(id));
             for seen in history.versions.values_mut() {
@@ -185,12 +195,24 @@
     }
 
     /// The only version of a service at which streams can have begun so far: all others came within
-    /// [`PRESUMED_FOR`], and this box saw them come in time.
+    /// [`PRESUMED_FOR`], and this box saw them come in time. There is none while a stream may be left
+    /// that began at an engine before a list named it: its version may be one of the others.
     #[must_use]
-    pub fn settled(&self, service: &ServiceId, now: Micros) -> Option<&VersionId> {
-        let versions = self.services.get(service)?.versions.iter();
+    pub fn settled(
+        &self,
+        service: &ServiceId,
+        lifetime: Duration,
+        now: Micros,
+    ) -> Option<&VersionId> {
+        let history = self.services.get(service)?;
+        if history
+            .last_unlisted
+            .is_some_and(|at| now.since(at) < lifetime)
+        {
+            return None;
+        }
         let is_old = |v: &SeenVersion| !v.is_prompt || now.since(v.since) >= PRESUMED_FOR;
-        let mut old = versions.filter(|(id, seen)| !id.is_unlisted() && is_old(seen));
+        let mut old = history.versions.iter().filter(|(_, seen)| is_old(seen));
         let first = old.next().map(|(id, _)| id);
         first.filter(|_| old.next().is_none())
     }
--- a/src/gateway/dispatch/stream_versions/ids.rs
+++ b/src/gateway/dispatch/stream_versions/ids.rs
@@ -1,6 +1,6 @@
 //! The keys of streams, and the versions of engines that no list has named.
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::rendezvous;
 use crate::schema::{EndpointIncarnation, OrganisationId, ServiceId, StreamKey, VersionId};
@@ -32,8 +32,7 @@
     /// list has named it. No other engine has this version.
     #[must_use]
     pub fn unlisted(engine: &EndpointIncarnation) -> Self {
-        let born = engine.born.map_or(0, |born| born.0);
-        let text = format!("{UNLISTED_PREFIX}{:016x}", key_of_engine(&engine.id, born));
+        let text = format!("{UNLISTED_PREFIX}{:016x}", key_of_engine(engine));
         // The text has a fixed length below that of a version.
         text.parse().unwrap_or_else(|_| unreachable!("{text}"))
     }
@@ -45,6 +44,9 @@
     }
 }
 
-fn key_of_engine(id: &str, born: u64) -> u64 {
-    xxh3_64_with_seed(id.as_bytes(), born)
+/// A hash of the id and the start time as one text. With the start time as the seed, which the hash
+/// combines with a short text by an exclusive or, `e10` of start 2 and `e13` of start 3 are the same.
+fn key_of_engine(engine: &EndpointIncarnation) -> u64 {
+    let born = engine.born.map_or(0, |born| born.0);
+    xxh3_64(format!("{}@{born}", engine.id).as_bytes())
 }
--- a/tests/gateway_metrics.rs
+++ b/tests/gateway_metrics.rs
@@ -26,6 +26,7 @@
         tier: None,
         waited_ms: None,
         version: None,
+        doubt: None,
     }
 }
 
--- a/tests/placement_report.rs
+++ b/tests/placement_report.rs
@@ -40,6 +40,7 @@
             tier: None,
             waited_ms: None,
             version: None,
+            doubt: None,
         };
         self.write(seconds, "box-1", sent);
     }
--- a/tests/stream_report.rs
+++ b/tests/stream_report.rs
@@ -37,6 +37,7 @@
         tier: None,
         waited_ms: None,
         version: None,
+        doubt: None,
     }
 }
 
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -4,6 +4,8 @@
 #[path = "gateway/fixtures.rs"]
 mod fixtures;
 
+use std::collections::BTreeSet;
+
 use fixtures::{
     GENEROUS, STREAMS, World, box_state, changed, endpoint, first_attempt, listed, refusal, table,
 };
@@ -14,7 +16,10 @@
 use magpiemoor::gateway::dispatch::refusal::RefusalReason;
 use magpiemoor::gateway::dispatch::stream_versions::book::{MAX_RECORDS, RecordUse, StreamBook};
 use magpiemoor::gateway::dispatch::stream_versions::lookup::LOOKUP_TIMEOUT;
-use magpiemoor::schema::{BoxState, DomainSize, Micros, StreamKey, StreamRecord, StreamUpdate};
+use magpiemoor::schema::{
+    BoxState, DomainSize, EndpointIncarnation, Micros, StartTime, StreamKey, StreamRecord,
+    StreamUpdate, VersionId,
+};
 use magpiemoor_lab::gateway::versions::{Beside, Case, Change};
 use rstest::rstest;
 
@@ -314,6 +319,23 @@
     }
 }
 
+/// Two engines that no list has named yet may run different software, so they must not be taken for
+/// engines of one version.
+#[test]
+fn each_engine_that_no_list_has_named_has_a_version_of_its_own() {
+    let mut versions = BTreeSet::new();
+    for engine in 0..100 {
+        for born in 1..20 {
+            let engine = EndpointIncarnation {
+                id: format!("e{engine}").parse().unwrap(),
+                born: Some(StartTime(born)),
+            };
+            let version = VersionId::unlisted(&engine);
+            assert!(versions.insert(version), "{engine} has that of another one");
+        }
+    }
+}
+
 #[rstest]
 #[case::seed_275(275, Change::InPlace, Beside::BoxesFrozen)]
 #[case::seed_165(165, Change::Mixed, Beside::AllBoxesKilled)]
