--- a/lab/src/gateway/server.rs
+++ b/lab/src/gateway/server.rs
@@ -91,6 +91,8 @@
 
 #[derive(Debug, Default)]
 struct State {
+    /// Requests that were meant for another instance.
+    turned_away: usize,
     acts: VecDeque<Act>,
     always: Option<Act>,
     runs: Vec<Run>,
@@ -206,6 +208,15 @@
     ///
     /// What the system says.
     pub async fn start_again(&self) -> std::io::Result<Self> {
+        self.start_again_under(&self.id).await
+    }
+
+    /// As [`Server::start_again`], as another instance with an id of its own.
+    ///
+    /// # Errors
+    ///
+    /// What the system says.
+    pub async fn start_again_under(&self, id: &str) -> std::io::Result<Self> {
         self.crash();
         let here = self.address.to_string();
         lock_copies(&self.copies)
@@ -219,7 +230,13 @@
                 bound => break bound?,
             }
         };
-        Self::serve(listener, &self.id, self.copies.clone(), self.pace.clone())
+        Self::serve(listener, id, self.copies.clone(), self.pace.clone())
+    }
+
+    /// How many requests it turned away that were meant for another instance.
+    #[must_use]
+    pub fn turned_away(&self) -> usize {
+        lock(&self.state).turned_away
     }
 
     /// As [`Server::start_again`], with other software, which events tell.
--- a/lab/src/gateway/server/serving.rs
+++ b/lab/src/gateway/server/serving.rs
@@ -146,7 +146,13 @@
         wire.finish_request(&mut ask).await?;
         let expected = ask.header("magpiemoor-expect-instance");
         if act == Act::Misdirected || expected.is_some_and(|e| e != self.id) {
-            wire.send(whole(421, "Magpiemoor-Instance-Id: other\r\n", ""))
+            let id = if act == Act::Misdirected {
+                "other"
+            } else {
+                &self.id
+            };
+            lock(&self.state).turned_away += 1;
+            wire.send(whole(421, &format!("Magpiemoor-Instance-Id: {id}\r\n"), ""))
                 .await?;
             return Ok(false);
         }
--- a/lab/src/gateway/versions/fleet.rs
+++ b/lab/src/gateway/versions/fleet.rs
@@ -425,7 +425,7 @@
     fn is_store_reached(&self, at: usize) -> bool {
         let is_cut = at % DOMAINS == faults::CUT_DOMAIN && self.now() < self.cut_until;
         let serves_some = self.case.outages.is_some_and(|o| o.store_serves_some);
-        let is_served = serves_some && at / DOMAINS % 2 == 0;
+        let is_served = serves_some && (at / DOMAINS).is_multiple_of(2);
         !is_cut && (is_served || self.now() >= self.store_out_until)
     }
 
--- a/lab/src/gateway/versions/fleet/callers.rs
+++ b/lab/src/gateway/versions/fleet/callers.rs
@@ -77,7 +77,7 @@
         let now = self.now();
         let rate = (STREAMS_PER_BOX * self.case.boxes as f64).min(MOST_STREAMS);
         let pause = -self.rng.random_range(f64::EPSILON..1.0).ln() / rate;
-        if now < START.after(self.case.played() - NO_CALLERS_FOR) {
+        if now < START.after(self.case.played().saturating_sub(NO_CALLERS_FOR)) {
             self.mail
                 .post(Duration::from_secs_f64(pause), Mail::NewCaller);
         }
--- a/src/gateway/dispatch/event.rs
+++ b/src/gateway/dispatch/event.rs
@@ -201,11 +201,10 @@
     /// Whether the request has not been sent, since its endpoint turned out to be another process.
     #[must_use]
     pub fn is_unsent_by_check(&self) -> bool {
-        let cause = match self {
-            Self::NotRun(cause) => cause,
-            _ => return false,
-        };
-        matches!(cause, NotRunCause::Restarted(_) | NotRunCause::Replaced(_))
+        matches!(
+            self,
+            Self::NotRun(NotRunCause::Restarted(_) | NotRunCause::Replaced(_))
+        )
     }
 
     /// Whether the request may have run at the endpoint.
--- a/src/gateway/dispatch/identities.rs
+++ b/src/gateway/dispatch/identities.rs
@@ -18,7 +18,7 @@
 /// Delay in which identities are gathered for one message.
 const BATCH_DELAY: Duration = Duration::from_millis(5);
 /// Reports in one message: some 90 bytes each, below the length of a packet.
-const MAX_REPORTS: usize = 14;
+const MAX_IDENTITIES: usize = 14;
 
 impl Dispatcher {
     /// Schedules the publication of identities that this box has found.
@@ -45,7 +45,7 @@
         if to.is_empty() {
             return;
         }
-        for reports in reports.chunks(MAX_REPORTS) {
+        for reports in reports.chunks(MAX_IDENTITIES) {
             let update = IdentityUpdate {
                 from: self.cfg.me.clone(),
                 domain: self.cfg.domain.clone(),
--- a/src/gateway/dispatch/retries.rs
+++ b/src/gateway/dispatch/retries.rs
@@ -18,7 +18,7 @@
 use crate::schema::ServiceId;
 
 /// Time after which a request asks the budget again.
-const ASK_AGAIN_AFTER: Duration = Duration::from_millis(50);
+const BUDGET_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// What became of a retry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -74,7 +74,7 @@
             self.give_up_without_attempt(number);
             return;
         }
-        request.retry_at = Some(now.after(ASK_AGAIN_AFTER));
+        request.retry_at = Some(now.after(BUDGET_RETRY_INTERVAL));
         if is_first {
             self.record_retry(number, RetryResult::Delayed);
         }
--- a/tests/datagram.rs
+++ b/tests/datagram.rs
@@ -8,16 +8,16 @@
 
 use magpiemoor::gateway::dispatch::event::Event;
 use magpiemoor::gateway::shell::datagram::{
-    read, with_holder, write_departures, write_limits, write_load, write_slots, write_speeds,
-    write_state, write_streams, write_usage, write_usage_counts,
+    read, with_holder, write_departures, write_identities, write_limits, write_load, write_slots,
+    write_speeds, write_state, write_streams, write_usage, write_usage_counts,
 };
 use magpiemoor::schema::{
     AnswerTime, BoxState, CrashReport, CrashUpdate, DatagramSection, DepartureUpdate, DutyHolder,
-    EndpointUsage, EngineLoad, EngineLoadReport, EngineSpeed, Fingerprint, Incarnation,
-    LimitReport, LimitUpdate, OrganisationCount, PermitGrant, PermitRequest, RelayReply,
-    RelayRequest, RequestAge, RunningBox, ServiceTotals, SlotReturn, SlotReturnReason, SlotUpdate,
-    SpeedUpdate, StreamKey, StreamQuery, StreamRecord, StreamUpdate, UsageCountUpdate, UsageUpdate,
-    WindowCounts,
+    EndpointUsage, EngineLoad, EngineLoadReport, EngineSpeed, Fingerprint, IdentityReport,
+    IdentityUpdate, Incarnation, LimitReport, LimitUpdate, OrganisationCount, PermitGrant,
+    PermitRequest, RelayReply, RelayRequest, RequestAge, RunningBox, ServiceTotals, SlotReturn,
+    SlotReturnReason, SlotUpdate, SpeedUpdate, StreamKey, StreamQuery, StreamRecord, StreamUpdate,
+    UsageCountUpdate, UsageUpdate, WindowCounts,
 };
 
 fn production(file: &str) -> Vec<u8> {
@@ -305,6 +305,29 @@
     assert_eq!(as_production, *empty);
 }
 
+/// The version in production decodes the empty message and ignores the identities that follow it.
+#[test]
+fn identities_follow_an_empty_message() {
+    let update = IdentityUpdate {
+        from: "box-1".parse().unwrap(),
+        domain: "north".parse().unwrap(),
+        reports: vec![IdentityReport {
+            endpoint: "engine-1@1700000000000".parse().unwrap(),
+            instance: "engine-9".parse().unwrap(),
+            is_engine: true,
+            age_ms: 12,
+        }],
+    };
+    let bytes = write_identities(&update).unwrap();
+    let events = read(&bytes).unwrap();
+    let [Event::PeerUsage(empty), Event::PeerIdentities(read)] = &events[..] else {
+        panic!("{events:?}");
+    };
+    assert_eq!(*read, update);
+    let as_production: UsageUpdate = postcard::from_bytes(&bytes[1..]).unwrap();
+    assert_eq!(as_production, *empty);
+}
+
 /// The version in production decodes the empty message and ignores the load report that follows it.
 #[test]
 fn load_reports_follow_an_empty_message() {
