--- a/lab/src/gateway/versions/fleet/callers.rs
+++ b/lab/src/gateway/versions/fleet/callers.rs
@@ -213,10 +213,7 @@
                 | RefusalReason::VersionLost
                 | RefusalReason::Quarantined
         );
-        // While the store is out no box can know which engines are of the version of a stream.
-        let is_unknowable =
-            self.callers[caller.0].began.is_some() && !self.is_store_reached(box_at);
-        if !is_about_version && !is_unknowable && self.has_engine_for(box_at, caller) {
+        if !is_about_version && self.has_engine_for(box_at, caller) {
             self.counts.given_up += 1;
             tell(
                 &mut self.counts.given_up_stories,
