Sight: the log tells what each request waits for when a stop begins

A record `held` for each request in hand at the signal says what it waits for, how many are before it, the estimated wait and run, and the time that is left. No decision changes.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -87,6 +87,7 @@
 mod rollout_samples;
 mod rollouts;
 mod speed_reports;
+pub mod stopping;
 pub mod stream_versions;
 mod suspicion;
 
--- a/src/gateway/dispatch/admission/waiting.rs
+++ b/src/gateway/dispatch/admission/waiting.rs
@@ -72,6 +72,12 @@
         waits.is_some_and(|waits| !waits.queue.is_empty())
     }
 
+    /// Whether a request of a service waits.
+    pub fn is_waiting(&self, service: &ServiceId, number: RequestNumber) -> bool {
+        let waits = self.services.get(service);
+        waits.is_some_and(|waits| waits.queue.get(number).is_some())
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.services.values().all(|waits| waits.queue.is_empty())
     }
@@ -185,7 +191,11 @@
     }
 
     /// How many requests start before a waiting one.
-    fn place_of(&self, service: &ServiceId, number: RequestNumber) -> Option<usize> {
+    pub(in crate::gateway::dispatch) fn place_of(
+        &self,
+        service: &ServiceId,
+        number: RequestNumber,
+    ) -> Option<usize> {
         let order = self.room_waits.services.get(service)?.queue.order(self.now);
         order.iter().position(|other| *other == number)
     }
@@ -230,7 +240,11 @@
     }
 
     /// The estimated wait of a request that has `before` others before it.
-    pub(super) fn expected_wait(&self, service: &ServiceId, before: usize) -> Option<Duration> {
+    pub(in crate::gateway::dispatch) fn expected_wait(
+        &self,
+        service: &ServiceId,
+        before: usize,
+    ) -> Option<Duration> {
         let (boxes, _) = self.known_boxes();
         let waits = self.room_waits.services.get(service)?;
         waits.rate.wait(before, boxes, self.now)
--- a/src/gateway/dispatch/handle.rs
+++ b/src/gateway/dispatch/handle.rs
@@ -20,7 +20,7 @@
             | Event::Progress { .. }
             | Event::Ended { .. } => self.handle_attempt_event(event),
             Event::Tick => self.on_tick(),
-            Event::Stop { grace } => self.stop_deadline = Some(self.now.after(grace)),
+            Event::Stop { grace } => self.on_stop(grace),
             Event::Table(_)
             | Event::EndpointsListed { .. }
             | Event::EndpointsChanged { .. }
--- a/src/gateway/dispatch/record.rs
+++ b/src/gateway/dispatch/record.rs
@@ -232,6 +232,26 @@
         /// Milliseconds since anything of the attempt was received.
         silent_ms: u64,
     },
+    /// A request that this box held when its stop began.
+    Held {
+        /// The caller's request id.
+        request: String,
+        /// What it waited for: `room`, `placement`, `retry`, `version`, `prompt`, `attempt` or
+        /// `stream`.
+        holder: Cow<'static, str>,
+        /// Milliseconds since the arrival of the request.
+        after_ms: u64,
+        /// Requests of this box that start before it, if it waits for room.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        place: Option<usize>,
+        /// The estimated wait for room, if it waits for that and enough was observed.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        wait_ms: Option<u64>,
+        /// The time that a stream is expected to take.
+        run_ms: u64,
+        /// Milliseconds until this box exits at the latest.
+        grace_ms: u64,
+    },
     /// A request was given up.
     Refused {
         /// The caller's request id.
@@ -432,6 +452,7 @@
             | Self::Copied { request, .. }
             | Self::Suspected { request, .. }
             | Self::Crashed { request, .. }
+            | Self::Held { request, .. }
             | Self::Refused { request, .. }
             | Self::Answered { request, .. }
             | Self::CallerGone { request, .. } => Some(request),
--- a/src/gateway/dispatch/record/sentence.rs
+++ b/src/gateway/dispatch/record/sentence.rs
@@ -14,6 +14,7 @@
             | Self::Answered { .. }
             | Self::CallerGone { .. }
             | Self::Refused { .. } => self.request_sentence(),
+            Self::Held { .. } => self.held_sentence(),
             Self::StreamVersion { .. } => self.version_sentence(),
             Self::Sent { .. }
             | Self::Retry { .. }
@@ -195,6 +196,29 @@
         }
     }
 
+    fn held_sentence(&self) -> String {
+        let Self::Held {
+            holder,
+            after_ms,
+            place,
+            wait_ms,
+            run_ms,
+            grace_ms,
+            ..
+        } = self
+        else {
+            return String::new();
+        };
+        let place = place.map_or(String::new(), |place| {
+            format!(", requests before it: {place}")
+        });
+        let wait = wait_ms.map_or(String::new(), |ms| format!(", estimated wait {ms} ms"));
+        format!(
+            "held for {holder} at the stop, {after_ms} ms after the arrival{place}{wait}; \
+             expected run {run_ms} ms, {grace_ms} ms left"
+        )
+    }
+
     fn attempt_sentence(&self) -> String {
         match self {
             Self::Sent { .. } => self.sent_sentence(),
--- a/src/gateway/dispatch/stream_versions.rs
+++ b/src/gateway/dispatch/stream_versions.rs
@@ -126,6 +126,11 @@
         self.doubtful_until = now.after(PAUSE_RECOVERY);
     }
 
+    /// Whether the version of the stream that a request continues is looked up.
+    pub fn is_looked_up(&self, number: RequestNumber) -> bool {
+        self.lookups.contains_key(&number)
+    }
+
     /// Applies a routing table: the longest time-out of its streams is how long versions matter.
     pub fn on_table(&mut self, table: &RoutingTable) {
         let streams = table.routes().filter(|route| route.kind.is_stream());
