Requests that a stopping box can't complete are handed back at once

Nothing judged streams that waited already, nor again while they waited; at the end the shell closed what was left. A request whose body was still on its way wasn't counted as in progress, so the box exited under it.

What can't be complete is refused as not run (stopping_not_run) with the time until a box can serve it, or ended without that promise (stopping). All that is left is handed back at the end. The shell waits for bodies, refuses those that don't come, and answers whatever is left at the exit, counted by unanswered_at_exit_total.

Why it works: every wait ends with the stop, because the stop's deadline is one of the dispatcher's timers and is checked before anything that a request waits for.

Two tests of admission and one of retry expected no_endpoint of a stopping box; it has a reason of its own now, and they ask for it: equally strict.

--- a/lab/src/gateway/streams.rs
+++ b/lab/src/gateway/streams.rs
@@ -37,6 +37,8 @@
     pub began: Option<String>,
     /// The events, each with the server that made it.
     pub events: Vec<(u64, String)>,
+    /// What the last attempt brought of an event that is not whole.
+    pub torn: String,
 }
 
 impl CallerStream {
@@ -48,6 +50,7 @@
             attempts: Vec::new(),
             began: None,
             events: Vec::new(),
+            torn: String::new(),
         }
     }
 
@@ -101,24 +104,24 @@
         if head.status() != 200 {
             return Ok(Ended::Refused(head.status()));
         }
-        let mut text = String::new();
+        self.torn.clear();
         let mut read = 0;
         while leave_after.is_none_or(|most| read < most) {
             let Some(chunk) = timely(wire.read_chunk()).await? else {
                 return Ok(Ended::Whole);
             };
-            text.push_str(&String::from_utf8_lossy(&chunk));
-            read += self.take_events(&mut text, &asked.id);
+            self.torn.push_str(&String::from_utf8_lossy(&chunk));
+            read += self.take_events(&asked.id);
         }
         Wire::reset(wire);
         Ok(Ended::Left)
     }
 
-    /// Moves the whole events of a text to the stream; returns their number.
-    fn take_events(&mut self, text: &mut String, attempt: &str) -> usize {
+    /// Moves the whole events that have come to the stream; returns their number.
+    fn take_events(&mut self, attempt: &str) -> usize {
         let mut taken = 0;
-        while let Some(end) = text.find("\n\n") {
-            let event: String = text.drain(..end + 2).collect();
+        while let Some(end) = self.torn.find("\n\n") {
+            let event: String = self.torn.drain(..end + 2).collect();
             let Some(event) = read_event(&event) else {
                 continue;
             };
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -92,6 +92,11 @@
         self.signal(Signal::SIGTERM);
     }
 
+    /// Tells it that its settings may have changed.
+    pub fn hang_up(&self) {
+        self.signal(Signal::SIGHUP);
+    }
+
     /// Freezes it.
     pub fn freeze(&self) {
         self.signal(Signal::SIGSTOP);
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -20,7 +20,8 @@
 //! | suspicion of endpoints | [`suspicion`], when they are probed: `probe_timing`; avoidance and return to use: `fleet::losses` |
 //! | effects of a table or an endpoint list that was read | `intake` |
 //! | quarantine of requests that crash their endpoints | [`quarantine`], confirmed in `crashes` |
-//! | duration of streams, for which a stop must leave time | [`stream_time`] |
+//! | duration of streams | [`stream_time`] |
+//! | requests at a box that stops | [`stopping`] |
 //! | effects of an endpoint restart under its id | [`endpoint_restart`], `fleet::incarnations` |
 //! | what endpoints ask of their callers | [`fleet::directives`] |
 //! | requests at endpoints that bear few rejections | [`slots`] |
@@ -123,6 +124,7 @@
 use rollout::Rollouts;
 use rollout::exposure::ExposureLimit;
 use slots::SlotLeases;
+use stopping::Stop;
 use store_watchers::StoreWatchers;
 use stream_time::StreamTime;
 use stream_versions::StreamVersions;
@@ -212,8 +214,12 @@
     pending_usage: PendingUsage,
     /// When identities of processes are published next, if there are any.
     next_identities: Option<Micros>,
-    stop_deadline: Option<Micros>,
+    /// The stop of this box, from its signal on.
+    stop: Option<Stop>,
+    /// Time from the arrival of a stream to its end.
     stream_time: StreamTime,
+    /// Time from the start to the end of a stream that needed one attempt.
+    run_time: StreamTime,
     rollouts: Rollouts,
     watches_rollouts: bool,
     next_rollout_report: Micros,
@@ -260,8 +266,9 @@
             next_gossip: now,
             pending_usage: PendingUsage::default(),
             next_identities: None,
-            stop_deadline: None,
+            stop: None,
             stream_time: StreamTime::default(),
+            run_time: StreamTime::default(),
             rollouts: Rollouts::new(cfg.exposure),
             watches_rollouts: false,
             next_rollout_report: now,
@@ -313,6 +320,7 @@
             self.relays.due(),
             self.slots.due(),
             self.next_identities,
+            self.next_stop_deadline(),
         ];
         let due = others.into_iter().flatten().fold(due, Micros::min);
         if self.active() == 0 && self.rollouts.is_at_rest() {
--- a/src/gateway/dispatch/admission.rs
+++ b/src/gateway/dispatch/admission.rs
@@ -2,14 +2,13 @@
 //!
 //! [`decide`] is the rule: a request needs a route of the current routing table and, where the
 //! route requires one, an API key that belongs to an organisation. A box that has no routing table
-//! or no endpoints yet queues requests for up to [`QUEUE_TIMEOUT`]. A box that is stopping refuses
-//! a stream that it does not expect to finish within its grace period; the expected duration comes
-//! from recent streams ([`super::stream_time`]). Streams that are admitted while no engine has room
-//! wait in another queue ([`waiting`]).
+//! or no endpoints yet queues requests for up to [`QUEUE_TIMEOUT`]. A box that is stopping hands a
+//! request back that it does not expect to finish in time ([`super::stopping`]). Streams that are
+//! admitted while no engine has room wait in another queue ([`waiting`]).
 //!
-//! State: the queued requests. Inputs: the current routing table, [`Fleet::is_known`] and the end
-//! of the grace period. Earlier, `shell/callers.rs` refuses requests that it cannot parse or has no
-//! memory for. Later, [`super::attempts`] selects the endpoint.
+//! State: the queued requests. Inputs: the current routing table and [`Fleet::is_known`]. Earlier,
+//! `shell/callers.rs` refuses requests that it cannot parse or has no memory for. Later,
+//! [`super::attempts`] selects the endpoint.
 //!
 //! Without the queue, boxes that had just started refused 1.6% of the requests of a large fleet;
 //! with it, 0.0%. Without the refusal of late streams, two streams were cut 6 s after SIGTERM.
@@ -68,9 +67,8 @@
     Refused(Refusal),
 }
 
-/// Admits or refuses a request by the current routing table. `ends_too_soon` means that this box is
-/// stopping and exits before a stream is expected to finish.
-fn decide(table: &RoutingTable, arrival: &Arrival, ends_too_soon: bool) -> Admission {
+/// Admits or refuses a request by the current routing table.
+fn decide(table: &RoutingTable, arrival: &Arrival) -> Admission {
     let refused = |reason| Admission::Refused(Refusal::new(reason));
     let route = match table.route(&arrival.host, &arrival.path) {
         Ok(route) => route,
@@ -80,9 +78,6 @@
         Ok(owner) => owner,
         Err(NoMatch::Route | NoMatch::Key) => return refused(RefusalReason::UnknownKey),
     };
-    if ends_too_soon && route.kind.is_stream() {
-        return Admission::Refused(Refusal::stopping());
-    }
     Admission::Admitted { route, key_owner }
 }
 
@@ -93,9 +88,7 @@
             self.queue_request(number, arrival);
             return;
         };
-        let grace_left = self.stop_deadline.map(|at| at.since(self.now));
-        let ends_too_soon = grace_left.is_some_and(|left| left < self.stream_time.expected());
-        match decide(&table, &arrival, ends_too_soon) {
+        match decide(&table, &arrival) {
             Admission::Admitted { route, key_owner } => {
                 self.admit(number, arrival, &table, route, key_owner);
             }
@@ -127,10 +120,11 @@
         }
     }
 
-    /// Refuses requests that have been queued for [`QUEUE_TIMEOUT`].
+    /// Refuses requests that have been queued for [`QUEUE_TIMEOUT`], and all once the time of a stop is
+    /// over.
     pub(super) fn refuse_queued(&mut self) {
-        let now = self.now;
-        let is_expired = |request: &mut QueuedRequest| now >= request.expires_at;
+        let (now, is_stop_over) = (self.now, self.is_stop_over());
+        let is_expired = |request: &mut QueuedRequest| is_stop_over || now >= request.expires_at;
         let expired: Vec<QueuedRequest> = self.queued.extract_if(.., is_expired).collect();
         for request in expired {
             let refusal = Refusal::new(RefusalReason::NoConfiguration);
@@ -176,7 +170,10 @@
             tier: request.tier.map(Tier::rank),
         });
         self.requests.insert(number, request);
-        if !self.give_up_quarantined(number) && self.find_version(number) {
+        if self.give_up_quarantined(number) || self.hand_back_if_late(number) {
+            return;
+        }
+        if self.find_version(number) {
             self.place_admitted(number);
         }
     }
--- a/src/gateway/dispatch/admission/search.rs
+++ b/src/gateway/dispatch/admission/search.rs
@@ -221,7 +221,7 @@
             Choice::NoRoom => self.start_before_late(service, first),
         }
         self.search_engines_with_room(service, order.len());
-        self.refuse_late(service);
+        self.refuse_hopeless(service);
     }
 
     /// Ends the wait for room of a request that no endpoint can take, and of those that may use no
@@ -258,16 +258,20 @@
     }
 
     /// Refuses late requests that can't be expected to start, because those in time start before them.
-    fn refuse_late(&mut self, service: &ServiceId) {
-        let now = self.now;
+    /// While this box stops, those in time are judged too.
+    pub(in crate::gateway::dispatch) fn refuse_hopeless(&mut self, service: &ServiceId) {
+        let (now, is_stopping) = (self.now, self.is_stopping());
         let Some(waits) = self.room_waits.services.get(service) else {
             return;
         };
-        let is_late = |number| waits.queue.get(number).is_some_and(|w| w.is_late(now));
+        let is_judged = |number| {
+            let waiting = waits.queue.get(number);
+            is_stopping || waiting.is_some_and(|w| w.is_late(now))
+        };
         let order = waits.queue.order(now).into_iter().enumerate();
-        let late: Vec<_> = order.filter(|(_, number)| is_late(*number)).collect();
+        let judged: Vec<_> = order.filter(|(_, number)| is_judged(*number)).collect();
         let mut ended = 0;
-        for (place, number) in late {
+        for (place, number) in judged {
             if self.is_hopeless(service, number, place - ended) {
                 self.refuse_for_room(number, place - ended);
                 ended += 1;
--- a/src/gateway/dispatch/admission/waiting.rs
+++ b/src/gateway/dispatch/admission/waiting.rs
@@ -33,9 +33,6 @@
 
 /// Interval at which all engines are searched for room while requests wait.
 pub(super) const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
-/// The latest start in time leaves this part of the latency objective for other prompts that are
-/// prefilled at the same time.
-const START_MARGIN_DIVISOR: u32 = 8;
 /// Time for a token of output at an engine under load, in microseconds.
 const OUTPUT_TOKEN_MICROS: u64 = 5_000;
 /// A stream is assumed to need at most this part of its caller's time: callers may state a much
@@ -72,6 +69,11 @@
         waits.is_some_and(|waits| !waits.queue.is_empty())
     }
 
+    /// Services for which requests waited since the start of this box.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceId> {
+        self.services.keys()
+    }
+
     /// Whether a request of a service waits.
     pub fn is_waiting(&self, service: &ServiceId, number: RequestNumber) -> bool {
         let waits = self.services.get(service);
@@ -185,7 +187,7 @@
             place,
         });
         self.refuse_excess(&service);
-        if room.is_none() {
+        if room.is_none() || self.is_stopping() {
             self.refuse_if_hopeless(&service, number);
         }
     }
@@ -221,7 +223,7 @@
     }
 
     /// Whether a waiting request with `place` others before it is expected to start too late to be
-    /// complete before its deadline.
+    /// complete before its deadline, or before this box exits.
     pub(super) fn is_hopeless(
         &self,
         service: &ServiceId,
@@ -232,11 +234,22 @@
         let Some(waiting) = waits.and_then(|w| w.queue.get(number)) else {
             return false;
         };
+        let Some(request) = self.requests.get(&number) else {
+            return false;
+        };
         let left = waiting.latest_start.since(self.now);
         let wait = self.expected_wait(service, place);
-        let request = self.requests.get(&number);
-        let may_be_refused = request.is_some_and(|r| !r.is_partly_delivered());
-        left.is_zero() || may_be_refused && wait.is_some_and(|wait| wait > left)
+        let may_be_refused = !request.is_partly_delivered();
+        left.is_zero()
+            || may_be_refused && wait.is_some_and(|wait| wait > left)
+            || self.misses_stop(request, wait)
+    }
+
+    /// Whether a request is expected to start too late to be complete before this box exits.
+    fn misses_stop(&self, request: &Request, wait: Option<Duration>) -> bool {
+        let latest = self.latest_start_at_stop(request);
+        let starts = self.now.after(wait.unwrap_or_default());
+        latest.is_some_and(|latest| starts > latest)
     }
 
     /// The estimated wait of a request that has `before` others before it.
@@ -257,15 +270,21 @@
             return;
         };
         let last_resort = self.choose_with_room(request, request.memory(), self.runs_alone(number));
-        if let Some(id) = last_resort.map(|e| e.spec.id.clone()) {
+        if let Some(id) = last_resort.map(|e| e.spec.id.clone())
+            && !self.misses_stop(request, None)
+        {
             self.start_attempt(number, &id, None);
             return;
         }
+        let wait = self.expected_wait(&request.service, place);
+        if self.misses_stop(request, wait) {
+            self.hand_back(number);
+            return;
+        }
         if request.is_partly_delivered() {
             self.start_without_room(number);
             return;
         }
-        let wait = self.expected_wait(&request.service, place);
         let longest = request.time_left(self.now) / MAX_RETRY_DIVISOR;
         let retry_after = wait.unwrap_or_default().min(longest).max(MIN_RETRY_AFTER);
         self.refuse(number, Refusal::no_capacity(retry_after));
@@ -313,7 +332,7 @@
     let output = Duration::from_micros(u64::from(request.arrival.output.0) * OUTPUT_TOKEN_MICROS);
     let objective = request.route.objective;
     let run = (prefill + output).min(request.deadline.since(request.arrived) / MAX_RUN_DIVISOR);
-    let first_event = prefill + objective / START_MARGIN_DIVISOR;
+    let first_event = request.first_event_time();
     let latest_in_time = if request.is_partly_delivered() {
         Micros::ZERO
     } else {
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -80,6 +80,9 @@
             self.give_up_without_attempt(number);
             return;
         }
+        if self.hand_back_if_late(number) {
+            return;
+        }
         self.draw_canary(number);
         self.assign_relay(number);
         self.request_missing_permit(number);
@@ -348,6 +351,7 @@
         if let Some(host) = host.and_then(|host| self.fleet.get_incarnation_mut(host)) {
             host.own.memory += active.memory;
         }
+        request.first_sent.get_or_insert(self.now);
         request.attempts += 1;
         request.tried.push(active.endpoint.clone());
         request.next_placement = None;
--- a/src/gateway/dispatch/duties.rs
+++ b/src/gateway/dispatch/duties.rs
@@ -64,7 +64,7 @@
             day,
         };
         self.duty_clock.read = now;
-        let is_stopping = self.stop_deadline.is_some();
+        let is_stopping = self.stop.is_some();
         if self.now >= self.duty_clock.next_publish || is_stopping {
             self.duty_clock.next_publish = self.now.after(USAGE_PUBLISH_INTERVAL);
             let update = duty.update(now);
@@ -83,7 +83,7 @@
 
     /// Emits the actions that the duty requires now.
     fn do_duty(&mut self) {
-        let may_hold = self.watches_rollouts && self.stop_deadline.is_none();
+        let may_hold = self.watches_rollouts && !self.is_stopping();
         let others = self.peers.roster().other_domains();
         let now = self.duty_clock.now(self.now);
         let (Some(duty), Some(now)) = (self.duty.as_mut(), now) else {
--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -177,7 +177,7 @@
             domain: self.cfg.domain.clone(),
             address: self.cfg.address.to_string(),
             table_version: self.table_version().0,
-            stopping: self.stop_deadline.is_some(),
+            stopping: self.is_stopping(),
             usage,
             domain_usage,
             totals,
--- a/src/gateway/dispatch/outcomes.rs
+++ b/src/gateway/dispatch/outcomes.rs
@@ -319,6 +319,9 @@
             if is_complete_stream {
                 self.stream_time
                     .on_answered(self.now.since(request.arrived));
+                if let Some(started) = request.first_sent.filter(|_| request.attempts == 1) {
+                    self.run_time.on_answered(self.now.since(started));
+                }
             }
             self.record(Record::Answered {
                 request: request.arrival.id.clone(),
--- a/src/gateway/dispatch/peers.rs
+++ b/src/gateway/dispatch/peers.rs
@@ -61,6 +61,8 @@
     heartbeat: u64,
     table_version: u64,
     endpoints_at: u64,
+    /// When this box heard that the peer stops, if it does.
+    stops_since: Option<Micros>,
 }
 
 /// A box known only from reports of peers.
@@ -135,6 +137,7 @@
             return StateArrival::Ignored;
         }
         let known = self.boxes.get(&state.from).map(|p| p.incarnation);
+        let stops_since = self.boxes.get(&state.from).and_then(|p| p.stops_since);
         let incarnation = state.incarnation.0;
         if known.is_some_and(|known| known > incarnation) {
             return StateArrival::Ignored;
@@ -147,6 +150,7 @@
             heartbeat: state.beat,
             table_version: state.table_version,
             endpoints_at: state.endpoints_at,
+            stops_since: state.stopping.then(|| stops_since.unwrap_or(now)),
         };
         self.boxes.insert(state.from.clone(), peer);
         if state.domain == self.domain {
@@ -234,6 +238,28 @@
         peers.filter(move |p| now.since(p.last_seen) < PEER_ACTIVE_FOR)
     }
 
+    /// Whether another box of the own failure domain runs and has not said that it stops.
+    #[must_use]
+    pub fn has_open_neighbour(&self, now: Micros) -> bool {
+        let stopping = self.boxes.values().filter(|p| p.stops_since.is_some());
+        let stopping: BTreeSet<SocketAddr> = stopping.map(|p| p.address).collect();
+        let mut running = self.roster.running(now);
+        running.any(|address| address != self.address && !stopping.contains(&address))
+    }
+
+    /// Whether a box of another failure domain sent a message lately and has not said that it stops.
+    #[must_use]
+    pub fn has_open_box_elsewhere(&self, now: Micros) -> bool {
+        let mut others = self.recently_seen(now).filter(|p| p.domain != self.domain);
+        others.any(|p| p.stops_since.is_none())
+    }
+
+    /// When this box heard of the first of the stops that it knows of.
+    #[must_use]
+    pub fn first_stop(&self) -> Option<Micros> {
+        self.boxes.values().filter_map(|p| p.stops_since).min()
+    }
+
     /// Boxes that can relay attempts: those that sent a message lately.
     #[must_use]
     pub fn relay_candidates(&self, now: Micros) -> Vec<Relay> {
--- a/src/gateway/dispatch/readiness.rs
+++ b/src/gateway/dispatch/readiness.rs
@@ -17,7 +17,7 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let is_configured = self.table.is_some() && self.fleet.is_known();
-        is_configured && self.stop_deadline.is_none() && !self.is_cut_off
+        is_configured && !self.is_stopping() && !self.is_cut_off
     }
 
     /// Updates whether this box is cut off, and records a change.
--- a/src/gateway/dispatch/record.rs
+++ b/src/gateway/dispatch/record.rs
@@ -232,7 +232,7 @@
         /// Milliseconds since anything of the attempt was received.
         silent_ms: u64,
     },
-    /// A request that this box held when its stop began.
+    /// A request that a stopping box keeps when its stop begins, or hands back then or later.
     Held {
         /// The caller's request id.
         request: String,
--- a/src/gateway/dispatch/record/sentence.rs
+++ b/src/gateway/dispatch/record/sentence.rs
@@ -214,7 +214,7 @@
         });
         let wait = wait_ms.map_or(String::new(), |ms| format!(", estimated wait {ms} ms"));
         format!(
-            "held for {holder} at the stop, {after_ms} ms after the arrival{place}{wait}; \
+            "waits for {holder} at a stopping box, {after_ms} ms after the arrival{place}{wait}; \
              expected run {run_ms} ms, {grace_ms} ms left"
         )
     }
--- a/src/gateway/dispatch/refusal.rs
+++ b/src/gateway/dispatch/refusal.rs
@@ -5,15 +5,17 @@
 //! known, because a caller that waits for nothing retries late. Requests are refused by
 //! [`super::admission`] on arrival or if no engine has room for them in time, by
 //! [`super::attempts`] if no endpoint is usable, by
-//! [`super::retry`] after an attempt and by [`super::suspicion`] at the deadline; the reason and the
-//! delay are defined here, and the request is removed here.
+//! [`super::retry`] after an attempt, by [`super::suspicion`] at the deadline and by
+//! [`super::stopping`] at a stop; the reason and the delay are defined here, and the request is
+//! removed here.
 //!
 //! The platform adapter translates a reason to a status (`platform/src/dialect.rs`): 503 for
 //! [`RefusalReason::NoConfiguration`], [`RefusalReason::NoEndpoint`],
 //! [`RefusalReason::NoCapacity`], [`RefusalReason::ExpiredNotRun`],
-//! [`RefusalReason::UnknownVersion`] and [`RefusalReason::VersionGone`], 404 for [`RefusalReason::NoRoute`], 401 for
+//! [`RefusalReason::UnknownVersion`], [`RefusalReason::VersionGone`] and
+//! [`RefusalReason::StoppingNotRun`], 404 for [`RefusalReason::NoRoute`], 401 for
 //! [`RefusalReason::UnknownKey`], 504 for [`RefusalReason::Expired`], and 502 for
-//! [`RefusalReason::EndpointFailed`], [`RefusalReason::VersionLost`] and
+//! [`RefusalReason::EndpointFailed`], [`RefusalReason::VersionLost`], [`RefusalReason::Stopping`] and
 //! [`RefusalReason::Quarantined`]. The last one says nothing about whether the request has run, and carries no retry delay.
 
 use std::time::Duration;
@@ -34,8 +36,8 @@
 const RETRY_UNCONFIGURED: Duration = Duration::from_millis(300);
 /// Retry delay if no endpoint could take the request: other requests end in the meantime.
 const RETRY_NO_ENDPOINT: Duration = Duration::from_millis(300);
-/// Retry delay if a stopping box refused a stream: the load balancer sends the retry to another box,
-/// which can serve it at once. The replacement of the stopping box starts up to 8 s later, beyond
+/// Retry delay if a stopping box hands a request back: the load balancer sends the retry to another
+/// box, which can serve it at once. The replacement of the stopping box starts up to 8 s later, beyond
 /// the users' latency objective (4.5 s).
 const RETRY_ELSEWHERE: Duration = Duration::from_millis(100);
 /// Retry delay if no box knows the version that began a stream: boxes that were cut off or have just
@@ -74,6 +76,10 @@
     VersionGone,
     /// No engine of the software version that began the stream is left; the request may have run.
     VersionLost,
+    /// This box is stopping and can't complete the request; it has not run.
+    StoppingNotRun,
+    /// This box is stopping and can't complete the request; it may have run.
+    Stopping,
 }
 
 impl RefusalReason {
@@ -93,6 +99,8 @@
             Self::UnknownVersion => "unknown_version",
             Self::VersionGone => "version_gone",
             Self::VersionLost => "version_lost",
+            Self::StoppingNotRun => "stopping_not_run",
+            Self::Stopping => "stopping",
         }
     }
 
@@ -105,6 +113,15 @@
         }
     }
 
+    /// Returns the reason for a request that a stopping box hands back.
+    #[must_use]
+    pub fn when_stopping(has_run: HasRun) -> Self {
+        match has_run {
+            HasRun::Never => Self::StoppingNotRun,
+            HasRun::Maybe => Self::Stopping,
+        }
+    }
+
     /// Returns the reason for a stream of whose version no engine is left.
     #[must_use]
     pub fn without_version(has_run: HasRun) -> Self {
@@ -152,10 +169,12 @@
             | RefusalReason::NoCapacity
             | RefusalReason::ExpiredNotRun => Some(RETRY_NO_ENDPOINT),
             RefusalReason::UnknownVersion => Some(RETRY_UNKNOWN_VERSION),
+            RefusalReason::StoppingNotRun => Some(RETRY_ELSEWHERE),
             RefusalReason::NoRoute
             | RefusalReason::UnknownKey
             | RefusalReason::VersionGone
             | RefusalReason::VersionLost
+            | RefusalReason::Stopping
             | RefusalReason::Expired
             | RefusalReason::EndpointFailed
             | RefusalReason::Quarantined => None,
@@ -166,16 +185,6 @@
         }
     }
 
-    /// Creates the refusal of a stream that a stopping box could not finish; other boxes can serve it
-    /// now.
-    #[must_use]
-    pub fn stopping() -> Self {
-        Self {
-            reason: RefusalReason::NoEndpoint,
-            retry_after: Some(RETRY_ELSEWHERE),
-        }
-    }
-
     /// Creates the refusal of a request for which no engine has room; `retry_after` is the estimated
     /// time until one has.
     #[must_use]
--- a/src/gateway/dispatch/relays.rs
+++ b/src/gateway/dispatch/relays.rs
@@ -113,7 +113,7 @@
     ///
     /// Fails with the reply to that box.
     pub fn admit_relay(&self, endpoint: &EndpointId) -> Result<SocketAddr, RelayReply> {
-        if self.stop_deadline.is_some() {
+        if self.is_stopping() {
             return Err(RelayReply::Stopping);
         }
         let listed = self.fleet.get(endpoint).filter(|e| e.listed);
--- a/src/gateway/dispatch/request.rs
+++ b/src/gateway/dispatch/request.rs
@@ -12,6 +12,7 @@
 use super::action::Target;
 use super::event::{Arrival, AttemptNumber, Fault, Tokens};
 use super::fleet::speeds::AttemptWatch;
+use super::fleet::usage::PREFILL_TOKENS_PER_MS;
 use super::placement::{Demand, Trust};
 use super::priority::Tier;
 use super::refusal::HasRun;
@@ -26,6 +27,10 @@
     DomainId, EndpointId, EndpointIncarnation, Fingerprint, Micros, ServiceId, VersionId,
 };
 
+/// The time until the first event leaves this part of the latency objective for other prompts that are
+/// prefilled at the same time.
+const START_MARGIN_DIVISOR: u32 = 8;
+
 /// The lease of a slot with which an attempt was sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum AttemptLease {
@@ -115,6 +120,8 @@
     /// Latest time of the final answer.
     pub deadline: Micros,
     pub active: Option<ActiveAttempt>,
+    /// When the first attempt started.
+    pub first_sent: Option<Micros>,
     /// Attempts started so far.
     pub attempts: u32,
     /// Those of them that ended with a check before the request was sent.
@@ -185,6 +192,7 @@
             key_owner,
             tier: None,
             active: None,
+            first_sent: None,
             attempts: 0,
             checked_attempts: 0,
             is_canary: None,
@@ -264,6 +272,13 @@
         self.has_begun || self.last_event.is_some()
     }
 
+    /// The time that a run takes until its first event.
+    pub fn first_event_time(&self) -> Duration {
+        let prompt = f64::from(self.arrival.prompt.0);
+        let prefill = Duration::from_secs_f64(prompt / PREFILL_TOKENS_PER_MS / 1_000.0);
+        prefill + self.route.objective / START_MARGIN_DIVISOR
+    }
+
     /// The properties of this request that its placement depends on.
     pub fn demand<'a>(&'a self, rules: VersionRules<'a>, alone: bool) -> Demand<'a> {
         Demand {
--- a/src/gateway/dispatch/stream_time.rs
+++ b/src/gateway/dispatch/stream_time.rs
@@ -1,5 +1,5 @@
-//! Estimates the duration of a stream from recent ones. A box that is stopping refuses streams that
-//! would not finish within its grace period.
+//! Estimates the duration of a stream from recent ones. A box that is stopping hands streams back that
+//! would not finish within its grace period ([`super::stopping`]).
 
 use std::time::Duration;
 
--- a/src/gateway/dispatch/suspicion.rs
+++ b/src/gateway/dispatch/suspicion.rs
@@ -16,13 +16,14 @@
 //! Each tick makes these checks of a request and acts on the first that holds:
 //!
 //! 1. Its deadline has passed: it fails.
-//! 2. It waits for an endpoint and the interval is over: it selects one again.
-//! 3. It waits for the consequences of a crash ([`super::crashes`]) and the wait is over: it goes on.
-//! 4. It is a slow call, or its engine has restarted and its attempt got nothing since
+//! 2. This box stops and can't complete it ([`super::stopping`]): it is handed back.
+//! 3. It waits for an endpoint and the interval is over: it selects one again.
+//! 4. It waits for the consequences of a crash ([`super::crashes`]) and the wait is over: it goes on.
+//! 5. It is a slow call, or its engine has restarted and its attempt got nothing since
 //!    ([`super::endpoint_restart`]): it moves.
-//! 5. It must leave its version: it moves to another one.
-//! 6. Its engine is unresponsive: the engine is probed.
-//! 7. Its replicas are due ([`super::replicas`]).
+//! 6. It must leave its version: it moves to another one.
+//! 7. Its engine is unresponsive: the engine is probed.
+//! 8. Its replicas are due ([`super::replicas`]).
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -72,12 +73,17 @@
 
     fn check_request(&mut self, number: RequestNumber) {
         let now = self.now;
+        let is_expired = |request: &Request| now >= request.deadline;
+        if self.requests.get(&number).is_some_and(is_expired) {
+            return self.give_up_expired(number);
+        }
+        if self.must_hand_back(number) {
+            return self.hand_back(number);
+        }
         let Some(request) = self.requests.get_mut(&number) else {
             return;
         };
-        if now >= request.deadline {
-            self.give_up_expired(number);
-        } else if is_due(request.next_placement, now) {
+        if is_due(request.next_placement, now) {
             request.next_placement = None;
             self.start_attempt_anywhere(number);
         } else if is_due(request.retry_at, now) {
--- a/src/gateway/explain.rs
+++ b/src/gateway/explain.rs
@@ -80,6 +80,10 @@
     UnknownVersion,
     /// No engine of the software version that began its stream was left.
     VersionGone,
+    /// The box stopped before it could run the request.
+    StoppingNotRun,
+    /// The box stopped before the answer was complete.
+    Stopping,
     /// The log has no end of the request: the box was killed, lost power or still serves it.
     NoEnd,
 }
@@ -121,6 +125,10 @@
             Self::VersionGone => {
                 "No engine of the software version that began its stream was left."
             }
+            Self::StoppingNotRun => {
+                "Its box stopped and could not complete it in time; it has not run."
+            }
+            Self::Stopping => "Its box stopped before its answer was complete.",
             Self::NoEnd => {
                 "The log has no end of the request: its box was killed, lost power or still serves it."
             }
@@ -213,6 +221,8 @@
         (RefusalReason::Quarantined, _) => Cause::Quarantined,
         (RefusalReason::UnknownVersion, _) => Cause::UnknownVersion,
         (RefusalReason::VersionGone | RefusalReason::VersionLost, _) => Cause::VersionGone,
+        (RefusalReason::StoppingNotRun, _) => Cause::StoppingNotRun,
+        (RefusalReason::Stopping, _) => Cause::Stopping,
         (RefusalReason::EndpointFailed, Some(Fault::Silent)) => Cause::EndpointUnresponsive,
         (RefusalReason::EndpointFailed, Some(Fault::Malformed | Fault::Foreign)) => {
             Cause::AnswerMalformed
--- a/src/gateway/shell/callers.rs
+++ b/src/gateway/shell/callers.rs
@@ -1,14 +1,16 @@
 //! HTTP handler for callers' requests: reads each request completely and starts an exchange for it.
 //!
 //! Invalid requests are rejected here with the reason in the body (400, 408, 413). A request whose
-//! body does not fit into the memory limit is refused as not run. All other decisions are made by
-//! [`crate::gateway::dispatch`].
+//! body does not fit into the memory limit, or is still on its way when the time of a stop is over, is
+//! refused as not run. All other decisions are made by [`crate::gateway::dispatch`].
 
 use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Instant;
 
+use bytes::Bytes;
 use gotham::anyhow;
 use gotham::handler::{Handler, HandlerFuture, NewHandler};
 use gotham::helpers::http::Body;
@@ -65,6 +67,7 @@
 }
 
 async fn serve(state: &mut State, shared: &GatewayShared) -> Response<Body> {
+    let _open = shared.open_request();
     let head = head_of(state);
     let mut arrival = match shared.dialect.read_request(&head) {
         Ok(arrival) => arrival,
@@ -76,11 +79,45 @@
     let Some(_reservation) = shared.reserve_body_memory(&head.headers, max_bytes) else {
         return shared.refuse_for_memory(&arrival.id);
     };
-    let body = match http::read_body(Body::take_from(state), max_bytes).await {
+    let reading = http::read_body(Body::take_from(state), max_bytes);
+    let body = match read_until_stop(reading, max_bytes, &arrival.id, shared).await {
         Ok(body) => body,
-        Err(e) => return reject_body(&e, max_bytes),
+        Err(rejection) => return rejection,
     };
     arrival.content = fingerprint(&arrival, &head, &body);
+    let id = arrival.id.clone();
+    let replied = start_exchange(arrival, head, body, shared).await;
+    tokio::select! {
+        biased;
+        reply = replied => reply
+            .unwrap_or_else(|_| reject(StatusCode::BAD_GATEWAY, "the exchange ended; try again")),
+        () = shared.until_exiting() => shared.answer_at_exit(&id),
+    }
+}
+
+/// Reads a body, as long as a stop leaves time for it.
+async fn read_until_stop(
+    reading: impl Future<Output = Result<Bytes, BodyError>>,
+    max_bytes: usize,
+    id: &str,
+    shared: &GatewayShared,
+) -> Result<Bytes, Response<Body>> {
+    let started = Instant::now();
+    tokio::select! {
+        biased;
+        read = reading => read.map_err(|e| reject_body(&e, max_bytes)),
+        () = shared.until_reading_ends() => Err(shared.refuse_unread(id, started)),
+    }
+}
+
+/// Hands a request to the dispatcher and starts the task that carries out its decisions. Returns the
+/// channel of the answer.
+async fn start_exchange(
+    arrival: Arrival,
+    head: request::Parts,
+    body: Bytes,
+    shared: &GatewayShared,
+) -> oneshot::Receiver<Response<Body>> {
     let number = RequestNumber(NEXT_REQUEST.fetch_add(1, Ordering::Relaxed));
     let (commands, received) = mpsc::unbounded_channel();
     let (reply, replied) = oneshot::channel();
@@ -105,8 +142,6 @@
     shared.send(input).await;
     tokio::spawn(exchange.run());
     replied
-        .await
-        .unwrap_or_else(|_| reject(StatusCode::BAD_GATEWAY, "the exchange ended; try again"))
 }
 
 fn head_of(state: &mut State) -> request::Parts {
--- a/src/gateway/shell/metrics.rs
+++ b/src/gateway/shell/metrics.rs
@@ -73,6 +73,8 @@
     pub active: IntGauge,
     /// Number of refused requests.
     pub refused: IntCounter,
+    /// Number of requests that had no answer when the process exited.
+    pub unanswered: IntCounter,
     /// Time from the receipt of a whole request to the first event of its stream, in seconds.
     pub first_event_seconds: Histogram,
     /// Time between two deliveries of events of a stream, in seconds.
@@ -104,6 +106,10 @@
         Self {
             active: set.gauge("requests_active", "Requests that are served"),
             refused: set.counter("refused_total", "Requests that no endpoint answered"),
+            unanswered: set.counter(
+                "unanswered_at_exit_total",
+                "Requests that had no answer when the process exited",
+            ),
             first_event_seconds: times(
                 "first_event_seconds",
                 "Seconds until a stream's first event",
--- a/src/gateway/shell/shared.rs
+++ b/src/gateway/shell/shared.rs
@@ -5,6 +5,7 @@
 use std::io::Write;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, RwLock};
+use std::time::Instant;
 
 use gotham::helpers::http::Body;
 use gotham::hyper::{HeaderMap, Response, header};
@@ -12,7 +13,7 @@
 
 use crate::clock::Monotonic;
 use crate::gateway::dispatch::record::Record;
-use crate::gateway::dispatch::refusal::Refusal;
+use crate::gateway::dispatch::refusal::{Refusal, RefusalReason};
 use crate::gateway::dispatch::table::{CallerLimits, RoutingTable};
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::shell::decision_log::DecisionLog;
@@ -62,8 +63,14 @@
     pub(super) tunnels: Arc<Semaphore>,
     pub(super) closing: watch::Sender<bool>,
     stopping: watch::Sender<bool>,
+    /// Whether requests whose body is still on its way are refused.
+    ends_reading: watch::Sender<bool>,
+    /// Whether the process exits at once.
+    exiting: watch::Sender<bool>,
     watching: Arc<[watch::Sender<bool>; ObjectKind::ALL.len()]>,
     active: watch::Sender<usize>,
+    /// Requests that were read in part, or whose answer has not begun.
+    open: Arc<watch::Sender<usize>>,
     state: Arc<SharedState>,
     store_cache: Arc<RwLock<StoreCache>>,
 }
@@ -82,6 +89,17 @@
     }
 }
 
+/// A request that was read in part, or whose answer has not begun; a stop waits until it is dropped.
+pub struct OpenRequest {
+    open: Arc<watch::Sender<usize>>,
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.open.send_modify(|open| *open -= 1);
+    }
+}
+
 impl GatewayShared {
     /// Creates the shared resources and starts the writer thread of the decision log, which writes
     /// to `log`.
@@ -113,8 +131,11 @@
             tunnels: Arc::new(Semaphore::new(MAX_TUNNELS as usize)),
             closing: watch::channel(false).0,
             stopping: watch::channel(false).0,
+            ends_reading: watch::channel(false).0,
+            exiting: watch::channel(false).0,
             watching: Arc::new(ObjectKind::ALL.map(|_| watch::channel(false).0)),
             active: watch::channel(0).0,
+            open: Arc::new(watch::channel(0).0),
             state: Arc::default(),
             store_cache: Arc::default(),
         })
@@ -179,18 +200,51 @@
         *self.active.borrow()
     }
 
-    /// Waits until no request is in progress.
+    /// Registers a request whose head was read.
+    #[must_use]
+    pub fn open_request(&self) -> OpenRequest {
+        self.open.send_modify(|open| *open += 1);
+        OpenRequest {
+            open: Arc::clone(&self.open),
+        }
+    }
+
+    /// Waits until no request is in progress, neither with the dispatcher nor on its way to it.
     pub async fn until_idle(&self) {
-        let mut active = self.active.subscribe();
-        // Fails only if the sender was dropped, and `self` holds it.
-        let _ = active.wait_for(|requests| *requests == 0).await;
+        let (mut open, mut active) = (self.open.subscribe(), self.active.subscribe());
+        loop {
+            // These fail only if the sender was dropped, and `self` holds it.
+            let _ = open.wait_for(|requests| *requests == 0).await;
+            let _ = active.wait_for(|requests| *requests == 0).await;
+            if *open.borrow() == 0 {
+                return;
+            }
+        }
     }
 
     /// Waits until the process is stopping.
     pub async fn until_stopping(&self) {
-        let mut stopping = self.stopping.subscribe();
-        // Fails only if the sender was dropped, and `self` holds it.
-        let _ = stopping.wait_for(|is_stopping| *is_stopping).await;
+        wait_until_set(&self.stopping).await;
+    }
+
+    /// Refuses requests whose body is still on its way.
+    pub fn end_reading(&self) {
+        self.ends_reading.send_replace(true);
+    }
+
+    /// Waits until requests whose body is still on its way are refused.
+    pub async fn until_reading_ends(&self) {
+        wait_until_set(&self.ends_reading).await;
+    }
+
+    /// Answers all requests that have no answer yet, since the process exits.
+    pub fn begin_exiting(&self) {
+        self.exiting.send_replace(true);
+    }
+
+    /// Waits until the process exits.
+    pub async fn until_exiting(&self) {
+        wait_until_set(&self.exiting).await;
     }
 
     /// Waits until this box forwards no tunnel.
@@ -256,6 +310,35 @@
         self.refusal(id, Refusal::no_room())
     }
 
+    /// Refuses a request whose body was still on its way when the time of a stop was over; it has not
+    /// run.
+    #[must_use]
+    pub fn refuse_unread(&self, id: &str, read_since: Instant) -> Response<Body> {
+        let refusal = Refusal::new(RefusalReason::StoppingNotRun);
+        self.record(&Record::Refused {
+            request: id.to_owned(),
+            reason: refusal.reason,
+            after_ms: read_since.elapsed().as_millis() as u64,
+            attempts: 0,
+            fault: None,
+            tier: None,
+            waited_ms: None,
+        });
+        self.refusal(id, refusal)
+    }
+
+    /// Answers a request that the dispatcher has not answered when the process exits. That is a fault
+    /// of this program, and the request may have run.
+    #[must_use]
+    pub fn answer_at_exit(&self, id: &str) -> Response<Body> {
+        self.metrics.requests.unanswered.inc();
+        self.log.write(&Record::Process {
+            state: "unanswered_at_exit".into(),
+            detail: id.to_owned(),
+        });
+        self.refusal(id, Refusal::new(RefusalReason::Stopping))
+    }
+
     /// Returns the final answer to a request that is refused, and counts it.
     #[must_use]
     pub fn refusal(&self, id: &str, refusal: Refusal) -> Response<Body> {
@@ -331,3 +414,9 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 }
+
+/// Waits until a flag is set.
+async fn wait_until_set(flag: &watch::Sender<bool>) {
+    // Fails only if the sender was dropped, and the caller holds it.
+    let _ = flag.subscribe().wait_for(|is_set| *is_set).await;
+}
--- a/src/gateway/shell/stop.rs
+++ b/src/gateway/shell/stop.rs
@@ -1,10 +1,11 @@
 //! Graceful stop on a signal, and reload of the settings that can change at run time.
 //!
 //! On SIGTERM or SIGINT the box reports at once that it is not ready, and
-//! [`crate::gateway::dispatch`] refuses new streams that could not finish. The box accepts
+//! [`crate::gateway::dispatch::stopping`] hands requests back that can't be completed. The box accepts
 //! connections for another [`BALANCER_NOTICE`], until the load balancer has noticed the stop. Then
-//! it accepts no more, closes idle connections, and exits once no request is in progress, no other
-//! box uses a tunnel, or the grace period is over.
+//! it accepts no more, closes idle connections, and exits once no request is in progress and no other
+//! box uses a tunnel, or the grace period is over. Every request that the box has read has an answer
+//! or a refusal by then.
 
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -23,6 +24,8 @@
 /// Time before the end of the grace period at which the box closes what is left, so that it exits
 /// before it is killed.
 const KILL_MARGIN: Duration = Duration::from_millis(250);
+/// Time in which the dispatcher hands back what is left at the end of the grace period.
+const HAND_BACK_TIME: Duration = Duration::from_millis(50);
 /// Time for the decision log to write its last lines.
 const LOG_FLUSH_TIME: Duration = Duration::from_millis(50);
 /// Time for connections to close.
@@ -57,12 +60,12 @@
     shared.close_idle_connections();
     tokio::time::sleep(CLOSE_TIME).await;
     let left = grace.saturating_sub(requested_at.elapsed());
-    // Requests still in progress at the end of the grace period are aborted.
     let finished = async {
         shared.until_idle().await;
         shared.until_no_tunnels().await;
     };
     let _ = tokio::time::timeout(left, finished).await;
+    end_requests(shared).await;
     tokio::time::sleep(CLOSE_TIME).await;
     record(
         shared,
@@ -73,6 +76,15 @@
     shared.send(Input::Exit).await;
 }
 
+/// Has all requests answered that are left at the end of the grace period. The dispatcher hands back
+/// those that it knows of, those whose body is on its way are refused, and any other that has no
+/// answer after that gets one.
+async fn end_requests(shared: &GatewayShared) {
+    shared.end_reading();
+    let _ = tokio::time::timeout(HAND_BACK_TIME, shared.until_idle()).await;
+    shared.begin_exiting();
+}
+
 /// Reloads the settings file at intervals and on SIGHUP, and applies the setting that can change at
 /// run time: the seeds.
 pub async fn reload_on_change(file: Option<PathBuf>, shared: GatewayShared) {
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -114,7 +114,7 @@
     world.pass(4_000);
     let (_, late) = world.arrive(STREAMS);
     assert!(late.is_none());
-    assert_eq!(refusal(&world.actions), Some(RefusalReason::NoEndpoint));
+    assert_eq!(refusal(&world.actions), Some(RefusalReason::StoppingNotRun));
     let (_, call) = world.arrive(QUOTES);
     assert!(call.is_some());
 }
@@ -137,7 +137,7 @@
     world.pass(700);
     let (_, late) = world.arrive(STREAMS);
     assert!(late.is_none());
-    assert_eq!(refusal(&world.actions), Some(RefusalReason::NoEndpoint));
+    assert_eq!(refusal(&world.actions), Some(RefusalReason::StoppingNotRun));
 }
 
 #[test]
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -68,7 +68,7 @@
 
 #[test]
 fn a_box_that_stops_sends_callers_to_other_boxes_at_once() {
-    let refusal = Refusal::stopping();
-    assert_eq!(refusal.reason, RefusalReason::NoEndpoint);
+    let refusal = Refusal::new(RefusalReason::when_stopping(HasRun::Never));
+    assert_eq!(refusal.reason, RefusalReason::StoppingNotRun);
     assert_eq!(refusal.retry_after, Some(Duration::from_millis(100)));
 }
