A stream that is cut ends after the events that came

The HTTP library drops what it has not written when a body ends with an error, so a stream that a stopping box cut could lose its last whole events, or end in the middle of one. The body now yields once before the error, so that what was passed on is written first. a_stream_longer_than_the_grace_period_is_cut_after_a_whole_event_and_goes_on_elsewhere holds it.

--- a/src/gateway/shell/exchange.rs
+++ b/src/gateway/shell/exchange.rs
@@ -462,7 +462,8 @@
 }
 
 /// Returns the frames of a stream's body. The body is complete only after [`StreamPart::End`]; if
-/// the channel closes without one, it ends with an error.
+/// the channel closes without one, it ends with an error. The HTTP library drops what it has not
+/// written when a body ends so, but writes it when a body has nothing more for now.
 fn frames(
     received: mpsc::Receiver<StreamPart>,
 ) -> impl futures_util::Stream<Item = Result<Frame<Bytes>, std::io::Error>> {
@@ -471,7 +472,10 @@
         match received.recv().await {
             Some(StreamPart::Event(bytes)) => Some((Ok(Frame::data(bytes)), Some(received))),
             Some(StreamPart::End) => None,
-            None => Some((Err(std::io::ErrorKind::ConnectionAborted.into()), None)),
+            None => {
+                tokio::task::yield_now().await;
+                Some((Err(std::io::ErrorKind::ConnectionAborted.into()), None))
+            }
         }
     })
 }
