Emulator of stops: magpiemoor-lab stops

Plays fleets of the real decisions on simulated time: engines leave, boxes stop in series that may overlap, callers wait and come back, beside an absent store, a lost peer or crashing engines. Counts requests left without an answer, handed back though the box knew of room, and handed back twice.

The check of callers that are handed back twice (under 1%) is over fleets of all sizes.

--- a/lab/src/gateway.rs
+++ b/lab/src/gateway.rs
@@ -15,6 +15,7 @@
 pub mod server;
 pub mod soak;
 pub mod spread;
+pub mod stops;
 pub mod store;
 pub mod streams;
 pub mod versions;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -11,6 +11,7 @@
 use magpiemoor_lab::gateway::limits;
 use magpiemoor_lab::gateway::rollout::{self, Case, Fault, Report, Traffic};
 use magpiemoor_lab::gateway::spread::{Plan, spread};
+use magpiemoor_lab::gateway::stops;
 use magpiemoor_lab::gateway::versions;
 use magpiemoor_lab::keyed::engine::{self, Engine};
 use magpiemoor_lab::keyed::platform::Platform;
@@ -78,6 +79,7 @@
         .subcommand(rollout_command())
         .subcommand(crashes::command::command())
         .subcommand(limits::command::command())
+        .subcommand(stops::command::command())
         .subcommand(versions::command::command())
         .subcommand(versions::retries::command())
         .subcommand(Command::new("gen").about("Generate src/schema/generated.rs from schema/"))
@@ -244,6 +246,7 @@
         Some(("rollout", sub)) => run_rollout(sub),
         Some(("crashes", sub)) => crashes::command::run(sub),
         Some(("limits", sub)) => Ok(limits::command::run(sub)),
+        Some(("stops", sub)) => Ok(stops::command::run(sub)),
         Some(("versions", sub)) => Ok(versions::command::run(sub)),
         Some(("retries", sub)) => Ok(versions::retries::run(sub)),
         Some(("gen", _)) => write_generated(),
