A request that ends without an answer leaves a record and is counted

Callers saw connections end with their request neither answered nor refused, and the box had no record of it: only the exit of a stopping process was counted, as `unanswered_at_exit`.

Cause: the 502 for a task that ended without an answer, a stream that was refused after it had begun, a stream whose task ended, and bodies that were too slow or too long wrote nothing.

Change: one mechanism, `ReplyWatch`, shared by the caller's handler and the task of the exchange. The record `unanswered` names what ended the request, what held it, the version of the table at its admission and the one in force; `unanswered_total{ended_by}` counts the records. It replaces `unanswered_at_exit_total` and the process record of that name. A caller that leaves is still `caller_gone` and not counted. `explain` names the cause `unanswered` where the log has no refusal.

Not tested: `exchange`, which no known input brings about.

--- a/src/gateway/dispatch/record.rs
+++ b/src/gateway/dispatch/record.rs
@@ -66,6 +66,63 @@
     }
 }
 
+/// What ended a request, or its caller's connection, without a complete answer.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EndedBy {
+    /// The task of the request ended without an answer; the caller gets 502, or its stream breaks off.
+    Exchange,
+    /// The request was refused after its stream had begun, so that the stream breaks off.
+    Refusal,
+    /// The body did not arrive in time; the caller gets 408.
+    BodyTimeout,
+    /// The body is longer than allowed; the caller gets 413.
+    BodyLimit,
+    /// The process exited.
+    Exit,
+}
+
+impl EndedBy {
+    /// Returns the word for it in the metrics, the same as in the decision log.
+    #[must_use]
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Exchange => "exchange",
+            Self::Refusal => "refusal",
+            Self::BodyTimeout => "body_timeout",
+            Self::BodyLimit => "body_limit",
+            Self::Exit => "exit",
+        }
+    }
+}
+
+/// What holds a caller's request at a box.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RequestHolder {
+    /// Its body is on its way to the box.
+    Body,
+    /// It waits for a decision: before its first attempt, or between two.
+    Dispatcher,
+    /// An attempt is on its way, and nothing has been sent to the caller.
+    Attempt,
+    /// Its stream has begun.
+    Stream,
+}
+
+impl RequestHolder {
+    /// Returns the word for it, the same as in the decision log.
+    #[must_use]
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Body => "body",
+            Self::Dispatcher => "dispatcher",
+            Self::Attempt => "attempt",
+            Self::Stream => "stream",
+        }
+    }
+}
+
 /// A decision, or a change of the state that the box assumes.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -287,6 +344,23 @@
         /// Milliseconds since the arrival of the request.
         after_ms: u64,
     },
+    /// A request that was read, or of which a part was read, ended without a complete answer, and
+    /// its caller had not disconnected.
+    Unanswered {
+        /// The caller's request id.
+        request: String,
+        /// What ended it.
+        ended_by: EndedBy,
+        /// What held it.
+        holder: RequestHolder,
+        /// Milliseconds since its head was read.
+        after_ms: u64,
+        /// The version of the routing table in force when the request was admitted, or when its head
+        /// was read if it was not admitted.
+        table: Option<u64>,
+        /// The version of the routing table in force at its end.
+        table_in_force: Option<u64>,
+    },
     /// A routing table came into force.
     TableInForce {
         /// The version of the table.
@@ -455,7 +529,8 @@
             | Self::Held { request, .. }
             | Self::Refused { request, .. }
             | Self::Answered { request, .. }
-            | Self::CallerGone { request, .. } => Some(request),
+            | Self::CallerGone { request, .. }
+            | Self::Unanswered { request, .. } => Some(request),
             Self::TableInForce { .. }
             | Self::TableRead { .. }
             | Self::TableFetched { .. }
--- a/src/gateway/dispatch/record/sentence.rs
+++ b/src/gateway/dispatch/record/sentence.rs
@@ -15,6 +15,7 @@
             | Self::CallerGone { .. }
             | Self::Refused { .. } => self.request_sentence(),
             Self::Held { .. } => self.held_sentence(),
+            Self::Unanswered { .. } => self.unanswered_sentence(),
             Self::StreamVersion { .. } => self.version_sentence(),
             Self::Sent { .. }
             | Self::Retry { .. }
@@ -219,6 +220,29 @@
         )
     }
 
+    fn unanswered_sentence(&self) -> String {
+        let Self::Unanswered {
+            ended_by,
+            holder,
+            after_ms,
+            table,
+            table_in_force,
+            ..
+        } = self
+        else {
+            return String::new();
+        };
+        let version = |table: &Option<u64>| table.map_or("none".to_owned(), |v| v.to_string());
+        format!(
+            "ended without a complete answer after {after_ms} ms, by {}, while it was held by {}; \
+             table at its admission: {}, table in force: {}",
+            ended_by.word(),
+            holder.word(),
+            version(table),
+            version(table_in_force)
+        )
+    }
+
     fn attempt_sentence(&self) -> String {
         match self {
             Self::Sent { .. } => self.sent_sentence(),
--- a/src/gateway/explain.rs
+++ b/src/gateway/explain.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::dispatch::event::{Fault, LEAST_ERROR_STATUS};
-use crate::gateway::dispatch::record::Record;
+use crate::gateway::dispatch::record::{EndedBy, Record};
 use crate::gateway::dispatch::refusal::RefusalReason;
 use crate::schema::HybridTime;
 
@@ -84,6 +84,8 @@
     StoppingNotRun,
     /// The box stopped before the answer was complete.
     Stopping,
+    /// The box ended the request without a complete answer and gave no reason for it.
+    Unanswered,
     /// The log has no end of the request: the box was killed, lost power or still serves it.
     NoEnd,
 }
@@ -129,6 +131,7 @@
                 "Its box stopped and could not complete it in time; it has not run."
             }
             Self::Stopping => "Its box stopped before its answer was complete.",
+            Self::Unanswered => "Its box ended it without a complete answer and without a refusal.",
             Self::NoEnd => {
                 "The log has no end of the request: its box was killed, lost power or still serves it."
             }
@@ -204,6 +207,10 @@
         Record::Answered { .. } => Some(Cause::Answered),
         Record::CallerGone { .. } => Some(Cause::CallerDisconnected),
         Record::Refused { reason, fault, .. } => Some(refusal_cause(*reason, *fault)),
+        // The refusal that cut the stream names the cause.
+        Record::Unanswered { ended_by, .. } if *ended_by != EndedBy::Refusal => {
+            Some(Cause::Unanswered)
+        }
         _ => None,
     });
     end.unwrap_or(Cause::NoEnd)
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -26,6 +26,7 @@
 pub mod probes;
 mod quarantine;
 pub mod relay;
+pub mod reply_watch;
 mod rollouts;
 pub mod shared;
 pub mod snapshots;
--- a/src/gateway/shell/callers.rs
+++ b/src/gateway/shell/callers.rs
@@ -8,7 +8,6 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Instant;
 
 use bytes::Bytes;
 use gotham::anyhow;
@@ -21,10 +20,13 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::gateway::dispatch::event::{Arrival, RequestNumber};
+use crate::gateway::dispatch::record::EndedBy;
+use crate::gateway::dispatch::refusal::{Refusal, RefusalReason};
 use crate::gateway::shell::GatewayShared;
 use crate::gateway::shell::attempt::CallerRequest;
-use crate::gateway::shell::exchange::Exchange;
+use crate::gateway::shell::exchange::{CallerChannels, Exchange};
 use crate::gateway::shell::input::Input;
+use crate::gateway::shell::reply_watch::ReplyWatch;
 use crate::http::{self, BodyError};
 use crate::schema::Fingerprint;
 
@@ -79,34 +81,48 @@
     let Some(_reservation) = shared.reserve_body_memory(&head.headers, max_bytes) else {
         return shared.refuse_for_memory(&arrival.id);
     };
+    let watch = ReplyWatch::new(shared.clone(), &arrival.id);
     let reading = http::read_body(Body::take_from(state), max_bytes);
-    let body = match read_until_stop(reading, max_bytes, &arrival.id, shared).await {
+    let body = match read_until_stop(reading, max_bytes, &arrival.id, &watch, shared).await {
         Ok(body) => body,
         Err(rejection) => return rejection,
     };
     arrival.content = fingerprint(&arrival, &head, &body);
     let id = arrival.id.clone();
-    let replied = start_exchange(arrival, head, body, shared).await;
+    let replied = start_exchange(arrival, head, body, watch.clone(), shared).await;
     tokio::select! {
         biased;
-        reply = replied => reply
-            .unwrap_or_else(|_| reject(StatusCode::BAD_GATEWAY, "the exchange ended; try again")),
-        () = shared.until_exiting() => shared.answer_at_exit(&id),
+        reply = replied => reply.unwrap_or_else(|_| answer_without_reply(&watch)),
+        () = shared.until_exiting() => answer_at_exit(&id, &watch, shared),
     }
 }
 
+/// Answers a request whose task has ended without an answer. That is a fault of this program, and the
+/// request may have run.
+fn answer_without_reply(watch: &ReplyWatch) -> Response<Body> {
+    watch.record_unanswered(EndedBy::Exchange);
+    reject(StatusCode::BAD_GATEWAY, "the exchange ended; try again")
+}
+
+/// Answers a request that the dispatcher has not answered when the process exits. That is a fault of
+/// this program, and the request may have run.
+fn answer_at_exit(id: &str, watch: &ReplyWatch, shared: &GatewayShared) -> Response<Body> {
+    watch.record_unanswered(EndedBy::Exit);
+    shared.refusal(id, Refusal::new(RefusalReason::Stopping))
+}
+
 /// Reads a body, as long as a stop leaves time for it.
 async fn read_until_stop(
     reading: impl Future<Output = Result<Bytes, BodyError>>,
     max_bytes: usize,
     id: &str,
+    watch: &ReplyWatch,
     shared: &GatewayShared,
 ) -> Result<Bytes, Response<Body>> {
-    let started = Instant::now();
     tokio::select! {
         biased;
-        read = reading => read.map_err(|e| reject_body(&e, max_bytes)),
-        () = shared.until_reading_ends() => Err(shared.refuse_unread(id, started)),
+        read = reading => read.map_err(|e| reject_body(&e, max_bytes, watch)),
+        () = shared.until_reading_ends() => Err(shared.refuse_unread(id, watch.started())),
     }
 }
 
@@ -116,6 +132,7 @@
     arrival: Arrival,
     head: request::Parts,
     body: Bytes,
+    watch: ReplyWatch,
     shared: &GatewayShared,
 ) -> oneshot::Receiver<Response<Body>> {
     let number = RequestNumber(NEXT_REQUEST.fetch_add(1, Ordering::Relaxed));
@@ -126,14 +143,14 @@
         head,
         body,
     };
-    let exchange = Exchange::new(
-        shared.clone(),
-        number,
-        request,
-        received,
+    watch.on_admitted();
+    let channels = CallerChannels {
+        commands: received,
         reply,
-        arrival.after_event,
-    );
+        watch,
+    };
+    let after_event = arrival.after_event;
+    let exchange = Exchange::new(shared.clone(), number, request, channels, after_event);
     let input = Input::Arrived {
         request: number,
         arrival,
@@ -159,16 +176,18 @@
     Fingerprint::of_content(head.method.as_str(), &arrival.host, target, body)
 }
 
-fn reject_body(error: &BodyError, max_bytes: usize) -> Response<Body> {
+fn reject_body(error: &BodyError, max_bytes: usize, watch: &ReplyWatch) -> Response<Body> {
     match error {
         BodyError::TooLong => {
+            watch.record_unanswered(EndedBy::BodyLimit);
             let text = format!("the body may have {max_bytes} bytes; send a shorter one");
             reject(StatusCode::PAYLOAD_TOO_LARGE, &text)
         }
-        BodyError::TooSlow => reject(
-            StatusCode::REQUEST_TIMEOUT,
-            "the body did not come in time; send it whole",
-        ),
+        BodyError::TooSlow => {
+            watch.record_unanswered(EndedBy::BodyTimeout);
+            let text = "the body did not come in time; send it whole";
+            reject(StatusCode::REQUEST_TIMEOUT, text)
+        }
         BodyError::Broken => reject(StatusCode::BAD_REQUEST, "the body broke off; send it whole"),
     }
 }
--- a/src/gateway/shell/exchange.rs
+++ b/src/gateway/shell/exchange.rs
@@ -26,6 +26,7 @@
     AttemptNumber, Event, Fault, NotRunCause, Outcome, RequestNumber,
 };
 use crate::gateway::dispatch::fleet::directives::AnswerDirectives;
+use crate::gateway::dispatch::record::{EndedBy, RequestHolder};
 use crate::gateway::dispatch::refusal::Refusal;
 use crate::gateway::shell::attempt::{
     BufferedAnswer, CallerRequest, buffer_answer, fault_of, start_attempt,
@@ -33,6 +34,7 @@
 use crate::gateway::shell::dialect::AnswerKind;
 use crate::gateway::shell::events::EventSplitter;
 use crate::gateway::shell::input::Input;
+use crate::gateway::shell::reply_watch::ReplyWatch;
 use crate::gateway::shell::{GatewayShared, directives, headers};
 use crate::http::pool::Connection;
 use crate::http::{self, EVENT_STREAM};
@@ -80,6 +82,16 @@
     CallerDisconnected,
 }
 
+/// Channels of the task of one request to the dispatcher and the caller.
+pub struct CallerChannels {
+    /// Commands of the dispatcher.
+    pub commands: mpsc::UnboundedReceiver<Command>,
+    /// Channel of the answer.
+    pub reply: oneshot::Sender<Response<Body>>,
+    /// State of the request until its answer is complete.
+    pub watch: ReplyWatch,
+}
+
 /// State of the task of one request.
 pub struct Exchange {
     shared: GatewayShared,
@@ -87,6 +99,7 @@
     request: Arc<CallerRequest>,
     commands: mpsc::UnboundedReceiver<Command>,
     caller: Option<Caller>,
+    watch: ReplyWatch,
     answer: Option<BufferedAnswer>,
     /// Id of the last event that was forwarded, or that the caller had received before it
     /// reconnected.
@@ -104,16 +117,16 @@
         shared: GatewayShared,
         number: RequestNumber,
         request: CallerRequest,
-        commands: mpsc::UnboundedReceiver<Command>,
-        reply: oneshot::Sender<Response<Body>>,
+        channels: CallerChannels,
         last_event: Option<u64>,
     ) -> Self {
         Self {
             shared,
             number,
             request: Arc::new(request),
-            commands,
-            caller: Some(Caller::Waiting(reply)),
+            commands: channels.commands,
+            caller: Some(Caller::Waiting(channels.reply)),
+            watch: channels.watch,
             answer: None,
             last_event,
             started: Instant::now(),
@@ -161,7 +174,10 @@
 
     /// Makes one attempt; returns whether the exchange continues.
     async fn send(&mut self, attempt: Attempt) -> bool {
-        match self.attempt(&attempt).await {
+        self.watch.set_holder(RequestHolder::Attempt);
+        let end = self.attempt(&attempt).await;
+        self.watch.set_holder(RequestHolder::Dispatcher);
+        match end {
             AttemptEnd::Stopped => true,
             AttemptEnd::CallerDisconnected => {
                 self.report_disconnect().await;
@@ -413,6 +429,7 @@
         response.headers_mut().remove(header::CONTENT_LENGTH);
         self.shared.mark_closing(&mut response);
         reply.send(response).ok()?;
+        self.watch.set_holder(RequestHolder::Stream);
         self.caller = Some(Caller::Streaming(events.clone()));
         Some(events)
     }
@@ -456,11 +473,33 @@
                 let _ = reply.send(self.shared.refusal(&self.request.id, refusal));
             }
             // Dropping the channel aborts the body, so the caller can't take it for complete.
+            Some(Caller::Streaming(events)) if !events.is_closed() => {
+                self.watch.record_unanswered(EndedBy::Refusal);
+            }
             Some(Caller::Streaming(_)) | None => {}
         }
     }
 }
 
+impl Drop for Exchange {
+    /// Records a stream that ends here without its end or a refusal. While nothing has been sent, the
+    /// caller's handler answers.
+    fn drop(&mut self) {
+        let Some(Caller::Streaming(events)) = &self.caller else {
+            return;
+        };
+        if events.is_closed() {
+            return;
+        }
+        let ended_by = if self.shared.is_exiting() {
+            EndedBy::Exit
+        } else {
+            EndedBy::Exchange
+        };
+        self.watch.record_unanswered(ended_by);
+    }
+}
+
 /// Returns the frames of a stream's body. The body is complete only after [`StreamPart::End`]; if
 /// the channel closes without one, it ends with an error. The HTTP library drops what it has not
 /// written when a body ends so, but writes it when a body has nothing more for now.
--- a/src/gateway/shell/metrics.rs
+++ b/src/gateway/shell/metrics.rs
@@ -73,8 +73,6 @@
     pub active: IntGauge,
     /// Number of refused requests.
     pub refused: IntCounter,
-    /// Number of requests that had no answer when the process exited.
-    pub unanswered: IntCounter,
     /// Time from the receipt of a whole request to the first event of its stream, in seconds.
     pub first_event_seconds: Histogram,
     /// Time between two deliveries of events of a stream, in seconds.
@@ -84,6 +82,7 @@
     pub answer_seconds: Histogram,
     resume_seconds: Histogram,
     refusal_seconds: Histogram,
+    unanswered: IntCounterVec,
     refusals: IntCounterVec,
     attempts: IntCounterVec,
     snapshots: IntCounterVec,
@@ -106,10 +105,6 @@
         Self {
             active: set.gauge("requests_active", "Requests that are served"),
             refused: set.counter("refused_total", "Requests that no endpoint answered"),
-            unanswered: set.counter(
-                "unanswered_at_exit_total",
-                "Requests that had no answer when the process exited",
-            ),
             first_event_seconds: times(
                 "first_event_seconds",
                 "Seconds until a stream's first event",
@@ -121,6 +116,12 @@
                 "Seconds between two events of a stream that went on elsewhere",
             ),
             refusal_seconds: times("refusal_seconds", "Seconds until a request was given up"),
+            unanswered: set.counters(
+                "unanswered_total",
+                "Requests that ended without a complete answer while their caller was there, by \
+                 what ended them",
+                "ended_by",
+            ),
             refusals: set.counters(
                 "refusals_total",
                 "Requests that were given up, by reason",
@@ -174,6 +175,9 @@
                 }
             }
             Record::Suspected { .. } => self.suspected.inc(),
+            Record::Unanswered { ended_by, .. } => {
+                self.unanswered.with_label_values(&[ended_by.word()]).inc();
+            }
             Record::Refused {
                 reason, after_ms, ..
             } => {
--- a/src/gateway/shell/shared.rs
+++ b/src/gateway/shell/shared.rs
@@ -242,6 +242,12 @@
         self.exiting.send_replace(true);
     }
 
+    /// Whether the process exits.
+    #[must_use]
+    pub fn is_exiting(&self) -> bool {
+        *self.exiting.borrow()
+    }
+
     /// Waits until the process exits.
     pub async fn until_exiting(&self) {
         wait_until_set(&self.exiting).await;
@@ -273,6 +279,14 @@
         table.as_ref().map(|t| t.limits())
     }
 
+    /// Version of the routing table in force; `None` before the first configuration.
+    #[must_use]
+    pub fn table_version(&self) -> Option<u64> {
+        let table = self.state.table.read();
+        let table = table.unwrap_or_else(std::sync::PoisonError::into_inner);
+        table.as_ref().map(|t| t.version().0)
+    }
+
     /// Sets the routing table in force and whether the dispatcher is ready.
     pub fn set_table(&self, table: Option<Arc<RoutingTable>>, is_ready: bool) {
         *self
@@ -327,18 +341,6 @@
         self.refusal(id, refusal)
     }
 
-    /// Answers a request that the dispatcher has not answered when the process exits. That is a fault
-    /// of this program, and the request may have run.
-    #[must_use]
-    pub fn answer_at_exit(&self, id: &str) -> Response<Body> {
-        self.metrics.requests.unanswered.inc();
-        self.log.write(&Record::Process {
-            state: "unanswered_at_exit".into(),
-            detail: id.to_owned(),
-        });
-        self.refusal(id, Refusal::new(RefusalReason::Stopping))
-    }
-
     /// Returns the final answer to a request that is refused, and counts it.
     #[must_use]
     pub fn refusal(&self, id: &str, refusal: Refusal) -> Response<Body> {
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -3,7 +3,7 @@
 use std::process::Command;
 
 use magpiemoor::gateway::dispatch::event::Fault;
-use magpiemoor::gateway::dispatch::record::Record;
+use magpiemoor::gateway::dispatch::record::{EndedBy, Record, RequestHolder};
 use magpiemoor::gateway::dispatch::refusal::RefusalReason;
 use magpiemoor::gateway::explain::{Cause, LogLine, read, traces};
 use magpiemoor::schema::HybridTime;
@@ -61,6 +61,17 @@
     }
 }
 
+fn unanswered(request: &str, ended_by: EndedBy) -> Record {
+    Record::Unanswered {
+        request: request.to_owned(),
+        ended_by,
+        holder: RequestHolder::Stream,
+        after_ms: 9,
+        table: Some(3),
+        table_in_force: Some(4),
+    }
+}
+
 fn cause_of(records: Vec<Record>) -> Cause {
     let lines: Vec<String> = (1..)
         .zip(records)
@@ -79,6 +90,8 @@
 #[case::malformed(vec![refused("q", RefusalReason::EndpointFailed, Some(Fault::Foreign))], Cause::AnswerMalformed)]
 #[case::too_late(vec![refused("q", RefusalReason::Expired, None)], Cause::Expired)]
 #[case::no_key(vec![refused("q", RefusalReason::UnknownKey, None)], Cause::UnknownKey)]
+#[case::without_an_answer(vec![unanswered("q", EndedBy::Exchange)], Cause::Unanswered)]
+#[case::cut(vec![refused("q", RefusalReason::Expired, None), unanswered("q", EndedBy::Refusal)], Cause::Expired)]
 fn the_cause_follows_from_the_last_decision(#[case] more: Vec<Record>, #[case] cause: Cause) {
     let mut records = vec![arrived("q")];
     records.extend(more);
