--- a/lab/src/gateway/cuts.rs
+++ b/lab/src/gateway/cuts.rs
@@ -204,7 +204,12 @@
     Ok(())
 }
 
-fn change_settings(plan: &BoxPlan, changes: &[(&str, Value)]) -> std::io::Result<()> {
+/// Changes settings of a box.
+///
+/// # Errors
+///
+/// If they can't be read or written.
+pub fn change_settings(plan: &BoxPlan, changes: &[(&str, Value)]) -> std::io::Result<()> {
     let text = std::fs::read_to_string(&plan.settings)?;
     let mut settings: Value = serde_json::from_str(&text)?;
     for (name, value) in changes {
--- a/lab/src/gateway/server.rs
+++ b/lab/src/gateway/server.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
 
 use super::wire::Message;
@@ -133,6 +133,8 @@
     state: Arc<Mutex<State>>,
     copies: Copies,
     pace: Pace,
+    /// Whether all of its output waits.
+    is_muted: watch::Sender<bool>,
     task: JoinHandle<()>,
 }
 
@@ -163,6 +165,8 @@
     pace: Pace,
     /// Told when a request ends the server.
     crashed: Arc<Notify>,
+    /// Whether all of its output waits.
+    is_muted: watch::Receiver<bool>,
 }
 
 impl Server {
@@ -180,6 +184,7 @@
         let address = listener.local_addr()?;
         let state = Arc::new(Mutex::new(State::default()));
         let born = next_birth();
+        let (is_muted, muted) = watch::channel(false);
         let serving = Serving {
             id: id.to_owned(),
             born,
@@ -188,6 +193,7 @@
             copies: copies.clone(),
             pace: pace.clone(),
             crashed: Arc::default(),
+            is_muted: muted,
         };
         let task = tokio::spawn(serving.accept(listener));
         Ok(Self {
@@ -197,6 +203,7 @@
             state,
             copies,
             pace,
+            is_muted,
             task,
         })
     }
@@ -340,6 +347,17 @@
         lock(&self.state).paused_after = None;
     }
 
+    /// Says nothing until [`Server::unmute`]. Connections stay, new ones are taken and requests are read
+    /// meanwhile, and nothing is lost.
+    pub fn mute(&self) {
+        self.is_muted.send_replace(true);
+    }
+
+    /// Goes on where it was.
+    pub fn unmute(&self) {
+        self.is_muted.send_replace(false);
+    }
+
     /// Takes back what was said of falling silent.
     pub fn stay_awake(&self) {
         lock(&self.state).silent_after = None;
--- a/lab/src/gateway/server/serving.rs
+++ b/lab/src/gateway/server/serving.rs
@@ -27,7 +27,7 @@
             };
             let serving = self.clone();
             connections.spawn(async move {
-                let mut wire = Wire::new(socket);
+                let mut wire = Wire::muted_by(socket, serving.is_muted.clone());
                 // A caller that breaks off is no fault of the server.
                 let _ = serving.talk(&mut wire).await;
             });
--- a/lab/src/gateway/wire.rs
+++ b/lab/src/gateway/wire.rs
@@ -4,6 +4,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 /// The greatest head that a stand-in reads, in bytes.
 const MOST_HEAD: usize = 256 << 10;
@@ -79,6 +80,8 @@
 pub struct Wire {
     socket: TcpStream,
     held: Vec<u8>,
+    /// Whether output waits; `None` if it never does.
+    is_muted: Option<watch::Receiver<bool>>,
 }
 
 impl Wire {
@@ -89,6 +92,16 @@
         Self {
             socket,
             held: Vec::new(),
+            is_muted: None,
+        }
+    }
+
+    /// Speaks on a socket; what is sent waits while `is_muted` holds.
+    #[must_use]
+    pub fn muted_by(socket: TcpStream, is_muted: watch::Receiver<bool>) -> Self {
+        Self {
+            is_muted: Some(is_muted),
+            ..Self::new(socket)
         }
     }
 
@@ -98,6 +111,10 @@
     ///
     /// What the system says.
     pub async fn send(&mut self, bytes: impl AsRef<[u8]>) -> io::Result<()> {
+        if let Some(is_muted) = &mut self.is_muted {
+            // A server that is gone leaves its connections to their tasks.
+            let _ = is_muted.wait_for(|is_muted| !is_muted).await;
+        }
         self.socket.write_all(bytes.as_ref()).await
     }
 
