Fix: a running attempt is stopped only once its successor is certain

What callers see: a stream is cut in the middle, or pauses until it is refused, because its engine said nothing for 350 ms, though the engine goes on after a second.

Cause: on_probed stopped every attempt at the engine before anything asked whether another attempt is allowed, whether the budget grants it, and whether an endpoint can take it; and a probe without an answer counted as a loss, whether or not the host took connections.

Change: a probe tells silent from lost (Event::Probed, ProbeResult; a new connection beside a hanging idle one). Moves are decided in dispatch/moves.rs: attempts left, a successor, then the budget, then stop and start at once; else the attempt stays and is examined each 50 ms. Silence is no loss of the domain, keeps new work away, and moves nobody while more engines are silent than were heard (fleet/silences.rs). Slow calls, streams of restarted engines and moves to another version go the same way: each stopped its attempt before the successor, two of them before the budget.

--- a/lab/src/gateway/crashes/fleet.rs
+++ b/lab/src/gateway/crashes/fleet.rs
@@ -15,7 +15,7 @@
 
 use magpiemoor::gateway::dispatch::action::Action;
 use magpiemoor::gateway::dispatch::event::{
-    EndpointChange, Event, RequestNumber, SnapshotFailure, SnapshotName,
+    EndpointChange, Event, ProbeResult, RequestNumber, SnapshotFailure, SnapshotName,
 };
 use magpiemoor::gateway::dispatch::fetches::FetchOutcome;
 use magpiemoor::gateway::dispatch::{DispatchConfig, Dispatcher};
@@ -370,7 +370,7 @@
                 let place = self.reach(at, &endpoint);
                 let event = Event::Probed {
                     endpoint,
-                    is_answered: place.is_some(),
+                    result: ProbeResult::of_reach(place.is_some()),
                     born: place.and_then(|place| self.servers.life(place).born),
                 };
                 self.answer(at, event);
--- a/lab/src/gateway/cuts.rs
+++ b/lab/src/gateway/cuts.rs
@@ -6,7 +6,6 @@
 //! its own list, since they would read another box's list, and use its gates, otherwise.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -145,7 +144,8 @@
 #[derive(Debug)]
 pub struct View {
     store: Store,
-    cut: Arc<watch::Sender<Cut>>,
+    /// The cuts of the model servers, and then of the plain ones.
+    cuts: Vec<watch::Sender<Cut>>,
 }
 
 impl View {
@@ -155,14 +155,16 @@
     ///
     /// What the system says.
     pub async fn start(outside: &Outside) -> std::io::Result<Self> {
-        let view = Self {
+        let mut view = Self {
             store: Store::start().await?,
-            cut: Arc::new(watch::channel(Cut::Open).0),
+            cuts: Vec::new(),
         };
         let services = [("models", &outside.models), ("tills", &outside.tills)];
         for (service, servers) in services {
             for (number, server) in servers.iter().enumerate() {
-                let gate = Gate::start(server.address(), view.cut.subscribe())?;
+                let (cut, cuts) = watch::channel(Cut::Open);
+                let gate = Gate::start(server.address(), cuts)?;
+                view.cuts.push(cut);
                 let entry = json!({
                     "service": service, "address": gate.address.to_string(),
                     "zone": zone(number), "version": "v1", "slots": 8, "state": "ready",
@@ -187,7 +189,14 @@
 
     /// Cuts the box from all servers, or ends a cut.
     pub fn cut(&self, cut: Cut) {
-        self.cut.send_replace(cut);
+        for server in 0..self.cuts.len() {
+            self.cut_server(server, cut);
+        }
+    }
+
+    /// Cuts the box from one server, or ends a cut; model servers come before plain ones.
+    pub fn cut_server(&self, number: usize, cut: Cut) {
+        self.cuts[number].send_replace(cut);
     }
 }
 
--- a/lab/src/gateway/rollout/fleet.rs
+++ b/lab/src/gateway/rollout/fleet.rs
@@ -16,7 +16,7 @@
 
 use magpiemoor::gateway::dispatch::action::Action;
 use magpiemoor::gateway::dispatch::event::{
-    AttemptNumber, EndpointSpec, Event, RequestNumber, SnapshotName,
+    AttemptNumber, EndpointSpec, Event, ProbeResult, RequestNumber, SnapshotName,
 };
 use magpiemoor::gateway::dispatch::fetches::{FetchKind, FetchOutcome};
 use magpiemoor::gateway::dispatch::rollout::status::{ObjectState, StatusWrite};
@@ -274,10 +274,10 @@
                 self.answer(at, event);
             }
             Action::Probe { endpoint, .. } => {
-                let is_answered = self.unreachable_for(at, &endpoint).is_none();
+                let result = ProbeResult::of_reach(self.unreachable_for(at, &endpoint).is_none());
                 let event = Event::Probed {
                     endpoint,
-                    is_answered,
+                    result,
                     born: None,
                 };
                 self.answer(at, event);
--- a/lab/src/gateway/stops/fleet.rs
+++ b/lab/src/gateway/stops/fleet.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use magpiemoor::gateway::dispatch::action::Action;
-use magpiemoor::gateway::dispatch::event::{Event, RequestNumber, SnapshotFailure};
+use magpiemoor::gateway::dispatch::event::{Event, ProbeResult, RequestNumber, SnapshotFailure};
 use magpiemoor::gateway::dispatch::fetches::FetchOutcome;
 use magpiemoor::gateway::dispatch::record::Record;
 use magpiemoor::gateway::dispatch::table::RoutingTable;
@@ -404,7 +404,7 @@
         match action {
             Action::Probe { endpoint, .. } => {
                 let event = Event::Probed {
-                    is_answered: self.engine(&endpoint).is_some(),
+                    result: ProbeResult::of_reach(self.engine(&endpoint).is_some()),
                     endpoint,
                     born: None,
                 };
--- a/lab/src/gateway/versions/fleet.rs
+++ b/lab/src/gateway/versions/fleet.rs
@@ -15,7 +15,7 @@
 
 use magpiemoor::gateway::dispatch::action::Action;
 use magpiemoor::gateway::dispatch::event::{
-    EndpointSpec, Event, RequestNumber, SnapshotFailure, SnapshotName,
+    EndpointSpec, Event, ProbeResult, RequestNumber, SnapshotFailure, SnapshotName,
 };
 use magpiemoor::gateway::dispatch::fetches::{FetchKind, FetchOutcome};
 use magpiemoor::gateway::dispatch::table::RoutingTable;
@@ -353,7 +353,7 @@
                 let engine = self.reach(domain, &endpoint);
                 let event = Event::Probed {
                     endpoint,
-                    is_answered: engine.is_some(),
+                    result: ProbeResult::of_reach(engine.is_some()),
                     born: engine.and_then(|engine| self.engines.at(engine).spec.born),
                 };
                 self.answer(at, event);
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -75,6 +75,7 @@
 mod identities;
 mod intake;
 mod load_reports;
+mod moves;
 mod outcomes;
 pub mod permits;
 mod probe_timing;
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -44,7 +44,7 @@
 /// Longest idle time of a reused connection for other requests.
 const MAX_IDLE_REPEATABLE: Duration = Duration::from_secs(4);
 /// Shortest time to the deadline for which an attempt starts: no answer takes less than this.
-const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(5);
+pub(super) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(5);
 
 /// Where the next attempt of a request goes.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -84,9 +84,7 @@
             return;
         }
         self.draw_canary(number);
-        self.assign_relay(number);
-        self.request_missing_permit(number);
-        self.request_leases(number);
+        self.prepare_choice(number);
         match self.choose_endpoint(number) {
             Choice::Start(endpoint) if self.must_queue(number) => {
                 self.wait_for_room(number, Some(&endpoint));
@@ -101,6 +99,14 @@
         }
     }
 
+    /// Prepares the choice of an endpoint: by which way it is reached, and the permits and leases that it
+    /// may need.
+    pub(super) fn prepare_choice(&mut self, number: RequestNumber) {
+        self.assign_relay(number);
+        self.request_missing_permit(number);
+        self.request_leases(number);
+    }
+
     /// Selects the endpoint of least cost, for a request that waits for room the one among those that
     /// have room. Room at an avoided endpoint counts only if no other endpoint is usable.
     pub(super) fn choose_endpoint(&self, number: RequestNumber) -> Choice {
@@ -430,6 +436,7 @@
         snapshot: None,
         failed_snapshots: 0,
         next_replica_check: first_replica_check(now),
+        next_move: now,
         prefill: if needs_prefill {
             request.arrival.prompt.min(request.memory()).0
         } else {
--- a/src/gateway/dispatch/checks.rs
+++ b/src/gateway/dispatch/checks.rs
@@ -10,6 +10,8 @@
     ProbeInStream,
     /// A stream has no first event yet.
     ProbeInPrefill,
+    /// A stream is to move to the endpoint because its engine is silent.
+    BeforeMove,
     /// An engine may keep the prompt of a caller that reconnects.
     PromptSearch,
     /// A suspected endpoint may have restarted or been replaced.
@@ -32,9 +34,10 @@
 
 impl CheckReason {
     /// All reasons, in the order of their values.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::ProbeInStream,
         Self::ProbeInPrefill,
+        Self::BeforeMove,
         Self::PromptSearch,
         Self::Identity,
         Self::BeforeSend,
@@ -52,6 +55,7 @@
         match self {
             Self::ProbeInStream => "probe_in_stream",
             Self::ProbeInPrefill => "probe_in_prefill",
+            Self::BeforeMove => "before_move",
             Self::PromptSearch => "prompt_search",
             Self::Identity => "identity",
             Self::BeforeSend => "before_send",
--- a/src/gateway/dispatch/event.rs
+++ b/src/gateway/dispatch/event.rs
@@ -251,6 +251,29 @@
     RelayLost,
 }
 
+/// What a probe of an endpoint showed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProbeResult {
+    /// It answered within the time limit.
+    Answered,
+    /// It took a new connection and did not answer within the time limit.
+    Silent,
+    /// It took no new connection, or closed it without an answer.
+    Unreachable,
+}
+
+impl ProbeResult {
+    /// The result for an endpoint that says something whenever it is reached.
+    #[must_use]
+    pub fn of_reach(is_reached: bool) -> Self {
+        if is_reached {
+            Self::Answered
+        } else {
+            Self::Unreachable
+        }
+    }
+}
+
 /// Input of a dispatcher.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -316,8 +339,8 @@
     Probed {
         /// Endpoint that was probed.
         endpoint: EndpointId,
-        /// Whether the answer arrived within the time limit.
-        is_answered: bool,
+        /// What it showed.
+        result: ProbeResult,
         /// Start time of the endpoint's process, if the answer states it.
         born: Option<StartTime>,
     },
--- a/src/gateway/dispatch/fleet.rs
+++ b/src/gateway/dispatch/fleet.rs
@@ -4,7 +4,7 @@
 //! (`list`). A process that restarts begins another incarnation of its endpoint, and the state of
 //! the earlier one is dropped (`incarnations`). What endpoints ask of their callers
 //! is in [`directives`], their load is in [`usage`], their learned speeds are in [`speeds`] and their recent failures are in [`health`]. Endpoints that are avoided,
-//! suspected or unreachable are in `losses`, those whose process may have been replaced in
+//! suspected or unreachable are in `losses`, those that don't answer probes in [`silences`], those whose process may have been replaced in
 //! [`identities`], requests for their identity in `identity_requests`;
 //! whether engines prefill prompts is in `reading`.
 //!
@@ -20,6 +20,7 @@
 mod list;
 mod losses;
 mod reading;
+pub mod silences;
 pub mod speeds;
 pub mod usage;
 
@@ -36,6 +37,7 @@
 use identities::Identities;
 use identity_requests::IdentityShare;
 use losses::Losses;
+use silences::Unanswered;
 use speeds::Speeds;
 use usage::{PeerUsage, ReportedUsage};
 
@@ -68,6 +70,8 @@
     pub probe_sent: Option<Micros>,
     /// When the last probe was sent, answered or not.
     pub last_probe: Micros,
+    /// The probes that were not answered.
+    unanswered: Option<Unanswered>,
     /// Recent failures, as counted by all boxes of the failure domain.
     pub health: EndpointHealth,
     /// When this box first knew of this incarnation.
@@ -101,6 +105,7 @@
             doubted_at: Micros::ZERO,
             probe_sent: None,
             last_probe: Micros::ZERO,
+            unanswered: None,
             health: EndpointHealth::default(),
             first_seen: now,
             incarnation_number: 0,
@@ -134,9 +139,14 @@
         now < self.warm_at
     }
 
-    /// Whether it failed recently, so that placement selects it only where nothing else is left.
+    /// Whether it failed recently or is silent, so that placement selects it only where nothing else is
+    /// left.
     #[must_use]
     pub fn is_avoided(&self, now: Micros) -> bool {
+        self.has_failed_recently(now) || self.is_silent(now)
+    }
+
+    fn has_failed_recently(&self, now: Micros) -> bool {
         now < self.avoided_until
     }
 }
--- a/src/gateway/dispatch/fleet/losses.rs
+++ b/src/gateway/dispatch/fleet/losses.rs
@@ -186,7 +186,7 @@
             return;
         };
         endpoint.doubted_at = now;
-        if endpoint.is_avoided(now) {
+        if endpoint.has_failed_recently(now) {
             return;
         }
         let avoidance = doubled(FIRST_AVOIDANCE, endpoint.failures, MOST_AVOIDANCE_DOUBLINGS);
--- a/src/gateway/dispatch/handle.rs
+++ b/src/gateway/dispatch/handle.rs
@@ -139,9 +139,9 @@
             } => self.on_endpoint_directives(endpoint.into(), &directives),
             Event::Probed {
                 endpoint,
-                is_answered,
+                result,
                 born,
-            } => self.on_probed(&endpoint, is_answered, born),
+            } => self.on_probed(&endpoint, result, born),
             Event::Checked {
                 endpoint,
                 has_exited,
--- a/src/gateway/dispatch/probe_timing.rs
+++ b/src/gateway/dispatch/probe_timing.rs
@@ -8,7 +8,7 @@
 //! | no event yet | otherwise | the same, and no earlier than [`first_event_due`] | [`PROBE_LIMIT`] |
 //!
 //! A probe has a cost at the engine and is only sent if the engine may have failed. In both cases
-//! with events an unresponsive engine is left after the same time: a longer pause leaves a shorter
+//! with events an engine that is out of contact is left after the same time: a longer pause leaves a shorter
 //! timeout. Before the first event a loss may be noticed later, up to the last moment at which
 //! another engine can still prefill the prompt within the latency objective.
 //!
@@ -28,13 +28,13 @@
 /// The same while prompts are prefilled at the engine. An event holds 5 to 8 tokens, and a token
 /// takes up to 31 ms then, so pauses of 145 to 250 ms are normal.
 const PAUSE_DURING_PREFILL: Duration = Duration::from_millis(250);
-/// Time after which an unresponsive engine is left: half of the longest pause in a stream that
+/// Time after which an engine that is out of contact is left: half of the longest pause in a stream that
 /// callers accept (700 ms).
 pub(super) const SILENCE_LIMIT: Duration = Duration::from_millis(350);
 /// Minimum time before the first event before the engine is probed.
 pub(super) const PAUSE_BEFORE_PROBE_IN_PREFILL: Duration = Duration::from_millis(700);
 /// Timeout of a probe before the first event.
-const PROBE_LIMIT: Duration = Duration::from_millis(150);
+pub(super) const PROBE_LIMIT: Duration = Duration::from_millis(150);
 /// Time in which prompts are prefilled at the slowest engines (0.7 times the usual speed), relative
 /// to the usual time.
 pub(super) const SLOW_PREFILL: f64 = 1.5;
--- a/src/gateway/dispatch/replicas.rs
+++ b/src/gateway/dispatch/replicas.rs
@@ -397,22 +397,36 @@
     /// Removes and returns the next replica that a request can resume from; unusable ones are
     /// discarded.
     pub(super) fn take_replica(&mut self, number: RequestNumber) -> Option<Replica> {
-        let now = self.now;
         let alone = self.runs_alone(number);
         while let Some(replica) = self.next_replica(number) {
             let request = self.requests.get(&number)?;
-            let host = self.fleet.get_incarnation(&replica.host);
-            let is_usable = host.is_some_and(|e| {
-                let is_free = !alone || self.fleet.usage(e, now).running == 0;
-                let is_usable = self.fleet.may_send(e, now) && !e.is_avoided(now);
-                is_free && is_usable && self.may_resume_at(request, e)
-            });
-            if is_usable && now < replica.expires_at {
+            if self.is_usable_replica(request, &replica, alone) {
                 return Some(replica);
             }
         }
         None
     }
+
+    /// The host of the replica that a request would resume from if its running attempt were stopped now.
+    pub(super) fn next_replica_host(&self, number: RequestNumber) -> Option<EndpointId> {
+        let request = self.requests.get(&number)?;
+        let alone = self.runs_alone(number);
+        let of_active = self.replicas_of(request, request.active.as_ref()?);
+        let mut replicas = of_active.iter().chain(&request.replicas);
+        let usable = replicas.find(|replica| self.is_usable_replica(request, replica, alone));
+        usable.map(|replica| replica.host.id.clone())
+    }
+
+    fn is_usable_replica(&self, request: &Request, replica: &Replica, alone: bool) -> bool {
+        let now = self.now;
+        let host = self.fleet.get_incarnation(&replica.host);
+        let is_usable = host.is_some_and(|e| {
+            let is_free = !alone || self.fleet.usage(e, now).running == 0;
+            let is_usable = self.fleet.may_send(e, now) && !e.is_avoided(now);
+            is_free && is_usable && self.may_resume_at(request, e)
+        });
+        is_usable && now < replica.expires_at
+    }
 }
 
 /// Whether the engine takes snapshots and the request may run again after its active attempt.
--- a/src/gateway/dispatch/request.rs
+++ b/src/gateway/dispatch/request.rs
@@ -79,6 +79,8 @@
     /// Snapshots that failed since the last one that was taken.
     pub failed_snapshots: u32,
     pub next_replica_check: Micros,
+    /// When its move to another endpoint is examined again.
+    pub next_move: Micros,
     /// Tokens of the prompt that are counted as queued for prefill at the endpoint.
     pub prefill: u32,
     /// Tokens of other prompts that were queued for prefill at the endpoint when the attempt started.
--- a/src/gateway/dispatch/rollouts.rs
+++ b/src/gateway/dispatch/rollouts.rs
@@ -15,8 +15,8 @@
 use std::time::Duration;
 
 use super::Dispatcher;
-use super::action::{Action, Command};
-use super::event::{Fault, Outcome, RequestNumber};
+use super::action::Action;
+use super::event::RequestNumber;
 use super::fleet::{Endpoint, Fleet};
 use super::placement::{Demand, Trust};
 use super::record::Record;
@@ -393,23 +393,4 @@
         }
         rollout.leaving_since().is_some_and(|at| self.now >= at)
     }
-
-    /// Moves a stream to the version that its service switches to, if the retry budget allows it.
-    pub(super) fn leave_version(&mut self, number: RequestNumber) {
-        if !self.take_move(number) {
-            return;
-        }
-        let Some(request) = self.requests.get_mut(&number) else {
-            return;
-        };
-        let Some(active) = request.active.take() else {
-            return;
-        };
-        request.possible_runs += 1;
-        self.command(number, Command::StopAttempt(active.attempt));
-        self.record_end(number, &active, &Outcome::Stopped);
-        self.uncount_attempt(&active);
-        self.keep_replicas(number, &active, Fault::Closed);
-        self.start_next_attempt(number);
-    }
 }
--- a/src/gateway/dispatch/stopping.rs
+++ b/src/gateway/dispatch/stopping.rs
@@ -160,7 +160,7 @@
     }
 
     /// Whether a run of a request that starts now is not expected to end before this box exits.
-    fn starts_too_late(&self, request: &Request) -> bool {
+    pub(super) fn starts_too_late(&self, request: &Request) -> bool {
         let latest = self.latest_start_at_stop(request);
         latest.is_some_and(|latest| self.now > latest)
     }
--- a/src/gateway/dispatch/suspicion.rs
+++ b/src/gateway/dispatch/suspicion.rs
@@ -3,9 +3,10 @@
 //! A stream that stalls longer than [`super::probe_timing`] allows makes the box probe the engine,
 //! unless another attempt of this box or the answer to a probe showed meanwhile that the engine
 //! responds. An engine that wants a rest from this box is probed at most once in that time. An engine
-//! that does not answer in time is suspected, and every request there that may be repeated moves. A
-//! call that may be repeated moves without a probe once it has taken [`SLOW_CALL_PART`] of its latency objective,
-//! since a plain service has no load that could be queried.
+//! that does not answer in time is silent or lost ([`super::fleet::silences`]), and the requests there move
+//! as far as their successors are certain ([`super::moves`]). A call that may be repeated moves without
+//! a probe once it has taken [`SLOW_CALL_PART`] of its latency objective, since a plain service has no
+//! load that could be queried.
 //!
 //! Inputs: when each attempt and each endpoint were last seen, as of now; ticks come each 25 ms.
 //! State: the probes that are unanswered. What a loss means for later attempts is in
@@ -19,23 +20,24 @@
 //! 2. This box stops and can't complete it ([`super::stopping`]): it is handed back.
 //! 3. It waits for an endpoint and the interval is over: it selects one again.
 //! 4. It waits for the consequences of a crash ([`super::crashes`]) and the wait is over: it goes on.
-//! 5. It is a slow call, or its engine has restarted and its attempt got nothing since
-//!    ([`super::endpoint_restart`]): it moves.
-//! 6. It must leave its version: it moves to another one.
-//! 7. Its engine is unresponsive: the engine is probed.
-//! 8. Its replicas are due ([`super::replicas`]).
+//! 5. It is a slow call, its engine has restarted and its attempt got nothing since
+//!    ([`super::endpoint_restart`]), its engine did not answer a probe, or it must leave its version: it
+//!    moves if its successor is certain.
+//! 6. Its engine is unresponsive: the engine is probed.
+//! 7. Its replicas are due ([`super::replicas`]).
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::Dispatcher;
-use super::action::{Action, Command};
+use super::action::Action;
 use super::checks::CheckReason;
-use super::event::{Outcome, RequestNumber};
+use super::event::{ProbeResult, RequestNumber};
 use super::fleet::Endpoint;
+use super::fleet::silences::Contact;
+use super::moves::MoveCause;
 use super::probe_timing::{first_event_due, probe_timing};
-use super::record::Record;
-use super::request::{ActiveAttempt, Request, is_due, millis};
+use super::request::{ActiveAttempt, Request, is_due};
 use super::table::RouteKind;
 use crate::schema::{EndpointId, Micros, StartTime};
 
@@ -44,11 +46,11 @@
 const SLOW_CALL_PART: f64 = 0.6;
 
 /// A probe that is to be sent.
-struct DueProbe {
-    reason: CheckReason,
-    endpoint: EndpointId,
-    via: Option<SocketAddr>,
-    limit: Duration,
+pub(super) struct DueProbe {
+    pub reason: CheckReason,
+    pub endpoint: EndpointId,
+    pub via: Option<SocketAddr>,
+    pub limit: Duration,
 }
 
 /// Whether a call may be repeated and has taken [`SLOW_CALL_PART`] of its objective.
@@ -89,10 +91,8 @@
         } else if is_due(request.retry_at, now) {
             request.retry_at = None;
             self.retry(number);
-        } else if is_slow_call(request, now) || self.is_stranded(number) {
-            self.move_away(number);
-        } else if self.must_leave_version(number) {
-            self.leave_version(number);
+        } else if let Some(cause) = self.due_move(number) {
+            self.move_if_certain(number, cause);
         } else if let Some(due) = self.due_probe(number) {
             self.probe(due);
         } else {
@@ -100,6 +100,27 @@
         }
     }
 
+    /// Why the running attempt of a request is to move, if its move is to be examined now.
+    fn due_move(&self, number: RequestNumber) -> Option<MoveCause> {
+        let now = self.now;
+        let request = self.requests.get(&number)?;
+        let active = request.active.as_ref()?;
+        if now < active.next_move {
+            return None;
+        }
+        let endpoint = self.fleet.get_incarnation(&active.endpoint);
+        if is_slow_call(request, now) {
+            Some(MoveCause::Slow)
+        } else if self.is_stranded(number) {
+            Some(MoveCause::Lost)
+        } else if let Some(contact) = endpoint.and_then(|e| e.stalls(active.last_seen, now)) {
+            Some(contact.into())
+        } else {
+            self.must_leave_version(number)
+                .then_some(MoveCause::Version)
+        }
+    }
+
     /// The probe of a stream's engine, if nothing from it was seen for too long and no probe is
     /// unanswered.
     fn due_probe(&self, number: RequestNumber) -> Option<DueProbe> {
@@ -146,7 +167,8 @@
             && now < first_event_due(request, active)
     }
 
-    fn probe(&mut self, due: DueProbe) {
+    /// Sends a probe.
+    pub(super) fn probe(&mut self, due: DueProbe) {
         let now = self.now;
         let Some(endpoint) = self.fleet.get_mut(&due.endpoint) else {
             return;
@@ -188,7 +210,7 @@
     pub(super) fn on_probed(
         &mut self,
         id: &EndpointId,
-        is_answered: bool,
+        result: ProbeResult,
         born: Option<StartTime>,
     ) {
         let now = self.now;
@@ -200,62 +222,50 @@
             return;
         };
         let sent = endpoint.probe_sent.take().unwrap_or(now);
-        if is_answered {
-            endpoint.last_seen = now;
+        let contact = match result {
+            ProbeResult::Answered => {
+                endpoint.last_seen = now;
+                self.fleet.on_reached(id);
+                return;
+            }
+            // Another message from it may have arrived since the probe was sent.
+            _ if endpoint.last_seen > sent => return,
+            ProbeResult::Silent => Contact::Silent,
+            ProbeResult::Unreachable => Contact::Lost,
+        };
+        endpoint.on_unanswered(contact, sent, now);
+        let is_lost = endpoint.lost_contact(now) == Some(Contact::Lost);
+        if contact == Contact::Silent {
             self.fleet.on_reached(id);
-            return;
-        }
-        // Another message from it may have arrived since the probe was sent.
-        if endpoint.last_seen > sent {
-            return;
         }
         // Through a relay or on a lost path, a missing answer shows only that the attempts stall.
-        if !self.on_direct_failure(id) {
+        let is_explained = contact == Contact::Lost && self.on_direct_failure(id);
+        if is_lost && !is_explained {
             self.on_loss(id);
         }
-        self.move_all_from(id, sent);
+        let cause = if is_lost {
+            Contact::Lost
+        } else {
+            Contact::Silent
+        };
+        self.move_all_from(id, sent, cause.into());
     }
 
-    /// Moves all requests that may be repeated and got nothing since `unseen_since` away from a
-    /// suspected endpoint.
-    fn move_all_from(&mut self, id: &EndpointId, unseen_since: Micros) {
+    /// Moves the requests that got nothing since `unseen_since` away from an endpoint that does not
+    /// answer, as far as their successors are certain.
+    fn move_all_from(&mut self, id: &EndpointId, unseen_since: Micros, cause: MoveCause) {
         let at_endpoint = |request: &Request| {
             let active = request.active.as_ref();
             active.is_some_and(|r| r.endpoint.id == *id && r.last_seen <= unseen_since)
         };
-        let movable = |request: &Request| request.route.kind.may_repeat();
         let numbers: Vec<RequestNumber> = self
             .requests
             .iter()
-            .filter(|(_, request)| at_endpoint(request) && movable(request))
+            .filter(|(_, request)| at_endpoint(request))
             .map(|(number, _)| *number)
             .collect();
         for number in numbers {
-            self.move_away(number);
+            self.move_if_certain(number, cause);
         }
     }
-
-    /// Stops the stalled attempt of a request and goes on elsewhere.
-    pub(super) fn move_away(&mut self, number: RequestNumber) {
-        let now = self.now;
-        let Some(request) = self.requests.get_mut(&number) else {
-            return;
-        };
-        let Some(active) = request.active.take() else {
-            return;
-        };
-        request.possible_runs += 1;
-        let record = Record::Suspected {
-            request: request.arrival.id.clone(),
-            endpoint: active.endpoint.id.to_string(),
-            silent_ms: millis(now.since(active.last_seen)),
-        };
-        self.record(record);
-        self.command(number, Command::StopAttempt(active.attempt));
-        self.record_end(number, &active, &Outcome::Stopped);
-        self.sample_end(number, &active, &Outcome::Stopped);
-        self.observe_call(number, &active, &Outcome::Stopped);
-        self.uncount_attempt(&active);
-        self.continue_request(number, &active, &Outcome::Stopped);
-    }
 }
--- a/src/gateway/shell/probes.rs
+++ b/src/gateway/shell/probes.rs
@@ -14,7 +14,7 @@
 
 use crate::gateway::dispatch::action::Target;
 use crate::gateway::dispatch::checks::CheckReason;
-use crate::gateway::dispatch::event::{EndpointSpec, Event, RequestNumber};
+use crate::gateway::dispatch::event::{EndpointSpec, Event, ProbeResult, RequestNumber};
 use crate::gateway::dispatch::prompt_search::GROUP_TIMEOUT;
 use crate::gateway::shell::input::Input;
 use crate::gateway::shell::{GatewayShared, directives};
@@ -24,19 +24,27 @@
 /// Maximum idle time of a connection that is reused.
 const PROBE_CONNECTION_MAX_IDLE: Duration = Duration::from_secs(4);
 
+/// One over the part of a probe's time limit after which a new connection is opened beside an idle one:
+/// the idle one may hang because the host is lost, which only a new one shows.
+const IDLE_WAIT_DIVISOR: u32 = 2;
+
 /// Timeout for an endpoint to report its identity.
 const IDENTITY_TIMEOUT: Duration = Duration::from_millis(80);
 
-/// Probes an endpoint, and sends to the control thread whether it answered.
+/// Probes an endpoint, and sends to the control thread whether it answered, and else whether it takes
+/// connections.
 pub async fn probe(reason: CheckReason, target: Target, limit: Duration, shared: GatewayShared) {
     // Any answer shows that the endpoint is reachable, also one with an error status.
     let path = shared.dialect.load_path();
-    let response = tokio::time::timeout(limit, get(reason, &target, path, limit, &shared)).await;
-    let answer = response.ok().flatten();
+    count(reason, &shared);
+    let (result, answer) = match ask(&target, path, limit, &shared).await {
+        Ok(answer) => (ProbeResult::Answered, Some(answer)),
+        Err(failure) => (failure, None),
+    };
     let report = answer.as_ref().and_then(Answer::body_if_ok);
     let event = Event::Probed {
         endpoint: target.endpoint.clone(),
-        is_answered: answer.is_some(),
+        result,
         born: report.and_then(|body| shared.dialect.start_time(body)),
     };
     shared.send(Input::Event(event)).await;
@@ -209,6 +217,52 @@
     get_on(connection, path, shared).await
 }
 
+/// Gets a path of an endpoint on an idle connection, and on a new one if that brings no answer in time.
+async fn ask(
+    target: &Target,
+    path: &'static str,
+    limit: Duration,
+    shared: &GatewayShared,
+) -> Result<Answer, ProbeResult> {
+    let deadline = Instant::now() + limit;
+    let idle = target.take_idle(shared, PROBE_CONNECTION_MAX_IDLE);
+    let on_idle = async {
+        match idle {
+            Some(connection) => get_on(connection, path, shared).await,
+            None => None,
+        }
+    };
+    tokio::pin!(on_idle);
+    let first = tokio::time::timeout(limit / IDLE_WAIT_DIVISOR, &mut on_idle).await;
+    let is_pending = match first {
+        Ok(Some(answer)) => return Ok(answer),
+        Ok(None) => false,
+        Err(_) => true,
+    };
+    let on_new = ask_on_new(target, path, deadline, shared);
+    tokio::select! {
+        Some(answer) = &mut on_idle, if is_pending => Ok(answer),
+        result = on_new => result,
+    }
+}
+
+/// Gets a path of an endpoint on a new connection.
+async fn ask_on_new(
+    target: &Target,
+    path: &'static str,
+    deadline: Instant,
+    shared: &GatewayShared,
+) -> Result<Answer, ProbeResult> {
+    let left = || deadline.saturating_duration_since(Instant::now());
+    let connection = target.connect(left()).await;
+    let connection = connection.map_err(|_| ProbeResult::Unreachable)?;
+    match tokio::time::timeout(left(), get_on(connection, path, shared)).await {
+        Ok(Some(answer)) => Ok(answer),
+        Ok(None) => Err(ProbeResult::Unreachable),
+        Err(_) => Err(ProbeResult::Silent),
+    }
+}
+
 async fn get_on(
     mut connection: Connection,
     path: &'static str,
--- a/tests/gateway/fixtures.rs
+++ b/tests/gateway/fixtures.rs
@@ -11,7 +11,8 @@
 
 use magpiemoor::gateway::dispatch::action::{Action, Attempt, Command};
 use magpiemoor::gateway::dispatch::event::{
-    Arrival, AttemptNumber, EndpointChange, EndpointSpec, Event, Outcome, RequestNumber, Tokens,
+    Arrival, AttemptNumber, EndpointChange, EndpointSpec, Event, Outcome, ProbeResult,
+    RequestNumber, Tokens,
 };
 use magpiemoor::gateway::dispatch::record::Record;
 use magpiemoor::gateway::dispatch::refusal::RefusalReason;
@@ -293,10 +294,15 @@
         });
     }
 
+    /// A probe of an endpoint that is reached or lost.
     pub fn probed(&mut self, endpoint: &EndpointId, is_answered: bool) -> &[Action] {
+        self.probed_with(endpoint, ProbeResult::of_reach(is_answered))
+    }
+
+    pub fn probed_with(&mut self, endpoint: &EndpointId, result: ProbeResult) -> &[Action] {
         self.handle(Event::Probed {
             endpoint: endpoint.clone(),
-            is_answered,
+            result,
             born: None,
         })
     }
--- a/tests/incarnations.rs
+++ b/tests/incarnations.rs
@@ -11,7 +11,7 @@
 };
 use magpiemoor::gateway::dispatch::action::{Action, Attempt, Command};
 use magpiemoor::gateway::dispatch::event::{
-    EndpointChange, EndpointSpec, Event, Fault, Outcome, RequestNumber,
+    EndpointChange, EndpointSpec, Event, Fault, Outcome, ProbeResult, RequestNumber,
 };
 use magpiemoor::gateway::dispatch::fleet::Endpoint;
 use magpiemoor::gateway::dispatch::fleet::health::EndpointHealth;
@@ -388,7 +388,7 @@
     assert_eq!(probes(&world.run(250)), vec![first.endpoint.clone()]);
     world.handle(Event::Probed {
         endpoint: first.endpoint.clone(),
-        is_answered: true,
+        result: ProbeResult::Answered,
         born: Some(StartTime(2_000)),
     });
     assert_eq!(start_time_of(&world, &first.endpoint), Some(2_000));
@@ -415,7 +415,7 @@
     restarted(&mut world, &first.endpoint, 2_000, 50);
     world.handle(Event::Probed {
         endpoint: first.endpoint.clone(),
-        is_answered: true,
+        result: ProbeResult::Answered,
         born: Some(StartTime(FIRST)),
     });
     assert_eq!(start_time_of(&world, &first.endpoint), Some(2_000));
