Test: attempts stay where no engine has room, and at restarted engines without budget

Two more decisions of the same class on made-up time: a stream at a silent engine must not give its attempt up for the queue, and one at a restarted engine not before the budget grants the move.

--- a/tests/silences.rs
+++ b/tests/silences.rs
@@ -7,14 +7,16 @@
 use std::time::Duration;
 
 use fixtures::{
-    GENEROUS, PAYMENTS, QUOTES, STREAMS, World, commands, domain_of, endpoint, endpoints,
+    GENEROUS, PAYMENTS, QUOTES, STREAMS, World, changed, commands, domain_of, endpoint, endpoints,
     first_attempt, listed, parts, probes, refusal, route, table,
 };
 use magpiemoor::gateway::dispatch::action::{Action, Attempt, Command};
-use magpiemoor::gateway::dispatch::event::{Event, Outcome, ProbeResult, RequestNumber};
+use magpiemoor::gateway::dispatch::event::{
+    EndpointChange, EndpointSpec, Event, Outcome, ProbeResult, RequestNumber,
+};
 use magpiemoor::gateway::dispatch::retry_budget::RetryPolicy;
 use magpiemoor::gateway::dispatch::table::RoutingTable;
-use magpiemoor::schema::EndpointId;
+use magpiemoor::schema::{EndpointId, StartTime};
 use rstest::rstest;
 
 /// A budget that grants no retry.
@@ -131,6 +133,48 @@
     assert_eq!(commands(&world.actions), vec![&Command::Finish]);
 }
 
+/// A stream that leaves a silent engine must not wait in the queue for room.
+#[test]
+fn an_attempt_stays_at_a_silent_engine_while_no_other_has_room() {
+    let mut world = world_with(GENEROUS, 5, 2);
+    let mut streams = Vec::new();
+    while let (request, Some(first)) = world.arrive(STREAMS) {
+        world.progress(request, first.attempt, 1);
+        streams.push((request, first));
+    }
+    let silent = streams[0].1.endpoint.clone();
+    let mut done = Vec::new();
+    for _ in 0..SOUND_SILENCE / 100 {
+        for (request, first) in streams.iter().filter(|(_, a)| a.endpoint != silent) {
+            world.progress(*request, first.attempt, 1);
+        }
+        done.extend(play(&mut world, 100, |id| *id == silent));
+    }
+    assert_eq!(stops(&done), 0);
+}
+
+#[test]
+fn a_stream_of_a_restarted_engine_stays_while_the_budget_is_spent() {
+    let mut world = world_with(SPENT, 5, 4);
+    let mut specs = endpoints();
+    for spec in &mut specs {
+        spec.born = Some(StartTime(1_000));
+        spec.revision = 1;
+    }
+    world.handle(listed(specs.clone()));
+    let (_, first) = begin(&mut world);
+    let of_attempt = specs.into_iter().find(|spec| spec.id == first.endpoint);
+    let restarted = EndpointSpec {
+        born: Some(StartTime(2_000)),
+        revision: 2,
+        ..of_attempt.unwrap()
+    };
+    world.handle(changed(vec![EndpointChange::Present(restarted)]));
+    let done = world.run(2_000);
+    assert_eq!(stops(&done), 0);
+    assert_eq!(refusal(&done), None);
+}
+
 #[test]
 fn no_stream_moves_and_no_retry_is_spent_while_all_engines_are_silent() {
     let mut world = world_with(GENEROUS, 5, 6);
