Open connections get the limits in force, and are closed only when idle

What callers saw: a box closed a kept connection that the table in force let them reuse, or answered 431 to a head that it allowed, and closed connections on which a head had begun to arrive.

Cause: the limits were read once, when a connection was accepted. The HTTP library's time-out covers the idle time and the head together, so that a head that came late in the idle time was cut without a status; and its graceful shutdown takes a kept connection with a part of a head for idle. A connection from before the first table kept 15 s and 8 KiB for ever.

Change: `LimitsInForce` holds the limits in force and the earlier ones that still count. A connection may be idle for the longest time that any table in force since it became idle allows, and `IDLE_MARGIN` (3 s) more, since callers may know a newer table before the box; so a rise counts at once and a fall from the next idle time on. The head limit goes by the same rule and is checked when the head is complete (431). A head that has begun has 10 s or the idle time, whichever is longer, then 408. A stop waits with the close of a connection until a head that has begun is complete, while the process runs; answers then carry `Connection: close`.

Not mended: a head longer than 64 KiB on a connection that was accepted when the table allowed less still gets 431, and a head that is incomplete when the process exits is closed without a status.

--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -62,8 +62,6 @@
 /// Idle time after which a connection to an endpoint is closed: slightly longer than the idle time
 /// up to which an attempt reuses one.
 const IDLE_CONNECTION_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(5);
-/// Idle timeout of a caller's connection while there is no configuration.
-const UNCONFIGURED_IDLE_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(15);
 
 struct Listeners {
     callers: TcpListener,
@@ -173,13 +171,9 @@
 
 async fn serve_callers(listener: TcpListener, shared: GatewayShared) {
     let front = callers::Callers::new(shared.clone());
-    let options = move || {
-        let limits = shared.limits();
-        ServeOptions {
-            head_timeout: limits.map_or(UNCONFIGURED_IDLE_TIMEOUT, |l| l.idle),
-            head_bytes: limits.map_or(0, |l| l.head_bytes),
-            closing: shared.closing.subscribe(),
-        }
+    let options = ServeOptions {
+        limits: shared.connection_limits.clone(),
+        closing: shared.closing.subscribe(),
     };
     crate::http::serve_with(listener, front, options).await;
 }
--- a/src/gateway/shell/shared.rs
+++ b/src/gateway/shell/shared.rs
@@ -5,7 +5,7 @@
 use std::io::Write;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, RwLock};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use gotham::helpers::http::Body;
 use gotham::hyper::{HeaderMap, Response, header};
@@ -24,10 +24,17 @@
 use crate::gateway::shell::metrics::GatewayMetrics;
 use crate::gateway::shell::relay::MAX_TUNNELS;
 use crate::gateway::shell::store_cache::{CachedTable, StoreCache};
+use crate::http::limits::{ConnectionLimits, LimitsInForce};
 use crate::http::pool::Pool;
+use crate::http::server::HEAD_BYTES;
 use crate::listen::DaemonError;
 use crate::schema::{PackedTable, StateReply, StateRequest};
 
+/// Limits on callers' connections while there is no configuration.
+const UNCONFIGURED_LIMITS: ConnectionLimits = ConnectionLimits {
+    idle: Duration::from_secs(15),
+    head_bytes: HEAD_BYTES,
+};
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 8;
 
@@ -59,6 +66,8 @@
     pub inputs: mpsc::Sender<Input>,
     /// Pool of connections to endpoints.
     pub pool: Arc<Pool>,
+    /// Limits on callers' connections by the routing tables in force so far.
+    pub connection_limits: LimitsInForce,
     /// Tunnels that this box may still open for others.
     pub(super) tunnels: Arc<Semaphore>,
     pub(super) closing: watch::Sender<bool>,
@@ -128,6 +137,7 @@
             metrics: Arc::new(metrics),
             inputs,
             pool: Arc::new(Pool::new(MAX_IDLE_PER_ENDPOINT)),
+            connection_limits: LimitsInForce::new(UNCONFIGURED_LIMITS),
             tunnels: Arc::new(Semaphore::new(MAX_TUNNELS as usize)),
             closing: watch::channel(false).0,
             stopping: watch::channel(false).0,
@@ -289,6 +299,13 @@
 
     /// Sets the routing table in force and whether the dispatcher is ready.
     pub fn set_table(&self, table: Option<Arc<RoutingTable>>, is_ready: bool) {
+        if let Some(table) = &table {
+            let CallerLimits {
+                idle, head_bytes, ..
+            } = table.limits();
+            let limits = ConnectionLimits { idle, head_bytes };
+            self.connection_limits.set(limits, Instant::now());
+        }
         *self
             .state
             .table
--- a/src/http.rs
+++ b/src/http.rs
@@ -5,7 +5,9 @@
 //! gateway's shell uses the pool directly, because each attempt there sets its own limit on how long
 //! a reused connection may have been idle.
 
+mod activity;
 pub mod client;
+pub mod limits;
 pub mod pool;
 pub mod server;
 pub mod tunnel;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,34 +1,52 @@
-//! The HTTP server behind every listener of the product. It bounds the number of connections and the
-//! size of request heads, and its graceful shutdown completes the requests in progress.
+//! The HTTP server behind every listener of the product. It bounds the number of connections, their
+//! idle time and the size of request heads, and its graceful shutdown completes the requests in
+//! progress.
+//!
+//! The limits may change while connections are open ([`super::limits`]). Only a connection on which
+//! nothing has arrived since its last answer counts as idle ([`super::activity`]): a head that has
+//! begun to arrive has [`HEAD_TIMEOUT`] or more, and a status if it takes longer.
 
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
+use std::pin::Pin;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::Stream;
 use gotham::handler::NewHandler;
 use gotham::helpers::http::Body;
 use gotham::hyper::body::{Frame, Incoming};
+use gotham::hyper::header::{CONNECTION, HeaderValue};
 use gotham::hyper::{Request, Response, StatusCode};
 use gotham::state::State;
 use http_body_util::{BodyExt, Full, Limited, StreamBody};
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::TcpListener;
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 
-/// The default timeout for receiving the head of a request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-/// The default limit on the head of a request, in bytes.
-const HEAD_BYTES: usize = 64 << 10;
-/// The smallest limit on a head that the HTTP library accepts, in bytes.
+use super::activity::{Activity, ObservedSocket, Phase};
+use super::limits::{ConnectionLimits, HEAD_TIMEOUT, IDLE_MARGIN, LimitsInForce};
+
+/// The default idle time of a connection.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// The default limit on the head of a request, in bytes. A connection reads this much also while a
+/// lower limit is in force, which is checked when the head is complete: the limit may rise later.
+pub const HEAD_BYTES: usize = 64 << 10;
+/// The smallest limit on a head that is applied, in bytes.
 const LEAST_HEAD_BYTES: usize = 8 << 10;
 /// The timeout for receiving the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// The bytes of a request's first line beside its method and target.
+const FIRST_LINE_REST_BYTES: usize = "  HTTP/1.1\r\n\r\n".len();
+/// The bytes of a header field beside its name and value.
+const FIELD_REST_BYTES: usize = ": \r\n".len();
+/// The answer to a head that takes too long; the request has not run.
+const HEAD_TOO_SLOW: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 /// The media type of server-sent events.
 pub const EVENT_STREAM: &str = "text/event-stream";
 /// The number of connections that one listener serves concurrently.
@@ -98,22 +116,23 @@
     respond(status, "application/json", full(text))
 }
 
-/// Options for serving a connection.
+/// Options for serving a listener.
 #[derive(Clone, Debug)]
 pub struct ServeOptions {
-    /// The timeout for receiving the head of a request, including the idle time before it.
-    pub head_timeout: Duration,
-    /// The limit on the head of a request, in bytes; raised to 8 KiB if smaller.
-    pub head_bytes: usize,
+    /// Limits on connections. A limit on heads under 8 KiB counts as 8 KiB.
+    pub limits: LimitsInForce,
     /// Becomes true when the server has to stop accepting connections and close the idle ones.
     pub closing: watch::Receiver<bool>,
 }
 
 impl Default for ServeOptions {
     fn default() -> Self {
-        Self {
-            head_timeout: HEAD_TIMEOUT,
+        let limits = ConnectionLimits {
+            idle: IDLE_TIMEOUT,
             head_bytes: HEAD_BYTES,
+        };
+        Self {
+            limits: LimitsInForce::new(limits),
             closing: watch::channel(false).1,
         }
     }
@@ -124,25 +143,25 @@
 where
     H: NewHandler + 'static,
 {
-    serve_with(listener, handler, ServeOptions::default).await;
+    serve_with(listener, handler, ServeOptions::default()).await;
 }
 
-/// Serves HTTP like [`serve`], with options evaluated for each new connection.
+/// Serves HTTP like [`serve`], with options.
 ///
 /// Completes, and so drops the listener, once [`ServeOptions::closing`] is true. Connections in
 /// progress continue in tasks of their own until their current request is answered.
-pub async fn serve_with<H>(listener: TcpListener, handler: H, options: impl Fn() -> ServeOptions)
+pub async fn serve_with<H>(listener: TcpListener, handler: H, options: ServeOptions)
 where
     H: NewHandler + 'static,
 {
-    let mut closing = options().closing;
+    let mut closing = options.closing.clone();
     tokio::select! {
         () = accept_all(listener, handler, options) => {}
         () = wait_until_true(&mut closing) => {}
     }
 }
 
-async fn accept_all<H>(listener: TcpListener, handler: H, options: impl Fn() -> ServeOptions)
+async fn accept_all<H>(listener: TcpListener, handler: H, options: ServeOptions)
 where
     H: NewHandler + 'static,
 {
@@ -159,7 +178,7 @@
         };
         let _ = socket.set_nodelay(true);
         let handler = Arc::clone(&handler);
-        let options = options();
+        let options = options.clone();
         tokio::spawn(async move {
             serve_connection(socket, client, handler, options).await;
             drop(permit);
@@ -168,30 +187,136 @@
 }
 
 async fn serve_connection<H>(
-    socket: tokio::net::TcpStream,
+    socket: TcpStream,
     client: SocketAddr,
     handler: Arc<H>,
     mut options: ServeOptions,
 ) where
     H: NewHandler + 'static,
 {
-    let service = service_fn(move |request: Request<Incoming>| {
-        let state = State::from_request(request, client);
-        gotham::service::call_handler(Arc::clone(&handler), AssertUnwindSafe(state))
+    let activity = Activity::start();
+    let connection = Arc::new(ServedConnection {
+        handler,
+        client,
+        options: options.clone(),
+        activity: activity.clone(),
     });
-    let served = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(options.head_timeout)
-        .max_buf_size(options.head_bytes.max(LEAST_HEAD_BYTES))
+    let service = service_fn(move |request| Arc::clone(&connection).serve(request));
+    let buffer_bytes = options.limits.current().head_bytes.max(HEAD_BYTES);
+    let socket = ObservedSocket::new(socket, activity.clone());
+    let mut served = hyper::server::conn::http1::Builder::new()
+        .header_read_timeout(None)
+        .max_buf_size(buffer_bytes)
         .serve_connection(TokioIo::new(socket), service);
-    tokio::pin!(served);
     // A connection error is ignored: it means that the caller disconnected.
+    let due = tokio::select! {
+        biased;
+        _ = &mut served => return,
+        due = until_due(&activity, &mut options) => due,
+    };
+    match due {
+        Due::Close => {
+            Pin::new(&mut served).graceful_shutdown();
+            let _ = served.await;
+        }
+        Due::RefuseHead => served.into_parts().io.into_inner().send_now(HEAD_TOO_SLOW),
+    }
+}
+
+/// What serves the requests of one connection.
+struct ServedConnection<H> {
+    handler: Arc<H>,
+    client: SocketAddr,
+    options: ServeOptions,
+    activity: Activity,
+}
+
+impl<H> ServedConnection<H>
+where
+    H: NewHandler + 'static,
+{
+    async fn serve(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> gotham::anyhow::Result<Response<Body>> {
+        let head_began = self.activity.begin_request();
+        let mut response = self.answer(request, head_began).await?;
+        if *self.options.closing.borrow() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        Ok(response.map(|body| self.activity.until_sent(body)))
+    }
+
+    /// Answers one request, with 431 if its head is too long.
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        head_began: Instant,
+    ) -> gotham::anyhow::Result<Response<Body>> {
+        let limit = self.options.limits.most_since(head_began).head_bytes;
+        let most = limit.max(LEAST_HEAD_BYTES);
+        if head_bytes(&request) > most {
+            let text = format!("the head may have {most} bytes; send a shorter one\n");
+            let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+            return Ok(respond(status, "text/plain", full(text)));
+        }
+        let state = State::from_request(request, self.client);
+        let handler = Arc::clone(&self.handler);
+        gotham::service::call_handler(handler, AssertUnwindSafe(state)).await
+    }
+}
+
+/// The size of a request's head as it was sent, in bytes, without optional white space.
+fn head_bytes<B>(request: &Request<B>) -> usize {
+    let target = request.uri().path_and_query();
+    let target = target.map_or(0, |target| target.as_str().len());
+    let first_line = request.method().as_str().len() + target + FIRST_LINE_REST_BYTES;
+    let fields = request.headers().iter();
+    let fields = fields.map(|(name, value)| name.as_str().len() + value.len() + FIELD_REST_BYTES);
+    first_line + fields.sum::<usize>()
+}
+
+/// What is due for a connection.
+enum Due {
+    /// It closes once the request in progress, if any, is answered.
+    Close,
+    /// The head of a request has taken too long.
+    RefuseHead,
+}
+
+/// Waits until something is due for a connection: its limits are exceeded, or the server is closing
+/// and no head is on its way.
+async fn until_due(activity: &Activity, options: &mut ServeOptions) -> Due {
+    let closing = &mut options.closing;
+    let until_closing = async move {
+        wait_until_true(closing).await;
+        while matches!(activity.phase(), Phase::Head(_)) {
+            activity.changed().await;
+        }
+    };
     tokio::select! {
-        _ = served.as_mut() => return,
-        () = wait_until_true(&mut options.closing) => {}
+        due = until_overdue(activity, &options.limits) => due,
+        () = until_closing => Due::Close,
+    }
+}
+
+/// Waits until a connection has been idle, or the head of a request has taken, longer than allowed.
+async fn until_overdue(activity: &Activity, limits: &LimitsInForce) -> Due {
+    loop {
+        let phase = activity.phase();
+        let idle = limits.most_since(phase.since()).idle;
+        let (end, due) = match phase {
+            Phase::Idle(since) => (since + idle + IDLE_MARGIN, Due::Close),
+            Phase::Head(since) => (since + idle.max(HEAD_TIMEOUT), Due::RefuseHead),
+            // Any idle time that follows ends later.
+            Phase::Busy(_) => (Instant::now() + idle + IDLE_MARGIN, Due::Close),
+        };
+        if end <= Instant::now() {
+            return due;
+        }
+        tokio::time::sleep_until(end.into()).await;
     }
-    served.as_mut().graceful_shutdown();
-    let _ = served.await;
 }
 
 /// Waits until a flag is true; forever if its sender has been dropped.
