A server that sends bytes without end before or inside an answer ends its attempt by their number

Callers of a server that sent informational answers, or the digits before a chunk's data, without end waited until their deadline and got a 504, although another server was sound. A probe answered in that way also held its stream's caller up.

Cause: the HTTP library bounds one head, chunk extensions and trailers, but neither the number of informational answers nor the digits and space before a chunk's data; the box had no bound of its own on them. A body kept each of its chunks as a part of its own, so that chunks of one byte took many times their size.

Change: each connection counts the bytes read since the answer last advanced (a head, or data of a body); above 1 MiB it fails and the attempt ends as malformed. A head has 64 KiB at most. Short answers have 1 MiB at most, the store's 32 MiB. Bodies are copied into one buffer, and one that is too long is malformed, without a byte read if its stated length says so. No limit counts time.

--- a/lab/src/gateway/server.rs
+++ b/lab/src/gateway/server.rs
@@ -2,6 +2,7 @@
 //! plain service, with faults on command.
 
 mod brittle;
+pub mod endless;
 mod serving;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -16,6 +17,7 @@
 
 use super::wire::Message;
 use brittle::Brittle;
+use endless::Endless;
 
 /// What a server does with a request.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -49,6 +51,8 @@
     Early,
     /// It takes the request and says nothing any more.
     Silent,
+    /// It sends bytes without end.
+    Endless(Endless),
 }
 
 /// How often a stream that waits looks whether it may go on.
@@ -109,6 +113,13 @@
     brittle: Option<Brittle>,
     /// Whether it says in its answers that it is leaving.
     says_leaving: bool,
+    /// The part without end of its answers to questions.
+    endless_reports: Option<Endless>,
+    /// Answers without end that began, and that ended since the caller closed.
+    endless_begun: usize,
+    endless_ended: usize,
+    /// The bytes sent of the longest answer without end.
+    most_endless_bytes: usize,
     /// Requests that arrived, whether or not they ran.
     arrived: usize,
     kept: Vec<String>,
@@ -311,6 +322,30 @@
         lock(&self.state).says_leaving = true;
     }
 
+    /// Answers questions without end from now on, or as it should.
+    pub fn report_endless(&self, endless: Option<Endless>) {
+        lock(&self.state).endless_reports = endless;
+    }
+
+    /// How many answers without end ended since their caller closed.
+    #[must_use]
+    pub fn endless_ended(&self) -> usize {
+        lock(&self.state).endless_ended
+    }
+
+    /// How many answers without end are on their way.
+    #[must_use]
+    pub fn endless_open(&self) -> usize {
+        let state = lock(&self.state);
+        state.endless_begun - state.endless_ended
+    }
+
+    /// The bytes sent of the longest answer without end that is over.
+    #[must_use]
+    pub fn most_endless_bytes(&self) -> usize {
+        lock(&self.state).most_endless_bytes
+    }
+
     /// Tells nobody from now on which parts of prompts it keeps, as if it kept none.
     pub fn hide_kept(&self) {
         lock(&self.state).hides_kept = true;
--- a/lab/src/gateway/server/serving.rs
+++ b/lab/src/gateway/server/serving.rs
@@ -8,6 +8,7 @@
 use tokio::net::TcpListener;
 
 use super::brittle::Reception;
+use super::endless::Endless;
 use super::{
     Act, Copy, HANDLES, LOOK, OTHER, Run, Serving, chunk, event_text, last_part, lock, lock_copies,
     named, named_event_text, whole,
@@ -43,7 +44,13 @@
             if self.is_silent() {
                 std::future::pending::<()>().await;
             }
+            let endless = lock(&self.state).endless_reports;
             let is_end = match head.path() {
+                "/v1/report" | "/healthz" if endless.is_some() => {
+                    let signed = format!("Magpiemoor-Instance-Id: {}\r\n", self.id);
+                    let endless = endless.unwrap_or(Endless::Body);
+                    self.send_endless(wire, endless, &signed).await?
+                }
                 "/v1/report" => self.report(wire).await?,
                 "/healthz" => self.health(wire).await?,
                 path if path.starts_with("/v1/kv-events") => self.kept(wire).await?,
@@ -265,6 +272,7 @@
         let body = format!("answer to {id}");
         let signed = self.signed(id);
         match act {
+            Act::Endless(endless) => return self.send_endless(wire, endless, &signed).await,
             Act::Error => wire.send(whole(500, &signed, "error")).await?,
             Act::LostAnswer => return Ok(true),
             Act::Garbage => {
@@ -310,6 +318,9 @@
         let first = ask.number("last-event-id").unwrap_or(0) + 1;
         let backup = ask.header("magpiemoor-kv-backup").map(str::to_owned);
         let signed = self.signed(id);
+        if let Act::Endless(endless) = act {
+            return self.send_endless(wire, endless, &signed).await;
+        }
         wire.send(format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n{signed}\r\n"
         ))
--- a/src/gateway/shell/attempt.rs
+++ b/src/gateway/shell/attempt.rs
@@ -8,10 +8,9 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use gotham::hyper::body::Incoming;
 use gotham::hyper::http::request;
 use gotham::hyper::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 
 use crate::gateway::dispatch::action::{Attempt, Target};
 use crate::gateway::dispatch::checks::CheckReason;
@@ -20,6 +19,7 @@
 use crate::gateway::shell::relay::OpenError;
 use crate::gateway::shell::{GatewayShared, headers};
 use crate::http::pool::{Connection, SendError};
+use crate::http::read_limit::{PeerBody, ReadError, read_limited};
 
 /// Maximum body size of an answer that is not a stream, in bytes.
 const MAX_BUFFERED_ANSWER: usize = 8 << 20;
@@ -49,7 +49,7 @@
     request: &CallerRequest,
     attempt: &Attempt,
     after: Option<u64>,
-) -> Result<(Response<Incoming>, Connection), Outcome> {
+) -> Result<(Response<PeerBody>, Connection), Outcome> {
     let started = Instant::now();
     let mut attempt = attempt.clone();
     attempt.after_event = attempt.after_event.max(after);
@@ -90,7 +90,7 @@
     number: RequestNumber,
     request: &CallerRequest,
     attempt: &Attempt,
-) -> Result<Response<Incoming>, SendFailure> {
+) -> Result<Response<PeerBody>, SendFailure> {
     check_instance(connection, shared, attempt).await?;
     check_start(connection, shared, attempt).await?;
     report_connection(shared, number, attempt).await;
@@ -179,10 +179,12 @@
     }
 }
 
-/// The fault of an answer that broke off, or that of the tunnel if that broke.
+/// The fault of an answer that broke off: that of the tunnel if that broke, and that of the bytes if
+/// the endpoint sent them without end.
 pub(super) fn fault_of(fault: Fault, connection: &Connection) -> Fault {
     match fault {
         Fault::Closed | Fault::Malformed if connection.has_lost_tunnel() => Fault::RelayLost,
+        Fault::Closed if connection.is_endless() => Fault::Malformed,
         fault => fault,
     }
 }
@@ -206,10 +208,14 @@
 pub(super) async fn buffer_answer(
     status: StatusCode,
     headers: &HeaderMap,
-    body: Incoming,
+    body: PeerBody,
 ) -> Result<BufferedAnswer, Fault> {
-    let body = Limited::new(body, MAX_BUFFERED_ANSWER).collect().await;
-    let body = body.map_err(|_| Fault::Closed)?.to_bytes();
+    let body = read_limited(body, MAX_BUFFERED_ANSWER, |_| true).await;
+    let body = body.map_err(|e| match e {
+        ReadError::TooLong => Fault::Malformed,
+        ReadError::Broken => Fault::Closed,
+    })?;
+    let body = body.freeze();
     Ok(BufferedAnswer {
         status,
         headers: headers.clone(),
--- a/src/gateway/shell/exchange.rs
+++ b/src/gateway/shell/exchange.rs
@@ -15,7 +15,7 @@
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
-use gotham::hyper::body::{Frame, Incoming};
+use gotham::hyper::body::Frame;
 use gotham::hyper::http::response;
 use gotham::hyper::{HeaderMap, Response, StatusCode, header};
 use http_body_util::{BodyExt, StreamBody};
@@ -37,6 +37,7 @@
 use crate::gateway::shell::reply_watch::ReplyWatch;
 use crate::gateway::shell::{GatewayShared, directives, headers};
 use crate::http::pool::Connection;
+use crate::http::read_limit::PeerBody;
 use crate::http::{self, EVENT_STREAM};
 
 /// Maximum number of events that are queued for a slow caller before reading from the engine
@@ -311,7 +312,7 @@
         &mut self,
         attempt: &Attempt,
         headers: &HeaderMap,
-        mut body: Incoming,
+        mut body: PeerBody,
         connection: Connection,
     ) -> AttemptEnd {
         let mut splitter = EventSplitter::default();
--- a/src/http.rs
+++ b/src/http.rs
@@ -9,6 +9,7 @@
 pub mod client;
 pub mod limits;
 pub mod pool;
+pub mod read_limit;
 pub mod server;
 pub mod tunnel;
 
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -12,11 +12,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gotham::hyper::body::{Body, Frame, Incoming, SizeHint};
+use gotham::hyper::body::{Body, Frame, SizeHint};
 use gotham::hyper::{Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 
 use super::pool::{Connection, Pool, SendError};
+use super::read_limit::{PeerBody, read_limited};
 
 /// The timeout for connecting.
 const CALL_CONNECT_LIMIT: Duration = Duration::from_millis(500);
@@ -197,7 +198,7 @@
 
     fn with_connection(
         &self,
-        response: Response<Incoming>,
+        response: Response<PeerBody>,
         connection: Connection,
     ) -> Response<AnswerBody> {
         response.map(|body| AnswerBody {
@@ -216,15 +217,12 @@
         let exchange = async {
             let response = self.open(call, limit).await?;
             let (head, body) = response.into_parts();
-            let body = Limited::new(body, MAX_ANSWER);
-            let body = body
-                .collect()
-                .await
-                .map_err(|e| HttpError::Broken(e.to_string()))?;
+            let body = read_limited(body, MAX_ANSWER, |_| true).await;
+            let body = body.map_err(|e| HttpError::Broken(e.to_string()))?;
             Ok(Answer {
                 status: head.status,
                 headers: head.headers,
-                body: body.to_bytes(),
+                body: body.freeze(),
             })
         };
         tokio::time::timeout(limit, exchange)
@@ -251,7 +249,7 @@
 /// if the body is dropped before, the connection is closed.
 #[derive(Debug)]
 pub struct AnswerBody {
-    body: Incoming,
+    body: PeerBody,
     connection: Option<Connection>,
     pool: Arc<Pool>,
 }
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -14,7 +14,6 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::FutureExt;
-use gotham::hyper::body::Incoming;
 use gotham::hyper::http::response;
 use gotham::hyper::{HeaderMap, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
@@ -24,6 +23,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use super::read_limit::{LimitedIo, PeerBody, ReadLimit, read_limited};
 use super::tunnel::{Tunnel, TunnelState};
 use crate::schema::{EndpointId, StartTime};
 
@@ -44,6 +44,15 @@
 /// may close the connection while a request is on its way.
 const PEER_IDLE_PART: f64 = 0.8;
 
+/// Size limit of the read buffer of a connection, in bytes; the head of an answer must fit into it.
+const MAX_READ_BUFFER: usize = 64 << 10;
+/// Maximum size of the body of an answer to [`Connection::exchange`], in bytes: a report of an
+/// endpoint has a few kilobytes.
+const MAX_SHORT_ANSWER: usize = 1 << 20;
+/// Maximum size of the body of an answer to [`Connection::get_with_timeouts`], in bytes: 32 objects
+/// of the largest size in the users' store.
+const MAX_LONG_ANSWER: usize = 32 << 20;
+
 /// Makes the operating system detect a peer that is unreachable or without power.
 pub fn enable_keepalive(socket: &tokio::net::TcpStream) {
     let socket = socket2::SockRef::from(socket);
@@ -79,6 +88,8 @@
     address: SocketAddr,
     /// State of the tunnel through which the connection passes, if it does.
     tunnel: Option<Arc<TunnelState>>,
+    /// Bound on what the peer may send without its answer advancing.
+    limit: Arc<ReadLimit>,
     sender: SendRequest<Full<Bytes>>,
     idle_since: Instant,
     /// Longest idle time after which the peer still reads a request, if its answers state one.
@@ -122,7 +133,13 @@
         address: SocketAddr,
         tunnel: Option<Arc<TunnelState>>,
     ) -> Result<Self, SendError> {
+        let limit = Arc::new(ReadLimit::default());
+        let io = LimitedIo {
+            io,
+            limit: Arc::clone(&limit),
+        };
         let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER)
             .handshake(TokioIo::new(io))
             .await
             .map_err(|_| SendError::NotSent)?;
@@ -133,6 +150,7 @@
         Ok(Self {
             address,
             tunnel,
+            limit,
             sender,
             idle_since: Instant::now(),
             peer_max_idle: None,
@@ -159,6 +177,12 @@
         self.tunnel.as_ref().is_some_and(|tunnel| tunnel.is_lost())
     }
 
+    /// Returns whether the peer sent bytes without end that do not advance its answer.
+    #[must_use]
+    pub fn is_endless(&self) -> bool {
+        self.limit.is_exceeded()
+    }
+
     /// Returns whether the connection must not be used again since its tunnel is about to end.
     fn is_ending(&self) -> bool {
         let tunnel = self.tunnel.as_ref();
@@ -181,15 +205,18 @@
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<Response<PeerBody>, SendError> {
+        self.limit.on_advance();
         match self.sender.try_send_request(request).await {
             Ok(response) => {
+                self.limit.on_advance();
                 self.peer_max_idle = stated_max_idle(response.headers());
-                Ok(response)
+                let limit = Arc::clone(&self.limit);
+                Ok(response.map(|body| PeerBody { body, limit }))
             }
             Err(mut e) => Err(if e.take_message().is_some() {
                 SendError::NotSent
-            } else if e.error().is_parse() {
+            } else if e.error().is_parse() || self.is_endless() {
                 SendError::Malformed
             } else {
                 SendError::Broken
@@ -204,7 +231,8 @@
     }
 
     /// Sends a GET request and reads the complete answer; `None` if the head takes longer than
-    /// `head_timeout`, if the body makes no progress for `stall_timeout`, or if the connection broke.
+    /// `head_timeout`, if the body makes no progress for `stall_timeout` or is longer than
+    /// [`MAX_LONG_ANSWER`], or if the connection broke.
     pub async fn get_with_timeouts(
         &mut self,
         path: &str,
@@ -222,6 +250,9 @@
             if let Ok(data) = frame.ok()?.into_data() {
                 bytes.extend_from_slice(&data);
             }
+            if bytes.len() > MAX_LONG_ANSWER {
+                return None;
+            }
         }
         Some((parts.status, bytes.freeze()))
     }
@@ -233,7 +264,7 @@
     }
 
     /// Sends a request, with `Host` set to the address of the connection, and reads the complete
-    /// answer; `None` if the connection broke.
+    /// answer; `None` if the connection broke or the body is longer than [`MAX_SHORT_ANSWER`].
     pub async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -241,8 +272,8 @@
         let request = self.with_host(request)?;
         let response = self.send(request).await.ok()?;
         let (head, body) = response.into_parts();
-        let body = body.collect().await.ok()?;
-        Some((head, body.to_bytes()))
+        let body = read_limited(body, MAX_SHORT_ANSWER, |_| true).await;
+        Some((head, body.ok()?.freeze()))
     }
 
     fn with_host(&self, mut request: Request<Full<Bytes>>) -> Option<Request<Full<Bytes>>> {
