Answers that wait in memory count towards held_bytes

24 calls at once to servers whose bodies have no end took a box 192,372 KiB (no length) and 208,508 KiB (chunks) above the 18.5 MiB that as many sound answers took.

Cause: each answer may have 8 MiB, and nothing bounded all of them together; the setting held_bytes (64 MiB) counted bodies of requests only.

Change: the memory of an answer's buffer is reserved as it grows, with that of requests' bodies, and released with the last reference to it. An answer that doesn't fit ends its attempt as malformed; one of up to 64 KiB is held in any case, so usual answers never fail for it.

--- a/src/gateway/shell/attempt.rs
+++ b/src/gateway/shell/attempt.rs
@@ -19,7 +19,7 @@
 use crate::gateway::shell::relay::OpenError;
 use crate::gateway::shell::{GatewayShared, headers};
 use crate::http::pool::{Connection, SendError};
-use crate::http::read_limit::{PeerBody, ReadError, read_limited};
+use crate::http::read_limit::{PeerBody, ReadError};
 
 /// Maximum body size of an answer that is not a stream, in bytes.
 const MAX_BUFFERED_ANSWER: usize = 8 << 20;
@@ -206,16 +206,16 @@
 
 /// Reads the complete body of an answer.
 pub(super) async fn buffer_answer(
+    shared: &GatewayShared,
     status: StatusCode,
     headers: &HeaderMap,
     body: PeerBody,
 ) -> Result<BufferedAnswer, Fault> {
-    let body = read_limited(body, MAX_BUFFERED_ANSWER, |_| true).await;
+    let body = shared.hold_answer(body, MAX_BUFFERED_ANSWER).await;
     let body = body.map_err(|e| match e {
         ReadError::TooLong => Fault::Malformed,
         ReadError::Broken => Fault::Closed,
     })?;
-    let body = body.freeze();
     Ok(BufferedAnswer {
         status,
         headers: headers.clone(),
--- a/src/gateway/shell/exchange.rs
+++ b/src/gateway/shell/exchange.rs
@@ -224,7 +224,7 @@
             self.forward_stream(attempt, &head.headers, body, connection)
                 .await
         } else {
-            let reading = buffer_answer(head.status, &head.headers, body);
+            let reading = buffer_answer(&shared, head.status, &head.headers, body);
             match self.run_unless_stopped(attempt.attempt, reading).await {
                 Err(end) => end,
                 Ok(Err(fault)) => {
--- a/src/gateway/shell/shared.rs
+++ b/src/gateway/shell/shared.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, RwLock};
 use std::time::{Duration, Instant};
 
+use bytes::{Bytes, BytesMut};
 use gotham::helpers::http::Body;
 use gotham::hyper::{HeaderMap, Response, header};
 use tokio::sync::{Semaphore, mpsc, watch};
@@ -26,6 +27,7 @@
 use crate::gateway::shell::store_cache::{CachedTable, StoreCache};
 use crate::http::limits::{ConnectionLimits, LimitsInForce};
 use crate::http::pool::Pool;
+use crate::http::read_limit::{PeerBody, ReadError, read_limited};
 use crate::http::server::HEAD_BYTES;
 use crate::listen::DaemonError;
 use crate::schema::{PackedTable, StateReply, StateRequest};
@@ -84,12 +86,40 @@
     store_cache: Arc<RwLock<StoreCache>>,
 }
 
-/// Memory reserved for a request body; released when it is dropped.
+/// Part of an answer, in bytes, that is held whether or not there is memory for more: the usual
+/// answers fit into it.
+const MIN_ANSWER_MEMORY: usize = 64 << 10;
+
+/// Memory reserved for the body of a request or of an answer; released when it is dropped.
+#[derive(Debug)]
 pub struct BodyReservation {
     state: Arc<SharedState>,
     bytes: usize,
 }
 
+impl BodyReservation {
+    /// Reserves memory for an answer that now takes `bytes`. Returns whether that is within
+    /// the limit, or within [`MIN_ANSWER_MEMORY`].
+    fn grow_to(&mut self, bytes: usize, limit: usize) -> bool {
+        let more = bytes.saturating_sub(self.bytes);
+        let before = self.state.reserved_bytes.fetch_add(more, Ordering::Relaxed);
+        self.bytes += more;
+        bytes <= MIN_ANSWER_MEMORY || before + more <= limit
+    }
+}
+
+/// The body of an answer, and the memory reserved for it.
+struct HeldBody {
+    bytes: BytesMut,
+    _reservation: BodyReservation,
+}
+
+impl AsRef<[u8]> for HeldBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 impl Drop for BodyReservation {
     fn drop(&mut self) {
         self.state
@@ -334,6 +364,26 @@
         (before + bytes <= self.settings.held_bytes).then_some(reservation)
     }
 
+    /// Reads the complete body of an answer, up to `max_bytes`. Its memory counts towards the limit
+    /// `held_bytes` of the settings for as long as the returned bytes exist.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is too long, there is no memory for it, or it is cut short.
+    pub async fn hold_answer(&self, body: PeerBody, max_bytes: usize) -> Result<Bytes, ReadError> {
+        let mut reservation = BodyReservation {
+            state: Arc::clone(&self.state),
+            bytes: 0,
+        };
+        let limit = self.settings.held_bytes;
+        let is_admitted = |bytes| reservation.grow_to(bytes, limit);
+        let bytes = read_limited(body, max_bytes, is_admitted).await?;
+        Ok(Bytes::from_owner(HeldBody {
+            bytes,
+            _reservation: reservation,
+        }))
+    }
+
     /// Returns the answer to a request whose body does not fit into the memory limit; the request
     /// has not run.
     #[must_use]
