A stream of comments, or of events without an id, ends its attempt by their number

Callers got comments or events without an id until their deadline, and then a stream that broke off, although another engine was sound.

Cause: such events are forwarded and are no progress, and nothing bounded them; repeated events were skipped without a bound.

Change: the event splitter counts the bytes of complete events since the last one with a greater id, each as 256 bytes at least, and rejects the stream above 8 MiB. The attempt ends as malformed and the stream goes on elsewhere. Rising ids and silence have no effect.

--- a/src/gateway/shell/events.rs
+++ b/src/gateway/shell/events.rs
@@ -1,12 +1,23 @@
 //! Splits a byte stream of server-sent events into complete events without changing any byte.
 //!
-//! Only the id of an event is parsed. An incomplete event is never returned.
+//! Only the id of an event is parsed. An incomplete event is never returned. A stream advances with an
+//! id that is greater than all before; it is rejected after [`MAX_STREAM_BYTES_WITHOUT_ADVANCE`] of comments,
+//! events without an id and repeated events, which may come without end. A stream may be silent for any
+//! time.
 
 use bytes::{Bytes, BytesMut};
 
 /// Number of bytes after which an event without an end is rejected.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Number of bytes of complete events without a greater id after which a stream is rejected: as many
+/// as an answer may have that is not a stream, since a stream may have no ids at all.
+pub const MAX_STREAM_BYTES_WITHOUT_ADVANCE: usize = 8 << 20;
+
+/// Number of bytes that an event without a greater id counts at least: forwarding one takes time
+/// whatever its length.
+pub const MIN_COUNTED_BYTES: usize = 256;
+
 /// One complete event.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RawEvent {
@@ -16,7 +27,7 @@
     pub id: Option<u64>,
 }
 
-/// Error for an event that exceeds the size limit.
+/// Error for an event, or a sequence of events without a greater id, that exceeds the size limit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct EventTooLong;
 
@@ -26,6 +37,9 @@
     buffer: BytesMut,
     /// Length of the buffer's prefix that can't contain the start of an event's end.
     searched: usize,
+    greatest_id: Option<u64>,
+    /// Length of the events since the one with the greatest id.
+    without_advance: usize,
 }
 
 impl EventSplitter {
@@ -38,7 +52,8 @@
     ///
     /// # Errors
     ///
-    /// If the buffered part of an incomplete event exceeds the size limit.
+    /// If the buffered part of an incomplete event, or a sequence of events without a greater id,
+    /// exceeds the size limit.
     pub fn next_event(&mut self) -> Result<Option<RawEvent>, EventTooLong> {
         let Some(end) = self.find_end() else {
             self.searched = self.buffer.len().saturating_sub(3);
@@ -51,9 +66,24 @@
         self.searched = 0;
         let bytes = self.buffer.split_to(end).freeze();
         let id = id_of(&bytes);
+        self.count(&bytes, id)?;
         Ok(Some(RawEvent { bytes, id }))
     }
 
+    /// Counts an event towards the limit, or starts counting anew if its id is the greatest.
+    fn count(&mut self, event: &[u8], id: Option<u64>) -> Result<(), EventTooLong> {
+        if id > self.greatest_id {
+            self.greatest_id = id;
+            self.without_advance = 0;
+            return Ok(());
+        }
+        self.without_advance += event.len().max(MIN_COUNTED_BYTES);
+        if self.without_advance > MAX_STREAM_BYTES_WITHOUT_ADVANCE {
+            return Err(EventTooLong);
+        }
+        Ok(())
+    }
+
     /// Whether the buffer contains anything but white space, that is an incomplete event once
     /// [`Self::next_event`] has returned `None`.
     #[must_use]
--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use gotham::hyper::{Method, Request};
 use http_body_util::Full;
+use magpiemoor::gateway::shell::events::{self, EventSplitter};
 use magpiemoor::http::pool::{Pool, SendError};
 use magpiemoor::http::read_limit::{MAX_BYTES_WITHOUT_ADVANCE, ReadError, read_limited};
 use magpiemoor::http::{Call, Client, HttpError};
@@ -152,3 +153,37 @@
     assert_eq!(read.await.unwrap_err(), ReadError::TooLong);
     assert!((100_000..=200_000).contains(&most), "{most}");
 }
+
+#[rstest]
+#[case::comments(": y\n\n")]
+#[case::without_an_id("data: y\n\n")]
+#[case::repeated("id: 7\ndata: y\n\n")]
+#[case::blank_lines("\n\n")]
+#[test]
+fn a_stream_that_does_not_advance_is_rejected(#[case] event: &str) {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 7\ndata: y\n\n");
+    assert_eq!(splitter.next_event().unwrap().unwrap().id, Some(7));
+    let events = events::MAX_STREAM_BYTES_WITHOUT_ADVANCE / events::MIN_COUNTED_BYTES;
+    for _ in 0..events {
+        splitter.push(event.as_bytes());
+        assert!(splitter.next_event().unwrap().is_some());
+    }
+    splitter.push(event.as_bytes());
+    assert!(splitter.next_event().is_err());
+}
+
+#[test]
+fn a_long_stream_with_comments_between_its_events_is_passed_on() {
+    let mut splitter = EventSplitter::default();
+    let part = events::MAX_STREAM_BYTES_WITHOUT_ADVANCE / 2;
+    let comments = ": y\n\n".repeat(part / events::MIN_COUNTED_BYTES);
+    for id in 1..=4 {
+        splitter.push(format!("id: {id}\ndata: y\n\n{comments}").as_bytes());
+        let mut ids = Vec::new();
+        while let Some(event) = splitter.next_event().unwrap() {
+            ids.extend(event.id);
+        }
+        assert_eq!(ids, [id]);
+    }
+}
