A caller that doesn't read has one large event queued, not twenty

A box whose callers read slowly held up to 20 events for each of them, of up to 1 MiB each and in buffers of up to twice their size: 8 streams of events of 512 KiB took 177,320 KiB above the base.

Cause: the queue between engine and caller counted events, whatever their size.

Change: an event of more than 16 KiB is queued only once the queue is empty; until then the box doesn't read from the engine. Small events are queued as before.

--- a/lab/src/gateway/server.rs
+++ b/lab/src/gateway/server.rs
@@ -118,6 +118,8 @@
     /// Answers without end that began, and that ended since the caller closed.
     endless_begun: usize,
     endless_ended: usize,
+    /// The bytes sent of all answers without end.
+    endless_bytes: usize,
     /// The bytes sent of the longest answer without end.
     most_endless_bytes: usize,
     /// Requests that arrived, whether or not they ran.
@@ -340,6 +342,12 @@
         state.endless_begun - state.endless_ended
     }
 
+    /// The bytes sent of all answers without end.
+    #[must_use]
+    pub fn endless_bytes(&self) -> usize {
+        lock(&self.state).endless_bytes
+    }
+
     /// The bytes sent of the longest answer without end that is over.
     #[must_use]
     pub fn most_endless_bytes(&self) -> usize {
--- a/lab/src/gateway/server/endless.rs
+++ b/lab/src/gateway/server/endless.rs
@@ -7,6 +7,8 @@
 pub const MAX_ENDLESS_BYTES: usize = 128 << 20;
 /// About as many bytes are sent at a time.
 const SENT_AT_ONCE: usize = 16 << 10;
+/// The data of a large event, in bytes.
+const LARGE_EVENT_BYTES: usize = 512 << 10;
 /// The data of a chunk, in bytes.
 const CHUNK_BYTES: usize = 1024;
 /// What each of the heads begins with.
@@ -35,6 +37,8 @@
     Comments,
     /// Events without an id in a stream.
     Unnumbered,
+    /// Large events of a stream, each with its id.
+    LargeEvents,
 }
 
 impl Endless {
@@ -57,8 +61,14 @@
             Self::Event => (stream + "id: 1\ndata: ", "y"),
             Self::Comments => (stream, ": y\n\n"),
             Self::Unnumbered => (stream, "data: y\n\n"),
+            Self::LargeEvents => (stream, ""),
         };
-        (first, more.repeat(SENT_AT_ONCE / more.len()))
+        (first, more.repeat(SENT_AT_ONCE / more.len().max(1)))
+    }
+
+    /// A large event with an id.
+    fn large_event(id: usize) -> String {
+        format!("id: {id}\ndata: {}\n\n", "y".repeat(LARGE_EVENT_BYTES))
     }
 }
 
@@ -70,11 +80,17 @@
         endless: Endless,
         signed: &str,
     ) -> std::io::Result<bool> {
-        let (first, more) = endless.text(signed);
+        let (first, mut more) = endless.text(signed);
         lock(&self.state).endless_begun += 1;
         let mut sent = first.len();
         wire.send(first).await?;
-        while sent < MAX_ENDLESS_BYTES {
+        for id in 1.. {
+            if sent >= MAX_ENDLESS_BYTES {
+                break;
+            }
+            if endless == Endless::LargeEvents {
+                more = Endless::large_event(id);
+            }
             if let Err(e) = wire.send(&more).await {
                 let mut state = lock(&self.state);
                 state.endless_ended += 1;
@@ -82,6 +98,7 @@
                 return Err(e);
             }
             sent += more.len();
+            lock(&self.state).endless_bytes += more.len();
         }
         lock(&self.state).most_endless_bytes = sent;
         std::future::pending().await
--- a/src/gateway/shell/exchange.rs
+++ b/src/gateway/shell/exchange.rs
@@ -19,6 +19,7 @@
 use gotham::hyper::http::response;
 use gotham::hyper::{HeaderMap, Response, StatusCode, header};
 use http_body_util::{BodyExt, StreamBody};
+use tokio::sync::mpsc::error::SendError;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::gateway::dispatch::action::{Attempt, Command};
@@ -43,6 +44,9 @@
 /// Maximum number of events that are queued for a slow caller before reading from the engine
 /// pauses.
 const MAX_QUEUED_EVENTS: usize = 20;
+/// Size in bytes above which an event is queued only once the queue is empty, so that a caller that
+/// does not read has one large event queued at most.
+const LARGE_EVENT_BYTES: usize = 16 << 10;
 
 /// Part of a stream that is queued for the caller.
 #[derive(Debug)]
@@ -404,8 +408,8 @@
         let events = self
             .begin_stream(headers)
             .ok_or(AttemptEnd::CallerDisconnected)?;
-        let sent = events.send(StreamPart::Event(bytes));
-        match self.run_unless_stopped(attempt, sent).await? {
+        let queued = queue_event(&events, bytes);
+        match self.run_unless_stopped(attempt, queued).await? {
             Ok(()) => Ok(()),
             Err(_) => Err(AttemptEnd::CallerDisconnected),
         }
@@ -501,6 +505,20 @@
     }
 }
 
+/// Queues an event for the caller once there is room.
+async fn queue_event(events: &EventSender, bytes: Bytes) -> Result<(), SendError<()>> {
+    let room = if bytes.len() > LARGE_EVENT_BYTES {
+        MAX_QUEUED_EVENTS
+    } else {
+        1
+    };
+    let mut permits = events.reserve_many(room).await?;
+    if let Some(permit) = permits.next() {
+        permit.send(StreamPart::Event(bytes));
+    }
+    Ok(())
+}
+
 /// Returns the frames of a stream's body. The body is complete only after [`StreamPart::End`]; if
 /// the channel closes without one, it ends with an error. The HTTP library drops what it has not
 /// written when a body ends so, but writes it when a body has nothing more for now.
