--- a/lab/src/gateway/server.rs
+++ b/lab/src/gateway/server.rs
@@ -39,6 +39,8 @@
     TornEvent,
     /// It answers with the id of another request.
     Foreign,
+    /// It runs the request and answers that another one was meant for another instance.
+    ForeignMisdirected,
     /// It sends a second answer after the whole one.
     Surplus,
     /// It names no length and closes after the whole answer.
--- a/lab/src/gateway/server/serving.rs
+++ b/lab/src/gateway/server/serving.rs
@@ -296,6 +296,10 @@
                 let headers = format!("Magpiemoor-Attempt-Id: {id}\r\n");
                 wire.send(whole(200, &headers, &body)).await?;
             }
+            Act::ForeignMisdirected => {
+                let headers = format!("Magpiemoor-Attempt-Id: {OTHER}\r\n");
+                wire.send(whole(421, &headers, "")).await?;
+            }
             Act::Surplus => {
                 let answer = whole(200, &signed, &body);
                 wire.send(answer.repeat(2)).await?;
