A watch on a silent connection is given up before the bounds hold again

Callers saw a dropped route served for half a second longer than allowed: open connections to the store had gone silent without a reset, and boxes waited on them.

Cause: a watch of 3 s plus 0.7 s for the head of its answer, 3.7 s, while the callers' bounds hold again 3 s after the silence. TCP keep-alive does not show a peer that acknowledges and does not answer.

Measured: the test's two cases failed before (3.7 s), pass now.

--- a/src/gateway/shell/store.rs
+++ b/src/gateway/shell/store.rs
@@ -39,7 +39,7 @@
 /// Timeout for connecting to the store.
 pub(super) const STORE_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time that the head of a watch's answer may take in addition to the requested wait.
-const WATCH_HEAD_SLACK: Duration = Duration::from_millis(700);
+const WATCH_HEAD_SLACK: Duration = Duration::from_millis(500);
 /// Timeout for the next bytes of an answer's body. A body that keeps arriving is read to its end:
 /// one object of 1 MB takes 0.8 s at 10 Mbit/s, so a long transfer doesn't mean a lost connection.
 const BODY_STALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -78,6 +78,13 @@
     }
 }
 
+/// Time after which a watch without the head of an answer counts as lost: an open connection may go
+/// silent for good.
+#[must_use]
+pub fn watch_head_timeout(watch: Duration) -> Duration {
+    watch + WATCH_HEAD_SLACK
+}
+
 /// Delay after a change before the next request, so that many simultaneous changes cost few calls.
 fn batch_delay(kind: ObjectKind) -> Duration {
     match kind {
@@ -181,7 +188,7 @@
             ),
             StoreRequest::Watch { revision } => (
                 dialect.watch_path(kind, *revision, watch),
-                watch + WATCH_HEAD_SLACK,
+                watch_head_timeout(watch),
                 true,
             ),
         };
--- a/tests/gateway_parts.rs
+++ b/tests/gateway_parts.rs
@@ -11,6 +11,7 @@
 use magpiemoor::gateway::shell::dialect::{Entry, ObjectKind, StorePage};
 use magpiemoor::gateway::shell::events::{EventSplitter, RawEvent};
 use magpiemoor::gateway::shell::headers;
+use magpiemoor::gateway::shell::store::watch_head_timeout;
 use magpiemoor::gateway::shell::watcher::{StoreAnswer, StoreChange, StoreRequest, Watcher};
 use magpiemoor::schema::{
     AnswerTimes, BoxState, DomainSize, DomainTally, DomainUsage, EndpointAnswers, EndpointUsage,
@@ -36,6 +37,21 @@
     (events, splitter)
 }
 
+/// Time after a disruption from which on callers hold a box to the bounds.
+const IN_TOUCH_AFTER: Duration = Duration::from_secs(3);
+/// Time to connect anew and to read a list.
+const READ_TIME: Duration = Duration::from_millis(150);
+
+/// A dropped route was served for as long as a box waited on a connection to the store that had gone silent.
+#[rstest]
+#[case::table(ObjectKind::Table)]
+#[case::endpoints(ObjectKind::Endpoints)]
+fn a_watch_on_a_silent_connection_is_given_up_before_the_bounds_hold(#[case] kind: ObjectKind) {
+    let settings = GatewaySettings::try_from(defaults()).unwrap();
+    let lost_after = watch_head_timeout(kind.watch_timeout(settings.watch));
+    assert!(lost_after + READ_TIME < IN_TOUCH_AFTER, "{lost_after:?}");
+}
+
 /// A box whose lists and tables are stuck must not count as a watcher because it receives roll-out changes.
 #[rstest]
 #[case::table(ObjectKind::Table, true, 3, 30)]
