Fix: a stream that may go on stays rather than queue inside the host of its replica

A stream at a silent or slow endpoint moved to the host of its replica although all slots there were taken, and waited in that engine. Its host now needs a free slot unless the engine is lost. Found by the test of no room, which passed for the wrong reason before: with replicas a move was certain there; it now runs without them and fails when the checks of room and queue are taken out.

--- a/src/gateway/dispatch/moves.rs
+++ b/src/gateway/dispatch/moves.rs
@@ -9,9 +9,9 @@
 //!
 //! | cause | successor |
 //! |---|---|
-//! | [`MoveCause::Silent`] | an endpoint with room that was heard since the silence began; it is probed if it was not. None while the silence is common to many ([`super::fleet::silences`]) |
-//! | [`MoveCause::Slow`], [`MoveCause::Version`] | an endpoint with room that is neither avoided nor suspected |
-//! | [`MoveCause::Lost`] | any endpoint that isn't avoided, or the queue for room: the attempt has little chance to answer, and a stream that doesn't queue would never have its turn |
+//! | [`MoveCause::Silent`] | an endpoint with room, or the host of a replica with a free slot, that was heard since the silence began; it is probed if it was not. None while the silence is common to many ([`super::fleet::silences`]) |
+//! | [`MoveCause::Slow`], [`MoveCause::Version`] | an endpoint with room that is neither avoided nor suspected, or the host of a replica with a free slot |
+//! | [`MoveCause::Lost`] | a replica, any endpoint that isn't avoided, or the queue for room: the attempt has little chance to answer, and a stream that doesn't queue would never have its turn |
 //!
 //! Inputs: the fleet, the queue for room and the retry budget as of now. State: when each attempt is
 //! examined again ([`super::request::ActiveAttempt::next_move`]).
@@ -96,7 +96,9 @@
             return false;
         }
         if let Some(host) = self.next_replica_host(number) {
-            return cause != MoveCause::Silent || self.is_heard(&host, &silent);
+            return cause == MoveCause::Lost
+                || (self.has_free_slot(&host)
+                    && (cause != MoveCause::Silent || self.is_heard(&host, &silent)));
         }
         self.prepare_choice(number);
         match self.choose_endpoint(number) {
@@ -127,6 +129,12 @@
         is_sound && has_room && !self.must_queue(number) && !self.is_contended(number, id)
     }
 
+    /// Whether the host of a replica, which has the memory for it, has a slot for the attempt.
+    fn has_free_slot(&self, host: &EndpointId) -> bool {
+        let host = self.fleet.get(host);
+        host.is_some_and(|host| self.fleet.usage(host, self.now).running < host.spec.slots)
+    }
+
     fn is_silence_common(&self, number: RequestNumber) -> bool {
         let request = self.requests.get(&number);
         request.is_some_and(|r| self.fleet.is_silence_common(&r.service, self.now))
--- a/tests/silences.rs
+++ b/tests/silences.rs
@@ -137,6 +137,11 @@
 #[test]
 fn an_attempt_stays_at_a_silent_engine_while_no_other_has_room() {
     let mut world = world_with(GENEROUS, 5, 2);
+    let mut without_replicas = parts(2, vec![route(STREAMS)]);
+    let engine = without_replicas.services[0].engine.as_mut().unwrap();
+    (engine.mirrors, engine.snapshots) = (false, false);
+    let table = RoutingTable::try_from(without_replicas).unwrap();
+    world.handle(Event::Table(Arc::new(table)));
     let mut streams = Vec::new();
     while let (request, Some(first)) = world.arrive(STREAMS) {
         world.progress(request, first.attempt, 1);
@@ -144,12 +149,14 @@
     }
     let silent = streams[0].1.endpoint.clone();
     let mut done = Vec::new();
-    for _ in 0..SOUND_SILENCE / 100 {
+    for _ in 0..SOUND_SILENCE / 200 {
+        done.extend(world.run(200));
         for (request, first) in streams.iter().filter(|(_, a)| a.endpoint != silent) {
             world.progress(*request, first.attempt, 1);
         }
-        done.extend(play(&mut world, 100, |id| *id == silent));
+        done.extend(world.probed_with(&silent, ProbeResult::Silent).to_vec());
     }
+    assert!(probes(&done).contains(&silent));
     assert_eq!(stops(&done), 0);
 }
 
