Streams that wait for room start by the table that admitted them

Seen: streams that wait for room at a service stay there although its engines are free, once a newer table drops the service, makes it plain or states less KV memory. They start only when they are late, or are refused.

Cause: the room at an engine was computed from the table in force. Where that names no engines for the service, no engine ever has room, and the end of an attempt there starts no search.

Change: the room for a request is computed from the engine properties with which it was admitted. The search at an engine compares the least demand for each size of an engine's memory among the waiting requests.

--- a/src/gateway/dispatch/admission/queue.rs
+++ b/src/gateway/dispatch/admission/queue.rs
@@ -229,12 +229,6 @@
         self.waiting.values()
     }
 
-    /// The least KV memory that a waiting request takes; `None` if none waits.
-    #[must_use]
-    pub fn least_memory(&self) -> Option<Tokens> {
-        self.waiting.values().map(|w| w.memory).min()
-    }
-
     /// Whether no request waits.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/src/gateway/dispatch/admission/search.rs
+++ b/src/gateway/dispatch/admission/search.rs
@@ -11,10 +11,12 @@
 //! first wait [`HEAD_START`] longer. Without delays, about 20 boxes sent their requests to the same
 //! engine within 50 ms.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand::Rng;
 
+use super::queue::WaitQueue;
 use super::room::Room;
 use super::waiting::SWEEP_INTERVAL;
 use crate::gateway::dispatch::Dispatcher;
@@ -22,6 +24,8 @@
 use crate::gateway::dispatch::event::{RequestNumber, Tokens};
 use crate::gateway::dispatch::fleet::{Endpoint, Usage};
 use crate::gateway::dispatch::priority::Tier;
+use crate::gateway::dispatch::request::Request;
+use crate::gateway::dispatch::table::EngineSpec;
 use crate::schema::{EndpointId, EndpointUsage, ServiceId};
 
 /// Time after which peers in the failure domain know of an attempt that started here: reports are
@@ -99,12 +103,12 @@
         let Some(endpoint) = self.fleet.get(id) else {
             return;
         };
-        let service = &endpoint.spec.service;
-        let spec = self.table.as_ref().and_then(|t| t.service(service));
-        if spec.is_none_or(|s| s.engine.is_none()) {
+        let service = endpoint.spec.service.clone();
+        let spec = self.table.as_ref().and_then(|t| t.service(&service));
+        let has_engines = spec.is_some_and(|s| s.engine.is_some());
+        if !has_engines && !self.room_waits.has_waiting(&service) {
             return;
         }
-        let service = service.clone();
         let waits = self.room_waits.services.entry(service.clone()).or_default();
         waits.rate.on_freed(runs, self.now);
         if !waits.queue.is_empty() {
@@ -158,22 +162,19 @@
 
     /// Starts the first waiting request that fits at an engine, there or at a better one with room.
     pub(super) fn start_first_at(&mut self, id: &EndpointId) {
-        let Some((room, service)) = self.room_at(id) else {
+        let Some(endpoint) = self.fleet.get(id) else {
             return;
         };
-        let Some(waits) = self.room_waits.services.get(&service) else {
+        let Some(waits) = self.room_waits.services.get(&endpoint.spec.service) else {
             return;
         };
-        if waits
-            .queue
-            .least_memory()
-            .is_none_or(|least| !room.admits(least))
-        {
+        if !self.has_room_for_any(endpoint, &self.least_demands(&waits.queue)) {
             return;
         }
         let fits = |number: &RequestNumber| {
-            let waiting = waits.queue.get(*number);
-            waiting.is_some_and(|w| room.admits(w.memory)) && self.may_run_at(*number, id)
+            let waiting = waits.queue.get(*number).zip(self.requests.get(number));
+            waiting.is_some_and(|(w, request)| self.has_room(endpoint, request, w.memory))
+                && self.may_run_at(*number, id)
         };
         let order = waits.queue.order(self.now);
         let candidates: Vec<_> = order
@@ -189,19 +190,41 @@
         }
     }
 
-    /// Whether an engine has room for a request that takes this much KV memory.
-    pub(in crate::gateway::dispatch) fn has_room(&self, at: &Endpoint, memory: Tokens) -> bool {
-        let room = self.room_at(&at.spec.id);
-        room.is_some_and(|(room, _)| room.admits(memory))
+    /// Whether an engine has room for a request if that takes this much KV memory. The request's own
+    /// table says what memory the engine has: a later one may not name the service any more.
+    pub(in crate::gateway::dispatch) fn has_room(
+        &self,
+        at: &Endpoint,
+        request: &Request,
+        memory: Tokens,
+    ) -> bool {
+        let demand = request.engine.map(|engine| (engine, memory));
+        demand.is_some_and(|demand| self.has_room_for_any(at, &[demand]))
+    }
+
+    /// Whether an engine has room for one of several demands.
+    fn has_room_for_any(&self, at: &Endpoint, demands: &[(EngineSpec, Tokens)]) -> bool {
+        let usage = self.fleet.usage(at, self.now);
+        let room = |engine| Room::new(at.spec.slots, engine, usage);
+        demands
+            .iter()
+            .any(|(engine, memory)| room(*engine).admits(*memory))
     }
 
-    fn room_at(&self, id: &EndpointId) -> Option<(Room, ServiceId)> {
-        let endpoint = self.fleet.get(id)?;
-        let service = &endpoint.spec.service;
-        let engine = self.table.as_ref()?.service(service)?.engine?;
-        let usage = self.fleet.usage(endpoint, self.now);
-        let room = Room::new(endpoint.spec.slots, engine, usage);
-        Some((room, service.clone()))
+    /// The least KV memory that a waiting request takes, for each size of an engine's memory that their
+    /// tables state.
+    fn least_demands(&self, queue: &WaitQueue) -> Vec<(EngineSpec, Tokens)> {
+        let mut least: BTreeMap<u32, (EngineSpec, Tokens)> = BTreeMap::new();
+        for waiting in queue.iter() {
+            let request = self.requests.get(&waiting.number);
+            let Some(engine) = request.and_then(|request| request.engine) else {
+                continue;
+            };
+            let demand = (engine, waiting.memory);
+            let known = least.entry(engine.kv_tokens).or_insert(demand);
+            known.1 = known.1.min(waiting.memory);
+        }
+        least.into_values().collect()
     }
 
     /// Looks at all engines and waiting requests of a service.
@@ -279,17 +302,17 @@
         }
     }
 
-    /// Schedules searches at engines that have room for the smallest waiting request.
+    /// Schedules searches at engines that have room for a waiting request.
     fn search_engines_with_room(&mut self, service: &ServiceId, waiting: usize) {
-        let waits = self.room_waits.services.get(service);
-        let Some(least) = waits.and_then(|w| w.queue.least_memory()) else {
+        let Some(waits) = self.room_waits.services.get(service) else {
             return;
         };
+        let demands = self.least_demands(&waits.queue);
         let engines = self.fleet.of_service(service);
         let engines = engines.filter(|e| self.fleet.may_send(e, self.now));
-        let ids = engines.map(|e| &e.spec.id);
-        let with_room = ids.filter(|id| self.room_at(id).is_some_and(|(r, _)| r.admits(least)));
-        let found: Vec<EndpointId> = with_room.take(waiting).cloned().collect();
+        let with_room = engines.filter(|e| self.has_room_for_any(e, &demands));
+        let ids = with_room.map(|e| e.spec.id.clone());
+        let found: Vec<EndpointId> = ids.take(waiting).collect();
         for id in found {
             self.search_at(service, &id, FreedBy::Other);
         }
--- a/src/gateway/dispatch/admission/waiting.rs
+++ b/src/gateway/dispatch/admission/waiting.rs
@@ -153,7 +153,7 @@
         let endpoint = self.fleet.get(at);
         request.waits_for_room()
             && request.attempts > 0
-            && endpoint.is_some_and(|e| !self.has_room(e, memory))
+            && endpoint.is_some_and(|e| !self.has_room(e, request, memory))
     }
 
     /// Queues a request; `room` is an engine with room for it, if there is one.
--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -117,7 +117,7 @@
         let Some(best) = self.choose_best(request, alone) else {
             return Choice::Nothing;
         };
-        if !request.waits_for_room() || self.has_room(best, request.memory()) {
+        if !request.waits_for_room() || self.has_room(best, request, request.memory()) {
             return Choice::Start(best.spec.id.clone());
         }
         let found = self.choose_with_room(request, request.memory(), alone);
