The time of a request that waits for the first table counts from its arrival

Seen: a request that reached a box before its first routing table was given its whole time again when the table came, so it could end up to 400 ms after its caller had stopped waiting. One whose caller waits less than 400 ms stayed queued until 400 ms were over.

Cause: the deadline was computed at the admission, not at the arrival.

Evidence: the_deadline_of_a_request_counts_from_its_arrival_before_the_first_table, 25 s left before, 24.7 s after 300 ms in the queue.

--- a/src/gateway/dispatch/admission.rs
+++ b/src/gateway/dispatch/admission.rs
@@ -53,6 +53,7 @@
 pub(super) struct QueuedRequest {
     pub number: RequestNumber,
     arrival: Arrival,
+    arrived: Micros,
     expires_at: Micros,
 }
 
@@ -83,6 +84,11 @@
 
 impl Dispatcher {
     pub(super) fn on_arrival(&mut self, number: RequestNumber, arrival: Arrival) {
+        self.decide_arrival(number, arrival, self.now);
+    }
+
+    /// Admits, refuses or queues a request that arrived at this box at `arrived`.
+    fn decide_arrival(&mut self, number: RequestNumber, arrival: Arrival, arrived: Micros) {
         let table = self.table.clone().filter(|_| self.fleet.is_known());
         let Some(table) = table else {
             self.queue_request(number, arrival);
@@ -90,7 +96,7 @@
         };
         match decide(&table, &arrival) {
             Admission::Admitted { route, key_owner } => {
-                self.admit(number, arrival, &table, route, key_owner);
+                self.admit(number, (arrival, arrived), &table, route, key_owner);
             }
             Admission::Refused(refusal) => self.refuse_new(number, &arrival, refusal),
         }
@@ -102,10 +108,12 @@
             self.refuse_new(number, &arrival, refusal);
             return;
         }
-        let expires_at = self.now.after(QUEUE_TIMEOUT);
+        let longest = arrival.timeout.unwrap_or(QUEUE_TIMEOUT);
+        let expires_at = self.now.after(longest.min(QUEUE_TIMEOUT));
         self.queued.push(QueuedRequest {
             number,
             arrival,
+            arrived: self.now,
             expires_at,
         });
     }
@@ -116,12 +124,12 @@
             return;
         }
         for request in std::mem::take(&mut self.queued) {
-            self.on_arrival(request.number, request.arrival);
+            self.decide_arrival(request.number, request.arrival, request.arrived);
         }
     }
 
-    /// Refuses requests that have been queued for [`QUEUE_TIMEOUT`], and all once the time of a stop is
-    /// over.
+    /// Refuses requests that have been queued for [`QUEUE_TIMEOUT`] or whose callers wait no longer, and
+    /// all once the time of a stop is over.
     pub(super) fn refuse_queued(&mut self) {
         let (now, is_stop_over) = (self.now, self.is_stop_over());
         let is_expired = |request: &mut QueuedRequest| is_stop_over || now >= request.expires_at;
@@ -148,7 +156,7 @@
     fn admit(
         &mut self,
         number: RequestNumber,
-        arrival: Arrival,
+        (arrival, arrived): (Arrival, Micros),
         table: &RoutingTable,
         route: Arc<Route>,
         key_owner: Option<KeyOwner>,
@@ -157,9 +165,12 @@
         self.budget.on_request(&service, self.now);
         let engine = table.service(&service).and_then(|s| s.engine);
         let tier = table.tier(&route, key_owner.as_ref());
+        let request = Request::new(arrival, route, service, engine, key_owner, self.now);
+        let queued = self.now.since(arrived);
         let request = Request {
+            deadline: request.deadline.before(queued),
             tier,
-            ..Request::new(arrival, route, service, engine, key_owner, self.now)
+            ..request
         };
         self.record(Record::Arrived {
             request: request.arrival.id.clone(),
--- a/tests/tables.rs
+++ b/tests/tables.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use fixtures::{
-    GENEROUS, STREAMS, World, changed, endpoint, endpoints, first_attempt, listed,
-    parts, refusal, route,
+    GENEROUS, STREAMS, World, changed, endpoint, endpoints, first_attempt, listed, parts, refusal,
+    route,
 };
 use magpiemoor::gateway::dispatch::event::{EndpointChange, EndpointSpec, Event, Fault, Outcome};
 use magpiemoor::gateway::dispatch::priority::Priority;
@@ -153,3 +153,16 @@
     let actions = world.run(1_500);
     assert_eq!(refusal(&actions), Some(RefusalReason::NoEndpoint));
 }
+
+/// A request that arrived before the first table was given its whole time again when it came.
+#[test]
+fn the_deadline_of_a_request_counts_from_its_arrival_before_the_first_table() {
+    let mut world = World::empty(GENEROUS);
+    world.handle(listed(endpoints()));
+    let arrival = world.arrival(STREAMS);
+    world.arrive_as(arrival);
+    world.run(300);
+    world.handle(changed_table(1, unchanged));
+    let attempt = first_attempt(&world.actions).expect("an attempt");
+    assert_eq!(attempt.time_left, Duration::from_millis(24_700));
+}
