--- a/tests/tables.rs
+++ b/tests/tables.rs
@@ -7,9 +7,10 @@
 use std::time::Duration;
 
 use fixtures::{
-    GENEROUS, STREAMS, World, changed, endpoint, endpoints, first_attempt, listed, parts, refusal,
-    route,
+    GENEROUS, STREAMS, World, box_state, changed, endpoint, endpoints, first_attempt, listed,
+    parts, refusal, route,
 };
+use magpiemoor::gateway::dispatch::action::{Action, Command};
 use magpiemoor::gateway::dispatch::event::{EndpointChange, EndpointSpec, Event, Fault, Outcome};
 use magpiemoor::gateway::dispatch::priority::Priority;
 use magpiemoor::gateway::dispatch::refusal::RefusalReason;
@@ -166,3 +167,38 @@
     let attempt = first_attempt(&world.actions).expect("an attempt");
     assert_eq!(attempt.time_left, Duration::from_millis(24_700));
 }
+
+/// On a box with many events, requests were checked as rarely as it gossips, and ended late.
+#[rstest]
+fn a_request_ends_at_its_deadline_while_other_events_come_without_a_pause(
+    #[values(800, 900, 1_000)] timeout_ms: u64,
+) {
+    let timeout = Duration::from_millis(timeout_ms);
+    let mut world = World::ready();
+    world.handle(Event::Peer(box_state("box-2", "north", "127.0.0.2:7200")));
+    // Boxes gossip more often in their first second.
+    world.run(1_500);
+    let (busy, attempt) = world.arrive(STREAMS);
+    let attempt = attempt.expect("room for the stream").attempt;
+    let mut arrival = world.arrival(STREAMS);
+    arrival.timeout = Some(timeout);
+    let deadline = world.now.after(timeout);
+    let (late, _) = world.arrive_as(arrival);
+    let mut ended = None;
+    for event in 1..150 {
+        world.pass(10);
+        world.progress(busy, attempt, event);
+        let actions = if world.dispatcher.next_tick() <= world.now {
+            world.handle(Event::Tick).to_vec()
+        } else {
+            world.actions.clone()
+        };
+        let is_refusal = |a: &Action| matches!(a, Action::Command { request, command: Command::Refuse(_) } if *request == late);
+        if actions.iter().any(is_refusal) {
+            ended.get_or_insert(world.now);
+        }
+    }
+    let ended = ended.expect("a refusal");
+    let after = ended.since(deadline);
+    assert!(after <= Duration::from_millis(40), "{after:?} late");
+}
