An engine that hangs for good is silent until it is heard

What callers would see: an engine that takes connections and never answers got a new stream each second or so, each of which paused and cost a retry.

Cause: the silence began anew whenever the engine was not probed for a second, and ended by time after 1.6 s, without a loss being recorded. So an engine whose streams had left looked sound and empty.

Change: a silence lasts until the engine is heard, however rarely it is probed; the probe that finds it too long records the loss; an engine that left its last probe unanswered is avoided, whatever that suggests.

--- a/src/gateway/dispatch/fleet.rs
+++ b/src/gateway/dispatch/fleet.rs
@@ -143,7 +143,7 @@
     /// left.
     #[must_use]
     pub fn is_avoided(&self, now: Micros) -> bool {
-        self.has_failed_recently(now) || self.is_silent(now)
+        self.has_failed_recently(now) || self.is_unresponsive(now)
     }
 
     fn has_failed_recently(&self, now: Micros) -> bool {
--- a/src/gateway/dispatch/fleet/silences.rs
+++ b/src/gateway/dispatch/fleet/silences.rs
@@ -64,13 +64,13 @@
     /// What unanswered probes suggest; `None` if there are none since it was last seen.
     #[must_use]
     pub fn lost_contact(&self, now: Micros) -> Option<Contact> {
-        let unanswered = self.unanswered(now)?;
-        let is_too_long = now.since(unanswered.since) >= MAX_SOUND_SILENCE;
-        Some(if is_too_long {
-            Contact::Lost
-        } else {
-            unanswered.contact
-        })
+        self.unanswered(now).map(|unanswered| unanswered.contact)
+    }
+
+    /// Whether it left the last probe without an answer, a short time ago.
+    #[must_use]
+    pub fn is_unresponsive(&self, now: Micros) -> bool {
+        self.unanswered(now).is_some()
     }
 
     /// Whether its host takes connections but it says nothing.
@@ -88,15 +88,17 @@
         (attempt_seen <= unanswered.probed).then_some(contact)
     }
 
-    /// Records a probe sent at `sent` that was not answered.
+    /// Records a probe sent at `sent` that was not answered. A silence lasts until the endpoint is
+    /// heard, however rarely it is probed.
     pub fn on_unanswered(&mut self, contact: Contact, sent: Micros, now: Micros) {
-        let before = self
-            .unanswered(now)
-            .filter(|before| before.contact == contact);
+        let before = self.unanswered;
+        let before = before.filter(|before| self.last_seen <= before.probed);
+        let since = before.map_or(sent, |before| before.since);
+        let is_too_long = now.since(since) >= MAX_SOUND_SILENCE;
         self.unanswered = Some(Unanswered {
-            since: before.map_or(sent, |before| before.since),
+            since,
             probed: sent,
-            contact,
+            contact: if is_too_long { Contact::Lost } else { contact },
         });
     }
 }
--- a/tests/silences.rs
+++ b/tests/silences.rs
@@ -292,3 +292,25 @@
     world.arrive(PAYMENTS);
     assert_eq!(stops(&world.run(700)), 0);
 }
+
+/// An engine that takes connections and never answers looked empty and sound whenever no stream was left there.
+#[test]
+fn an_engine_that_hangs_for_good_gets_ever_fewer_streams() {
+    let mut world = world_with(GENEROUS, 5, 4);
+    let (_, first) = begin(&mut world);
+    let silent = first.endpoint.clone();
+    let mut sent = 0;
+    for _ in 0..12 {
+        play(&mut world, 1_100, |id| *id == silent);
+        let (request, attempt) = world.arrive(STREAMS);
+        let attempt = attempt.unwrap();
+        if attempt.endpoint == silent {
+            sent += 1;
+            play(&mut world, 1_200, |id| *id == silent);
+        } else {
+            world.progress(request, attempt.attempt, 1);
+            world.end(request, attempt.attempt, Outcome::StreamEnded);
+        }
+    }
+    assert!(sent <= 4, "{sent} of 12 streams went to the engine");
+}
