A move during a stop is judged by the time that its successor needs

What a caller would see: a stream cut during a box's stop, although its engine would have gone on.

Cause: whether a successor can end in time was asked while the attempt ran, by what is left of its run; once the attempt was stopped, the prompt counted too, and the request was handed back.

Change: a run that would replace another one is judged with its prompt.

Measured: a_stream_stays_at_a_silent_engine_if_a_successor_would_outlast_the_stop failed before (one attempt stopped).

--- a/src/gateway/dispatch/stopping.rs
+++ b/src/gateway/dispatch/stopping.rs
@@ -145,23 +145,36 @@
 
     /// The time that a request is still expected to run; from the prompt, unless it runs already.
     fn run_left(&self, request: &Request) -> Duration {
+        let rest = self.rest_of_run(request);
+        match rest.filter(|_| request.active.is_some()) {
+            Some(rest) => rest,
+            None => self.next_run(request),
+        }
+    }
+
+    /// The time that a run of a request takes that starts now.
+    fn next_run(&self, request: &Request) -> Duration {
         if !request.route.kind.is_stream() {
             return request.route.objective;
         }
         let whole = self.run_time.expected();
-        let Some(started) = request.first_sent.filter(|_| request.has_begun) else {
-            return whole;
-        };
-        let rest = whole.saturating_sub(self.now.since(started));
-        match request.active {
-            Some(_) => rest,
-            None => whole.min(rest + request.first_event_time()),
-        }
+        let rest = self.rest_of_run(request);
+        rest.map_or(whole, |rest| whole.min(rest + request.first_event_time()))
+    }
+
+    /// What is left of the run of a stream that has begun.
+    fn rest_of_run(&self, request: &Request) -> Option<Duration> {
+        let has_begun = request.route.kind.is_stream() && request.has_begun;
+        let started = request.first_sent.filter(|_| has_begun)?;
+        let ran = self.now.since(started);
+        Some(self.run_time.expected().saturating_sub(ran))
     }
 
-    /// Whether a run of a request that starts now is not expected to end before this box exits.
+    /// Whether a run of a request that starts now is not expected to end before this box exits, also if
+    /// it replaces one that is running.
     pub(super) fn starts_too_late(&self, request: &Request) -> bool {
-        let latest = self.latest_start_at_stop(request);
+        let run = self.next_run(request);
+        let latest = self.stop_deadline().map(|at| at.before(run));
         latest.is_some_and(|latest| self.now > latest)
     }
 
--- a/tests/silences.rs
+++ b/tests/silences.rs
@@ -293,6 +293,18 @@
     assert_eq!(stops(&world.run(700)), 0);
 }
 
+/// How long a stream of the plays below takes, ms.
+const STREAM_MS: u64 = 6_000;
+
+/// Has streams run one after the other, so that the box knows how long one takes.
+fn serve_streams(world: &mut World, count: usize) {
+    for _ in 0..count {
+        let (request, first) = begin(world);
+        play(world, STREAM_MS, |_| false);
+        world.end(request, first.attempt, Outcome::StreamEnded);
+    }
+}
+
 /// An engine that takes connections and never answers looked empty and sound whenever no stream was left there.
 #[test]
 fn an_engine_that_hangs_for_good_gets_ever_fewer_streams() {
@@ -314,3 +326,20 @@
     }
     assert!(sent <= 4, "{sent} of 12 streams went to the engine");
 }
+
+/// A stream lost its engine, which went on, to a successor that could not end before the box exits.
+#[test]
+fn a_stream_stays_at_a_silent_engine_if_a_successor_would_outlast_the_stop() {
+    let mut world = world_with(GENEROUS, 5, 4);
+    serve_streams(&mut world, 3);
+    let (_, first) = begin(&mut world);
+    play(&mut world, STREAM_MS / 2, |_| false);
+    let rest = Duration::from_millis(STREAM_MS / 2);
+    world.handle(Event::Stop {
+        grace: rest + Duration::from_millis(200),
+    });
+    let silent = first.endpoint.clone();
+    let done = play(&mut world, 600, |id| *id == silent);
+    assert_eq!(stops(&done), 0);
+    assert_eq!(refusal(&done), None);
+}
