Streams leave connections that only new ones show to be lost

Open connections to an engine may go silent for good while new ones work. The probe used to hang on an idle one, so that streams left; since it connects anew, it was answered, and streams waited for TCP for some 3 s.

Change: a probe that is answered only on a new connection while an idle one is silent moves the streams that got nothing, as far as their successors are certain, and closes idle connections. The engine is not blamed.

Measured: a_stream_leaves_its_connection_if_only_new_connections_are_answered (the result is new with the change, so the test can't run without it).

--- a/src/gateway/dispatch/event.rs
+++ b/src/gateway/dispatch/event.rs
@@ -256,6 +256,9 @@
 pub enum ProbeResult {
     /// It answered within the time limit.
     Answered,
+    /// It answered on a new connection, and an idle one stayed silent: open connections to it may have
+    /// been lost without a reset.
+    AnsweredAnew,
     /// It took a new connection and did not answer within the time limit.
     Silent,
     /// It took no new connection, or closed it without an answer.
--- a/src/gateway/dispatch/moves.rs
+++ b/src/gateway/dispatch/moves.rs
@@ -125,7 +125,8 @@
         let is_sound = !endpoint.is_avoided(self.now)
             && !self.fleet.is_suspected(endpoint, self.now)
             && endpoint.probe_sent.is_none();
-        let has_room = !request.waits_for_room() || self.has_room(endpoint, request, request.memory());
+        let has_room =
+            !request.waits_for_room() || self.has_room(endpoint, request, request.memory());
         is_sound && has_room && !self.must_queue(number) && !self.is_contended(number, id)
     }
 
--- a/src/gateway/dispatch/suspicion.rs
+++ b/src/gateway/dispatch/suspicion.rs
@@ -228,6 +228,14 @@
                 self.fleet.on_reached(id);
                 return;
             }
+            ProbeResult::AnsweredAnew => {
+                endpoint.last_seen = now;
+                let address = endpoint.spec.address;
+                self.fleet.on_reached(id);
+                self.actions.push(Action::CloseIdleConnections(address));
+                self.move_all_from(id, sent, MoveCause::Lost);
+                return;
+            }
             // Another message from it may have arrived since the probe was sent.
             _ if endpoint.last_seen > sent => return,
             ProbeResult::Silent => Contact::Silent,
--- a/src/gateway/shell/probes.rs
+++ b/src/gateway/shell/probes.rs
@@ -38,7 +38,7 @@
     let path = shared.dialect.load_path();
     count(reason, &shared);
     let (result, answer) = match ask(&target, path, limit, &shared).await {
-        Ok(answer) => (ProbeResult::Answered, Some(answer)),
+        Ok((result, answer)) => (result, Some(answer)),
         Err(failure) => (failure, None),
     };
     let report = answer.as_ref().and_then(Answer::body_if_ok);
@@ -223,7 +223,7 @@
     path: &'static str,
     limit: Duration,
     shared: &GatewayShared,
-) -> Result<Answer, ProbeResult> {
+) -> Result<(ProbeResult, Answer), ProbeResult> {
     let deadline = Instant::now() + limit;
     let idle = target.take_idle(shared, PROBE_CONNECTION_MAX_IDLE);
     let on_idle = async {
@@ -235,14 +235,19 @@
     tokio::pin!(on_idle);
     let first = tokio::time::timeout(limit / IDLE_WAIT_DIVISOR, &mut on_idle).await;
     let is_pending = match first {
-        Ok(Some(answer)) => return Ok(answer),
+        Ok(Some(answer)) => return Ok((ProbeResult::Answered, answer)),
         Ok(None) => false,
         Err(_) => true,
     };
+    let on_new_result = if is_pending {
+        ProbeResult::AnsweredAnew
+    } else {
+        ProbeResult::Answered
+    };
     let on_new = ask_on_new(target, path, deadline, shared);
     tokio::select! {
-        Some(answer) = &mut on_idle, if is_pending => Ok(answer),
-        result = on_new => result,
+        Some(answer) = &mut on_idle, if is_pending => Ok((ProbeResult::Answered, answer)),
+        result = on_new => result.map(|answer| (on_new_result, answer)),
     }
 }
 
--- a/tests/silences.rs
+++ b/tests/silences.rs
@@ -343,3 +343,16 @@
     assert_eq!(stops(&done), 0);
     assert_eq!(refusal(&done), None);
 }
+
+/// Streams on connections that were lost without a reset waited for TCP to notice.
+#[test]
+fn a_stream_leaves_its_connection_if_only_new_connections_are_answered() {
+    let mut world = world_with(GENEROUS, 5, 4);
+    let (_, first) = begin(&mut world);
+    world.run(400);
+    let anew = ProbeResult::AnsweredAnew;
+    let done = world.probed_with(&first.endpoint, anew).to_vec();
+    assert_eq!(stops(&done), 1);
+    let closes = |action: &Action| matches!(action, Action::CloseIdleConnections(at) if *at == first.address);
+    assert!(done.iter().any(closes));
+}
