--- a/tests/gateway/table_play.rs
+++ b/tests/gateway/table_play.rs
@@ -11,7 +11,7 @@
 use magpiemoor::gateway::dispatch::action::{Action, Attempt, Command};
 use magpiemoor::gateway::dispatch::event::{
     Arrival, AttemptNumber, EndpointChange, EndpointSpec, Event, Fault, NotRunCause, Outcome,
-    RequestNumber, SnapshotFailure, Tokens,
+    ProbeResult, RequestNumber, SnapshotFailure, Tokens,
 };
 use magpiemoor::gateway::dispatch::retry_budget::RetryPolicy;
 use magpiemoor::gateway::dispatch::table::RoutingTable;
@@ -232,7 +232,7 @@
         match action {
             Action::Command { request, command } => self.obey(request, command),
             Action::Probe { endpoint, .. } => self.replies.push(Event::Probed {
-                is_answered: !self.failed.contains_key(&endpoint),
+                result: ProbeResult::of_reach(!self.failed.contains_key(&endpoint)),
                 endpoint,
                 born: None,
             }),
