The body of a stream has a module of its own

The queue of events and the frames of the body move out of it unchanged; the end of a probe is split in two functions. A probe without contact that is reported late counts as what it showed.

--- a/src/gateway/dispatch/suspicion.rs
+++ b/src/gateway/dispatch/suspicion.rs
@@ -231,10 +231,7 @@
             ProbeResult::AnsweredAnew => {
                 endpoint.last_seen = now;
                 let address = endpoint.spec.address;
-                self.fleet.on_reached(id);
-                self.actions.push(Action::CloseIdleConnections(address));
-                self.move_all_from(id, sent, MoveCause::Lost);
-                return;
+                return self.on_lost_connections(id, address, sent);
             }
             // Another message from it may have arrived since the probe was sent.
             _ if endpoint.last_seen > sent => return,
@@ -242,23 +239,25 @@
             ProbeResult::Unreachable => Contact::Lost,
         };
         endpoint.on_unanswered(contact, sent, now);
-        let is_lost = endpoint.lost_contact(now) == Some(Contact::Lost);
+        let cause = endpoint.lost_contact(now).unwrap_or(contact);
         if contact == Contact::Silent {
             self.fleet.on_reached(id);
         }
         // Through a relay or on a lost path, a missing answer shows only that the attempts stall.
         let is_explained = contact == Contact::Lost && self.on_direct_failure(id);
-        if is_lost && !is_explained {
+        if cause == Contact::Lost && !is_explained {
             self.on_loss(id);
         }
-        let cause = if is_lost {
-            Contact::Lost
-        } else {
-            Contact::Silent
-        };
         self.move_all_from(id, sent, cause.into());
     }
 
+    /// Handles open connections to an endpoint that are silent while it answers on new ones.
+    fn on_lost_connections(&mut self, id: &EndpointId, address: SocketAddr, sent: Micros) {
+        self.fleet.on_reached(id);
+        self.actions.push(Action::CloseIdleConnections(address));
+        self.move_all_from(id, sent, MoveCause::Lost);
+    }
+
     /// Moves the requests that got nothing since `unseen_since` away from an endpoint that does not
     /// answer, as far as their successors are certain.
     fn move_all_from(&mut self, id: &EndpointId, unseen_since: Micros, cause: MoveCause) {
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -33,6 +33,7 @@
 pub mod stop;
 pub mod store;
 pub mod store_cache;
+mod stream_body;
 mod streams;
 pub mod table_reader;
 pub mod transfer;
--- a/src/gateway/shell/exchange.rs
+++ b/src/gateway/shell/exchange.rs
@@ -15,11 +15,9 @@
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
-use gotham::hyper::body::Frame;
 use gotham::hyper::http::response;
 use gotham::hyper::{HeaderMap, Response, StatusCode, header};
 use http_body_util::{BodyExt, StreamBody};
-use tokio::sync::mpsc::error::SendError;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::gateway::dispatch::action::{Attempt, Command};
@@ -36,29 +34,14 @@
 use crate::gateway::shell::events::EventSplitter;
 use crate::gateway::shell::input::Input;
 use crate::gateway::shell::reply_watch::ReplyWatch;
+use crate::gateway::shell::stream_body::{
+    EventSender, MAX_QUEUED_EVENTS, StreamPart, frames, queue_event,
+};
 use crate::gateway::shell::{GatewayShared, directives, headers};
 use crate::http::pool::Connection;
 use crate::http::read_limit::PeerBody;
 use crate::http::{self, EVENT_STREAM};
 
-/// Maximum number of events that are queued for a slow caller before reading from the engine
-/// pauses.
-const MAX_QUEUED_EVENTS: usize = 20;
-/// Size in bytes above which an event is queued only once the queue is empty, so that a caller that
-/// does not read has one large event queued at most.
-const LARGE_EVENT_BYTES: usize = 16 << 10;
-
-/// Part of a stream that is queued for the caller.
-#[derive(Debug)]
-enum StreamPart {
-    /// One complete event.
-    Event(Bytes),
-    /// The stream is complete.
-    End,
-}
-
-type EventSender = mpsc::Sender<StreamPart>;
-
 /// Channel on which the answer is sent to the caller.
 enum Caller {
     /// Nothing has been sent yet.
@@ -504,36 +487,3 @@
         self.watch.record_unanswered(ended_by);
     }
 }
-
-/// Queues an event for the caller once there is room.
-async fn queue_event(events: &EventSender, bytes: Bytes) -> Result<(), SendError<()>> {
-    let room = if bytes.len() > LARGE_EVENT_BYTES {
-        MAX_QUEUED_EVENTS
-    } else {
-        1
-    };
-    let mut permits = events.reserve_many(room).await?;
-    if let Some(permit) = permits.next() {
-        permit.send(StreamPart::Event(bytes));
-    }
-    Ok(())
-}
-
-/// Returns the frames of a stream's body. The body is complete only after [`StreamPart::End`]; if
-/// the channel closes without one, it ends with an error. The HTTP library drops what it has not
-/// written when a body ends so, but writes it when a body has nothing more for now.
-fn frames(
-    received: mpsc::Receiver<StreamPart>,
-) -> impl futures_util::Stream<Item = Result<Frame<Bytes>, std::io::Error>> {
-    futures_util::stream::unfold(Some(received), |received| async move {
-        let mut received = received?;
-        match received.recv().await {
-            Some(StreamPart::Event(bytes)) => Some((Ok(Frame::data(bytes)), Some(received))),
-            Some(StreamPart::End) => None,
-            None => {
-                tokio::task::yield_now().await;
-                Some((Err(std::io::ErrorKind::ConnectionAborted.into()), None))
-            }
-        }
-    })
-}
