Boxes follow the store in time though all its watchers are lost

Cause: a watcher counted as fresh for 6 s after the store's last answer to it, whether its calls failed since or not, and only a box that saw too few fresh watchers began to watch. Everything that comes through watchers had it: tables, keys, endpoints (DRAIN), orders.

Change: each answer of the store is published to the own domain at once, and a watcher gets one every 0.8 s: its two watches end half a period apart, and a watch waits 1.6 s in place of 2.3 s. A domain without an answer for 1.1 s is unconfirmed: its running boxes begin to watch 80 ms apart until the store answers one; after the first eight the others follow 3 s apart. A watcher stops after two others with smaller ids watched for 3 s. Log records store_unconfirmed and store_confirmed, gauge store_answer_age_ms.

tests/domain_load.rs asked that nobody takes over within 2.9 s, the former delay; it now asks for none within one interval, and for one within 2.9 s. Emulators answer watches every 0.8 s, as the product asks now; they answered once or every 3 s.

--- a/lab/src/gateway/crashes/fleet.rs
+++ b/lab/src/gateway/crashes/fleet.rs
@@ -18,10 +18,11 @@
     EndpointChange, Event, ProbeResult, RequestNumber, SnapshotFailure, SnapshotName,
 };
 use magpiemoor::gateway::dispatch::fetches::FetchOutcome;
+use magpiemoor::gateway::dispatch::store_watchers::MAX_ANSWER_INTERVAL;
 use magpiemoor::gateway::dispatch::{DispatchConfig, Dispatcher};
 use magpiemoor::gateway::shell::datagram;
 use magpiemoor::schema::{
-    EndpointId, EndpointIncarnation, Fingerprint, Incarnation, Micros, RequestAge,
+    EndpointId, EndpointIncarnation, Fingerprint, Incarnation, Micros, RequestAge, StoreReader,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -76,6 +77,7 @@
     started: Micros,
     tick_at: Micros,
     next_request: u64,
+    is_watching: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -140,6 +142,7 @@
                 started: START,
                 tick_at: START,
                 next_request: 0,
+                is_watching: false,
             }
         });
         let mut fleet = Self {
@@ -201,6 +204,7 @@
             }
             Mail::Event(at, life, event) => {
                 if self.boxes[at].life == life {
+                    self.expect_next_answer(at, &event);
                     self.handle(at, *event);
                 }
             }
@@ -230,6 +234,7 @@
         found.cfg.first_start = now.since(START) < CALLERS_AFTER;
         found.dispatcher = Dispatcher::new(found.cfg.clone(), seed, now);
         found.is_running = true;
+        found.is_watching = false;
         found.started = now;
         found.tick_at = now;
         let listed = Event::EndpointsListed {
@@ -313,6 +318,7 @@
             } => {
                 self.send(at, &to, &datagram::write_usage(&news, &crashes));
             }
+            Action::PublishStoreAnswer { to, watcher } => self.send_store_answer(&to, &watcher),
             Action::PublishStreams { to, update } => {
                 self.send(at, &[to], &datagram::write_streams(&update));
             }
@@ -330,9 +336,7 @@
                 let event = Event::QuarantineRead(kept.collect());
                 self.post_event(at, STORE_CALL, event);
             }
-            Action::WatchStore(true) => {
-                self.post_event(at, STORE_CALL, Event::StoreAnswered);
-            }
+            Action::WatchStore(is_watching) => self.watch_store(at, is_watching),
             Action::CheckPath {
                 service, endpoints, ..
             } => {
@@ -411,6 +415,27 @@
         (!self.is_cut_between(at % DOMAINS, domain)).then_some(place)
     }
 
+    fn watch_store(&mut self, at: usize, is_watching: bool) {
+        self.boxes[at].is_watching = is_watching;
+        if is_watching {
+            self.post_event(at, STORE_CALL, Event::StoreAnswered);
+        }
+    }
+
+    fn send_store_answer(&mut self, to: &[SocketAddr], watcher: &StoreReader) {
+        for address in to {
+            let to = self.by_address[address];
+            self.post_event(to, NEAR, Event::PeerStoreAnswer(watcher.clone()));
+        }
+    }
+
+    /// After an answer of the store to a watch, the next one follows.
+    fn expect_next_answer(&mut self, at: usize, event: &Event) {
+        if matches!(event, Event::StoreAnswered) && self.boxes[at].is_watching {
+            self.post_event(at, MAX_ANSWER_INTERVAL, Event::StoreAnswered);
+        }
+    }
+
     fn post_event(&mut self, at: usize, after: Duration, event: Event) {
         let life = self.boxes[at].life;
         self.mail
--- a/lab/src/gateway/limits/fleet.rs
+++ b/lab/src/gateway/limits/fleet.rs
@@ -17,6 +17,7 @@
 use magpiemoor::gateway::dispatch::action::Action;
 use magpiemoor::gateway::dispatch::event::{AttemptNumber, Event, RequestNumber};
 use magpiemoor::gateway::dispatch::fetches::FetchOutcome;
+use magpiemoor::gateway::dispatch::store_watchers::MAX_ANSWER_INTERVAL;
 use magpiemoor::gateway::dispatch::{DispatchConfig, Dispatcher};
 use magpiemoor::gateway::shell::datagram;
 use magpiemoor::schema::{EndpointId, Incarnation, Micros};
@@ -57,6 +58,7 @@
     frozen_until: Micros,
     tick_at: Micros,
     next_request: u64,
+    is_watching: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -113,6 +115,7 @@
                 frozen_until: START,
                 tick_at: START,
                 next_request: 0,
+                is_watching: false,
             }
         });
         let servers = Servers::new(case);
@@ -169,6 +172,7 @@
             }
             Mail::Event(at, life, event) => {
                 if self.boxes[at].life == life {
+                    self.expect_next_answer(at, &event);
                     self.handle(at, *event);
                 }
             }
@@ -188,6 +192,7 @@
         found.cfg.first_start = now.since(START) < CALLERS_START_AFTER;
         found.dispatcher = Dispatcher::new(found.cfg.clone(), seed, now);
         found.is_running = true;
+        found.is_watching = false;
         found.tick_at = now;
         if !found.cfg.first_start {
             found.disturbed = now;
@@ -260,14 +265,24 @@
             } => {
                 self.send(at, &to, &datagram::write_usage(&news, &crashes));
             }
+            Action::PublishStoreAnswer { to, watcher } => {
+                for address in to {
+                    let to = self.by_address[&address];
+                    self.post_event(to, DOMAIN_LATENCY, Event::PeerStoreAnswer(watcher.clone()));
+                }
+            }
             Action::PublishDepartures { to, update } => {
                 self.send(at, &to, &datagram::write_departures(&update));
             }
             Action::PublishLimits { to, update: news } => {
                 self.send(at, &to, &datagram::write_limits(&news));
             }
-            Action::WatchStore(true) if self.now() >= self.store_out_until => {
-                self.post_event(at, STORE_LATENCY, Event::StoreAnswered);
+            Action::WatchStore(is_watching) => {
+                self.boxes[at].is_watching = is_watching;
+                if is_watching {
+                    let wait = self.store_out_until.since(self.now());
+                    self.post_event(at, wait + STORE_LATENCY, Event::StoreAnswered);
+                }
             }
             Action::FetchState { from, kind, .. } => {
                 let outcome = FetchOutcome::Complete;
@@ -310,6 +325,13 @@
         (!self.is_cut_between(self.domain_of(at), domain)).then_some(place)
     }
 
+    /// After an answer of the store to a watch, the next one follows.
+    fn expect_next_answer(&mut self, at: usize, event: &Event) {
+        if matches!(event, Event::StoreAnswered) && self.boxes[at].is_watching {
+            self.post_event(at, MAX_ANSWER_INTERVAL, Event::StoreAnswered);
+        }
+    }
+
     fn post_event(&mut self, at: usize, after: Duration, event: Event) {
         let life = self.boxes[at].life;
         self.mail
--- a/lab/src/gateway/rollout/fleet.rs
+++ b/lab/src/gateway/rollout/fleet.rs
@@ -252,6 +252,9 @@
             Action::GossipUsage {
                 to, update: news, ..
             } => self.send(at, &to, &Event::PeerUsage(news)),
+            Action::PublishStoreAnswer { to, watcher } => {
+                self.send(at, &to, &Event::PeerStoreAnswer(watcher));
+            }
             Action::FetchState { from, kind, .. } => self.fetch(at, from, kind),
             Action::WatchStore(is_watching) => self.watch_store(at, is_watching),
             Action::WatchRollouts(is_watching) => {
--- a/lab/src/gateway/rollout/fleet/store.rs
+++ b/lab/src/gateway/rollout/fleet/store.rs
@@ -5,6 +5,7 @@
 use magpiemoor::gateway::dispatch::event::Event;
 use magpiemoor::gateway::dispatch::rollout::RolloutOrder;
 use magpiemoor::gateway::dispatch::rollout::status::{ObjectState, RolloutStatus, StatusWrite};
+use magpiemoor::gateway::dispatch::store_watchers::MAX_ANSWER_INTERVAL;
 
 use super::{Fleet, Mail, ORDER_AFTER, ORDER_FOR, START};
 use crate::gateway::rollout::Fault;
@@ -12,8 +13,9 @@
 
 /// How long the store takes for a call, and until a watch tells of a change.
 pub(super) const STORE_CALL: Duration = Duration::from_millis(4);
-/// How long a watch waits, and how soon a store that is out is asked again.
-const WATCH: Duration = Duration::from_secs(3);
+/// Time between two answers of the store to the watches of a box, and how soon a store that is out
+/// is asked again.
+const WATCH: Duration = MAX_ANSWER_INTERVAL;
 const ASKED_AGAIN: Duration = Duration::from_millis(300);
 /// How long the store is out or late.
 const STORE_FAULT_FOR: Duration = Duration::from_secs(4);
--- a/lab/src/gateway/versions/fleet.rs
+++ b/lab/src/gateway/versions/fleet.rs
@@ -18,6 +18,7 @@
     EndpointSpec, Event, ProbeResult, RequestNumber, SnapshotFailure, SnapshotName,
 };
 use magpiemoor::gateway::dispatch::fetches::{FetchKind, FetchOutcome};
+use magpiemoor::gateway::dispatch::store_watchers::MAX_ANSWER_INTERVAL;
 use magpiemoor::gateway::dispatch::table::RoutingTable;
 use magpiemoor::gateway::dispatch::{DispatchConfig, Dispatcher};
 use magpiemoor::gateway::shell::datagram;
@@ -45,8 +46,8 @@
 const OUTSIDE: Duration = Duration::from_millis(1);
 /// How long the store takes for a call.
 const STORE_CALL: Duration = Duration::from_millis(6);
-/// How long the store holds a watch.
-const WATCH: Duration = Duration::from_secs(3);
+/// Time between two answers of the store to the watches of a box.
+const WATCH: Duration = MAX_ANSWER_INTERVAL;
 /// The share of datagrams that are lost.
 const LOST: f64 = 0.005;
 /// How long a box that was disturbed isn't in touch.
@@ -331,6 +332,9 @@
                 self.counts.stream_bytes += bytes as u64;
                 self.send(at, &[to], &datagram);
             }
+            Action::PublishStoreAnswer { to, watcher } if !self.boxes[at].is_old => {
+                self.send(at, &to, &datagram::write_store_answer(&watcher));
+            }
             Action::PublishIdentities { to, update } if !self.boxes[at].is_old => {
                 self.send(at, &to, &datagram::write_identities(&update));
             }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -305,13 +305,9 @@
     /// Time at which [`event::Event::Tick`] is due next.
     #[must_use]
     pub fn next_tick(&self) -> Micros {
-        let first_decision = self
-            .store_watchers
-            .first_decision()
-            .unwrap_or(self.next_gossip);
         let due = self.next_gossip.min(self.pending_usage.due());
-        let due = due.min(first_decision);
         let others = [
+            self.store_watchers.due(self.now),
             self.table_fetches.due(),
             self.endpoint_fetches.due(),
             self.pending_crashes.due(),
@@ -369,6 +365,14 @@
         &self.quarantine
     }
 
+    /// Time since the platform's store answered a watcher of the own failure domain; `None` before
+    /// the first answer.
+    #[must_use]
+    pub fn store_answer_age(&self) -> Option<Duration> {
+        let (age, _) = self.store_watchers.last_answer(self.now)?;
+        Some(age)
+    }
+
     /// Estimated state of the endpoints.
     #[must_use]
     pub fn fleet(&self) -> &Fleet {
@@ -394,24 +398,7 @@
         self.refuse_queued();
         self.check_connectivity();
         self.request_identities();
-        if let Some(is_watching) = {
-            let roster = self.peers.roster();
-            self.store_watchers.decide(roster, &mut self.rng, self.now)
-        } {
-            self.record(Record::Process {
-                state: if is_watching {
-                    WATCHES_STORE.into()
-                } else {
-                    "reads_peers".into()
-                },
-                detail: self.store_watchers.describe_others(self.now),
-            });
-            self.actions.push(Action::WatchStore(is_watching));
-            if is_watching {
-                self.read_quarantine_once();
-                self.gossip_watcher_claim();
-            }
-        }
+        self.decide_to_watch_store();
         self.check_rollouts();
         self.fetch_if_behind();
         self.forget_crashes();
@@ -421,6 +408,39 @@
         self.gossip_if_due();
     }
 
+    /// Decides whether this box watches the store, and records whether its failure domain is in
+    /// touch with the store.
+    fn decide_to_watch_store(&mut self) {
+        if let Some(is_confirmed) = self.store_watchers.confirmation_change(self.now) {
+            self.record(Record::Process {
+                state: if is_confirmed {
+                    "store_confirmed".into()
+                } else {
+                    "store_unconfirmed".into()
+                },
+                detail: self.store_watchers.describe_last_answer(self.now),
+            });
+        }
+        let roster = self.peers.roster();
+        let decision = self.store_watchers.decide(roster, &mut self.rng, self.now);
+        let Some(is_watching) = decision else {
+            return;
+        };
+        self.record(Record::Process {
+            state: if is_watching {
+                WATCHES_STORE.into()
+            } else {
+                "reads_peers".into()
+            },
+            detail: self.store_watchers.describe_others(self.now),
+        });
+        self.actions.push(Action::WatchStore(is_watching));
+        if is_watching {
+            self.read_quarantine_once();
+            self.gossip_watcher_claim();
+        }
+    }
+
     /// Request of an attempt, if that attempt is the active one.
     fn with_active(
         &mut self,
--- a/src/gateway/dispatch/action.rs
+++ b/src/gateway/dispatch/action.rs
@@ -16,8 +16,8 @@
 use crate::schema::{
     BoxId, BoxState, CrashUpdate, DepartureUpdate, DutyHolder, EndpointId, EndpointIncarnation,
     EngineLoadReport, Fingerprint, IdentityUpdate, LimitUpdate, OrganisationId, ServiceId,
-    SlotUpdate, SpeedUpdate, StartTime, StateRequest, StreamRecord, StreamUpdate, UsageCountUpdate,
-    UsageUpdate,
+    SlotUpdate, SpeedUpdate, StartTime, StateRequest, StoreReader, StreamRecord, StreamUpdate,
+    UsageCountUpdate, UsageUpdate,
 };
 
 /// An endpoint, and the box through which it is reached.
@@ -274,6 +274,13 @@
         /// Endpoints that are leaving.
         update: DepartureUpdate,
     },
+    /// Tell peers of the own domain by UDP that the platform's store has just answered this box.
+    PublishStoreAnswer {
+        /// Addresses of the receivers.
+        to: Vec<SocketAddr>,
+        /// This box as a watcher of the store.
+        watcher: StoreReader,
+    },
     /// Send peers the load of a failure domain on engines by UDP.
     PublishLoad {
         /// Addresses of the receivers.
--- a/src/gateway/dispatch/event.rs
+++ b/src/gateway/dispatch/event.rs
@@ -16,7 +16,8 @@
 use crate::schema::{
     BoxState, CrashUpdate, DepartureUpdate, DomainId, DutyHolder, EndpointId, EndpointIncarnation,
     EngineLoadReport, Fingerprint, IdentityUpdate, LimitUpdate, RequestAge, ServiceId, SlotUpdate,
-    SpeedUpdate, StartTime, StreamRecord, StreamUpdate, UsageCountUpdate, UsageUpdate, VersionId,
+    SpeedUpdate, StartTime, StoreReader, StreamRecord, StreamUpdate, UsageCountUpdate, UsageUpdate,
+    VersionId,
 };
 
 /// Number that this box has given a request.
@@ -425,6 +426,8 @@
         /// Reported crashes and verdicts.
         update: CrashUpdate,
     },
+    /// The platform's store answered a peer that watches it.
+    PeerStoreAnswer(StoreReader),
     /// A peer reported endpoints that are leaving.
     PeerDepartures(DepartureUpdate),
     /// A peer reported which processes are at the addresses of endpoints.
--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -18,7 +18,7 @@
 use super::peers::StateArrival;
 use super::store_watchers::{Contact, StoreWatchers};
 use crate::schema::{
-    BoxState, CrashUpdate, DomainId, EndpointId, Micros, StateRequest, UsageUpdate,
+    BoxState, CrashUpdate, DomainId, EndpointId, Micros, StateRequest, StoreReader, UsageUpdate,
 };
 
 /// Delay in which losses and new versions are batched before they are gossiped.
@@ -223,6 +223,20 @@
         }
     }
 
+    /// Records that the store answered this box, and tells its failure domain.
+    pub(super) fn on_store_answered(&mut self) {
+        let watcher = self.store_watchers.on_answer(self.cfg.address, self.now);
+        let to = StoreWatchers::answer_receivers(self.peers.roster(), self.now);
+        if !to.is_empty() && self.store_watchers.is_watching() {
+            self.actions
+                .push(Action::PublishStoreAnswer { to, watcher });
+        }
+    }
+
+    pub(super) fn on_peer_store_answer(&mut self, watcher: StoreReader) {
+        self.store_watchers.on_peer_watchers(&[watcher], self.now);
+    }
+
     /// Announces a new table: a store watcher notifies its whole failure domain at once, any other
     /// box gossips to a few peers soon.
     pub(super) fn gossip_table(&mut self) {
--- a/src/gateway/dispatch/handle.rs
+++ b/src/gateway/dispatch/handle.rs
@@ -27,6 +27,7 @@
             | Event::Rollouts { .. }
             | Event::QuarantineRead(_)
             | Event::StoreAnswered
+            | Event::PeerStoreAnswer(_)
             | Event::Peer(_)
             | Event::PeerUsage(_)
             | Event::PeerCrashes { .. }
@@ -103,9 +104,8 @@
                 is_whole,
             } => self.on_rollouts(objects, &removed, is_whole),
             Event::QuarantineRead(kept) => self.on_quarantine_read(&kept),
-            Event::StoreAnswered => {
-                self.store_watchers.on_answer(self.cfg.address, self.now);
-            }
+            Event::StoreAnswered => self.on_store_answered(),
+            Event::PeerStoreAnswer(watcher) => self.on_peer_store_answer(watcher),
             Event::Peer(state) => self.on_peer(&state),
             Event::PeerUsage(update) => self.on_peer_usage(&update),
             Event::PeerCrashes { domain, update } => self.on_peer_crashes(domain.as_ref(), &update),
--- a/src/gateway/dispatch/store_watchers.rs
+++ b/src/gateway/dispatch/store_watchers.rs
@@ -5,7 +5,16 @@
 //! of the domain ([`super::roster`]) by address begin to: the first at once, each further one
 //! [`TAKEOVER_STEP`] later, so that a box that can't watch delays no other. A box that begins to
 //! watch announces it before the store has answered, and stops when two others with smaller ids
-//! watch. Boxes may disagree on this for a while, which only costs a few calls.
+//! have watched for [`HANDOVER_DELAY`]. Boxes may disagree on this for a while, which only costs a
+//! few calls.
+//!
+//! The store may answer some boxes and not others, and the ones that it doesn't answer may be all
+//! watchers. So trust in a watcher ends soon: each answer of the store is published to the own
+//! domain at once, and a watcher gets one at least every [`MAX_ANSWER_INTERVAL`]. A domain in which
+//! the store answered no watcher within [`CONFIRMED_FOR`] is *unconfirmed*: changes may be missed.
+//! Its running boxes then begin to watch one after the other, [`UNCONFIRMED_STEP`] apart, and claims
+//! don't count, until the store answers one of them. After the first [`PROMPT_CANDIDATES`] the others
+//! follow slowly, so that a store that is down for all is not called by all.
 //!
 //! A box that starts waits for gossip first: if peers know watchers, it need not call the store. If
 //! no peer knows any within [`START_WAIT_LOCAL`] of the first message, all boxes have just started,
@@ -16,7 +25,9 @@
 //! peers, with the age of the answer. State: this knowledge, and whether this box watches. Rejected
 //! alternatives: every box watches (54,995 calls with 88 boxes where two watchers a domain make
 //! 1,767); one elected watcher (needs the store or a consensus); each box that knows of too few
-//! watchers begins (241 of 295 boxes began after a common power loss, `tests/large_fleet.rs`).
+//! watchers begins (241 of 295 boxes began after a common power loss, `tests/large_fleet.rs`); boxes
+//! that don't watch ask the store in turn (costs calls in calm, and a list for each question);
+//! watchers say that they lost the store (a frozen or silenced one can't).
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -29,13 +40,34 @@
 use crate::schema::{BoxId, DomainId, Micros, StoreReader};
 
 const WATCHERS_PER_DOMAIN: usize = 2;
-/// Age of the store's answer up to which a watcher is fresh: a watch waits 3 s, its answer may take
-/// 0.7 s more, and gossip takes some time to spread.
-const WATCHER_FRESH_FOR: Duration = Duration::from_secs(6);
+/// Longest time between two answers of the store to a watcher: tables and endpoints are watched on
+/// two connections, and their watches end half a period apart (`shell/watch_phase.rs`).
+pub const MAX_ANSWER_INTERVAL: Duration = Duration::from_millis(800);
+/// Age of the store's last answer to any watcher of a domain up to which the domain's knowledge is
+/// confirmed: one interval, and the time of a call and of a datagram on busy boxes.
+const CONFIRMED_FOR: Duration = Duration::from_millis(1_100);
+/// Age of the store's answer up to which a watcher is fresh: two intervals.
+const WATCHER_FRESH_FOR: Duration = Duration::from_millis(1_600);
 /// Time for which watchers that are no longer fresh are kept.
 const WATCHER_RETENTION: Duration = Duration::from_secs(20);
 /// Time for which a box that begins to watch counts as a watcher before the store has answered it.
-const CLAIM_VALID_FOR: Duration = Duration::from_millis(1_200);
+/// A claim is published like an answer of an age that confirms nothing.
+const CLAIM_VALID_FOR: Duration = Duration::from_millis(500);
+const _: () = assert!(
+    CLAIM_VALID_FOR.as_millis() + CONFIRMED_FOR.as_millis() == WATCHER_FRESH_FOR.as_millis()
+);
+/// Time for which two others with smaller ids must have watched before a watcher stops.
+const HANDOVER_DELAY: Duration = Duration::from_secs(3);
+/// Delay between two candidates of an unconfirmed domain: the time in which a list is read and the
+/// answer published.
+const UNCONFIRMED_STEP: Duration = Duration::from_millis(80);
+/// Number of candidates of an unconfirmed domain that begin [`UNCONFIRMED_STEP`] apart.
+const PROMPT_CANDIDATES: u32 = 8;
+/// Delay between two later candidates.
+const LATE_STEP: Duration = Duration::from_secs(3);
+/// Limit on the boxes to which an answer of the store is published. Others learn of it by gossip,
+/// and come after these in the order of candidates.
+const MAX_ANSWER_RECEIVERS: usize = 32;
 /// Wait of a starting box for a first message before it calls the store: the platform starts all
 /// boxes within 300 ms, and a message and its reply take some time after that. With 150 ms 30 of 57
 /// boxes of a domain read the store where the seeds start last (`tests/large_fleet.rs`).
@@ -98,6 +130,20 @@
     contact: Contact,
     /// Time since which too few boxes watch the store.
     too_few_since: Option<Micros>,
+    /// Time since which two others with smaller ids watch, if this box watches.
+    enough_since: Option<Micros>,
+    /// Time until which the domain's knowledge is confirmed by the store's answers, and the watcher
+    /// that got the last one; `None` before the first answer.
+    confirmed: Option<Confirmation>,
+    /// Whether the domain was confirmed when that was recorded last.
+    was_confirmed: bool,
+}
+
+/// The last answer of the store to a watcher of a domain.
+#[derive(Clone, Debug)]
+struct Confirmation {
+    until: Micros,
+    by: BoxId,
 }
 
 impl StoreWatchers {
@@ -111,16 +157,28 @@
             known: BTreeMap::new(),
             is_watching: false,
             too_few_since: None,
+            enough_since: None,
+            confirmed: None,
+            was_confirmed: false,
             next_decision: now.after(START_WAIT_ALONE + START_JITTER.mul_f64(rng.random())),
             has_decided: false,
             contact: Contact::None,
         }
     }
 
-    /// Time of the first decision; `None` once it has been made.
+    /// Time of the next decision that can't wait for the next regular tick: the first one, and the
+    /// turns of candidates in an unconfirmed domain.
     #[must_use]
-    pub fn first_decision(&self) -> Option<Micros> {
-        (!self.has_decided).then_some(self.next_decision)
+    pub fn due(&self, now: Micros) -> Option<Micros> {
+        if !self.has_decided {
+            return Some(self.next_decision);
+        }
+        let until = self.confirmed.as_ref().filter(|_| !self.is_watching)?.until;
+        if now < until {
+            return Some(until);
+        }
+        let is_prompt = now.since(until) < UNCONFIRMED_STEP * PROMPT_CANDIDATES;
+        is_prompt.then(|| now.after(UNCONFIRMED_STEP / 4))
     }
 
     /// Whether this box has decided to watch the store.
@@ -145,9 +203,63 @@
         self.next_decision = self.next_decision.min(at);
     }
 
-    /// Records an answer of the store to this box.
-    pub fn on_answer(&mut self, address: SocketAddr, now: Micros) {
+    /// Records an answer of the store to this box; returns it as it is published.
+    pub fn on_answer(&mut self, address: SocketAddr, now: Micros) -> StoreReader {
         self.list_self(address, now.after(WATCHER_FRESH_FOR));
+        self.confirm(&self.me.clone(), now.after(CONFIRMED_FOR));
+        StoreReader {
+            id: self.me.clone(),
+            domain: self.domain.clone(),
+            age_ms: 0,
+            address: address.to_string(),
+        }
+    }
+
+    /// Boxes to which an answer of the store to this box is published: the running boxes of the
+    /// domain that would be the first to replace its watchers.
+    #[must_use]
+    pub fn answer_receivers(roster: &Roster, now: Micros) -> Vec<SocketAddr> {
+        roster.running(now).take(MAX_ANSWER_RECEIVERS).collect()
+    }
+
+    fn confirm(&mut self, by: &BoxId, until: Micros) {
+        let known = self.confirmed.as_ref().map(|known| known.until);
+        if known.is_none_or(|known| known < until) {
+            let by = by.clone();
+            self.confirmed = Some(Confirmation { until, by });
+        }
+    }
+
+    /// Age of the store's last answer to a watcher of the own domain, and that watcher; `None`
+    /// before the first answer.
+    #[must_use]
+    pub fn last_answer(&self, now: Micros) -> Option<(Duration, &BoxId)> {
+        let confirmed = self.confirmed.as_ref()?;
+        let answered_at = confirmed.until.before(CONFIRMED_FOR);
+        Some((now.since(answered_at), &confirmed.by))
+    }
+
+    /// The last answer and its watcher, as text for the decision log.
+    #[must_use]
+    pub fn describe_last_answer(&self, now: Micros) -> String {
+        match self.last_answer(now) {
+            Some((age, by)) => format!("store answered {by} {} ms ago", age.as_millis()),
+            None => "no answer yet".to_owned(),
+        }
+    }
+
+    /// Whether the domain is confirmed, if that has changed since the last call.
+    pub fn confirmation_change(&mut self, now: Micros) -> Option<bool> {
+        let is_confirmed = self.is_confirmed(now)?;
+        let has_changed = is_confirmed != self.was_confirmed;
+        self.was_confirmed = is_confirmed;
+        has_changed.then_some(is_confirmed)
+    }
+
+    /// Whether the store answered a watcher of the own domain lately; `None` before the first
+    /// answer.
+    fn is_confirmed(&self, now: Micros) -> Option<bool> {
+        self.confirmed.as_ref().map(|known| now < known.until)
     }
 
     /// Lists this box as a watcher until `fresh_until`.
@@ -165,6 +277,9 @@
         for known in self.known.values_mut() {
             known.fresh_until = known.fresh_until.after(time);
         }
+        if let Some(confirmed) = &mut self.confirmed {
+            confirmed.until = confirmed.until.after(time);
+        }
     }
 
     /// Whether `readers` contains enough watchers of a failure domain.
@@ -176,9 +291,16 @@
 
     /// Processes the watchers that a peer has reported; keeps the most recent report of each.
     pub fn on_peer_watchers(&mut self, readers: &[StoreReader], now: Micros) {
-        for reader in readers.iter().filter(|r| r.id != self.me) {
+        for reader in readers {
+            if reader.id == self.me {
+                continue;
+            }
             let age = Duration::from_millis(reader.age_ms.into());
             let fresh_until = now.after(WATCHER_FRESH_FOR.saturating_sub(age));
+            if reader.domain == self.domain && age < CONFIRMED_FOR {
+                let until = now.after(CONFIRMED_FOR.saturating_sub(age));
+                self.confirm(&reader.id, until);
+            }
             let Ok(address) = reader.address.parse() else {
                 continue;
             };
@@ -217,7 +339,7 @@
     /// Decides, about every [`DECISION_INTERVAL`], whether this box watches the store; returns the
     /// new state if it has changed.
     pub fn decide(&mut self, roster: &Roster, rng: &mut ChaCha8Rng, now: Micros) -> Option<bool> {
-        if now < self.next_decision {
+        if now < self.next_decision && !self.is_turn(roster, now) {
             return None;
         }
         self.has_decided = true;
@@ -227,6 +349,8 @@
         let is_needed = self.is_needed(roster, now);
         let has_changed = is_needed != self.is_watching;
         self.is_watching = is_needed;
+        self.enough_since = self.enough_since.filter(|_| is_needed);
+        self.too_few_since = self.too_few_since.filter(|_| !is_needed);
         if is_needed && has_changed {
             self.list_self(roster.own_address(), now.after(CLAIM_VALID_FOR));
         }
@@ -261,6 +385,30 @@
         format!("others that watch: {}", others.count())
     }
 
+    /// Whether this box is to begin to watch, since no watcher of its domain is answered.
+    fn is_turn(&self, roster: &Roster, now: Micros) -> bool {
+        let Some(confirmed) = self.confirmed.as_ref().filter(|c| c.until <= now) else {
+            return false;
+        };
+        let me = roster.own_address();
+        let lost = self.unanswered_watchers(confirmed);
+        let candidates = roster.running(now).filter(|a| !lost.contains(a));
+        let before_me = candidates.filter(|address| *address < me);
+        let delay = unconfirmed_delay(before_me.count() as u32);
+        !self.is_watching && now.since(confirmed.until) >= delay
+    }
+
+    /// Watchers of the domain from the time when it was confirmed. Boxes that began to watch since
+    /// are not among them, so that they delay the next candidates.
+    fn unanswered_watchers(&self, confirmed: &Confirmation) -> Vec<SocketAddr> {
+        let began_since = confirmed.until.after(CLAIM_VALID_FOR);
+        let of_domain = self.known.iter().filter(|(id, known)| {
+            let is_lost = known.fresh_until < began_since || **id == confirmed.by;
+            known.domain == self.domain && is_lost
+        });
+        of_domain.map(|(_, known)| known.address).collect()
+    }
+
     fn is_needed(&mut self, roster: &Roster, now: Micros) -> bool {
         let others = self.known.iter().filter(|(id, known)| {
             let is_of_domain = **id != self.me && known.domain == self.domain;
@@ -268,7 +416,11 @@
         });
         if self.is_watching {
             let before_me = others.filter(|(id, _)| **id < self.me);
-            return before_me.count() < WATCHERS_PER_DOMAIN;
+            let are_enough = before_me.count() >= WATCHERS_PER_DOMAIN;
+            return !self.may_hand_over(are_enough, now);
+        }
+        if self.is_confirmed(now) == Some(false) {
+            return self.is_turn(roster, now);
         }
         let others: Vec<SocketAddr> = others.map(|(_, known)| known.address).collect();
         let missing = WATCHERS_PER_DOMAIN.saturating_sub(others.len());
@@ -283,4 +435,21 @@
         let steps = (before_me + 1).saturating_sub(missing) as u32;
         now.since(too_few_since) >= TAKEOVER_STEP * steps
     }
+
+    /// Whether enough others have watched for long enough that this box may stop.
+    fn may_hand_over(&mut self, are_enough: bool, now: Micros) -> bool {
+        if !are_enough {
+            self.enough_since = None;
+            return false;
+        }
+        let enough_since = *self.enough_since.get_or_insert(now);
+        now.since(enough_since) >= HANDOVER_DELAY
+    }
+}
+
+/// Time from which a box watches after its domain became unconfirmed, by the number of running boxes
+/// before it.
+fn unconfirmed_delay(before_me: u32) -> Duration {
+    let prompt = before_me.min(PROMPT_CANDIDATES);
+    UNCONFIRMED_STEP * prompt + LATE_STEP * (before_me - prompt)
 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -105,7 +105,7 @@
         usage_late_s: Some(10.0),
         lease_ms: Some(3_000),
         gossip_ms: Some(300),
-        watch_ms: Some(2_300),
+        watch_ms: Some(1_600),
         held_bytes: Some(64 << 20),
         traffic_threads: Some(1),
         log_level: Some("info".to_owned()),
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -37,6 +37,7 @@
 mod streams;
 pub mod table_reader;
 pub mod transfer;
+pub mod watch_phase;
 pub mod watcher;
 
 use std::path::PathBuf;
--- a/src/gateway/shell/control.rs
+++ b/src/gateway/shell/control.rs
@@ -131,6 +131,10 @@
         let gauge = |boxes| i64::try_from(boxes).unwrap_or(i64::MAX);
         self.shared.metrics.boxes_local.set(gauge(local));
         self.shared.metrics.boxes.set(gauge(all));
+        if let Some(age) = self.dispatcher.store_answer_age() {
+            let age = i64::try_from(age.as_millis()).unwrap_or(i64::MAX);
+            self.shared.metrics.store_answer_age_ms.set(age);
+        }
         let waiting = self.dispatcher.waiting_by_tier();
         self.shared.metrics.on_waiting(&waiting);
         let limited = self.dispatcher.fleet().directives.limits.count();
@@ -173,6 +177,7 @@
             | Action::GossipUsage { .. }
             | Action::PublishUsageCounts { .. }
             | Action::PublishDepartures { .. }
+            | Action::PublishStoreAnswer { .. }
             | Action::PublishIdentities { .. }
             | Action::PublishLoad { .. }
             | Action::PublishSpeeds { .. }
@@ -221,6 +226,9 @@
                 (to, datagram::write_usage_counts(&update))
             }
             Action::PublishDepartures { to, update } => (to, datagram::write_departures(&update)),
+            Action::PublishStoreAnswer { to, watcher } => {
+                (to, datagram::write_store_answer(&watcher))
+            }
             Action::PublishIdentities { to, update } => (to, datagram::write_identities(&update)),
             Action::PublishLoad { to, from, report } => (to, datagram::write_load(&from, &report)),
             Action::PublishSpeeds { to, update } => (to, datagram::write_speeds(&update)),
--- a/src/gateway/shell/datagram.rs
+++ b/src/gateway/shell/datagram.rs
@@ -12,8 +12,8 @@
 use crate::gateway::dispatch::event::Event;
 use crate::schema::{
     BoxId, BoxState, CrashUpdate, DatagramSection, DepartureUpdate, DutyHolder, EngineLoadReport,
-    IdentityUpdate, LimitUpdate, SlotUpdate, SpeedUpdate, StreamUpdate, UsageCountUpdate,
-    UsageUpdate,
+    IdentityUpdate, LimitUpdate, SlotUpdate, SpeedUpdate, StoreReader, StreamUpdate,
+    UsageCountUpdate, UsageUpdate,
 };
 
 /// The first byte of a datagram with a [`BoxState`].
@@ -40,6 +40,8 @@
 const STREAMS_SECTION: u16 = 9;
 /// The kind of a section with [`IdentityUpdate`].
 const IDENTITIES_SECTION: u16 = 10;
+/// The kind of a section with a [`StoreReader`] that the store has just answered.
+const STORE_ANSWER_SECTION: u16 = 11;
 
 /// Encodes a box's state as a datagram.
 ///
@@ -154,6 +156,15 @@
     with_section(empty_message(&update.from)?, IDENTITIES_SECTION, update)
 }
 
+/// Encodes that the platform's store has just answered a box, as a section after an empty message.
+///
+/// # Errors
+///
+/// If it can't be encoded.
+pub fn write_store_answer(watcher: &StoreReader) -> Result<Vec<u8>, postcard::Error> {
+    with_section(empty_message(&watcher.id)?, STORE_ANSWER_SECTION, watcher)
+}
+
 /// A message without content, to which a section is added.
 fn empty_message(from: &BoxId) -> Result<Vec<u8>, postcard::Error> {
     let empty = UsageUpdate {
@@ -228,6 +239,8 @@
             events.push(Event::PeerStreams(read_content(&section)?));
         } else if section.kind == IDENTITIES_SECTION {
             events.push(Event::PeerIdentities(read_content(&section)?));
+        } else if section.kind == STORE_ANSWER_SECTION {
+            events.push(Event::PeerStoreAnswer(read_content(&section)?));
         }
     }
     Ok(events)
--- a/src/gateway/shell/metrics.rs
+++ b/src/gateway/shell/metrics.rs
@@ -48,6 +48,8 @@
     pub boxes: IntGauge,
     /// Number of other failure domains whose load on engines is known.
     pub load_domains: IntGauge,
+    /// Milliseconds since the store answered a watcher of the own failure domain.
+    pub store_answer_age_ms: IntGauge,
     endpoints: EndpointMetrics,
     waits: WaitMetrics,
     retries: RetryMetrics,
@@ -257,6 +259,10 @@
                 "boxes",
                 "Running boxes of all failure domains that are known",
             ),
+            store_answer_age_ms: set.gauge(
+                "store_answer_age_ms",
+                "Milliseconds since the store answered a watcher of the own failure domain",
+            ),
             load_domains: set.gauge(
                 "load_domains",
                 "Other failure domains whose load on engines is known from a report",
--- a/src/gateway/shell/shared.rs
+++ b/src/gateway/shell/shared.rs
@@ -25,6 +25,7 @@
 use crate::gateway::shell::metrics::GatewayMetrics;
 use crate::gateway::shell::relay::MAX_TUNNELS;
 use crate::gateway::shell::store_cache::{CachedTable, StoreCache};
+use crate::gateway::shell::watch_phase::WatchPhase;
 use crate::http::limits::{ConnectionLimits, LimitsInForce};
 use crate::http::pool::Pool;
 use crate::http::read_limit::{PeerBody, ReadError, read_limited};
@@ -79,6 +80,8 @@
     /// Whether the process exits at once.
     exiting: watch::Sender<bool>,
     watching: Arc<[watch::Sender<bool>; ObjectKind::ALL.len()]>,
+    /// Ends of this box's watches of the platform's store.
+    pub(super) watch_phase: Arc<WatchPhase>,
     active: watch::Sender<usize>,
     /// Requests that were read in part, or whose answer has not begun.
     open: Arc<watch::Sender<usize>>,
@@ -174,6 +177,7 @@
             ends_reading: watch::channel(false).0,
             exiting: watch::channel(false).0,
             watching: Arc::new(ObjectKind::ALL.map(|_| watch::channel(false).0)),
+            watch_phase: Arc::new(WatchPhase::default()),
             active: watch::channel(0).0,
             open: Arc::new(watch::channel(0).0),
             state: Arc::default(),
--- a/src/gateway/shell/store.rs
+++ b/src/gateway/shell/store.rs
@@ -67,6 +67,7 @@
             record_reachability(kind, was_reachable, &shared);
         }
         if watcher.is_reachable() && kind.shows_store_access() {
+            shared.watch_phase.on_answer(Instant::now());
             shared.send(Input::Event(Event::StoreAnswered)).await;
         }
         let mut pause = next.pause;
@@ -178,7 +179,6 @@
         shared: &GatewayShared,
     ) -> StoreAnswer {
         let dialect = &shared.dialect;
-        let watch = kind.watch_timeout(shared.settings.watch);
         let list_timeout = doubled(LIST_HEAD_TIMEOUT, self.failures, MAX_LIST_TIMEOUT_DOUBLINGS);
         let (path, head_timeout, is_watch) = match request {
             StoreRequest::List { after } => (
@@ -186,11 +186,13 @@
                 list_timeout,
                 false,
             ),
-            StoreRequest::Watch { revision } => (
-                dialect.watch_path(kind, *revision, watch),
-                watch_head_timeout(watch),
-                true,
-            ),
+            StoreRequest::Watch { revision } => {
+                let longest = kind.watch_timeout(shared.settings.watch);
+                let phase = &shared.watch_phase;
+                let watch = phase.begin_watch(kind, longest, Instant::now());
+                let path = dialect.watch_path(kind, *revision, watch);
+                (path, watch_head_timeout(watch), true)
+            }
         };
         shared.metrics.store_calls_of(request).inc();
         let started_at = Instant::now();
--- a/tests/domain_load.rs
+++ b/tests/domain_load.rs
@@ -13,6 +13,7 @@
 use fleet::Fleet;
 use magpiemoor::gateway::dispatch::action::{Action, Attempt};
 use magpiemoor::gateway::dispatch::event::{EndpointSpec, Event, RequestNumber};
+use magpiemoor::gateway::dispatch::store_watchers::MAX_ANSWER_INTERVAL;
 use magpiemoor::schema::{BoxState, EndpointId, EndpointUsage, EngineLoadReport, UsageUpdate};
 use rstest::rstest;
 
@@ -236,8 +237,11 @@
     let dead = direct[0];
     assert!(dead < 8 && direct.iter().all(|from| *from == dead));
     fleet.lose_power(Duration::from_secs(60), |at| at == dead);
-    fleet.run(Duration::from_millis(2_900));
+    // The last answer of the store to the dead box is at most one interval old.
+    fleet.run(MAX_ANSWER_INTERVAL.saturating_sub(Duration::from_millis(100)));
     assert_eq!(fleet.load_reports, [], "no other box takes over yet");
+    fleet.run(Duration::from_millis(2_200));
+    assert_ne!(fleet.load_reports, [], "another box has taken over");
     fleet.run(Duration::from_secs(5));
     assert_eq!(informed(&fleet), 8);
     assert!(fleet.load_reports.iter().all(|(from, _)| *from != dead));
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -8,7 +8,7 @@
 #![allow(dead_code)] // Each test binary uses only some of these items.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +17,7 @@
 use magpiemoor::gateway::dispatch::event::{EndpointSpec, Event, RequestNumber};
 use magpiemoor::gateway::dispatch::fetches::{FetchKind, FetchOutcome};
 use magpiemoor::gateway::dispatch::retry_budget::RetryPolicy;
+use magpiemoor::gateway::dispatch::store_watchers::MAX_ANSWER_INTERVAL;
 use magpiemoor::gateway::dispatch::{DispatchConfig, Dispatcher};
 use magpiemoor::schema::{DomainId, Incarnation, Micros};
 use rand::{Rng, SeedableRng};
@@ -33,10 +34,12 @@
 const DATAGRAM_LOSS: f64 = 0.002;
 /// Duration of a fetch from a peer.
 const FETCH_TIME: Duration = Duration::from_millis(40);
+/// Response time of the store for one call.
+const CALL_TIME: Duration = Duration::from_millis(4);
 /// Response time of the store for a complete list.
 const LIST_TIME: Duration = Duration::from_millis(30);
-/// Interval between two answers of the store to a watch.
-const WATCH_INTERVAL: Duration = Duration::from_secs(3);
+/// Interval between two answers of the store to the watches of a box.
+const WATCH_INTERVAL: Duration = MAX_ANSWER_INTERVAL;
 
 pub struct FleetBox {
     pub dispatcher: Dispatcher,
@@ -45,12 +48,21 @@
     cfg: DispatchConfig,
     endpoints_at: u64,
     is_watching: bool,
+    /// Whether it watches the orders of roll-outs.
+    pub watches_rollouts: bool,
     pub is_running: bool,
     incarnation: u64,
     paused_until: Micros,
     tick_at: Micros,
 }
 
+impl FleetBox {
+    /// Whether the box runs and watches the store.
+    pub fn is_watching(&self) -> bool {
+        self.is_running && self.is_watching
+    }
+}
+
 /// What is scheduled for a box.
 #[derive(Clone, Debug)]
 enum Scheduled {
@@ -84,6 +96,12 @@
     /// Total encoded size of these datagrams in bytes.
     pub bytes: u64,
     pub store_is_up: bool,
+    /// Boxes that the store gives no answer.
+    pub turned_away: BTreeSet<usize>,
+    /// Lists and watches that the store was asked for.
+    pub store_calls: u64,
+    /// Version of the table and revision of the endpoint list in the store.
+    store_version: u64,
     /// The endpoint list in the store.
     pub endpoints: Vec<EndpointSpec>,
     by_address: BTreeMap<SocketAddr, usize>,
@@ -119,6 +137,9 @@
             datagrams: 0,
             bytes: 0,
             store_is_up: true,
+            turned_away: BTreeSet::new(),
+            store_calls: 0,
+            store_version: 1,
             endpoints: endpoints(),
             by_address: BTreeMap::new(),
             queue: BinaryHeap::new(),
@@ -159,6 +180,7 @@
             cfg,
             endpoints_at: 0,
             is_watching: false,
+            watches_rollouts: false,
             is_running: false,
             incarnation: 0,
             paused_until: Micros::ZERO,
@@ -241,6 +263,7 @@
         found.dispatcher = Dispatcher::new(found.cfg.clone(), seed, self.now);
         found.endpoints_at = 0;
         found.is_watching = false;
+        found.watches_rollouts = false;
         found.is_running = true;
         found.tick_at = self.now;
         self.handle(at, Event::Tick);
@@ -271,6 +294,10 @@
                 self.bytes += encoded_len(&update) * to.len() as u64;
                 self.send(at, &to, &Event::PeerUsage(update));
             }
+            Action::PublishStoreAnswer { to, watcher } => {
+                self.bytes += encoded_len(&watcher) * to.len() as u64;
+                self.send(at, &to, &Event::PeerStoreAnswer(watcher));
+            }
             Action::PublishLoad { to, report, .. } => {
                 self.load_reports.push((at, report.is_forwarded));
                 self.bytes += encoded_len(&report) * to.len() as u64;
@@ -287,6 +314,9 @@
                     self.schedule(at, LIST_TIME, Scheduled::Store);
                 }
             }
+            Action::WatchRollouts(is_watching) => {
+                self.boxes[at].watches_rollouts = is_watching;
+            }
             Action::Command {
                 request,
                 command: Command::Send(attempt),
@@ -319,16 +349,34 @@
         if !self.boxes[at].is_watching {
             return;
         }
-        if !self.store_is_up {
+        self.store_calls += 1;
+        if !self.store_is_up || self.turned_away.contains(&at) {
             self.schedule(at, Duration::from_millis(500), Scheduled::Store);
             return;
         }
         self.handle(at, Event::StoreAnswered);
-        self.deliver(at, FetchKind::Table);
-        self.deliver(at, FetchKind::Endpoints);
+        self.deliver(at, FetchKind::Table, self.store_version);
+        self.deliver(at, FetchKind::Endpoints, self.store_version);
         self.schedule(at, WATCH_INTERVAL, Scheduled::Store);
     }
 
+    /// Changes the table and the endpoint list in the store, which answers the watches.
+    pub fn change_store(&mut self) {
+        self.store_version += 1;
+        for at in 0..self.boxes.len() {
+            if self.boxes[at].is_watching && self.boxes[at].is_running {
+                self.schedule(at, CALL_TIME, Scheduled::Store);
+            }
+        }
+    }
+
+    /// Whether a box has the table and the endpoint list of the store.
+    pub fn is_up_to_date(&self, at: usize) -> bool {
+        let found = &self.boxes[at];
+        found.dispatcher.table_version().0 == self.store_version
+            && found.endpoints_at == self.store_version
+    }
+
     fn answer_fetch(&mut self, at: usize, from: usize, kind: FetchKind) {
         let holder = &self.boxes[from];
         let version = match kind {
@@ -337,7 +385,7 @@
         };
         let address = holder.address;
         let outcome = if holder.is_running && version > 0 {
-            self.deliver(at, kind);
+            self.deliver(at, kind, version);
             FetchOutcome::Complete
         } else {
             FetchOutcome::Failed
@@ -352,13 +400,18 @@
         );
     }
 
-    fn deliver(&mut self, at: usize, kind: FetchKind) {
+    fn deliver(&mut self, at: usize, kind: FetchKind, version: u64) {
         match kind {
-            FetchKind::Table => self.handle(at, Event::Table(Arc::new(fixtures::table(1)))),
+            FetchKind::Table => self.handle(at, Event::Table(Arc::new(fixtures::table(version)))),
             FetchKind::Endpoints => {
-                self.boxes[at].endpoints_at = 1;
-                let specs = self.endpoints.clone();
-                self.handle(at, fixtures::listed(specs));
+                let found = &mut self.boxes[at];
+                found.endpoints_at = found.endpoints_at.max(version);
+                let event = Event::EndpointsListed {
+                    specs: self.endpoints.clone(),
+                    unreadable: Vec::new(),
+                    at: version,
+                };
+                self.handle(at, event);
             }
         }
     }
