Streams outlast the loss of all boxes beside a replaced version

What callers saw: all boxes were killed and came back. Where the only version of a service had been replaced meanwhile, streams that were taken up went on at the new one, joined (ORDER); where a second version had appeared, none of them was taken up, each refused until its tries were spent (LOST).

Cause: while a service has one version no stream has a record, and the store kept nothing of it. The absence of a mark of several versions was taken for one version, whichever the list named at the return; with two in the list a stream without a record was unknown.

Change: one box of each failure domain keeps the only version of a service in the store (sole mark).

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -437,6 +437,7 @@
         self.actions.push(Action::WatchStore(is_watching));
         if is_watching {
             self.read_quarantine_once();
+            self.read_marks_once();
             self.gossip_watcher_claim();
         }
     }
--- a/src/gateway/dispatch/stream_versions.rs
+++ b/src/gateway/dispatch/stream_versions.rs
@@ -17,6 +17,7 @@
 //! | records, queries and answers between boxes | `exchange` |
 //! | callers that wait until the version is known | [`lookup`] |
 //! | records in the platform's store, for the loss of all boxes | `store` |
+//! | the only versions of services before the loss of all boxes | `before_start` |
 //!
 //! While a service has one version only, and this box can be certain of that, nothing is sent and
 //! nothing is looked up. A box that can't be certain ([`Dispatcher::is_certain`]) acts as if the
@@ -24,6 +25,7 @@
 //! a joined stream is wrong without its caller's knowledge. docs/design/stream-versions.md discusses
 //! the alternatives.
 
+mod before_start;
 pub mod book;
 mod certainty;
 mod exchange;
@@ -45,6 +47,7 @@
 use super::table::{RouteKind, RoutingTable};
 use crate::rendezvous;
 use crate::schema::{Micros, ServiceId, StartTime, StreamKey, VersionId};
+use before_start::BeforeStart;
 use book::{RecordUse, StreamBook};
 use history::VersionHistory;
 use lookup::Lookup;
@@ -112,11 +115,16 @@
     /// When the list last may have been out of date for longer than lists take to reach all boxes.
     last_doubt: Micros,
     is_isolated: bool,
+    /// Services that have several versions since a moment ago, and when the store is told.
+    mark_mixed_at: BTreeMap<ServiceId, Micros>,
     /// When the marks of services with several versions are due again.
     next_marks: Micros,
     /// How long a stream may last, its caller's returns included.
     lifetime: Duration,
     store: StoreState,
+    before_start: BeforeStart,
+    /// Only versions that this box wrote to the store, and when each is written again.
+    saved_sole: BTreeMap<ServiceId, (VersionId, Micros)>,
     sent: u64,
 }
 
@@ -255,8 +263,11 @@
     /// `told` is the version that a certain box presumes.
     fn on_no_record(&mut self, number: RequestNumber, told: Option<VersionId>) {
         let request = self.requests.get(&number);
-        let own = request.and_then(|r| self.presumed_version(&r.service).cloned());
-        let Some(version) = own.or(told) else {
+        let own = request.and_then(|r| {
+            let presumed = self.presumed_version(&r.service);
+            presumed.or_else(|| self.version_before_start(&r.service))
+        });
+        let Some(version) = own.cloned().or(told) else {
             return self.refuse_unknown_version(number);
         };
         self.record_version(number, Some(&version), VersionSource::Settled, None);
@@ -420,6 +431,7 @@
         self.note_doubt();
         self.check_lookups();
         self.renew_marks();
+        self.save_sole_versions();
         self.renew_records();
         self.write_records_if_due();
         self.stream_versions.book.expire(self.now);
--- a/src/gateway/dispatch/stream_versions/certainty.rs
+++ b/src/gateway/dispatch/stream_versions/certainty.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use super::before_start::MIXED_MARK_DELAY;
 use super::book::RecordUse;
 use super::history::VERSION_SETTLE_TIME;
 use super::is_bindable;
@@ -51,16 +52,22 @@
             .history
             .observe(&self.fleet, state.lifetime, is_prompt, self.now);
         self.bind_listed_versions();
-        if !mixed.is_empty() {
-            for service in &mixed {
-                self.mark_mixed(service);
-                self.record(Record::Process {
-                    state: "several_versions".into(),
-                    detail: service.to_string(),
-                });
-            }
-            self.publish_own_records();
+        for service in &mixed {
+            self.on_several_versions(service);
         }
+        self.note_replaced_versions();
+    }
+
+    /// Handles that a service has several versions since now.
+    pub(super) fn on_several_versions(&mut self, service: &ServiceId) {
+        let mark_at = self.now.after(MIXED_MARK_DELAY);
+        let state = &mut self.stream_versions;
+        state.mark_mixed_at.insert(service.clone(), mark_at);
+        self.record(Record::Process {
+            state: "several_versions".into(),
+            detail: service.to_string(),
+        });
+        self.publish_own_records();
     }
 
     /// Has the store keep that a service has several versions: once all boxes are lost, only the store
@@ -78,15 +85,25 @@
         self.save_soon(mark);
     }
 
-    /// Renews the marks of services that have several versions.
+    /// Marks services that have several versions, and renews the marks.
     pub(super) fn renew_marks(&mut self) {
-        if self.now < self.stream_versions.next_marks {
+        let now = self.now;
+        let state = &mut self.stream_versions;
+        let before = state.mark_mixed_at.len();
+        state.mark_mixed_at.retain(|_, at| now < *at);
+        let is_any_due = state.mark_mixed_at.len() < before;
+        if !is_any_due && now < state.next_marks {
             return;
         }
-        self.stream_versions.next_marks = self.now.after(self.stream_versions.lifetime / 3);
-        let state = &self.stream_versions;
-        for service in state.history.mixed(state.lifetime, self.now) {
-            self.mark_mixed(&service);
+        state.next_marks = now.after(state.lifetime / 3);
+        for service in self
+            .stream_versions
+            .history
+            .mixed(self.stream_versions.lifetime, now)
+        {
+            if !self.stream_versions.mark_mixed_at.contains_key(&service) {
+                self.mark_mixed(&service);
+            }
         }
     }
 
--- a/src/gateway/dispatch/stream_versions/exchange.rs
+++ b/src/gateway/dispatch/stream_versions/exchange.rs
@@ -197,7 +197,9 @@
             self.answer_sole(reply_to, query.stream);
             return;
         }
-        if let Some(version) = self.presumed_version(&query.service).cloned() {
+        let presumed = self.presumed_version(&query.service);
+        let presumed = presumed.or_else(|| self.version_before_start(&query.service));
+        if let Some(version) = presumed.cloned() {
             self.answer_presumed(reply_to, query.stream, version);
         }
         if !is_passed_on {
--- a/src/gateway/dispatch/stream_versions/history.rs
+++ b/src/gateway/dispatch/stream_versions/history.rs
@@ -178,6 +178,34 @@
         history.is_none_or(|history| history.count(lifetime, now) <= 1)
     }
 
+    /// The services of which a list has named endpoints.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceId> {
+        self.services.keys()
+    }
+
+    /// Adds a version that left before this box had its first list; returns whether the service
+    /// counts as having several versions only since then.
+    pub fn note_earlier(
+        &mut self,
+        service: &ServiceId,
+        version: &VersionId,
+        lifetime: Duration,
+        now: Micros,
+    ) -> bool {
+        let Some(history) = self.services.get_mut(service) else {
+            return false;
+        };
+        let was_sole = history.count(lifetime, now) <= 1;
+        let seen = SeenVersion {
+            since: Micros::ZERO,
+            gone_at: Some(now),
+            list: 0,
+            is_prompt: false,
+        };
+        history.versions.entry(version.clone()).or_insert(seen);
+        was_sole && history.count(lifetime, now) > 1
+    }
+
     /// Some version of a service that is listed.
     #[must_use]
     pub fn any_version(&self, service: &ServiceId) -> Option<&VersionId> {
--- a/src/gateway/dispatch/stream_versions/ids.rs
+++ b/src/gateway/dispatch/stream_versions/ids.rs
@@ -25,6 +25,12 @@
     pub(super) fn mark_of(service: &ServiceId) -> Self {
         Self::new(service, None, "")
     }
+
+    /// Stands for a service too. A record of it names the only version that the service has had; no
+    /// attempt has a line break in its id.
+    pub(super) fn sole_mark_of(service: &ServiceId) -> Self {
+        Self::new(service, None, "\n")
+    }
 }
 
 impl VersionId {
--- a/src/gateway/dispatch/stream_versions/store.rs
+++ b/src/gateway/dispatch/stream_versions/store.rs
@@ -65,6 +65,11 @@
 }
 
 impl StoreState {
+    /// Notes that a read began.
+    pub fn begin_read(&mut self) {
+        self.read = ReadState::Reading;
+    }
+
     /// Notes that records came which this box is to write.
     pub fn on_records(&mut self) {
         self.has_changed = true;
@@ -84,6 +89,12 @@
         watchers.into_iter().filter(|a| *a != me).collect()
     }
 
+    /// Whether this box writes the records of its failure domain.
+    pub(super) fn is_store_writer(&self) -> bool {
+        self.store_watchers.is_watching()
+            && self.watchers_in_order().first() == Some(&self.cfg.address)
+    }
+
     fn watchers_in_order(&self) -> Vec<SocketAddr> {
         let roster = self.peers.roster();
         let watchers = self
@@ -198,18 +209,21 @@
         match store.read {
             ReadState::Reading => {}
             ReadState::Done(at) if now.since(at) < READ_INTERVAL => self.answer_waiting(false),
-            ReadState::Never | ReadState::Done(_) => {
-                store.read = ReadState::Reading;
-                self.actions.push(Action::ReadStreams);
-            }
+            ReadState::Never | ReadState::Done(_) => self.read_stored_streams(),
         }
     }
 
     /// Handles the records that the store has.
     pub(in crate::gateway::dispatch) fn on_streams_read(&mut self, records: &[StreamRecord]) {
-        let store = &mut self.stream_versions.store;
-        store.read = ReadState::Done(self.now);
-        for record in records {
+        let mut records = records.to_vec();
+        // The youngest record of a stream comes first, and counts.
+        records.sort_by_key(|record| record.age_ms);
+        let state = &mut self.stream_versions;
+        state.store.read = ReadState::Done(self.now);
+        if !self.cfg.first_start {
+            state.before_start.on_read(&records);
+        }
+        for record in &records {
             if self
                 .stream_versions
                 .book
@@ -219,6 +233,7 @@
                 self.hold(record, RecordUse::Held);
             }
         }
+        self.note_replaced_versions();
         self.answer_waiting(true);
     }
 
@@ -249,7 +264,8 @@
         let is_sole = state
             .history
             .is_sole(&query.service, state.lifetime, self.now);
-        if is_sole && !is_marked {
+        let is_listed = state.history.any_version(&query.service).is_some();
+        if is_sole && is_listed && !is_marked {
             state.confirmed.insert(query.service.clone());
         }
     }
