Events of streams count towards the memory limit

What could happen: 250 streams with events of 1 MiB whose callers don't read took 270 MiB on top of the base, with memory for 260 MB; the process would end and all its requests with it.

Cause: held_bytes counted bodies of requests and buffered answers only; an event that arrives or that is queued for its caller counted nowhere.

Change: both count until the event is written. Above the limit an event over 64 KiB ends its attempt, as a buffered answer does.

--- a/src/gateway/shell/events.rs
+++ b/src/gateway/shell/events.rs
@@ -84,6 +84,12 @@
         Ok(())
     }
 
+    /// Number of bytes that wait for the end of an event.
+    #[must_use]
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether the buffer contains anything but white space, that is an incomplete event once
     /// [`Self::next_event`] has returned `None`.
     #[must_use]
--- a/src/gateway/shell/exchange.rs
+++ b/src/gateway/shell/exchange.rs
@@ -303,6 +303,7 @@
         connection: Connection,
     ) -> AttemptEnd {
         let mut splitter = EventSplitter::default();
+        let mut memory = self.shared.stream_memory();
         loop {
             let frame = match self.run_unless_stopped(attempt.attempt, body.frame()).await {
                 Err(end) => return end,
@@ -332,6 +333,9 @@
             {
                 return end;
             }
+            if !memory.set(splitter.buffered()) {
+                return AttemptEnd::Ended(Outcome::Broken(Fault::Malformed));
+            }
         }
     }
 
@@ -358,7 +362,9 @@
                     return Err(AttemptEnd::Ended(Outcome::Broken(Fault::Malformed)));
                 }
             }
-            self.forward_event(attempt, headers, event.bytes).await?;
+            let bytes = self.shared.hold_event(event.bytes);
+            let bytes = bytes.ok_or(AttemptEnd::Ended(Outcome::Broken(Fault::Malformed)))?;
+            self.forward_event(attempt, headers, bytes).await?;
             self.last_event = event.id.or(self.last_event);
         }
         if self.last_event != before {
--- a/src/gateway/shell/shared.rs
+++ b/src/gateway/shell/shared.rs
@@ -109,6 +109,41 @@
         self.bytes += more;
         bytes <= MIN_ANSWER_MEMORY || before + more <= limit
     }
+
+    /// Releases memory above `bytes`.
+    fn shrink_to(&mut self, bytes: usize) {
+        let less = self.bytes.saturating_sub(bytes);
+        self.state.reserved_bytes.fetch_sub(less, Ordering::Relaxed);
+        self.bytes -= less;
+    }
+}
+
+/// Memory for the part of a stream that waits for the end of an event.
+#[derive(Debug)]
+pub struct StreamMemory {
+    reservation: BodyReservation,
+    limit: usize,
+}
+
+impl StreamMemory {
+    /// Sets how many bytes wait. Returns whether that is within the limit `held_bytes`, or within
+    /// [`MIN_ANSWER_MEMORY`].
+    pub fn set(&mut self, bytes: usize) -> bool {
+        self.reservation.shrink_to(bytes);
+        self.reservation.grow_to(bytes, self.limit)
+    }
+}
+
+/// An event on its way to a caller, and the memory reserved for it.
+struct HeldEvent {
+    bytes: Bytes,
+    _reservation: BodyReservation,
+}
+
+impl AsRef<[u8]> for HeldEvent {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
 }
 
 /// The body of an answer, and the memory reserved for it.
@@ -375,10 +410,7 @@
     ///
     /// Fails if the body is too long, there is no memory for it, or it is cut short.
     pub async fn hold_answer(&self, body: PeerBody, max_bytes: usize) -> Result<Bytes, ReadError> {
-        let mut reservation = BodyReservation {
-            state: Arc::clone(&self.state),
-            bytes: 0,
-        };
+        let mut reservation = self.empty_reservation();
         let limit = self.settings.held_bytes;
         let is_admitted = |bytes| reservation.grow_to(bytes, limit);
         let bytes = read_limited(body, max_bytes, is_admitted).await?;
@@ -388,6 +420,36 @@
         }))
     }
 
+    /// Memory for a stream's incomplete event; none is reserved yet.
+    #[must_use]
+    pub fn stream_memory(&self) -> StreamMemory {
+        StreamMemory {
+            reservation: self.empty_reservation(),
+            limit: self.settings.held_bytes,
+        }
+    }
+
+    /// Counts an event towards the limit `held_bytes` for as long as the returned bytes exist.
+    /// Returns `None` if there is no memory for it; up to [`MIN_ANSWER_MEMORY`] is held in any case.
+    #[must_use]
+    pub fn hold_event(&self, bytes: Bytes) -> Option<Bytes> {
+        let mut reservation = self.empty_reservation();
+        let is_admitted = reservation.grow_to(bytes.len(), self.settings.held_bytes);
+        is_admitted.then(|| {
+            Bytes::from_owner(HeldEvent {
+                bytes,
+                _reservation: reservation,
+            })
+        })
+    }
+
+    fn empty_reservation(&self) -> BodyReservation {
+        BodyReservation {
+            state: Arc::clone(&self.state),
+            bytes: 0,
+        }
+    }
+
     /// Returns the answer to a request whose body does not fit into the memory limit; the request
     /// has not run.
     #[must_use]
