A status that is none in the protocol is no answer

What callers saw: a server in trouble answered with 600, 999 or, unasked, 101, and the caller got it as the server's answer (MIXED).

Cause: the HTTP library reads any three digits from 100 on as a status, and the box passed on what it read. 000, 001 and 099 were refused by the library.

Change: the connection takes a final status outside of 200 to 599 for a malformed answer: a fault of the server, after which a request that may run again goes elsewhere, and any other gets 502.

--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -208,6 +208,7 @@
     ) -> Result<Response<PeerBody>, SendError> {
         self.limit.on_advance();
         match self.sender.try_send_request(request).await {
+            Ok(response) if !is_final_status(response.status()) => Err(SendError::Malformed),
             Ok(response) => {
                 self.limit.on_advance();
                 self.peer_max_idle = stated_max_idle(response.headers());
@@ -297,6 +298,12 @@
     }
 }
 
+/// Whether a status ends an exchange in the protocol. The HTTP library reads any three digits above
+/// 99, and 101, for which nobody asks.
+fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns [`PEER_IDLE_PART`] of the idle time in seconds that a `Keep-Alive` header states.
 fn stated_max_idle(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
