A stop waits until answers are written

Cause: a request counted as open until its handler returned the answer; nobody counted what the HTTP library had not written.

Change: the bytes of an answer, and of each event, count as open until they are written to the socket.

--- a/lab/src/gateway/server.rs
+++ b/lab/src/gateway/server.rs
@@ -31,6 +31,10 @@
     Misdirected,
     /// It fails with an error of its own.
     Error,
+    /// It answers with this status, whether or not it is one.
+    Status(u16),
+    /// Its answer has [`LARGE_ANSWER_BYTES`].
+    Large,
     /// It runs the request and resets the connection.
     LostAnswer,
     /// It sends half of the answer and closes.
@@ -57,6 +61,9 @@
     Endless(Endless),
 }
 
+/// Length of a large answer's body: more than the buffers of a connection hold.
+pub const LARGE_ANSWER_BYTES: usize = 6 << 20;
+
 /// How often a stream that waits looks whether it may go on.
 const LOOK: Duration = Duration::from_millis(5);
 
@@ -480,5 +487,5 @@
 
 fn whole(status: u16, headers: &str, body: &str) -> String {
     let length = body.len();
-    format!("HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n{headers}\r\n{body}")
+    format!("HTTP/1.1 {status:03} X\r\nContent-Length: {length}\r\n{headers}\r\n{body}")
 }
--- a/lab/src/gateway/server/serving.rs
+++ b/lab/src/gateway/server/serving.rs
@@ -10,8 +10,8 @@
 use super::brittle::Reception;
 use super::endless::Endless;
 use super::{
-    Act, Copy, HANDLES, LOOK, OTHER, Run, Serving, chunk, event_text, last_part, lock, lock_copies,
-    named, named_event_text, whole,
+    Act, Copy, HANDLES, LARGE_ANSWER_BYTES, LOOK, OTHER, Run, Serving, chunk, event_text,
+    last_part, lock, lock_copies, named, named_event_text, whole,
 };
 use crate::gateway::wire::{Message, Wire};
 
@@ -274,6 +274,11 @@
         match act {
             Act::Endless(endless) => return self.send_endless(wire, endless, &signed).await,
             Act::Error => wire.send(whole(500, &signed, "error")).await?,
+            Act::Status(status) => wire.send(whole(status, &signed, &body)).await?,
+            Act::Large => {
+                let body = "x".repeat(LARGE_ANSWER_BYTES);
+                wire.send(whole(200, &signed, &body)).await?;
+            }
             Act::LostAnswer => return Ok(true),
             Act::Garbage => {
                 wire.send("\x01\x02 no answer\r\n\r\n").await?;
@@ -325,6 +330,10 @@
         if let Act::Endless(endless) = act {
             return self.send_endless(wire, endless, &signed).await;
         }
+        if let Act::Status(status) = act {
+            wire.send(whole(status, &signed, "")).await?;
+            return Ok(false);
+        }
         wire.send(format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n{signed}\r\n"
         ))
--- a/src/gateway/shell/exchange.rs
+++ b/src/gateway/shell/exchange.rs
@@ -452,7 +452,7 @@
             .requests
             .answer_seconds
             .observe(self.started.elapsed().as_secs_f64());
-        let mut response = Response::new(http::full(answer.body));
+        let mut response = Response::new(http::full(self.shared.until_written(answer.body)));
         *response.status_mut() = answer.status;
         *response.headers_mut() = headers::end_to_end_headers(&answer.headers);
         response.headers_mut().remove(header::CONTENT_LENGTH);
--- a/src/gateway/shell/shared.rs
+++ b/src/gateway/shell/shared.rs
@@ -83,7 +83,7 @@
     /// Ends of this box's watches of the platform's store.
     pub(super) watch_phase: Arc<WatchPhase>,
     active: watch::Sender<usize>,
-    /// Requests that were read in part, or whose answer has not begun.
+    /// Requests that were read in part, and parts of answers that are not written yet.
     open: Arc<watch::Sender<usize>>,
     state: Arc<SharedState>,
     store_cache: Arc<RwLock<StoreCache>>,
@@ -134,10 +134,12 @@
     }
 }
 
-/// An event on its way to a caller, and the memory reserved for it.
+/// An event on its way to a caller, and the memory reserved for it. A stop waits until it is
+/// written.
 struct HeldEvent {
     bytes: Bytes,
     _reservation: BodyReservation,
+    _open: OpenRequest,
 }
 
 impl AsRef<[u8]> for HeldEvent {
@@ -146,6 +148,18 @@
     }
 }
 
+/// The body of an answer that is being written to its caller, for which a stop waits.
+struct UnwrittenBody {
+    bytes: Bytes,
+    _open: OpenRequest,
+}
+
+impl AsRef<[u8]> for UnwrittenBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// The body of an answer, and the memory reserved for it.
 struct HeldBody {
     bytes: BytesMut,
@@ -166,7 +180,8 @@
     }
 }
 
-/// A request that was read in part, or whose answer has not begun; a stop waits until it is dropped.
+/// A request that was read in part, or whose answer is not written yet; a stop waits until it is
+/// dropped.
 pub struct OpenRequest {
     open: Arc<watch::Sender<usize>>,
 }
@@ -439,6 +454,7 @@
             Bytes::from_owner(HeldEvent {
                 bytes,
                 _reservation: reservation,
+                _open: self.open_request(),
             })
         })
     }
@@ -450,6 +466,16 @@
         }
     }
 
+    /// Has a stop wait until a body is written to its caller: for as long as the returned bytes
+    /// exist.
+    #[must_use]
+    pub fn until_written(&self, bytes: Bytes) -> Bytes {
+        Bytes::from_owner(UnwrittenBody {
+            bytes,
+            _open: self.open_request(),
+        })
+    }
+
     /// Returns the answer to a request whose body does not fit into the memory limit; the request
     /// has not run.
     #[must_use]
