A box that returns confirms only versions from the store's marks at once

The proactive read of the marks made look-ups of the first second end as unknown. Marks that agree with the list now confirm the service at the read. Sole marks are renewed once a lifetime of a stream and kept for three.

--- a/src/gateway/dispatch/stream_versions/before_start.rs
+++ b/src/gateway/dispatch/stream_versions/before_start.rs
@@ -25,6 +25,9 @@
 /// Time after the start of a box in which callers come back whose streams all boxes have lost.
 const RETURN_TIME: Duration = Duration::from_secs(10);
 
+/// Number of lifetimes of a stream for which a sole mark is kept; it is renewed after one.
+const SOLE_MARK_LIFETIMES: u32 = 3;
+
 /// The store's records as this box read them at its start.
 #[derive(Debug, Default)]
 pub(super) struct BeforeStart {
@@ -70,25 +73,30 @@
         (self.now.since(self.started) < RETURN_TIME).then_some(version)
     }
 
-    /// Adds versions to the history that were replaced while all boxes were away.
-    pub(super) fn note_replaced_versions(&mut self) {
-        let state = &mut self.stream_versions;
-        let services: Vec<ServiceId> = state.history.services().cloned().collect();
+    /// Compares the marks with the list: a service whose only version is still listed alone has had
+    /// no other, and one that was replaced while all boxes were away has had it besides.
+    pub(super) fn apply_marks(&mut self) {
+        if self.now.since(self.started) >= self.stream_versions.lifetime {
+            return;
+        }
+        let history = &self.stream_versions.history;
+        let services: Vec<ServiceId> = history.services().cloned().collect();
         for service in services {
-            let state = &mut self.stream_versions;
-            let Some(version) = state.before_start.sole_version(&service).cloned() else {
-                continue;
-            };
-            let lifetime = state.lifetime;
-            if self.now.since(self.started) >= lifetime {
-                continue;
-            }
-            let is_replaced = state
-                .history
-                .note_earlier(&service, &version, lifetime, self.now);
-            if is_replaced {
-                self.on_several_versions(&service);
-            }
+            self.apply_mark(&service);
+        }
+    }
+
+    fn apply_mark(&mut self, service: &ServiceId) {
+        let state = &mut self.stream_versions;
+        let Some(version) = state.before_start.sole_version(service) else {
+            return;
+        };
+        let (version, lifetime) = (version.clone(), state.lifetime);
+        let history = &mut state.history;
+        if history.note_earlier(service, &version, lifetime, self.now) {
+            self.on_several_versions(service);
+        } else if history.is_sole(service, lifetime, self.now) {
+            state.confirmed.insert(service.clone());
         }
     }
 
@@ -124,8 +132,8 @@
         if saved.is_some_and(is_saved) {
             return;
         }
-        let renew_at = now.after(state.lifetime / 3);
-        let expires = now.after(state.lifetime);
+        let renew_at = now.after(state.lifetime);
+        let expires = now.after(state.lifetime * SOLE_MARK_LIFETIMES);
         let mark = StreamKey::sole_mark_of(service);
         state
             .saved_sole
--- a/src/gateway/dispatch/stream_versions/certainty.rs
+++ b/src/gateway/dispatch/stream_versions/certainty.rs
@@ -55,7 +55,7 @@
         for service in &mixed {
             self.on_several_versions(service);
         }
-        self.note_replaced_versions();
+        self.apply_marks();
     }
 
     /// Handles that a service has several versions since now.
--- a/src/gateway/dispatch/stream_versions/store.rs
+++ b/src/gateway/dispatch/stream_versions/store.rs
@@ -233,7 +233,7 @@
                 self.hold(record, RecordUse::Held);
             }
         }
-        self.note_replaced_versions();
+        self.apply_marks();
         self.answer_waiting(true);
     }
 
