Marks of versions count only where no box has survived

Once a box hears of a peer that has run for 2 s longer, the marks don't count.

In an unconfirmed domain the order of the former watchers stays, so that the tasks of its first watcher don't move while the store is down for all.

--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -281,6 +281,7 @@
             return;
         }
         if arrival == StateArrival::NewBox {
+            self.note_peer_start(state.incarnation);
             self.send_initial_state(state);
         }
         let is_local = state.domain == self.cfg.domain;
--- a/src/gateway/dispatch/store_watchers.rs
+++ b/src/gateway/dispatch/store_watchers.rs
@@ -358,14 +358,24 @@
     }
 
     /// Whether this box is the first by id of the watchers of its domain; it then does the tasks
-    /// that one box of a domain is enough for.
+    /// that one box of a domain is enough for. In an unconfirmed domain the watchers of before keep
+    /// their order, since the store may be down for all.
     #[must_use]
     pub fn is_first(&self, roster: &Roster, now: Micros) -> bool {
+        let lost = self.confirmed.as_ref().filter(|c| c.until <= now);
+        let lost = lost.map(|confirmed| self.unanswered_watchers(confirmed));
+        let counts = |known: &KnownWatcher| match &lost {
+            None => known.domain == self.domain && known.is_fresh(now),
+            Some(lost) => lost.contains(&known.address),
+        };
         let is_before = |id: &BoxId, known: &KnownWatcher| {
-            let is_watcher = known.domain == self.domain && known.is_fresh(now);
-            *id < self.me && is_watcher && !roster.is_lost(known.address, now)
+            *id < self.me && counts(known) && !roster.is_lost(known.address, now)
         };
-        self.is_watching && !self.known.iter().any(|(id, known)| is_before(id, known))
+        let is_candidate = lost
+            .as_ref()
+            .is_some_and(|lost| !lost.contains(&roster.own_address()));
+        let mut others = self.known.iter();
+        self.is_watching && !is_candidate && !others.any(|(id, known)| is_before(id, known))
     }
 
     /// Addresses of the fresh watchers in all domains, this box excluded.
--- a/src/gateway/dispatch/stream_versions/before_start.rs
+++ b/src/gateway/dispatch/stream_versions/before_start.rs
@@ -9,6 +9,9 @@
 //! replaced while all boxes were away passed for one of a single version, and its streams were joined
 //! with the new one.
 //!
+//! A peer that has run since before knows more than the marks, which are written a second late; once
+//! this box hears of one, the marks don't count.
+//!
 //! State: the marks as they were at the start of this box. They count for [`RETURN_TIME`].
 
 use std::collections::BTreeMap;
@@ -17,7 +20,7 @@
 use super::book::RecordUse;
 use crate::gateway::dispatch::Dispatcher;
 use crate::gateway::dispatch::action::Action;
-use crate::schema::{Micros, ServiceId, StreamKey, StreamRecord, VersionId};
+use crate::schema::{Incarnation, Micros, ServiceId, StreamKey, StreamRecord, VersionId};
 
 /// Time from the appearance of a second version until the store is told: boxes that return together
 /// have read the marks by then. Less than `VERSION_SETTLE_TIME` by a slow write.
@@ -28,10 +31,16 @@
 /// Number of lifetimes of a stream for which a sole mark is kept; it is renewed after one.
 const SOLE_MARK_LIFETIMES: u32 = 3;
 
+/// Difference in start times above which a peer has survived what ended this box. Boxes that are
+/// lost together return within a second, and their clocks differ by less than another.
+const SURVIVOR_AGE: Duration = Duration::from_secs(2);
+
 /// The store's records as this box read them at its start.
 #[derive(Debug, Default)]
 pub(super) struct BeforeStart {
     is_requested: bool,
+    /// Whether a peer has run since before this box was lost: it knows more than the marks.
+    has_survivor: bool,
     records: Option<BTreeMap<StreamKey, VersionId>>,
 }
 
@@ -49,7 +58,7 @@
 
     /// The version at which all earlier streams of a service began, if the store says so.
     fn sole_version(&self, service: &ServiceId) -> Option<&VersionId> {
-        let records = self.records.as_ref()?;
+        let records = self.records.as_ref().filter(|_| !self.has_survivor)?;
         let is_mixed = records.contains_key(&StreamKey::mark_of(service));
         let sole = records.get(&StreamKey::sole_mark_of(service));
         sole.filter(|_| !is_mixed)
@@ -57,6 +66,14 @@
 }
 
 impl Dispatcher {
+    /// Notes the start time of a peer. The marks count only where no box has survived.
+    pub(in crate::gateway::dispatch) fn note_peer_start(&mut self, peer: Incarnation) {
+        let earlier = self.cfg.incarnation.0.saturating_sub(peer.0);
+        if Duration::from_micros(earlier) > SURVIVOR_AGE {
+            self.stream_versions.before_start.has_survivor = true;
+        }
+    }
+
     /// Reads the marks once, when a box of a fleet that has run before begins to watch the store.
     pub(in crate::gateway::dispatch) fn read_marks_once(&mut self) {
         let state = &mut self.stream_versions;
