--- a/tests/datagram.rs
+++ b/tests/datagram.rs
@@ -9,15 +9,15 @@
 use magpiemoor::gateway::dispatch::event::Event;
 use magpiemoor::gateway::shell::datagram::{
     read, with_holder, write_departures, write_identities, write_limits, write_load, write_slots,
-    write_speeds, write_state, write_streams, write_usage, write_usage_counts,
+    write_speeds, write_state, write_store_answer, write_streams, write_usage, write_usage_counts,
 };
 use magpiemoor::schema::{
     AnswerTime, BoxState, CrashReport, CrashUpdate, DatagramSection, DepartureUpdate, DutyHolder,
     EndpointUsage, EngineLoad, EngineLoadReport, EngineSpeed, Fingerprint, IdentityReport,
     IdentityUpdate, Incarnation, LimitReport, LimitUpdate, OrganisationCount, PermitGrant,
     PermitRequest, RelayReply, RelayRequest, RequestAge, RunningBox, ServiceTotals, SlotReturn,
-    SlotReturnReason, SlotUpdate, SpeedUpdate, StreamKey, StreamQuery, StreamRecord, StreamUpdate,
-    UsageCountUpdate, UsageUpdate, WindowCounts,
+    SlotReturnReason, SlotUpdate, SpeedUpdate, StoreReader, StreamKey, StreamQuery, StreamRecord,
+    StreamUpdate, UsageCountUpdate, UsageUpdate, WindowCounts,
 };
 
 fn production(file: &str) -> Vec<u8> {
@@ -328,6 +328,25 @@
     assert_eq!(as_production, *empty);
 }
 
+/// The version in production decodes the empty message and ignores the store's answer that follows it.
+#[test]
+fn store_answers_follow_an_empty_message() {
+    let watcher = StoreReader {
+        id: "box-1".parse().unwrap(),
+        domain: "north".parse().unwrap(),
+        age_ms: 0,
+        address: "127.0.0.8:7200".to_owned(),
+    };
+    let bytes = write_store_answer(&watcher).unwrap();
+    let events = read(&bytes).unwrap();
+    let [Event::PeerUsage(empty), Event::PeerStoreAnswer(read)] = &events[..] else {
+        panic!("{events:?}");
+    };
+    assert_eq!(*read, watcher);
+    let as_production: UsageUpdate = postcard::from_bytes(&bytes[1..]).unwrap();
+    assert_eq!(as_production, *empty);
+}
+
 /// The version in production decodes the empty message and ignores the load report that follows it.
 #[test]
 fn load_reports_follow_an_empty_message() {
--- a/tests/gateway_parts.rs
+++ b/tests/gateway_parts.rs
@@ -2,16 +2,18 @@
 
 use std::io::Write;
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use gotham::hyper::{HeaderMap, Uri, header};
 use magpiemoor::gateway::dispatch::record::Record;
+use magpiemoor::gateway::dispatch::store_watchers::MAX_ANSWER_INTERVAL;
 use magpiemoor::gateway::settings::{GatewaySettings, defaults};
 use magpiemoor::gateway::shell::decision_log::DecisionLog;
 use magpiemoor::gateway::shell::dialect::{Entry, ObjectKind, StorePage};
 use magpiemoor::gateway::shell::events::{EventSplitter, RawEvent};
 use magpiemoor::gateway::shell::headers;
 use magpiemoor::gateway::shell::store::watch_head_timeout;
+use magpiemoor::gateway::shell::watch_phase::WatchPhase;
 use magpiemoor::gateway::shell::watcher::{StoreAnswer, StoreChange, StoreRequest, Watcher};
 use magpiemoor::schema::{
     AnswerTimes, BoxState, DomainSize, DomainTally, DomainUsage, EndpointAnswers, EndpointUsage,
@@ -52,6 +54,35 @@
     assert!(lost_after + READ_TIME < IN_TOUCH_AFTER, "{lost_after:?}");
 }
 
+/// A watcher counts only while the store answers it, so that two watches must not end together.
+#[rstest]
+#[case::together(0, 0)]
+#[case::shortly_after(0, 30)]
+#[case::out_of_step(0, 1_100)]
+fn the_store_answers_a_watcher_in_each_interval(#[case] table_at: u64, #[case] endpoints_at: u64) {
+    const CALL: Duration = Duration::from_millis(4);
+    let longest = GatewaySettings::try_from(defaults()).unwrap().watch;
+    let (phase, begin) = (WatchPhase::default(), Instant::now());
+    let mut due = [
+        (ObjectKind::Table, begin + Duration::from_millis(table_at)),
+        (
+            ObjectKind::Endpoints,
+            begin + Duration::from_millis(endpoints_at),
+        ),
+    ];
+    let (mut last, mut answers) = (begin, 0);
+    while answers < 40 {
+        let next = usize::from(due[1].1 < due[0].1);
+        let (kind, now) = due[next];
+        assert!(now - last <= MAX_ANSWER_INTERVAL + 2 * CALL, "{answers}");
+        (last, answers) = (now, answers + 1);
+        phase.on_answer(now);
+        due[next].1 = now + phase.begin_watch(kind, longest, now) + CALL;
+    }
+    let took = last - begin;
+    assert!(took > MAX_ANSWER_INTERVAL * 36, "{took:?}");
+}
+
 /// A box whose lists and tables are stuck must not count as a watcher because it receives roll-out changes.
 #[rstest]
 #[case::table(ObjectKind::Table, true, 3, 30)]
