Memory of a large event is free once it is written

Cause: the splitter cut an event off the front of its buffer, and what followed stayed in the same allocation. A stream therefore held the memory of an event that had been written, up to twice its size, and counted only what waited.

What follows a large event is now copied; it is one read at most.

The new test failed before.

--- a/src/gateway/shell/events.rs
+++ b/src/gateway/shell/events.rs
@@ -10,6 +10,9 @@
 /// Number of bytes after which an event without an end is rejected.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Number of bytes above which an event counts as large: its memory is worth a copy of what follows it.
+pub const LARGE_EVENT_BYTES: usize = 16 << 10;
+
 /// Number of bytes of complete events without a greater id after which a stream is rejected: as many
 /// as an answer may have that is not a stream, since a stream may have no ids at all.
 pub const MAX_STREAM_BYTES_WITHOUT_ADVANCE: usize = 8 << 20;
@@ -64,12 +67,24 @@
             };
         };
         self.searched = 0;
-        let bytes = self.buffer.split_to(end).freeze();
+        let bytes = self.take(end);
         let id = id_of(&bytes);
         self.count(&bytes, id)?;
         Ok(Some(RawEvent { bytes, id }))
     }
 
+    /// Removes an event from the front of the buffer. What follows a large event is copied, so that it
+    /// doesn't keep the event's memory once the event is written.
+    fn take(&mut self, end: usize) -> Bytes {
+        if end < LARGE_EVENT_BYTES {
+            return self.buffer.split_to(end).freeze();
+        }
+        let rest = BytesMut::from(&self.buffer[end..]);
+        let mut event = std::mem::replace(&mut self.buffer, rest);
+        event.truncate(end);
+        event.freeze()
+    }
+
     /// Counts an event towards the limit, or starts counting anew if its id is the greatest.
     fn count(&mut self, event: &[u8], id: Option<u64>) -> Result<(), EventTooLong> {
         if id > self.greatest_id {
--- a/src/gateway/shell/stream_body.rs
+++ b/src/gateway/shell/stream_body.rs
@@ -7,12 +7,11 @@
 use gotham::hyper::body::Frame;
 use tokio::sync::mpsc::{self, error::SendError};
 
+use super::events::LARGE_EVENT_BYTES;
+
 /// Maximum number of events that are queued for a slow caller before reading from the engine
 /// pauses.
 pub const MAX_QUEUED_EVENTS: usize = 20;
-/// Size in bytes above which an event is queued only once the queue is empty, so that a caller that
-/// does not read has one large event queued at most.
-const LARGE_EVENT_BYTES: usize = 16 << 10;
 
 /// Part of a stream that is queued for the caller.
 #[derive(Debug)]
@@ -26,7 +25,8 @@
 /// Queue of a stream's parts for the caller.
 pub type EventSender = mpsc::Sender<StreamPart>;
 
-/// Queues an event for the caller once there is room.
+/// Queues an event for the caller once there is room. A large event is queued only once the queue is
+/// empty, so that a caller that does not read has one of them queued at most.
 ///
 /// # Errors
 ///
--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -173,6 +173,20 @@
     assert!(splitter.next_event().is_err());
 }
 
+/// A box held the memory of each large event that it had passed on until the next one was whole,
+/// and counted none of it towards its limit.
+#[test]
+fn the_memory_of_a_large_event_is_free_once_it_is_written() {
+    let mut splitter = EventSplitter::default();
+    let data = "y".repeat(events::LARGE_EVENT_BYTES);
+    splitter.push(format!("id: 1\ndata: {data}\n\nid: 2\ndata: y").as_bytes());
+    let event = splitter.next_event().unwrap().unwrap();
+    assert!(event.bytes.is_unique());
+    splitter.push(b"y\n\n");
+    let event = splitter.next_event().unwrap().unwrap();
+    assert_eq!(&event.bytes[..], b"id: 2\ndata: yy\n\n");
+}
+
 #[test]
 fn a_long_stream_with_comments_between_its_events_is_passed_on() {
     let mut splitter = EventSplitter::default();
