A stream gets no further attempt at a version that was rolled back

Cause: what a roll-out says of a bound stream was asked only where the stream was taken up, or where no engine of its version took it. A stream that its box held got attempt after attempt at the bad version while that had an engine: by the log of this play three streams, up to 6.8 s after their boxes knew of the roll-back.

Every attempt now asks.

--- a/src/gateway/dispatch/attempts.rs
+++ b/src/gateway/dispatch/attempts.rs
@@ -193,7 +193,7 @@
         to: &EndpointId,
         replica: Option<&ReplicaLocation>,
     ) {
-        if self.give_up_quarantined(number) {
+        if self.give_up_quarantined(number) || self.refuse_if_version_withdrawn(number) {
             return;
         }
         let now = self.now;
--- a/src/gateway/dispatch/stream_versions.rs
+++ b/src/gateway/dispatch/stream_versions.rs
@@ -287,22 +287,43 @@
     /// Refuses a request whose stream can't go on since no engine of its version is left; returns
     /// whether it did.
     pub(super) fn refuse_if_version_gone(&mut self, number: RequestNumber) -> bool {
+        if self.refuse_if_version_withdrawn(number) {
+            return true;
+        }
         let Some(request) = self.requests.get(&number) else {
             return false;
         };
         let Some(version) = &request.version else {
             return false;
         };
-        let is_left = self
-            .rollouts
-            .of(&request.service)
-            .is_some_and(|rollout| !rollout.admits_bound(version));
-        if !is_left && !is_gone(&self.fleet, &request.service, version) {
+        let is_refused = is_gone(&self.fleet, &request.service, version);
+        if is_refused {
+            self.refuse_without_version(number);
+        }
+        is_refused
+    }
+
+    /// Refuses a request whose stream a roll-out keeps from its version; returns whether it did.
+    pub(super) fn refuse_if_version_withdrawn(&mut self, number: RequestNumber) -> bool {
+        let Some(request) = self.requests.get(&number) else {
             return false;
+        };
+        let Some(version) = &request.version else {
+            return false;
+        };
+        let rollout = self.rollouts.of(&request.service);
+        let is_refused = rollout.is_some_and(|rollout| !rollout.admits_bound(version));
+        if is_refused {
+            self.refuse_without_version(number);
+        }
+        is_refused
+    }
+
+    fn refuse_without_version(&mut self, number: RequestNumber) {
+        if let Some(request) = self.requests.get(&number) {
+            let reason = RefusalReason::without_version(request.has_run());
+            self.give_up(number, reason);
         }
-        let reason = RefusalReason::without_version(request.has_run());
-        self.give_up(number, reason);
-        true
     }
 
     /// Whether a request may be placed at an endpoint, as far as the version that began its stream
--- a/tests/rollout_fleets.rs
+++ b/tests/rollout_fleets.rs
@@ -106,6 +106,18 @@
     assert!(!outcome.breaks(Break::AfterRollback), "{outcome:?}");
 }
 
+/// Streams that a bad version began got further attempts there after its roll-back, for as long as
+/// their boxes tried: nothing compared them with the roll-out while an engine of the version was up.
+#[test]
+fn a_stream_gets_no_further_attempt_at_a_version_that_was_rolled_back() {
+    let case = Case {
+        fault: Fault::StoreDown,
+        ..Case::draw(29, 12)
+    };
+    let outcome = case.play();
+    assert!(!outcome.breaks(Break::AfterRollback), "{outcome:?}");
+}
+
 /// Failures caused by a cut link don't count against a version. The old version stops only once all boxes
 /// have left it, including those behind the cut link and a frozen one.
 #[rstest]
