New records of streams reach the store however many there are

Renewed records that said nothing new were written as well.

Records are now written in segments of a hundred: a write costs what the open segment holds. Segments whose records are over are used again.

Test: a_new_record_is_in_the_store_soon_however_many_there_are, which failed before.

--- a/src/gateway/dispatch/action.rs
+++ b/src/gateway/dispatch/action.rs
@@ -191,13 +191,13 @@
     },
     /// Read the records of streams in the platform's store, with retries until it succeeds.
     ReadStreams,
-    /// Write the records of the streams of this failure domain to the platform's store.
+    /// Write a segment of the records of streams of this failure domain to the platform's store.
     SaveStreams {
-        /// The records; they replace those of the last write.
+        /// The records; they replace those that the object held.
         records: Vec<StreamRecord>,
         /// Name of the object, which only this process writes.
         name: String,
-        /// Whether this is the first write of this process.
+        /// Whether this is the first write of the object.
         is_first: bool,
     },
     /// Tell an engine to drop a snapshot that is not needed any more.
--- a/src/gateway/dispatch/stream_versions.rs
+++ b/src/gateway/dispatch/stream_versions.rs
@@ -17,6 +17,7 @@
 //! | records, queries and answers between boxes | `exchange` |
 //! | callers that wait until the version is known | [`lookup`] |
 //! | records in the platform's store, for the loss of all boxes | `store` |
+//! | the objects that hold them | [`segments`] |
 //! | the only versions of services before the loss of all boxes | `before_start` |
 //!
 //! While a service has one version only, and this box can be certain of that, nothing is sent and
@@ -33,6 +34,7 @@
 pub mod holders;
 mod ids;
 pub mod lookup;
+pub mod segments;
 mod store;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/src/gateway/dispatch/stream_versions/before_start.rs
+++ b/src/gateway/dispatch/stream_versions/before_start.rs
@@ -17,7 +17,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::book::RecordUse;
 use crate::gateway::dispatch::Dispatcher;
 use crate::gateway::dispatch::action::Action;
 use crate::schema::{Incarnation, Micros, ServiceId, StreamKey, StreamRecord, VersionId};
@@ -155,10 +154,7 @@
         state
             .saved_sole
             .insert(service.clone(), (version.clone(), renew_at));
-        state
-            .book
-            .insert(mark, &version, now, expires, RecordUse::ForStore);
-        state.store.on_records();
+        self.keep_for_store(mark, &version, now, expires);
     }
 
     /// Starts to read the store's records.
--- a/src/gateway/dispatch/stream_versions/book.rs
+++ b/src/gateway/dispatch/stream_versions/book.rs
@@ -119,15 +119,6 @@
         own
     }
 
-    /// The records that this box writes to the store, by stream.
-    #[must_use]
-    pub fn for_store(&self) -> Vec<(StreamKey, &HeldRecord)> {
-        let saved = self.records.iter().filter(|(_, of)| of.is_for_store);
-        let mut saved: Vec<_> = saved.map(|(stream, of)| (*stream, of)).collect();
-        saved.sort_unstable_by_key(|(stream, _)| *stream);
-        saved
-    }
-
     /// Number of records.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/src/gateway/dispatch/stream_versions/exchange.rs
+++ b/src/gateway/dispatch/stream_versions/exchange.rs
@@ -139,9 +139,6 @@
         for record in update.records.iter().chain(&update.answers) {
             self.hold(record, reason);
         }
-        if update.is_for_store {
-            self.stream_versions.store.on_records();
-        }
         if !update.is_passed_on {
             self.pass_on_records(&update.records);
         }
@@ -168,9 +165,13 @@
     pub(super) fn hold(&mut self, record: &StreamRecord, reason: RecordUse) {
         let sent_at = self.now.before(Duration::from_millis(record.age_ms.into()));
         let expires = self.now.after(Duration::from_millis(record.keep_ms.into()));
-        self.stream_versions
-            .book
-            .insert(record.stream, &record.version, sent_at, expires, reason);
+        let (stream, version) = (record.stream, &record.version);
+        if reason == RecordUse::ForStore {
+            self.keep_for_store(stream, version, sent_at, expires);
+            return;
+        }
+        let book = &mut self.stream_versions.book;
+        book.insert(stream, version, sent_at, expires, reason);
     }
 
     /// Sends records of another failure domain to their holders in this one.
--- a/src/gateway/dispatch/stream_versions/store.rs
+++ b/src/gateway/dispatch/stream_versions/store.rs
@@ -1,8 +1,8 @@
 //! Records in the platform's store, so that callers can come back after the loss of all boxes.
 //!
 //! In each failure domain the first box that watches the store collects the records of the domain and
-//! writes them as one object, again and again while they change. The others send it theirs in batches;
-//! the more boxes there are, the longer a batch. An object that grows is written less often
+//! writes them, new ones at a time ([`super::segments`]). The others send it theirs in batches; the
+//! more boxes there are, the longer a batch. A larger write delays the next one
 //! ([`BYTES_PER_SECOND`]). A stream that began since the last write is not in the store.
 //!
 //! Boxes that watch the store read it for others, and only when no box has the record of a stream.
@@ -14,20 +14,24 @@
 use std::time::Duration;
 
 use super::book::RecordUse;
+use super::segments::Segments;
 use crate::gateway::dispatch::Dispatcher;
 use crate::gateway::dispatch::action::Action;
-use crate::schema::{Micros, StreamKey, StreamQuery, StreamRecord};
+use crate::schema::{Micros, StreamKey, StreamQuery, StreamRecord, VersionId};
 
 /// Shortest time for which records are collected before they are sent to the box that writes them.
-const MIN_BATCH: Duration = Duration::from_millis(100);
+const MIN_BATCH: Duration = Duration::from_millis(25);
 /// The same for each box of the failure domain: the box that writes gets 200 messages a second at most.
 const BATCH_PER_BOX: Duration = Duration::from_millis(5);
 /// Shortest time between two writes: all boxes share the rate of calls that the store takes.
-const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(500);
+const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(250);
 /// Bytes a second that a box writes at most.
 const BYTES_PER_SECOND: f64 = 10_000.0;
 /// Size of a record in the store, about.
 const RECORD_BYTES: f64 = 40.0;
+/// Time by which a record must last longer than the one that is kept, to be written again: messages
+/// between boxes give times to the millisecond.
+const EXPIRY_SLACK: Duration = Duration::from_secs(1);
 /// Shortest time between two reads of the store.
 const READ_INTERVAL: Duration = Duration::from_secs(1);
 /// Most queries that wait for a read.
@@ -56,9 +60,8 @@
     send_at: Option<Micros>,
     /// The box that wrote records last, as far as this box knows.
     writer: Option<SocketAddr>,
-    has_changed: bool,
+    segments: Segments,
     is_writing: bool,
-    has_written: bool,
     next_write: Micros,
     read: ReadState,
     waiting: Vec<WaitingQuery>,
@@ -69,11 +72,6 @@
     pub fn begin_read(&mut self) {
         self.read = ReadState::Reading;
     }
-
-    /// Notes that records came which this box is to write.
-    pub fn on_records(&mut self) {
-        self.has_changed = true;
-    }
 }
 
 fn write_interval(records: usize) -> Duration {
@@ -123,36 +121,60 @@
         if is_due(self.stream_versions.store.send_at, self.now) {
             self.send_unsaved();
         }
-        let now = self.now;
-        let store = &mut self.stream_versions.store;
-        let is_free = store.has_changed && !store.is_writing && now >= store.next_write;
-        if !is_free || !self.store_watchers.is_watching() {
-            return;
+        let store = &self.stream_versions.store;
+        let is_free = store.segments.is_due() && !store.is_writing && self.now >= store.next_write;
+        if is_free && self.store_watchers.is_watching() {
+            self.write_segment();
         }
-        let book = &self.stream_versions.book;
-        let records = book
-            .for_store()
-            .into_iter()
-            .map(|(stream, record)| StreamRecord {
+    }
+
+    fn write_segment(&mut self) {
+        let now = self.now;
+        let state = &mut self.stream_versions;
+        let write = state.store.segments.begin_write();
+        let records = write.streams.into_iter().filter_map(|stream| {
+            let record = state.book.get(stream, now)?;
+            Some(StreamRecord {
                 stream,
                 version: record.version.clone(),
                 age_ms: 0,
                 keep_ms: record.expires.since(now).as_millis() as u32,
-            });
+            })
+        });
         let records: Vec<StreamRecord> = records.collect();
-        let store = &mut self.stream_versions.store;
-        store.has_changed = false;
-        store.is_writing = true;
-        store.next_write = now.after(write_interval(records.len()));
-        let is_first = !std::mem::replace(&mut store.has_written, true);
-        let name = format!("{}.{}", *self.cfg.me, self.cfg.incarnation.0);
+        state.store.is_writing = true;
+        state.store.next_write = now.after(write_interval(records.len()));
+        let (me, incarnation) = (&self.cfg.me, self.cfg.incarnation.0);
         self.actions.push(Action::SaveStreams {
             records,
-            name,
-            is_first,
+            name: format!("{}.{incarnation}.{}", **me, write.number),
+            is_first: write.is_first,
         });
     }
 
+    /// Keeps a record that this box writes to the store for its failure domain.
+    pub(super) fn keep_for_store(
+        &mut self,
+        stream: StreamKey,
+        version: &VersionId,
+        sent_at: Micros,
+        expires: Micros,
+    ) {
+        let state = &mut self.stream_versions;
+        let kept = state.book.get(stream, self.now);
+        let is_kept = kept.is_some_and(|kept| {
+            kept.is_for_store
+                && kept.version == *version
+                && expires <= kept.expires.after(EXPIRY_SLACK)
+        });
+        if is_kept {
+            return;
+        }
+        let reason = RecordUse::ForStore;
+        state.book.insert(stream, version, sent_at, expires, reason);
+        state.store.segments.add(stream, expires);
+    }
+
     fn send_unsaved(&mut self) {
         let writer = self.watchers_in_order().first().copied();
         let store = &mut self.stream_versions.store;
@@ -172,15 +194,7 @@
         }
         for stream in streams {
             if let Some(record) = self.stream_versions.book.get(stream, self.now).cloned() {
-                let (version, sent_at) = (&record.version, record.sent_at);
-                self.stream_versions.book.insert(
-                    stream,
-                    version,
-                    sent_at,
-                    record.expires,
-                    RecordUse::ForStore,
-                );
-                self.stream_versions.store.has_changed = true;
+                self.keep_for_store(stream, &record.version, record.sent_at, record.expires);
             }
         }
     }
@@ -189,10 +203,7 @@
     pub(in crate::gateway::dispatch) fn on_streams_saved(&mut self, is_saved: bool) {
         let store = &mut self.stream_versions.store;
         store.is_writing = false;
-        if !is_saved {
-            store.has_changed = true;
-            store.has_written = false;
-        }
+        store.segments.on_written(is_saved, self.now);
     }
 
     /// Reads the store's records for a query, if this box watches the store.
--- a/src/gateway/shell/streams.rs
+++ b/src/gateway/shell/streams.rs
@@ -1,8 +1,8 @@
 //! Keeps the versions that began streams in the platform's store, so that the loss of all boxes
 //! doesn't lose them.
 //!
-//! Each process that writes has an object of its own, named after the box and its incarnation, and
-//! replaces it with each write. A box lists all objects when a caller comes back with a stream that no
+//! Each process that writes has objects of its own, named after the box and its incarnation, and
+//! replaces one with each write. A box lists all objects when a caller comes back with a stream that no
 //! box knows. An object whose records are all over is deleted by the box that lists it, after
 //! [`MAX_CLOCK_DIFFERENCE`], since clocks differ.
 
@@ -75,7 +75,7 @@
     let _ = call(Method::DELETE, &path, String::new(), &shared).await;
 }
 
-/// Writes the records of a failure domain to the object `name`, which the first write creates.
+/// Writes records of a failure domain to the object `name`, which its first write creates.
 pub async fn write(
     name: String,
     records: Vec<StreamRecord>,
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -116,6 +116,39 @@
     saved.collect()
 }
 
+/// Records that another box of the domain sends to the one that writes them to the store.
+fn for_store(streams: std::ops::Range<u64>) -> Event {
+    let records = streams.map(|stream| StreamRecord {
+        stream: StreamKey(stream),
+        version: "v1".parse().unwrap(),
+        age_ms: 0,
+        keep_ms: 30_000,
+    });
+    let Event::PeerStreams(update) = answer(StreamKey(0), "v1") else {
+        unreachable!();
+    };
+    Event::PeerStreams(StreamUpdate {
+        is_for_store: true,
+        records: records.collect(),
+        answers: Vec::new(),
+        ..update
+    })
+}
+
+/// Runs for some time before a store that takes each write; returns the writes.
+fn run_with_store(world: &mut World, millis: u64) -> Vec<(String, Vec<StreamRecord>)> {
+    let mut writes = Vec::new();
+    for _ in 0..millis / 10 {
+        for action in world.run(10) {
+            if let Action::SaveStreams { name, records, .. } = action {
+                writes.push((name, records));
+                world.handle(Event::StreamsSaved { is_saved: true });
+            }
+        }
+    }
+    writes
+}
+
 #[test]
 fn nothing_is_sent_while_a_service_has_one_version() {
     let mut world = with_one_version();
@@ -281,6 +314,37 @@
     assert_eq!(refusal(&done), Some(RefusalReason::VersionGone));
 }
 
+/// The more records a domain kept, the later a new one reached the store, and streams that began in
+/// the seconds before all boxes were lost were refused.
+#[test]
+fn a_new_record_is_in_the_store_soon_however_many_there_are() {
+    let mut world = with_two_versions();
+    world.handle(for_store(0..2_000));
+    run_with_store(&mut world, 10_000);
+    for stream in 5_000..5_010 {
+        world.handle(for_store(stream..stream + 1));
+        let writes = run_with_store(&mut world, 750);
+        let is_in = |(_, records): &(String, Vec<StreamRecord>)| {
+            records.iter().any(|record| record.stream.0 == stream)
+        };
+        assert!(writes.iter().any(is_in), "{stream} is not in the store");
+    }
+}
+
+/// Objects in the store must not grow in number while records come and end.
+#[test]
+fn the_objects_of_ended_records_are_used_again() {
+    let mut world = with_two_versions();
+    let mut objects = BTreeSet::new();
+    for second in 0..300 {
+        world.handle(for_store(second * 20..(second + 1) * 20));
+        let writes = run_with_store(&mut world, 1_000);
+        objects.extend(writes.into_iter().map(|(name, _)| name));
+    }
+    // 600 records last at a time, in objects of a hundred.
+    assert!(objects.len() <= 8, "{objects:?}");
+}
+
 #[test]
 fn the_number_of_records_is_bounded_and_dropped_ones_are_counted() {
     let mut book = StreamBook::default();
