Calls that differ by milliseconds roll no version back

Cause: a call was slow from twice the baseline's median on, however short that is; times of a few milliseconds are mostly the box's and the link's own. A call under 8 ms is now never slow. Calls of servers that take longer are judged as before.

--- a/src/gateway/dispatch/rollout/verdict.rs
+++ b/src/gateway/dispatch/rollout/verdict.rs
@@ -3,7 +3,8 @@
 //! The target's answers are compared with those of the other versions at the same time, in the same
 //! series and the same failure domain, never with a constant: a sound endpoint may fail one call in
 //! seven, and a disturbance of a domain or a link affects both. An answer is bad if it failed or if
-//! its time lies [`SLOW_BUCKETS`] histogram buckets or more over the baseline's median. Failures
+//! its time lies [`SLOW_BUCKETS`] histogram buckets or more over the baseline's median; a call that
+//! takes less than [`MIN_SLOW_CALL_MS`] never is. Failures
 //! are also judged alone, because one in five sound answers is slow by chance, which hides a few
 //! failures. The score is the logarithm of a likelihood ratio: how much better the target's answers
 //! are explained if one in ten, four or two of them is bad beyond the baseline's share than if none
@@ -23,13 +24,15 @@
 //! 100; a test of means, where one slow answer decides; and a score that always includes all
 //! endpoints, where one failing endpoint of three rolls a sound version back.
 
-use super::evidence::{TimeKind, series_has_kind};
+use super::evidence::{TimeKind, bucket_of, series_has_kind};
 use crate::schema::{AnswerTimes, SeriesTally};
 
 /// Buckets over the baseline's median from which a time is slow: twice as long. For first events it
 /// is 2.8 times as long, because one prompt that is read first doubles the time.
 const SLOW_BUCKETS: usize = 2;
 const SLOW_BUCKETS_FIRST_EVENT: usize = 3;
+/// Time from which a call may be slow. Shorter ones are mostly the time of the box and of the link.
+const MIN_SLOW_CALL_MS: f64 = 8.0;
 /// Excess shares of bad answers over the baseline's that are tested.
 const EXCESSES: [f64; 3] = [0.1, 0.25, 0.5];
 /// Score from which a version is bad; a sound one reaches it by chance in one of 1,100 orders for
@@ -134,12 +137,17 @@
     } else {
         SLOW_BUCKETS
     };
+    let least = if series_has_kind(series, TimeKind::Call) {
+        usize::from(bucket_of(MIN_SLOW_CALL_MS))
+    } else {
+        0
+    };
     let answered = u64::from(baseline.all() - baseline.failed);
     let mut before = 0;
     for (bucket, count) in baseline.took.iter().enumerate() {
         before += u64::from(*count);
         if before * 2 > answered {
-            return bucket + buckets_over;
+            return least.max(bucket + buckets_over);
         }
     }
     usize::MAX
--- a/tests/rollout_verdict.rs
+++ b/tests/rollout_verdict.rs
@@ -169,3 +169,28 @@
     });
     assert!(!is_bad(&[series("a", strata.into())]));
 }
+
+/// Answers that take some milliseconds, most of them of the box itself, rolled a good version back.
+#[test]
+fn a_version_whose_quick_answers_differ_by_milliseconds_is_not_bad() {
+    let took = |counts: [(u32, f64); 3]| {
+        let mut times = AnswerTimes::default();
+        for (count, millis) in counts {
+            (0..count).for_each(|_| times.add(bucket_of(millis)));
+        }
+        times
+    };
+    let baseline = took([(150, 1.0), (50, 1.6), (0, 4.0)]);
+    let server = took([(12, 1.0), (4, 2.5), (8, 4.0)]);
+    let all = [series(
+        "r",
+        three(&baseline, [(); 3].map(|()| server.clone())),
+    )];
+    assert!(!is_bad(&all), "{:?}", judge(&all, None));
+    let slow = took([(12, 1.0), (4, 2.5), (8, 24.0)]);
+    let all = [series(
+        "r",
+        three(&baseline, [(); 3].map(|()| slow.clone())),
+    )];
+    assert!(is_bad(&all), "{:?}", judge(&all, None));
+}
