Corrected and renewed records of streams are written to the store again

Found by reading: a record was passed over as known by what the box holds, and the box may hold the new version or end before it is told to write it. So a corrected version never reached the store, and the mark of several versions ended there after the lifetime of a stream: after the loss of all boxes the service then passed for one of a single version (ORDER).

What was added to a segment is now compared with what was added before.

Tests: a_corrected_version_is_written_though_the_record_is_known and the_mark_of_several_versions_stays_in_the_store_as_long_as_there_are_several, which failed before (no mark was left after 37 s).

--- a/src/gateway/dispatch/stream_versions/segments.rs
+++ b/src/gateway/dispatch/stream_versions/segments.rs
@@ -5,14 +5,27 @@
 //! the box keeps. A segment with [`SEGMENT_RECORDS`] is closed once it is written. A closed segment
 //! whose records are all over is used again, so the number of objects doesn't grow with time.
 //!
-//! Input: records, and how writes ended. State: which records each segment has.
+//! A record that says no more than the one that was added before is not written again.
+//!
+//! Input: records, and how writes ended. State: which records each segment has, and what was added.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
-use crate::schema::{Micros, StreamKey};
+use crate::schema::{Micros, StreamKey, VersionId};
 
 /// Number of records with which a segment is closed: some 4 kB.
 pub const SEGMENT_RECORDS: usize = 100;
+/// Time by which a record must last longer than the one that was added before: messages between
+/// boxes give times to the millisecond.
+const EXPIRY_SLACK: Duration = Duration::from_secs(1);
+
+/// What was added of a stream.
+#[derive(Debug)]
+struct Added {
+    version: VersionId,
+    expires: Micros,
+}
 
 #[derive(Debug, Default)]
 struct Segment {
@@ -39,6 +52,7 @@
 pub struct Segments {
     all: Vec<Segment>,
     open: usize,
+    added: BTreeMap<StreamKey, Added>,
     /// Streams whose records are in no segment yet, and when those end.
     pending: BTreeMap<StreamKey, Micros>,
     /// Whether the last write failed.
@@ -50,6 +64,7 @@
         Self {
             all: vec![Segment::default()],
             open: 0,
+            added: BTreeMap::new(),
             pending: BTreeMap::new(),
             has_failed: false,
         }
@@ -57,8 +72,16 @@
 }
 
 impl Segments {
-    /// Adds a record to the next write.
-    pub fn add(&mut self, stream: StreamKey, expires: Micros) {
+    /// Adds a record to the next write, unless it says no more than before.
+    pub fn add(&mut self, stream: StreamKey, version: &VersionId, expires: Micros) {
+        let is_known = self.added.get(&stream).is_some_and(|added| {
+            added.version == *version && expires <= added.expires.after(EXPIRY_SLACK)
+        });
+        if is_known {
+            return;
+        }
+        let version = version.clone();
+        self.added.insert(stream, Added { version, expires });
         self.pending.insert(stream, expires);
     }
 
@@ -96,6 +119,7 @@
 
     /// Opens a segment whose records are all over, or a further one.
     fn open_next(&mut self, now: Micros) {
+        self.added.retain(|_, added| now < added.expires);
         let over = self.all.iter().position(|s| s.ends <= now);
         self.open = over.unwrap_or(self.all.len());
         match self.all.get_mut(self.open) {
--- a/src/gateway/dispatch/stream_versions/store.rs
+++ b/src/gateway/dispatch/stream_versions/store.rs
@@ -29,9 +29,6 @@
 const BYTES_PER_SECOND: f64 = 10_000.0;
 /// Size of a record in the store, about.
 const RECORD_BYTES: f64 = 40.0;
-/// Time by which a record must last longer than the one that is kept, to be written again: messages
-/// between boxes give times to the millisecond.
-const EXPIRY_SLACK: Duration = Duration::from_secs(1);
 /// Shortest time between two reads of the store.
 const READ_INTERVAL: Duration = Duration::from_secs(1);
 /// Most queries that wait for a read.
@@ -161,18 +158,9 @@
         expires: Micros,
     ) {
         let state = &mut self.stream_versions;
-        let kept = state.book.get(stream, self.now);
-        let is_kept = kept.is_some_and(|kept| {
-            kept.is_for_store
-                && kept.version == *version
-                && expires <= kept.expires.after(EXPIRY_SLACK)
-        });
-        if is_kept {
-            return;
-        }
         let reason = RecordUse::ForStore;
         state.book.insert(stream, version, sent_at, expires, reason);
-        state.store.segments.add(stream, expires);
+        state.store.segments.add(stream, version, expires);
     }
 
     fn send_unsaved(&mut self) {
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -331,6 +331,43 @@
     }
 }
 
+/// The box that writes may hold a record anew before it is told to write it.
+#[test]
+fn a_corrected_version_is_written_though_the_record_is_known() {
+    let mut world = with_two_versions();
+    world.handle(for_store(7..8));
+    run_with_store(&mut world, 1_000);
+    let version: VersionId = "v2".parse().unwrap();
+    for is_for_store in [false, true] {
+        let Event::PeerStreams(mut update) = for_store(7..8) else {
+            unreachable!();
+        };
+        update.is_for_store = is_for_store;
+        update.records[0].version = version.clone();
+        world.handle(Event::PeerStreams(update));
+    }
+    let writes = run_with_store(&mut world, 1_000);
+    let mut written = writes.iter().flat_map(|(_, records)| records);
+    assert!(written.any(|r| r.stream.0 == 7 && r.version == version));
+}
+
+/// Without its mark in the store a service passes for one of a single version after the loss of all
+/// boxes.
+#[test]
+fn the_mark_of_several_versions_stays_in_the_store_as_long_as_there_are_several() {
+    let mut world = with_two_versions();
+    let mut left_ms: u64 = 20_000;
+    for second in 0..120 {
+        hear_peers(&mut world, 20 + second);
+        world.handle(Event::StoreAnswered);
+        let writes = run_with_store(&mut world, 1_000);
+        let kept = writes.iter().flat_map(|(_, records)| records);
+        let longest = kept.map(|record| u64::from(record.keep_ms)).max();
+        left_ms = longest.unwrap_or(0).max(left_ms.saturating_sub(1_000));
+        assert!(left_ms > 0, "no mark is left after {second} s");
+    }
+}
+
 /// Objects in the store must not grow in number while records come and end.
 #[test]
 fn the_objects_of_ended_records_are_used_again() {
