--- a/src/gateway/dispatch/permits.rs
+++ b/src/gateway/dispatch/permits.rs
@@ -9,18 +9,18 @@
 //!
 //! Inputs: limits ([`super::fleet::directives::limits`]), the roster, and permit requests and grants, which
 //! arrive as datagrams and may be lost. State: the allocators of this box, the permit requests that
-//! it has not sent or that are unanswered, and when it last published limits. The alternative, an
-//! even share of the limit for each box, is discussed in docs/design/limits.md.
+//! it has not sent or that are unanswered, and the limits that it publishes (`publication`). The
+//! alternative, an even share of the limit for each box, is discussed in docs/design/limits.md.
 
 mod allocation;
 pub mod allocator;
+mod publication;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::Dispatcher;
-use super::action::Action;
 use super::event::RequestNumber;
 use super::fleet::directives::StatedLimit;
 use super::fleet::directives::limits::RequestRate;
@@ -31,11 +31,10 @@
 use allocation::HANDOVER;
 pub(super) use allocation::LimitOwner;
 use allocator::{PermitAllocator, PermitRequester};
+use publication::Publication;
 
 /// Time without an answer after which the permit request for an endpoint is repeated.
 const PERMIT_REQUEST_INTERVAL: Duration = Duration::from_millis(40);
-/// Minimum time between two messages about limits to all boxes of the domain.
-const LIMIT_PUBLISH_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Counts of permits at this box since they were last read.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -56,10 +55,8 @@
     requested: BTreeMap<EndpointId, RequestedPermits>,
     /// When the last pause of this process ended.
     resumed_at: Micros,
-    /// Endpoints whose limit changed by an answer to this box and was not published yet.
-    unpublished: BTreeSet<EndpointId>,
-    publish_at: Option<Micros>,
-    published_at: Micros,
+    /// Changed limits that this box publishes.
+    publication: Publication,
     counts: PermitCounts,
 }
 
@@ -76,7 +73,7 @@
     pub fn due(&self, rate_of: impl Fn(&EndpointId) -> Option<RequestRate>) -> Option<Micros> {
         let allocators = self.allocators.iter();
         let allocations = allocators.filter_map(|(id, allocator)| allocator.due(rate_of(id)?));
-        allocations.chain(self.publish_at).min()
+        allocations.chain(self.publication.due()).min()
     }
 
     /// Handles a pause of this process that ends now: another box may have become the owner of its
@@ -102,9 +99,7 @@
         let limits = &mut self.fleet.directives.limits;
         if limits.on_answer(endpoint, limit, now) {
             self.on_limit_changed(&endpoint.id);
-            self.permits.unpublished.insert(endpoint.id.clone());
-            let due = now.max(self.permits.published_at.after(LIMIT_PUBLISH_INTERVAL));
-            self.permits.publish_at.get_or_insert(due);
+            self.permits.publication.schedule(&endpoint.id, now);
             self.publish_limits_if_due();
         }
     }
@@ -121,54 +116,6 @@
         });
     }
 
-    /// Publishes changed limits to all boxes of the own failure domain, if that is due.
-    fn publish_limits_if_due(&mut self) {
-        if self.permits.publish_at.is_none_or(|at| self.now < at) {
-            return;
-        }
-        self.permits.publish_at = None;
-        self.permits.published_at = self.now;
-        let unpublished = std::mem::take(&mut self.permits.unpublished);
-        let reports = unpublished
-            .iter()
-            .filter_map(|id| self.fleet.directives.limits.report(id, self.now));
-        let reports = reports.collect();
-        let to = self.peers.of_own_domain(self.now);
-        self.publish_limit_reports(to, reports);
-    }
-
-    /// Sends boxes the limits that recent answers to this box named.
-    pub(super) fn publish_limits(&mut self, to: Vec<SocketAddr>) {
-        let reports = self.fleet.directives.limits.recent_reports(self.now);
-        self.publish_limit_reports(to, reports);
-    }
-
-    fn publish_limit_reports(&mut self, to: Vec<SocketAddr>, notes: Vec<LimitReport>) {
-        if notes.is_empty() || to.is_empty() {
-            return;
-        }
-        let update = LimitUpdate {
-            notes,
-            ..self.empty_limit_update()
-        };
-        self.send_limit_update(to, update);
-    }
-
-    fn send_limit_update(&mut self, to: Vec<SocketAddr>, update: LimitUpdate) {
-        self.actions.push(Action::PublishLimits { to, update });
-    }
-
-    fn empty_limit_update(&self) -> LimitUpdate {
-        LimitUpdate {
-            from: self.cfg.me.clone(),
-            reply_to: self.cfg.address.to_string(),
-            is_passed_on: false,
-            notes: Vec::new(),
-            asks: Vec::new(),
-            grants: Vec::new(),
-        }
-    }
-
     /// Handles limits, permit requests and grants from another box.
     pub(super) fn on_peer_limits(&mut self, update: &LimitUpdate) {
         for report in &update.notes {
