Memory for bodies and events in a module of its own

What is reserved, the limit and the small sizes that are held in any case are now in shell/held_memory.rs. No change of behaviour; platform/tests/endless.rs and stops.rs pass.

--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -18,6 +18,7 @@
 pub mod exchange;
 pub mod faults;
 pub mod headers;
+pub mod held_memory;
 pub mod input;
 pub mod metrics;
 pub mod operators;
--- a/src/gateway/shell/attempt.rs
+++ b/src/gateway/shell/attempt.rs
@@ -211,7 +211,7 @@
     headers: &HeaderMap,
     body: PeerBody,
 ) -> Result<BufferedAnswer, Fault> {
-    let body = shared.hold_answer(body, MAX_BUFFERED_ANSWER).await;
+    let body = shared.memory.hold_answer(body, MAX_BUFFERED_ANSWER).await;
     let body = body.map_err(|e| match e {
         ReadError::TooLong => Fault::Malformed,
         ReadError::Broken => Fault::Closed,
--- a/src/gateway/shell/exchange.rs
+++ b/src/gateway/shell/exchange.rs
@@ -303,7 +303,7 @@
         connection: Connection,
     ) -> AttemptEnd {
         let mut splitter = EventSplitter::default();
-        let mut memory = self.shared.stream_memory();
+        let mut memory = self.shared.memory.of_stream();
         loop {
             let frame = match self.run_unless_stopped(attempt.attempt, body.frame()).await {
                 Err(end) => return end,
--- a/src/gateway/shell/shared.rs
+++ b/src/gateway/shell/shared.rs
@@ -3,11 +3,11 @@
 //! thread.
 
 use std::io::Write;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, RwLock};
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use gotham::helpers::http::Body;
 use gotham::hyper::{HeaderMap, Response, header};
 use tokio::sync::{Semaphore, mpsc, watch};
@@ -21,6 +21,7 @@
 use crate::gateway::shell::dialect::{Dialect, Entry, ObjectKind};
 use crate::gateway::shell::faults::Faults;
 use crate::gateway::shell::headers;
+use crate::gateway::shell::held_memory::{HeldMemory, Reservation};
 use crate::gateway::shell::input::Input;
 use crate::gateway::shell::metrics::GatewayMetrics;
 use crate::gateway::shell::relay::MAX_TUNNELS;
@@ -28,7 +29,6 @@
 use crate::gateway::shell::watch_phase::WatchPhase;
 use crate::http::limits::{ConnectionLimits, LimitsInForce};
 use crate::http::pool::Pool;
-use crate::http::read_limit::{PeerBody, ReadError, read_limited};
 use crate::http::server::HEAD_BYTES;
 use crate::listen::DaemonError;
 use crate::schema::{PackedTable, StateReply, StateRequest};
@@ -46,8 +46,6 @@
     table: RwLock<Option<Arc<RoutingTable>>>,
     is_ready: AtomicBool,
     is_stopping: AtomicBool,
-    /// Memory reserved for the bodies of requests in progress, in bytes.
-    reserved_bytes: AtomicUsize,
 }
 
 /// Handle to the shared resources; clones refer to the same state.
@@ -69,6 +67,8 @@
     pub inputs: mpsc::Sender<Input>,
     /// Pool of connections to endpoints.
     pub pool: Arc<Pool>,
+    /// Memory for the bodies of requests and answers, and for events.
+    pub memory: HeldMemory,
     /// Limits on callers' connections by the routing tables in force so far.
     pub connection_limits: LimitsInForce,
     /// Tunnels that this box may still open for others.
@@ -89,65 +89,6 @@
     store_cache: Arc<RwLock<StoreCache>>,
 }
 
-/// Part of an answer, in bytes, that is held whether or not there is memory for more: the usual
-/// answers fit into it.
-const MIN_ANSWER_MEMORY: usize = 64 << 10;
-
-/// Memory reserved for the body of a request or of an answer; released when it is dropped.
-#[derive(Debug)]
-pub struct BodyReservation {
-    state: Arc<SharedState>,
-    bytes: usize,
-}
-
-impl BodyReservation {
-    /// Reserves memory for an answer that now takes `bytes`. Returns whether that is within
-    /// the limit, or within [`MIN_ANSWER_MEMORY`].
-    fn grow_to(&mut self, bytes: usize, limit: usize) -> bool {
-        let more = bytes.saturating_sub(self.bytes);
-        let before = self.state.reserved_bytes.fetch_add(more, Ordering::Relaxed);
-        self.bytes += more;
-        bytes <= MIN_ANSWER_MEMORY || before + more <= limit
-    }
-
-    /// Releases memory above `bytes`.
-    fn shrink_to(&mut self, bytes: usize) {
-        let less = self.bytes.saturating_sub(bytes);
-        self.state.reserved_bytes.fetch_sub(less, Ordering::Relaxed);
-        self.bytes -= less;
-    }
-}
-
-/// Memory for the part of a stream that waits for the end of an event.
-#[derive(Debug)]
-pub struct StreamMemory {
-    reservation: BodyReservation,
-    limit: usize,
-}
-
-impl StreamMemory {
-    /// Sets how many bytes wait. Returns whether that is within the limit `held_bytes`, or within
-    /// [`MIN_ANSWER_MEMORY`].
-    pub fn set(&mut self, bytes: usize) -> bool {
-        self.reservation.shrink_to(bytes);
-        self.reservation.grow_to(bytes, self.limit)
-    }
-}
-
-/// An event on its way to a caller, and the memory reserved for it. A stop waits until it is
-/// written.
-struct HeldEvent {
-    bytes: Bytes,
-    _reservation: BodyReservation,
-    _open: OpenRequest,
-}
-
-impl AsRef<[u8]> for HeldEvent {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
 /// The body of an answer that is being written to its caller, for which a stop waits.
 struct UnwrittenBody {
     bytes: Bytes,
@@ -160,26 +101,6 @@
     }
 }
 
-/// The body of an answer, and the memory reserved for it.
-struct HeldBody {
-    bytes: BytesMut,
-    _reservation: BodyReservation,
-}
-
-impl AsRef<[u8]> for HeldBody {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
-impl Drop for BodyReservation {
-    fn drop(&mut self) {
-        self.state
-            .reserved_bytes
-            .fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
 /// A request that was read in part, or whose answer is not written yet; a stop waits until it is
 /// dropped.
 pub struct OpenRequest {
@@ -212,6 +133,7 @@
         let log = DecisionLog::start(settings.box_id.clone(), log).map_err(DaemonError::Threads)?;
         let metrics = GatewayMetrics::new();
         Ok(Self {
+            memory: HeldMemory::new(settings.held_bytes),
             settings: Arc::new(settings),
             dialect,
             clock: Monotonic::start(),
@@ -399,71 +321,25 @@
     }
 
     /// Reserves memory for a request body: its `Content-Length`, or `max_bytes` if it is sent in
-    /// chunks, and never more than `max_bytes`. Returns `None` if the limit `held_bytes` of the
-    /// settings would be exceeded.
+    /// chunks, and never more than `max_bytes`. Returns `None` if there is not enough.
     #[must_use]
     pub fn reserve_body_memory(
         &self,
         headers: &HeaderMap,
         max_bytes: usize,
-    ) -> Option<BodyReservation> {
+    ) -> Option<Reservation> {
         let length = headers::text(headers, header::CONTENT_LENGTH).and_then(|l| l.parse().ok());
         let has_body = headers.contains_key(header::TRANSFER_ENCODING);
-        let bytes: usize = length
-            .unwrap_or(if has_body { max_bytes } else { 0 })
-            .min(max_bytes);
-        let state = Arc::clone(&self.state);
-        let before = state.reserved_bytes.fetch_add(bytes, Ordering::Relaxed);
-        let reservation = BodyReservation { state, bytes };
-        (before + bytes <= self.settings.held_bytes).then_some(reservation)
-    }
-
-    /// Reads the complete body of an answer, up to `max_bytes`. Its memory counts towards the limit
-    /// `held_bytes` of the settings for as long as the returned bytes exist.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the body is too long, there is no memory for it, or it is cut short.
-    pub async fn hold_answer(&self, body: PeerBody, max_bytes: usize) -> Result<Bytes, ReadError> {
-        let mut reservation = self.empty_reservation();
-        let limit = self.settings.held_bytes;
-        let is_admitted = |bytes| reservation.grow_to(bytes, limit);
-        let bytes = read_limited(body, max_bytes, is_admitted).await?;
-        Ok(Bytes::from_owner(HeldBody {
-            bytes,
-            _reservation: reservation,
-        }))
-    }
-
-    /// Memory for a stream's incomplete event; none is reserved yet.
-    #[must_use]
-    pub fn stream_memory(&self) -> StreamMemory {
-        StreamMemory {
-            reservation: self.empty_reservation(),
-            limit: self.settings.held_bytes,
-        }
+        let bytes: usize = length.unwrap_or(if has_body { max_bytes } else { 0 });
+        self.memory.reserve(bytes.min(max_bytes))
     }
 
-    /// Counts an event towards the limit `held_bytes` for as long as the returned bytes exist.
-    /// Returns `None` if there is no memory for it; up to [`MIN_ANSWER_MEMORY`] is held in any case.
+    /// Counts an event towards the memory limit, and has a stop wait until it is written: for as long
+    /// as the returned bytes exist. Returns `None` if there is no memory for it.
     #[must_use]
     pub fn hold_event(&self, bytes: Bytes) -> Option<Bytes> {
-        let mut reservation = self.empty_reservation();
-        let is_admitted = reservation.grow_to(bytes.len(), self.settings.held_bytes);
-        is_admitted.then(|| {
-            Bytes::from_owner(HeldEvent {
-                bytes,
-                _reservation: reservation,
-                _open: self.open_request(),
-            })
-        })
-    }
-
-    fn empty_reservation(&self) -> BodyReservation {
-        BodyReservation {
-            state: Arc::clone(&self.state),
-            bytes: 0,
-        }
+        let bytes = self.memory.hold(bytes)?;
+        Some(self.until_written(bytes))
     }
 
     /// Has a stop wait until a body is written to its caller: for as long as the returned bytes
