--- a/src/gateway/dispatch/permits.rs
+++ b/src/gateway/dispatch/permits.rs
@@ -7,10 +7,11 @@
 //! domain sends its permit request to any box of the endpoint's domain, which forwards it to the
 //! owner.
 //!
-//! Inputs: limits ([`super::fleet::directives::limits`]), the roster, and permit requests and grants, which
-//! arrive as datagrams and may be lost. State: the allocators of this box, the permit requests that
-//! it has not sent or that are unanswered, and the limits that it publishes (`publication`). The
-//! alternative, an even share of the limit for each box, is discussed in docs/design/limits.md.
+//! Inputs: limits ([`super::fleet::directives::limits`]), the roster, and permit requests and
+//! grants, which arrive as datagrams and may be lost. State: the allocators of this box, the permit
+//! requests that it has not sent or that are unanswered, and the limits that it publishes
+//! (`publication`). The alternative, an even share of the limit for each box, is discussed in
+//! docs/design/limits.md.
 
 mod allocation;
 pub mod allocator;
--- a/src/gateway/dispatch/permits/publication.rs
+++ b/src/gateway/dispatch/permits/publication.rs
@@ -1,9 +1,9 @@
 //! Publication of limits: what endpoints named in answers to this box is sent to other boxes.
 //!
-//! The first limit of an endpoint goes at once to all boxes of the own failure domain and to one box of each
-//! other domain; other changes go there in one message for all within [`LIMIT_PUBLISH_INTERVAL`]. A
-//! box that learns of a change from another domain relays it to its own. Recent limits go to other
-//! boxes with the gossip as well.
+//! The first limit of an endpoint goes at once to all boxes of the own failure domain and to one box
+//! of each other domain; other changes go there in one message for all within
+//! [`LIMIT_PUBLISH_INTERVAL`]. A box that learns of a change from another domain relays it to its
+//! own. Recent limits go to other boxes with the gossip as well.
 //!
 //! Each box sends to an endpoint without a limit until it knows of one, so the time that a new limit
 //! takes to all boxes decides how many requests pass it.
