--- a/src/gateway/dispatch/stream_versions/store.rs
+++ b/src/gateway/dispatch/stream_versions/store.rs
@@ -3,7 +3,8 @@
 //! In each failure domain the first box that watches the store collects the records of the domain and
 //! writes them, new ones at a time ([`super::segments`]). The others send it theirs in batches; the
 //! more boxes there are, the longer a batch. A larger write delays the next one
-//! ([`BYTES_PER_SECOND`]). A stream that began since the last write is not in the store.
+//! ([`BYTES_PER_SECOND`]), and so does each failed one. A stream that began since the last write is
+//! not in the store.
 //!
 //! Boxes that watch the store read it for others, and only when no box has the record of a stream.
 //! A service that has several versions is marked there as well. Where the list names one version and
@@ -15,6 +16,7 @@
 
 use super::book::RecordUse;
 use super::segments::Segments;
+use crate::backoff::doubled;
 use crate::gateway::dispatch::Dispatcher;
 use crate::gateway::dispatch::action::Action;
 use crate::schema::{Micros, StreamKey, StreamQuery, StreamRecord, VersionId};
@@ -25,6 +27,8 @@
 const BATCH_PER_BOX: Duration = Duration::from_millis(5);
 /// Shortest time between two writes: all boxes share the rate of calls that the store takes.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(250);
+/// How often [`MIN_WRITE_INTERVAL`] is doubled at most while writes fail.
+const MAX_WRITE_DOUBLINGS: u32 = 2;
 /// Bytes a second that a box writes at most.
 const BYTES_PER_SECOND: f64 = 10_000.0;
 /// Size of a record in the store, about.
@@ -60,6 +64,8 @@
     segments: Segments,
     is_writing: bool,
     next_write: Micros,
+    /// Writes that failed one after the other.
+    failed_writes: u32,
     read: ReadState,
     waiting: Vec<WaitingQuery>,
 }
@@ -192,6 +198,13 @@
         let store = &mut self.stream_versions.store;
         store.is_writing = false;
         store.segments.on_written(is_saved, self.now);
+        if is_saved {
+            store.failed_writes = 0;
+            return;
+        }
+        store.failed_writes += 1;
+        let pause = doubled(MIN_WRITE_INTERVAL, store.failed_writes, MAX_WRITE_DOUBLINGS);
+        store.next_write = store.next_write.max(self.now.after(pause));
     }
 
     /// Reads the store's records for a query, if this box watches the store.
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -314,6 +314,33 @@
     assert_eq!(refusal(&done), Some(RefusalReason::VersionGone));
 }
 
+/// Runs for some time before a store that refuses each write; returns how many there were.
+fn run_without_store(world: &mut World, millis: u64) -> usize {
+    let mut writes = 0;
+    for _ in 0..millis / 10 {
+        let done = world.run(10);
+        if !saved(&done).is_empty() {
+            writes += 1;
+            world.handle(Event::StreamsSaved { is_saved: false });
+        }
+    }
+    writes
+}
+
+/// A box wrote to a store that took nothing four times a second.
+#[test]
+fn failed_writes_of_records_are_repeated_with_longer_pauses() {
+    let mut world = with_two_versions();
+    world.handle(for_store(0..10));
+    let writes = run_without_store(&mut world, 10_000);
+    assert!((8..=13).contains(&writes), "{writes} writes in 10 s");
+    let first = run_with_store(&mut world, 1_500);
+    assert!(!first.is_empty());
+    world.handle(for_store(10..11));
+    let next = run_with_store(&mut world, 500);
+    assert_eq!(next.len(), 1, "pauses as before once a write succeeded");
+}
+
 /// The more records a domain kept, the later a new one reached the store, and streams that began in
 /// the seconds before all boxes were lost were refused.
 #[test]
