Each end of a daemon has an exit code and a last line; tasks that panic start again

A daemon whose control thread had panicked ended with exit code 0, like one that was asked to stop, and nothing named the reason of an end in one place. src/exit.rs now lists the reasons with their codes, and the last line on standard error says which it was.

A task that runs for as long as the process and panics was dropped by the runtime: nobody followed the store or heard of peers any more, and nothing told of it.

--- a/lab/src/gateway/spread.rs
+++ b/lab/src/gateway/spread.rs
@@ -192,7 +192,7 @@
                 .map_err(std::io::Error::other)?;
             let link = Arc::new(Link::new(plan.link_rate));
             tasks.spawn(relay(front, own.local_addr()?, Arc::clone(&link)));
-            tasks.spawn(transfer::accept(own, shared.clone()));
+            tasks.spawn(transfer::accept(Arc::new(own), shared.clone()));
             members.push(Member {
                 shared: shared.clone(),
                 notes: notes.clone(),
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -114,6 +114,15 @@
         status.code()
     }
 
+    /// Whether it still runs.
+    pub fn is_running(&mut self) -> bool {
+        let Ok(None) = self.child.try_wait() else {
+            self.has_ended.store(true, Ordering::Relaxed);
+            return false;
+        };
+        true
+    }
+
     /// Its exit code, if it has ended.
     pub fn ended(&mut self) -> Option<i32> {
         let status = self.child.try_wait().ok()??;
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -36,6 +36,7 @@
 pub mod store_cache;
 mod stream_body;
 mod streams;
+pub mod supervisor;
 pub mod table_reader;
 pub mod transfer;
 pub mod watch_phase;
@@ -45,19 +46,21 @@
 use std::sync::Arc;
 
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::runtime::Runtime;
+use tokio::runtime::{Handle, Runtime};
 use tokio::sync::mpsc;
 
 use crate::clock;
+use crate::exit::DaemonError;
 use crate::gateway::dispatch::record::{Record, STARTED};
 use crate::gateway::dispatch::{DispatchConfig, Dispatcher};
 use crate::gateway::settings::GatewaySettings;
 use crate::http::{ServeOptions, pool};
-use crate::listen::{DaemonError, listen, listen_udp};
+use crate::listen::{listen, listen_udp};
 use crate::memory;
 use crate::schema::Incarnation;
 use control::Control;
 use dialect::{Dialect, ObjectKind};
+use faults::FaultKind;
 
 pub use shared::GatewayShared;
 
@@ -68,10 +71,10 @@
 const IDLE_CONNECTION_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(5);
 
 struct Listeners {
-    callers: TcpListener,
-    health: TcpListener,
-    metrics: TcpListener,
-    peers: TcpListener,
+    callers: Arc<TcpListener>,
+    health: Arc<TcpListener>,
+    metrics: Arc<TcpListener>,
+    peers: Arc<TcpListener>,
     gossip: Arc<UdpSocket>,
 }
 
@@ -79,10 +82,10 @@
     async fn bind(settings: &GatewaySettings) -> Result<Self, DaemonError> {
         let peers = settings.peers_address;
         Ok(Self {
-            callers: listen("callers", settings.callers).await?,
-            health: listen("health", settings.health).await?,
-            metrics: listen("metrics", settings.metrics).await?,
-            peers: listen("peers_address", peers).await?,
+            callers: Arc::new(listen("callers", settings.callers).await?),
+            health: Arc::new(listen("health", settings.health).await?),
+            metrics: Arc::new(listen("metrics", settings.metrics).await?),
+            peers: Arc::new(listen("peers_address", peers).await?),
             gossip: Arc::new(listen_udp("peers_address", peers).await?),
         })
     }
@@ -92,7 +95,8 @@
 ///
 /// # Errors
 ///
-/// Returns the address that can't be listened on, or that threads can't be started.
+/// Returns the address that can't be listened on, that threads can't be started, or that the control
+/// thread panicked.
 pub fn run(
     settings: GatewaySettings,
     file: Option<PathBuf>,
@@ -124,11 +128,9 @@
         .name("control".to_owned())
         .spawn(move || control_runtime.block_on(control.run(received)))
         .map_err(DaemonError::Threads)?;
-    if thread.join().is_err() {
-        log::error!("the control thread panicked; the process exits");
-    }
+    let ended = thread.join().map_err(|_| DaemonError::ControlPanicked);
     runtime.shutdown_timeout(std::time::Duration::from_millis(100));
-    Ok(())
+    ended
 }
 
 /// Starts the tasks that run on the traffic threads.
@@ -138,22 +140,73 @@
     file: Option<PathBuf>,
     shared: &GatewayShared,
 ) {
-    runtime.spawn(peers::receive(listeners.gossip, shared.clone()));
-    runtime.spawn(transfer::accept(listeners.peers, shared.clone()));
-    runtime.spawn(serve_callers(listeners.callers, shared.clone()));
-    let operators = operators::Operators::new(shared.clone());
-    runtime.spawn(crate::http::serve(listeners.health, operators.clone()));
-    runtime.spawn(crate::http::serve(listeners.metrics, operators));
-    runtime.spawn(store::follow(ObjectKind::Table, shared.clone()));
-    runtime.spawn(store::follow(ObjectKind::Endpoints, shared.clone()));
-    runtime.spawn(store::follow(ObjectKind::Rollouts, shared.clone()));
-    runtime.spawn(duties::send_time_of_day(shared.clone()));
-    runtime.spawn(pool::sweep_idle(
-        Arc::clone(&shared.pool),
-        IDLE_CONNECTION_TIMEOUT,
-    ));
-    runtime.spawn(stop::stop_on_signal(shared.clone()));
-    runtime.spawn(stop::reload_on_change(file, shared.clone()));
+    let tasks = Tasks {
+        runtime: runtime.handle(),
+        shared,
+    };
+    let Listeners {
+        callers,
+        health,
+        metrics,
+        peers,
+        gossip,
+    } = listeners;
+    tasks.spawn("gossip", move |shared| {
+        peers::receive(Arc::clone(&gossip), shared)
+    });
+    tasks.spawn("transfer", move |shared| {
+        transfer::accept(Arc::clone(&peers), shared)
+    });
+    tasks.spawn("callers", move |shared| {
+        serve_callers(Arc::clone(&callers), shared)
+    });
+    tasks.spawn("health", move |shared| {
+        let operators = operators::Operators::new(shared);
+        crate::http::serve(Arc::clone(&health), operators)
+    });
+    tasks.spawn("metrics", move |shared| {
+        let operators = operators::Operators::new(shared);
+        crate::http::serve(Arc::clone(&metrics), operators)
+    });
+    for kind in [
+        ObjectKind::Table,
+        ObjectKind::Endpoints,
+        ObjectKind::Rollouts,
+    ] {
+        tasks.spawn("store", move |shared| store::follow(kind, shared));
+    }
+    tasks.spawn("time_of_day", duties::send_time_of_day);
+    tasks.spawn("idle_connections", |shared| {
+        pool::sweep_idle(Arc::clone(&shared.pool), IDLE_CONNECTION_TIMEOUT)
+    });
+    tasks.spawn("stop", stop::stop_on_signal);
+    tasks.spawn("reload", move |shared| {
+        stop::reload_on_change(file.clone(), shared)
+    });
+}
+
+/// Starts tasks that run for as long as the process.
+struct Tasks<'a> {
+    runtime: &'a Handle,
+    shared: &'a GatewayShared,
+}
+
+impl Tasks<'_> {
+    /// Starts a task; one that panics is recorded and started again.
+    fn spawn<T, F>(&self, name: &'static str, start: T)
+    where
+        T: Fn(GatewayShared) -> F + Send + 'static,
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let shared = self.shared.clone();
+        let on_panic = move |message: &str| {
+            let detail = format_args!("{name}: {message}; started again");
+            shared.faults.report(FaultKind::TaskPanic, &detail);
+        };
+        let shared = self.shared.clone();
+        let task = supervisor::supervise(move || start(shared.clone()), on_panic);
+        self.runtime.spawn(task);
+    }
 }
 
 fn new_dispatcher(shared: &GatewayShared) -> Dispatcher {
@@ -174,7 +227,7 @@
     Dispatcher::new(cfg, rand::random(), shared.clock.now())
 }
 
-async fn serve_callers(listener: TcpListener, shared: GatewayShared) {
+async fn serve_callers(listener: Arc<TcpListener>, shared: GatewayShared) {
     let front = callers::Callers::new(shared.clone());
     let options = ServeOptions {
         limits: shared.connection_limits.clone(),
--- a/src/gateway/shell/faults.rs
+++ b/src/gateway/shell/faults.rs
@@ -48,11 +48,13 @@
     EndpointRest,
     /// An endpoint states a tolerance that can't be parsed.
     EndpointTolerance,
+    /// A task that runs for as long as the process panicked; it was started again.
+    TaskPanic,
 }
 
 impl FaultKind {
     /// All kinds, in the order of their discriminants.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::StoreAnswer,
         Self::EndpointEntry,
         Self::UnnamedObject,
@@ -66,6 +68,7 @@
         Self::EndpointLimit,
         Self::EndpointRest,
         Self::EndpointTolerance,
+        Self::TaskPanic,
     ];
 
     /// The value of the metric's label `kind`, and the prefix of log lines.
@@ -85,6 +88,7 @@
             Self::EndpointLimit => "endpoint_limit",
             Self::EndpointRest => "endpoint_rest",
             Self::EndpointTolerance => "endpoint_tolerance",
+            Self::TaskPanic => "task_panic",
         }
     }
 }
--- a/src/gateway/shell/shared.rs
+++ b/src/gateway/shell/shared.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{Semaphore, mpsc, watch};
 
 use crate::clock::Monotonic;
+use crate::exit::DaemonError;
 use crate::gateway::dispatch::record::Record;
 use crate::gateway::dispatch::refusal::{Refusal, RefusalReason};
 use crate::gateway::dispatch::table::{CallerLimits, RoutingTable};
@@ -30,7 +31,6 @@
 use crate::http::limits::{ConnectionLimits, LimitsInForce};
 use crate::http::pool::Pool;
 use crate::http::server::HEAD_BYTES;
-use crate::listen::DaemonError;
 use crate::schema::{PackedTable, StateReply, StateRequest};
 
 /// Limits on callers' connections while there is no configuration.
--- a/src/gateway/shell/transfer.rs
+++ b/src/gateway/shell/transfer.rs
@@ -150,7 +150,7 @@
 }
 
 /// Answers requests of other boxes until the process exits.
-pub async fn accept(listener: TcpListener, shared: GatewayShared) {
+pub async fn accept(listener: Arc<TcpListener>, shared: GatewayShared) {
     let budget = Arc::new(SendBudget::default());
     loop {
         let socket = match listener.accept().await {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -139,7 +139,7 @@
 }
 
 /// Serves HTTP on a listener with a gotham handler. Never completes.
-pub async fn serve<H>(listener: TcpListener, handler: H)
+pub async fn serve<H>(listener: impl Into<Arc<TcpListener>>, handler: H)
 where
     H: NewHandler + 'static,
 {
@@ -150,18 +150,18 @@
 ///
 /// Completes, and so drops the listener, once [`ServeOptions::closing`] is true. Connections in
 /// progress continue in tasks of their own until their current request is answered.
-pub async fn serve_with<H>(listener: TcpListener, handler: H, options: ServeOptions)
+pub async fn serve_with<H>(listener: impl Into<Arc<TcpListener>>, handler: H, options: ServeOptions)
 where
     H: NewHandler + 'static,
 {
     let mut closing = options.closing.clone();
     tokio::select! {
-        () = accept_all(listener, handler, options) => {}
+        () = accept_all(listener.into(), handler, options) => {}
         () = wait_until_true(&mut closing) => {}
     }
 }
 
-async fn accept_all<H>(listener: TcpListener, handler: H, options: ServeOptions)
+async fn accept_all<H>(listener: Arc<TcpListener>, handler: H, options: ServeOptions)
 where
     H: NewHandler + 'static,
 {
--- a/src/keyed/command.rs
+++ b/src/keyed/command.rs
@@ -6,11 +6,12 @@
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 
+use crate::exit::{DaemonError, finish};
 use crate::keyed::daemon;
 use crate::keyed::settings::{Settings, overlay};
 use crate::logs;
 use crate::schema::SettingsFile;
-use crate::settings::{BAD_SETTINGS, SettingsError, file};
+use crate::settings::{SettingsError, file};
 
 /// Builds the daemon's command line.
 #[must_use]
@@ -66,26 +67,13 @@
 /// Runs the daemon with these arguments until it has stopped.
 pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
     let matches = command().get_matches_from(arguments);
-    let settings = match read_settings(&matches) {
-        Ok(settings) => settings,
-        Err(errors) => {
-            for e in errors {
-                eprintln!("magpiemoord: {e}");
-            }
-            return ExitCode::from(BAD_SETTINGS);
-        }
-    };
-    if let Err(e) = logs::start(settings.log_file.as_deref(), settings.log_level) {
-        eprintln!("magpiemoord: {e}");
-        return ExitCode::from(BAD_SETTINGS);
-    }
-    match daemon::run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            log::error!("{e}");
-            ExitCode::FAILURE
-        }
-    }
+    finish("magpiemoord", run_daemon(&matches))
+}
+
+fn run_daemon(matches: &ArgMatches) -> Result<(), DaemonError> {
+    let settings = read_settings(matches).map_err(DaemonError::Settings)?;
+    logs::start(settings.log_file.as_deref(), settings.log_level).map_err(DaemonError::Log)?;
+    daemon::run(settings)
 }
 
 fn read_settings(matches: &ArgMatches) -> Result<Settings, Vec<SettingsError>> {
--- a/src/keyed/daemon.rs
+++ b/src/keyed/daemon.rs
@@ -23,6 +23,7 @@
 use tokio::sync::mpsc;
 
 use crate::clock::{self, Monotonic};
+use crate::exit::DaemonError;
 use crate::http::Client;
 use crate::keyed::bundle::Bundle;
 use crate::keyed::node::Node;
@@ -30,7 +31,7 @@
 use crate::keyed::object_api::ObjectApi;
 use crate::keyed::settings::Settings;
 use crate::keyed::timeline::Timeline;
-use crate::listen::{DaemonError, listen, listen_udp};
+use crate::listen::{listen, listen_udp};
 use crate::memory;
 use crate::schema::Incarnation;
 use control::Control;
@@ -119,7 +120,8 @@
 ///
 /// # Errors
 ///
-/// Says which address can't be listened on, or that threads can't be started.
+/// Says which address can't be listened on, that threads can't be started, or that the control thread
+/// panicked.
 pub fn run(settings: Settings) -> Result<(), DaemonError> {
     memory::return_freed_blocks();
     let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -154,11 +156,9 @@
         .name("control".to_owned())
         .spawn(move || control.run(received))
         .map_err(DaemonError::Threads)?;
-    if thread.join().is_err() {
-        log::error!("the control thread ended by a fault; the process ends");
-    }
+    let ended = thread.join().map_err(|_| DaemonError::ControlPanicked);
     runtime.shutdown_timeout(std::time::Duration::from_millis(200));
-    Ok(())
+    ended
 }
 
 /// Starts what runs beside the control thread.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod backoff;
 pub mod cli;
 pub mod clock;
+pub mod exit;
 pub mod gateway;
 pub mod http;
 pub mod keyed;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -14,9 +14,6 @@
 
 use log::LevelFilter;
 
-/// The exit code of a daemon whose settings are invalid or whose log can't be opened.
-pub const BAD_SETTINGS: u8 = 2;
-
 /// An invalid setting.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SettingsError {
