A box waits for an address that is in use when it starts

What callers saw: a box that replaced another one on its address, or shared an address with one, ended at once with "Address already in use"; the platform starts it again after a short delay, it ends again, and after three ends the system counts as faulty.

Cause: the start took the first failure to bind any of five sockets for final, though a predecessor may hold them for its grace period; the socket for metrics counted like the others, although a box needs none to serve, and the template gives all boxes the same port for it.

Now an address that is in use, not there yet, or can't be had for want of descriptors is tried again every 50 ms for the grace period and 2 s more; any other error is final at once. The socket for callers is bound last, so nobody connects to a box that waits. Metrics are served at their own address once it can be bound, and at the readiness address meanwhile.

--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -44,6 +44,7 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Instant;
 
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::runtime::{Handle, Runtime};
@@ -55,7 +56,7 @@
 use crate::gateway::dispatch::{DispatchConfig, Dispatcher};
 use crate::gateway::settings::GatewaySettings;
 use crate::http::{ServeOptions, pool};
-use crate::listen::{listen, listen_udp};
+use crate::listen::{ListenAddress, start_deadline};
 use crate::memory;
 use crate::schema::Incarnation;
 use control::Control;
@@ -70,23 +71,26 @@
 /// up to which an attempt reuses one.
 const IDLE_CONNECTION_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(5);
 
+/// The sockets that a box can't do without. Without those for peers it would send requests to
+/// endpoints that others know to be leaving, and spend retries that others count on.
 struct Listeners {
     callers: Arc<TcpListener>,
     health: Arc<TcpListener>,
-    metrics: Arc<TcpListener>,
     peers: Arc<TcpListener>,
     gossip: Arc<UdpSocket>,
 }
 
 impl Listeners {
-    async fn bind(settings: &GatewaySettings) -> Result<Self, DaemonError> {
-        let peers = settings.peers_address;
+    /// Binds the socket for callers last: what connects to it waits until the box serves it.
+    async fn bind(settings: &GatewaySettings, deadline: Instant) -> Result<Self, DaemonError> {
+        let peers = ListenAddress::new("peers_address", settings.peers_address);
+        let health = ListenAddress::new("health", settings.health);
+        let callers = ListenAddress::new("callers", settings.callers);
         Ok(Self {
-            callers: Arc::new(listen("callers", settings.callers).await?),
-            health: Arc::new(listen("health", settings.health).await?),
-            metrics: Arc::new(listen("metrics", settings.metrics).await?),
-            peers: Arc::new(listen("peers_address", peers).await?),
-            gossip: Arc::new(listen_udp("peers_address", peers).await?),
+            peers: Arc::new(peers.listen(deadline).await?),
+            gossip: Arc::new(peers.listen_udp(deadline).await?),
+            health: Arc::new(health.listen(deadline).await?),
+            callers: Arc::new(callers.listen(deadline).await?),
         })
     }
 }
@@ -113,7 +117,8 @@
         .enable_time()
         .build()
         .map_err(DaemonError::Threads)?;
-    let listeners = runtime.block_on(Listeners::bind(&settings))?;
+    let deadline = start_deadline(settings.stop_grace);
+    let listeners = runtime.block_on(Listeners::bind(&settings, deadline))?;
     let (inputs, received) = mpsc::channel(DISPATCHER_QUEUE_LENGTH);
     let shared = GatewayShared::start(settings, dialect, inputs, std::io::stdout())?;
     let gossip = Arc::clone(&listeners.gossip);
@@ -147,7 +152,6 @@
     let Listeners {
         callers,
         health,
-        metrics,
         peers,
         gossip,
     } = listeners;
@@ -164,10 +168,7 @@
         let operators = operators::Operators::new(shared);
         crate::http::serve(Arc::clone(&health), operators)
     });
-    tasks.spawn("metrics", move |shared| {
-        let operators = operators::Operators::new(shared);
-        crate::http::serve(Arc::clone(&metrics), operators)
-    });
+    tasks.spawn("metrics", serve_metrics);
     for kind in [
         ObjectKind::Table,
         ObjectKind::Endpoints,
@@ -209,6 +210,14 @@
     }
 }
 
+/// Serves metrics at their own address once it can be bound. The box does without: the address for
+/// the readiness check serves them too.
+async fn serve_metrics(shared: GatewayShared) {
+    let address = ListenAddress::new("metrics", shared.settings.metrics);
+    let listener = address.listen_eventually().await;
+    crate::http::serve(Arc::new(listener), operators::Operators::new(shared)).await;
+}
+
 fn new_dispatcher(shared: &GatewayShared) -> Dispatcher {
     let settings = &shared.settings;
     let cfg = DispatchConfig {
--- a/src/keyed/daemon.rs
+++ b/src/keyed/daemon.rs
@@ -17,6 +17,7 @@
 pub mod timers;
 
 use std::sync::{Arc, RwLock};
+use std::time::Instant;
 
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::runtime::Runtime;
@@ -31,7 +32,7 @@
 use crate::keyed::object_api::ObjectApi;
 use crate::keyed::settings::Settings;
 use crate::keyed::timeline::Timeline;
-use crate::listen::{listen, listen_udp};
+use crate::listen::{ListenAddress, start_deadline};
 use crate::memory;
 use crate::schema::Incarnation;
 use control::Control;
@@ -106,12 +107,16 @@
 }
 
 impl Listeners {
-    async fn bind(settings: &Settings) -> Result<Self, DaemonError> {
+    /// Binds the socket for callers last: what connects to it waits until the box serves it.
+    async fn bind(settings: &Settings, deadline: Instant) -> Result<Self, DaemonError> {
+        let peers = ListenAddress::new("peers_address", settings.peers_address);
+        let operators = ListenAddress::new("operators", settings.operators);
+        let callers = ListenAddress::new("callers", settings.callers);
         Ok(Self {
-            callers: listen("callers", settings.callers).await?,
-            operators: listen("operators", settings.operators).await?,
-            peers: listen("peers_address", settings.peers_address).await?,
-            heartbeats: Arc::new(listen_udp("peers_address", settings.peers_address).await?),
+            peers: peers.listen(deadline).await?,
+            heartbeats: Arc::new(peers.listen_udp(deadline).await?),
+            operators: operators.listen(deadline).await?,
+            callers: callers.listen(deadline).await?,
         })
     }
 }
@@ -130,7 +135,8 @@
         .enable_all()
         .build()
         .map_err(DaemonError::Threads)?;
-    let listeners = runtime.block_on(Listeners::bind(&settings))?;
+    let deadline = start_deadline(settings.stop_grace);
+    let listeners = runtime.block_on(Listeners::bind(&settings, deadline))?;
     let (inputs, received) = mpsc::channel(NODE_INPUTS);
     let client = Client::default();
     let shared = Shared {
