A daemon that starts waits for a settings file that is being written

A box that was started while its settings file was missing, empty or cut short ended at once with exit code 2, and was started again into the same state.

--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -121,7 +121,7 @@
     let text = std::fs::read_to_string(path).map_err(|e| {
         let remedy = format!("{e}; name a readable settings file");
         vec![SettingsError::new(
-            "file",
+            file::WHOLE_FILE,
             &path.display().to_string(),
             &remedy,
         )]
--- a/src/keyed/command.rs
+++ b/src/keyed/command.rs
@@ -71,7 +71,7 @@
 }
 
 fn run_daemon(matches: &ArgMatches) -> Result<(), DaemonError> {
-    let settings = read_settings(matches).map_err(DaemonError::Settings)?;
+    let settings = file::read_at_start(|| read_settings(matches)).map_err(DaemonError::Settings)?;
     logs::start(settings.log_file.as_deref(), settings.log_level).map_err(DaemonError::Log)?;
     daemon::run(settings)
 }
