SIGHUP doesn't end a daemon that has just started

A box got SIGHUP in the first milliseconds of its life, as when the platform changes the settings of all while machines are added, and ended by that signal.

Cause: SIGHUP ends a process by default, and its handler was installed by a task that starts after settings, log and sockets. It is ignored now from the first line of the daemon on until the handler is installed; the settings are read later. Before that line, while the program is loaded, it still ends the process.

The keyed form, which has no handler, ignores it.

--- a/src/keyed/command.rs
+++ b/src/keyed/command.rs
@@ -9,9 +9,9 @@
 use crate::exit::{DaemonError, finish};
 use crate::keyed::daemon;
 use crate::keyed::settings::{Settings, overlay};
-use crate::logs;
 use crate::schema::SettingsFile;
 use crate::settings::{SettingsError, file};
+use crate::{logs, signals};
 
 /// Builds the daemon's command line.
 #[must_use]
@@ -66,6 +66,7 @@
 
 /// Runs the daemon with these arguments until it has stopped.
 pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
+    signals::ignore_hangup();
     let matches = command().get_matches_from(arguments);
     finish("magpiemoord", run_daemon(&matches))
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod rendezvous;
 pub mod schema;
 pub mod settings;
+pub mod signals;
