An answer whose end nobody can tell is not framed as whole

What callers saw: a server stopped after a head without a length and closed; callers got 200 with an empty body and Content-Length: 0, or a part of the body framed as whole, and streams ended as complete.

Cause: an answer without a length and without chunks lasts until its connection closes, and the HTTP library reports that as the end of the body. The box then gave it a length, or a last chunk, of its own: it claimed more than it knew.

Now src/http/answer_end.rs tells for each answer how its end is known. A stream whose end is that of the connection counts as broken off and goes on elsewhere. An answer with both a length and chunks is malformed. This holds for tunnels, checks and the store, which share the connection; bodies of checks and of the store are JSON, which can't be read if cut. The product's own face takes no answer that states no end.

--- a/lab/src/gateway/server.rs
+++ b/lab/src/gateway/server.rs
@@ -2,6 +2,7 @@
 //! plain service, with faults on command.
 
 mod brittle;
+pub mod cut;
 pub mod endless;
 mod serving;
 
@@ -17,6 +18,7 @@
 
 use super::wire::Message;
 use brittle::Brittle;
+use cut::Cut;
 use endless::Endless;
 
 /// What a server does with a request.
@@ -57,6 +59,8 @@
     Early,
     /// It takes the request and says nothing any more.
     Silent,
+    /// It stops in its answer and closes.
+    Cut(Cut),
     /// It sends bytes without end.
     Endless(Endless),
 }
--- a/lab/src/gateway/server/serving.rs
+++ b/lab/src/gateway/server/serving.rs
@@ -273,6 +273,7 @@
         let signed = self.signed(id);
         match act {
             Act::Endless(endless) => return self.send_endless(wire, endless, &signed).await,
+            Act::Cut(cut) => return self.send_cut(wire, cut, &signed, &body).await,
             Act::Error => wire.send(whole(500, &signed, "error")).await?,
             Act::Status(status) => wire.send(whole(status, &signed, &body)).await?,
             Act::Large => {
@@ -334,8 +335,13 @@
             wire.send(whole(status, &signed, "")).await?;
             return Ok(false);
         }
+        let typed = format!("Content-Type: text/event-stream\r\n{signed}");
+        if let Act::Cut(cut) = act {
+            let events: String = (first..first + 2).map(|e| event_text(&part, e)).collect();
+            return self.send_cut(wire, cut, &typed, &events).await;
+        }
         wire.send(format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n{signed}\r\n"
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n{typed}\r\n"
         ))
         .await?;
         for event in first..=self.pace.events {
--- a/src/gateway/shell/attempt.rs
+++ b/src/gateway/shell/attempt.rs
@@ -18,6 +18,7 @@
 use crate::gateway::shell::input::Input;
 use crate::gateway::shell::relay::OpenError;
 use crate::gateway::shell::{GatewayShared, headers};
+use crate::http::answer_end::AnswerEnd;
 use crate::http::pool::{Connection, SendError};
 use crate::http::read_limit::{PeerBody, ReadError};
 
@@ -40,6 +41,7 @@
     pub status: StatusCode,
     pub headers: HeaderMap,
     pub body: Bytes,
+    pub end: AnswerEnd,
 }
 
 /// Sends a request to the attempt's endpoint and waits for the head of the answer.
@@ -204,21 +206,27 @@
     outgoing
 }
 
-/// Reads the complete body of an answer.
+/// Reads the complete body of an answer. One that ends with its connection and has no body at all counts
+/// as cut off after its head.
 pub(super) async fn buffer_answer(
     shared: &GatewayShared,
     status: StatusCode,
     headers: &HeaderMap,
     body: PeerBody,
 ) -> Result<BufferedAnswer, Fault> {
+    let end = body.end();
     let body = shared.memory.hold_answer(body, MAX_BUFFERED_ANSWER).await;
     let body = body.map_err(|e| match e {
         ReadError::TooLong => Fault::Malformed,
         ReadError::Broken => Fault::Closed,
     })?;
+    if end == AnswerEnd::Connection && body.is_empty() {
+        return Err(Fault::Closed);
+    }
     Ok(BufferedAnswer {
         status,
         headers: headers.clone(),
         body,
+        end,
     })
 }
--- a/src/gateway/shell/exchange.rs
+++ b/src/gateway/shell/exchange.rs
@@ -8,12 +8,15 @@
 //!
 //! A stream is forwarded event by event. Its head is sent together with the first event, so that an
 //! earlier failure can still be answered with a status. The body is terminated properly only on an
-//! explicit end, so a process that dies in the middle of a stream can't make it look complete.
+//! explicit end, so a process that dies in the middle of a stream can't make it look complete. For the
+//! same reason a stream whose end is that of the endpoint's connection counts as broken off; a call's
+//! answer of that kind reaches the caller likewise, without a claim that it is whole.
 
 use std::sync::Arc;
 use std::time::Instant;
 
 use bytes::Bytes;
+use futures_util::stream;
 use gotham::helpers::http::Body;
 use gotham::hyper::http::response;
 use gotham::hyper::{HeaderMap, Response, StatusCode, header};
@@ -38,6 +41,7 @@
     EventSender, MAX_QUEUED_EVENTS, StreamPart, frames, queue_event,
 };
 use crate::gateway::shell::{GatewayShared, directives, headers};
+use crate::http::answer_end::AnswerEnd;
 use crate::http::pool::Connection;
 use crate::http::read_limit::PeerBody;
 use crate::http::{self, EVENT_STREAM};
@@ -313,6 +317,10 @@
                 None if splitter.has_incomplete_event() => {
                     return AttemptEnd::Ended(Outcome::Broken(Fault::Malformed));
                 }
+                None if body.end() == AnswerEnd::Connection => {
+                    let fault = fault_of(Fault::Closed, &connection);
+                    return AttemptEnd::Ended(Outcome::Broken(fault));
+                }
                 None => {
                     self.keep_connection(attempt, connection);
                     return self.end_stream(headers);
@@ -452,10 +460,18 @@
             .requests
             .answer_seconds
             .observe(self.started.elapsed().as_secs_f64());
-        let mut response = Response::new(http::full(self.shared.until_written(answer.body)));
+        let body = self.shared.until_written(answer.body);
+        let body = match answer.end {
+            AnswerEnd::Stated => http::full(body),
+            AnswerEnd::Connection => http::streaming(stream::iter([body])),
+        };
+        let mut response = Response::new(body);
         *response.status_mut() = answer.status;
         *response.headers_mut() = headers::end_to_end_headers(&answer.headers);
         response.headers_mut().remove(header::CONTENT_LENGTH);
+        if answer.end == AnswerEnd::Connection {
+            http::end_with_connection(&mut response);
+        }
         self.shared.mark_closing(&mut response);
         let _ = reply.send(response);
     }
--- a/src/http.rs
+++ b/src/http.rs
@@ -6,6 +6,7 @@
 //! a reused connection may have been idle.
 
 mod activity;
+pub mod answer_end;
 pub mod client;
 pub mod limits;
 pub mod pool;
@@ -15,6 +16,6 @@
 
 pub use client::{Answer, AnswerBody, Call, Client, HttpError};
 pub use server::{
-    BodyError, EVENT_STREAM, ServeOptions, full, read_body, respond, respond_json, serve,
-    serve_with, streaming,
+    BodyError, EVENT_STREAM, ServeOptions, end_with_connection, full, read_body, respond,
+    respond_json, serve, serve_with, streaming,
 };
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -16,6 +16,7 @@
 use gotham::hyper::{Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
 
+use super::answer_end::AnswerEnd;
 use super::pool::{Connection, Pool, SendError};
 use super::read_limit::{PeerBody, read_limited};
 
@@ -212,11 +213,16 @@
     ///
     /// # Errors
     ///
-    /// Fails like [`Client::open`]; an answer longer than [`MAX_ANSWER`] is [`HttpError::Broken`].
+    /// Fails like [`Client::open`]; an answer longer than [`MAX_ANSWER`], or one whose end can't be told
+    /// from a cut, is [`HttpError::Broken`].
     pub async fn send(&self, call: Call<'_>, limit: Duration) -> Result<Answer, HttpError> {
         let exchange = async {
             let response = self.open(call, limit).await?;
             let (head, body) = response.into_parts();
+            if body.end() == AnswerEnd::Connection {
+                let error = "the answer states neither a length nor chunks";
+                return Err(HttpError::Broken(error.to_owned()));
+            }
             let body = read_limited(body, MAX_ANSWER, |_| true).await;
             let body = body.map_err(|e| HttpError::Broken(e.to_string()))?;
             Ok(Answer {
@@ -254,6 +260,14 @@
     pool: Arc<Pool>,
 }
 
+impl AnswerBody {
+    /// Returns how the end of the body is known.
+    #[must_use]
+    pub fn end(&self) -> AnswerEnd {
+        self.body.end()
+    }
+}
+
 impl Body for AnswerBody {
     type Data = Bytes;
     type Error = gotham::hyper::Error;
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -23,6 +23,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use super::answer_end::AnswerEnd;
 use super::read_limit::{LimitedIo, PeerBody, ReadLimit, read_limited};
 use super::tunnel::{Tunnel, TunnelState};
 use crate::schema::{EndpointId, StartTime};
@@ -201,19 +202,23 @@
     ///
     /// # Errors
     ///
-    /// Distinguishes a request that was not sent from one that may have been sent.
+    /// Distinguishes a request that was not sent from one that may have been sent. An answer with both a
+    /// length and chunks is malformed.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<PeerBody>, SendError> {
         self.limit.on_advance();
+        let method = request.method().clone();
         match self.sender.try_send_request(request).await {
             Ok(response) if !is_final_status(response.status()) => Err(SendError::Malformed),
             Ok(response) => {
                 self.limit.on_advance();
                 self.peer_max_idle = stated_max_idle(response.headers());
+                let (head, body) = response.into_parts();
+                let end = AnswerEnd::of(&method, &head).map_err(|_| SendError::Malformed)?;
                 let limit = Arc::clone(&self.limit);
-                Ok(response.map(|body| PeerBody { body, limit }))
+                Ok(Response::from_parts(head, PeerBody { body, limit, end }))
             }
             Err(mut e) => Err(if e.take_message().is_some() {
                 SendError::NotSent
--- a/src/http/read_limit.rs
+++ b/src/http/read_limit.rs
@@ -17,6 +17,8 @@
 use http_body_util::BodyExt;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use super::answer_end::AnswerEnd;
+
 /// Maximum number of bytes read from a peer since its answer last advanced. Far above the read
 /// buffers of a connection, whose content counts before it is handed over as data.
 pub const MAX_BYTES_WITHOUT_ADVANCE: usize = 1 << 20;
@@ -110,6 +112,15 @@
 pub struct PeerBody {
     pub(super) body: Incoming,
     pub(super) limit: Arc<ReadLimit>,
+    pub(super) end: AnswerEnd,
+}
+
+impl PeerBody {
+    /// Returns how the end of the body is known.
+    #[must_use]
+    pub fn end(&self) -> AnswerEnd {
+        self.end
+    }
 }
 
 impl Body for PeerBody {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -20,7 +20,7 @@
 use gotham::helpers::http::Body;
 use gotham::hyper::body::{Frame, Incoming};
 use gotham::hyper::header::{CONNECTION, HeaderValue};
-use gotham::hyper::{Request, Response, StatusCode};
+use gotham::hyper::{Request, Response, StatusCode, Version};
 use gotham::state::State;
 use http_body_util::{BodyExt, Full, Limited, StreamBody};
 use hyper::service::service_fn;
@@ -109,6 +109,15 @@
         .expect("status and content type are valid")
 }
 
+/// Has a response end with its connection, in place of a length or a last chunk. Its body must have no
+/// known length.
+pub fn end_with_connection(response: &mut Response<Body>) {
+    // The HTTP library sends a body of unknown length without chunks in this version only.
+    *response.version_mut() = Version::HTTP_10;
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+}
+
 /// Builds a JSON response.
 #[must_use]
 pub fn respond_json(status: StatusCode, value: &impl serde::Serialize) -> Response<Body> {
--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -145,3 +145,23 @@
     let refused = get(&Client::default(), &address).await;
     assert!(matches!(refused, Err(HttpError::Connect(_))), "{refused:?}");
 }
+
+/// An answer without a length passed for whole though its peer may have left it off.
+#[tokio::test]
+async fn an_answer_that_states_no_end_is_broken() {
+    let text = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok".to_owned();
+    let (address, seen) = serve_with(1, true, text).await;
+    let answer = get(&Client::default(), &address).await;
+    assert!(matches!(answer, Err(HttpError::Broken(_))), "{answer:?}");
+    assert_eq!(seen.requests.load(Ordering::SeqCst), 1);
+}
+
+/// An answer with both a length and chunks may end at either, so nothing of it is taken.
+#[tokio::test]
+async fn an_answer_that_states_two_ends_is_malformed() {
+    let head = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let text = format!("{head}2\r\nok\r\n0\r\n\r\n");
+    let (address, _) = serve_with(1, true, text).await;
+    let answer = get(&Client::default(), &address).await;
+    assert!(matches!(answer, Err(HttpError::Broken(_))), "{answer:?}");
+}
