--- a/lab/src/gateway/foreign.rs
+++ b/lab/src/gateway/foreign.rs
@@ -67,6 +67,104 @@
     entries
 }
 
+/// How deep odd values are nested.
+const DEEP: usize = 100_000;
+/// Length of a long odd value, in bytes: almost as much as an object of the store may have.
+const LONG: usize = 1_000_000;
+/// Digits of an odd number.
+const DIGITS: usize = 400;
+/// Where the odd value of an entry stands.
+const ODD_PLACES: [&str; 17] = [
+    "/metadata/name",
+    "/metadata/revision",
+    "/metadata/made",
+    "/metadata/finalizers",
+    "/metadata/deleting",
+    "/metadata",
+    "/spec",
+    "/spec/service",
+    "/spec/address",
+    "/spec/zone",
+    "/spec/version",
+    "/spec/slots",
+    "/spec/state",
+    "/spec/coldRemainingMs",
+    "/spec/sequence",
+    "/spec/born",
+    "/status",
+];
+/// Values that no server writes, as JSON.
+const ODD_VALUES: [&str; 18] = [
+    "null",
+    "true",
+    "[]",
+    "{}",
+    "-1",
+    "0",
+    "1.5",
+    "1e300",
+    "1e400",
+    "4294967295",
+    "4294967296",
+    "18446744073709551615",
+    "18446744073709551616",
+    "1.8e22",
+    r#""127.0.0.1:65536""#,
+    r#""127.0.0.1:-1""#,
+    r#""127.0.0.1:99999999999999999999""#,
+    r#""127.0.0.1:8e3""#,
+];
+
+/// Values that no server writes and that are built.
+#[derive(Clone, Copy)]
+enum BuiltValue {
+    NestedArrays,
+    NestedObjects,
+    Digits,
+    Long,
+}
+
+const BUILT_VALUES: [BuiltValue; 4] = [
+    BuiltValue::NestedArrays,
+    BuiltValue::NestedObjects,
+    BuiltValue::Digits,
+    BuiltValue::Long,
+];
+
+impl BuiltValue {
+    fn text(self) -> String {
+        match self {
+            Self::NestedArrays => format!("{}{}", "[".repeat(DEEP), "]".repeat(DEEP)),
+            Self::NestedObjects => {
+                format!("{}1{}", r#"{"a":"#.repeat(DEEP), "}".repeat(DEEP))
+            }
+            Self::Digits => "9".repeat(DIGITS),
+            Self::Long => format!("\"{}\"", "y".repeat(LONG)),
+        }
+    }
+}
+
+/// How many odd entries there are.
+pub const ODD_ENTRIES: usize = ODD_PLACES.len() * (ODD_VALUES.len() + BUILT_VALUES.len());
+
+/// The object of a number under a name, with a value that no server writes: a nested or long one or a
+/// number too large among them. It may still name a server that can be used.
+#[must_use]
+pub fn odd_entry(number: usize, name: &str, address: &str, revision: u64) -> Vec<u8> {
+    let place = ODD_PLACES[number % ODD_PLACES.len()];
+    let value = number / ODD_PLACES.len();
+    let value = match ODD_VALUES.get(value) {
+        Some(value) => (*value).to_owned(),
+        None => BUILT_VALUES[value - ODD_VALUES.len()].text(),
+    };
+    let mut entry = sound_entry(name, address, revision);
+    if let Some(found) = entry.pointer_mut(place) {
+        *found = json!("ODD");
+    }
+    let text = entry.to_string().replacen("\"ODD\"", &value, 1);
+    text.into_bytes()
+}
+
 /// The text with the first byte of a word replaced.
 fn replace_byte(text: &str, word: &str, byte: u8) -> Vec<u8> {
     let mut bytes = text.as_bytes().to_vec();
