--- a/lab/src/gateway/versions.rs
+++ b/lab/src/gateway/versions.rs
@@ -82,11 +82,26 @@
     StoreOut,
     /// A third of the boxes know nothing of versions.
     OldBoxes,
+    /// A third of the boxes are cut off from the others, in ways of their own, again and again.
+    BoxesCut,
 }
 
 impl Beside {
     /// All of them.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
+        Self::Nothing,
+        Self::EnginesCrash,
+        Self::BoxesKilled,
+        Self::DomainKilled,
+        Self::AllBoxesKilled,
+        Self::DomainCut,
+        Self::BoxesFrozen,
+        Self::StoreOut,
+        Self::OldBoxes,
+        Self::BoxesCut,
+    ];
+    /// Those that a seed draws: the seeds of earlier plays keep their cases.
+    pub const DRAWN: [Self; 9] = [
         Self::Nothing,
         Self::EnginesCrash,
         Self::BoxesKilled,
@@ -111,6 +126,7 @@
             Self::BoxesFrozen => "boxes frozen",
             Self::StoreOut => "store out",
             Self::OldBoxes => "old boxes",
+            Self::BoxesCut => "boxes cut",
         }
     }
 }
@@ -159,7 +175,7 @@
             seed,
             boxes,
             change: Change::ALL[rng.random_range(0..Change::ALL.len())],
-            beside: Beside::ALL[rng.random_range(0..Beside::ALL.len())],
+            beside: Beside::DRAWN[rng.random_range(0..Beside::DRAWN.len())],
             engines_crash: rng.random_bool(0.4),
             engines: ENGINES,
             outages: None,
--- a/lab/src/gateway/versions/fleet.rs
+++ b/lab/src/gateway/versions/fleet.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod engines;
 mod faults;
+mod isolation;
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -33,6 +34,7 @@
 use arrivals::Arrivals;
 use callers::{Caller, CallerId};
 use engines::{Engines, Run, RunId};
+use isolation::Isolation;
 
 /// When the boxes start.
 const START: Micros = Micros(1_000_000);
@@ -66,6 +68,7 @@
     life: u64,
     disturbed: Micros,
     frozen_until: Micros,
+    isolation: Isolation,
     tick_at: Micros,
     next_request: u64,
 }
@@ -97,6 +100,8 @@
     EngineEnds(usize),
     /// The lists of all boxes become current, after a cut or an outage.
     Relist,
+    /// A box is no longer out of step.
+    Rejoined(usize),
 }
 
 /// A request at a box, in a life of it.
@@ -141,6 +146,7 @@
                 life: 0,
                 disturbed: Micros::ZERO,
                 frozen_until: START,
+                isolation: Isolation::NONE,
                 tick_at: START,
                 next_request: 0,
             }
@@ -217,6 +223,7 @@
             Mail::EngineBack(engine) => self.restart_engine(engine),
             Mail::EngineEnds(engine) => self.end_engine(engine),
             Mail::Relist => self.relist(),
+            Mail::Rejoined(at) => self.rejoin(at),
         }
     }
 
@@ -257,7 +264,8 @@
         let peer = self.by_address.get(&from).copied();
         let is_current = peer.is_some_and(|peer| {
             let is_cut = self.is_cut_between(at % DOMAINS, peer % DOMAINS);
-            self.boxes[peer].is_running && !is_cut && self.is_store_reached(peer)
+            let is_isolated = self.is_isolated(at) || self.is_isolated(peer);
+            self.boxes[peer].is_running && !is_cut && !is_isolated && self.is_store_reached(peer)
         });
         if is_current && kind == FetchKind::Endpoints {
             let list = self.list();
@@ -342,6 +350,9 @@
             Action::ReadStreams => self.read_streams(at),
             Action::WatchStore(is_watching) => {
                 self.boxes[at].is_watching = is_watching;
+                if is_watching {
+                    self.read_list_alone(at);
+                }
                 self.answer_watch(at, self.boxes[at].life);
             }
             Action::FetchState { from, kind, .. } => self.fetch(at, from, kind),
@@ -430,6 +441,7 @@
         let is_cut = at % DOMAINS == faults::CUT_DOMAIN && self.now() < self.cut_until;
         let serves_some = self.case.outages.is_some_and(|o| o.store_serves_some);
         let is_served = serves_some && (at / DOMAINS).is_multiple_of(2);
+        let is_cut = is_cut || self.is_isolated_from_store(at);
         !is_cut && (is_served || self.now() >= self.store_out_until)
     }
 
@@ -493,12 +505,13 @@
                 continue;
             };
             let (near, far) = (from % DOMAINS, to % DOMAINS);
-            let is_lost = self.rng.random_bool(LOST) || self.is_cut_between(near, far);
+            let is_cut = self.is_cut_between(near, far) || self.is_isolated_between(from, to);
+            let is_lost = self.rng.random_bool(LOST) || is_cut;
             if is_lost || !self.boxes[to].is_running {
                 continue;
             }
             let way = if near == far { NEAR } else { FAR };
-            let way = way.mul_f64(self.rng.random_range(0.5..2.0));
+            let way = way.mul_f64(self.rng.random_range(0.5..2.0)) + self.lateness(from, to);
             for event in &events {
                 let is_recent = matches!(event, Event::PeerStreams(_) | Event::PeerIdentities(_));
                 let is_known = !self.boxes[to].is_old || !is_recent;
--- a/lab/src/gateway/versions/fleet/faults.rs
+++ b/lab/src/gateway/versions/fleet/faults.rs
@@ -69,7 +69,7 @@
     fn list_change(&mut self, change: &EndpointChange) {
         self.revision += 1;
         for at in 0..self.boxes.len() {
-            if !self.is_store_reached(at) {
+            if !self.hears_of_changes(at) {
                 continue;
             }
             let after = self.rng.random_range(LISTED_WITHIN.0..LISTED_WITHIN.1);
@@ -222,6 +222,7 @@
         match self.case.beside {
             Beside::BoxesKilled => self.strike(Self::kill_box),
             Beside::BoxesFrozen => self.strike(Self::freeze_box),
+            Beside::BoxesCut => self.strike(Self::isolate_box),
             Beside::DomainKilled => {
                 for at in (number % DOMAINS..self.boxes.len()).step_by(DOMAINS) {
                     self.kill_box(at);
--- a/lab/src/gateway/versions/retries.rs
+++ b/lab/src/gateway/versions/retries.rs
@@ -32,7 +32,7 @@
     let store_out_s = STORE_OUT_S.choose(&mut rng).copied().unwrap_or_default();
     Case {
         change: changes.choose(&mut rng).copied().unwrap_or(Change::Sole),
-        beside: Beside::ALL[rng.random_range(0..Beside::ALL.len())],
+        beside: Beside::DRAWN[rng.random_range(0..Beside::DRAWN.len())],
         engines_crash: rng.random_bool(0.2),
         engines: ENGINES,
         outages: Some(Outages {
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -443,7 +443,8 @@
         Beside::DomainCut,
         Beside::BoxesFrozen,
         Beside::StoreOut,
-        Beside::OldBoxes
+        Beside::OldBoxes,
+        Beside::BoxesCut
     )]
     beside: Beside,
 ) {
