--- a/lab/src/gateway/soak.rs
+++ b/lab/src/gateway/soak.rs
@@ -2,8 +2,9 @@
 //! checked from what callers and servers see.
 //!
 //! The seed gives the order of faults and requests; when they meet depends on the machine. The faults
-//! are in `faults`.
+//! are in `faults`, the boxes and how they ended in `boxes`.
 
+mod boxes;
 mod faults;
 
 use std::collections::BTreeMap;
@@ -22,7 +23,7 @@
 use super::server::{Pace, Server, event_text};
 use super::store::Mood;
 use super::wire::Message;
-use crate::process::Process;
+use boxes::Boxes;
 
 /// Boxes that run.
 const BOXES: usize = 3;
@@ -70,9 +71,8 @@
 
 struct World {
     outside: Outside,
-    launcher: Launcher,
     plans: Vec<BoxPlan>,
-    boxes: Vec<Option<Process>>,
+    boxes: Boxes,
     /// Servers that are gone, for what they ran.
     gone: Vec<Server>,
     next_server: u32,
@@ -121,13 +121,12 @@
             .await
             .map_err(|e| e.to_string())?;
         let plans = outside.plan(BOXES).map_err(|e| e.to_string())?;
-        let boxes = plans.iter().map(|plan| launcher.start(plan).ok()).collect();
+        let boxes = Boxes::start(launcher, plans.clone());
         for plan in &plans {
             until(|| is_ready(plan)).await;
         }
         Ok(Self {
             outside,
-            launcher,
             plans,
             boxes,
             gone: Vec::new(),
@@ -144,7 +143,7 @@
             server.name_limit(None);
             server.ask_for_rest(None);
         }
-        self.restart_boxes();
+        self.boxes.restart_ended();
     }
 
     fn runs_of(&self, id: &str) -> usize {
@@ -156,7 +155,7 @@
     }
 
     /// Holds what callers got against what servers ran.
-    fn judge(&self, notes: Notes) -> Findings {
+    fn judge(&mut self, notes: Notes) -> Findings {
         let mut findings = notes.findings;
         for (id, status) in &notes.payments {
             let runs = self.runs_of(id);
@@ -172,6 +171,7 @@
                 findings.broken.push(format!("{id} got 200 and never ran"));
             }
         }
+        findings.broken.extend(self.boxes.ended_by_themselves());
         findings.faults.clone_from(&self.faults);
         findings
     }
@@ -180,8 +180,16 @@
     fn keep_logs(&self, seed: u64) -> String {
         let folder = std::env::temp_dir().join(format!("magpiemoor-soak-{seed}"));
         let _ = std::fs::create_dir_all(&folder);
-        for plan in &self.plans {
-            let _ = std::fs::copy(&plan.log, folder.join(format!("{}.log", plan.name)));
+        let files = std::fs::read_dir(&self.outside.folder);
+        let paths = files
+            .into_iter()
+            .flatten()
+            .flatten()
+            .map(|file| file.path());
+        for path in paths.filter(|path| path.extension().is_some_and(|e| e == "log")) {
+            if let Some(name) = path.file_name() {
+                let _ = std::fs::copy(&path, folder.join(name));
+            }
         }
         folder.display().to_string()
     }
--- a/lab/src/gateway/soak/faults.rs
+++ b/lab/src/gateway/soak/faults.rs
@@ -31,13 +31,15 @@
 const LIMITS: [&str; 6] = ["0", "0.5", "2", "20", "200", "a few"];
 /// Seconds of rest that a server may ask for; the last one is none.
 const RESTS: [&str; 4] = ["0.2", "1", "3", "a while"];
+/// Time after a box's start at which it gets SIGHUP, in milliseconds: its program is loaded by then.
+const HANG_UP_MS: std::ops::Range<u64> = 20..200;
 /// Requests that a server turns away when it asks for a rest.
 const TURNED_AWAY: usize = 2;
 
 impl World {
     /// Causes a random fault and records it.
     pub(super) async fn bring_fault(&mut self) {
-        let fault = match self.rng.random_range(0..17) {
+        let fault = match self.rng.random_range(0..19) {
             0..=3 => self.act(),
             4 => self.replace_model(true).await,
             5 => self.replace_model(false).await,
@@ -51,6 +53,8 @@
             13 => self.name_limit(),
             14 => self.ask_for_rest(),
             15 => self.let_model_leave().await,
+            16 => self.replace_box(),
+            17 => self.hang_up_box().await,
             _ => self.restart_boxes(),
         };
         self.faults.push(fault);
@@ -202,41 +206,39 @@
 
     fn kill_box(&mut self) -> String {
         let number = self.pick_box();
-        // Dropping a process kills it.
-        self.boxes[number] = None;
+        self.boxes.kill(number);
         format!("box {number} killed")
     }
 
     async fn freeze_box(&mut self) -> String {
         let number = self.pick_box();
         let pause = Duration::from_millis(self.rng.random_range(100..1_200));
-        if let Some(process) = &self.boxes[number] {
-            process.freeze();
-            tokio::time::sleep(pause).await;
-            process.thaw();
-        }
+        self.boxes.freeze(number, pause).await;
         format!("box {number} frozen for {pause:?}")
     }
 
     fn stop_box(&mut self) -> String {
         let number = self.pick_box();
-        if let Some(process) = &self.boxes[number] {
-            process.terminate();
-        }
+        self.boxes.terminate(number);
         format!("box {number} stops")
     }
 
-    /// Starts the boxes again that have ended.
-    pub(super) fn restart_boxes(&mut self) -> String {
-        for (number, plan) in self.plans.iter().enumerate() {
-            let has_ended = match &mut self.boxes[number] {
-                None => true,
-                Some(process) => process.ended().is_some(),
-            };
-            if has_ended {
-                self.boxes[number] = self.launcher.start(plan).ok();
-            }
-        }
+    fn replace_box(&mut self) -> String {
+        let number = self.pick_box();
+        self.boxes.replace(number);
+        format!("box {number} stops, its successor starts at once")
+    }
+
+    async fn hang_up_box(&mut self) -> String {
+        let number = self.pick_box();
+        let starts_it = self.rng.random();
+        let after = Duration::from_millis(self.rng.random_range(HANG_UP_MS));
+        self.boxes.hang_up(number, starts_it, after).await;
+        format!("box {number} gets SIGHUP, started {after:?} before: {starts_it}")
+    }
+
+    fn restart_boxes(&mut self) -> String {
+        self.boxes.restart_ended();
         "boxes that ended start again".to_owned()
     }
 }
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -459,6 +459,18 @@
     }
 }
 
+/// A box that datagrams reach seconds late took itself for in touch, and a service for one of a single
+/// version after another one had come.
+#[test]
+fn a_box_out_of_step_joins_no_stream_to_a_version_that_it_has_not_seen() {
+    let case = Case {
+        beside: Beside::BoxesCut,
+        ..Case::draw(3056, 12)
+    };
+    let played = case.play();
+    assert_eq!(played.counts.joined, 0, "{played}");
+}
+
 /// Two engines that no list has named yet may run different software, so they must not be taken for
 /// engines of one version.
 #[test]
