A box is in touch with other domains by round trips, not by the arrival of messages

What callers saw, on made-up time: a box that others reached seconds late and that was then cut off took a service for one of a single version 5 s after another one had come; a stream that had begun at that one elsewhere was taken up there and went on at the old version.

Cause: a message of another domain within 2.5 s counted as contact, though it says nothing of when it was sent; what was sent before the cut kept arriving for 4 s, longer than new versions are held back for (3 s).

Now each box asks two boxes of other domains every 0.5 s, in a section that earlier versions ignore. The question carries the asker's clock and comes back unchanged, so an answer can't be older than its question. A box whose questions stay without an answer for 2.5 s while boxes that answered before are heard isn't certain of versions, as one that hears nobody.

--- a/lab/src/gateway/versions/fleet.rs
+++ b/lab/src/gateway/versions/fleet.rs
@@ -343,6 +343,11 @@
             Action::PublishStoreAnswer { to, watcher } if !self.boxes[at].is_old => {
                 self.send(at, &to, &datagram::write_store_answer(&watcher));
             }
+            Action::PublishContact { to, check } if !self.boxes[at].is_old => {
+                let from = &self.boxes[at].cfg.me;
+                let datagram = datagram::write_contact(from, &check);
+                self.send(at, &to, &datagram);
+            }
             Action::PublishIdentities { to, update } if !self.boxes[at].is_old => {
                 self.send(at, &to, &datagram::write_identities(&update));
             }
@@ -513,7 +518,10 @@
             let way = if near == far { NEAR } else { FAR };
             let way = way.mul_f64(self.rng.random_range(0.5..2.0)) + self.lateness(from, to);
             for event in &events {
-                let is_recent = matches!(event, Event::PeerStreams(_) | Event::PeerIdentities(_));
+                let is_recent = matches!(
+                    event,
+                    Event::PeerStreams(_) | Event::PeerIdentities(_) | Event::PeerContact(_)
+                );
                 let is_known = !self.boxes[to].is_old || !is_recent;
                 if is_known {
                     self.post_event(to, way, event.clone());
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -67,6 +67,7 @@
 
 mod attempts;
 mod connections;
+mod contact;
 mod crashes;
 mod directives;
 mod endpoint_restart;
@@ -105,6 +106,7 @@
 use action::{Action, Command};
 use admission::QueuedRequest;
 use admission::waiting::RoomWaits;
+use contact::Contact;
 use crashes::PendingCrashes;
 use duties::DutyClock;
 use duty::{DutyPolicy, Holder, UsageDuty};
@@ -217,6 +219,7 @@
     next_check: Option<Micros>,
     /// When identities of processes are published next, if there are any.
     next_identities: Option<Micros>,
+    contact: Contact,
     /// The stop of this box, from its signal on.
     stop: Option<Stop>,
     /// Time from the arrival of a stream to its end.
@@ -270,6 +273,7 @@
             pending_usage: PendingUsage::default(),
             next_check: None,
             next_identities: None,
+            contact: Contact::default(),
             stop: None,
             stream_time: StreamTime::default(),
             run_time: StreamTime::default(),
@@ -399,6 +403,7 @@
         self.settle_crashes();
         self.maintain_limits();
         self.maintain_leases();
+        self.check_contact();
         self.maintain_stream_versions();
         self.check_paths();
         self.check_requests();
--- a/src/gateway/dispatch/action.rs
+++ b/src/gateway/dispatch/action.rs
@@ -14,10 +14,10 @@
 use crate::gateway::dispatch::replica::ReplicaLocation;
 use crate::gateway::dispatch::rollout::status::StatusWrite;
 use crate::schema::{
-    BoxId, BoxState, CrashUpdate, DepartureUpdate, DutyHolder, EndpointId, EndpointIncarnation,
-    EngineLoadReport, Fingerprint, IdentityUpdate, LimitUpdate, OrganisationId, ServiceId,
-    SlotUpdate, SpeedUpdate, StartTime, StateRequest, StoreReader, StreamRecord, StreamUpdate,
-    UsageCountUpdate, UsageUpdate,
+    BoxId, BoxState, ContactCheck, CrashUpdate, DepartureUpdate, DutyHolder, EndpointId,
+    EndpointIncarnation, EngineLoadReport, Fingerprint, IdentityUpdate, LimitUpdate,
+    OrganisationId, ServiceId, SlotUpdate, SpeedUpdate, StartTime, StateRequest, StoreReader,
+    StreamRecord, StreamUpdate, UsageCountUpdate, UsageUpdate,
 };
 
 /// An endpoint, and the box through which it is reached.
@@ -281,6 +281,13 @@
         /// This box as a watcher of the store.
         watcher: StoreReader,
     },
+    /// Send a question about the contact of this box, or the answer to one, by UDP.
+    PublishContact {
+        /// Addresses of the receivers.
+        to: Vec<SocketAddr>,
+        /// The question or answer.
+        check: ContactCheck,
+    },
     /// Send peers the load of a failure domain on engines by UDP.
     PublishLoad {
         /// Addresses of the receivers.
--- a/src/gateway/dispatch/event.rs
+++ b/src/gateway/dispatch/event.rs
@@ -14,10 +14,10 @@
 use crate::gateway::dispatch::rollout::status::ObjectState;
 use crate::gateway::dispatch::table::RoutingTable;
 use crate::schema::{
-    BoxState, CrashUpdate, DepartureUpdate, DomainId, DutyHolder, EndpointId, EndpointIncarnation,
-    EngineLoadReport, Fingerprint, IdentityUpdate, LimitUpdate, RequestAge, ServiceId, SlotUpdate,
-    SpeedUpdate, StartTime, StoreReader, StreamRecord, StreamUpdate, UsageCountUpdate, UsageUpdate,
-    VersionId,
+    BoxState, ContactCheck, CrashUpdate, DepartureUpdate, DomainId, DutyHolder, EndpointId,
+    EndpointIncarnation, EngineLoadReport, Fingerprint, IdentityUpdate, LimitUpdate, RequestAge,
+    ServiceId, SlotUpdate, SpeedUpdate, StartTime, StoreReader, StreamRecord, StreamUpdate,
+    UsageCountUpdate, UsageUpdate, VersionId,
 };
 
 /// Number that this box has given a request.
@@ -428,6 +428,8 @@
     },
     /// The platform's store answered a peer that watches it.
     PeerStoreAnswer(StoreReader),
+    /// A box asked whether it is in touch, or answered that.
+    PeerContact(ContactCheck),
     /// A peer reported endpoints that are leaving.
     PeerDepartures(DepartureUpdate),
     /// A peer reported which processes are at the addresses of endpoints.
--- a/src/gateway/dispatch/handle.rs
+++ b/src/gateway/dispatch/handle.rs
@@ -31,6 +31,7 @@
             | Event::QuarantineRead(_)
             | Event::StoreAnswered
             | Event::PeerStoreAnswer(_)
+            | Event::PeerContact(_)
             | Event::Peer(_)
             | Event::PeerUsage(_)
             | Event::PeerCrashes { .. }
@@ -110,6 +111,7 @@
             Event::QuarantineRead(kept) => self.on_quarantine_read(&kept),
             Event::StoreAnswered => self.on_store_answered(),
             Event::PeerStoreAnswer(watcher) => self.on_peer_store_answer(watcher),
+            Event::PeerContact(check) => self.on_contact_check(check),
             Event::Peer(state) => self.on_peer(&state),
             Event::PeerUsage(update) => self.on_peer_usage(&update),
             Event::PeerCrashes { domain, update } => self.on_peer_crashes(domain.as_ref(), &update),
--- a/src/gateway/dispatch/peers.rs
+++ b/src/gateway/dispatch/peers.rs
@@ -361,6 +361,13 @@
         of_domain.map(|p| p.address).choose(rng)
     }
 
+    /// Boxes of other failure domains that sent a message within [`PEER_ACTIVE_FOR`].
+    #[must_use]
+    pub fn recent_in_other_domains(&self, now: Micros) -> Vec<SocketAddr> {
+        let remote = self.recently_seen(now).filter(|p| p.domain != self.domain);
+        remote.map(|p| p.address).collect()
+    }
+
     fn in_other_domains(&self) -> impl Iterator<Item = &Peer> {
         self.boxes.values().filter(|p| p.domain != self.domain)
     }
--- a/src/gateway/dispatch/stream_versions/certainty.rs
+++ b/src/gateway/dispatch/stream_versions/certainty.rs
@@ -16,8 +16,9 @@
 use crate::gateway::dispatch::request::Request;
 use crate::schema::{ServiceId, StreamKey, VersionId};
 
-/// Time without a message from another failure domain after which this box may have missed a new
-/// version. Messages of sound domains arrive several times a second.
+/// Time without contact with another failure domain after which this box may have missed a new
+/// version. Messages of sound domains arrive several times a second, and two questions a second are
+/// answered.
 const ISOLATED_AFTER: Duration = Duration::from_millis(2_500);
 
 /// Time for which a box knows of a newer list without having it, after which it counts as late.
@@ -146,7 +147,8 @@
         let is_isolated = self.peers.knows_other_domains()
             && !self
                 .peers
-                .has_heard_other_domains_within(ISOLATED_AFTER, self.now);
+                .has_heard_other_domains_within(ISOLATED_AFTER, self.now)
+            || self.has_lost_contact(ISOLATED_AFTER);
         let was_isolated = std::mem::replace(&mut self.stream_versions.is_isolated, is_isolated);
         if is_isolated && !was_isolated {
             self.publish_own_records();
--- a/src/gateway/shell/control.rs
+++ b/src/gateway/shell/control.rs
@@ -178,6 +178,7 @@
             | Action::PublishUsageCounts { .. }
             | Action::PublishDepartures { .. }
             | Action::PublishStoreAnswer { .. }
+            | Action::PublishContact { .. }
             | Action::PublishIdentities { .. }
             | Action::PublishLoad { .. }
             | Action::PublishSpeeds { .. }
@@ -229,6 +230,10 @@
             Action::PublishStoreAnswer { to, watcher } => {
                 (to, datagram::write_store_answer(&watcher))
             }
+            Action::PublishContact { to, check } => {
+                let from = &self.shared.settings.box_id;
+                (to, datagram::write_contact(from, &check))
+            }
             Action::PublishIdentities { to, update } => (to, datagram::write_identities(&update)),
             Action::PublishLoad { to, from, report } => (to, datagram::write_load(&from, &report)),
             Action::PublishSpeeds { to, update } => (to, datagram::write_speeds(&update)),
--- a/src/gateway/shell/datagram.rs
+++ b/src/gateway/shell/datagram.rs
@@ -11,9 +11,9 @@
 
 use crate::gateway::dispatch::event::Event;
 use crate::schema::{
-    BoxId, BoxState, CrashUpdate, DatagramSection, DepartureUpdate, DutyHolder, EngineLoadReport,
-    IdentityUpdate, LimitUpdate, SlotUpdate, SpeedUpdate, StoreReader, StreamUpdate,
-    UsageCountUpdate, UsageUpdate,
+    BoxId, BoxState, ContactCheck, CrashUpdate, DatagramSection, DepartureUpdate, DutyHolder,
+    EngineLoadReport, IdentityUpdate, LimitUpdate, SlotUpdate, SpeedUpdate, StoreReader,
+    StreamUpdate, UsageCountUpdate, UsageUpdate,
 };
 
 /// The first byte of a datagram with a [`BoxState`].
@@ -42,6 +42,8 @@
 const IDENTITIES_SECTION: u16 = 10;
 /// The kind of a section with a [`StoreReader`] that the store has just answered.
 const STORE_ANSWER_SECTION: u16 = 11;
+/// Kind of the section with a question about contact, or its answer.
+const CONTACT_SECTION: u16 = 12;
 
 /// Encodes a box's state as a datagram.
 ///
@@ -165,6 +167,15 @@
     with_section(empty_message(&watcher.id)?, STORE_ANSWER_SECTION, watcher)
 }
 
+/// Encodes a question about contact, or an answer, as a section after an empty message.
+///
+/// # Errors
+///
+/// If it can't be encoded.
+pub fn write_contact(from: &BoxId, check: &ContactCheck) -> Result<Vec<u8>, postcard::Error> {
+    with_section(empty_message(from)?, CONTACT_SECTION, check)
+}
+
 /// A message without content, to which a section is added.
 fn empty_message(from: &BoxId) -> Result<Vec<u8>, postcard::Error> {
     let empty = UsageUpdate {
@@ -241,6 +252,8 @@
             events.push(Event::PeerIdentities(read_content(&section)?));
         } else if section.kind == STORE_ANSWER_SECTION {
             events.push(Event::PeerStoreAnswer(read_content(&section)?));
+        } else if section.kind == CONTACT_SECTION {
+            events.push(Event::PeerContact(read_content(&section)?));
         }
     }
     Ok(events)
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -527,6 +527,17 @@
     pub name: CallName,
     pub repeatable: bool,
 }
+///A question of a box to one of another failure domain, or its answer: whoever gets an answer was in touch when it asked.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ContactCheck {
+    ///Address of the box that answers; null in a question.
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub answered_by: ::std::option::Option<::std::string::String>,
+    pub asked_at: Micros,
+    ///Address of the box that asked, IP:PORT.
+    pub asker: ::std::string::String,
+    pub incarnation: Incarnation,
+}
 ///An endpoint's process that ended while it ran a request.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/tests/datagram.rs
+++ b/tests/datagram.rs
@@ -8,16 +8,18 @@
 
 use magpiemoor::gateway::dispatch::event::Event;
 use magpiemoor::gateway::shell::datagram::{
-    read, with_holder, write_departures, write_identities, write_limits, write_load, write_slots,
-    write_speeds, write_state, write_store_answer, write_streams, write_usage, write_usage_counts,
+    read, with_holder, write_contact, write_departures, write_identities, write_limits, write_load,
+    write_slots, write_speeds, write_state, write_store_answer, write_streams, write_usage,
+    write_usage_counts,
 };
 use magpiemoor::schema::{
-    AnswerTime, BoxState, CrashReport, CrashUpdate, DatagramSection, DepartureUpdate, DutyHolder,
-    EndpointUsage, EngineLoad, EngineLoadReport, EngineSpeed, Fingerprint, IdentityReport,
-    IdentityUpdate, Incarnation, LimitReport, LimitUpdate, OrganisationCount, PermitGrant,
-    PermitRequest, RelayReply, RelayRequest, RequestAge, RunningBox, ServiceTotals, SlotReturn,
-    SlotReturnReason, SlotUpdate, SpeedUpdate, StoreReader, StreamKey, StreamQuery, StreamRecord,
-    StreamUpdate, UsageCountUpdate, UsageUpdate, WindowCounts,
+    AnswerTime, BoxState, ContactCheck, CrashReport, CrashUpdate, DatagramSection, DepartureUpdate,
+    DutyHolder, EndpointUsage, EngineLoad, EngineLoadReport, EngineSpeed, Fingerprint,
+    IdentityReport, IdentityUpdate, Incarnation, LimitReport, LimitUpdate, Micros,
+    OrganisationCount, PermitGrant, PermitRequest, RelayReply, RelayRequest, RequestAge,
+    RunningBox, ServiceTotals, SlotReturn, SlotReturnReason, SlotUpdate, SpeedUpdate, StoreReader,
+    StreamKey, StreamQuery, StreamRecord, StreamUpdate, UsageCountUpdate, UsageUpdate,
+    WindowCounts,
 };
 
 fn production(file: &str) -> Vec<u8> {
@@ -348,6 +350,24 @@
 }
 
 /// The version in production decodes the empty message and ignores the load report that follows it.
+#[test]
+fn questions_about_contact_follow_an_empty_message() {
+    let check = ContactCheck {
+        asker: "10.0.0.1:7200".to_owned(),
+        incarnation: Incarnation(u64::MAX),
+        asked_at: Micros(u64::MAX),
+        answered_by: Some("10.0.0.2:7200".to_owned()),
+    };
+    let bytes = write_contact(&"box-1".parse().unwrap(), &check).unwrap();
+    let events = read(&bytes).unwrap();
+    let [Event::PeerUsage(empty), Event::PeerContact(read)] = &events[..] else {
+        panic!("{events:?}");
+    };
+    assert_eq!(*read, check);
+    let as_production: UsageUpdate = postcard::from_bytes(&bytes[1..]).unwrap();
+    assert_eq!(as_production, *empty);
+}
+
 #[test]
 fn load_reports_follow_an_empty_message() {
     let engine = |engine| EngineLoad {
