--- a/src/gateway/dispatch/contact.rs
+++ b/src/gateway/dispatch/contact.rs
@@ -30,7 +30,7 @@
     rounds: usize,
     /// When the latest answered question was sent.
     confirmed_at: Micros,
-    /// Boxes that have answered.
+    /// Boxes that have answered, for as long as they are known.
     answering: BTreeSet<SocketAddr>,
 }
 
@@ -47,12 +47,6 @@
         let chosen = [in_turn(heard), in_turn(&answering)];
         chosen.into_iter().flatten().collect()
     }
-
-    /// Whether boxes that have answered are heard but answer no more.
-    fn is_lost(&self, heard: &[SocketAddr], within: Duration, now: Micros) -> bool {
-        let is_answering = heard.iter().any(|peer| self.answering.contains(peer));
-        is_answering && now.since(self.confirmed_at) >= within
-    }
 }
 
 impl Dispatcher {
@@ -62,6 +56,9 @@
             return;
         }
         self.contact.next_round = self.now.after(ASK_INTERVAL);
+        let peers = &self.peers;
+        let contact = &mut self.contact;
+        contact.answering.retain(|peer| peers.has_heard(*peer));
         let heard = self.peers.recent_in_other_domains(self.now);
         let to: Vec<SocketAddr> = self.contact.choose(&heard).into_iter().collect();
         if to.is_empty() {
@@ -105,7 +102,12 @@
 
     /// Whether this box has lost contact with other failure domains though messages of them arrive.
     pub(super) fn has_lost_contact(&self, within: Duration) -> bool {
+        if self.now.since(self.contact.confirmed_at) < within {
+            return false;
+        }
         let heard = self.peers.recent_in_other_domains(self.now);
-        self.contact.is_lost(&heard, within, self.now)
+        heard
+            .iter()
+            .any(|peer| self.contact.answering.contains(peer))
     }
 }
--- a/src/gateway/dispatch/peers.rs
+++ b/src/gateway/dispatch/peers.rs
@@ -361,6 +361,12 @@
         of_domain.map(|p| p.address).choose(rng)
     }
 
+    /// Whether a box sent a message within [`ADDRESS_RETENTION`].
+    #[must_use]
+    pub fn has_heard(&self, address: SocketAddr) -> bool {
+        self.boxes.values().any(|p| p.address == address)
+    }
+
     /// Boxes of other failure domains that sent a message within [`PEER_ACTIVE_FOR`].
     #[must_use]
     pub fn recent_in_other_domains(&self, now: Micros) -> Vec<SocketAddr> {
