--- a/src/gateway/dispatch/stream_versions.rs
+++ b/src/gateway/dispatch/stream_versions.rs
@@ -145,7 +145,7 @@
     pub fn on_table(&mut self, table: &RoutingTable) {
         let streams = table.routes().filter(|route| route.kind.is_stream());
         let longest = streams.map(|route| route.timeout).max();
-        self.lifetime = longest.unwrap_or_default() + RETURN_SLACK;
+        self.lifetime = longest.unwrap_or_default().saturating_add(RETURN_SLACK);
     }
 }
 
--- a/src/gateway/dispatch/stream_versions/before_start.rs
+++ b/src/gateway/dispatch/stream_versions/before_start.rs
@@ -149,7 +149,7 @@
             return;
         }
         let renew_at = now.after(state.lifetime);
-        let expires = now.after(state.lifetime * SOLE_MARK_LIFETIMES);
+        let expires = now.after(state.lifetime.saturating_mul(SOLE_MARK_LIFETIMES));
         let mark = StreamKey::sole_mark_of(service);
         state
             .saved_sole
